--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+PRESET ?= release
+BUILD := build/$(PRESET)
+
+.PHONY: all packages test lint format demo bench bench-capacity explore clean
+
+all:
+	@cmake --preset $(PRESET) >/dev/null
+	@cmake --build --preset $(PRESET)
+
+# Installs the Debian packages that tools/packages.txt declares, where they are missing.
+packages:
+	@tools/install-packages
+
+test: packages all
+	@tools/run-tests $(BUILD)
+
+lint: packages all
+	@tools/lint $(BUILD)
+
+format:
+	@git ls-files -co --exclude-standard '*.cpp' '*.h' | grep -v _generated.h | xargs clang-format -i
+
+clean:
+	@rm -rf build
--- /dev/null
+++ b/modules/bulrush_core/errors/Error.cpp
@@ -0,0 +1,25 @@
+#include "bulrush_core/errors/Error.h"
+
+namespace bulrush {
+
+namespace {
+
+std::string compose(std::string_view step, std::string_view peer, std::string_view reason)
+{
+    std::string message(step);
+    if (!peer.empty()) {
+        message.append(" [").append(peer).append("]");
+    }
+    return message.append(": ").append(reason);
+}
+
+} // namespace
+
+Error::Error(std::string_view step, std::string_view peer, std::string_view reason)
+    : std::runtime_error(compose(step, peer, reason))
+    , stepText(step)
+    , peerText(peer)
+{
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace bulrush {
+
+/** How much attention an event needs. */
+enum class Severity : std::uint8_t { Debug, Info, Warning, Error };
+
+/** The number of each log event. docs/EVENTS.md holds cause and action for each. */
+enum class Event : std::uint16_t {
+    NodeStarted = 1001,
+    NodeStopping = 1002,
+    NodeStopped = 1003,
+    DrainBoundPassed = 1004,
+    PeerConnected = 1101,
+    PeerLost = 1102,
+    PeerFrameRefused = 1103,
+    LogUnavailable = 1201,
+    LogAvailable = 1202,
+    LogTruncated = 1203,
+    StateFromPeer = 1204,
+    RecordAccepted = 1301,
+    RecordRefused = 1302,
+    RequestRefused = 1401,
+    RequestUnknown = 1402,
+    TargetEjected = 1403,
+    TargetLeaving = 1404,
+    GroupClaimed = 1501,
+    GroupLost = 1502,
+    WorkerSilent = 1503,
+    WorkerBooksDiffer = 1504,
+    AttemptStarted = 1505,
+    AttemptEnded = 1506,
+    JobCannotRun = 1507,
+};
+
+/** What is fixed about an event: its number, name and severity. */
+struct EventInfo
+{
+    Event event;
+    Severity severity;
+    std::string_view name;
+};
+
+/** Returns all events in the order of their numbers. */
+std::span<const EventInfo> eventCatalogue();
+
+/** Returns the catalogue's entry of an event. */
+const EventInfo &eventInfo(Event event);
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_core/ids/Id.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <string_view>
+
+namespace bulrush {
+
+/**
+    An id that is a name, distinct in type for each kind of object.
+
+    @tparam Tag an incomplete type that tells one kind of id from another
+*/
+template<class Tag>
+class NameId
+{
+public:
+    NameId() = default;
+    explicit NameId(std::string_view name)
+        : text(name)
+    {
+    }
+
+    /** Returns the name itself. */
+    const std::string &name() const { return this->text; }
+
+    /** Returns whether no name was given. */
+    bool isEmpty() const { return this->text.empty(); }
+
+    auto operator<=>(const NameId &) const = default;
+
+    friend std::ostream &operator<<(std::ostream &stream, const NameId &id)
+    {
+        return stream << id.text;
+    }
+
+private:
+    std::string text;
+};
+
+/** The name of one VM of the system itself (an entry VM and its daemon). */
+using NodeId = NameId<struct NodeTag>;
+
+/** The name of a VM that the platform rents out: a worker. */
+using VmId = NameId<struct VmTag>;
+
+/** The name of a data centre. */
+using DataCentreId = NameId<struct DataCentreTag>;
+
+/** The name of a team that has a quota. */
+using TeamId = NameId<struct TeamTag>;
+
+/** The name of a target that serves requests: an executor. */
+using TargetId = NameId<struct TargetTag>;
+
+/** The name of a service. */
+using ServiceId = NameId<struct ServiceTag>;
+
+/** The name of a job or watcher. */
+using JobId = NameId<struct JobTag>;
+
+/** The name of a worker group: the workers that one owner places work on. */
+using GroupId = NameId<struct GroupTag>;
+
+} // namespace bulrush
+
+/** Lets ids be keys of unordered containers. */
+template<class Tag>
+struct std::hash<bulrush::NameId<Tag>>
+{
+    std::size_t operator()(const bulrush::NameId<Tag> &id) const noexcept
+    {
+        return std::hash<std::string>()(id.name());
+    }
+};
--- /dev/null
+++ b/modules/bulrush_core/time/PausableClock.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "bulrush_core/time/Clock.h"
+
+namespace bulrush {
+
+/** A clock that stands still until a test advances it. */
+class PausableClock : public Clock
+{
+public:
+    Instant now() const override;
+    UnixSeconds calendarTime() const override;
+
+    /** Moves the monotonic and the calendar time forward by a non-negative span. */
+    void advance(Duration span);
+
+    /** Steps the calendar time alone; the step may be negative. */
+    void stepCalendar(seconds step);
+
+private:
+    Instant monotonic { hours(1) };
+    seconds calendarOffset { 1'700'000'000 };
+};
+
+} // namespace bulrush
