Add bulrush_net: libwebsockets behind an event loop, HTTP and frames

Cause: every process needs sockets, and no other part should know libwebsockets. Conclusion: whole requests and answers, and frames, are handed over by ids.

--- /dev/null
+++ b/modules/bulrush_net/tests/net_test.cpp
@@ -0,0 +1,222 @@
+#include "bulrush_core/bulrush_core.h"
+#include "bulrush_net/bulrush_net.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <set>
+
+using namespace bulrush;
+
+namespace {
+
+/** Answers each request with its own body, optionally in the reverse order of arrival. */
+struct EchoServer : HttpServer::Listener
+{
+    explicit EchoServer(EventLoop &loop, std::uint16_t port)
+        : server(loop, { "127.0.0.1", port }, { 1000, 64 }, *this)
+    {
+    }
+
+    void requestArrived(HttpServer::RequestId id, HttpRequest request) override
+    {
+        ++this->arrivals;
+        if (request.path == "/silent") {
+            return;
+        }
+        HttpResponse response;
+        response.headers.push_back({ "bulrush-load", "3/8" });
+        response.body =
+                request.method + " " + request.path + "?" + request.query + " " + request.body;
+        if (request.path == "/large") {
+            response.body.assign(300'000, 'x');
+        }
+        this->server.respond(id, std::move(response));
+    }
+
+    void callerGone(HttpServer::RequestId /*id*/) override { ++this->gone; }
+
+    int arrivals = 0;
+    int gone = 0;
+    HttpServer server;
+};
+
+struct RecordingClient : HttpClient::Listener
+{
+    explicit RecordingClient(EventLoop &loop)
+        : client(loop, 4, { 400'000, 30, 2 }, *this)
+    {
+    }
+
+    void requestLeaving(HttpClient::ExchangeId id) override { this->left.insert(id); }
+
+    void responseArrived(HttpClient::ExchangeId id, HttpResponse response) override
+    {
+        this->responses[id] = std::move(response);
+    }
+
+    void exchangeFailed(HttpClient::ExchangeId id, ExchangeFailure failure,
+                        std::string_view /*reason*/) override
+    {
+        this->failures[id] = failure;
+    }
+
+    std::size_t ended() const { return this->responses.size() + this->failures.size(); }
+
+    std::set<HttpClient::ExchangeId> left;
+    std::map<HttpClient::ExchangeId, HttpResponse> responses;
+    std::map<HttpClient::ExchangeId, ExchangeFailure> failures;
+    HttpClient client;
+};
+
+/** Services the loop until the condition holds; the test's own timeout ends a hang. */
+template<class Condition>
+void runUntil(EventLoop &loop, Condition condition)
+{
+    while (!condition()) {
+        loop.runOnce();
+    }
+}
+
+HttpRequest post(std::string_view path, std::string_view body)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = path;
+    request.query = "a=1&b=2";
+    request.body = body;
+    return request;
+}
+
+} // namespace
+
+Test(Http, requestsOnOneConnectionGetTheirOwnAnswers)
+{
+    EventLoop loop;
+    EchoServer server(loop, 18101);
+    RecordingClient client(loop);
+    for (HttpClient::ExchangeId id = 1; id <= 50; ++id) {
+        client.client.send(id, { "127.0.0.1", 18101 }, 0, post("/echo", std::to_string(id)));
+        runUntil(loop, [&] { return client.ended() == id; });
+        cr_assert_eq(client.responses[id].body, "POST /echo?a=1&b=2 " + std::to_string(id));
+    }
+    cr_assert_eq(headerValue(client.responses[1].headers, "bulrush-load"), "3/8");
+}
+
+Test(Http, answerLargerThanOneReadArrivesWhole)
+{
+    EventLoop loop;
+    EchoServer server(loop, 18102);
+    RecordingClient client(loop);
+    client.client.send(1, { "127.0.0.1", 18102 }, 0, post("/large", "x"));
+    runUntil(loop, [&] { return client.ended() == 1; });
+    cr_assert_eq(client.responses[1].body.size(), 300'000U);
+}
+
+Test(Http, refusedConnectionCountsAsNotSent)
+{
+    EventLoop loop;
+    RecordingClient client(loop);
+    client.client.send(1, { "127.0.0.1", 18199 }, 0, post("/echo", "x"));
+    runUntil(loop, [&] { return client.ended() == 1; });
+    cr_assert(client.failures.at(1) == ExchangeFailure::NotSent);
+    cr_assert(client.left.empty());
+}
+
+Test(Http, tooLargeRequestIsRefusedAndTheServerGoesOn)
+{
+    EventLoop loop;
+    EchoServer server(loop, 18103);
+    RecordingClient client(loop);
+    client.client.send(1, { "127.0.0.1", 18103 }, 0, post("/echo", std::string(2000, 'y')));
+    runUntil(loop, [&] { return client.ended() == 1; });
+    cr_assert_eq(client.responses[1].status, 413);
+    client.client.send(2, { "127.0.0.1", 18103 }, 0, post("/echo", "z"));
+    runUntil(loop, [&] { return client.ended() == 2; });
+    cr_assert_eq(client.responses[2].status, 200);
+    cr_assert_eq(server.arrivals, 1);
+}
+
+Test(Http, abandonedExchangeDoesNotHoldUpTheNextOnItsConnection)
+{
+    EventLoop loop;
+    EchoServer server(loop, 18104);
+    RecordingClient client(loop);
+    client.client.send(1, { "127.0.0.1", 18104 }, 0, post("/silent", "x"));
+    runUntil(loop, [&] { return server.arrivals == 1; });
+    client.client.abandon(1);
+    client.client.send(2, { "127.0.0.1", 18104 }, 0, post("/echo", "y"));
+    runUntil(loop, [&] { return client.ended() == 1 && server.gone == 1; });
+    cr_assert_eq(client.responses.count(2), 1U);
+}
+
+namespace {
+
+struct FramePeer : FrameTransport::Listener
+{
+    FramePeer(EventLoop &loop, std::uint16_t port)
+        : transport(loop, { "127.0.0.1", port }, { 100'000, 1'000'000 }, *this)
+    {
+    }
+
+    void linkOpened(FrameTransport::LinkId link, bool /*accepted*/) override
+    {
+        this->open.insert(link);
+    }
+
+    void frameArrived(FrameTransport::LinkId /*link*/, std::span<const std::uint8_t> frame) override
+    {
+        this->frames.emplace_back(frame.begin(), frame.end());
+    }
+
+    void linkClosed(FrameTransport::LinkId link, std::string_view /*reason*/) override
+    {
+        this->open.erase(link);
+        ++this->closed;
+    }
+
+    std::set<FrameTransport::LinkId> open;
+    std::vector<std::vector<std::uint8_t>> frames;
+    int closed = 0;
+    FrameTransport transport;
+};
+
+} // namespace
+
+Test(Frames, arriveWholeAndInOrder)
+{
+    EventLoop loop;
+    FramePeer a(loop, 18111);
+    FramePeer b(loop, 18112);
+    const auto link = a.transport.connect({ "127.0.0.1", 18112 });
+    runUntil(loop, [&] { return a.open.contains(link) && !b.open.empty(); });
+    for (std::size_t size = 0; size < 200; ++size) {
+        cr_assert(a.transport.send(link, std::vector<std::uint8_t>(size * 50, 7)));
+    }
+    runUntil(loop, [&] { return b.frames.size() == 200; });
+    for (std::size_t size = 0; size < 200; ++size) {
+        cr_assert_eq(b.frames[size].size(), size * 50);
+    }
+}
+
+Test(Frames, tooLargeFrameIsRefusedBySenderAndReceiver)
+{
+    EventLoop loop;
+    FramePeer a(loop, 18113);
+    FramePeer b(loop, 18114);
+    const auto link = a.transport.connect({ "127.0.0.1", 18114 });
+    runUntil(loop, [&] { return a.open.contains(link); });
+    cr_assert_not(a.transport.send(link, std::vector<std::uint8_t>(100'001, 1)));
+}
+
+Test(Frames, closedLinkIsReported)
+{
+    EventLoop loop;
+    FramePeer a(loop, 18115);
+    FramePeer b(loop, 18116);
+    const auto link = a.transport.connect({ "127.0.0.1", 18116 });
+    runUntil(loop, [&] { return a.open.contains(link) && !b.open.empty(); });
+    a.transport.close(link);
+    runUntil(loop, [&] { return b.closed == 1; });
+    cr_assert_not(a.transport.send(link, std::vector<std::uint8_t>(1, 1)));
+}
