Add bulrush_wire and bulrush_platform

Cause: nodes need frames between each other and one narrow interface to the platform's log. Weighed: callbacks against ids and a listener for calls to the platform; a call has one answer and one place that waits for it, so a callback, always from the loop, never from within the call. Change: FlatBuffers frames with a verifier, generated code committed; Log and VmList interfaces, their HTTP adapter, LogFollower (order, outage, truncation). Conclusion: state can now be folded from the log, whatever stands behind it.

--- a/modules/bulrush_net/bulrush_net.h
+++ b/modules/bulrush_net/bulrush_net.h
@@ -11,6 +11,7 @@
 */
 
 #include "bulrush_net/frames/FrameTransport.h"
+#include "bulrush_net/http/HttpCaller.h"
 #include "bulrush_net/http/HttpClient.h"
 #include "bulrush_net/http/HttpMessage.h"
 #include "bulrush_net/http/HttpServer.h"
--- /dev/null
+++ b/modules/bulrush_platform/log/HttpPlatform.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "bulrush_net/bulrush_net.h"
+#include "bulrush_platform/log/Log.h"
+#include "bulrush_platform/vms/VmList.h"
+
+#include <cstddef>
+#include <vector>
+
+namespace bulrush {
+
+/** Speaks HTTP and JSON to the platform. After a failed call the next endpoint is taken. */
+class HttpPlatform : public Log, public VmList
+{
+public:
+    /** @param endpoints the platform's front ends, at least one */
+    HttpPlatform(EventLoop &loop, std::vector<Endpoint> endpoints);
+
+    void append(std::string_view stream, std::string body, AppendCallback callback) override;
+    void read(std::string_view stream, Offset from, Duration wait, ReadCallback callback) override;
+    void readVms(Callback callback) override;
+
+private:
+    void call(HttpRequest request, Duration timeout, HttpCaller::Callback callback);
+
+    HttpCaller caller;
+    const std::vector<Endpoint> endpoints;
+    std::size_t current = 0;
+};
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_wire/frames/PeerFrames.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "bulrush_wire/generated/peer_generated.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace bulrush::wire {
+
+/** The version of the frames that this build speaks. */
+constexpr std::uint16_t frameVersion = 1;
+
+/** An encoded frame. */
+using Bytes = std::vector<std::uint8_t>;
+
+/** Verifies a received frame. @throws Error naming the peer when it is malformed */
+const Frame &readFrame(std::span<const std::uint8_t> bytes, std::string_view peer);
+
+/** Encodes a message, such as HelloT, as one frame. */
+template<class MessageT>
+Bytes encode(MessageT message)
+{
+    FrameT frame;
+    frame.message.Set(std::move(message));
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(Frame::Pack(builder, &frame));
+    return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
+}
+
+} // namespace bulrush::wire
