--- a/modules/bulrush_net/loop/EventLoop.h
+++ b/modules/bulrush_net/loop/EventLoop.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrush_core/addresses/Endpoint.h"
 #include "bulrush_core/time/Clock.h"
 
 #include <atomic>
@@ -16,18 +17,6 @@
 
 namespace bulrush {
 
-/** An IP number and a port. */
-struct Endpoint
-{
-    std::string address;
-    std::uint16_t port = 0;
-
-    auto operator<=>(const Endpoint &) const = default;
-
-    /** Returns "address:port". */
-    std::string text() const { return this->address + ":" + std::to_string(this->port); }
-};
-
 /**
     One libwebsockets context and its timers, serviced by one thread.
 
--- a/modules/bulrush_platform/log/HttpPlatform.cpp
+++ b/modules/bulrush_platform/log/HttpPlatform.cpp
@@ -12,17 +12,17 @@
 constexpr Duration callTimeout = seconds(2);
 constexpr int recordsPerRead = 500;
 
-std::optional<Offset> parseOffset(const CallResult &result)
+std::optional<LogOffset> parseOffset(const CallResult &result)
 {
     if (!result.succeeded()) {
         return std::nullopt;
     }
     const json answer = json::parse(result.response->body, nullptr, false);
     if (!answer.is_object() || !answer.contains("offset")
-        || !answer["offset"].is_number_integer()) {
+        || !answer["offset"].is_number_unsigned()) {
         return std::nullopt;
     }
-    return answer["offset"].get<Offset>();
+    return answer["offset"].get<LogOffset>();
 }
 
 std::optional<LogPage> parsePage(const CallResult &result)
@@ -33,11 +33,11 @@
     try {
         const json answer = json::parse(result.response->body);
         LogPage page;
-        page.first = answer.at("first").get<Offset>();
-        page.next = answer.at("next").get<Offset>();
+        page.firstRetained = answer.at("first").get<LogOffset>();
+        page.end = answer.at("next").get<LogOffset>();
         for (const json &entry : answer.at("records")) {
-            page.records.push_back(
-                    { entry.at("offset").get<Offset>(), entry.at("body").get<std::string>() });
+            page.entries.push_back(
+                    { entry.at("offset").get<LogOffset>(), entry.at("body").get<std::string>() });
         }
         return page;
     } catch (const json::exception &) {
@@ -109,7 +109,8 @@
             [callback = std::move(callback)](CallResult result) { callback(parseOffset(result)); });
 }
 
-void HttpPlatform::read(std::string_view stream, Offset from, Duration wait, ReadCallback callback)
+void HttpPlatform::read(std::string_view stream, LogOffset from, Duration wait,
+                        ReadCallback callback)
 {
     HttpRequest request = makeRequest("GET", "/log/" + std::string(stream));
     request.query = "from=" + std::to_string(from) + "&max=" + std::to_string(recordsPerRead)
--- a/modules/bulrush_platform/log/HttpPlatform.h
+++ b/modules/bulrush_platform/log/HttpPlatform.h
@@ -17,7 +17,8 @@
     HttpPlatform(EventLoop &loop, std::vector<Endpoint> endpoints);
 
     void append(std::string_view stream, std::string body, AppendCallback callback) override;
-    void read(std::string_view stream, Offset from, Duration wait, ReadCallback callback) override;
+    void read(std::string_view stream, LogOffset from, Duration wait,
+              ReadCallback callback) override;
     void readVms(Callback callback) override;
 
 private:
--- a/modules/bulrush_platform/log/Log.h
+++ b/modules/bulrush_platform/log/Log.h
@@ -1,40 +1,21 @@
 #pragma once
 
+#include "bulrush_core/log/LogTypes.h"
 #include "bulrush_core/time/Clock.h"
 
-#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace bulrush {
 
-/** The place of a record in its stream. */
-using Offset = std::int64_t;
-
-/** One record of a stream. */
-struct LogRecord
-{
-    Offset offset = 0;
-    std::string body;
-};
-
-/** What a read returned. A first offset beyond the one asked for means that records are gone. */
-struct LogPage
-{
-    Offset first = 0;
-    Offset next = 0;
-    std::vector<LogRecord> records;
-};
-
 /** The platform's append-only log. */
 class Log
 {
 public:
     /** Called with the record's offset; none means that it is unknown whether it was appended. */
-    using AppendCallback = std::function<void(std::optional<Offset>)>;
+    using AppendCallback = std::function<void(std::optional<LogOffset>)>;
 
     /** Called with what was read; none means that the log did not answer. */
     using ReadCallback = std::function<void(std::optional<LogPage>)>;
@@ -48,7 +29,7 @@
     virtual void append(std::string_view stream, std::string body, AppendCallback callback) = 0;
 
     /** Reads from an offset on. @param wait how long to wait for a record when there is none */
-    virtual void read(std::string_view stream, Offset from, Duration wait,
+    virtual void read(std::string_view stream, LogOffset from, Duration wait,
                       ReadCallback callback) = 0;
 };
 
--- a/modules/bulrush_wire/tests/wire_test.cpp
+++ b/modules/bulrush_wire/tests/wire_test.cpp
@@ -31,7 +31,7 @@
     const auto *records = frame.message_as_Records();
     cr_assert_not_null(records);
     cr_assert_eq(records->records()->size(), 5U);
-    cr_assert_eq(records->records()->Get(4)->offset(), 4);
+    cr_assert_eq(records->records()->Get(4)->offset(), 4U);
 }
 
 Test(PeerFrames, randomMutationsAreRefusedOrSafeToRead)
