Check records and settings, fold records by one rule of succession

Cause: operators' records and the daemon's settings had no schemas, and nothing decided which of two racing records is in force.

Ruled out: letting each node decide by arrival time or publisher, as nodes then differ after a cut.

Figures: 8 unit tests, none before.

--- /dev/null
+++ b/modules/bulrush_config/bulrush_config.h
@@ -0,0 +1,21 @@
+#pragma once
+
+/**
+    bulrush_config: operators' records and the daemon's settings.
+
+    Checks texts against the built-in schemas, folds the configuration stream of the log by one
+    pure rule of succession, and writes and reads snapshots of the folded state. Holds no socket,
+    thread or clock.
+
+    Needs: bulrush_core, nlohmann-json, valijson, xxhash.
+*/
+
+#include "bulrush_config/records/Record.h"
+#include "bulrush_config/records/RecordBodies.h"
+#include "bulrush_config/records/RecordState.h"
+#include "bulrush_config/schemas/EmbeddedSchemas.h"
+#include "bulrush_config/schemas/FieldProblem.h"
+#include "bulrush_config/schemas/SchemaBook.h"
+#include "bulrush_config/settings/NodeSettings.h"
+#include "bulrush_config/snapshots/LogFollower.h"
+#include "bulrush_config/snapshots/Snapshot.h"
--- /dev/null
+++ b/modules/bulrush_config/records/RecordState.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "bulrush_config/records/Record.h"
+#include "bulrush_config/records/Verdict.h"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bulrush {
+
+/** The kind and name under which records succeed one another. */
+struct ChainKey
+{
+    std::string kind;
+    std::string name;
+
+    auto operator<=>(const ChainKey &) const = default;
+};
+
+/**
+    What is in force, folded from the configuration stream by one pure rule in log order.
+
+    A record names the record that it supersedes; the first valid successor in log order wins, on
+    every node alike. A record whose version only newer software knows is not applied: what was
+    in force before stays, and later records of that name are judged only where all software
+    would come to the same verdict; otherwise they are held.
+
+    @see docs/design/config.md
+*/
+class RecordState
+{
+public:
+    /** How many offsets a finished job's name is remembered, against late repetitions. */
+    static constexpr LogOffset finishedSpan = 4'096;
+
+    /** The greatest number of names. */
+    static constexpr std::size_t maxChains = 200'000;
+
+    /** How many verdicts are kept for each name. */
+    static constexpr std::size_t historyLength = 8;
+
+    /**
+        Folds the next log entry. An entry before nextOffset() is ignored.
+
+        @throws Error at an entry beyond nextOffset(), as skipped entries would be lost
+    */
+    Verdict apply(LogOffset offset, std::string_view text);
+
+    /** Returns the offset of the entry that is applied next. It never goes back. */
+    LogOffset nextOffset() const { return this->next; }
+
+    /** Returns the record in force, or null. Valid until the next change. */
+    const Record *find(RecordKind kind, std::string_view name) const;
+
+    /** Returns all records of a kind in force, sorted by name. Valid until the next change. */
+    std::vector<const Record *> inForce(RecordKind kind) const;
+
+    /** Returns the id that the next record of a name has to supersede; empty for none. */
+    std::string headId(std::string_view kind, std::string_view name) const;
+
+    /** Returns the last verdicts on a name, oldest first. */
+    std::vector<Verdict> history(std::string_view kind, std::string_view name) const;
+
+    /** Returns the names that need newer software and so may be out of date here. */
+    std::vector<ChainKey> unsettled() const;
+
+    /** Returns the state as JSON text; equal states give equal texts. */
+    std::string exportText() const;
+
+    /** Returns the state of a text made by exportText(). @throws Error */
+    static RecordState importText(std::string_view text);
+
+private:
+    enum class Standing : std::uint8_t {
+        Settled,
+
+        /** The last successor needs newer software; only a record that names it is judged. */
+        Waiting,
+
+        /** Records were held; only newer software can tell what is in force. */
+        Held,
+    };
+
+    struct Chain
+    {
+        std::optional<Record> inForce;
+
+        /** Id of the last accepted record, also after a job has finished. */
+        std::string headId;
+
+        /** Id of a refused successor of the head, which may be named in the head's place. */
+        std::string skippedId;
+
+        Standing standing = Standing::Settled;
+        std::optional<LogOffset> finishedAt;
+        std::deque<Verdict> history;
+    };
+
+    friend class StateText;
+
+    Verdict judge(LogOffset offset, const CheckedRecord &checked);
+    Verdict judgeSuccessor(Chain &chain, const CheckedRecord &checked, Verdict verdict);
+    Verdict judgeWaiting(Chain &chain, const CheckedRecord &checked, Verdict verdict);
+    Verdict judgeJobDone(const Record &done, Verdict verdict);
+    Verdict lost(const Chain *chain, Verdict verdict) const;
+    std::optional<std::string> conflict(const Record &record) const;
+    bool isWorkUnsettled(std::string_view name, std::string_view exceptKind) const;
+    bool hasWork(std::string_view kind, std::string_view name) const;
+    Chain *findChain(std::string_view kind, std::string_view name);
+    const Chain *findChain(std::string_view kind, std::string_view name) const;
+    void finish(const ChainKey &key, LogOffset offset);
+    void forgetFinished(LogOffset offset);
+
+    LogOffset next = 0;
+    std::map<ChainKey, Chain> chains;
+    std::deque<std::pair<LogOffset, ChainKey>> finished;
+};
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_config/records/Verdict.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace bulrush {
+
+/** A position on a stream of the log. */
+using LogOffset = std::uint64_t;
+
+/** What the rule of succession made of a log entry. */
+enum class Outcome : std::uint8_t {
+    /** In force from this offset on. */
+    Accepted,
+
+    /** Not applied, on no node. */
+    Refused,
+
+    /** A repetition or an entry that is no record; nothing changed. */
+    Ignored,
+
+    /** Not judged here, as an earlier record of the name needs newer software. */
+    Held,
+};
+
+/** Returns an outcome's name, such as "accepted". */
+std::string_view outcomeName(Outcome outcome);
+
+/** The verdict on one log entry, as told to its publisher and kept in the audit trail. */
+struct Verdict
+{
+    LogOffset offset = 0;
+    Outcome outcome = Outcome::Ignored;
+    std::string kind;
+    std::string name;
+    std::string id;
+    std::string supersedes;
+    std::string publisher;
+
+    /** Why it was not accepted. */
+    std::string reason;
+
+    /** Id of the record that won the race, where there was one. */
+    std::string winner;
+
+    /** Who published the winner. */
+    std::string winnerPublisher;
+};
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_config/schemas/StrictJson.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "bulrush_config/schemas/FieldProblem.h"
+
+#include <cstddef>
+#include <nlohmann/json_fwd.hpp>
+#include <string_view>
+#include <variant>
+
+namespace bulrush {
+
+/** Bounds of a JSON text that comes from outside. */
+struct JsonBounds
+{
+    std::size_t maxBytes = 65'536;
+    std::size_t maxDepth = 16;
+    std::size_t maxStringBytes = 1'024;
+};
+
+/**
+    Parses a JSON text from outside. Refuses a text beyond the bounds, a doubled key and whatever
+    the JSON grammar refuses.
+
+    @throws FieldError
+*/
+nlohmann::json parseStrictJson(std::string_view text, const JsonBounds &bounds);
+
+/** Returns a value as shown in a FieldProblem: its JSON text, shortened. */
+std::string shownValue(const nlohmann::json &value);
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_config/settings/NodeSettings.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "bulrush_core/ids/Id.h"
+#include "bulrush_core/time/Clock.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bulrush {
+
+/** An IP number and a TCP port. */
+struct Endpoint
+{
+    std::string address;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const Endpoint &) const = default;
+
+    /** Returns "address:port". */
+    std::string text() const;
+};
+
+/** Another node that is contacted at start. */
+struct PeerSettings
+{
+    NodeId node;
+    DataCentreId dataCentre;
+    Endpoint endpoint;
+};
+
+/** Bounds of the daemon's buffers, connections and queues. */
+struct LimitSettings
+{
+    std::size_t maxRequestBytes = 1'048'576;
+    std::size_t maxAnswerBytes = 16'777'216;
+    std::size_t maxConnections = 1'024;
+    std::size_t maxWaitingRequests = 1'024;
+};
+
+/** Periods and bounds of time. */
+struct TimeSettings
+{
+    milliseconds heartbeat { 500 };
+    milliseconds peerLost { 2'000 };
+    milliseconds lease { 30'000 };
+    milliseconds renewalHorizon { 14'400'000 };
+    milliseconds clockAllowance { 2'000 };
+    seconds keyLifetime { 3'600 };
+    milliseconds logPoll { 500 };
+};
+
+/** The daemon's settings file, checked. */
+struct NodeSettings
+{
+    NodeId node;
+    DataCentreId dataCentre;
+    std::string region = "default";
+    Endpoint callers;
+    Endpoint operators;
+    std::string operatorsKey;
+    Endpoint peersListen;
+    std::vector<PeerSettings> peers;
+    std::vector<Endpoint> platform;
+    std::string peerKey;
+    milliseconds drainBound { 30'000 };
+    LimitSettings limits;
+    TimeSettings times;
+};
+
+/**
+    Reads a settings file's text.
+
+    @throws Error whose text names the field, what was found and what is expected
+    @see docs/CONFIGURATION.md
+*/
+NodeSettings readSettings(std::string_view text);
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_config/snapshots/LogFollower.cpp
@@ -0,0 +1,74 @@
+#include "bulrush_config/snapshots/LogFollower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bulrush {
+
+std::vector<Verdict> LogFollower::take(const LogPage &page)
+{
+    const bool hasGap = this->folded.nextOffset() < page.firstRetained;
+    if (hasGap && !this->scanning) {
+        this->scanning = true;
+        this->scanOffset = page.firstRetained;
+    }
+    this->scanning = hasGap;
+    if (hasGap) {
+        this->scan(page);
+    }
+    if (this->scanning) {
+        this->currentStatus = FollowStatus::Truncated;
+        return {};
+    }
+    std::vector<Verdict> verdicts = this->fold(page);
+    this->currentStatus = this->folded.nextOffset() >= page.end ? FollowStatus::Current
+                                                                : FollowStatus::CatchingUp;
+    return verdicts;
+}
+
+void LogFollower::scan(const LogPage &page)
+{
+    this->scanOffset = std::max(this->scanOffset, page.firstRetained);
+    for (const LogEntry &entry : page.entries) {
+        if (entry.offset != this->scanOffset) {
+            continue;
+        }
+        ++this->scanOffset;
+        std::optional<RecordState> snapshot = this->assembler.take(entry.text);
+        if (snapshot && snapshot->nextOffset() >= page.firstRetained
+            && this->adopt(std::move(*snapshot))) {
+            this->scanning = false;
+            return;
+        }
+    }
+}
+
+std::vector<Verdict> LogFollower::fold(const LogPage &page)
+{
+    std::vector<Verdict> verdicts;
+    for (const LogEntry &entry : page.entries) {
+        if (entry.offset == this->folded.nextOffset()) {
+            verdicts.push_back(this->folded.apply(entry.offset, entry.text));
+        }
+    }
+    return verdicts;
+}
+
+bool LogFollower::takePeerState(std::string_view text)
+{
+    return this->adopt(RecordState::importText(text));
+}
+
+bool LogFollower::adopt(RecordState state)
+{
+    const bool isFurther = state.nextOffset() > this->folded.nextOffset();
+    const bool isMoreSettled = state.nextOffset() == this->folded.nextOffset()
+            && state.unsettled().size() < this->folded.unsettled().size();
+    if (!isFurther && !isMoreSettled) {
+        return false;
+    }
+    this->folded = std::move(state);
+    return true;
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_config/snapshots/Snapshot.cpp
@@ -0,0 +1,87 @@
+#include "bulrush_config/snapshots/Snapshot.h"
+
+#include "bulrush_config/schemas/StrictJson.h"
+#include "bulrush_core/errors/Error.h"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+namespace bulrush {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view partPrefix = "{\"snapshot\":";
+
+/** Escaping may double a part; the envelope needs some more. */
+constexpr JsonBounds partBounds { 3 * snapshotPartBytes, 4, 2 * snapshotPartBytes };
+
+std::string hashOf(std::string_view text)
+{
+    return std::to_string(XXH3_64bits(text.data(), text.size()));
+}
+
+} // namespace
+
+bool isSnapshotPart(std::string_view text)
+{
+    return text.substr(0, partPrefix.size()) == partPrefix;
+}
+
+std::vector<std::string> snapshotParts(const RecordState &state)
+{
+    if (!state.unsettled().empty()) {
+        throw Error("write snapshot", "", "some names need newer software");
+    }
+    const std::string text = state.exportText();
+    const std::size_t count = (text.size() + snapshotPartBytes - 1) / snapshotPartBytes;
+    const std::string hash = hashOf(text);
+    std::vector<std::string> parts;
+    for (std::size_t part = 0; part < count; ++part) {
+        const json entry {
+            { "snapshot",
+              { { "nextOffset", state.nextOffset() },
+                { "hash", hash },
+                { "part", part },
+                { "parts", count },
+                { "text", text.substr(part * snapshotPartBytes, snapshotPartBytes) } } }
+        };
+        parts.push_back(entry.dump());
+    }
+    return parts;
+}
+
+std::optional<RecordState> SnapshotAssembler::take(std::string_view text)
+{
+    if (!isSnapshotPart(text)) {
+        return std::nullopt;
+    }
+    try {
+        const json entry = parseStrictJson(text, partBounds).at("snapshot");
+        const Key key { entry.at("nextOffset"), entry.at("hash"), entry.at("parts") };
+        auto &parts = this->unfinished[key];
+        parts[entry.at("part")] = entry.at("text");
+        std::optional<RecordState> state;
+        if (parts.size() == key.parts) {
+            std::string whole;
+            for (const auto &[index, part] : parts) {
+                whole += part;
+            }
+            this->unfinished.erase(key);
+            if (hashOf(whole) == key.hash) {
+                state = RecordState::importText(whole);
+            }
+        }
+        if (this->unfinished.size() > maxUnfinished) {
+            this->unfinished.erase(this->unfinished.begin());
+        }
+        return state;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    } catch (const Error &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_config/snapshots/Snapshot.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "bulrush_config/records/RecordState.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bulrush {
+
+/** Greatest size of the state's text within one part of a snapshot. */
+constexpr std::size_t snapshotPartBytes = 16'384;
+
+/** Returns whether a log entry is a part of a snapshot. */
+bool isSnapshotPart(std::string_view text);
+
+/**
+    Returns the log entries of a snapshot of a state, in order.
+
+    A pure function of the state, and so of the log up to its offset: any node may append them, and
+    parts that two nodes wrote can be mixed.
+
+    @throws Error when the state has unsettled names, as the snapshot would lack records
+*/
+std::vector<std::string> snapshotParts(const RecordState &state);
+
+/** Puts snapshots together from the entries of the log, in any order and with repetitions. */
+class SnapshotAssembler
+{
+public:
+    /** How many unfinished snapshots are kept; the oldest is dropped beyond that. */
+    static constexpr std::size_t maxUnfinished = 3;
+
+    /** Takes one log entry. @returns a state when this entry completed its snapshot */
+    std::optional<RecordState> take(std::string_view text);
+
+private:
+    struct Key
+    {
+        LogOffset nextOffset = 0;
+        std::string hash;
+        std::size_t parts = 0;
+
+        auto operator<=>(const Key &) const = default;
+    };
+
+    std::map<Key, std::map<std::size_t, std::string>> unfinished;
+};
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_config/tests/record_test.cpp
@@ -0,0 +1,89 @@
+#include "bulrush_config/bulrush_config.h"
+
+#include <criterion/criterion.h>
+
+using namespace bulrush;
+
+namespace {
+
+Record quota(const std::string &id, const std::string &supersedes, int cpuMilli)
+{
+    return { "quota/1",
+             "quota",
+             "kask",
+             id,
+             supersedes,
+             "operator-1",
+             R"({"team":"kask","cpuMilli":)" + std::to_string(cpuMilli)
+                     + R"(,"memoryMb":1000,"accelerators":0})" };
+}
+
+Record job(const std::string &id, const std::string &supersedes)
+{
+    return { "job/1",
+             "job",
+             "nightly",
+             id,
+             supersedes,
+             "operator-1",
+             R"({"team":"kask","tasks":4,"batchClass":"risk","cpuMilli":500,"memoryMb":100,)"
+             R"("runMs":60000})" };
+}
+
+} // namespace
+
+Test(Records, firstValidSuccessorWins)
+{
+    RecordState state;
+    cr_assert(state.apply(0, quota("a", "", 1).text()).outcome == Outcome::Accepted);
+    cr_assert(state.apply(1, quota("b", "a", 2).text()).outcome == Outcome::Accepted);
+    const Verdict loser = state.apply(2, quota("c", "a", 3).text());
+    cr_assert(loser.outcome == Outcome::Refused);
+    cr_assert_eq(loser.winner, "b");
+    cr_assert_eq(loser.winnerPublisher, "operator-1");
+    cr_assert(state.apply(3, quota("b", "a", 2).text()).outcome == Outcome::Ignored);
+    cr_assert_eq(state.find(RecordKind::Quota, "kask")->id, "b");
+    cr_assert_eq(readQuotaBody(*state.find(RecordKind::Quota, "kask")).cpuMilli, 2);
+    cr_assert_eq(state.history("quota", "kask").size(), 3U);
+    cr_assert_throw(state.apply(9, ""), Error);
+}
+
+Test(Records, finishedJobIsDroppedAndNotRunAgainByARepetition)
+{
+    RecordState state;
+    state.apply(0, job("a", "").text());
+    const Record done =
+            jobDoneRecord(job("a", ""), "done-1", NodeId("entry-1"), JobOutcome::Finished);
+    cr_assert(state.apply(1, done.text()).outcome == Outcome::Accepted);
+    cr_assert_null(state.find(RecordKind::Job, "nightly"));
+    cr_assert(state.apply(2, job("a", "").text()).outcome == Outcome::Ignored);
+    cr_assert(state.apply(3, done.text()).outcome == Outcome::Ignored);
+    cr_assert_eq(state.headId("job", "nightly"), "a");
+    cr_assert(state.apply(4, job("b", "a").text()).outcome == Outcome::Accepted);
+}
+
+Test(Records, exportedStateIsEqualAfterImport)
+{
+    RecordState state;
+    state.apply(0, job("a", "").text());
+    state.apply(1, quota("b", "", 5).text());
+    state.apply(2, quota("c", "wrong", 5).text());
+    const RecordState copy = RecordState::importText(state.exportText());
+    cr_assert_eq(copy.exportText(), state.exportText());
+    cr_assert_eq(copy.nextOffset(), 3U);
+    cr_assert(*copy.find(RecordKind::Job, "nightly") == *state.find(RecordKind::Job, "nightly"));
+}
+
+Test(Records, problemsNameTheField)
+{
+    Record wrong = job("a", "");
+    wrong.body.replace(wrong.body.find("500"), 3, "0");
+    cr_assert_eq(checkRecord(wrong.text()).problem->text(),
+                 "/body/cpuMilli: found 0, expected integer from 1 to 1024000");
+    wrong = quota("a", "", 1);
+    wrong.name = "parn";
+    cr_assert_eq(checkRecord(wrong.text()).problem->field, "/name");
+    wrong.schema = "quota/7";
+    cr_assert_eq(checkRecord(wrong.text()).problem->text(),
+                 "/schema: found unknown version \"quota/7\", expected quota/1");
+}
--- /dev/null
+++ b/modules/bulrush_config/tests/settings_test.cpp
@@ -0,0 +1,74 @@
+#include "bulrush_config/bulrush_config.h"
+
+#include <criterion/criterion.h>
+
+using namespace bulrush;
+
+namespace {
+
+const std::string minimal = R"({"schema":"settings/1","node":"entry-1","dataCentre":"tallinn-1",
+    "callers":{"address":"127.0.0.1","port":18001},
+    "operators":{"address":"127.0.0.1","port":18002},
+    "peersListen":{"address":"127.0.0.1","port":18003},
+    "platform":[{"address":"127.0.0.1","port":18000}])";
+
+std::string refusal(const std::string &text)
+{
+    try {
+        readSettings(text);
+    } catch (const Error &error) {
+        return error.what();
+    }
+    return "accepted";
+}
+
+void assertNames(const std::string &text, const std::string &words)
+{
+    const std::string seen = refusal(text);
+    cr_assert(seen.find(words) != std::string::npos, "%s", seen.c_str());
+}
+
+} // namespace
+
+Test(Settings, minimalFileGetsDefaults)
+{
+    const NodeSettings settings = readSettings(minimal + "}");
+    cr_assert_eq(settings.node, NodeId("entry-1"));
+    cr_assert_eq(settings.platform.size(), 1U);
+    cr_assert_eq(settings.platform.front().port, 18000);
+    cr_assert(settings.times.heartbeat == milliseconds(500));
+    cr_assert(settings.peers.empty());
+}
+
+Test(Settings, refusalNamesTheField)
+{
+    assertNames(minimal + R"(,"colour":1})", "/colour: found an unknown field, expected only");
+    assertNames(minimal + R"(,"drainBoundMs":"long"})",
+                R"(/drainBoundMs: found "long", expected integer from 0 to 3600000)");
+    assertNames(minimal + R"(,"times":{"leaseMs":1}})", "/times/leaseMs: found 1, expected");
+    assertNames(minimal + R"(,"peers":[{"node":"n","dataCentre":"d","address":"127.0.0.1"}]})",
+                "/peers/0/port: found nothing");
+    assertNames(minimal + R"(,"peerKey":"a","peerKey":"b"})", "/peerKey: found the field twice");
+    assertNames(minimal, "the whole text: found a fault at byte");
+    assertNames("[]", "the whole text: found []");
+    assertNames(R"({"schema":"settings/9"})", R"(/schema: found "settings/9")");
+    assertNames(std::string(70'000, ' '), "found 70000 bytes");
+    assertNames(std::string(1'000, '['), "nested too deeply");
+    assertNames(minimal + R"(,"peerKey":")" + std::string(2'000, 'x') + "\"}",
+                "/peerKey: found a string of 2000 bytes");
+}
+
+Test(Settings, addressesAreIpNumbers)
+{
+    std::string text = minimal + "}";
+    text.replace(text.find("127.0.0.1"), 9, "127.0.0.1.9");
+    assertNames(text, "/callers/address: found \"127.0.0.1.9\", expected an IP number");
+    text.replace(text.find("127.0.0.1.9"), 11, "localhost");
+    assertNames(text, "/callers/address: found \"localhost\", expected string");
+}
+
+Test(Settings, timesMustFitTogether)
+{
+    assertNames(minimal + R"(,"times":{"heartbeatMs":1000,"peerLostMs":1500}})",
+                "/times/peerLostMs: found 1500, expected more than 2000 (twice heartbeatMs)");
+}
