Let bulrush_config use the core's endpoint and log types

Cause: Endpoint, LogOffset, LogEntry and LogPage stood in two modules under one name, which one program may not link; Outcome would clash with the outcome of an attempt. Change: one definition in bulrush_core; the verdict's outcome is RecordOutcome. Conclusion: both modules can be linked into the daemon.

--- a/modules/bulrush_config/records/RecordState.cpp
+++ b/modules/bulrush_config/records/RecordState.cpp
@@ -31,7 +31,7 @@
     return verdict;
 }
 
-Verdict with(Verdict verdict, Outcome outcome, std::string_view reason)
+Verdict with(Verdict verdict, RecordOutcome outcome, std::string_view reason)
 {
     verdict.outcome = outcome;
     verdict.reason = reason;
@@ -45,7 +45,7 @@
     Verdict verdict;
     verdict.offset = offset;
     if (offset < this->next) {
-        return with(verdict, Outcome::Ignored, "the offset is in force already");
+        return with(verdict, RecordOutcome::Ignored, "the offset is in force already");
     }
     if (offset > this->next) {
         throw Error("apply record", std::to_string(offset),
@@ -54,11 +54,11 @@
     this->next = offset + 1;
     this->forgetFinished(offset);
     if (isSnapshotPart(text)) {
-        return with(verdict, Outcome::Ignored, "part of a snapshot");
+        return with(verdict, RecordOutcome::Ignored, "part of a snapshot");
     }
     const CheckedRecord checked = checkRecord(text);
     if (!checked.record) {
-        return with(verdict, Outcome::Refused, checked.problem->text());
+        return with(verdict, RecordOutcome::Refused, checked.problem->text());
     }
     return this->judge(offset, checked);
 }
@@ -68,7 +68,7 @@
     const Record &record = *checked.record;
     Verdict verdict = verdictOn(offset, record);
     if (record.kind == kindName(RecordKind::JobDone) && !checked.isNewer) {
-        return checked.problem ? with(verdict, Outcome::Refused, checked.problem->text())
+        return checked.problem ? with(verdict, RecordOutcome::Refused, checked.problem->text())
                                : this->judgeJobDone(record, verdict);
     }
     const ChainKey key { record.kind, record.name };
@@ -78,15 +78,15 @@
             return this->lost(nullptr, verdict);
         }
         if (this->chains.size() >= maxChains) {
-            return with(verdict, Outcome::Refused, "too many names");
+            return with(verdict, RecordOutcome::Refused, "too many names");
         }
         chain = &this->chains[key];
     }
     const auto isRepetition = [&record](const Verdict &earlier) {
-        return earlier.id == record.id && earlier.outcome == Outcome::Accepted;
+        return earlier.id == record.id && earlier.outcome == RecordOutcome::Accepted;
     };
     if (std::any_of(chain->history.begin(), chain->history.end(), isRepetition)) {
-        return with(verdict, Outcome::Ignored, "the record was applied already");
+        return with(verdict, RecordOutcome::Ignored, "the record was applied already");
     }
     if (isWorkKind(key.kind) && this->isWorkUnsettled(key.name, key.kind)) {
         chain->standing = Standing::Held;
@@ -103,7 +103,8 @@
 {
     const Record &record = *checked.record;
     if (chain.standing == Standing::Held) {
-        return with(verdict, Outcome::Held, "an earlier record of the name needs newer software");
+        return with(verdict, RecordOutcome::Held,
+                    "an earlier record of the name needs newer software");
     }
     if (chain.standing == Standing::Waiting) {
         return this->judgeWaiting(chain, checked, std::move(verdict));
@@ -123,7 +124,7 @@
         chain.headId = record.id;
         chain.skippedId.clear();
         chain.finishedAt.reset();
-        return with(verdict, Outcome::Accepted, "");
+        return with(verdict, RecordOutcome::Accepted, "");
     }
     if (checked.isNewer) {
         chain.standing = Standing::Waiting;
@@ -131,7 +132,7 @@
     } else if (chain.skippedId.empty() || namesSkipped) {
         chain.skippedId = record.id;
     }
-    return with(verdict, Outcome::Refused, *refusal);
+    return with(verdict, RecordOutcome::Refused, *refusal);
 }
 
 Verdict RecordState::judgeWaiting(Chain &chain, const CheckedRecord &checked, Verdict verdict)
@@ -146,14 +147,14 @@
         }
         chain.headId = chain.skippedId;
         chain.skippedId = record.id;
-        return with(verdict, Outcome::Refused,
+        return with(verdict, RecordOutcome::Refused,
                     checked.problem ? checked.problem->text() : *this->conflict(record));
     }
     if (record.supersedes != chain.headId) {
         return this->lost(&chain, verdict);
     }
     chain.standing = Standing::Held;
-    return with(verdict, Outcome::Held, "an earlier record of the name needs newer software");
+    return with(verdict, RecordOutcome::Held, "an earlier record of the name needs newer software");
 }
 
 Verdict RecordState::judgeJobDone(const Record &done, Verdict verdict)
@@ -162,31 +163,31 @@
         Chain *chain = this->findChain(kind, done.name);
         if (chain != nullptr && this->isWorkUnsettled(done.name, "")) {
             chain->standing = Standing::Held;
-            return with(verdict, Outcome::Held, "the job needs newer software");
+            return with(verdict, RecordOutcome::Held, "the job needs newer software");
         }
         if (chain == nullptr || chain->headId != done.supersedes) {
             continue;
         }
         if (!chain->inForce) {
-            return with(verdict, Outcome::Ignored, "the job has ended already");
+            return with(verdict, RecordOutcome::Ignored, "the job has ended already");
         }
         this->finish({ std::string(kind), done.name }, verdict.offset);
         this->finish({ "cancellation", done.name }, verdict.offset);
-        return with(verdict, Outcome::Accepted, "");
+        return with(verdict, RecordOutcome::Accepted, "");
     }
-    return with(verdict, Outcome::Refused, "no such job is in force");
+    return with(verdict, RecordOutcome::Refused, "no such job is in force");
 }
 
 Verdict RecordState::lost(const Chain *chain, Verdict verdict) const
 {
     if (chain == nullptr || chain->headId.empty()) {
-        return with(verdict, Outcome::Refused,
+        return with(verdict, RecordOutcome::Refused,
                     "/supersedes: found \"" + verdict.supersedes
                             + "\", expected \"\" as nothing of this name is in force");
     }
     verdict.winner = chain->headId;
     verdict.winnerPublisher = chain->inForce ? chain->inForce->publisher : "";
-    return with(verdict, Outcome::Refused,
+    return with(verdict, RecordOutcome::Refused,
                 "/supersedes: found \"" + verdict.supersedes + "\", expected \"" + chain->headId
                         + "\", which was there first");
 }
--- a/modules/bulrush_config/records/StateText.cpp
+++ b/modules/bulrush_config/records/StateText.cpp
@@ -41,7 +41,7 @@
     if (outcome < 0 || outcome >= static_cast<int>(outcomeNames.size())) {
         throw Error("import state", key.name, "an unknown outcome");
     }
-    return { row.at(0), static_cast<Outcome>(outcome),
+    return { row.at(0), static_cast<RecordOutcome>(outcome),
              key.kind,  key.name,
              row.at(2), row.at(3),
              row.at(4), row.at(5),
@@ -50,7 +50,7 @@
 
 } // namespace
 
-std::string_view outcomeName(Outcome outcome)
+std::string_view outcomeName(RecordOutcome outcome)
 {
     return outcomeNames.at(static_cast<std::size_t>(outcome));
 }
--- a/modules/bulrush_config/records/Verdict.h
+++ b/modules/bulrush_config/records/Verdict.h
@@ -1,16 +1,15 @@
 #pragma once
 
+#include "bulrush_core/log/LogTypes.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace bulrush {
 
-/** A position on a stream of the log. */
-using LogOffset = std::uint64_t;
-
 /** What the rule of succession made of a log entry. */
-enum class Outcome : std::uint8_t {
+enum class RecordOutcome : std::uint8_t {
     /** In force from this offset on. */
     Accepted,
 
@@ -25,13 +24,13 @@
 };
 
 /** Returns an outcome's name, such as "accepted". */
-std::string_view outcomeName(Outcome outcome);
+std::string_view outcomeName(RecordOutcome outcome);
 
 /** The verdict on one log entry, as told to its publisher and kept in the audit trail. */
 struct Verdict
 {
     LogOffset offset = 0;
-    Outcome outcome = Outcome::Ignored;
+    RecordOutcome outcome = RecordOutcome::Ignored;
     std::string kind;
     std::string name;
     std::string id;
--- a/modules/bulrush_config/settings/NodeSettings.cpp
+++ b/modules/bulrush_config/settings/NodeSettings.cpp
@@ -128,11 +128,6 @@
 
 } // namespace
 
-std::string Endpoint::text() const
-{
-    return this->address + ":" + std::to_string(this->port);
-}
-
 NodeSettings readSettings(std::string_view text)
 {
     try {
--- a/modules/bulrush_config/settings/NodeSettings.h
+++ b/modules/bulrush_config/settings/NodeSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrush_core/addresses/Endpoint.h"
 #include "bulrush_core/ids/Id.h"
 #include "bulrush_core/time/Clock.h"
 
@@ -11,18 +12,6 @@
 
 namespace bulrush {
 
-/** An IP number and a TCP port. */
-struct Endpoint
-{
-    std::string address;
-    std::uint16_t port = 0;
-
-    auto operator<=>(const Endpoint &) const = default;
-
-    /** Returns "address:port". */
-    std::string text() const;
-};
-
 /** Another node that is contacted at start. */
 struct PeerSettings
 {
--- a/modules/bulrush_config/snapshots/LogFollower.h
+++ b/modules/bulrush_config/snapshots/LogFollower.h
@@ -2,6 +2,7 @@
 
 #include "bulrush_config/records/RecordState.h"
 #include "bulrush_config/snapshots/Snapshot.h"
+#include "bulrush_core/log/LogTypes.h"
 
 #include <span>
 #include <string>
@@ -10,26 +11,6 @@
 
 namespace bulrush {
 
-/** One entry of a stream of the log. */
-struct LogEntry
-{
-    LogOffset offset = 0;
-    std::string text;
-};
-
-/** What one read of a stream returned. */
-struct LogPage
-{
-    /** The first offset that the log still holds. */
-    LogOffset firstRetained = 0;
-
-    /** The offset that the next append will get. */
-    LogOffset end = 0;
-
-    /** Entries in order, from the offset that was asked for. */
-    std::vector<LogEntry> entries;
-};
-
 /** How a node stands to the configuration stream. */
 enum class FollowStatus : std::uint8_t {
     /** Nothing was read yet; nothing is known. */
--- a/modules/bulrush_config/tests/record_test.cpp
+++ b/modules/bulrush_config/tests/record_test.cpp
@@ -35,13 +35,13 @@
 Test(Records, firstValidSuccessorWins)
 {
     RecordState state;
-    cr_assert(state.apply(0, quota("a", "", 1).text()).outcome == Outcome::Accepted);
-    cr_assert(state.apply(1, quota("b", "a", 2).text()).outcome == Outcome::Accepted);
+    cr_assert(state.apply(0, quota("a", "", 1).text()).outcome == RecordOutcome::Accepted);
+    cr_assert(state.apply(1, quota("b", "a", 2).text()).outcome == RecordOutcome::Accepted);
     const Verdict loser = state.apply(2, quota("c", "a", 3).text());
-    cr_assert(loser.outcome == Outcome::Refused);
+    cr_assert(loser.outcome == RecordOutcome::Refused);
     cr_assert_eq(loser.winner, "b");
     cr_assert_eq(loser.winnerPublisher, "operator-1");
-    cr_assert(state.apply(3, quota("b", "a", 2).text()).outcome == Outcome::Ignored);
+    cr_assert(state.apply(3, quota("b", "a", 2).text()).outcome == RecordOutcome::Ignored);
     cr_assert_eq(state.find(RecordKind::Quota, "kask")->id, "b");
     cr_assert_eq(readQuotaBody(*state.find(RecordKind::Quota, "kask")).cpuMilli, 2);
     cr_assert_eq(state.history("quota", "kask").size(), 3U);
@@ -54,12 +54,12 @@
     state.apply(0, job("a", "").text());
     const Record done =
             jobDoneRecord(job("a", ""), "done-1", NodeId("entry-1"), JobOutcome::Finished);
-    cr_assert(state.apply(1, done.text()).outcome == Outcome::Accepted);
+    cr_assert(state.apply(1, done.text()).outcome == RecordOutcome::Accepted);
     cr_assert_null(state.find(RecordKind::Job, "nightly"));
-    cr_assert(state.apply(2, job("a", "").text()).outcome == Outcome::Ignored);
-    cr_assert(state.apply(3, done.text()).outcome == Outcome::Ignored);
+    cr_assert(state.apply(2, job("a", "").text()).outcome == RecordOutcome::Ignored);
+    cr_assert(state.apply(3, done.text()).outcome == RecordOutcome::Ignored);
     cr_assert_eq(state.headId("job", "nightly"), "a");
-    cr_assert(state.apply(4, job("b", "a").text()).outcome == Outcome::Accepted);
+    cr_assert(state.apply(4, job("b", "a").text()).outcome == RecordOutcome::Accepted);
 }
 
 Test(Records, exportedStateIsEqualAfterImport)
