Serve requests through a node: front and control tasks, daemon

Cause: the whole path comes first; the decision modules need sockets around them. Weighed: one loop for all (a long fold of the log would hold up callers) against a loop each for callers and for control, which talk by messages; the latter was taken. Change: FrontTask, ControlTask, RecordsKeeper, PeerMesh, OperatorsApi, NodeRuntime, bulrushrilld. Seen, by hand with two nodes and two targets on loopback: a record published at one node is in force at the other, requests are answered whole by the own data centre's target, SIGTERM ends with 0.

--- /dev/null
+++ b/modules/bulrush_node/control/ControlTask.cpp
@@ -0,0 +1,243 @@
+#include "bulrush_node/control/ControlTask.h"
+
+#include "bulrush_node/operators/OperatorTexts.h"
+
+namespace bulrush {
+
+namespace {
+
+constexpr Duration vmListPeriod = seconds(1);
+
+MeshSettings meshSettings(const NodeSettings &settings)
+{
+    MeshSettings mesh;
+    mesh.node = settings.node;
+    mesh.dataCentre = settings.dataCentre;
+    mesh.key = settings.peerKey;
+    mesh.listen = settings.peersListen;
+    mesh.heartbeat = settings.times.heartbeat;
+    mesh.lostAfter = settings.times.peerLost;
+    for (const PeerSettings &peer : settings.peers) {
+        mesh.peers.push_back({ peer.node, peer.dataCentre, peer.endpoint });
+    }
+    return mesh;
+}
+
+} // namespace
+
+ControlTask::ControlTask(EventLoop &owningLoop, const Clock &runtimeClock,
+                         const NodeSettings &nodeSettings, NodeMetrics &nodeMetrics,
+                         EventLog &eventLog, std::function<void(FrontMessage)> sendToFront,
+                         std::function<void()> stopFunction)
+    : loop(owningLoop)
+    , clock(runtimeClock)
+    , settings(nodeSettings)
+    , metrics(nodeMetrics)
+    , events(eventLog)
+    , toFront(std::move(sendToFront))
+    , stop(std::move(stopFunction))
+    , platform(owningLoop, nodeSettings.platform)
+    , records(owningLoop, this->platform, nodeSettings.times.logPoll, eventLog, *this)
+    , mesh(owningLoop, runtimeClock, meshSettings(nodeSettings), nodeMetrics, eventLog, *this)
+    , operators(owningLoop, nodeSettings.operators, nodeSettings.operatorsKey)
+    , startedAt(runtimeClock.now())
+{
+    this->bindOperatorCommands();
+}
+
+void ControlTask::start()
+{
+    this->records.start();
+    this->mesh.start();
+    this->pollVms();
+    this->events.write(Event::NodeStarted, this->settings.callers.text(),
+                       "data centre " + this->settings.dataCentre.name());
+}
+
+void ControlTask::handle(const FrontReport &message)
+{
+    if (std::holds_alternative<FrontDrained>(message)) {
+        this->events.write(Event::NodeStopped, "", "");
+        this->stop();
+    }
+}
+
+void ControlTask::drain()
+{
+    if (this->draining) {
+        return;
+    }
+    this->draining = true;
+    this->events.write(Event::NodeStopping, "", "");
+    this->mesh.setDraining();
+    this->toFront(DrainFront { this->settings.drainBound });
+}
+
+//==============================================================================
+void ControlTask::recordsChanged()
+{
+    this->metrics.set("bulrush_records_offset", double(this->records.state().nextOffset()));
+    this->configureFront();
+}
+
+void ControlTask::logAvailabilityChanged(bool available)
+{
+    this->metrics.set("bulrush_log_available", available ? 1 : 0);
+}
+
+void ControlTask::configureFront()
+{
+    if (!this->records.isUsable()) {
+        return;
+    }
+    FrontConfiguration configuration = this->frontConfiguration();
+    if (this->sentToFront == configuration) {
+        return;
+    }
+    this->sentToFront = configuration;
+    this->toFront(std::move(configuration));
+}
+
+FrontConfiguration ControlTask::frontConfiguration() const
+{
+    FrontConfiguration configuration;
+    for (const Record *record : this->records.state().inForce(RecordKind::Service)) {
+        const ServiceBody body = readServiceBody(*record);
+        FrontService &service = configuration.services[ServiceId(record->name)];
+        service.deadline = body.deadline;
+        for (const ServiceTarget &target : body.targets) {
+            service.targets.push_back({ target.target, target.dataCentre, target.endpoint,
+                                        static_cast<unsigned>(target.slots) });
+        }
+    }
+    for (const Record *record : this->records.state().inForce(RecordKind::Targets)) {
+        for (const TargetId &target : readTargetsBody(*record).leaving) {
+            configuration.leavingByRecord.insert(target);
+        }
+    }
+    for (const VmEntry &vm : this->vms) {
+        if (vm.state != VmState::Live) {
+            configuration.leavingByPlatform.insert(TargetId(vm.vm.name()));
+        }
+    }
+    configuration.unreachable = this->mesh.silentDataCentres();
+    configuration.nodes = this->mesh.liveNodes();
+    return configuration;
+}
+
+//==============================================================================
+std::optional<std::vector<LogEntry>> ControlTask::recordsFrom(LogOffset from) const
+{
+    return this->records.entriesFrom(from);
+}
+
+std::string ControlTask::exportState() const
+{
+    return this->records.isUsable() ? this->records.state().exportText() : std::string();
+}
+
+void ControlTask::recordsFromPeer(const NodeId &peer, const std::vector<LogEntry> &entries)
+{
+    this->records.takeFromPeer(peer, entries);
+}
+
+void ControlTask::stateFromPeer(const NodeId &peer, std::string_view state)
+{
+    this->records.takeStateFromPeer(peer, state);
+}
+
+//==============================================================================
+void ControlTask::pollVms()
+{
+    this->platform.readVms([this](const std::optional<std::vector<VmEntry>> &list) {
+        if (list) {
+            this->takeVms(*list);
+        }
+        this->loop.schedule(vmListPeriod, [this] { this->pollVms(); });
+    });
+}
+
+void ControlTask::takeVms(const std::vector<VmEntry> &list)
+{
+    this->vms = list;
+    this->configureFront();
+}
+
+//==============================================================================
+void ControlTask::bindOperatorCommands()
+{
+    using Parts = std::vector<std::string>;
+    using Reply = OperatorsApi::Reply;
+    this->operators.bind("GET", "status",
+                         [this](const HttpRequest &, const Parts &, const Reply &reply) {
+                             reply(OperatorsApi::json(200, this->statusText()));
+                         });
+    this->operators.bind("GET", "metrics",
+                         [this](const HttpRequest &, const Parts &, const Reply &reply) {
+                             HttpResponse response = OperatorsApi::json(200, this->metrics.text());
+                             response.contentType = "text/plain; version=0.0.4";
+                             reply(std::move(response));
+                         });
+    this->operators.bind("GET", "records",
+                         [this](const HttpRequest &, const Parts &rest, const Reply &reply) {
+                             reply(recordsAnswer(this->records.state(), rest));
+                         });
+    this->operators.bind("GET", "history",
+                         [this](const HttpRequest &, const Parts &rest, const Reply &reply) {
+                             reply(historyAnswer(this->records.state(), rest));
+                         });
+    this->operators.bind(
+            "GET", "verdicts", [this](const HttpRequest &, const Parts &rest, const Reply &reply) {
+                reply(verdictAnswer(rest.empty() ? nullptr
+                                                 : this->records.verdictOf(rest.front())));
+            });
+    this->operators.bind("GET", "audit",
+                         [this](const HttpRequest &, const Parts &, const Reply &reply) {
+                             reply(auditAnswer(this->records.audit()));
+                         });
+    this->operators.bind("POST", "records",
+                         [this](const HttpRequest &request, const Parts &, const Reply &reply) {
+                             this->publish(request, reply);
+                         });
+    this->operators.bind("POST", "drain",
+                         [this](const HttpRequest &, const Parts &, const Reply &reply) {
+                             this->drain();
+                             reply(OperatorsApi::json(202, R"({"draining":true})"));
+                         });
+}
+
+void ControlTask::publish(const HttpRequest &request, const OperatorsApi::Reply &reply)
+{
+    const CheckedRecord checked = checkRecord(request.body);
+    if (checked.problem) {
+        reply(OperatorsApi::error(400, checked.problem->text()));
+        return;
+    }
+    const std::string id = checked.record->id;
+    this->metrics.count("bulrush_log_appends_total");
+    this->platform.append("records", request.body,
+                          [this, reply, id](std::optional<LogOffset> offset) {
+                              if (!offset) {
+                                  this->metrics.count("bulrush_log_append_failures_total");
+                              }
+                              reply(publishAnswer(id, offset));
+                          });
+}
+
+std::string ControlTask::statusText() const
+{
+    StatusView view;
+    view.node = this->settings.node;
+    view.dataCentre = this->settings.dataCentre;
+    view.draining = this->draining;
+    view.uptime = this->clock.now() - this->startedAt;
+    view.recordsNext = this->records.state().nextOffset();
+    view.recordsUsable = this->records.isUsable();
+    view.logAvailable = this->records.logAvailable();
+    view.peers = &this->mesh.peers();
+    view.vms = &this->vms;
+    view.now = this->clock.now();
+    return statusAnswer(view, this->sentToFront);
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_node/control/ControlTask.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "bulrush_node/control/RecordsKeeper.h"
+#include "bulrush_node/messages/FrontMessages.h"
+#include "bulrush_node/metrics/NodeMetrics.h"
+#include "bulrush_node/operators/OperatorsApi.h"
+#include "bulrush_node/peers/PeerMesh.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+
+namespace bulrush {
+
+/**
+    Everything of a node but its callers: follows the log, keeps links to other nodes, serves
+    operators, and tells the front task what is in force. Runs on one loop's thread.
+*/
+class ControlTask : private RecordsKeeper::Listener, private PeerMesh::Listener
+{
+public:
+    /** @param toFront sends a message to the front task
+        @param stop    ends the process once all requests are answered
+    */
+    ControlTask(EventLoop &loop, const Clock &clock, const NodeSettings &settings,
+                NodeMetrics &metrics, EventLog &events, std::function<void(FrontMessage)> toFront,
+                std::function<void()> stop);
+
+    ControlTask(const ControlTask &) = delete;
+    ControlTask &operator=(const ControlTask &) = delete;
+
+    /** Starts to follow the log, to link to other nodes and to serve operators. */
+    void start();
+
+    /** Handles a message from the front task. */
+    void handle(const FrontReport &message);
+
+    /** Begins a graceful stop. */
+    void drain();
+
+private:
+    // Records.
+    void recordsChanged() override;
+    void logAvailabilityChanged(bool available) override;
+    void configureFront();
+    FrontConfiguration frontConfiguration() const;
+
+    // Other nodes.
+    LogOffset recordsNext() const override { return this->records.state().nextOffset(); }
+    bool wantsRecords() const override { return this->records.wantsPeers(); }
+    std::optional<std::vector<LogEntry>> recordsFrom(LogOffset from) const override;
+    std::string exportState() const override;
+    void recordsFromPeer(const NodeId &peer, const std::vector<LogEntry> &entries) override;
+    void stateFromPeer(const NodeId &peer, std::string_view state) override;
+    void peersChanged() override { this->configureFront(); }
+
+    // The platform's list of VMs.
+    void pollVms();
+    void takeVms(const std::vector<VmEntry> &vms);
+
+    // Operators.
+    void bindOperatorCommands();
+    void publish(const HttpRequest &request, const OperatorsApi::Reply &reply);
+    std::string statusText() const;
+
+    EventLoop &loop;
+    const Clock &clock;
+    const NodeSettings settings;
+    NodeMetrics &metrics;
+    EventLog &events;
+    const std::function<void(FrontMessage)> toFront;
+    const std::function<void()> stop;
+
+    HttpPlatform platform;
+    RecordsKeeper records;
+    PeerMesh mesh;
+    OperatorsApi operators;
+    std::vector<VmEntry> vms;
+    std::optional<FrontConfiguration> sentToFront;
+    Instant startedAt {};
+    bool draining = false;
+};
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_node/control/RecordsKeeper.cpp
@@ -0,0 +1,167 @@
+#include "bulrush_node/control/RecordsKeeper.h"
+
+namespace bulrush {
+
+namespace {
+
+constexpr std::string_view recordsStream = "records";
+
+/** Entries kept for peers, and verdicts kept for operators. */
+constexpr std::size_t tailLength = 2'000;
+constexpr std::size_t auditLength = 2'000;
+
+/** A snapshot is written after this many entries. */
+constexpr LogOffset entriesPerSnapshot = 500;
+
+/** Below this many entries between the log's start and the state a snapshot is pressing. */
+constexpr LogOffset retainedReserve = 50;
+
+} // namespace
+
+RecordsKeeper::RecordsKeeper(EventLoop &loop, Log &platformLog, Duration poll, EventLog &eventLog,
+                             Listener &recordsListener)
+    : log(platformLog)
+    , events(eventLog)
+    , listener(recordsListener)
+    , reader(loop, platformLog, recordsStream, poll, *this)
+{
+}
+
+bool RecordsKeeper::wantsPeers() const
+{
+    return !this->reader.available() || this->follower.status() == FollowStatus::Truncated;
+}
+
+void RecordsKeeper::pageRead(const LogPage &page)
+{
+    const FollowStatus before = this->follower.status();
+    this->take(page);
+    const FollowStatus after = this->follower.status();
+    if (after == FollowStatus::Truncated && before != after) {
+        this->events.write(Event::LogTruncated, "records",
+                           "first retained offset " + std::to_string(page.firstRetained));
+    }
+    if (after == FollowStatus::Current) {
+        this->writeSnapshotIfDue(page);
+        if (!this->usable) {
+            this->usable = true;
+            this->listener.recordsChanged();
+        }
+    }
+}
+
+void RecordsKeeper::take(const LogPage &page)
+{
+    const LogOffset before = this->state().nextOffset();
+    for (const Verdict &verdict : this->follower.take(page)) {
+        this->note(verdict);
+    }
+    this->keep(page.entries);
+    if (this->state().nextOffset() != before) {
+        this->listener.recordsChanged();
+    }
+}
+
+void RecordsKeeper::keep(const std::vector<LogEntry> &entries)
+{
+    for (const LogEntry &entry : entries) {
+        if (!this->tail.empty() && entry.offset <= this->tail.back().offset) {
+            continue;
+        }
+        if (!this->tail.empty() && entry.offset != this->tail.back().offset + 1) {
+            this->tail.clear();
+        }
+        this->tail.push_back(entry);
+        if (this->tail.size() > tailLength) {
+            this->tail.pop_front();
+        }
+    }
+}
+
+void RecordsKeeper::note(const Verdict &verdict)
+{
+    if (verdict.id.empty() || verdict.outcome == RecordOutcome::Ignored) {
+        return;
+    }
+    const bool accepted = verdict.outcome == RecordOutcome::Accepted;
+    this->events.write(accepted ? Event::RecordAccepted : Event::RecordRefused, verdict.publisher,
+                       verdict.kind + "/" + verdict.name + " id " + verdict.id + " offset "
+                               + std::to_string(verdict.offset) + " supersedes '"
+                               + verdict.supersedes + "' " + verdict.reason);
+    this->verdicts.push_back(verdict);
+    this->verdictsById[verdict.id] = verdict;
+    if (this->verdicts.size() > auditLength) {
+        this->verdictsById.erase(this->verdicts.front().id);
+        this->verdicts.pop_front();
+    }
+}
+
+void RecordsKeeper::availabilityChanged(bool available)
+{
+    this->events.write(available ? Event::LogAvailable : Event::LogUnavailable, "records", "");
+    this->listener.logAvailabilityChanged(available);
+}
+
+void RecordsKeeper::writeSnapshotIfDue(const LogPage &page)
+{
+    const LogOffset next = this->state().nextOffset();
+    const bool many = next >= this->snapshotAt + entriesPerSnapshot;
+    const bool pressing = page.firstRetained > 0
+            && this->snapshotAt < page.firstRetained + retainedReserve
+            && next > this->snapshotAt + retainedReserve;
+    if ((!many && !pressing) || !this->state().unsettled().empty()) {
+        return;
+    }
+    this->snapshotAt = next;
+    for (std::string &part : snapshotParts(this->state())) {
+        this->log.append(recordsStream, std::move(part), [](std::optional<LogOffset>) {});
+    }
+}
+
+//==============================================================================
+std::optional<std::vector<LogEntry>> RecordsKeeper::entriesFrom(LogOffset from) const
+{
+    if (this->tail.empty() || from < this->tail.front().offset) {
+        return std::nullopt;
+    }
+    std::vector<LogEntry> entries;
+    for (const LogEntry &entry : this->tail) {
+        if (entry.offset >= from) {
+            entries.push_back(entry);
+        }
+    }
+    return entries;
+}
+
+void RecordsKeeper::takeFromPeer(const NodeId &peer, const std::vector<LogEntry> &entries)
+{
+    if (entries.empty() || entries.front().offset != this->state().nextOffset()) {
+        return;
+    }
+    LogPage page;
+    page.firstRetained = entries.front().offset;
+    page.end = entries.back().offset + 1;
+    page.entries = entries;
+    this->events.write(Event::StateFromPeer, peer.name(),
+                       std::to_string(entries.size()) + " records");
+    this->take(page);
+}
+
+void RecordsKeeper::takeStateFromPeer(const NodeId &peer, std::string_view text)
+{
+    if (!this->follower.takePeerState(text)) {
+        return;
+    }
+    this->events.write(Event::StateFromPeer, peer.name(),
+                       "state before offset " + std::to_string(this->state().nextOffset()));
+    this->usable = true;
+    this->listener.recordsChanged();
+}
+
+const Verdict *RecordsKeeper::verdictOf(std::string_view recordId) const
+{
+    const auto found = this->verdictsById.find(recordId);
+    return found == this->verdictsById.end() ? nullptr : &found->second;
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_node/front/Answers.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "bulrush_core/time/Clock.h"
+#include "bulrush_net/http/HttpMessage.h"
+
+#include <string_view>
+
+namespace bulrush {
+
+/** The answers that the node gives itself; docs/operations/requests.md describes each. */
+namespace answers {
+
+/** 503: the work did not run. @param retryAfter when to come back */
+HttpResponse notRun(std::string_view reason, Duration retryAfter);
+
+/** 504: the work may have run. */
+HttpResponse unknown(std::string_view reason, Duration retryAfter);
+
+/** 409: another request with this key was answered with a status. */
+HttpResponse duplicate(int firstStatus);
+
+/** 400: the request is malformed; it did not run. */
+HttpResponse malformed(std::string_view reason);
+
+/** 404: no such service; it did not run. */
+HttpResponse noSuchService(std::string_view service);
+
+} // namespace answers
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_node/front/FrontTask.cpp
@@ -0,0 +1,424 @@
+#include "bulrush_node/front/FrontTask.h"
+
+#include "bulrush_node/front/Answers.h"
+#include "bulrush_node/front/TargetAnswer.h"
+
+namespace bulrush {
+
+namespace {
+
+/** The greatest share of a target's connections that one node may have. */
+constexpr std::size_t connectionIndexes = 65;
+
+/** Idle connections are closed before the router's trust in them ends. */
+constexpr std::uint16_t keepWarmSeconds = 4;
+
+/** How long the balancer may take to notice that readiness has turned. */
+constexpr Duration readinessNotice = seconds(2);
+constexpr Duration drainCheckPeriod = milliseconds(50);
+constexpr Duration drainReserve = milliseconds(100);
+
+/** An idempotent request is sent again when this part of its time passed in silence. */
+constexpr int silenceShareOfDeadline = 2;
+
+constexpr Duration retryAfterStart = seconds(1);
+constexpr Duration retryAfterKeyUnclear = seconds(1);
+
+template<class... Functions>
+struct Overloaded : Functions...
+{
+    using Functions::operator()...;
+};
+
+template<class... Functions>
+Overloaded(Functions...) -> Overloaded<Functions...>;
+
+} // namespace
+
+FrontTask::FrontTask(EventLoop &owningLoop, const Clock &runtimeClock,
+                     const FrontSettings &frontSettings, NodeMetrics &nodeMetrics,
+                     EventLog &eventLog, std::function<void(FrontReport)> reportFunction)
+    : loop(owningLoop)
+    , clock(runtimeClock)
+    , settings(frontSettings)
+    , metrics(nodeMetrics)
+    , events(eventLog)
+    , report(std::move(reportFunction))
+    , server(owningLoop, frontSettings.callers, frontSettings.serverLimits, *this)
+    , client(owningLoop, connectionIndexes, { frontSettings.answerBytes, keepWarmSeconds, 1 },
+             *this)
+{
+}
+
+void FrontTask::handle(FrontMessage message)
+{
+    std::visit(Overloaded {
+                       [this](const FrontConfiguration &change) { this->configure(change); },
+                       [this](const KeyVerdict &verdict) { this->decideKey(verdict); },
+                       [this](const DrainFront &request) { this->drain(request); },
+               },
+               message);
+    this->pump();
+}
+
+//==============================================================================
+void FrontTask::requestArrived(HttpServer::RequestId id, HttpRequest request)
+{
+    if (request.path == "/ready" || request.path == "/live") {
+        this->answerProbe(id, request);
+        return;
+    }
+    try {
+        this->serve(id, std::move(request));
+    } catch (const Error &error) {
+        this->arrivals.erase(id);
+        this->server.respond(id, answers::malformed(error.what()));
+    }
+    this->pump();
+}
+
+void FrontTask::answerProbe(ArrivalId id, const HttpRequest &request)
+{
+    const bool ready = this->configured && !this->draining;
+    HttpResponse response;
+    response.status = ready || request.path == "/live" ? 200 : 503;
+    response.body = ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n";
+    this->server.respond(id, std::move(response));
+}
+
+void FrontTask::serve(ArrivalId id, HttpRequest request)
+{
+    Arrival arrival;
+    arrival.head = readRequestHead(request);
+    arrival.request = std::move(request);
+    arrival.arrivedAt = this->clock.now();
+    if (!this->configured) {
+        this->server.respond(id, answers::notRun("the node is starting", retryAfterStart));
+        return;
+    }
+    const auto routes = this->services.find(arrival.head.service);
+    if (routes == this->services.end()) {
+        this->server.respond(id, answers::noSuchService(arrival.head.service.name()));
+        return;
+    }
+    const bool hasDeadline = arrival.head.deadline > Duration::zero();
+    arrival.deadline =
+            arrival.arrivedAt + (hasDeadline ? arrival.head.deadline : routes->second.deadline());
+    Arrival &kept = this->arrivals.emplace(id, std::move(arrival)).first->second;
+    this->metrics.set("bulrush_requests_in_flight", double(this->arrivals.size()));
+    if (kept.head.key.empty()) {
+        this->route(id);
+    } else {
+        this->claimKey(id, kept);
+    }
+}
+
+void FrontTask::claimKey(ArrivalId id, Arrival &arrival)
+{
+    const Duration patience = arrival.deadline - arrival.arrivedAt;
+    arrival.keyTimer = this->loop.schedule(patience, [this, id] { this->keyTimedOut(id); });
+    this->report(KeyClaim { id, arrival.head.key });
+}
+
+void FrontTask::keyTimedOut(ArrivalId id)
+{
+    const auto found = this->arrivals.find(id);
+    if (found == this->arrivals.end()) {
+        return;
+    }
+    this->endKey(found->second, id, KeyEnd::Outcome::NotSent, 0);
+    this->respond(id, answers::notRun("the key could not be claimed in time", retryAfterKeyUnclear),
+                  "not_run");
+}
+
+void FrontTask::decideKey(const KeyVerdict &verdict)
+{
+    const auto found = this->arrivals.find(verdict.arrival);
+    if (found == this->arrivals.end()) {
+        return;
+    }
+    Arrival &arrival = found->second;
+    this->loop.cancel(arrival.keyTimer);
+    switch (verdict.decision) {
+    case KeyDecision::MaySend:
+        arrival.holdsKey = true;
+        this->route(verdict.arrival);
+        return;
+    case KeyDecision::NotRun:
+        this->respond(verdict.arrival, answers::notRun(verdict.reason, retryAfterKeyUnclear),
+                      "not_run");
+        return;
+    case KeyDecision::Unknown:
+        this->respond(verdict.arrival, answers::unknown(verdict.reason, retryAfterKeyUnclear),
+                      "unknown");
+        return;
+    case KeyDecision::Duplicate:
+        this->respond(verdict.arrival, answers::duplicate(verdict.status), "duplicate");
+        return;
+    case KeyDecision::Malformed:
+        this->respond(verdict.arrival, answers::malformed(verdict.reason), "not_run");
+        return;
+    }
+}
+
+void FrontTask::route(ArrivalId id)
+{
+    const Arrival &arrival = this->arrivals.at(id);
+    routing::Request request;
+    request.id = static_cast<routing::RequestId>(id);
+    request.deadline = arrival.deadline;
+    request.requestClass = arrival.head.interactive ? routing::RequestClass::Interactive
+                                                    : routing::RequestClass::Bulk;
+    request.idempotent = arrival.head.idempotent;
+    const Duration left = arrival.deadline - this->clock.now();
+    request.silenceBound = arrival.head.idempotent ? left / silenceShareOfDeadline : left;
+    this->services.at(arrival.head.service).router().arrived(request, this->clock.now());
+}
+
+void FrontTask::callerGone(HttpServer::RequestId id)
+{
+    const auto found = this->arrivals.find(id);
+    if (found == this->arrivals.end()) {
+        return;
+    }
+    const Arrival &arrival = found->second;
+    if (arrival.keyTimer != 0) {
+        this->loop.cancel(arrival.keyTimer);
+    }
+    const auto routes = this->services.find(arrival.head.service);
+    if (routes != this->services.end()) {
+        routes->second.router().callerGone(static_cast<routing::RequestId>(id), this->clock.now());
+    }
+    // The request may be on its way to a target: a key that it holds stays claimed.
+    this->endKey(arrival, id,
+                 arrival.holdsKey ? KeyEnd::Outcome::Unknown : KeyEnd::Outcome::NotSent, 0);
+    this->arrivals.erase(found);
+    this->pump();
+}
+
+//==============================================================================
+void FrontTask::requestLeaving(HttpClient::ExchangeId id)
+{
+    for (auto &[name, routes] : this->services) {
+        if (routes.number() == ServiceRoutes::numberOf(id)) {
+            routes.router().bytesLeft(ServiceRoutes::attemptOf(id));
+        }
+    }
+}
+
+void FrontTask::responseArrived(HttpClient::ExchangeId id, HttpResponse response)
+{
+    const Instant now = this->clock.now();
+    const routing::AttemptId attempt = ServiceRoutes::attemptOf(id);
+    const TargetAnswer answer = readTargetAnswer(response);
+    for (auto &[name, routes] : this->services) {
+        if (routes.number() != ServiceRoutes::numberOf(id)) {
+            continue;
+        }
+        if (answer.refusedUnstarted) {
+            routes.router().refusedUnstarted(attempt, answer.head.report, now);
+            continue;
+        }
+        const auto request = routes.router().answerHead(attempt, answer.head, now);
+        if (request) {
+            const auto arrival = this->arrivals.find(static_cast<ArrivalId>(*request));
+            if (arrival != this->arrivals.end()) {
+                arrival->second.answer = std::move(response);
+            }
+        }
+        routes.router().answerComplete(attempt, now);
+    }
+    this->pump();
+}
+
+void FrontTask::exchangeFailed(HttpClient::ExchangeId id, ExchangeFailure failure,
+                               std::string_view /*reason*/)
+{
+    const Instant now = this->clock.now();
+    const routing::AttemptId attempt = ServiceRoutes::attemptOf(id);
+    for (auto &[name, routes] : this->services) {
+        if (routes.number() != ServiceRoutes::numberOf(id)) {
+            continue;
+        }
+        if (failure == ExchangeFailure::NotSent) {
+            routes.router().sendFailedBeforeAnyByte(attempt, now);
+        } else {
+            routes.router().attemptLost(attempt, now);
+        }
+    }
+    this->pump();
+}
+
+//==============================================================================
+void FrontTask::configure(const FrontConfiguration &configuration)
+{
+    const Instant now = this->clock.now();
+    for (const auto &[name, service] : configuration.services) {
+        auto found = this->services.find(name);
+        if (found == this->services.end()) {
+            const auto number = static_cast<std::uint16_t>(this->services.size() + 1);
+            routing::RouterSettings routerSettings;
+            routerSettings.dataCentre = this->settings.dataCentre;
+            routerSettings.strategy = this->settings.strategy;
+            routerSettings.seed = std::hash<std::string>()(this->settings.node.name()) + number;
+            found = this->services
+                            .emplace(std::piecewise_construct, std::forward_as_tuple(name),
+                                     std::forward_as_tuple(number, routerSettings))
+                            .first;
+        }
+        found->second.configure(service, configuration, now);
+    }
+    for (auto &[name, routes] : this->services) {
+        if (!configuration.services.contains(name)) {
+            routes.clear();
+        }
+    }
+    this->configured = true;
+}
+
+void FrontTask::drain(const DrainFront &request)
+{
+    if (this->draining) {
+        return;
+    }
+    this->draining = true;
+    this->drainUntil = this->clock.now() + request.bound;
+    this->loop.schedule(readinessNotice, [this] {
+        for (auto &[name, routes] : this->services) {
+            routes.router().drain();
+        }
+        this->loop.scheduleEvery(drainCheckPeriod, [this] { this->checkDrained(); });
+    });
+}
+
+void FrontTask::checkDrained()
+{
+    const bool idle = this->server.openRequests() == 0;
+    const bool late = this->clock.now() + drainReserve >= this->drainUntil;
+    if (this->drained || (!idle && !late)) {
+        return;
+    }
+    this->drained = true;
+    if (!idle) {
+        this->events.write(Event::DrainBoundPassed, "",
+                           std::to_string(this->server.openRequests()) + " requests unanswered");
+    }
+    this->report(FrontDrained { this->server.openRequests() });
+}
+
+//==============================================================================
+void FrontTask::pump()
+{
+    if (this->pumping) {
+        return;
+    }
+    this->pumping = true;
+    bool acted = true;
+    while (acted) {
+        acted = false;
+        for (auto &[name, routes] : this->services) {
+            routes.router().tick(this->clock.now());
+            for (const routing::Action &action : routes.router().takeActions()) {
+                this->carryOut(routes, action);
+                acted = true;
+            }
+        }
+    }
+    this->pumping = false;
+    this->scheduleTick();
+}
+
+void FrontTask::scheduleTick()
+{
+    Instant due = Instant::max();
+    for (auto &[name, routes] : this->services) {
+        due = std::min(due, routes.router().nextDue());
+    }
+    if (due == this->tickAt) {
+        return;
+    }
+    this->loop.cancel(this->tickTimer);
+    this->tickAt = due;
+    if (due == Instant::max()) {
+        return;
+    }
+    const Duration delay = std::max(Duration::zero(), due - this->clock.now());
+    this->tickTimer = this->loop.schedule(delay, [this] {
+        this->tickAt = Instant::max();
+        this->pump();
+    });
+}
+
+void FrontTask::carryOut(ServiceRoutes &routes, const routing::Action &action)
+{
+    std::visit(Overloaded {
+                       [this, &routes](const routing::Send &send) { this->send(routes, send); },
+                       [this, &routes](const routing::Abandon &abandon) {
+                           this->client.abandon(routes.exchangeId(abandon.attempt));
+                       },
+                       // The client closes idle connections itself.
+                       [](const routing::CloseIdle & /*close*/) {},
+                       [this](const routing::Answer &answer) { this->finish(answer); },
+               },
+               action);
+}
+
+void FrontTask::send(ServiceRoutes &routes, const routing::Send &action)
+{
+    const auto found = this->arrivals.find(static_cast<ArrivalId>(action.request));
+    if (found == this->arrivals.end()) {
+        routes.router().sendFailedBeforeAnyByte(action.attempt, this->clock.now());
+        return;
+    }
+    const Arrival &arrival = found->second;
+    HttpRequest request = arrival.request;
+    request.path = arrival.head.targetPath;
+    this->client.send(routes.exchangeId(action.attempt), routes.endpointOf(action.target),
+                      action.connection, std::move(request));
+}
+
+void FrontTask::finish(const routing::Answer &action)
+{
+    const auto id = static_cast<ArrivalId>(action.request);
+    const auto found = this->arrivals.find(id);
+    if (found == this->arrivals.end()) {
+        return;
+    }
+    Arrival &arrival = found->second;
+    if (action.outcome == routing::Outcome::Answered && arrival.answer) {
+        HttpResponse response = std::move(*arrival.answer);
+        response.headers.push_back({ "bulrush-outcome", "answered" });
+        response.headers.push_back({ "bulrush-node", this->settings.node.name() });
+        this->endKey(arrival, id, KeyEnd::Outcome::Answered, response.status);
+        this->respond(id, std::move(response), "answered");
+    } else if (action.outcome == routing::Outcome::NotRun) {
+        this->endKey(arrival, id, KeyEnd::Outcome::NotSent, 0);
+        this->events.write(Event::RequestRefused, arrival.head.service.name(), "not run");
+        this->respond(id, answers::notRun("no target took the request", action.retryAfter),
+                      "not_run");
+    } else {
+        this->endKey(arrival, id, KeyEnd::Outcome::Unknown, 0);
+        this->events.write(Event::RequestUnknown, arrival.head.service.name(), "sent, no answer");
+        this->respond(id, answers::unknown("sent, and no whole answer came", action.retryAfter),
+                      "unknown");
+    }
+}
+
+void FrontTask::respond(ArrivalId id, HttpResponse response, std::string_view outcome)
+{
+    const auto found = this->arrivals.find(id);
+    const Duration time = this->clock.now() - found->second.arrivedAt;
+    this->metrics.requestEnded(found->second.head.service, outcome, time);
+    this->arrivals.erase(found);
+    this->metrics.set("bulrush_requests_in_flight", double(this->arrivals.size()));
+    this->server.respond(id, std::move(response));
+}
+
+void FrontTask::endKey(const Arrival &arrival, ArrivalId id, KeyEnd::Outcome outcome, int status)
+{
+    if (!arrival.head.key.empty()) {
+        this->report(KeyEnd { id, arrival.head.key, outcome, status });
+    }
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_node/operators/OperatorTexts.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "bulrush_config/bulrush_config.h"
+#include "bulrush_node/messages/FrontMessages.h"
+#include "bulrush_node/operators/OperatorsApi.h"
+#include "bulrush_node/peers/PeerMesh.h"
+#include "bulrush_platform/vms/VmList.h"
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bulrush {
+
+/** What `status` shows of a node. */
+struct StatusView
+{
+    NodeId node;
+    DataCentreId dataCentre;
+    bool draining = false;
+    Duration uptime {};
+    LogOffset recordsNext = 0;
+    bool recordsUsable = false;
+    bool logAvailable = false;
+    const std::map<NodeId, PeerView> *peers = nullptr;
+    const std::vector<VmEntry> *vms = nullptr;
+    Instant now {};
+};
+
+/** The JSON answers to operators' commands; docs/OPERATIONS.md describes each. */
+std::string statusAnswer(const StatusView &view, const std::optional<FrontConfiguration> &front);
+
+/** @param rest nothing for all, KIND, or KIND and NAME */
+HttpResponse recordsAnswer(const RecordState &state, const std::vector<std::string> &rest);
+
+/** @param rest KIND and NAME */
+HttpResponse historyAnswer(const RecordState &state, const std::vector<std::string> &rest);
+
+/** @param verdict null while none is known here */
+HttpResponse verdictAnswer(const Verdict *verdict);
+
+HttpResponse auditAnswer(const std::deque<Verdict> &verdicts);
+
+/** @param offset none when it is unknown whether the record was appended */
+HttpResponse publishAnswer(std::string_view id, std::optional<LogOffset> offset);
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_node/operators/OperatorsApi.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "bulrush_net/bulrush_net.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bulrush {
+
+/** Serves operators over HTTP and JSON: each path is bound to a function. */
+class OperatorsApi : private HttpServer::Listener
+{
+public:
+    /** Sends the answer; called once, now or later. */
+    using Reply = std::function<void(HttpResponse)>;
+
+    /** @param rest the path's parts after the bound prefix */
+    using Handler = std::function<void(const HttpRequest &request,
+                                       const std::vector<std::string> &rest, const Reply &reply)>;
+
+    /** @param key asked of every caller in the header bulrush-key; empty asks for none */
+    OperatorsApi(EventLoop &loop, const Endpoint &endpoint, std::string key);
+
+    OperatorsApi(const OperatorsApi &) = delete;
+    OperatorsApi &operator=(const OperatorsApi &) = delete;
+
+    /** Binds a method and the first part of a path, such as GET and "status". */
+    void bind(std::string_view method, std::string_view name, Handler handler);
+
+    /** Returns an answer with a JSON text. */
+    static HttpResponse json(int status, std::string text);
+
+    /** Returns an answer {"error": reason}. */
+    static HttpResponse error(int status, std::string_view reason);
+
+private:
+    void requestArrived(HttpServer::RequestId id, HttpRequest request) override;
+    void callerGone(HttpServer::RequestId /*id*/) override { }
+
+    const std::string key;
+    std::map<std::string, Handler, std::less<>> handlers;
+    HttpServer server;
+};
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_node/runtime/NodeRuntime.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "bulrush_node/control/ControlTask.h"
+#include "bulrush_node/front/FrontTask.h"
+
+#include <optional>
+#include <thread>
+
+namespace bulrush {
+
+/** A whole node: the front task and the control task, each with its loop and thread. */
+class NodeRuntime
+{
+public:
+    /** Binds all endpoints. @throws Error when one cannot be bound */
+    NodeRuntime(const NodeSettings &settings, const Clock &clock);
+    ~NodeRuntime();
+
+    NodeRuntime(const NodeRuntime &) = delete;
+    NodeRuntime &operator=(const NodeRuntime &) = delete;
+
+    /** Runs until the node was drained. */
+    void run();
+
+    /** Begins a graceful stop. Safe from any thread. */
+    void drain();
+
+private:
+    struct DrainRequested
+    {
+    };
+
+    using ControlMessage = std::variant<FrontReport, DrainRequested>;
+
+    void takeControlMessages();
+    void takeFrontMessages();
+
+    EventLog events;
+    NodeMetrics metrics;
+    EventLoop frontLoop;
+    EventLoop controlLoop;
+    Mailbox<FrontMessage> toFront;
+    Mailbox<ControlMessage> toControl;
+    FrontTask front;
+    ControlTask control;
+};
+
+} // namespace bulrush
--- /dev/null
+++ b/programs/bulrushrilld/main.cpp
@@ -0,0 +1,92 @@
+#include "bulrush_node/bulrush_node.h"
+
+#include <docopt/docopt.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+namespace {
+
+constexpr char usage[] = R"(bulrushrilld: the daemon of an entry VM.
+
+Usage:
+  bulrushrilld --settings FILE [--check-settings]
+  bulrushrilld (-h | --help)
+  bulrushrilld --version
+
+Options:
+  --settings FILE   The settings, JSON; docs/CONFIGURATION.md describes each field.
+  --check-settings  Check the settings and end.
+  -h --help         Show this text.
+  --version         Show the version.
+
+SIGTERM or SIGINT begins a graceful stop: readiness turns, requests in flight are answered.
+
+Exit status: 0 after a graceful stop or a successful check, 1 when the settings are refused or an
+endpoint cannot be bound, 2 for a wrong command line.
+)";
+
+constexpr int exitRefused = 1;
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        throw bulrush::Error("read settings", path, "the file cannot be read");
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+/** Runs a node until a signal asks it to stop and its requests are answered. */
+void runNode(const bulrush::NodeSettings &settings)
+{
+    // Blocked in every thread, so that only the waiting thread takes them.
+    const sigset_t signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const bulrush::SystemClock clock;
+    bulrush::NodeRuntime runtime(settings, clock);
+    std::thread waiter([&runtime, signals] {
+        int signal = 0;
+        sigwait(&signals, &signal);
+        runtime.drain();
+    });
+    runtime.run();
+    // An operator's drain ends the node without a signal: release the waiting thread.
+    pthread_kill(waiter.native_handle(), SIGTERM);
+    waiter.join();
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    const auto options = docopt::docopt(usage, words, true, "bulrushrilld 0.1.0");
+    const std::string path = options.at("--settings").asString();
+    try {
+        const bulrush::NodeSettings settings = bulrush::readSettings(readFile(path));
+        if (options.at("--check-settings").asBool()) {
+            std::cout << path << ": the settings are valid\n";
+            return 0;
+        }
+        runNode(settings);
+        return 0;
+    } catch (const bulrush::Error &error) {
+        std::cerr << "bulrushrilld: " << path << ": " << error.what() << "\n";
+        return exitRefused;
+    }
+}
