Add group ownership and task attempts as pure state machines

Ruled out: leases in the log (an append a renewal), a replicated store, and starting on an append's answer (answers are lost; only what was read back in order, before a later fence, counts). Change: bulrush_ownership folds claims, task ranges and revocations and admits batches by (epoch, sequence); bulrush_tasks holds the group's state, the ledger, leases, exchanges and the owner's state machine.

--- /dev/null
+++ b/modules/bulrush_tasks/bulrush_tasks.h
@@ -0,0 +1,25 @@
+#pragma once
+
+/**
+    bulrush_tasks: runs tasks on the workers of a group, each at most once at a time.
+
+    Batch tasks, watchers and service replicas all go through the same steps: an intent on record,
+    a start, an end on record. GroupOwner is the state machine of one group's owner; Renewer keeps
+    leases alive on any node of the data centre. Both are pure: log records, answers and the time
+    go in, actions come out.
+
+    Needs: bulrush_core, bulrush_ownership, nlohmann_json.
+*/
+
+#include "bulrush_tasks/leases/Durations.h"
+#include "bulrush_tasks/leases/Renewer.h"
+#include "bulrush_tasks/model/JobBook.h"
+#include "bulrush_tasks/model/Task.h"
+#include "bulrush_tasks/owner/Actions.h"
+#include "bulrush_tasks/owner/FailureEvidence.h"
+#include "bulrush_tasks/owner/GroupOwner.h"
+#include "bulrush_tasks/owner/PlacementStrategy.h"
+#include "bulrush_tasks/records/GroupRecords.h"
+#include "bulrush_tasks/records/GroupState.h"
+#include "bulrush_tasks/workers/Exchange.h"
+#include "bulrush_tasks/workers/WorkerLedger.h"
--- /dev/null
+++ b/modules/bulrush_tasks/model/JobBook.cpp
@@ -0,0 +1,62 @@
+#include "bulrush_tasks/model/JobBook.h"
+
+namespace bulrush {
+
+void JobBook::add(const JobSpec &spec)
+{
+    const auto found = this->jobs.find(spec.job);
+    std::uint64_t order = this->nextOrder;
+    if (found == this->jobs.end()) {
+        ++this->nextOrder;
+    } else {
+        order = found->second.order;
+        this->queue.erase({ !found->second.spec.urgent, order });
+    }
+    this->jobs[spec.job] = { spec, order };
+    this->queue[{ !spec.urgent, order }] = spec.job;
+}
+
+void JobBook::cancel(const JobId &job)
+{
+    this->cancelled.insert(job);
+}
+
+void JobBook::remove(const JobId &job)
+{
+    const auto found = this->jobs.find(job);
+    if (found == this->jobs.end()) {
+        return;
+    }
+    this->queue.erase({ !found->second.spec.urgent, found->second.order });
+    this->jobs.erase(found);
+    this->cancelled.erase(job);
+}
+
+void JobBook::setQuota(const TeamId &team, const Resources &quota)
+{
+    this->quotas[team] = quota;
+}
+
+const JobSpec *JobBook::find(const JobId &job) const
+{
+    const auto found = this->jobs.find(job);
+    return found == this->jobs.end() ? nullptr : &found->second.spec;
+}
+
+const Resources *JobBook::quotaOf(const TeamId &team) const
+{
+    const auto found = this->quotas.find(team);
+    return found == this->quotas.end() ? nullptr : &found->second;
+}
+
+std::vector<const JobSpec *> JobBook::inOrder() const
+{
+    std::vector<const JobSpec *> result;
+    result.reserve(this->queue.size());
+    for (const auto &[order, job] : this->queue) {
+        result.push_back(&this->jobs.at(job).spec);
+    }
+    return result;
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_tasks/model/JobBook.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "bulrush_tasks/model/Task.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace bulrush {
+
+/** The jobs in force and the quotas of the teams, as operators' records declare them. */
+class JobBook
+{
+public:
+    /** Adds a job or replaces its declaration. */
+    void add(const JobSpec &spec);
+
+    /** Marks a job as cancelled; its running tasks are stopped and no more start. */
+    void cancel(const JobId &job);
+
+    /** Drops a job whose tasks are all completed. */
+    void remove(const JobId &job);
+
+    /** Sets how much a team's claimed tasks may need together. */
+    void setQuota(const TeamId &team, const Resources &quota);
+
+    /** Returns a job's declaration, or null. */
+    const JobSpec *find(const JobId &job) const;
+
+    bool isCancelled(const JobId &job) const { return this->cancelled.contains(job); }
+
+    /** Returns a team's quota, or null where it has none. */
+    const Resources *quotaOf(const TeamId &team) const;
+
+    /** Returns all jobs, urgent ones first, each in the order of their addition. */
+    std::vector<const JobSpec *> inOrder() const;
+
+private:
+    struct Entry
+    {
+        JobSpec spec;
+        std::uint64_t order = 0;
+    };
+
+    std::map<JobId, Entry> jobs;
+    std::map<std::pair<bool, std::uint64_t>, JobId> queue; ///< (ordinary, order)
+    std::set<JobId> cancelled;
+    std::map<TeamId, Resources> quotas;
+    std::uint64_t nextOrder = 0;
+};
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_tasks/model/Task.cpp
@@ -0,0 +1,120 @@
+#include "bulrush_tasks/model/Task.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace bulrush {
+
+namespace {
+
+constexpr std::array<std::string_view, 3> kindNames { "batch", "watcher", "service" };
+
+struct Amount
+{
+    std::string_view name;
+    std::int64_t Resources::*value;
+};
+
+constexpr std::array amounts {
+    Amount { "cpuMilli", &Resources::cpuMilli },
+    Amount { "memoryMb", &Resources::memoryMb },
+    Amount { "accelerators", &Resources::accelerators },
+};
+
+} // namespace
+
+std::string TaskId::text() const
+{
+    return this->job.name() + '#' + std::to_string(this->index);
+}
+
+std::optional<TaskId> TaskId::parse(std::string_view text)
+{
+    const std::size_t mark = text.rfind('#');
+    if (mark == std::string_view::npos) {
+        return std::nullopt;
+    }
+    TaskId task { JobId(text.substr(0, mark)), 0 };
+    const char *end = text.data() + text.size();
+    const auto result = std::from_chars(text.data() + mark + 1, end, task.index);
+    if (result.ec != std::errc() || result.ptr != end) {
+        return std::nullopt;
+    }
+    return task;
+}
+
+Resources &Resources::operator+=(const Resources &other)
+{
+    this->cpuMilli += other.cpuMilli;
+    this->memoryMb += other.memoryMb;
+    this->accelerators += other.accelerators;
+    return *this;
+}
+
+Resources &Resources::operator-=(const Resources &other)
+{
+    this->cpuMilli -= other.cpuMilli;
+    this->memoryMb -= other.memoryMb;
+    this->accelerators -= other.accelerators;
+    return *this;
+}
+
+bool Resources::fitsIn(const Resources &room) const
+{
+    return this->cpuMilli <= room.cpuMilli && this->memoryMb <= room.memoryMb
+            && this->accelerators <= room.accelerators;
+}
+
+Resources operator+(Resources left, const Resources &right)
+{
+    left += right;
+    return left;
+}
+
+Resources operator-(Resources left, const Resources &right)
+{
+    left -= right;
+    return left;
+}
+
+std::string missingFor(const Resources &need, const std::vector<Resources> &capacities)
+{
+    const auto holds = [&need](const Resources &capacity) { return need.fitsIn(capacity); };
+    if (std::any_of(capacities.begin(), capacities.end(), holds)) {
+        return {};
+    }
+    std::string missing;
+    for (const Amount &amount : amounts) {
+        std::int64_t largest = 0;
+        for (const Resources &capacity : capacities) {
+            largest = std::max(largest, capacity.*amount.value);
+        }
+        if (need.*amount.value > largest) {
+            missing += (missing.empty() ? "" : ", ") + std::to_string(need.*amount.value) + ' '
+                    + std::string(amount.name) + " (largest worker: " + std::to_string(largest)
+                    + ')';
+        }
+    }
+    return missing.empty() ? "no single worker has all amounts together" : missing;
+}
+
+std::string_view nameOf(TaskKind kind)
+{
+    return kindNames.at(static_cast<std::size_t>(kind));
+}
+
+TaskKind taskKind(std::string_view name)
+{
+    const auto *const found = std::find(kindNames.begin(), kindNames.end(), name);
+    return found == kindNames.end() ? TaskKind::Batch
+                                    : static_cast<TaskKind>(found - kindNames.begin());
+}
+
+bool isFinal(Outcome outcome)
+{
+    return outcome == Outcome::Finished || outcome == Outcome::Cancelled
+            || outcome == Outcome::Abandoned;
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_tasks/owner/Actions.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "bulrush_core/events/EventCatalogue.h"
+#include "bulrush_core/ids/Id.h"
+#include "bulrush_tasks/workers/Exchange.h"
+
+#include <string>
+#include <variant>
+
+namespace bulrush {
+
+/** Append one record to a stream. Sent again, with the same id, until it is read back. */
+struct AppendAction
+{
+    std::string stream;
+    std::string recordId;
+    std::string payload;
+};
+
+/** Exchange with one worker. */
+struct ExchangeAction
+{
+    VmId worker;
+    ExchangeRequest request;
+};
+
+/** Log an event. */
+struct EventAction
+{
+    Event event = Event::NodeStarted;
+    std::string peer;
+    std::string detail;
+};
+
+using Action = std::variant<AppendAction, ExchangeAction, EventAction>;
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_tasks/owner/GroupOwner.cpp
@@ -0,0 +1,218 @@
+#include "bulrush_tasks/owner/GroupOwner.h"
+
+namespace bulrush {
+
+GroupOwner::GroupOwner(const OwnerIdentity &ownerIdentity, const Durations &ownerDurations,
+                       PlacementStrategy &strategy)
+    : identity(ownerIdentity)
+    , durations(ownerDurations)
+    , placement(strategy)
+{
+}
+
+void GroupOwner::setWanted(bool ownershipWanted)
+{
+    this->wanted = ownershipWanted;
+}
+
+void GroupOwner::readGroupRecord(std::uint64_t offset, std::string_view payload)
+{
+    this->groupKnown = true;
+    this->group.read(offset, payload);
+    const bool confirmed = this->pendingBatch.isActive() && this->currentPhase == Phase::Owning
+            && this->state().hasApplied(this->ownEpoch, this->batchSequence);
+    if (confirmed) {
+        this->confirmBatch();
+    }
+}
+
+void GroupOwner::noteGroupFirstOffset(std::uint64_t firstOffset)
+{
+    this->groupKnown = true;
+    this->group.noteFirstOffset(firstOffset);
+}
+
+void GroupOwner::updateVmList(std::span<const VmStatus> list, Instant now)
+{
+    this->listKnown = true;
+    this->listed.clear();
+    for (const VmStatus &status : list) {
+        this->listed.insert(status.worker);
+        ManagedWorker &worker = this->managed[status.worker];
+        worker.listedLeaving = status.leaving;
+    }
+    this->noteMissing(now);
+}
+
+void GroupOwner::noteMissing(Instant now)
+{
+    if (!this->listKnown) {
+        return;
+    }
+    for (auto &[id, worker] : this->managed) {
+        if (this->listed.contains(id)) {
+            worker.missingSince.reset();
+        } else if (!worker.missingSince) {
+            worker.missingSince = now;
+        }
+    }
+}
+
+std::vector<Action> GroupOwner::tick(Instant now, const WorkView &view, const JobBook &jobs)
+{
+    TickContext context { now, view, jobs, {} };
+    this->followOwnership(context);
+    if (this->currentPhase != Phase::Owning) {
+        return std::move(context.actions);
+    }
+    this->noteMissing(now);
+    this->judgeLosses(context);
+    this->orderStops(context);
+    this->operate(context);
+    this->placeTasks(context);
+    this->dropCompleted(context);
+    this->flush(context);
+    this->exchange(context);
+    this->writeSnapshots(context);
+    return std::move(context.actions);
+}
+
+//==============================================================================
+bool GroupOwner::isOurs(const GroupOwnership &ownership) const
+{
+    if (!this->guards.claimOfThisProcessOnly && ownership.node == this->identity.node) {
+        return true;
+    }
+    return ownership.claimId == this->pendingClaim.recordId() && ownership.epoch == this->ownEpoch;
+}
+
+bool GroupOwner::isSuperseded() const
+{
+    return this->state().stream().epoch() > this->ownEpoch && this->guards.fenceOldEpochs;
+}
+
+void GroupOwner::followOwnership(TickContext &context)
+{
+    if (!context.view.usable || context.view.claims == nullptr) {
+        if (this->currentPhase == Phase::Owning && this->isSuperseded()) {
+            this->lose(context);
+        }
+        return;
+    }
+    if (this->currentPhase == Phase::Idle) {
+        if (this->wanted && this->groupKnown && this->group.isUsable()) {
+            this->claim(context);
+        }
+        return;
+    }
+    const GroupOwnership ownership = context.view.claims->ownershipOf(this->identity.group);
+    if (this->currentPhase == Phase::Claiming && this->isOurs(ownership)) {
+        this->fence();
+    }
+    const bool claiming = this->currentPhase == Phase::Claiming;
+    const bool overtaken = claiming ? ownership.epoch >= this->ownEpoch : !this->isOurs(ownership);
+    if (!this->wanted || overtaken || this->isSuperseded() || !this->group.isUsable()) {
+        this->lose(context);
+        return;
+    }
+    const bool fenced = this->state().stream().epoch() == this->ownEpoch;
+    if (this->currentPhase == Phase::Fencing && fenced) {
+        this->beginOwning(context.now, context.view);
+        context.actions.emplace_back(EventAction { Event::GroupClaimed, this->identity.group.name(),
+                                                   "epoch " + std::to_string(this->ownEpoch) });
+    }
+    this->poll(this->pendingClaim, context);
+    if (this->currentPhase == Phase::Fencing) {
+        this->poll(this->pendingBatch, context);
+    }
+}
+
+void GroupOwner::claim(TickContext &context)
+{
+    const GroupOwnership ownership = context.view.claims->ownershipOf(this->identity.group);
+    this->ownEpoch = ownership.epoch + 1;
+    if (!this->guards.claimOfThisProcessOnly && ownership.node == this->identity.node) {
+        this->ownEpoch = ownership.epoch;
+        this->fence();
+        return;
+    }
+    const GroupClaim record { this->recordId("claim", ++this->claimCount), this->identity.group,
+                              this->identity.node, this->ownEpoch };
+    this->pendingClaim.start(workStream, record.id, encode(record));
+    this->currentPhase = Phase::Claiming;
+    this->poll(this->pendingClaim, context);
+}
+
+void GroupOwner::fence()
+{
+    this->currentPhase = Phase::Fencing;
+    this->pendingClaim.clear();
+    this->pendingBatch.start(this->groupStream(), this->recordId("batch", 0),
+                             encode(GroupBatch { this->ownEpoch, 0, {} }));
+}
+
+void GroupOwner::beginOwning(Instant now, const WorkView &view)
+{
+    this->currentPhase = Phase::Owning;
+    this->pendingBatch.clear();
+    this->batchSequence = this->state().stream().sequence();
+    this->operationSequence = view.claims->ownershipOf(this->identity.group).lastOperation;
+    this->groupSnapshotAt = now - this->durations.snapshotInterval;
+    this->evidence = {};
+    for (auto &[id, worker] : this->managed) {
+        ManagedWorker fresh;
+        fresh.listedLeaving = worker.listedLeaving;
+        fresh.missingSince = worker.missingSince;
+        worker = std::move(fresh);
+    }
+    for (const auto &[task, state] : this->state().tasks()) {
+        for (const VmId &worker : state.failedOn) {
+            this->evidence.recordFailure(task, worker);
+        }
+        if (state.open) {
+            this->managed[state.worker].ledger.adopt({ task, state.lastAttempt }, state.need);
+        }
+    }
+    for (auto &[id, worker] : this->managed) {
+        worker.answeredAt = now;
+    }
+}
+
+void GroupOwner::lose(TickContext &context)
+{
+    if (this->currentPhase == Phase::Owning) {
+        context.actions.emplace_back(EventAction { Event::GroupLost, this->identity.group.name(),
+                                                   "epoch " + std::to_string(this->ownEpoch) });
+    }
+    this->currentPhase = Phase::Idle;
+    for (PendingAppend *pending :
+         { &this->pendingClaim, &this->pendingBatch, &this->pendingOperation,
+           &this->pendingGroupSnapshot, &this->pendingWorkSnapshot }) {
+        pending->clear();
+    }
+    this->queue.clear();
+    this->batchInFlight.clear();
+    this->queuedIntents.clear();
+    this->unconfirmed.clear();
+    this->queuedEnds.clear();
+    this->queuedCheckpoints.clear();
+    this->returning.clear();
+    this->unplacedSince.clear();
+    this->urgentQueued = false;
+}
+
+std::string GroupOwner::recordId(std::string_view kind, std::uint64_t number) const
+{
+    return this->identity.node.name() + '/' + this->identity.processId + '/'
+            + this->identity.group.name() + '/' + std::string(kind) + '/'
+            + std::to_string(this->ownEpoch) + '/' + std::to_string(number);
+}
+
+void GroupOwner::poll(PendingAppend &pending, TickContext &context) const
+{
+    if (auto append = pending.poll(context.now, this->durations.appendTimeout)) {
+        context.actions.emplace_back(std::move(*append));
+    }
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_tasks/owner/GroupOwner.h
@@ -0,0 +1,222 @@
+#pragma once
+
+#include "bulrush_ownership/claims/GroupClaims.h"
+#include "bulrush_tasks/leases/Durations.h"
+#include "bulrush_tasks/leases/Renewer.h"
+#include "bulrush_tasks/model/JobBook.h"
+#include "bulrush_tasks/owner/Actions.h"
+#include "bulrush_tasks/owner/FailureEvidence.h"
+#include "bulrush_tasks/owner/ManagedWorker.h"
+#include "bulrush_tasks/owner/PendingAppend.h"
+#include "bulrush_tasks/owner/PlacementStrategy.h"
+#include "bulrush_tasks/records/GroupState.h"
+
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace bulrush {
+
+/** A VM of the group in the platform's list. */
+struct VmStatus
+{
+    VmId worker;
+    bool leaving = false;
+};
+
+/** Who runs a GroupOwner. */
+struct OwnerIdentity
+{
+    NodeId node;
+    std::string processId; ///< distinct for each start of the daemon
+    GroupId group;
+};
+
+/**
+    The owner of one worker group, as a state machine.
+
+    It claims the group in the `work` stream, fences the group's stream, and from then on decides
+    which task runs where: intent on record, start, end on record, forget. It acts only on what it
+    read back from the log in order; a successor's fence ends its ownership at that position.
+*/
+class GroupOwner
+{
+public:
+    enum class Phase : std::uint8_t { Idle, Claiming, Fencing, Owning };
+
+    /** @param strategy chooses workers; must outlive this */
+    GroupOwner(const OwnerIdentity &identity, const Durations &durations,
+               PlacementStrategy &strategy);
+
+    GroupOwner(const GroupOwner &) = delete;
+    GroupOwner &operator=(const GroupOwner &) = delete;
+
+    /** Sets whether this node is to own the group. When switched off it stops to act at once. */
+    void setWanted(bool ownershipWanted);
+
+    //==============================================================================
+    /** Takes the next record of the group's stream. */
+    void readGroupRecord(std::uint64_t offset, std::string_view payload);
+
+    /** Takes the first offset that the log still holds of the group's stream. */
+    void noteGroupFirstOffset(std::uint64_t firstOffset);
+
+    /** Takes a worker's answer. Late or overtaken answers count as none. */
+    void exchangeAnswered(const ExchangeAnswer &answer, Instant now);
+
+    /** Takes that an exchange failed or was not answered in time. */
+    void exchangeFailed(const VmId &worker);
+
+    /** Takes the platform's list of the group's VMs. */
+    void updateVmList(std::span<const VmStatus> list, Instant now);
+
+    /** Orders a running task to be moved: checkpoint, stop, and a new attempt elsewhere. */
+    void evict(const TaskId &task, Instant now);
+
+    /** Sets how much of its processors a running task may use, in percent. */
+    void throttle(const TaskId &task, std::int64_t percent);
+
+    /** Returns everything that is due. */
+    std::vector<Action> tick(Instant now, const WorkView &view, const JobBook &jobs);
+
+    //==============================================================================
+    Phase phase() const { return this->currentPhase; }
+    Epoch epoch() const { return this->ownEpoch; }
+    const GroupState &state() const { return this->group.state(); }
+
+    /** Returns the offset of the group's stream that is to be read next. */
+    std::uint64_t nextGroupOffset() const { return this->group.nextOffset(); }
+
+    /** Returns the workers, for placement and metrics. */
+    const std::map<VmId, ManagedWorker> &workers() const { return this->managed; }
+
+    /** Returns the name of the group's stream. */
+    std::string groupStream() const { return "group/" + this->identity.group.name(); }
+
+    /** The name of the stream that all nodes read. */
+    static constexpr const char *workStream = "work";
+
+private:
+    friend struct GuardsAccess;
+
+    struct TickContext
+    {
+        Instant now;
+        const WorkView &view;
+        const JobBook &jobs;
+        std::vector<Action> actions;
+    };
+
+    void followOwnership(TickContext &context);
+    void claim(TickContext &context);
+    void fence();
+    void beginOwning(Instant now, const WorkView &view);
+    void lose(TickContext &context);
+    bool isOurs(const GroupOwnership &ownership) const;
+
+    void confirmBatch();
+    void confirm(const IntentRecord &record);
+    void confirm(const EndRecord &record);
+    void flush(TickContext &context);
+    void writeSnapshots(TickContext &context);
+    void writeGroupSnapshot(Instant now);
+    void writeWorkSnapshot(const TickContext &context);
+    std::string recordId(std::string_view kind, std::uint64_t number) const;
+
+    bool isCurrent(const ManagedWorker &worker, const ExchangeAnswer &answer, Instant now) const;
+    void takeInventory(ManagedWorker &worker, const ExchangeAnswer &answer, Instant now);
+    void judge(const ManagedWorker &worker);
+    void judgeAbsent(const AttemptId &attempt, const ManagedWorker &worker);
+    void judgeItem(const InventoryItem &item, const ManagedWorker &worker);
+    void queueCheckpoint(const InventoryItem &item);
+    void reconcile(ManagedWorker &worker);
+    bool isCommitted(const AttemptId &attempt, const ManagedWorker &worker) const;
+    void judgeLosses(TickContext &context);
+    bool isLost(const VmId &id, ManagedWorker &worker, const TickContext &context) const;
+    void tellSilence(const VmId &id, ManagedWorker &worker, TickContext &context) const;
+    void endAll(const ManagedWorker &worker);
+    void poll(PendingAppend &pending, TickContext &context) const;
+    bool isSuperseded() const;
+    void noteMissing(Instant now);
+    std::string lastCheckpoint(const AttemptId &attempt, const ManagedWorker &worker) const;
+    void queueEnd(const AttemptId &attempt, Outcome outcome, const std::string &checkpoint,
+                  const std::string &result);
+    void orderStops(TickContext &context);
+    void drain(TickContext &context, ManagedWorker &worker);
+    void orderStop(const AttemptId &attempt, ManagedWorker &worker, Outcome reason, Instant now);
+
+    std::vector<TaskId> pendingTasks(const TickContext &context) const;
+    bool isPending(const TaskId &task, const TickContext &context) const;
+    std::vector<PlacementCandidate> candidates(const TickContext &context) const;
+    bool mayTakeWork(const VmId &id, const ManagedWorker &worker, const TickContext &context) const;
+    void placeTasks(TickContext &context);
+    bool place(const TaskId &task, const JobSpec &spec, std::vector<PlacementCandidate> &candidates,
+               TickContext &context);
+
+    void exchange(TickContext &context);
+    ExchangeRequest request(ManagedWorker &worker, const VmId &id, const TickContext &context);
+    void addCommands(ExchangeRequest &request, ManagedWorker &worker, const VmId &id, bool lease);
+    void addStops(ExchangeRequest &request, ManagedWorker &worker);
+    bool isStartable(const AttemptId &attempt, const ManagedWorker &worker) const;
+    bool isPressing(const ManagedWorker &worker) const;
+
+    void operate(TickContext &context);
+    void addWorkerChanges(std::vector<WorkItem> &items, const TickContext &context) const;
+    void addFinishedRanges(std::vector<WorkItem> &items, const TickContext &context) const;
+    void addReturns(std::vector<WorkItem> &items, TickContext &context);
+    void addClaims(std::vector<WorkItem> &items, TickContext &context);
+    bool isOver(const TaskId &task, const TickContext &context) const;
+    bool isAnyRunning(const VmId &id) const;
+    std::optional<WorkItem> returnItem(const TaskId &task, const TickContext &context) const;
+    std::map<TeamId, Resources> teamUsage(const TickContext &context) const;
+    std::uint32_t takeRoom(const JobSpec &spec, std::vector<PlacementCandidate> &room) const;
+    void dropCompleted(TickContext &context);
+    void tellCannotRun(const JobSpec &spec, TickContext &context);
+
+    OwnerIdentity identity;
+    Durations durations;
+    PlacementStrategy &placement;
+    Guards guards;
+
+    bool wanted = false;
+    bool groupKnown = false; ///< the group's stream was reached at least once
+    Phase currentPhase = Phase::Idle;
+    Epoch ownEpoch = 0;
+    std::uint64_t claimCount = 0;
+    PendingAppend pendingClaim;
+    StreamFollower<GroupState> group;
+
+    std::vector<GroupRecord> queue; ///< records of the next batch
+    std::vector<GroupRecord> batchInFlight;
+    std::uint64_t batchSequence = 0;
+    PendingAppend pendingBatch;
+    Instant flushedAt {};
+    bool urgentQueued = false;
+    std::set<TaskId> queuedIntents;
+    std::map<AttemptId, IntentRecord> unconfirmed; ///< queued intents with their workers
+    std::set<AttemptId> queuedEnds;
+
+    PendingAppend pendingOperation;
+    std::uint64_t operationSequence = 0;
+    PendingAppend pendingGroupSnapshot;
+    PendingAppend pendingWorkSnapshot;
+    std::uint64_t groupSnapshotAsOf = 0;
+    std::uint64_t workSnapshotReach = 0;
+    Instant groupSnapshotAt {};
+    std::optional<Instant> workSnapshotAt;
+    Instant droppedAt {};
+
+    std::map<VmId, ManagedWorker> managed;
+    FailureEvidence evidence;
+    std::map<TaskId, Instant> failedAt;
+    std::set<JobId> cannotRunTold;
+    std::map<TaskId, Instant> unplacedSince;
+    std::set<TaskId> returning; ///< in the operation in flight
+    std::map<AttemptId, std::string> queuedCheckpoints;
+    std::set<VmId> listed;
+    bool listKnown = false;
+};
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_tasks/owner/GroupOwnerPlacement.cpp
@@ -0,0 +1,121 @@
+#include "bulrush_tasks/owner/GroupOwner.h"
+
+#include <algorithm>
+
+namespace bulrush {
+
+namespace {
+
+/** How long a failed task waits for its next attempt. */
+constexpr Duration retryDelay = seconds(5);
+
+} // namespace
+
+std::vector<TaskId> GroupOwner::pendingTasks(const TickContext &context) const
+{
+    std::vector<TaskId> pending;
+    if (!context.view.usable) {
+        return pending;
+    }
+    for (const TaskRange &range : context.view.claims->rangesOf(this->identity.group)) {
+        for (std::uint32_t index = range.first; index <= range.last; ++index) {
+            const TaskId task { range.job, index };
+            if (this->isPending(task, context)) {
+                pending.push_back(task);
+            }
+        }
+    }
+    const auto isUrgent = [&context](const TaskId &task) {
+        return context.jobs.find(task.job)->urgent;
+    };
+    std::stable_partition(pending.begin(), pending.end(), isUrgent);
+    return pending;
+}
+
+bool GroupOwner::isPending(const TaskId &task, const TickContext &context) const
+{
+    const bool known = context.jobs.find(task.job) != nullptr;
+    if (!known || context.jobs.isCancelled(task.job) || this->returning.contains(task)
+        || this->queuedIntents.contains(task)) {
+        return false;
+    }
+    const auto failed = this->failedAt.find(task);
+    if (failed != this->failedAt.end() && context.now - failed->second < retryDelay) {
+        return false;
+    }
+    const TaskState *state = this->state().find(task);
+    const bool open = state != nullptr && state->open && this->guards.newAttemptAfterEnd;
+    return state == nullptr || (!open && !state->final);
+}
+
+bool GroupOwner::mayTakeWork(const VmId &id, const ManagedWorker &worker,
+                             const TickContext &context) const
+{
+    const bool known = worker.ledger.isKnown() || !this->guards.inventoryFirst;
+    const Duration fresh = 2 * this->durations.exchangePeriod + this->durations.exchangeTimeout;
+    return known && !worker.isLeaving() && !worker.missingSince && !worker.revokedSince
+            && context.now - worker.answeredAt <= fresh && !this->evidence.isWorkerSetAside(id)
+            && mayLease(context.view, id, this->durations, context.now, this->guards);
+}
+
+std::vector<PlacementCandidate> GroupOwner::candidates(const TickContext &context) const
+{
+    std::vector<PlacementCandidate> result;
+    for (const auto &[id, worker] : this->managed) {
+        if (this->mayTakeWork(id, worker, context)) {
+            result.push_back({ id, worker.ledger.capacity(), worker.ledger.free() });
+        }
+    }
+    return result;
+}
+
+void GroupOwner::placeTasks(TickContext &context)
+{
+    const std::vector<TaskId> pending = this->pendingTasks(context);
+    std::vector<PlacementCandidate> room = this->candidates(context);
+    std::map<TaskId, Instant> unplaced;
+    for (const TaskId &task : pending) {
+        const JobSpec &spec = *context.jobs.find(task.job);
+        if (!this->place(task, spec, room, context)) {
+            const auto since = this->unplacedSince.find(task);
+            unplaced[task] = since == this->unplacedSince.end() ? context.now : since->second;
+        }
+    }
+    this->unplacedSince = std::move(unplaced);
+}
+
+bool GroupOwner::place(const TaskId &task, const JobSpec &spec,
+                       std::vector<PlacementCandidate> &room, TickContext &context)
+{
+    const TaskState *state = this->state().find(task);
+    const std::span<const VmId> failedOn =
+            state == nullptr ? std::span<const VmId>() : std::span<const VmId>(state->failedOn);
+    const PlacementRequest request { task, spec.kind, spec.need, spec.urgent, failedOn };
+    const std::optional<VmId> choice = this->placement.choose(request, room);
+    if (!choice) {
+        return false;
+    }
+    const CarriedTask carried = context.view.claims->carried(task.job, task.index);
+    const std::uint32_t last = state == nullptr ? 0 : state->lastAttempt;
+    const bool fromElsewhere = carried.attempt > last;
+    IntentRecord intent { { task, std::max(last, carried.attempt) + 1 },
+                          *choice,
+                          spec.kind,
+                          spec.need,
+                          spec.runMs,
+                          fromElsewhere || state == nullptr ? carried.checkpoint
+                                                            : state->checkpoint };
+    ManagedWorker &worker = this->managed.at(*choice);
+    if (!worker.ledger.commit(intent.attempt, spec.need)) {
+        return false;
+    }
+    const auto isChoice = [&choice](const auto &candidate) { return candidate.worker == *choice; };
+    std::find_if(room.begin(), room.end(), isChoice)->free = worker.ledger.free();
+    this->queuedIntents.insert(task);
+    this->unconfirmed[intent.attempt] = intent;
+    this->queue.emplace_back(std::move(intent));
+    this->urgentQueued = this->urgentQueued || spec.urgent;
+    return true;
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_tasks/owner/GroupOwnerWork.cpp
@@ -0,0 +1,220 @@
+#include "bulrush_tasks/owner/GroupOwner.h"
+
+#include <algorithm>
+
+namespace bulrush {
+
+namespace {
+
+/** The most changes of one operation. */
+constexpr std::size_t maxOperationItems = 128;
+
+/** The most tasks of one job that a group takes at a time. */
+constexpr std::uint32_t maxClaimedTasks = 32;
+
+std::int64_t timesIn(std::int64_t need, std::int64_t room)
+{
+    return need <= 0 ? maxClaimedTasks : room / need;
+}
+
+} // namespace
+
+void GroupOwner::operate(TickContext &context)
+{
+    if (!context.view.usable) {
+        return;
+    }
+    const GroupOwnership ownership = context.view.claims->ownershipOf(this->identity.group);
+    if (this->pendingOperation.isActive()) {
+        if (ownership.lastOperation < this->operationSequence) {
+            this->poll(this->pendingOperation, context);
+            return;
+        }
+        this->pendingOperation.clear();
+        this->returning.clear();
+    }
+    std::vector<WorkItem> items;
+    this->addWorkerChanges(items, context);
+    this->addFinishedRanges(items, context);
+    this->addReturns(items, context);
+    this->addClaims(items, context);
+    if (items.empty()) {
+        return;
+    }
+    const GroupOperation operation { this->identity.group, this->ownEpoch,
+                                     ++this->operationSequence, std::move(items) };
+    this->pendingOperation.start(workStream, this->recordId("operation", this->operationSequence),
+                                 encode(operation));
+    this->poll(this->pendingOperation, context);
+}
+
+bool GroupOwner::isAnyRunning(const VmId &id) const
+{
+    const auto &attempts = this->managed.at(id).ledger.attempts();
+    return std::any_of(attempts.begin(), attempts.end(),
+                       [this](const auto &held) { return this->state().isOpen(held.first); });
+}
+
+void GroupOwner::addWorkerChanges(std::vector<WorkItem> &items, const TickContext &context) const
+{
+    for (const auto &[id, worker] : this->managed) {
+        const bool revoked = context.view.claims->isRevoked(id);
+        const bool silent = context.now - worker.answeredAt > this->durations.silence;
+        if (!revoked && silent && this->isAnyRunning(id)) {
+            items.push_back({ WorkChange::RevokeWorker, {}, 0, 0, 0, {}, id });
+        } else if (revoked && !silent && worker.ledger.isKnown()) {
+            items.push_back({ WorkChange::RestoreWorker, {}, 0, 0, 0, {}, id });
+        }
+    }
+}
+
+bool GroupOwner::isOver(const TaskId &task, const TickContext &context) const
+{
+    const TaskState *state = this->state().find(task);
+    if (state != nullptr && state->final) {
+        return true;
+    }
+    const bool started = (state != nullptr && state->open) || this->queuedIntents.contains(task);
+    return context.jobs.isCancelled(task.job) && !started;
+}
+
+void GroupOwner::addFinishedRanges(std::vector<WorkItem> &items, const TickContext &context) const
+{
+    for (const TaskRange &range : context.view.claims->rangesOf(this->identity.group)) {
+        bool over = true;
+        for (std::uint32_t index = range.first; index <= range.last && over; ++index) {
+            over = this->isOver({ range.job, index }, context);
+        }
+        if (over && items.size() < maxOperationItems) {
+            items.push_back(
+                    { WorkChange::CompleteTasks, range.job, range.first, range.last, 0, {}, {} });
+        }
+    }
+}
+
+/** Gives back tasks that found no room here for long, so that other groups can run them. */
+void GroupOwner::addReturns(std::vector<WorkItem> &items, TickContext &context)
+{
+    for (const auto &[task, since] : this->unplacedSince) {
+        if (items.size() >= maxOperationItems) {
+            return;
+        }
+        if (context.now - since < this->durations.returnAfter || !this->isPending(task, context)) {
+            continue;
+        }
+        if (const auto item = this->returnItem(task, context)) {
+            items.push_back(*item);
+            this->returning.insert(task);
+        }
+    }
+}
+
+std::optional<WorkItem> GroupOwner::returnItem(const TaskId &task, const TickContext &context) const
+{
+    const std::optional<GroupId> holder = context.view.claims->holderOf(task.job, task.index);
+    if (holder != this->identity.group) {
+        return std::nullopt;
+    }
+    const CarriedTask carried = context.view.claims->carried(task.job, task.index);
+    WorkItem item { WorkChange::ReturnTasks, task.job,           task.index, task.index,
+                    carried.attempt,         carried.checkpoint, {} };
+    const TaskState *state = this->state().find(task);
+    if (state != nullptr && state->lastAttempt >= carried.attempt) {
+        item.attempt = state->lastAttempt;
+        item.checkpoint = state->checkpoint;
+    }
+    return item;
+}
+
+//==============================================================================
+std::map<TeamId, Resources> GroupOwner::teamUsage(const TickContext &context) const
+{
+    std::map<TeamId, Resources> usage;
+    for (const auto &[job, count] : context.view.claims->heldTasks()) {
+        const JobSpec *spec = context.jobs.find(job);
+        if (spec == nullptr) {
+            continue;
+        }
+        Resources &team = usage[spec->team];
+        team.cpuMilli += spec->need.cpuMilli * count;
+        team.memoryMb += spec->need.memoryMb * count;
+        team.accelerators += spec->need.accelerators * count;
+    }
+    return usage;
+}
+
+/** Takes the room of as many tasks as fit, and returns their number. */
+std::uint32_t GroupOwner::takeRoom(const JobSpec &spec, std::vector<PlacementCandidate> &room) const
+{
+    std::int64_t taken = 0;
+    for (PlacementCandidate &candidate : room) {
+        const std::int64_t fits =
+                std::min({ timesIn(spec.need.cpuMilli, candidate.free.cpuMilli),
+                           timesIn(spec.need.memoryMb, candidate.free.memoryMb),
+                           timesIn(spec.need.accelerators, candidate.free.accelerators),
+                           std::int64_t { maxClaimedTasks } - taken });
+        candidate.free -= { spec.need.cpuMilli * fits, spec.need.memoryMb * fits,
+                            spec.need.accelerators * fits };
+        taken += fits;
+    }
+    return static_cast<std::uint32_t>(taken);
+}
+
+void GroupOwner::addClaims(std::vector<WorkItem> &items, TickContext &context)
+{
+    std::vector<PlacementCandidate> room = this->candidates(context);
+    if (room.empty()) {
+        return;
+    }
+    std::map<TeamId, Resources> usage = this->teamUsage(context);
+    for (const JobSpec *spec : context.jobs.inOrder()) {
+        const auto free =
+                context.view.claims->freeRange(spec->job, spec->taskCount, maxClaimedTasks);
+        if (!free || context.jobs.isCancelled(spec->job)) {
+            continue;
+        }
+        this->tellCannotRun(*spec, context);
+        std::vector<PlacementCandidate> roomAfter = room;
+        const std::uint32_t wanted =
+                std::min(free->last - free->first + 1, this->takeRoom(*spec, roomAfter));
+        const Resources *quota = context.jobs.quotaOf(spec->team);
+        std::uint32_t count = 0;
+        Resources &used = usage[spec->team];
+        while (count < wanted && (quota == nullptr || (used + spec->need).fitsIn(*quota))) {
+            used += spec->need;
+            ++count;
+        }
+        if (count > 0) {
+            room = std::move(roomAfter);
+            items.push_back({ WorkChange::ClaimTasks,
+                              spec->job,
+                              free->first,
+                              free->first + count - 1,
+                              0,
+                              {},
+                              {} });
+        }
+        if (items.size() >= maxOperationItems) {
+            return;
+        }
+    }
+}
+
+/** Tells once that no worker of the group could ever hold a task, and what is missing. */
+void GroupOwner::tellCannotRun(const JobSpec &spec, TickContext &context)
+{
+    std::vector<Resources> capacities;
+    for (const auto &[id, worker] : this->managed) {
+        if (!worker.ledger.isKnown()) {
+            return;
+        }
+        capacities.push_back(worker.ledger.capacity());
+    }
+    const std::string missing = missingFor(spec.need, capacities);
+    if (!missing.empty() && this->cannotRunTold.insert(spec.job).second) {
+        context.actions.emplace_back(EventAction { Event::JobCannotRun, this->identity.group.name(),
+                                                   spec.job.name() + ": " + missing });
+    }
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_tasks/owner/PlacementStrategy.cpp
@@ -0,0 +1,24 @@
+#include "bulrush_tasks/owner/PlacementStrategy.h"
+
+#include <algorithm>
+
+namespace bulrush {
+
+std::optional<VmId> FirstFit::choose(const PlacementRequest &request,
+                                     std::span<const PlacementCandidate> candidates)
+{
+    std::optional<VmId> secondChoice;
+    for (const PlacementCandidate &candidate : candidates) {
+        if (!request.need.fitsIn(candidate.free)) {
+            continue;
+        }
+        const auto &failed = request.failedOn;
+        if (std::find(failed.begin(), failed.end(), candidate.worker) == failed.end()) {
+            return candidate.worker;
+        }
+        secondChoice = secondChoice ? secondChoice : candidate.worker;
+    }
+    return secondChoice;
+}
+
+} // namespace bulrush
