Add placement and interference decisions

Cause: the owner of a worker group needs to know which task starts next, on which worker, and what to do when batch work disturbs services.

Change: pure modules. The worker table is the single place of a commitment and refuses all beyond processors, memory or accelerators.

Ruled out: comparing every worker that fits, whose time grows with the group.

--- /dev/null
+++ b/modules/bulrush_interference/ladder/RateBudget.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "bulrush_core/time/Clock.h"
+
+namespace bulrush::interference {
+
+/** A token bucket: so many at once, and one more each interval. */
+class RateBudget
+{
+public:
+    /** @param burst    the most that can be taken at once
+        @param interval how long one token takes to come back
+    */
+    RateBudget(int burst, Duration interval);
+
+    /** Takes one token. @returns whether there was one */
+    bool take(Instant now);
+
+    /** Returns how many tokens could be taken now. */
+    int available(Instant now) const;
+
+private:
+    int burst;
+    Duration interval;
+    int left;
+    Instant refilledAt {};
+};
+
+} // namespace bulrush::interference
--- /dev/null
+++ b/modules/bulrush_placement/bulrush_placement.h
@@ -0,0 +1,23 @@
+#pragma once
+
+/**
+    bulrush_placement: which task starts next, and on which worker.
+
+    The ready queue orders tasks by urgency, fair share and age within the teams' quotas. The
+    worker table holds what each worker has committed, in processors, memory and accelerators, and
+    refuses every commitment beyond that. The placement policy chooses among the workers that fit
+    by learned usage, interference and racks. Pure: no I/O, clock, thread or global state.
+
+    Needs: bulrush_core, bulrush_interference.
+*/
+
+#include "bulrush_placement/policy/FeasibilityCheck.h"
+#include "bulrush_placement/policy/PlacementPolicy.h"
+#include "bulrush_placement/policy/Reservation.h"
+#include "bulrush_placement/queue/QuotaBook.h"
+#include "bulrush_placement/queue/ReadyQueue.h"
+#include "bulrush_placement/usage/UsageModel.h"
+#include "bulrush_placement/view/Resources.h"
+#include "bulrush_placement/view/TaskView.h"
+#include "bulrush_placement/view/WorkerTable.h"
+#include "bulrush_placement/view/WorkerView.h"
--- /dev/null
+++ b/modules/bulrush_placement/policy/FeasibilityCheck.cpp
@@ -0,0 +1,85 @@
+#include "bulrush_placement/policy/FeasibilityCheck.h"
+
+#include <algorithm>
+
+namespace bulrush::placement {
+
+namespace {
+
+Resources lacking(const Resources &needed, const Resources &offered)
+{
+    return { std::max<std::int64_t>(0, needed.cpuMilli - offered.cpuMilli),
+             std::max<std::int64_t>(0, needed.memoryMb - offered.memoryMb),
+             std::max<std::int64_t>(0, needed.accelerators - offered.accelerators) };
+}
+
+double relative(std::int64_t missing, std::int64_t needed)
+{
+    return needed > 0 ? static_cast<double>(missing) / static_cast<double>(needed) : 0.0;
+}
+
+/** Returns how far off a worker is: the sum of the missing fractions. */
+double distance(const Resources &missing, const Resources &needed)
+{
+    return relative(missing.cpuMilli, needed.cpuMilli) + relative(missing.memoryMb, needed.memoryMb)
+            + relative(missing.accelerators, needed.accelerators);
+}
+
+void appendPart(std::string &text, std::int64_t missing, std::string_view unit)
+{
+    if (missing > 0) {
+        text += text.empty() ? "" : ", ";
+        text += std::to_string(missing) + " " + std::string(unit);
+    }
+}
+
+std::string describe(const Resources &missing)
+{
+    std::string text;
+    appendPart(text, missing.cpuMilli, "thousandths of a processor");
+    appendPart(text, missing.memoryMb, "MB of memory");
+    appendPart(text, missing.accelerators, "accelerators");
+    return text;
+}
+
+} // namespace
+
+std::optional<Shortfall> checkFeasibility(const TaskView &task, std::span<const WorkerView> workers,
+                                          const std::optional<Resources> &quota)
+{
+    if (!task.declared.isValid()) {
+        return Shortfall { {}, "a declared size is negative" };
+    }
+    if (quota && !task.declared.fitsIn(*quota)) {
+        const Resources missing = lacking(task.declared, *quota);
+        return Shortfall {
+            missing, "the whole quota of team " + task.team.name() + " lacks " + describe(missing)
+        };
+    }
+    const WorkerView *nearest = nullptr;
+    double nearestDistance = 0;
+    for (const WorkerView &worker : workers) {
+        if (!task.dataCentre.isEmpty() && worker.dataCentre != task.dataCentre) {
+            continue;
+        }
+        const Resources missing = lacking(task.declared, worker.capacity);
+        if (missing == Resources {}) {
+            return std::nullopt;
+        }
+        const double away = distance(missing, task.declared);
+        if (nearest == nullptr || away < nearestDistance) {
+            nearest = &worker;
+            nearestDistance = away;
+        }
+    }
+    if (nearest == nullptr) {
+        const std::string place = task.dataCentre.isEmpty() ? "" : " in " + task.dataCentre.name();
+        return Shortfall { task.declared, "there is no worker" + place };
+    }
+    const Resources missing = lacking(task.declared, nearest->capacity);
+    return Shortfall {
+        missing, "the nearest worker, " + nearest->id.name() + ", lacks " + describe(missing)
+    };
+}
+
+} // namespace bulrush::placement
--- /dev/null
+++ b/modules/bulrush_placement/policy/PlacementPolicy.cpp
@@ -0,0 +1,166 @@
+#include "bulrush_placement/policy/PlacementPolicy.h"
+
+#include <algorithm>
+#include <array>
+
+namespace bulrush::placement {
+
+namespace {
+
+double fraction(std::int64_t part, std::int64_t whole)
+{
+    return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0.0;
+}
+
+/** Grows slowly up to the comfortable use and steeply beyond it. */
+double pressure(double use, double comfortable, double steepness)
+{
+    const double excess = std::max(0.0, use - comfortable);
+    return use * use + steepness * excess * excess;
+}
+
+} // namespace
+
+PlacementPolicy::PlacementPolicy(Strategy strategy, const Mechanisms &mechanisms,
+                                 const interference::PolicyWeights &weights,
+                                 const PlacementSettings &settings)
+    : strategy(strategy)
+    , mechanisms(mechanisms)
+    , weights(weights.normalised())
+    , settings(settings)
+{
+}
+
+std::optional<WorkerSlot> PlacementPolicy::choose(const TaskView &task, const WorkerTable &table,
+                                                  const UsageModel &usage,
+                                                  const interference::PairEstimates &pairs,
+                                                  Instant now, std::mt19937_64 &random) const
+{
+    static constexpr std::array<Choice, 3> choices {
+        &PlacementPolicy::chooseAny,
+        &PlacementPolicy::chooseFirst,
+        &PlacementPolicy::chooseCheapest,
+    };
+    const Choice choice = choices[static_cast<std::size_t>(this->strategy)];
+    return (this->*choice)({ task, table, usage, pairs, now, random });
+}
+
+std::optional<WorkerSlot> PlacementPolicy::chooseAny(const Decision &decision) const
+{
+    const auto all = this->candidates(decision, decision.table.workers().size());
+    if (all.empty()) {
+        return std::nullopt;
+    }
+    return all[decision.random() % all.size()];
+}
+
+std::optional<WorkerSlot> PlacementPolicy::chooseFirst(const Decision &decision) const
+{
+    const WorkerTable &table = decision.table;
+    for (WorkerSlot slot = 0; slot < table.workers().size(); ++slot) {
+        if (table.canCommit(slot, decision.task) == CommitOutcome::Committed) {
+            return slot;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<WorkerSlot> PlacementPolicy::chooseCheapest(const Decision &decision) const
+{
+    const Resources expected = this->mechanisms.learnedUsage
+            ? decision.usage.expected(decision.task)
+            : decision.task.declared;
+    std::optional<WorkerSlot> best;
+    double bestCost = 0;
+    for (const WorkerSlot slot : this->candidates(decision, this->settings.candidates)) {
+        const double cost = this->cost(decision, decision.table.worker(slot), expected);
+        if (!best || cost < bestCost) {
+            best = slot;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+std::vector<WorkerSlot> PlacementPolicy::candidates(const Decision &decision,
+                                                    std::size_t most) const
+{
+    const WorkerTable &table = decision.table;
+    const std::size_t count = table.workers().size();
+    std::vector<WorkerSlot> found;
+    if (count == 0) {
+        return found;
+    }
+    found.reserve(std::min(most, count));
+    const std::size_t start = decision.random() % count;
+    for (std::size_t step = 0; step < count && found.size() < most; ++step) {
+        const WorkerSlot slot = start + step < count ? start + step : start + step - count;
+        const bool hasRoom = table.hasRoom(slot, decision.task.declared);
+        if (hasRoom && table.canCommit(slot, decision.task) == CommitOutcome::Committed) {
+            found.push_back(slot);
+        }
+    }
+    return found;
+}
+
+double PlacementPolicy::cost(const Decision &decision, const WorkerView &worker,
+                             const Resources &expected) const
+{
+    double cost = this->contentionCost(worker, expected);
+    if (this->mechanisms.interference) {
+        cost += this->interferenceCost(decision, worker, expected);
+    }
+    if (this->mechanisms.rackSpreading && decision.task.kind == TaskKind::Service) {
+        cost += this->spreadingCost(decision, worker);
+    }
+    const bool wastes =
+            worker.capacity.accelerators > 0 && decision.task.declared.accelerators == 0;
+    return wastes ? cost + this->settings.wastedAccelerator : cost;
+}
+
+double PlacementPolicy::contentionCost(const WorkerView &worker, const Resources &expected) const
+{
+    const Resources before = this->mechanisms.learnedUsage ? worker.learned : worker.committed;
+    const Resources after = before + expected;
+    const double cpu = fraction(after.cpuMilli, worker.capacity.cpuMilli);
+    const double memory = fraction(after.memoryMb, worker.capacity.memoryMb);
+    const double cpuCost = pressure(cpu, this->settings.comfortableCpu, this->settings.steepness);
+    const double memoryCost =
+            pressure(memory, this->settings.comfortableMemory, this->settings.steepness);
+    const double cpuWeight = this->weights.tailLatency + this->weights.throughput;
+    return cpuWeight * cpuCost + this->weights.evictions * memoryCost;
+}
+
+double PlacementPolicy::interferenceCost(const Decision &decision, const WorkerView &worker,
+                                         const Resources &expected) const
+{
+    const TaskView &task = decision.task;
+    double harm = 0;
+    if (task.kind == TaskKind::Service) {
+        for (const ClassLoad &load : worker.classes) {
+            const Resources used = decision.usage.expected(load.batchClass, load.declared);
+            harm += decision.pairs.expectedHarm(task.service, load.batchClass, decision.now)
+                    * fraction(used.cpuMilli, worker.capacity.cpuMilli);
+        }
+    } else {
+        const double share = fraction(expected.cpuMilli, worker.capacity.cpuMilli);
+        for (const ServiceLoad &load : worker.services) {
+            harm += decision.pairs.expectedHarm(load.service, task.batchClass, decision.now) * share
+                    * load.count;
+        }
+    }
+    // An eviction is what a bad pair ends in, so that both weights speak for avoiding it.
+    return (this->weights.tailLatency + this->weights.evictions) * harm;
+}
+
+double PlacementPolicy::spreadingCost(const Decision &decision, const WorkerView &worker) const
+{
+    const ServiceId &service = decision.task.service;
+    const auto isSame = [&service](const ServiceLoad &load) { return load.service == service; };
+    const auto same = std::find_if(worker.services.begin(), worker.services.end(), isSame);
+    const int onWorker = same == worker.services.end() ? 0 : same->count;
+    const int inRack = decision.table.replicasInRack(service, worker.rack);
+    return this->settings.sameRack * inRack + this->settings.sameWorker * onWorker;
+}
+
+} // namespace bulrush::placement
--- /dev/null
+++ b/modules/bulrush_placement/queue/QuotaBook.cpp
@@ -0,0 +1,74 @@
+#include "bulrush_placement/queue/QuotaBook.h"
+
+#include <algorithm>
+
+namespace bulrush::placement {
+
+namespace {
+
+double fraction(std::int64_t part, std::int64_t whole)
+{
+    if (whole > 0) {
+        return static_cast<double>(part) / static_cast<double>(whole);
+    }
+    return part > 0 ? 1.0 : 0.0;
+}
+
+} // namespace
+
+void QuotaBook::setQuota(const TeamId &team, const Resources &quota)
+{
+    this->quotas[team] = quota;
+}
+
+void QuotaBook::removeQuota(const TeamId &team)
+{
+    this->quotas.erase(team);
+}
+
+std::optional<Resources> QuotaBook::quota(const TeamId &team) const
+{
+    const auto found = this->quotas.find(team);
+    return found == this->quotas.end() ? std::nullopt : std::optional(found->second);
+}
+
+Resources QuotaBook::used(const TeamId &team) const
+{
+    const auto found = this->uses.find(team);
+    return found == this->uses.end() ? Resources {} : found->second;
+}
+
+bool QuotaBook::mayTake(const TeamId &team, const Resources &amount) const
+{
+    const auto quota = this->quotas.find(team);
+    return quota != this->quotas.end() && (this->used(team) + amount).fitsIn(quota->second);
+}
+
+bool QuotaBook::take(const TeamId &team, const Resources &amount)
+{
+    if (!this->mayTake(team, amount)) {
+        return false;
+    }
+    this->uses[team] += amount;
+    return true;
+}
+
+void QuotaBook::release(const TeamId &team, const Resources &amount)
+{
+    this->uses[team] -= amount;
+}
+
+double QuotaBook::share(const TeamId &team) const
+{
+    const auto quota = this->quotas.find(team);
+    if (quota == this->quotas.end()) {
+        return 1.0;
+    }
+    const Resources use = this->used(team);
+    const double cpu = fraction(use.cpuMilli, quota->second.cpuMilli);
+    const double memory = fraction(use.memoryMb, quota->second.memoryMb);
+    const double accelerators = fraction(use.accelerators, quota->second.accelerators);
+    return std::max({ cpu, memory, accelerators });
+}
+
+} // namespace bulrush::placement
--- /dev/null
+++ b/modules/bulrush_placement/view/WorkerTable.cpp
@@ -0,0 +1,170 @@
+#include "bulrush_placement/view/WorkerTable.h"
+
+#include <algorithm>
+#include <array>
+
+namespace bulrush::placement {
+
+namespace {
+
+/** Adds a task to the entry with its key, making or dropping the entry as needed. */
+template<class Load, class Key>
+void changeLoad(std::vector<Load> &loads, Key Load::*key, const Key &wanted,
+                const Resources &declared, int change)
+{
+    const auto matches = [&](const Load &load) { return load.*key == wanted; };
+    auto entry = std::find_if(loads.begin(), loads.end(), matches);
+    if (entry == loads.end()) {
+        if (change < 0) {
+            return;
+        }
+        Load load;
+        load.*key = wanted;
+        loads.push_back(load);
+        entry = std::prev(loads.end());
+    }
+    entry->count += change;
+    entry->declared = change > 0 ? entry->declared + declared : entry->declared - declared;
+    if (entry->count <= 0) {
+        loads.erase(entry);
+    }
+}
+
+} // namespace
+
+WorkerSlot WorkerTable::add(const WorkerView &worker)
+{
+    const auto [entry, isNew] = this->slots.try_emplace(worker.id, this->views.size());
+    const WorkerSlot slot = entry->second;
+    if (isNew) {
+        this->views.push_back(worker);
+        this->rooms.emplace_back();
+    } else {
+        for (const ServiceLoad &load : this->views[slot].services) {
+            this->rackCounts[load.service][this->views[slot].rack] -= load.count;
+        }
+        this->views[slot] = worker;
+    }
+    for (const ServiceLoad &load : worker.services) {
+        this->rackCounts[load.service][worker.rack] += load.count;
+    }
+    this->refreshRoom(slot);
+    return slot;
+}
+
+std::optional<WorkerSlot> WorkerTable::find(const VmId &worker) const
+{
+    const auto found = this->slots.find(worker);
+    return found == this->slots.end() ? std::nullopt : std::optional(found->second);
+}
+
+CommitOutcome WorkerTable::canCommit(WorkerSlot slot, const TaskView &task) const
+{
+    const WorkerView &worker = this->views[slot];
+    if (!task.declared.isValid()) {
+        return CommitOutcome::InvalidSize;
+    }
+    if (worker.isLeaving) {
+        return CommitOutcome::WorkerLeaving;
+    }
+    if (worker.isSetAside) {
+        return CommitOutcome::WorkerSetAside;
+    }
+    if (!task.dataCentre.isEmpty() && task.dataCentre != worker.dataCentre) {
+        return CommitOutcome::WrongDataCentre;
+    }
+    if (!worker.reservedFor.isEmpty() && worker.reservedFor != task.job) {
+        return CommitOutcome::Reserved;
+    }
+    return task.declared.fitsIn(worker.room()) ? CommitOutcome::Committed : CommitOutcome::NoRoom;
+}
+
+CommitOutcome WorkerTable::commit(WorkerSlot slot, const TaskView &task, const UsageModel &usage)
+{
+    const CommitOutcome outcome = this->canCommit(slot, task);
+    if (outcome != CommitOutcome::Committed) {
+        return outcome;
+    }
+    WorkerView &worker = this->views[slot];
+    worker.committed += task.declared;
+    worker.learned += usage.expected(task);
+    worker.reservedFor = JobId();
+    this->countLoad(worker, task, 1);
+    this->refreshRoom(slot);
+    return outcome;
+}
+
+void WorkerTable::release(WorkerSlot slot, const TaskView &task, const UsageModel &usage)
+{
+    WorkerView &worker = this->views[slot];
+    worker.committed -= task.declared;
+    this->countLoad(worker, task, -1);
+    this->refresh(slot, usage);
+    this->refreshRoom(slot);
+}
+
+void WorkerTable::refresh(WorkerSlot slot, const UsageModel &usage)
+{
+    WorkerView &worker = this->views[slot];
+    worker.learned = {};
+    for (const ClassLoad &load : worker.classes) {
+        worker.learned += usage.expected(load.batchClass, load.declared);
+    }
+    for (const ServiceLoad &load : worker.services) {
+        worker.learned += usage.expected(load.service, load.declared);
+    }
+}
+
+void WorkerTable::setLeaving(WorkerSlot slot, bool isLeaving)
+{
+    this->views[slot].isLeaving = isLeaving;
+    this->refreshRoom(slot);
+}
+
+void WorkerTable::setAside(WorkerSlot slot, bool isSetAside)
+{
+    this->views[slot].isSetAside = isSetAside;
+    this->refreshRoom(slot);
+}
+
+void WorkerTable::reserve(WorkerSlot slot, const JobId &job)
+{
+    this->views[slot].reservedFor = job;
+}
+
+int WorkerTable::replicasInRack(const ServiceId &service, std::string_view rack) const
+{
+    const auto racks = this->rackCounts.find(service);
+    if (racks == this->rackCounts.end()) {
+        return 0;
+    }
+    const auto count = racks->second.find(std::string(rack));
+    return count == racks->second.end() ? 0 : count->second;
+}
+
+void WorkerTable::refreshRoom(WorkerSlot slot)
+{
+    const WorkerView &worker = this->views[slot];
+    this->rooms[slot] = { worker.room(), !worker.isLeaving && !worker.isSetAside };
+}
+
+void WorkerTable::countLoad(WorkerView &worker, const TaskView &task, int change)
+{
+    if (task.kind == TaskKind::Service) {
+        changeLoad(worker.services, &ServiceLoad::service, task.service, task.declared, change);
+        this->rackCounts[task.service][worker.rack] += change;
+    } else {
+        changeLoad(worker.classes, &ClassLoad::batchClass, task.batchClass, task.declared, change);
+    }
+}
+
+std::string_view commitOutcomeName(CommitOutcome outcome)
+{
+    static constexpr std::array<std::string_view, 7> names {
+        "committed",         "no-room",  "worker-leaving", "worker-set-aside",
+        "wrong-data-centre", "reserved", "invalid-size",
+    };
+    return names[static_cast<std::size_t>(outcome)];
+}
+
+} // namespace bulrush::placement
