Add the policy's measurement with its fixed load

Cause: the policy has to be compared with random fit, first fit and itself with each mechanism switched off.

A task may bound the replicas of its service on one worker, since the users run one executor a worker; every policy obeys it.

Ruled out: counting work of finished tasks only, which counts a task in the second in which it ends.

--- /dev/null
+++ b/bench/policy/PolicyRun.cpp
@@ -0,0 +1,443 @@
+#include "PolicyRun.h"
+
+#include <algorithm>
+#include <string>
+
+namespace bulrush::bench {
+
+namespace {
+
+constexpr int runSeconds = 2'400;
+constexpr int fillSeconds = 300; ///< not measured
+constexpr int reportPeriod = 10;
+constexpr int reportLag = 30;
+constexpr int retrySeconds = 5;
+constexpr int restartSeconds = 30; ///< until a lost replica is missed
+constexpr int disturbedAt = 900;
+constexpr int noticeSeconds = 300; ///< between a withdrawal's notice and its end
+constexpr int guardPause = 60;
+constexpr double guardSlowdown = 2.5;
+constexpr int failuresPerSecond = 20;
+constexpr int drainPerSecond = 4;
+constexpr int teamCount = 8;
+constexpr double secondsPerHour = 3'600;
+constexpr double milliPerCore = 1'000;
+
+const placement::Resources workerCapacity { 64'000, 250'000, 0 };
+
+Instant at(int second)
+{
+    return Instant(seconds(second));
+}
+
+double coreHours(const Arrival &arrival, double workSeconds)
+{
+    return arrival.cpuMilli / milliPerCore * workSeconds / secondsPerHour;
+}
+
+} // namespace
+
+PolicyRun::PolicyRun(const Deployment &deployment, Shape shape, const Variant &variant,
+                     std::uint64_t seed)
+    : deployment(deployment)
+    , shape(shape)
+    , variant(variant)
+    , model(deployment, shape, seed)
+    , random(seed + 2)
+    , policy(variant.strategy, variant.mechanisms, deployment.weights)
+    , ladder(interference::LadderSettings::from(deployment.weights))
+{
+    for (int team = 0; team < teamCount; ++team) {
+        const placement::Resources quota { workerCapacity.cpuMilli * deployment.workers,
+                                           workerCapacity.memoryMb * deployment.workers, 0 };
+        this->quotas.setQuota(TeamId("team-" + std::to_string(team)), quota);
+    }
+    this->addWorkers();
+    this->placeServices();
+}
+
+RunResult PolicyRun::run()
+{
+    for (int second = 0; second < runSeconds; ++second) {
+        this->disturb(second);
+        for (const Arrival &arrival : this->model.arrivals(second)) {
+            RunningTask task;
+            task.arrival = arrival;
+            this->requeue(task, second);
+        }
+        this->startReady(second);
+        this->runWorkers(second);
+        this->takeReports(second);
+    }
+    return this->result();
+}
+
+void PolicyRun::addWorkers()
+{
+    const int racks = (this->deployment.workers + this->deployment.workersPerRack - 1)
+            / this->deployment.workersPerRack;
+    for (int index = 0; index < this->deployment.workers; ++index) {
+        const int rack = index / this->deployment.workersPerRack;
+        placement::WorkerView view;
+        view.id = VmId("vm-" + std::to_string(index));
+        view.rack = "rack-" + std::to_string(rack);
+        view.dataCentre = DataCentreId("dc-" + std::to_string(rack * 3 / racks));
+        view.capacity = workerCapacity;
+        this->table.add(view);
+    }
+    this->workers.resize(static_cast<std::size_t>(this->deployment.workers));
+    this->isAlive.assign(this->workers.size(), true);
+    this->guardedAt.assign(this->workers.size(), -guardPause);
+}
+
+void PolicyRun::placeServices()
+{
+    this->liveReplicas.assign(this->model.services().size(), 0);
+    for (std::size_t service = 0; service < this->model.services().size(); ++service) {
+        for (int replica = 0; replica < this->model.services()[service].replicas; ++replica) {
+            this->placeService(service, 0);
+        }
+    }
+}
+
+void PolicyRun::placeService(std::size_t service, int second)
+{
+    placement::TaskView task;
+    task.kind = placement::TaskKind::Service;
+    task.service = this->model.services()[service].id;
+    task.declared = this->model.services()[service].declared;
+    task.mostOnWorker = 1;
+    const auto slot = this->policy.choose(task, this->table, this->usage, this->pairs, at(second),
+                                          this->random);
+    if (!slot) {
+        this->lostReplicas.emplace_back(second + restartSeconds, service);
+        return;
+    }
+    this->table.commit(*slot, task, this->usage);
+    this->workers[*slot].startService(service);
+    ++this->liveReplicas[service];
+}
+
+void PolicyRun::disturb(int second)
+{
+    while (!this->lostReplicas.empty() && this->lostReplicas.front().first <= second) {
+        const std::size_t service = this->lostReplicas.front().second;
+        this->lostReplicas.pop_front();
+        this->placeService(service, second);
+    }
+    for (placement::WorkerSlot slot = 0; slot < this->workers.size(); ++slot) {
+        const auto &view = this->table.worker(slot);
+        const bool isInLostRack = view.rack == "rack-1" && second == disturbedAt;
+        const bool isLostAlone = slot + 1 == this->workers.size() && second == 2 * disturbedAt;
+        if (this->shape == Shape::WorkerLoss && (isInLostRack || isLostAlone)) {
+            this->loseWorker(slot, second);
+        }
+        const bool isWithdrawn = view.dataCentre == DataCentreId("dc-1");
+        if (this->shape == Shape::Withdrawal && isWithdrawn) {
+            if (second == disturbedAt) {
+                this->table.setLeaving(slot, true);
+            } else if (second == disturbedAt + noticeSeconds) {
+                this->loseWorker(slot, second);
+            }
+        }
+    }
+    if (this->shape == Shape::Withdrawal && second > disturbedAt) {
+        this->drain(second);
+    }
+}
+
+void PolicyRun::loseWorker(placement::WorkerSlot slot, int second)
+{
+    this->isAlive[slot] = false;
+    this->table.setLeaving(slot, true);
+    this->ladder.forgetWorker(this->table.worker(slot).id);
+    for (const std::size_t service : this->workers[slot].services()) {
+        --this->liveReplicas[service];
+        this->lostReplicas.emplace_back(second + restartSeconds, service);
+    }
+    for (const auto &[job, task] : this->workers[slot].tasks()) {
+        RunningTask lost = task;
+        this->quotas.release(lost.arrival.task.team, lost.arrival.task.declared);
+        this->loseWork(lost, second);
+        this->counted.lostWithWorkers += this->isMeasured(second) ? 1 : 0;
+        this->requeue(lost, second);
+    }
+    this->workers[slot] = FakeWorker();
+}
+
+void PolicyRun::drain(int second)
+{
+    int budget = drainPerSecond;
+    for (placement::WorkerSlot slot = 0; slot < this->workers.size() && budget > 0; ++slot) {
+        if (!this->isAlive[slot] || !this->table.worker(slot).isLeaving) {
+            continue;
+        }
+        std::vector<JobId> jobs;
+        for (const auto &[job, task] : this->workers[slot].tasks()) {
+            if (task.movingIn < 0) {
+                jobs.push_back(job);
+            }
+        }
+        std::sort(jobs.begin(), jobs.end());
+        for (const JobId &job : jobs) {
+            if (budget-- > 0) {
+                this->workers[slot].checkpointAndStop(job);
+            }
+        }
+        for (const std::size_t service : this->workers[slot].services()) {
+            --this->liveReplicas[service];
+            this->placeService(service, second);
+        }
+        this->workers[slot].stopServices();
+    }
+}
+
+void PolicyRun::startReady(int second)
+{
+    int failures = 0;
+    while (failures < failuresPerSecond) {
+        const auto queued = this->queue.pop(this->quotas, at(second));
+        if (!queued) {
+            return;
+        }
+        if (!this->startOne(*queued, second)) {
+            this->queue.putBack(*queued, at(second + retrySeconds));
+            ++failures;
+        }
+    }
+}
+
+bool PolicyRun::startOne(const placement::QueuedTask &queued, int second)
+{
+    const auto slot = this->policy.choose(queued.task, this->table, this->usage, this->pairs,
+                                          at(second), this->random);
+    if (!slot) {
+        return false;
+    }
+    const auto outcome = this->table.commit(*slot, queued.task, this->usage);
+    if (outcome != placement::CommitOutcome::Committed) {
+        return false;
+    }
+    this->quotas.take(queued.task.team, queued.task.declared);
+    const auto found = this->waiting.find(queued.task.job);
+    if (queued.task.urgency == placement::Urgency::Urgent && this->isMeasured(second)) {
+        this->urgentWaits.push_back(second - found->second.since);
+    }
+    this->workers[*slot].startBatch(found->second.task);
+    this->waiting.erase(found);
+    return true;
+}
+
+void PolicyRun::runWorkers(int second)
+{
+    const std::vector<double> loads = this->serviceLoads(second);
+    for (placement::WorkerSlot slot = 0; slot < this->workers.size(); ++slot) {
+        if (!this->isAlive[slot]) {
+            continue;
+        }
+        this->applyDepartures(slot, this->workers[slot].tick(this->model, loads), second);
+        this->measureServices(slot, loads, second);
+        if (second % reportPeriod == static_cast<int>(slot) % reportPeriod) {
+            WorkerReport report = this->workers[slot].report(this->model, loads);
+            report.worker = slot;
+            report.measuredAt = at(second);
+            this->reports.push_back(report);
+        }
+    }
+}
+
+void PolicyRun::applyDepartures(placement::WorkerSlot slot, const Departures &departures,
+                                int second)
+{
+    const auto leave = [this, slot](const RunningTask &task) {
+        this->table.release(slot, task.arrival.task, this->usage);
+        this->quotas.release(task.arrival.task.team, task.arrival.task.declared);
+        this->ladder.forget(task.arrival.task.job);
+    };
+    if (this->isMeasured(second)) {
+        this->counted.batchCoreHours += departures.coreSeconds / secondsPerHour;
+    }
+    for (const RunningTask &task : departures.finished) {
+        leave(task);
+        if (this->isMeasured(second)) {
+            this->counted.finishedCoreHours += coreHours(task.arrival, task.arrival.workSeconds);
+            ++this->counted.finished;
+        }
+    }
+    for (const RunningTask &task : departures.moved) {
+        leave(task);
+        this->counted.moves += this->isMeasured(second) ? 1 : 0;
+        this->requeue(task, second);
+    }
+    for (const RunningTask &task : departures.killed) {
+        this->evict(task, slot, second);
+    }
+}
+
+void PolicyRun::takeReports(int second)
+{
+    while (!this->reports.empty()
+           && this->reports.front().measuredAt + seconds(reportLag) <= at(second)) {
+        const WorkerReport report = this->reports.front();
+        this->reports.pop_front();
+        this->learn(report);
+        if (this->isAlive[report.worker] && !report.services.empty()) {
+            this->relieve(report, second);
+        }
+    }
+}
+
+void PolicyRun::learn(const WorkerReport &report)
+{
+    std::vector<interference::ClassShare> shares;
+    for (const ClassReport &entry : report.classes) {
+        const BatchClassId &batchClass = this->model.classes()[entry.batchClass].id;
+        this->usage.observe(batchClass, entry.declared, entry.used);
+        shares.push_back({ batchClass,
+                           static_cast<double>(entry.used.cpuMilli)
+                                   / static_cast<double>(workerCapacity.cpuMilli) });
+    }
+    for (std::size_t index = 0; index < report.services.size(); ++index) {
+        const Service &service = this->model.services()[report.services[index].service];
+        this->pairs.observe(service.id, shares, report.services[index].slowdown, report.measuredAt);
+        const placement::Resources used { static_cast<std::int64_t>(report.serviceCpuMilli[index]),
+                                          service.declared.memoryMb, 0 };
+        this->usage.observe(service.id, service.declared, used);
+    }
+    this->table.refresh(report.worker, this->usage);
+}
+
+void PolicyRun::relieve(const WorkerReport &report, int second)
+{
+    const auto worst = std::max_element(
+            report.services.begin(), report.services.end(),
+            [](const auto &left, const auto &right) { return left.slowdown < right.slowdown; });
+    if (!this->variant.usesLadder) {
+        this->guard(report, worst->slowdown, second);
+        return;
+    }
+    std::vector<interference::LadderTask> tasks;
+    for (const auto &[job, task] : this->workers[report.worker].tasks()) {
+        const double share =
+                FakeWorker::cpuMilli(task) / static_cast<double>(workerCapacity.cpuMilli);
+        const bool isUrgent = task.arrival.task.urgency == placement::Urgency::Urgent;
+        tasks.push_back({ job, task.arrival.task.batchClass, share, isUrgent, false });
+    }
+    const interference::WorkerPressure pressure { this->table.worker(report.worker).id,
+                                                  this->model.services()[worst->service].id,
+                                                  worst->slowdown, report.measuredAt };
+    for (const auto &action : this->ladder.decide(pressure, tasks, this->pairs, at(second))) {
+        this->act(action, report.worker, second);
+    }
+}
+
+void PolicyRun::guard(const WorkerReport &report, double slowdown, int second)
+{
+    const auto &tasks = this->workers[report.worker].tasks();
+    const bool isSettled = second - this->guardedAt[report.worker] >= guardPause;
+    if (slowdown < guardSlowdown || !isSettled || tasks.empty()) {
+        return;
+    }
+    this->guardedAt[report.worker] = second;
+    const auto largest =
+            std::max_element(tasks.begin(), tasks.end(), [](const auto &left, const auto &right) {
+                return left.second.arrival.cpuMilli < right.second.arrival.cpuMilli;
+            });
+    this->evict(this->workers[report.worker].stop(JobId(largest->first)), report.worker, second);
+}
+
+void PolicyRun::act(const interference::LadderAction &action, placement::WorkerSlot slot,
+                    int second)
+{
+    using interference::LadderActionKind;
+    FakeWorker &worker = this->workers[slot];
+    switch (action.kind) {
+    case LadderActionKind::Throttle:
+        worker.setThrottled(action.job, true);
+        break;
+    case LadderActionKind::Restore:
+        worker.setThrottled(action.job, false);
+        break;
+    case LadderActionKind::CheckpointAndMove:
+        worker.checkpointAndStop(action.job);
+        break;
+    case LadderActionKind::Evict:
+        this->evict(worker.stop(action.job), slot, second);
+        break;
+    }
+}
+
+void PolicyRun::evict(const RunningTask &task, placement::WorkerSlot slot, int second)
+{
+    RunningTask evicted = task;
+    this->table.release(slot, task.arrival.task, this->usage);
+    this->quotas.release(task.arrival.task.team, task.arrival.task.declared);
+    this->ladder.forget(task.arrival.task.job);
+    this->counted.evictions += this->isMeasured(second) ? 1 : 0;
+    this->loseWork(evicted, second);
+    this->requeue(evicted, second);
+}
+
+void PolicyRun::requeue(RunningTask task, int second)
+{
+    task.isThrottled = false;
+    task.movingIn = -1;
+    task.sinceCheckpoint = 0;
+    this->queue.push(task.arrival.task, at(second));
+    this->waiting.insert_or_assign(task.arrival.task.job, Waiting { task, second });
+}
+
+void PolicyRun::loseWork(RunningTask &task, int second)
+{
+    const double lost = task.doneSeconds - task.checkpointedSeconds;
+    task.doneSeconds = task.checkpointedSeconds;
+    if (this->isMeasured(second)) {
+        this->counted.lostCoreHours += coreHours(task.arrival, lost);
+        this->counted.batchCoreHours -= coreHours(task.arrival, lost);
+    }
+}
+
+std::vector<double> PolicyRun::serviceLoads(int second) const
+{
+    std::vector<double> loads;
+    for (std::size_t service = 0; service < this->model.services().size(); ++service) {
+        const double live = std::max(1, this->liveReplicas[service]);
+        const double spread = this->model.services()[service].replicas / live;
+        loads.push_back(this->model.serviceLoad(service, second) * spread);
+    }
+    return loads;
+}
+
+void PolicyRun::measureServices(placement::WorkerSlot slot, const std::vector<double> &loads,
+                                int second)
+{
+    if (!this->isMeasured(second)) {
+        return;
+    }
+    for (const std::size_t service : this->workers[slot].services()) {
+        const double slowdown = this->workers[slot].slowdown(this->model, service, loads[service]);
+        this->latency.add(slowdown, loads[service]);
+    }
+}
+
+bool PolicyRun::isMeasured(int second) const
+{
+    return second >= fillSeconds;
+}
+
+RunResult PolicyRun::result()
+{
+    this->counted.p50Ms = this->latency.quantileMs(0.5);
+    this->counted.p99Ms = this->latency.quantileMs(0.99);
+    this->counted.p999Ms = this->latency.quantileMs(0.999);
+    this->counted.lateShare = this->latency.lateShare();
+    std::sort(this->urgentWaits.begin(), this->urgentWaits.end());
+    if (!this->urgentWaits.empty()) {
+        const auto index =
+                static_cast<std::size_t>(0.99 * static_cast<double>(this->urgentWaits.size() - 1));
+        this->counted.urgentWaitP99Seconds = this->urgentWaits[index];
+    }
+    return this->counted;
+}
+
+} // namespace bulrush::bench
--- /dev/null
+++ b/bench/policy/PolicyRun.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "FakeWorker.h"
+#include "LatencyMixture.h"
+#include "LoadModel.h"
+#include "Variant.h"
+
+#include "bulrush_interference/bulrush_interference.h"
+#include "bulrush_placement/bulrush_placement.h"
+
+#include <deque>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace bulrush::bench {
+
+/** What one run measured. */
+struct RunResult
+{
+    double p50Ms = 0;
+    double p99Ms = 0;
+    double p999Ms = 0;
+    double lateShare = 0;
+    double batchCoreHours = 0; ///< work done and not lost, of finished and running tasks
+    double finishedCoreHours = 0; ///< of finished tasks only
+    double lostCoreHours = 0; ///< done and not covered by a checkpoint
+    int evictions = 0;
+    int moves = 0;
+    int lostWithWorkers = 0; ///< attempts that ended with their worker
+    int finished = 0;
+    double urgentWaitP99Seconds = 0;
+};
+
+/** Runs one load with one policy, second by second, on fake workers. */
+class PolicyRun
+{
+public:
+    PolicyRun(const Deployment &deployment, Shape shape, const Variant &variant,
+              std::uint64_t seed);
+
+    /** Runs to the end. */
+    RunResult run();
+
+private:
+    struct Waiting
+    {
+        RunningTask task;
+        int since = 0;
+    };
+
+    void addWorkers();
+    void placeServices();
+    void placeService(std::size_t service, int second);
+    void disturb(int second);
+    void loseWorker(placement::WorkerSlot slot, int second);
+    void drain(int second);
+    void startReady(int second);
+    bool startOne(const placement::QueuedTask &queued, int second);
+    void runWorkers(int second);
+    void applyDepartures(placement::WorkerSlot slot, const Departures &departures, int second);
+    void takeReports(int second);
+    void learn(const WorkerReport &report);
+    void relieve(const WorkerReport &report, int second);
+    void guard(const WorkerReport &report, double slowdown, int second);
+    void act(const interference::LadderAction &action, placement::WorkerSlot slot, int second);
+    void evict(const RunningTask &task, placement::WorkerSlot slot, int second);
+    void requeue(RunningTask task, int second);
+    void loseWork(RunningTask &task, int second);
+    std::vector<double> serviceLoads(int second) const;
+    void measureServices(placement::WorkerSlot slot, const std::vector<double> &loads, int second);
+    bool isMeasured(int second) const;
+    RunResult result();
+
+    const Deployment &deployment;
+    Shape shape;
+    const Variant &variant;
+    LoadModel model;
+    std::mt19937_64 random;
+    placement::PlacementPolicy policy;
+    placement::UsageModel usage;
+    placement::WorkerTable table;
+    placement::ReadyQueue queue;
+    placement::QuotaBook quotas;
+    interference::PairEstimates pairs;
+    interference::Ladder ladder;
+    std::vector<FakeWorker> workers;
+    std::vector<bool> isAlive;
+    std::vector<int> guardedAt;
+    std::unordered_map<JobId, Waiting> waiting;
+    std::deque<WorkerReport> reports;
+    std::deque<std::pair<int, std::size_t>> lostReplicas; ///< when to start again, and which
+    std::vector<int> liveReplicas;
+    std::vector<double> urgentWaits;
+    LatencyMixture latency;
+    RunResult counted;
+};
+
+} // namespace bulrush::bench
--- a/modules/bulrush_placement/policy/PlacementPolicy.cpp
+++ b/modules/bulrush_placement/policy/PlacementPolicy.cpp
@@ -156,9 +156,8 @@
 double PlacementPolicy::spreadingCost(const Decision &decision, const WorkerView &worker) const
 {
     const ServiceId &service = decision.task.service;
-    const auto isSame = [&service](const ServiceLoad &load) { return load.service == service; };
-    const auto same = std::find_if(worker.services.begin(), worker.services.end(), isSame);
-    const int onWorker = same == worker.services.end() ? 0 : same->count;
+    const auto slot = decision.table.find(worker.id);
+    const int onWorker = slot ? decision.table.replicasOnWorker(service, *slot) : 0;
     const int inRack = decision.table.replicasInRack(service, worker.rack);
     return this->settings.sameRack * inRack + this->settings.sameWorker * onWorker;
 }
--- a/modules/bulrush_placement/queue/ReadyQueue.cpp
+++ b/modules/bulrush_placement/queue/ReadyQueue.cpp
@@ -1,5 +1,7 @@
 #include "bulrush_placement/queue/ReadyQueue.h"
 
+#include <utility>
+
 namespace bulrush::placement {
 
 bool ReadyQueue::push(const TaskView &task, Instant now)
@@ -107,7 +109,7 @@
 
 QueuedTask ReadyQueue::takeOut(const Pick &pick)
 {
-    const QueuedTask queued = pick.tasks->begin()->second;
+    QueuedTask queued = std::move(pick.tasks->begin()->second);
     pick.tasks->erase(pick.tasks->begin());
     if (pick.tasks->empty()) {
         this->lane(queued.task.urgency).erase(queued.task.team);
--- a/modules/bulrush_placement/queue/ReadyQueue.h
+++ b/modules/bulrush_placement/queue/ReadyQueue.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <unordered_map>
 
 namespace bulrush::placement {
@@ -66,7 +67,11 @@
     {
         Instant queuedAt;
         std::uint64_t sequence;
-        auto operator<=>(const AgeKey &) const = default;
+        bool operator<(const AgeKey &other) const
+        {
+            return std::tie(this->queuedAt, this->sequence)
+                    < std::tie(other.queuedAt, other.sequence);
+        }
     };
 
     using TeamTasks = std::map<AgeKey, QueuedTask>;
@@ -76,7 +81,11 @@
     {
         Instant retryAt;
         std::uint64_t sequence;
-        auto operator<=>(const RetryKey &) const = default;
+        bool operator<(const RetryKey &other) const
+        {
+            return std::tie(this->retryAt, this->sequence)
+                    < std::tie(other.retryAt, other.sequence);
+        }
     };
 
     /** Where a waiting task stands; retryAt is set while it is put back. */
--- a/modules/bulrush_placement/view/WorkerTable.cpp
+++ b/modules/bulrush_placement/view/WorkerTable.cpp
@@ -76,6 +76,9 @@
     if (!worker.reservedFor.isEmpty() && worker.reservedFor != task.job) {
         return CommitOutcome::Reserved;
     }
+    if (task.mostOnWorker > 0 && this->replicasOnWorker(task.service, slot) >= task.mostOnWorker) {
+        return CommitOutcome::TooManyReplicas;
+    }
     return task.declared.fitsIn(worker.room()) ? CommitOutcome::Committed : CommitOutcome::NoRoom;
 }
 
@@ -132,6 +135,14 @@
     this->views[slot].reservedFor = job;
 }
 
+int WorkerTable::replicasOnWorker(const ServiceId &service, WorkerSlot slot) const
+{
+    const auto &loads = this->views[slot].services;
+    const auto isSame = [&service](const ServiceLoad &load) { return load.service == service; };
+    const auto found = std::find_if(loads.begin(), loads.end(), isSame);
+    return found == loads.end() ? 0 : found->count;
+}
+
 int WorkerTable::replicasInRack(const ServiceId &service, std::string_view rack) const
 {
     const auto racks = this->rackCounts.find(service);
@@ -160,9 +171,9 @@
 
 std::string_view commitOutcomeName(CommitOutcome outcome)
 {
-    static constexpr std::array<std::string_view, 7> names {
-        "committed",         "no-room",  "worker-leaving", "worker-set-aside",
-        "wrong-data-centre", "reserved", "invalid-size",
+    static constexpr std::array<std::string_view, 8> names {
+        "committed",         "no-room",  "worker-leaving",    "worker-set-aside",
+        "wrong-data-centre", "reserved", "too-many-replicas", "invalid-size",
     };
     return names[static_cast<std::size_t>(outcome)];
 }
--- a/modules/bulrush_placement/view/WorkerTable.h
+++ b/modules/bulrush_placement/view/WorkerTable.h
@@ -25,6 +25,7 @@
     WorkerSetAside,
     WrongDataCentre,
     Reserved,
+    TooManyReplicas,
     InvalidSize
 };
 
@@ -77,6 +78,9 @@
     /** Keeps a worker for one task that waited too long; an empty id frees it. */
     void reserve(WorkerSlot slot, const JobId &job);
 
+    /** Returns how many replicas of a service run on a worker. */
+    int replicasOnWorker(const ServiceId &service, WorkerSlot slot) const;
+
     /** Returns how many replicas of a service run in a rack. */
     int replicasInRack(const ServiceId &service, std::string_view rack) const;
 
