--- /dev/null
+++ b/modules/bulrush_interference/tests/interference_test.cpp
@@ -0,0 +1,113 @@
+#include "bulrush_core/errors/Error.h"
+#include "bulrush_interference/bulrush_interference.h"
+
+#include <criterion/criterion.h>
+
+#include <limits>
+
+using namespace bulrush;
+using namespace bulrush::interference;
+
+namespace {
+
+const ServiceId service("service");
+const BatchClassId noisy("noisy");
+const BatchClassId quiet("quiet");
+
+} // namespace
+
+Test(PairEstimates, tellsTheClassThatDoesHarmFromTheOneBesideIt)
+{
+    PairEstimates estimates;
+    for (int round = 0; round < 200; ++round) {
+        const double noisyShare = 0.1 * (round % 3);
+        const double quietShare = 0.1 * (round % 5);
+        const std::array shares { ClassShare { noisy, noisyShare },
+                                  ClassShare { quiet, quietShare } };
+        estimates.observe(service, shares, 1 + 5 * noisyShare, {});
+    }
+    cr_assert(estimates.estimate(service, noisy, {}).harm > 4);
+    cr_assert(estimates.estimate(service, quiet, {}).harm < 0.5);
+}
+
+Test(PairEstimates, reckonsWithTheAssumedHarmUntilMeasuredAndAgainWhenOld)
+{
+    PairEstimates estimates;
+    cr_assert_not(estimates.estimate(service, noisy, {}).isTried);
+    const double assumed = estimates.expectedHarm(service, noisy, {});
+    const std::array shares { ClassShare { noisy, 0.3 } };
+    for (int round = 0; round < 100; ++round) {
+        estimates.observe(service, shares, 1.0, {});
+    }
+    const double learned = estimates.expectedHarm(service, noisy, {});
+    cr_assert(learned < assumed / 3);
+    const double old = estimates.expectedHarm(service, noisy, Instant(hours(24)));
+    cr_assert(old > learned && old <= assumed);
+}
+
+Test(PairEstimates, ignoresMeasurementsThatAreNoNumbers)
+{
+    PairEstimates estimates;
+    const std::array shares { ClassShare { noisy, 0.3 } };
+    estimates.observe(service, shares, std::numeric_limits<double>::quiet_NaN(), {});
+    estimates.observe(service, shares, -1, {});
+    estimates.observe(service, shares, std::numeric_limits<double>::infinity(), {});
+    cr_assert_eq(estimates.pairCount(), 0U);
+}
+
+Test(RateBudget, refillsOneTokenEachInterval)
+{
+    RateBudget budget(2, seconds(10));
+    const auto after = [](int count) { return Instant(seconds(count)); };
+    cr_assert(budget.take(after(100)));
+    cr_assert(budget.take(after(100)));
+    cr_assert_not(budget.take(after(109)));
+    cr_assert(budget.take(after(110)));
+    cr_assert_not(budget.take(after(111)));
+    cr_assert_eq(budget.available(after(1'000)), 2);
+}
+
+Test(LadderSettings, refusesAHysteresisThatIsNotLongerThanTheLag)
+{
+    LadderSettings settings;
+    settings.hysteresis = settings.measurementLag;
+    cr_assert_throw(Ladder { settings }, Error);
+}
+
+Test(LadderSettings, actsEarlierWhereTailLatencyCountsMore)
+{
+    const auto tail = LadderSettings::from({ 0.6, 0.2, 0.2 });
+    const auto throughput = LadderSettings::from({ 0.2, 0.4, 0.4 });
+    cr_assert(tail.isValid() && throughput.isValid());
+    cr_assert(tail.tolerableSlowdown < throughput.tolerableSlowdown);
+}
+
+Test(PolicyWeights, fallBackToEqualOnesWhenInvalid)
+{
+    cr_assert_not(PolicyWeights({ -1, 1, 1 }).isValid());
+    const PolicyWeights parts = PolicyWeights { 0, 0, 0 }.normalised();
+    cr_assert_eq(parts.tailLatency, parts.evictions);
+    cr_assert(parts.tailLatency > 0.3);
+}
+
+Test(Ladder, movesAtMostAsManyAsTheBudgetAllows)
+{
+    LadderSettings settings;
+    settings.moveBurst = 1;
+    settings.moveInterval = hours(1);
+    Ladder ladder(settings);
+    const PairEstimates estimates;
+    int moves = 0;
+    for (int round = 0; round < 10; ++round) {
+        const Instant now { minutes(2) * round };
+        for (int index = 0; index < 5; ++index) {
+            const std::string name = std::to_string(index);
+            const std::array tasks { LadderTask { JobId(name), noisy, 0.2, false, false } };
+            const WorkerPressure pressure { VmId(name), service, 2.0, now };
+            for (const LadderAction &action : ladder.decide(pressure, tasks, estimates, now)) {
+                moves += action.kind == LadderActionKind::CheckpointAndMove ? 1 : 0;
+            }
+        }
+    }
+    cr_assert_eq(moves, 1);
+}
