Admit keyed requests through the log's claims

Cause: a repeat of a non-idempotent request may reach any node; the decision stood alone so far. Conclusion: one arrival of a key may send.

--- a/modules/bulrush_net/http/HttpServer.cpp
+++ b/modules/bulrush_net/http/HttpServer.cpp
@@ -42,8 +42,9 @@
 };
 
 /** The request headers beyond the standard's that are handed over. */
-constexpr std::array<const char *, 5> customHeaders {
-    "idempotency-key", "bulrush-deadline-ms", "bulrush-class", "bulrush-idempotent", "bulrush-key",
+constexpr std::array<const char *, 6> customHeaders {
+    "idempotency-key",    "bulrush-deadline-ms", "bulrush-class",
+    "bulrush-idempotent", "bulrush-key",         "bulrush-first-try",
 };
 
 std::string copyHeader(lws *wsi, lws_token_indexes token)
--- a/modules/bulrush_node/control/ControlTask.cpp
+++ b/modules/bulrush_node/control/ControlTask.cpp
@@ -2,6 +2,8 @@
 
 #include "bulrush_node/operators/OperatorTexts.h"
 
+#include <random>
+
 namespace bulrush {
 
 namespace {
@@ -23,6 +25,24 @@
     return mesh;
 }
 
+/** Returns a name that no other start of any node has. */
+std::string processName(const NodeId &node, const Clock &clock)
+{
+    const auto calendar = static_cast<unsigned long long>(clock.calendarTime());
+    return node.name() + "." + std::to_string(calendar) + "."
+            + std::to_string(std::random_device()());
+}
+
+KeyDeskSettings keyDeskSettings(const NodeSettings &settings, const Clock &clock)
+{
+    KeyDeskSettings desk;
+    desk.process = processName(settings.node, clock);
+    desk.times.lifetime = settings.times.keyLifetime;
+    desk.times.clockAllowance = duration_cast<seconds>(settings.times.clockAllowance);
+    desk.poll = settings.times.logPoll;
+    return desk;
+}
+
 } // namespace
 
 ControlTask::ControlTask(EventLoop &owningLoop, const Clock &runtimeClock,
@@ -39,6 +59,8 @@
     , platform(owningLoop, nodeSettings.platform)
     , records(owningLoop, this->platform, nodeSettings.times.logPoll, eventLog, *this)
     , mesh(owningLoop, runtimeClock, meshSettings(nodeSettings), nodeMetrics, eventLog, *this)
+    , keys(owningLoop, runtimeClock, this->platform, keyDeskSettings(nodeSettings, runtimeClock),
+           nodeMetrics, [this](KeyVerdict verdict) { this->toFront(std::move(verdict)); })
     , operators(owningLoop, nodeSettings.operators, nodeSettings.operatorsKey)
     , startedAt(runtimeClock.now())
 {
@@ -49,6 +71,7 @@
 {
     this->records.start();
     this->mesh.start();
+    this->keys.start();
     this->pollVms();
     this->events.write(Event::NodeStarted, this->settings.callers.text(),
                        "data centre " + this->settings.dataCentre.name());
@@ -56,7 +79,11 @@
 
 void ControlTask::handle(const FrontReport &message)
 {
-    if (std::holds_alternative<FrontDrained>(message)) {
+    if (const auto *claim = std::get_if<KeyClaim>(&message)) {
+        this->keys.claim(*claim);
+    } else if (const auto *end = std::get_if<KeyEnd>(&message)) {
+        this->keys.end(*end);
+    } else {
         this->events.write(Event::NodeStopped, "", "");
         this->stop();
     }
--- a/modules/bulrush_node/control/ControlTask.h
+++ b/modules/bulrush_node/control/ControlTask.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrush_node/control/RecordsKeeper.h"
+#include "bulrush_node/keys/KeyDesk.h"
 #include "bulrush_node/messages/FrontMessages.h"
 #include "bulrush_node/metrics/NodeMetrics.h"
 #include "bulrush_node/operators/OperatorsApi.h"
@@ -74,6 +75,7 @@
     HttpPlatform platform;
     RecordsKeeper records;
     PeerMesh mesh;
+    KeyDesk keys;
     OperatorsApi operators;
     std::vector<VmEntry> vms;
     std::optional<FrontConfiguration> sentToFront;
--- a/modules/bulrush_node/front/FrontTask.cpp
+++ b/modules/bulrush_node/front/FrontTask.cpp
@@ -117,7 +117,7 @@
 {
     const Duration patience = arrival.deadline - arrival.arrivedAt;
     arrival.keyTimer = this->loop.schedule(patience, [this, id] { this->keyTimedOut(id); });
-    this->report(KeyClaim { id, arrival.head.key });
+    this->report(KeyClaim { id, arrival.head.key, arrival.head.firstTry });
 }
 
 void FrontTask::keyTimedOut(ArrivalId id)
--- a/modules/bulrush_node/front/RequestHead.cpp
+++ b/modules/bulrush_node/front/RequestHead.cpp
@@ -41,15 +41,20 @@
     return false;
 }
 
+bool readFlag(std::string_view name, std::string_view text)
+{
+    if (!text.empty() && text != "0" && text != "1") {
+        refuse(name, text, "0 or 1");
+    }
+    return text == "1";
+}
+
 bool readIdempotent(std::string_view method, std::string_view text)
 {
     if (text.empty()) {
         return method == "GET" || method == "HEAD" || method == "PUT" || method == "DELETE";
     }
-    if (text != "0" && text != "1") {
-        refuse("bulrush-idempotent", text, "0 or 1");
-    }
-    return text == "1";
+    return readFlag("bulrush-idempotent", text);
 }
 
 std::string readKey(std::string_view text)
@@ -81,6 +86,8 @@
     head.idempotent =
             readIdempotent(request.method, headerValue(request.headers, "bulrush-idempotent"));
     head.key = readKey(headerValue(request.headers, "idempotency-key"));
+    head.firstTry =
+            readFlag("bulrush-first-try", headerValue(request.headers, "bulrush-first-try"));
     return head;
 }
 
--- a/modules/bulrush_node/front/RequestHead.h
+++ b/modules/bulrush_node/front/RequestHead.h
@@ -18,6 +18,8 @@
     bool interactive = true;
     bool idempotent = false;
     std::string key;
+    /** Whether the caller says that it never sent this key before. */
+    bool firstTry = false;
 };
 
 /**
--- /dev/null
+++ b/modules/bulrush_node/keys/KeyDesk.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "bulrush_keys/bulrush_keys.h"
+#include "bulrush_node/messages/FrontMessages.h"
+#include "bulrush_node/metrics/NodeMetrics.h"
+#include "bulrush_platform/bulrush_platform.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace bulrush {
+
+/** How the desk names its arrivals, and the bounds of keys. */
+struct KeyDeskSettings
+{
+    /** Unique for each start of each node. */
+    std::string process;
+    KeyTimes times;
+    Duration poll = milliseconds(500);
+};
+
+/**
+    Connects KeyAdmission to the log: appends its groups of claims, reads the keys stream, and
+    tells the front task which arrivals may send.
+*/
+class KeyDesk : private LogReader::Listener
+{
+public:
+    /** @param reply called with each verdict */
+    KeyDesk(EventLoop &loop, const Clock &clock, Log &log, const KeyDeskSettings &settings,
+            NodeMetrics &metrics, std::function<void(KeyVerdict)> reply);
+
+    KeyDesk(const KeyDesk &) = delete;
+    KeyDesk &operator=(const KeyDesk &) = delete;
+
+    /** Starts to follow the keys stream. */
+    void start();
+
+    /** An arrival asks for the right to send. */
+    void claim(const KeyClaim &claim);
+
+    /** An arrival has ended. */
+    void end(const KeyEnd &end);
+
+private:
+    LogOffset readOffset() const override { return this->admission.book().nextOffset(); }
+    void pageRead(const LogPage &page) override;
+    void availabilityChanged(bool available) override;
+
+    std::string arrivalName(ArrivalId arrival) const;
+    void progress();
+    void appendNext();
+    void deliver(const KeyAnswer &answer);
+
+    EventLoop &loop;
+    const Clock &clock;
+    Log &log;
+    const KeyDeskSettings settings;
+    NodeMetrics &metrics;
+    const std::function<void(KeyVerdict)> reply;
+    KeyAdmission admission;
+    std::map<std::string, ArrivalId> arrivals;
+    Instant appendedAt {};
+    bool appendScheduled = false;
+    LogReader reader;
+};
+
+} // namespace bulrush
--- a/modules/bulrush_node/messages/FrontMessages.h
+++ b/modules/bulrush_node/messages/FrontMessages.h
@@ -84,6 +84,8 @@
 {
     ArrivalId arrival = 0;
     std::string key;
+    /** Whether the caller says that it never sent this key before. */
+    bool firstTry = false;
 };
 
 /** Says how an arrival that holds a key ended. */
