Run worker groups from the node

Cause: the owner of a worker group stood alone as a state machine. Weighed: which node owns a group: a fixed share of the settings (moves nothing by itself after a loss), the first in line by hash among the live nodes always (a node's return moves groups and each move costs a claim, a fence and an exchange with every worker), or the first in line only where the present owner is gone; the last was taken. Change: WorkDesk, GroupDesk, JobSource, HttpWorkers; readers of a stream can stop; durations of the settings are checked against their inequalities at start. Conclusion: a node's share of the work follows from who is there.

--- a/modules/bulrush_node/control/ControlTask.cpp
+++ b/modules/bulrush_node/control/ControlTask.cpp
@@ -10,6 +10,9 @@
 
 constexpr Duration vmListPeriod = seconds(1);
 
+/** The end of a job is written again until it is read back. */
+constexpr Duration jobDoneRetryPeriod = seconds(5);
+
 MeshSettings meshSettings(const NodeSettings &settings)
 {
     MeshSettings mesh;
@@ -33,16 +36,40 @@
             + std::to_string(std::random_device()());
 }
 
-KeyDeskSettings keyDeskSettings(const NodeSettings &settings, const Clock &clock)
+KeyDeskSettings keyDeskSettings(const NodeSettings &settings, std::string_view process)
 {
     KeyDeskSettings desk;
-    desk.process = processName(settings.node, clock);
+    desk.process = process;
     desk.times.lifetime = settings.times.keyLifetime;
     desk.times.clockAllowance = duration_cast<seconds>(settings.times.clockAllowance);
     desk.poll = settings.times.logPoll;
     return desk;
 }
 
+Durations durationsOf(const NodeSettings &settings)
+{
+    Durations durations;
+    durations.lease = settings.times.lease;
+    durations.renewalHorizon = settings.times.renewalHorizon;
+    durations.clockAllowance = settings.times.clockAllowance;
+    const std::vector<std::string> broken = checkDurations(durations);
+    if (!broken.empty()) {
+        throw Error("check settings", "/times", "this must hold: " + broken.front());
+    }
+    return durations;
+}
+
+WorkDeskSettings workDeskSettings(const NodeSettings &settings, std::string_view process)
+{
+    WorkDeskSettings desk;
+    desk.node = settings.node;
+    desk.dataCentre = settings.dataCentre;
+    desk.process = process;
+    desk.durations = durationsOf(settings);
+    desk.poll = settings.times.logPoll;
+    return desk;
+}
+
 } // namespace
 
 ControlTask::ControlTask(EventLoop &owningLoop, const Clock &runtimeClock,
@@ -56,11 +83,16 @@
     , events(eventLog)
     , toFront(std::move(sendToFront))
     , stop(std::move(stopFunction))
+    , process(processName(nodeSettings.node, runtimeClock))
     , platform(owningLoop, nodeSettings.platform)
-    , records(owningLoop, this->platform, nodeSettings.times.logPoll, eventLog, *this)
+    , records(owningLoop, runtimeClock, this->platform, nodeSettings.times.logPoll, eventLog, *this)
     , mesh(owningLoop, runtimeClock, meshSettings(nodeSettings), nodeMetrics, eventLog, *this)
-    , keys(owningLoop, runtimeClock, this->platform, keyDeskSettings(nodeSettings, runtimeClock),
+    , keys(owningLoop, runtimeClock, this->platform, keyDeskSettings(nodeSettings, this->process),
            nodeMetrics, [this](KeyVerdict verdict) { this->toFront(std::move(verdict)); })
+    , workers(owningLoop, durationsOf(nodeSettings).exchangeTimeout)
+    , work({ &owningLoop, &runtimeClock, &this->platform, &this->workers, &nodeMetrics, &eventLog },
+           workDeskSettings(nodeSettings, this->process),
+           [this](const JobId &job) { this->jobDone(job); })
     , operators(owningLoop, nodeSettings.operators, nodeSettings.operatorsKey)
     , startedAt(runtimeClock.now())
 {
@@ -72,6 +104,7 @@
     this->records.start();
     this->mesh.start();
     this->keys.start();
+    this->work.start();
     this->pollVms();
     this->events.write(Event::NodeStarted, this->settings.callers.text(),
                        "data centre " + this->settings.dataCentre.name());
@@ -97,6 +130,7 @@
     this->draining = true;
     this->events.write(Event::NodeStopping, "", "");
     this->mesh.setDraining();
+    this->updateWorkNodes();
     this->toFront(DrainFront { this->settings.drainBound });
 }
 
@@ -104,6 +138,7 @@
 void ControlTask::recordsChanged()
 {
     this->metrics.set("bulrush_records_offset", double(this->records.state().nextOffset()));
+    this->work.updateRecords(this->records.state());
     this->configureFront();
 }
 
@@ -173,6 +208,46 @@
     this->records.takeStateFromPeer(peer, state);
 }
 
+void ControlTask::peersChanged()
+{
+    this->configureFront();
+    this->updateWorkNodes();
+}
+
+//==============================================================================
+void ControlTask::updateWorkNodes()
+{
+    std::set<NodeId> nodes;
+    if (!this->draining) {
+        nodes.insert(this->settings.node);
+    }
+    for (const auto &[node, view] : this->mesh.peers()) {
+        if (view.dataCentre == this->settings.dataCentre && view.connected && !view.draining) {
+            nodes.insert(node);
+        }
+    }
+    this->work.updateNodes(nodes);
+}
+
+void ControlTask::jobDone(const JobId &job)
+{
+    const Record *record = this->records.state().find(RecordKind::Job, job.name());
+    if (record == nullptr) {
+        record = this->records.state().find(RecordKind::Watcher, job.name());
+    }
+    Instant &sentAt = this->jobDoneSentAt[job];
+    if (record == nullptr || sentAt + jobDoneRetryPeriod > this->clock.now()) {
+        return;
+    }
+    sentAt = this->clock.now();
+    const JobOutcome outcome =
+            this->work.jobBook().isCancelled(job) ? JobOutcome::Cancelled : JobOutcome::Finished;
+    // Every node derives the same id, so that the end is on record once.
+    const std::string id = "done-" + record->id;
+    const Record done = jobDoneRecord(*record, id, this->settings.node, outcome);
+    this->platform.append("records", done.text(), [](std::optional<LogOffset>) {});
+}
+
 //==============================================================================
 void ControlTask::pollVms()
 {
@@ -187,6 +262,8 @@
 void ControlTask::takeVms(const std::vector<VmEntry> &list)
 {
     this->vms = list;
+    this->workers.updateVms(list);
+    this->work.updateVms(list);
     this->configureFront();
 }
 
--- a/modules/bulrush_node/control/ControlTask.h
+++ b/modules/bulrush_node/control/ControlTask.h
@@ -6,6 +6,8 @@
 #include "bulrush_node/metrics/NodeMetrics.h"
 #include "bulrush_node/operators/OperatorsApi.h"
 #include "bulrush_node/peers/PeerMesh.h"
+#include "bulrush_node/work/HttpWorkers.h"
+#include "bulrush_node/work/WorkDesk.h"
 
 #include <functional>
 #include <map>
@@ -53,12 +55,16 @@
     std::string exportState() const override;
     void recordsFromPeer(const NodeId &peer, const std::vector<LogEntry> &entries) override;
     void stateFromPeer(const NodeId &peer, std::string_view state) override;
-    void peersChanged() override { this->configureFront(); }
+    void peersChanged() override;
 
     // The platform's list of VMs.
     void pollVms();
     void takeVms(const std::vector<VmEntry> &vms);
 
+    // Work on workers.
+    void updateWorkNodes();
+    void jobDone(const JobId &job);
+
     // Operators.
     void bindOperatorCommands();
     void publish(const HttpRequest &request, const OperatorsApi::Reply &reply);
@@ -71,12 +77,17 @@
     EventLog &events;
     const std::function<void(FrontMessage)> toFront;
     const std::function<void()> stop;
+    /** Unique for each start of each node. */
+    const std::string process;
 
     HttpPlatform platform;
     RecordsKeeper records;
     PeerMesh mesh;
     KeyDesk keys;
+    HttpWorkers workers;
+    WorkDesk work;
     OperatorsApi operators;
+    std::map<JobId, Instant> jobDoneSentAt;
     std::vector<VmEntry> vms;
     std::optional<FrontConfiguration> sentToFront;
     Instant startedAt {};
--- a/modules/bulrush_node/control/RecordsKeeper.cpp
+++ b/modules/bulrush_node/control/RecordsKeeper.cpp
@@ -18,12 +18,12 @@
 
 } // namespace
 
-RecordsKeeper::RecordsKeeper(EventLoop &loop, Log &platformLog, Duration poll, EventLog &eventLog,
-                             Listener &recordsListener)
+RecordsKeeper::RecordsKeeper(EventLoop &loop, const Clock &clock, Log &platformLog, Duration poll,
+                             EventLog &eventLog, Listener &recordsListener)
     : log(platformLog)
     , events(eventLog)
     , listener(recordsListener)
-    , reader(loop, platformLog, recordsStream, poll, *this)
+    , reader(loop, clock, platformLog, recordsStream, poll, *this)
 {
 }
 
@@ -32,7 +32,7 @@
     return !this->reader.available() || this->follower.status() == FollowStatus::Truncated;
 }
 
-void RecordsKeeper::pageRead(const LogPage &page)
+void RecordsKeeper::pageRead(const LogPage &page, Instant /*sentAt*/)
 {
     const FollowStatus before = this->follower.status();
     this->take(page);
--- a/modules/bulrush_node/control/RecordsKeeper.h
+++ b/modules/bulrush_node/control/RecordsKeeper.h
@@ -31,7 +31,8 @@
         virtual void logAvailabilityChanged(bool available) = 0;
     };
 
-    RecordsKeeper(EventLoop &loop, Log &log, Duration poll, EventLog &events, Listener &listener);
+    RecordsKeeper(EventLoop &loop, const Clock &clock, Log &log, Duration poll, EventLog &events,
+                  Listener &listener);
 
     RecordsKeeper(const RecordsKeeper &) = delete;
     RecordsKeeper &operator=(const RecordsKeeper &) = delete;
@@ -68,7 +69,7 @@
 
 private:
     LogOffset readOffset() const override { return this->follower.readOffset(); }
-    void pageRead(const LogPage &page) override;
+    void pageRead(const LogPage &page, Instant sentAt) override;
     void availabilityChanged(bool available) override;
 
     void take(const LogPage &page);
--- a/modules/bulrush_node/keys/KeyDesk.cpp
+++ b/modules/bulrush_node/keys/KeyDesk.cpp
@@ -46,7 +46,7 @@
     , metrics(nodeMetrics)
     , reply(std::move(replyFunction))
     , admission(deskSettings.times, claimWait)
-    , reader(owningLoop, platformLog, keysStream, deskSettings.poll, *this)
+    , reader(owningLoop, runtimeClock, platformLog, keysStream, deskSettings.poll, *this)
 {
 }
 
@@ -76,7 +76,7 @@
     this->progress();
 }
 
-void KeyDesk::pageRead(const LogPage &page)
+void KeyDesk::pageRead(const LogPage &page, Instant /*sentAt*/)
 {
     for (const LogEntry &entry : page.entries) {
         this->admission.applied(entry.offset, entry.text, this->clock.calendarTime());
--- a/modules/bulrush_node/keys/KeyDesk.h
+++ b/modules/bulrush_node/keys/KeyDesk.h
@@ -45,7 +45,7 @@
 
 private:
     LogOffset readOffset() const override { return this->admission.book().nextOffset(); }
-    void pageRead(const LogPage &page) override;
+    void pageRead(const LogPage &page, Instant sentAt) override;
     void availabilityChanged(bool available) override;
 
     std::string arrivalName(ArrivalId arrival) const;
--- /dev/null
+++ b/modules/bulrush_node/work/WorkDesk.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "bulrush_node/work/GroupDesk.h"
+#include "bulrush_node/work/JobSource.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace bulrush {
+
+/** Who this node is, for work on workers. */
+struct WorkDeskSettings
+{
+    NodeId node;
+    DataCentreId dataCentre;
+    /** Unique for each start of each node. */
+    std::string process;
+    Durations durations;
+    Duration poll = milliseconds(500);
+};
+
+/**
+    Runs this node's share of the workers: reads the work stream, decides which groups of its data
+    centre it is to own, runs a GroupDesk for each, keeps leases alive where an owner is silent,
+    and reports jobs whose tasks are all completed.
+*/
+class WorkDesk : private LogReader::Listener
+{
+public:
+    /** @param jobDone called with a job whose tasks are all completed, until its record is gone */
+    WorkDesk(const GroupDeskContext &context, const WorkDeskSettings &settings,
+             std::function<void(const JobId &)> jobDone);
+
+    WorkDesk(const WorkDesk &) = delete;
+    WorkDesk &operator=(const WorkDesk &) = delete;
+
+    /** Starts to read and to act. */
+    void start();
+
+    /** Takes the records in force. */
+    void updateRecords(const RecordState &records) { this->jobs.update(records); }
+
+    /** Takes the platform's list of VMs. */
+    void updateVms(const std::vector<VmEntry> &vms);
+
+    /** Takes the nodes of this data centre that are there and stay, this one included. */
+    void updateNodes(const std::set<NodeId> &nodes) { this->liveNodes = nodes; }
+
+    const GroupClaims &claims() const { return this->work.state(); }
+    const JobBook &jobBook() const { return this->jobs.book(); }
+    const std::map<GroupId, std::unique_ptr<GroupDesk>> &groups() const { return this->desks; }
+
+private:
+    LogOffset readOffset() const override { return this->work.nextOffset(); }
+    void pageRead(const LogPage &page, Instant sentAt) override;
+    void availabilityChanged(bool /*available*/) override { }
+
+    void tick();
+    WorkView view() const;
+    bool isWanted(const GroupId &group) const;
+    void renewForSilentOwners();
+    void reportFinishedJobs();
+
+    GroupDeskContext context;
+    const WorkDeskSettings settings;
+    const std::function<void(const JobId &)> jobDone;
+    JobSource jobs;
+    StreamFollower<GroupClaims> work;
+    Instant readAt {};
+    std::set<NodeId> liveNodes;
+    std::map<GroupId, std::vector<VmStatus>> workersByGroup;
+    std::map<GroupId, std::unique_ptr<GroupDesk>> desks;
+    Renewer renewer;
+    Instant finishedCheckedAt {};
+    LogReader reader;
+};
+
+/** Returns the node that is first in line for something, the same on every node. */
+NodeId firstInLine(const std::set<NodeId> &nodes, std::string_view what);
+
+} // namespace bulrush
--- a/modules/bulrush_platform/log/LogReader.cpp
+++ b/modules/bulrush_platform/log/LogReader.cpp
@@ -8,9 +8,10 @@
 
 } // namespace
 
-LogReader::LogReader(EventLoop &owningLoop, Log &readLog, std::string_view streamName,
-                     Duration pollWait, Listener &pageListener)
+LogReader::LogReader(EventLoop &owningLoop, const Clock &runtimeClock, Log &readLog,
+                     std::string_view streamName, Duration pollWait, Listener &pageListener)
     : loop(owningLoop)
+    , clock(runtimeClock)
     , log(readLog)
     , stream(streamName)
     , poll(pollWait)
@@ -20,20 +21,40 @@
 
 void LogReader::start()
 {
-    this->readMore();
+    if (!this->running) {
+        this->running = true;
+        this->readMore();
+    }
+}
+
+void LogReader::stop()
+{
+    this->running = false;
+    ++this->run;
 }
 
 void LogReader::readMore()
 {
-    this->log.read(this->stream, this->listener.readOffset(), this->poll,
-                   [this](const std::optional<LogPage> &page) {
-                       this->changeAvailability(page.has_value());
-                       if (page) {
-                           this->listener.pageRead(*page);
-                       }
-                       const Duration pause = page ? Duration::zero() : pauseAfterFailure;
-                       this->loop.schedule(pause, [this] { this->readMore(); });
-                   });
+    const auto isCurrent = [this, living = this->alive, sentIn = this->run] {
+        return *living && this->run == sentIn;
+    };
+    const Instant sentAt = this->clock.now();
+    const auto handle = [this, isCurrent, sentAt](const std::optional<LogPage> &page) {
+        if (!isCurrent()) {
+            return;
+        }
+        this->changeAvailability(page.has_value());
+        if (page) {
+            this->listener.pageRead(*page, sentAt);
+        }
+        const Duration pause = page ? Duration::zero() : pauseAfterFailure;
+        this->loop.schedule(pause, [this, isCurrent] {
+            if (isCurrent()) {
+                this->readMore();
+            }
+        });
+    };
+    this->log.read(this->stream, this->listener.readOffset(), this->poll, handle);
 }
 
 void LogReader::changeAvailability(bool available)
--- a/modules/bulrush_platform/tests/platform_test.cpp
+++ b/modules/bulrush_platform/tests/platform_test.cpp
@@ -36,7 +36,7 @@
 struct RecordingListener : LogReader::Listener
 {
     LogOffset readOffset() const override { return this->next; }
-    void pageRead(const LogPage &page) override { this->next = page.end; }
+    void pageRead(const LogPage &page, Instant /*sentAt*/) override { this->next = page.end; }
     void availabilityChanged(bool available) override { this->changes.push_back(available); }
 
     LogOffset next = 0;
@@ -51,7 +51,8 @@
     FakeLog log;
     RecordingListener listener;
     log.pages = { LogPage { 0, 2, {} }, std::nullopt, LogPage { 0, 4, {} } };
-    LogReader reader(loop, log, "records", seconds(1), listener);
+    const SystemClock clock;
+    LogReader reader(loop, clock, log, "records", seconds(1), listener);
     reader.start();
     while (log.asked.size() < 4) {
         loop.runOnce();
