Take the lease's defaults from the inequalities

Cause: with the defaults of the settings (lease 30 s, allowance 2 s) the daemon refused to start: 'lease >= 3 * exchangePeriod + transit' does not hold. Ruled out: shortening the exchange period, which triples the exchanges a worker. Change: defaults are lease 60 s, renewal horizon 3 h, clock allowance 10 s, as docs' inequalities ask; group events are logged once, by the owner. Conclusion: the defaults satisfy every inequality.

--- a/modules/bulrush_config/schemas/EmbeddedSchemas.cpp
+++ b/modules/bulrush_config/schemas/EmbeddedSchemas.cpp
@@ -618,19 +618,19 @@
           "type": "integer",
           "minimum": 1000,
           "maximum": 3600000,
-          "default": 30000
+          "default": 60000
         },
         "renewalHorizonMs": {
           "type": "integer",
           "minimum": 1000,
           "maximum": 172800000,
-          "default": 14400000
+          "default": 10800000
         },
         "clockAllowanceMs": {
           "type": "integer",
           "minimum": 0,
           "maximum": 60000,
-          "default": 2000
+          "default": 10000
         },
         "keyLifetimeS": {
           "type": "integer",
--- a/modules/bulrush_config/settings/NodeSettings.h
+++ b/modules/bulrush_config/settings/NodeSettings.h
@@ -34,9 +34,9 @@
 {
     milliseconds heartbeat { 500 };
     milliseconds peerLost { 2'000 };
-    milliseconds lease { 30'000 };
-    milliseconds renewalHorizon { 14'400'000 };
-    milliseconds clockAllowance { 2'000 };
+    milliseconds lease { 60'000 };
+    milliseconds renewalHorizon { 10'800'000 };
+    milliseconds clockAllowance { 10'000 };
     seconds keyLifetime { 3'600 };
     milliseconds logPoll { 500 };
 };
--- a/modules/bulrush_node/work/GroupDesk.cpp
+++ b/modules/bulrush_node/work/GroupDesk.cpp
@@ -5,7 +5,6 @@
 GroupDesk::GroupDesk(const GroupDeskContext &deskContext, const OwnerIdentity &identity,
                      const Durations &durations, Duration poll)
     : context(deskContext)
-    , group(identity.group)
     , placement(std::make_unique<FirstFit>())
     , groupOwner(identity, durations, *this->placement)
     , reader(*deskContext.loop, *deskContext.clock, *deskContext.log,
@@ -35,25 +34,9 @@
 
 void GroupDesk::tick(const WorkView &view, const JobBook &jobs)
 {
-    const GroupOwner::Phase before = this->groupOwner.phase();
     for (const Action &action : this->groupOwner.tick(this->context.clock->now(), view, jobs)) {
         std::visit([this](const auto &kind) { this->carryOut(kind); }, action);
     }
-    this->reportPhase(before);
-}
-
-void GroupDesk::reportPhase(GroupOwner::Phase before)
-{
-    const GroupOwner::Phase after = this->groupOwner.phase();
-    if (before == after) {
-        return;
-    }
-    const std::string epoch = "epoch " + std::to_string(this->groupOwner.epoch());
-    if (after == GroupOwner::Phase::Owning) {
-        this->context.events->write(Event::GroupClaimed, this->group.name(), epoch);
-    } else if (before == GroupOwner::Phase::Owning) {
-        this->context.events->write(Event::GroupLost, this->group.name(), epoch);
-    }
 }
 
 void GroupDesk::pageRead(const LogPage &page, Instant /*sentAt*/)
--- a/modules/bulrush_node/work/GroupDesk.h
+++ b/modules/bulrush_node/work/GroupDesk.h
@@ -71,10 +71,8 @@
     void carryOut(const AppendAction &action);
     void carryOut(const ExchangeAction &action);
     void carryOut(const EventAction &action);
-    void reportPhase(GroupOwner::Phase before);
 
     GroupDeskContext context;
-    const GroupId group;
     std::unique_ptr<PlacementStrategy> placement;
     GroupOwner groupOwner;
     LogReader reader;
