Add the stand-ins for the platform and for targets

Cause: tests and the demo need a log service with a list of VMs, and workers and executors, whose faults can be switched on.

Change: standin_platform and standin_target, with their interfaces in standins/README.md. The logic stands in LogStore, VmList, WorkerBooks, TaskRun and ExecutorSlots, which take the time as an argument and are tested without sockets. LoopbackServer extends the HTTP library's server so that a handler can close its connection without an answer or cut the answer off.

Ruled out: a pool of 80 threads. An open connection holds its thread until it closes, so a silent target with as many connections would leave /control unreachable; each connection has a thread of its own instead. SO_REUSEPORT, the library's default, is off: a second server on a port taken would start and share its connections.

--- /dev/null
+++ b/standins/common/CommandLine.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <docopt/docopt.h>
+
+#include <chrono>
+#include <map>
+#include <string>
+
+namespace bulrush::standins {
+
+/** The options of a stand-in's command line. */
+class CommandLine
+{
+public:
+    /** Parses the arguments; prints the usage and ends the process when they do not fit it. */
+    CommandLine(const std::string &usage, int argc, char **argv);
+
+    /** Returns true when the option was given or has a default. */
+    bool has(const std::string &option) const;
+
+    /** Returns an option's text; empty when it was not given. */
+    std::string text(const std::string &option) const;
+
+    /** Returns an option's whole number. @throws std::exception when it is none */
+    int number(const std::string &option) const;
+
+private:
+    std::map<std::string, docopt::value> options;
+};
+
+/** Prints the port on standard output and waits until the process's lifetime is over. */
+void announceAndWait(int port, std::chrono::seconds lifetime);
+
+} // namespace bulrush::standins
--- /dev/null
+++ b/standins/target/ExecutorSlots.cpp
@@ -0,0 +1,31 @@
+#include "standins/target/ExecutorSlots.h"
+
+namespace bulrush::standins {
+
+ExecutorSlots::ExecutorSlots(int slotCount)
+    : slots(slotCount)
+{
+}
+
+std::uint64_t ExecutorSlots::tryBegin(const std::string &idempotencyKey)
+{
+    if (this->leaving || this->busySlots >= this->slots) {
+        ++this->refusedCount;
+        return 0;
+    }
+    ++this->busySlots;
+    return idempotencyKey.empty() ? ++this->withoutKey : ++this->perKey[idempotencyKey];
+}
+
+void ExecutorSlots::end()
+{
+    --this->busySlots;
+    ++this->servedCount;
+}
+
+std::string ExecutorSlots::load() const
+{
+    return std::to_string(this->busySlots) + "/" + std::to_string(this->slots);
+}
+
+} // namespace bulrush::standins
