Let the stand-in's worker speak the exchange of bulrush_tasks

Cause: no task was started: the stand-in named no incarnation and no clock, without which an owner sends no lease. Change: incarnation, clock, valid-until, renew-only sequence 0, opaque checkpoints.

--- a/standins/target/TargetServer.cpp
+++ b/standins/target/TargetServer.cpp
@@ -25,7 +25,8 @@
 
 TargetServer::TargetServer(TargetSettings targetSettings)
     : settings(std::move(targetSettings))
-    , books(this->settings.capacity)
+    , books(this->settings.capacity,
+            this->settings.name + "." + std::to_string(this->clock.nowMs()))
     , slots(this->settings.slots)
 {
     using httplib::Request;
--- a/standins/target/TaskRun.cpp
+++ b/standins/target/TaskRun.cpp
@@ -19,8 +19,8 @@
     , startedMs(now)
     , leaseEndMs(now + this->order.leaseMs)
     , progressAtMs(now)
-    , progressHundredths(this->order.checkpoint * fullPercent)
-    , savedMs(this->order.checkpoint)
+    , progressHundredths(this->order.resumeMs() * fullPercent)
+    , savedMs(this->order.resumeMs())
 {
 }
 
@@ -92,8 +92,15 @@
 
 InventoryEntry TaskRun::inventoryEntry(UnixMs now) const
 {
-    InventoryEntry entry { this->order.id, this->epoch, this->state, this->order.resources, 0, 0, 0,
-                           this->savedMs,  this->result };
+    InventoryEntry entry { this->order.id,
+                           this->epoch,
+                           this->state,
+                           this->order.resources,
+                           0,
+                           0,
+                           0,
+                           std::to_string(this->savedMs),
+                           this->result };
     if (this->isRunning()) {
         entry.usageCpuMilli = this->order.resources.cpuMilli * this->percent / fullPercent;
         entry.usageMemoryMb = this->order.resources.memoryMb;
--- a/standins/target/WorkerBooks.cpp
+++ b/standins/target/WorkerBooks.cpp
@@ -1,27 +1,43 @@
 #include "standins/target/WorkerBooks.h"
 
+#include <utility>
+
 namespace bulrush::standins {
 
-WorkerBooks::WorkerBooks(Resources capacity)
+WorkerBooks::WorkerBooks(Resources capacity, std::string processIncarnation)
     : total(capacity)
+    , incarnation(std::move(processIncarnation))
 {
 }
 
 ExchangeAnswer WorkerBooks::exchange(const ExchangeRequest &request, UnixMs now)
 {
     this->advance(now);
-    const bool accepted = !this->lastToken || *this->lastToken < request.token;
-    if (accepted) {
+    const bool onlyRenews = request.token.sequence == 0;
+    const bool accepted = onlyRenews || !this->lastToken || *this->lastToken < request.token;
+    if (onlyRenews && this->isValid(request, now)) {
+        this->renew(request.renew, now);
+    } else if (accepted && !onlyRenews) {
         this->lastToken = request.token;
         this->apply(request, now);
         this->advance(now);
     }
-    return { accepted, *this->lastToken, this->inventory(now) };
+    return { accepted, this->lastToken.value_or(FencingToken()), this->incarnation, now,
+             this->inventory(now) };
+}
+
+bool WorkerBooks::isValid(const ExchangeRequest &request, UnixMs now) const
+{
+    const bool meansThis = request.incarnation.empty() || request.incarnation == this->incarnation;
+    return meansThis && now <= request.validUntilMs;
 }
 
 void WorkerBooks::apply(const ExchangeRequest &request, UnixMs now)
 {
-    this->renew(request.renew, now);
+    const bool valid = this->isValid(request, now);
+    if (valid) {
+        this->renew(request.renew, now);
+    }
     for (const AttemptId &id : request.checkpoint) {
         if (TaskRun *run = this->find(id)) {
             run->takeCheckpoint();
@@ -44,7 +60,9 @@
         }
     }
     for (const StartOrder &order : request.start) {
-        this->start(order, request.token.epoch, now);
+        if (valid) {
+            this->start(order, request.token.epoch, now);
+        }
     }
 }
 
--- a/standins/target/WorkerBooks.h
+++ b/standins/target/WorkerBooks.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace bulrush::standins {
@@ -20,14 +21,17 @@
 class WorkerBooks
 {
 public:
-    explicit WorkerBooks(Resources capacity);
+    /** @param incarnation distinct for each start of the worker's process */
+    WorkerBooks(Resources capacity, std::string incarnation);
 
     WorkerBooks(const WorkerBooks &) = delete;
     WorkerBooks &operator=(const WorkerBooks &) = delete;
 
     /**
         Applies an exchange: renewals, checkpoints, throttles, stops, forgets, then starts. One
-        whose token is not greater than the last seen changes nothing.
+        whose token is not greater than the last seen changes nothing. Sequence 0 only renews and
+        is not compared. One that came after its validUntilMs, or that means another incarnation,
+        renews and starts nothing.
     */
     ExchangeAnswer exchange(const ExchangeRequest &request, UnixMs now);
 
@@ -53,7 +57,10 @@
     Resources committed() const;
     std::vector<InventoryEntry> inventory(UnixMs now) const;
 
+    bool isValid(const ExchangeRequest &request, UnixMs now) const;
+
     const Resources total;
+    const std::string incarnation;
     std::optional<FencingToken> lastToken;
     /** Every start ever applied, in order; never removed from. */
     std::vector<TaskRun> allRuns;
--- a/standins/target/WorkerMessages.cpp
+++ b/standins/target/WorkerMessages.cpp
@@ -1,5 +1,6 @@
 #include "standins/target/WorkerMessages.h"
 
+#include <limits>
 #include <stdexcept>
 #include <utility>
 
@@ -74,6 +75,11 @@
     this->accelerators += others.accelerators;
 }
 
+std::int64_t StartOrder::resumeMs() const
+{
+    return this->checkpoint.empty() ? 0 : std::stoll(this->checkpoint);
+}
+
 StartOrder startOrderFrom(const nlohmann::json &json)
 {
     StartOrder order;
@@ -82,7 +88,7 @@
     order.resources = json.get<Resources>();
     order.leaseMs = json.at("leaseMs").get<std::int64_t>();
     order.runMs = json.value("runMs", std::int64_t { 0 });
-    order.checkpoint = json.value("checkpoint", std::int64_t { 0 });
+    order.checkpoint = json.value("checkpoint", std::string());
     return order;
 }
 
@@ -98,6 +104,8 @@
     request.group = json.at("group").get<std::string>();
     request.token.epoch = json.at("epoch").get<std::uint64_t>();
     request.token.sequence = json.at("sequence").get<std::uint64_t>();
+    request.incarnation = json.value("incarnation", std::string());
+    request.validUntilMs = json.value("validUntilMs", std::numeric_limits<std::int64_t>::max());
     request.renew = renewOrdersFrom(json);
     request.start = listFrom(json, "start", startOrderFrom);
     request.stop = listFrom(json, "stop", attemptIdFrom);
@@ -113,10 +121,9 @@
     for (const InventoryEntry &entry : answer.inventory) {
         inventory.push_back(entryJson(entry));
     }
-    return { { "accepted", answer.accepted },
-             { "epoch", answer.token.epoch },
-             { "sequence", answer.token.sequence },
-             { "inventory", std::move(inventory) } };
+    return { { "accepted", answer.accepted },       { "epoch", answer.token.epoch },
+             { "sequence", answer.token.sequence }, { "incarnation", answer.incarnation },
+             { "clockMs", answer.clockMs },         { "inventory", std::move(inventory) } };
 }
 
 nlohmann::json toJson(const RunRecord &run)
--- a/standins/target/WorkerMessages.h
+++ b/standins/target/WorkerMessages.h
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -69,8 +70,11 @@
     std::int64_t leaseMs = 0;
     /** For batch tasks: the run time from the very beginning. */
     std::int64_t runMs = 0;
-    /** Milliseconds of work that earlier attempts have done. */
-    std::int64_t checkpoint = 0;
+    /** Milliseconds of work that earlier attempts have done; text, as schedulers keep it opaque. */
+    std::string checkpoint;
+
+    /** Returns the checkpoint's milliseconds; 0 for an empty one. */
+    std::int64_t resumeMs() const;
 };
 
 /** Prolongs a lease: it ends `leaseMs` from now. */
@@ -105,6 +109,10 @@
     std::string node;
     std::string group;
     FencingToken token;
+    /** The worker process that the scheduler means; empty where it knows none yet. */
+    std::string incarnation;
+    /** By the worker's clock: later, nothing is renewed or started. */
+    std::int64_t validUntilMs = std::numeric_limits<std::int64_t>::max();
     std::vector<RenewOrder> renew;
     std::vector<StartOrder> start;
     std::vector<AttemptId> stop;
@@ -123,7 +131,7 @@
     std::int64_t usageCpuMilli = 0;
     std::int64_t usageMemoryMb = 0;
     std::int64_t usageAgeMs = 0;
-    std::int64_t checkpoint = 0;
+    std::string checkpoint;
     std::string result;
 };
 
@@ -133,6 +141,9 @@
     bool accepted = false;
     /** The greatest token seen. */
     FencingToken token;
+    /** Distinct for each start of the worker's process. */
+    std::string incarnation;
+    std::int64_t clockMs = 0;
     std::vector<InventoryEntry> inventory;
 };
 
--- a/standins/tests/target_server_test.cpp
+++ b/standins/tests/target_server_test.cpp
@@ -61,7 +61,7 @@
                                     { "accelerators", 0 },
                                     { "leaseMs", 600'000 },
                                     { "runMs", 0 },
-                                    { "checkpoint", 0 } } });
+                                    { "checkpoint", "" } } });
     const json answer = json::parse(fixture.post("/worker/exchange", body)->body);
     cr_assert_eq(answer.at("worker"), "vm1");
     cr_assert_eq(answer.at("accepted"), true);
--- a/standins/tests/worker_books_test.cpp
+++ b/standins/tests/worker_books_test.cpp
@@ -14,7 +14,7 @@
 
 StartOrder startOrder(const AttemptId &id, TaskKind kind = TaskKind::Batch)
 {
-    return { id, kind, { 1000, 100, 0 }, 10'000, 5000, 0 };
+    return { id, kind, { 1000, 100, 0 }, 10'000, 5000, "" };
 }
 
 ExchangeRequest request(std::uint64_t epoch, std::uint64_t sequence)
@@ -43,7 +43,7 @@
 
 Test(WorkerBooks, batchTaskEndsAfterItsRunTime)
 {
-    WorkerBooks books(capacity);
+    WorkerBooks books(capacity, "p1");
     const InventoryEntry started = onlyEntry(books.exchange(starting(1, startOrder(t1)), 1000));
     cr_assert(started.state == TaskState::Running);
     cr_assert_eq(started.epoch, 1U);
@@ -52,14 +52,14 @@
     cr_assert(early.state == TaskState::Running);
     const InventoryEntry ended = onlyEntry(books.exchange(request(1, 3), 9000));
     cr_assert(ended.state == TaskState::Finished);
-    cr_assert_eq(ended.checkpoint, 5000);
+    cr_assert_eq(ended.checkpoint, "5000");
     cr_assert_eq(ended.result, "ok");
     cr_assert_eq(books.runs(9000).at(0).endedMs, 6000);
 }
 
 Test(WorkerBooks, oldTokensChangeNothing)
 {
-    WorkerBooks books(capacity);
+    WorkerBooks books(capacity, "p1");
     books.exchange(request(2, 5), 0);
     for (const ExchangeRequest &stale :
          { starting(9, startOrder(t1)), request(2, 5), request(2, 4) }) {
@@ -74,7 +74,7 @@
 
 Test(WorkerBooks, appliesAStartOnce)
 {
-    WorkerBooks books(capacity);
+    WorkerBooks books(capacity, "p1");
     books.exchange(starting(1, startOrder(t1)), 0);
     books.exchange(starting(2, startOrder(t1)), 100);
     ExchangeRequest forget = request(1, 3);
@@ -86,7 +86,7 @@
 
 Test(WorkerBooks, forgetsNothingThatRuns)
 {
-    WorkerBooks books(capacity);
+    WorkerBooks books(capacity, "p1");
     books.exchange(starting(1, startOrder(t1)), 0);
     ExchangeRequest forget = request(1, 2);
     forget.forget.push_back(t1);
@@ -95,7 +95,7 @@
 
 Test(WorkerBooks, refusesAndCountsStartsBeyondCapacity)
 {
-    WorkerBooks books(capacity);
+    WorkerBooks books(capacity, "p1");
     ExchangeRequest exchange = request(1, 1);
     for (std::uint64_t attempt = 1; attempt <= 5; ++attempt) {
         exchange.start.push_back(startOrder({ "t", attempt }));
@@ -109,7 +109,7 @@
 
 Test(WorkerBooks, stopFreesCapacityForAStartInTheSameExchange)
 {
-    WorkerBooks books({ 1000, 100, 0 });
+    WorkerBooks books({ 1000, 100, 0 }, "p1");
     books.exchange(starting(1, startOrder(t1)), 0);
     ExchangeRequest replace = starting(2, startOrder({ "t2", 1 }));
     replace.stop.push_back(t1);
@@ -121,7 +121,7 @@
 
 Test(WorkerBooks, unrenewedLeaseLapses)
 {
-    WorkerBooks books(capacity);
+    WorkerBooks books(capacity, "p1");
     books.exchange(starting(1, startOrder(t1, TaskKind::Watcher)), 0);
     const RenewOrder renewal { t1, 10'000 };
     cr_assert_eq(books.renew({ &renewal, 1 }, 9000), 1U);
@@ -133,7 +133,7 @@
 
 Test(WorkerBooks, renewalInAnExchangeComesTooLateAfterTheLapse)
 {
-    WorkerBooks books(capacity);
+    WorkerBooks books(capacity, "p1");
     books.exchange(starting(1, startOrder(t1, TaskKind::Service)), 0);
     ExchangeRequest late = request(1, 2);
     late.renew.push_back({ t1, 10'000 });
@@ -142,14 +142,14 @@
 
 Test(WorkerBooks, checkpointIsWhereTheNextAttemptResumes)
 {
-    WorkerBooks books(capacity);
+    WorkerBooks books(capacity, "p1");
     books.exchange(starting(1, startOrder(t1)), 0);
     ExchangeRequest evict = request(1, 2);
     evict.checkpoint.push_back(t1);
     evict.stop.push_back(t1);
     const InventoryEntry evicted = onlyEntry(books.exchange(evict, 3000));
     cr_assert(evicted.state == TaskState::Stopped);
-    cr_assert_eq(evicted.checkpoint, 3000);
+    cr_assert_eq(evicted.checkpoint, "3000");
     StartOrder resumed = startOrder({ "t1", 2 });
     resumed.checkpoint = evicted.checkpoint;
     books.exchange(starting(3, resumed), 4000);
@@ -160,7 +160,7 @@
 
 Test(WorkerBooks, throttledBatchWorkSlowsDown)
 {
-    WorkerBooks books(capacity);
+    WorkerBooks books(capacity, "p1");
     books.exchange(starting(1, startOrder(t1)), 0);
     ExchangeRequest slow = request(1, 2);
     slow.throttle.push_back({ t1, 50 });
@@ -172,7 +172,7 @@
 
 Test(WorkerBooks, failsStartsWhileToldSo)
 {
-    WorkerBooks books(capacity);
+    WorkerBooks books(capacity, "p1");
     books.failStarts(true);
     cr_assert(onlyEntry(books.exchange(starting(1, startOrder(t1)), 0)).state == TaskState::Failed);
     books.failStarts(false);
@@ -185,7 +185,7 @@
 {
     const auto json = nlohmann::json::parse(R"({"node":"n1","group":"g1","epoch":3,"sequence":4,
         "start":[{"task":"t1","attempt":1,"kind":"watcher","cpuMilli":1,"memoryMb":2,
-                  "accelerators":3,"leaseMs":4,"runMs":5,"checkpoint":6}],
+                  "accelerators":3,"leaseMs":4,"runMs":5,"checkpoint":"6"}],
         "throttle":[{"task":"t1","attempt":1,"percent":7}]})");
     const ExchangeRequest exchange = exchangeRequestFrom(json);
     cr_assert_eq(exchange.token.epoch, 3U);
@@ -193,7 +193,7 @@
     cr_assert(exchange.start.at(0).id == t1);
     cr_assert(exchange.start.at(0).kind == TaskKind::Watcher);
     cr_assert_eq(exchange.start.at(0).resources.accelerators, 3);
-    cr_assert_eq(exchange.start.at(0).checkpoint, 6);
+    cr_assert_eq(exchange.start.at(0).checkpoint, "6");
     cr_assert_eq(exchange.throttle.at(0).percent, 7);
     cr_assert(exchange.stop.empty());
 }
@@ -228,3 +228,32 @@
     slots.setLeaving(false);
     cr_assert_eq(slots.tryBegin("k1"), 1U);
 }
+
+Test(WorkerBooks, exchangeAfterItsTimeStartsNothing)
+{
+    WorkerBooks books(capacity, "p1");
+    ExchangeRequest late = starting(1, startOrder(t1));
+    late.validUntilMs = 999;
+    cr_assert(books.exchange(late, 1000).inventory.empty());
+}
+
+Test(WorkerBooks, exchangeForAnotherIncarnationStartsNothing)
+{
+    WorkerBooks books(capacity, "p1");
+    ExchangeRequest stray = starting(1, startOrder(t1));
+    stray.incarnation = "p0";
+    cr_assert(books.exchange(stray, 1000).inventory.empty());
+}
+
+Test(WorkerBooks, sequenceZeroOnlyRenews)
+{
+    WorkerBooks books(capacity, "p1");
+    books.exchange(starting(5, startOrder(t1)), 1000);
+    ExchangeRequest renewing = request(1, 0);
+    renewing.stop.push_back(t1);
+    renewing.renew.push_back({ t1, 60'000 });
+    const ExchangeAnswer answer = books.exchange(renewing, 2000);
+    cr_assert(answer.accepted);
+    cr_assert(onlyEntry(answer).state == TaskState::Running);
+    cr_assert_eq(answer.token.sequence, 5U);
+}
