--- /dev/null
+++ b/modules/bulrush_tasks/tests/explorer/FakeNode.cpp
@@ -0,0 +1,123 @@
+#include "FakeNode.h"
+
+namespace bulrush::explorer {
+
+FakeNode::FakeNode(const NodeId &id, const Durations &nodeDurations, const Guards &nodeGuards,
+                   const std::vector<GroupId> &groups)
+    : nodeId(id)
+    , durations(nodeDurations)
+    , guards(nodeGuards)
+{
+    for (const GroupId &group : groups) {
+        this->wanted[group] = false;
+    }
+    this->restart();
+}
+
+void FakeNode::restart()
+{
+    ++this->lives;
+    this->alive = true;
+    this->work = {};
+    this->workReadAt = {};
+    this->renewer = std::make_unique<Renewer>(this->nodeId, this->durations);
+    this->owners.clear();
+    for (auto &[group, isWanted] : this->wanted) {
+        isWanted = false;
+        const OwnerIdentity identity { this->nodeId, std::to_string(this->lives), group };
+        this->owners[group] =
+                std::make_unique<GroupOwner>(identity, this->durations, this->placement);
+    }
+    this->applyGuards();
+}
+
+void FakeNode::applyGuards()
+{
+    GuardsAccess::apply(this->guards, this->work);
+    GuardsAccess::apply(this->guards, *this->renewer);
+    for (auto &[group, owner] : this->owners) {
+        GuardsAccess::apply(this->guards, *owner);
+    }
+}
+
+std::map<std::string, std::uint64_t> FakeNode::followed() const
+{
+    std::map<std::string, std::uint64_t> streams { { GroupOwner::workStream,
+                                                     this->work.nextOffset() } };
+    for (const auto &[group, owner] : this->owners) {
+        if (this->wanted.at(group) || owner->phase() != GroupOwner::Phase::Idle) {
+            streams[owner->groupStream()] = owner->nextGroupOffset();
+        }
+    }
+    return streams;
+}
+
+void FakeNode::takeRead(const std::string &stream, const StreamRead &read, Instant askedAt)
+{
+    this->applyGuards();
+    if (stream == GroupOwner::workStream) {
+        this->work.noteFirstOffset(read.firstOffset);
+        for (const LoggedRecord &record : read.records) {
+            this->work.read(record.offset, record.payload);
+        }
+        this->workReadAt = std::max(this->workReadAt, askedAt);
+        return;
+    }
+    for (auto &[group, owner] : this->owners) {
+        if (owner->groupStream() != stream) {
+            continue;
+        }
+        owner->noteGroupFirstOffset(read.firstOffset);
+        for (const LoggedRecord &record : read.records) {
+            owner->readGroupRecord(record.offset, record.payload);
+        }
+    }
+}
+
+WorkView FakeNode::view() const
+{
+    return { &this->work.state(), this->work.isUsable(), this->workReadAt,
+             this->work.nextOffset() };
+}
+
+std::vector<Action> FakeNode::tick(Instant now, const JobBook &jobs)
+{
+    this->applyGuards();
+    std::vector<Action> actions;
+    for (auto &[group, owner] : this->owners) {
+        for (Action &action : owner->tick(now, this->view(), jobs)) {
+            actions.push_back(std::move(action));
+        }
+    }
+    return actions;
+}
+
+std::vector<ExchangeAction> FakeNode::renew(Instant now, const std::vector<RenewalTarget> &targets)
+{
+    this->applyGuards();
+    return this->renewer->tick(now, this->view(), targets);
+}
+
+void FakeNode::answered(const GroupId &group, const ExchangeAnswer &answer, bool toRenewer,
+                        Instant now)
+{
+    this->applyGuards();
+    if (toRenewer) {
+        this->renewer->exchangeAnswered(answer, now);
+    } else {
+        this->owners.at(group)->exchangeAnswered(answer, now);
+    }
+}
+
+void FakeNode::want(const GroupId &group, bool isWanted)
+{
+    this->wanted[group] = isWanted;
+    this->owners.at(group)->setWanted(isWanted);
+}
+
+bool FakeNode::owns(const GroupId &group) const
+{
+    return this->owners.at(group)->phase() == GroupOwner::Phase::Owning;
+}
+
+} // namespace bulrush::explorer
