Explore broken links, older lists and shorter horizons

Change: shorter durations, links that break one by one, lists of differing age, tasks returned early; the guards that others imply (a ledger without inventory has no capacity, a second end of an attempt has no open attempt) are plain checks, no switches.

--- a/modules/bulrush_ownership/streams/Guards.h
+++ b/modules/bulrush_ownership/streams/Guards.h
@@ -17,7 +17,6 @@
     bool batchNeedsSequence = true; ///< a batch that was applied is not applied again
     bool refuseTruncated = true; ///< a truncated stream without a snapshot is unusable
     bool startAfterReadBack = true; ///< a start waits until its intent was read back
-    bool inventoryFirst = true; ///< nothing is placed before a worker's inventory is in
     bool checkCapacity = true; ///< no commitment beyond a worker's capacity
     bool newAttemptAfterEnd = true; ///< an attempt waits for the end of the one before
     bool boundedValidity = true; ///< exchanges lose their effect after a bounded time
@@ -28,7 +27,6 @@
     bool stopConfirmed = true; ///< an evicted attempt ends when its stop is confirmed
     bool checkpointFromStop = true; ///< an evicted attempt resumes from the stop's checkpoint
     bool endBeforeForget = true; ///< a worker forgets a result after its end is on record
-    bool endOnce = true; ///< an ended attempt does not end again
     bool answerInOrder = true; ///< an overtaken answer of a worker is ignored
 };
 
--- a/modules/bulrush_tasks/leases/Durations.h
+++ b/modules/bulrush_tasks/leases/Durations.h
@@ -22,6 +22,7 @@
     Duration batchInterval = milliseconds(500); ///< between two appends of a group's stream
     Duration checkpointWait = seconds(30); ///< an eviction waits so long for a checkpoint
     Duration returnAfter = seconds(60); ///< tasks that fit nowhere go back to all groups
+    Duration dropInterval = minutes(1); ///< completed tasks are dropped this often
     Duration snapshotInterval = hours(6); ///< between two snapshots of a stream
     Duration retention = hours(24); ///< how long the log keeps a record
     Duration longestOutage = hours(2); ///< of the platform, that work is to survive
--- a/modules/bulrush_tasks/owner/GroupOwnerLog.cpp
+++ b/modules/bulrush_tasks/owner/GroupOwnerLog.cpp
@@ -10,9 +10,6 @@
 /** The most records of one batch. */
 constexpr std::size_t maxBatchRecords = 512;
 
-/** How often completed tasks are dropped from a group's state. */
-constexpr Duration dropInterval = minutes(1);
-
 } // namespace
 
 void GroupOwner::flush(TickContext &context)
@@ -122,7 +119,7 @@
 /** Drops tasks that the `work` stream shows as completed or held by another group. */
 void GroupOwner::dropCompleted(TickContext &context)
 {
-    if (context.now - this->droppedAt < dropInterval || !context.view.usable) {
+    if (context.now - this->droppedAt < this->durations.dropInterval || !context.view.usable) {
         return;
     }
     this->droppedAt = context.now;
--- a/modules/bulrush_tasks/owner/GroupOwnerPlacement.cpp
+++ b/modules/bulrush_tasks/owner/GroupOwnerPlacement.cpp
@@ -51,10 +51,10 @@
 bool GroupOwner::mayTakeWork(const VmId &id, const ManagedWorker &worker,
                              const TickContext &context) const
 {
-    const bool known = worker.ledger.isKnown() || !this->guards.inventoryFirst;
     const Duration fresh = 2 * this->durations.exchangePeriod + this->durations.exchangeTimeout;
-    return known && !worker.isLeaving() && !worker.missingSince && !worker.revokedSince
-            && context.now - worker.answeredAt <= fresh && !this->evidence.isWorkerSetAside(id)
+    return worker.ledger.isKnown() && !worker.isLeaving() && !worker.missingSince
+            && !worker.revokedSince && context.now - worker.answeredAt <= fresh
+            && !this->evidence.isWorkerSetAside(id)
             && mayLease(context.view, id, this->durations, context.now, this->guards);
 }
 
--- a/modules/bulrush_tasks/records/GroupState.cpp
+++ b/modules/bulrush_tasks/records/GroupState.cpp
@@ -48,7 +48,7 @@
     }
     TaskState &task = found->second;
     const bool isLast = task.lastAttempt == record.attempt.attempt;
-    if ((!task.open || !isLast) && this->guards.endOnce) {
+    if (!task.open || !isLast) {
         return;
     }
     task.open = false;
--- a/modules/bulrush_tasks/tests/explorer/Checker.cpp
+++ b/modules/bulrush_tasks/tests/explorer/Checker.cpp
@@ -84,8 +84,8 @@
     }
     for (const auto &[attempt, book] : this->books) {
         // A result that waits at a silent worker is void once its loss is on record.
-        const bool waits = book.item.state == AttemptState::Finished
-                && !this->recorded.contains(attempt);
+        const bool waits =
+                book.item.state == AttemptState::Finished && !this->recorded.contains(attempt);
         if (attempt.task == task && waits) {
             throw Fault("4: " + nameOf(start.attempt) + " starts though " + nameOf(attempt)
                         + " finished on " + book.worker.name());
--- a/modules/bulrush_tasks/tests/explorer/Explorer.cpp
+++ b/modules/bulrush_tasks/tests/explorer/Explorer.cpp
@@ -74,6 +74,10 @@
     Trouble { "worker restarted", 40, [](World &world) { world.restartWorker(anyWorker(world)); } },
     Trouble { "worker silent", 50,
               [](World &world) { world.setSilent(anyWorker(world), world.chance(700)); } },
+    Trouble { "broken links", 80,
+              [](World &world) {
+                  world.setLinkBroken(anyNode(world), anyWorker(world), world.chance(700));
+              } },
     Trouble { "VM leaving", 10, [](World &world) { world.setWorkerLeaving(anyWorker(world)); } },
     Trouble { "eviction", 150, [](World &world) { world.evict(anyTask(world)); } },
     Trouble { "log outage", 60, [](World &world) { world.setLogDown(world.chance(600)); } },
@@ -168,6 +172,8 @@
     world.setLogDown(false);
     world.setCut(false);
     world.setRenewing(false);
+    world.mendLinks();
+    world.setListLag({});
     world.cancelJob(JobId("watch"));
     for (const VmId &worker : world.liveWorkers()) {
         world.setSilent(worker, false);
@@ -191,6 +197,7 @@
     options.durations = shortDurations();
     options.guards = trial.guards;
     options.help = trial.help;
+    options.durations.returnAfter = seconds(trial.seed % 2 == 0 ? 1 : 4);
     World world(options);
     try {
         setUp(world);
--- a/modules/bulrush_tasks/tests/explorer/World.cpp
+++ b/modules/bulrush_tasks/tests/explorer/World.cpp
@@ -13,21 +13,22 @@
 Durations shortDurations()
 {
     Durations durations;
-    durations.lease = seconds(6);
-    durations.exchangePeriod = milliseconds(1500);
-    durations.exchangeTimeout = seconds(1);
-    durations.transit = milliseconds(1500);
-    durations.renewalHorizon = seconds(16);
+    durations.lease = seconds(4);
+    durations.exchangePeriod = seconds(1);
+    durations.exchangeTimeout = milliseconds(800);
+    durations.transit = seconds(1);
+    durations.renewalHorizon = seconds(6);
     durations.clockAllowance = seconds(1);
-    durations.silence = seconds(5);
+    durations.silence = seconds(3);
     durations.listLag = seconds(3);
     durations.appendTimeout = milliseconds(600);
     durations.batchInterval = milliseconds(200);
     durations.checkpointWait = seconds(2);
+    durations.dropInterval = seconds(3);
     durations.returnAfter = seconds(5);
     durations.snapshotInterval = seconds(8);
     durations.retention = seconds(60);
-    durations.longestOutage = seconds(12);
+    durations.longestOutage = seconds(6);
     return durations;
 }
 
@@ -68,6 +69,7 @@
     WorkerEntry &entry = this->workers[id];
     entry.fake = std::make_unique<FakeWorker>(id, capacity, this->checks, this->options.help);
     entry.group = group;
+    entry.bornAt = this->now;
     std::size_t index = 0;
     while (this->groups[index] != group) {
         ++index;
@@ -138,6 +140,16 @@
     this->workers.at(worker).silent = isSilent;
 }
 
+void World::setLinkBroken(const NodeId &node, const VmId &worker, bool broken)
+{
+    this->note("link " + node.name() + '-' + worker.name() + (broken ? " breaks" : " works"));
+    if (broken) {
+        this->brokenLinks.insert({ node, worker });
+    } else {
+        this->brokenLinks.erase({ node, worker });
+    }
+}
+
 void World::evict(const TaskId &task)
 {
     this->note("evict " + task.text());
@@ -257,7 +269,8 @@
 bool World::reaches(const FakeNode &node, const WorkerEntry &worker) const
 {
     const bool apart = this->cut && this->dataCentreOf(node.id()) != worker.dataCentre;
-    return worker.fake->isAlive() && !worker.silent && !apart;
+    const bool broken = this->brokenLinks.contains({ node.id(), worker.fake->id() });
+    return worker.fake->isAlive() && !worker.silent && !apart && !broken;
 }
 
 char World::dataCentreOf(const NodeId &node) const
--- a/modules/bulrush_tasks/tests/explorer/World.h
+++ b/modules/bulrush_tasks/tests/explorer/World.h
@@ -72,6 +72,8 @@
     void setLogDown(bool down) { this->logDown = down; }
     void setCut(bool isCut) { this->cut = isCut; }
     void setSilent(const VmId &worker, bool isSilent);
+    void setLinkBroken(const NodeId &node, const VmId &worker, bool broken);
+    void mendLinks() { this->brokenLinks.clear(); }
     void setRenewing(bool on) { this->renewing = on; }
     void setListLag(Duration lag) { this->listLag = lag; }
     void evict(const TaskId &task);
@@ -113,6 +115,7 @@
         char dataCentre = 'a';
         bool silent = false;
         std::int64_t clockRatePpm = 0;
+        Instant bornAt {};
         Instant diedAt {};
     };
 
@@ -145,6 +148,7 @@
     std::map<VmId, WorkerEntry> workers;
     std::multimap<Instant, std::function<void()>> events;
     std::map<Event, std::pair<std::size_t, std::string>> logged;
+    std::set<std::pair<NodeId, VmId>> brokenLinks;
     Chaos chaos;
     Duration listLag {};
     Instant listSentAt {};
--- a/modules/bulrush_tasks/tests/explorer/WorldMessages.cpp
+++ b/modules/bulrush_tasks/tests/explorer/WorldMessages.cpp
@@ -97,14 +97,18 @@
     }
 }
 
-/** The list lags: a dead VM stays in it, and a new one is missing, for up to the lag. */
+/** The list lags by up to the lag, differently each time: a dead VM comes back into it, and a new
+    one is missing again. */
 void World::sendList(FakeNode &node)
 {
+    const auto lagMs =
+            static_cast<std::uint64_t>(duration_cast<milliseconds>(this->listLag).count());
+    const Instant asOf = this->now - milliseconds(this->random(lagMs + 1));
     for (const GroupId &group : this->groups) {
         std::vector<VmStatus> list;
         for (const auto &[id, entry] : this->workers) {
-            const bool listed = entry.fake->isAlive() || this->now - entry.diedAt < this->listLag;
-            if (entry.group == group && listed) {
+            const bool dead = !entry.fake->isAlive() && entry.diedAt <= asOf;
+            if (entry.group == group && entry.bornAt <= asOf && !dead) {
                 list.push_back({ id, entry.fake->isLeaving() });
             }
         }
--- a/modules/bulrush_tasks/workers/WorkerLedger.cpp
+++ b/modules/bulrush_tasks/workers/WorkerLedger.cpp
@@ -41,7 +41,7 @@
 
 Resources WorkerLedger::free() const
 {
-    if (!this->known && this->guards.inventoryFirst) {
+    if (!this->known) {
         return {};
     }
     if (!this->guards.checkCapacity) {
