--- a/modules/bulrush_config/records/Record.cpp
+++ b/modules/bulrush_config/records/Record.cpp
@@ -50,17 +50,25 @@
     return std::stoi(schema.substr(schema.find('/') + 1));
 }
 
-std::optional<FieldProblem> checkVersion(const Record &record, bool &isNewer)
+int newestKnown(const std::string &kind, const SchemaCeiling &ceiling)
+{
+    const int builtIn = kindOfName(kind) ? newestVersion(kind) : 0;
+    const auto limit = ceiling.find(kind);
+    return limit == ceiling.end() ? builtIn : std::min(builtIn, limit->second);
+}
+
+std::optional<FieldProblem> checkVersion(const Record &record, const SchemaCeiling &ceiling,
+                                         bool &isNewer)
 {
     if (record.schema.substr(0, record.schema.find('/')) != record.kind) {
         return FieldProblem { "/schema", "\"" + record.schema + "\"",
                               "a version of kind " + record.kind };
     }
-    const int newest = kindOfName(record.kind) ? newestVersion(record.kind) : 0;
-    if (newest > 0 && isKnownSchema(record.schema)) {
+    const int newest = newestKnown(record.kind, ceiling);
+    isNewer = versionOf(record.schema) > newest;
+    if (!isNewer && isKnownSchema(record.schema)) {
         return std::nullopt;
     }
-    isNewer = versionOf(record.schema) > newest;
     const std::string known = newest > 0 ? knownVersions(record.kind) : "a known kind";
     return FieldProblem { "/schema", "unknown version \"" + record.schema + "\"", known };
 }
@@ -76,14 +84,14 @@
     return std::nullopt;
 }
 
-CheckedRecord checkDocument(const json &document)
+CheckedRecord checkDocument(const json &document, const SchemaCeiling &ceiling)
 {
     if (auto problem = checkSchema(document, "record/1", "")) {
         return { std::nullopt, std::move(problem) };
     }
     CheckedRecord checked { readEnvelope(document), std::nullopt };
     const json &body = document.at("body");
-    checked.problem = checkVersion(*checked.record, checked.isNewer);
+    checked.problem = checkVersion(*checked.record, ceiling, checked.isNewer);
     if (!checked.problem) {
         checked.problem = checkSchema(body, checked.record->schema, "/body");
     }
@@ -121,10 +129,10 @@
     return document.dump();
 }
 
-CheckedRecord checkRecord(std::string_view text)
+CheckedRecord checkRecord(std::string_view text, const SchemaCeiling &ceiling)
 {
     try {
-        return checkDocument(parseStrictJson(text, {}));
+        return checkDocument(parseStrictJson(text, {}), ceiling);
     } catch (const FieldError &error) {
         return { std::nullopt, error.problem() };
     }
--- a/modules/bulrush_config/records/Record.h
+++ b/modules/bulrush_config/records/Record.h
@@ -3,6 +3,7 @@
 #include "bulrush_config/schemas/FieldProblem.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -68,7 +69,11 @@
     bool isNewer = false;
 };
 
+/** The newest versions that count as known, by kind; others as built in. For older software's view.
+ */
+using SchemaCeiling = std::map<std::string, int, std::less<>>;
+
 /** Checks a record's text: size, grammar, envelope, schema version, body. Never throws. */
-CheckedRecord checkRecord(std::string_view text);
+CheckedRecord checkRecord(std::string_view text, const SchemaCeiling &ceiling = {});
 
 } // namespace bulrush
--- a/modules/bulrush_config/records/RecordState.cpp
+++ b/modules/bulrush_config/records/RecordState.cpp
@@ -56,7 +56,7 @@
     if (isSnapshotPart(text)) {
         return with(verdict, Outcome::Ignored, "part of a snapshot");
     }
-    const CheckedRecord checked = checkRecord(text);
+    const CheckedRecord checked = checkRecord(text, this->ceiling);
     if (!checked.record) {
         return with(verdict, Outcome::Refused, checked.problem->text());
     }
@@ -91,7 +91,7 @@
     if (isWorkKind(key.kind) && this->isWorkUnsettled(key.name, key.kind)) {
         chain->standing = Standing::Held;
     }
-    verdict = this->judgeSuccessor(*chain, checked, std::move(verdict));
+    verdict = this->judgeSuccessor(*chain, checked, verdict);
     chain->history.push_back(verdict);
     if (chain->history.size() > historyLength) {
         chain->history.pop_front();
@@ -99,14 +99,15 @@
     return verdict;
 }
 
-Verdict RecordState::judgeSuccessor(Chain &chain, const CheckedRecord &checked, Verdict verdict)
+Verdict RecordState::judgeSuccessor(Chain &chain, const CheckedRecord &checked,
+                                    const Verdict &verdict)
 {
     const Record &record = *checked.record;
     if (chain.standing == Standing::Held) {
         return with(verdict, Outcome::Held, "an earlier record of the name needs newer software");
     }
     if (chain.standing == Standing::Waiting) {
-        return this->judgeWaiting(chain, checked, std::move(verdict));
+        return this->judgeWaiting(chain, checked, verdict);
     }
     const bool namesSkipped = !chain.skippedId.empty() && record.supersedes == chain.skippedId;
     if (record.supersedes != chain.headId && !namesSkipped) {
@@ -134,7 +135,8 @@
     return with(verdict, Outcome::Refused, *refusal);
 }
 
-Verdict RecordState::judgeWaiting(Chain &chain, const CheckedRecord &checked, Verdict verdict)
+Verdict RecordState::judgeWaiting(Chain &chain, const CheckedRecord &checked,
+                                  const Verdict &verdict)
 {
     const Record &record = *checked.record;
     if (record.supersedes == chain.skippedId) {
@@ -142,7 +144,7 @@
         if (isValid) {
             chain.standing = Standing::Settled;
             chain.headId = chain.skippedId;
-            return this->judgeSuccessor(chain, checked, std::move(verdict));
+            return this->judgeSuccessor(chain, checked, verdict);
         }
         chain.headId = chain.skippedId;
         chain.skippedId = record.id;
@@ -156,7 +158,7 @@
     return with(verdict, Outcome::Held, "an earlier record of the name needs newer software");
 }
 
-Verdict RecordState::judgeJobDone(const Record &done, Verdict verdict)
+Verdict RecordState::judgeJobDone(const Record &done, const Verdict &verdict)
 {
     for (const std::string_view kind : { workKinds[0], workKinds[1] }) {
         Chain *chain = this->findChain(kind, done.name);
--- a/modules/bulrush_config/records/RecordState.h
+++ b/modules/bulrush_config/records/RecordState.h
@@ -10,6 +10,8 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace bulrush {
@@ -20,7 +22,10 @@
     std::string kind;
     std::string name;
 
-    auto operator<=>(const ChainKey &) const = default;
+    bool operator<(const ChainKey &other) const
+    {
+        return std::tie(this->kind, this->name) < std::tie(other.kind, other.name);
+    }
 };
 
 /**
@@ -45,6 +50,17 @@
     /** How many verdicts are kept for each name. */
     static constexpr std::size_t historyLength = 8;
 
+    RecordState() = default;
+
+    /** @param ceiling the schema versions that count as known */
+    explicit RecordState(SchemaCeiling ceiling)
+        : ceiling(std::move(ceiling))
+    {
+    }
+
+    /** Sets the schema versions that count as known, as after an import. */
+    void setCeiling(SchemaCeiling versions) { this->ceiling = std::move(versions); }
+
     /**
         Folds the next log entry. An entry before nextOffset() is ignored.
 
@@ -105,9 +121,9 @@
     friend class StateText;
 
     Verdict judge(LogOffset offset, const CheckedRecord &checked);
-    Verdict judgeSuccessor(Chain &chain, const CheckedRecord &checked, Verdict verdict);
-    Verdict judgeWaiting(Chain &chain, const CheckedRecord &checked, Verdict verdict);
-    Verdict judgeJobDone(const Record &done, Verdict verdict);
+    Verdict judgeSuccessor(Chain &chain, const CheckedRecord &checked, const Verdict &verdict);
+    Verdict judgeWaiting(Chain &chain, const CheckedRecord &checked, const Verdict &verdict);
+    Verdict judgeJobDone(const Record &done, const Verdict &verdict);
     Verdict lost(const Chain *chain, Verdict verdict) const;
     std::optional<std::string> conflict(const Record &record) const;
     bool isWorkUnsettled(std::string_view name, std::string_view exceptKind) const;
@@ -117,6 +133,7 @@
     void finish(const ChainKey &key, LogOffset offset);
     void forgetFinished(LogOffset offset);
 
+    SchemaCeiling ceiling;
     LogOffset next = 0;
     std::map<ChainKey, Chain> chains;
     std::deque<std::pair<LogOffset, ChainKey>> finished;
--- a/modules/bulrush_config/settings/NodeSettings.h
+++ b/modules/bulrush_config/settings/NodeSettings.h
@@ -17,7 +17,7 @@
     std::string address;
     std::uint16_t port = 0;
 
-    auto operator<=>(const Endpoint &) const = default;
+    bool operator==(const Endpoint &) const = default;
 
     /** Returns "address:port". */
     std::string text() const;
--- a/modules/bulrush_config/snapshots/LogFollower.cpp
+++ b/modules/bulrush_config/snapshots/LogFollower.cpp
@@ -67,6 +67,7 @@
     if (!isFurther && !isMoreSettled) {
         return false;
     }
+    state.setCeiling(this->ceiling);
     this->folded = std::move(state);
     return true;
 }
--- a/modules/bulrush_config/snapshots/LogFollower.h
+++ b/modules/bulrush_config/snapshots/LogFollower.h
@@ -54,6 +54,15 @@
 class LogFollower
 {
 public:
+    LogFollower() = default;
+
+    /** @param ceiling the schema versions that count as known */
+    explicit LogFollower(SchemaCeiling ceiling)
+        : ceiling(std::move(ceiling))
+        , folded(this->ceiling)
+    {
+    }
+
     /** Returns the offset to read from. */
     LogOffset readOffset() const
     {
@@ -80,6 +89,7 @@
     std::vector<Verdict> fold(const LogPage &page);
     bool adopt(RecordState state);
 
+    SchemaCeiling ceiling;
     RecordState folded;
     SnapshotAssembler assembler;
     bool scanning = false;
--- a/modules/bulrush_config/snapshots/Snapshot.h
+++ b/modules/bulrush_config/snapshots/Snapshot.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace bulrush {
@@ -44,7 +45,11 @@
         std::string hash;
         std::size_t parts = 0;
 
-        auto operator<=>(const Key &) const = default;
+        bool operator<(const Key &other) const
+        {
+            return std::tie(this->nextOffset, this->hash, this->parts)
+                    < std::tie(other.nextOffset, other.hash, other.parts);
+        }
     };
 
     std::map<Key, std::map<std::size_t, std::string>> unfinished;
