Prove the admission of keys by scenarios and random interleavings

Cause: a repeat at another node, after a replacement or with lost answers was untested. Ruled out: checking each case by a unit test alone, as faults come together.

--- /dev/null
+++ b/modules/bulrush_keys/tests/KeyWorld.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "bulrush_core/bulrush_core.h"
+#include "bulrush_keys/bulrush_keys.h"
+#include "bulrush_scenario/bulrush_scenario.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bulrush::test {
+
+/**
+    The keys stream's log as a fake, nodes that admit keyed requests, and a target that counts
+    how often the work of each key runs. Fails as soon as one runs twice, or as a "not run" is
+    said of work that ran.
+*/
+class KeyWorld
+{
+public:
+    /** Binds the verbs of the key scenarios. */
+    void bindTo(scenario::Interpreter &interpreter);
+
+private:
+    using Step = scenario::Step;
+
+    struct Node
+    {
+        KeyAdmission admission;
+        bool canReachLog = true;
+    };
+
+    void addNode(const Step &step);
+    void arrive(const Step &step);
+    void append(const Step &step);
+    void read(const Step &step);
+    void setLog(const Step &step);
+    void end(const Step &step);
+    void retain(const Step &step);
+    void advance(const Step &step);
+    void expect(const Step &step);
+
+    Node &node(const Step &step, const std::string &name);
+    std::string key(const std::string &name, std::int64_t age = 0);
+    void readInto(const Step &step, Node &reader);
+    void takeAnswers(const Step &step, Node &from);
+
+    PausableClock clock;
+    std::vector<std::string> log;
+    std::vector<std::string> delayed;
+    std::uint64_t firstRetained = 0;
+    std::map<std::string, Node> nodes;
+    std::map<std::string, std::string> keys;
+    std::map<std::string, std::string> keyOfArrival;
+    std::map<std::string, std::string> nodeOfArrival;
+    std::map<std::string, KeyAnswer> answers;
+    std::map<std::string, int> runs;
+};
+
+} // namespace bulrush::test
