Step up the ladder only for tasks that do harm

The ladder throttled one task of a slowed worker after the other, also those that hardly disturb.

Ruled out: the placement as the cause; without the ladder batch work equals first fit's.

Change: a task is stepped up only if it is reckoned to cause 0.08 of slowdown.

Batch work is still short in noisy waves.

--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -4,6 +4,7 @@
 
 #include "bulrush_core/errors/Error.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <string>
 
@@ -12,11 +13,18 @@
 
 namespace {
 
-constexpr std::uint64_t firstSeed = 20'261'203;
+constexpr std::uint64_t defaultFirstSeed = 20'261'203;
 constexpr std::uint64_t seedStep = 1'000;
 constexpr int defaultSeeds = 10;
 
-Series measure(const Deployment &deployment, Shape shape, const Variant &variant, int seedCount)
+bool isWanted(const Variant &variant, int argc, char **argv)
+{
+    const auto matches = [&variant](const char *name) { return variant.name == name; };
+    return argc <= 4 || std::any_of(argv + 4, argv + argc, matches);
+}
+
+Series measure(const Deployment &deployment, Shape shape, const Variant &variant,
+               std::uint64_t firstSeed, int seedCount)
 {
     Series series { &deployment, shape, &variant, {}, {} };
     for (int index = 0; index < seedCount; ++index) {
@@ -29,17 +37,25 @@
 
 } // namespace
 
-/** Measures the placement policy. Arguments: the result file and the number of seeds. */
+/** Measures the placement policy.
+
+    Arguments: the result file, the number of seeds, the first seed, and the policies to run;
+    all if none is named. Changes are tried on seeds other than the default ones.
+*/
 int main(int argc, char **argv)
 {
     try {
         const std::string path = argc > 1 ? argv[1] : "policy-results.json";
         const int seedCount = argc > 2 ? std::stoi(argv[2]) : defaultSeeds;
+        const std::uint64_t firstSeed = argc > 3 ? std::stoull(argv[3]) : defaultFirstSeed;
         std::vector<Series> all;
         for (const Deployment &deployment : deployments()) {
             for (const Shape shape : allShapes) {
                 for (const Variant &variant : allVariants) {
-                    all.push_back(measure(deployment, shape, variant, seedCount));
+                    if (!isWanted(variant, argc, argv)) {
+                        continue;
+                    }
+                    all.push_back(measure(deployment, shape, variant, firstSeed, seedCount));
                 }
             }
         }
--- a/modules/bulrush_interference/ladder/Ladder.cpp
+++ b/modules/bulrush_interference/ladder/Ladder.cpp
@@ -120,7 +120,9 @@
     std::vector<Suspect> suspects;
     for (const LadderTask &task : tasks) {
         const double harm = estimates.expectedHarm(pressure.service, task.batchClass, now);
-        suspects.push_back({ &task, harm * task.share });
+        if (harm * task.share >= this->settings.leastContribution) {
+            suspects.push_back({ &task, harm * task.share });
+        }
     }
     std::sort(suspects.begin(), suspects.end(), givesWayBefore);
     for (const Suspect &suspect : suspects) {
--- a/modules/bulrush_interference/ladder/Ladder.h
+++ b/modules/bulrush_interference/ladder/Ladder.h
@@ -53,6 +53,7 @@
     double tolerableSlowdown = 1.5; ///< above it the ladder steps up
     double calmSlowdown = 1.2; ///< below it the ladder steps down
     double severeSlowdown = 2.5; ///< above it a task that cannot be moved is evicted
+    double leastContribution = 0.08; ///< slowdown that a task must cause to be stepped up
     Duration measurementLag = seconds(30);
     Duration hysteresis = seconds(60); ///< least time between steps; longer than the lag
     int moveBurst = 8;
