Smooth measured slowdowns before the ladder sees them

Cause: the ladder took the worst of about four noisy measurements, which is nearly always too high, and moved tasks for noise.

Change: PressureFilter keeps a running mean for each worker and service, and starts anew after an action.

--- a/bench/policy/PolicyRun.cpp
+++ b/bench/policy/PolicyRun.cpp
@@ -309,13 +309,22 @@
 
 void PolicyRun::relieve(const WorkerReport &report, int second)
 {
-    const auto worst = std::max_element(
-            report.services.begin(), report.services.end(),
-            [](const auto &left, const auto &right) { return left.slowdown < right.slowdown; });
     if (!this->variant.usesLadder) {
+        const auto worst = std::max_element(
+                report.services.begin(), report.services.end(),
+                [](const auto &left, const auto &right) { return left.slowdown < right.slowdown; });
         this->guard(report, worst->slowdown, second);
         return;
     }
+    const VmId &worker = this->table.worker(report.worker).id;
+    for (const ServiceReport &entry : report.services) {
+        this->filter.observe(worker, this->model.services()[entry.service].id, entry.slowdown,
+                             report.measuredAt);
+    }
+    const auto pressure = this->filter.worst(worker);
+    if (!pressure) {
+        return;
+    }
     std::vector<interference::LadderTask> tasks;
     for (const auto &[job, task] : this->workers[report.worker].tasks()) {
         const double share =
@@ -323,10 +332,8 @@
         const bool isUrgent = task.arrival.task.urgency == placement::Urgency::Urgent;
         tasks.push_back({ job, task.arrival.task.batchClass, share, isUrgent, false });
     }
-    const interference::WorkerPressure pressure { this->table.worker(report.worker).id,
-                                                  this->model.services()[worst->service].id,
-                                                  worst->slowdown, report.measuredAt };
-    for (const auto &action : this->ladder.decide(pressure, tasks, this->pairs, at(second))) {
+    for (const auto &action : this->ladder.decide(*pressure, tasks, this->pairs, at(second))) {
+        this->filter.restart(worker, at(second));
         this->act(action, report.worker, second);
     }
 }
--- a/bench/policy/PolicyRun.h
+++ b/bench/policy/PolicyRun.h
@@ -84,6 +84,7 @@
     placement::QuotaBook quotas;
     interference::PairEstimates pairs;
     interference::Ladder ladder;
+    interference::PressureFilter filter;
     std::vector<FakeWorker> workers;
     std::vector<bool> isAlive;
     std::vector<int> guardedAt;
