Count harm more where a service is disturbed already

Cause: lateness grows faster than the slowdown, while the policy added up harm linearly and so put a bad class where it fitted, not where it was thin.

Change: the table keeps the expected harm to each service of a worker, and the cost of more harm grows with it.

--- a/bench/policy/PolicyRun.cpp
+++ b/bench/policy/PolicyRun.cpp
@@ -219,6 +219,7 @@
         return false;
     }
     this->quotas.take(queued.task.team, queued.task.declared);
+    this->table.refreshHarm(*slot, this->usage, this->pairs, at(second));
     const auto found = this->waiting.find(queued.task.job);
     if (queued.task.urgency == placement::Urgency::Urgent && this->isMeasured(second)) {
         this->urgentWaits.push_back(second - found->second.since);
@@ -305,6 +306,7 @@
         this->usage.observe(service.id, service.declared, used);
     }
     this->table.refresh(report.worker, this->usage);
+    this->table.refreshHarm(report.worker, this->usage, this->pairs, report.measuredAt);
 }
 
 void PolicyRun::relieve(const WorkerReport &report, int second)
--- a/modules/bulrush_placement/policy/PlacementPolicy.cpp
+++ b/modules/bulrush_placement/policy/PlacementPolicy.cpp
@@ -145,14 +145,22 @@
     } else {
         const double share = fraction(expected.cpuMilli, worker.capacity.cpuMilli);
         for (const ServiceLoad &load : worker.services) {
-            harm += decision.pairs.expectedHarm(load.service, task.batchClass, decision.now) * share
-                    * load.count;
+            const double added =
+                    decision.pairs.expectedHarm(load.service, task.batchClass, decision.now)
+                    * share;
+            harm += this->addedCost(load.harm, added) * load.count;
         }
     }
     // An eviction is what a bad pair ends in, so that both weights speak for avoiding it.
     return (this->weights.tailLatency + this->weights.evictions) * harm;
 }
 
+double PlacementPolicy::addedCost(double before, double added) const
+{
+    const double after = before + added;
+    return added + this->settings.harmSteepness * (after * after - before * before);
+}
+
 double PlacementPolicy::spreadingCost(const Decision &decision, const WorkerView &worker) const
 {
     const ServiceId &service = decision.task.service;
--- a/modules/bulrush_placement/policy/PlacementPolicy.h
+++ b/modules/bulrush_placement/policy/PlacementPolicy.h
@@ -34,6 +34,7 @@
     double comfortableCpu = 0.80; ///< use of processors above which contention grows steeply
     double comfortableMemory = 0.85; ///< use of memory above which a shortage threatens
     double steepness = 40.0; ///< of the cost above the comfortable use
+    double harmSteepness = 4.0; ///< of the cost of harm where a service is disturbed already
     double sameRack = 0.5; ///< cost of each replica of the same service in the rack
     double sameWorker = 1.0; ///< cost of each replica of the same service on the worker
     double wastedAccelerator = 0.3; ///< cost of taking a worker with accelerators for nothing
@@ -82,6 +83,7 @@
     double contentionCost(const WorkerView &worker, const Resources &expected) const;
     double interferenceCost(const Decision &decision, const WorkerView &worker,
                             const Resources &expected) const;
+    double addedCost(double before, double added) const;
     double spreadingCost(const Decision &decision, const WorkerView &worker) const;
 
     Strategy strategy;
--- a/modules/bulrush_placement/view/WorkerTable.cpp
+++ b/modules/bulrush_placement/view/WorkerTable.cpp
@@ -118,6 +118,23 @@
     }
 }
 
+void WorkerTable::refreshHarm(WorkerSlot slot, const UsageModel &usage,
+                              const interference::PairEstimates &pairs, Instant now)
+{
+    WorkerView &worker = this->views[slot];
+    for (ServiceLoad &service : worker.services) {
+        service.harm = 0;
+    }
+    for (const ClassLoad &load : worker.classes) {
+        const Resources used = usage.expected(load.batchClass, load.declared);
+        const double share = static_cast<double>(used.cpuMilli)
+                / static_cast<double>(std::max<std::int64_t>(1, worker.capacity.cpuMilli));
+        for (ServiceLoad &service : worker.services) {
+            service.harm += share * pairs.expectedHarm(service.service, load.batchClass, now);
+        }
+    }
+}
+
 void WorkerTable::setLeaving(WorkerSlot slot, bool isLeaving)
 {
     this->views[slot].isLeaving = isLeaving;
--- a/modules/bulrush_placement/view/WorkerTable.h
+++ b/modules/bulrush_placement/view/WorkerTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrush_interference/estimates/PairEstimates.h"
 #include "bulrush_placement/usage/UsageModel.h"
 #include "bulrush_placement/view/TaskView.h"
 #include "bulrush_placement/view/WorkerView.h"
@@ -69,6 +70,10 @@
     /** Works out the learned use of a worker anew, after the model has learned more. */
     void refresh(WorkerSlot slot, const UsageModel &usage);
 
+    /** Works out anew how much the batch tasks of a worker disturb its services. */
+    void refreshHarm(WorkerSlot slot, const UsageModel &usage,
+                     const interference::PairEstimates &pairs, Instant now);
+
     /** Marks a worker as leaving; it gets nothing new. */
     void setLeaving(WorkerSlot slot, bool isLeaving);
 
--- a/modules/bulrush_placement/view/WorkerView.h
+++ b/modules/bulrush_placement/view/WorkerView.h
@@ -23,6 +23,7 @@
     ServiceId service;
     Resources declared;
     int count = 0;
+    double harm = 0; ///< expected added slowdown by all batch tasks on the worker
 };
 
 /** What the decisions need to know of a worker. */
