Let ordinary tasks wait a while for a worker where they do less harm

Cause: with full workers a harmful task took whatever room came up first.

Change: a task that may wait is not placed where some service would be slowed beyond 1.5 by what runs there and itself, unless its own part is negligible. The caller says which may; the measurement lets ordinary ones wait for 180 s.

--- a/bench/policy/PolicyRun.cpp
+++ b/bench/policy/PolicyRun.cpp
@@ -17,6 +17,7 @@
 constexpr int noticeSeconds = 300; ///< between a withdrawal's notice and its end
 constexpr int guardPause = 60;
 constexpr double guardSlowdown = 2.5;
+constexpr int patienceSeconds = 180; ///< that a task may wait for a better worker
 constexpr int failuresPerSecond = 20;
 constexpr int drainPerSecond = 4;
 constexpr int teamCount = 8;
@@ -209,8 +210,12 @@
 
 bool PolicyRun::startOne(const placement::QueuedTask &queued, int second)
 {
-    const auto slot = this->policy.choose(queued.task, this->table, this->usage, this->pairs,
-                                          at(second), this->random);
+    const auto found = this->waiting.find(queued.task.job);
+    placement::TaskView task = queued.task;
+    const bool isOrdinary = task.urgency == placement::Urgency::Ordinary;
+    task.mayWait = isOrdinary && second - found->second.since < patienceSeconds;
+    const auto slot = this->policy.choose(task, this->table, this->usage, this->pairs, at(second),
+                                          this->random);
     if (!slot) {
         return false;
     }
@@ -220,7 +225,6 @@
     }
     this->quotas.take(queued.task.team, queued.task.declared);
     this->table.refreshHarm(*slot, this->usage, this->pairs, at(second));
-    const auto found = this->waiting.find(queued.task.job);
     if (queued.task.urgency == placement::Urgency::Urgent && this->isMeasured(second)) {
         this->urgentWaits.push_back(second - found->second.since);
     }
--- a/modules/bulrush_placement/policy/PlacementPolicy.cpp
+++ b/modules/bulrush_placement/policy/PlacementPolicy.cpp
@@ -79,7 +79,9 @@
             bestCost = cost;
         }
     }
-    return best;
+    const bool waits = best && decision.task.mayWait && this->mechanisms.interference
+            && !this->isBearable(decision, decision.table.worker(*best), expected);
+    return waits ? std::nullopt : best;
 }
 
 std::vector<WorkerSlot> PlacementPolicy::candidates(const Decision &decision,
@@ -155,6 +157,21 @@
     return (this->weights.tailLatency + this->weights.evictions) * harm;
 }
 
+bool PlacementPolicy::isBearable(const Decision &decision, const WorkerView &worker,
+                                 const Resources &expected) const
+{
+    const double share = fraction(expected.cpuMilli, worker.capacity.cpuMilli);
+    const BatchClassId &batchClass = decision.task.batchClass;
+    return std::all_of(
+            worker.services.begin(), worker.services.end(), [&](const ServiceLoad &load) {
+                const double harm =
+                        decision.pairs.expectedHarm(load.service, batchClass, decision.now);
+                const double added = harm * share;
+                const bool doesHarm = added > this->settings.negligibleHarm;
+                return !doesHarm || load.harm + added <= this->settings.bearableHarm;
+            });
+}
+
 double PlacementPolicy::addedCost(double before, double added) const
 {
     const double after = before + added;
--- a/modules/bulrush_placement/policy/PlacementPolicy.h
+++ b/modules/bulrush_placement/policy/PlacementPolicy.h
@@ -35,6 +35,8 @@
     double comfortableMemory = 0.85; ///< use of memory above which a shortage threatens
     double steepness = 40.0; ///< of the cost above the comfortable use
     double harmSteepness = 4.0; ///< of the cost of harm where a service is disturbed already
+    double bearableHarm = 0.5; ///< expected slowdown that a task is rather made to wait for
+    double negligibleHarm = 0.03; ///< of one task; never a reason to wait
     double sameRack = 0.5; ///< cost of each replica of the same service in the rack
     double sameWorker = 1.0; ///< cost of each replica of the same service on the worker
     double wastedAccelerator = 0.3; ///< cost of taking a worker with accelerators for nothing
@@ -83,6 +85,8 @@
     double contentionCost(const WorkerView &worker, const Resources &expected) const;
     double interferenceCost(const Decision &decision, const WorkerView &worker,
                             const Resources &expected) const;
+    bool isBearable(const Decision &decision, const WorkerView &worker,
+                    const Resources &expected) const;
     double addedCost(double before, double added) const;
     double spreadingCost(const Decision &decision, const WorkerView &worker) const;
 
--- a/modules/bulrush_placement/view/TaskView.h
+++ b/modules/bulrush_placement/view/TaskView.h
@@ -25,6 +25,7 @@
     TeamId team;
     Urgency urgency = Urgency::Ordinary;
     DataCentreId dataCentre; ///< where it must run; empty for anywhere
+    bool mayWait = false; ///< for a worker where it does less harm
     int mostOnWorker = 0; ///< bound on replicas of the service on one worker; 0 for none
 };
 
