--- a/bench/policy/PolicyRun.cpp
+++ b/bench/policy/PolicyRun.cpp
@@ -17,6 +17,7 @@
 constexpr int noticeSeconds = 300; ///< between a withdrawal's notice and its end
 constexpr int guardPause = 60;
 constexpr double guardSlowdown = 2.5;
+constexpr int patienceSeconds = 180; ///< that a task may wait for a better worker
 constexpr int failuresPerSecond = 20;
 constexpr int drainPerSecond = 4;
 constexpr int teamCount = 8;
@@ -209,8 +210,12 @@
 
 bool PolicyRun::startOne(const placement::QueuedTask &queued, int second)
 {
-    const auto slot = this->policy.choose(queued.task, this->table, this->usage, this->pairs,
-                                          at(second), this->random);
+    const auto found = this->waiting.find(queued.task.job);
+    placement::TaskView task = queued.task;
+    const bool isOrdinary = task.urgency == placement::Urgency::Ordinary;
+    task.mayWait = isOrdinary && second - found->second.since < patienceSeconds;
+    const auto slot = this->policy.choose(task, this->table, this->usage, this->pairs, at(second),
+                                          this->random);
     if (!slot) {
         return false;
     }
@@ -219,7 +224,7 @@
         return false;
     }
     this->quotas.take(queued.task.team, queued.task.declared);
-    const auto found = this->waiting.find(queued.task.job);
+    this->table.refreshHarm(*slot, this->usage, this->pairs, at(second));
     if (queued.task.urgency == placement::Urgency::Urgent && this->isMeasured(second)) {
         this->urgentWaits.push_back(second - found->second.since);
     }
@@ -305,17 +310,27 @@
         this->usage.observe(service.id, service.declared, used);
     }
     this->table.refresh(report.worker, this->usage);
+    this->table.refreshHarm(report.worker, this->usage, this->pairs, report.measuredAt);
 }
 
 void PolicyRun::relieve(const WorkerReport &report, int second)
 {
-    const auto worst = std::max_element(
-            report.services.begin(), report.services.end(),
-            [](const auto &left, const auto &right) { return left.slowdown < right.slowdown; });
     if (!this->variant.usesLadder) {
+        const auto worst = std::max_element(
+                report.services.begin(), report.services.end(),
+                [](const auto &left, const auto &right) { return left.slowdown < right.slowdown; });
         this->guard(report, worst->slowdown, second);
         return;
     }
+    const VmId &worker = this->table.worker(report.worker).id;
+    for (const ServiceReport &entry : report.services) {
+        this->filter.observe(worker, this->model.services()[entry.service].id, entry.slowdown,
+                             report.measuredAt);
+    }
+    const auto pressure = this->filter.worst(worker);
+    if (!pressure) {
+        return;
+    }
     std::vector<interference::LadderTask> tasks;
     for (const auto &[job, task] : this->workers[report.worker].tasks()) {
         const double share =
@@ -323,10 +338,8 @@
         const bool isUrgent = task.arrival.task.urgency == placement::Urgency::Urgent;
         tasks.push_back({ job, task.arrival.task.batchClass, share, isUrgent, false });
     }
-    const interference::WorkerPressure pressure { this->table.worker(report.worker).id,
-                                                  this->model.services()[worst->service].id,
-                                                  worst->slowdown, report.measuredAt };
-    for (const auto &action : this->ladder.decide(pressure, tasks, this->pairs, at(second))) {
+    for (const auto &action : this->ladder.decide(*pressure, tasks, this->pairs, at(second))) {
+        this->filter.restart(worker, at(second));
         this->act(action, report.worker, second);
     }
 }
