--- a/modules/bulrush_routing/choice/TargetChooser.cpp
+++ b/modules/bulrush_routing/choice/TargetChooser.cpp
@@ -18,6 +18,9 @@
 /** Stands for an answer's time where none has been seen yet, in seconds. */
 constexpr double assumedAnswerSeconds = 0.02;
 
+/** The score of a target without room. */
+constexpr double full = std::numeric_limits<double>::max();
+
 constexpr std::array<std::string_view, 4> names { "round-robin", "random", "least-in-flight",
                                                   "product" };
 
@@ -36,6 +39,19 @@
         return index != this->query.avoid && this->table.at(index).hasConnection();
     }
 
+    /** Returns the expected time to an answer in seconds, or full. */
+    double score(TargetIndex index) const
+    {
+        const Target &target = this->table.at(index);
+        const double load = estimatedLoad(this->table, target, this->query.now);
+        if (!this->fits(index) || load >= target.slots + queueAllowance) {
+            return full;
+        }
+        const double seconds =
+                target.answerSeconds > 0 ? target.answerSeconds : assumedAnswerSeconds;
+        return (load + 1) / target.slots * seconds;
+    }
+
     TargetIndex draw() const
     {
         // A multiply and shift in place of a division; the bias is below 2^-32.
@@ -144,21 +160,20 @@
 std::optional<TargetIndex> TargetChooser::pickProduct(const Scope &scope)
 {
     std::optional<TargetIndex> best;
-    double bestScore = std::numeric_limits<double>::max();
-    for (std::size_t i = 0; i < drawsPerChoice; ++i) {
-        const TargetIndex index = scope.draw();
-        const Target &target = scope.table.at(index);
-        const double load = estimatedLoad(scope.table, target, scope.query.now);
-        if (!scope.fits(index) || load >= target.slots + queueAllowance) {
-            continue;
-        }
-        const double seconds =
-                target.answerSeconds > 0 ? target.answerSeconds : assumedAnswerSeconds;
-        const double score = (load + 1) / target.slots * seconds;
+    double bestScore = full;
+    const auto consider = [&](TargetIndex index) {
+        const double score = scope.score(index);
         if (score < bestScore) {
             best = index;
             bestScore = score;
         }
+    };
+    for (std::size_t i = 0; i < drawsPerChoice; ++i) {
+        consider(scope.draw());
+    }
+    const std::size_t count = scope.centre.usable.size();
+    for (std::size_t i = 0; !best && i < count; ++i) {
+        consider(scope.centre.usable[this->turn++ % count]);
     }
     return best;
 }
--- a/modules/bulrush_routing/connections/ConnectionPool.cpp
+++ b/modules/bulrush_routing/connections/ConnectionPool.cpp
@@ -59,6 +59,19 @@
     }
 }
 
+std::vector<StaleConnection> ConnectionPool::takeUnprovenSince(TargetIndex target, Instant time)
+{
+    std::vector<StaleConnection> unproven;
+    std::vector<Connection> &connections = this->of(target).connections;
+    for (ConnectionIndex c = 0; c < connections.size(); ++c) {
+        if (connections[c].use == Use::Idle && connections[c].provenAt < time) {
+            connections[c].use = Use::Closed;
+            unproven.push_back({ target, c });
+        }
+    }
+    return unproven;
+}
+
 std::vector<StaleConnection> ConnectionPool::takeStale(Instant now)
 {
     std::vector<StaleConnection> stale;
--- a/modules/bulrush_routing/connections/ConnectionPool.h
+++ b/modules/bulrush_routing/connections/ConnectionPool.h
@@ -44,6 +44,10 @@
     /** Notes that a connection was closed; its index may be opened anew. */
     void closed(TargetIndex target, ConnectionIndex connection);
 
+    /** Takes out a target's idle connections that have not proved to work since a time; what lost
+        track of one connection may have lost track of them all. The caller closes them. */
+    std::vector<StaleConnection> takeUnprovenSince(TargetIndex target, Instant time);
+
     /** Takes out idle connections that are trusted no more; the caller closes them. */
     std::vector<StaleConnection> takeStale(Instant now);
 
--- a/modules/bulrush_routing/requests/Router.h
+++ b/modules/bulrush_routing/requests/Router.h
@@ -143,6 +143,7 @@
     void expireWait(RequestId id, Instant now);
     void checkSilence(AttemptId id, Instant now);
     void hedge(AttemptId id, Instant now);
+    void closeIdle(const std::vector<StaleConnection> &connections);
     void housekeep(Instant now);
 
     TargetTable targets;
--- a/modules/bulrush_routing/requests/RouterEnding.cpp
+++ b/modules/bulrush_routing/requests/RouterEnding.cpp
@@ -140,6 +140,7 @@
     }
     this->actions.emplace_back(
             Abandon { id, this->targets.at(attempt->target).id, attempt->connection });
+    this->closeIdle(this->pool.takeUnprovenSince(attempt->target, attempt->sentAt));
     this->endAttempt(id, AttemptEnd::Lost, now);
 }
 
@@ -147,11 +148,16 @@
 {
     this->targets.expireOwnWords(now);
     this->ejector.tick(this->targets, now);
-    for (const StaleConnection &stale : this->pool.takeStale(now)) {
+    this->closeIdle(this->pool.takeStale(now));
+    this->housekeepingDue = now + housekeepingPeriod;
+}
+
+void Router::closeIdle(const std::vector<StaleConnection> &connections)
+{
+    for (const StaleConnection &stale : connections) {
         const TargetId &target = this->targets.at(stale.target).id;
         this->actions.emplace_back(CloseIdle { target, stale.connection });
     }
-    this->housekeepingDue = now + housekeepingPeriod;
 }
 
 } // namespace bulrush::routing
