--- /dev/null
+++ b/bench/routing/OmniscientQueue.cpp
@@ -0,0 +1,56 @@
+#include "OmniscientQueue.h"
+
+#include <queue>
+
+namespace bulrush::bench {
+
+namespace {
+
+/** When a slot is free again; faster slots go first. */
+struct Slot
+{
+    Instant freeAt;
+    double factor;
+
+    bool operator<(const Slot &other) const { return this->freeAt > other.freeAt; }
+};
+
+Duration serviceOn(const Arrival &arrival, const Slot &slot)
+{
+    return duration_cast<Duration>(
+            std::chrono::duration<double>(arrival.serviceSeconds * slot.factor));
+}
+
+} // namespace
+
+Measures runOmniscientQueue(const Case &benchCase, const std::vector<Arrival> &arrivals,
+                            Duration length)
+{
+    Measures measures;
+    measures.strategy = "one-queue";
+    std::priority_queue<Slot> slots;
+    for (std::size_t i = 0; i < executorCount * slotsPerExecutor; ++i) {
+        const bool slow = isSlow(benchCase, i / slotsPerExecutor);
+        slots.push(Slot { Instant {}, slow ? slowFactor : 1.0 });
+    }
+    const Instant measuredFrom = Instant(hours(1)) + warmUp;
+    for (const Arrival &arrival : arrivals) {
+        const Slot slot = slots.top();
+        const Instant begin = std::max(slot.freeAt, arrival.at + oneWayInside);
+        const Instant end = begin + serviceOn(arrival, slot);
+        const Duration taken = end + oneWayInside - arrival.at;
+        const bool refused = taken > deadlineAfter;
+        if (!refused) {
+            slots.pop();
+            slots.push(Slot { end, slot.factor });
+        }
+        if (arrival.at >= measuredFrom) {
+            measures.note(refused ? routing::Outcome::NotRun : routing::Outcome::Answered,
+                          refused ? Duration(0) : taken);
+        }
+    }
+    measures.close(length - warmUp);
+    return measures;
+}
+
+} // namespace bulrush::bench
