Compare 32 targets of the data centre in place of two draws

Cause: two choices left p50 at 80 % at 18.9 ms against 18.0 of least-in-flight, and looking through 1,000 full targets took 5.9 us, above the goal of 4 us. Ruled out: herding onto the least reported target, which was feared: trials with 3, 4, 8 and 22 draws showed each step better than the last (p50 at 80 %: 18.6, 18.5, 18.2, 18.1 ms). Change: 32 neighbours from a random one on are compared; at most 400 are looked at until one has room.

--- a/modules/bulrush_routing/choice/TargetChooser.cpp
+++ b/modules/bulrush_routing/choice/TargetChooser.cpp
@@ -9,8 +9,11 @@
 
 namespace {
 
-/** How many targets a data centre's draw looks at. */
-constexpr std::size_t drawsPerChoice = 2;
+/** How many targets of a data centre are compared, from a random one on. */
+constexpr std::size_t comparedTargets = 32;
+
+/** How many are looked at until one with room is found. */
+constexpr std::size_t mostLookedAt = 400;
 
 /** Requests beyond its slots that a target may hold by the estimate. */
 constexpr double queueAllowance = 1.0;
@@ -52,11 +55,12 @@
         return (load + 1) / target.slots * seconds;
     }
 
-    TargetIndex draw() const
+    /** Draws a position among the usable targets. */
+    std::size_t drawPosition() const
     {
         // A multiply and shift in place of a division; the bias is below 2^-32.
         const std::uint64_t bits = this->random() >> 32U;
-        return this->centre.usable[(bits * this->centre.usable.size()) >> 32U];
+        return (bits * this->centre.usable.size()) >> 32U;
     }
 };
 
@@ -134,7 +138,7 @@
 
 std::optional<TargetIndex> TargetChooser::pickRandom(const Scope &scope)
 {
-    const TargetIndex drawn = scope.draw();
+    const TargetIndex drawn = scope.centre.usable[scope.drawPosition()];
     if (scope.fits(drawn)) {
         return drawn;
     }
@@ -168,12 +172,12 @@
             bestScore = score;
         }
     };
-    for (std::size_t i = 0; i < drawsPerChoice; ++i) {
-        consider(scope.draw());
-    }
-    const std::size_t count = scope.centre.usable.size();
-    for (std::size_t i = 0; !best && i < count; ++i) {
-        consider(scope.centre.usable[this->turn++ % count]);
+    const std::vector<TargetIndex> &usable = scope.centre.usable;
+    const std::size_t count = std::min(usable.size(), mostLookedAt);
+    std::size_t position = scope.drawPosition();
+    for (std::size_t i = 0; i < count && !(best && i >= comparedTargets); ++i) {
+        consider(usable[position]);
+        position = position + 1 == usable.size() ? 0 : position + 1;
     }
     return best;
 }
