--- a/modules/bulrush_routing/choice/TargetChooser.cpp
+++ b/modules/bulrush_routing/choice/TargetChooser.cpp
@@ -3,14 +3,17 @@
 #include "bulrush_core/errors/Error.h"
 
 #include <algorithm>
-#include <limits>
+#include <tuple>
 
 namespace bulrush::routing {
 
 namespace {
 
-/** How many targets a data centre's draw looks at. */
-constexpr std::size_t drawsPerChoice = 2;
+/** How many targets of a data centre are compared, from a random one on. */
+constexpr std::size_t comparedTargets = 32;
+
+/** How many are looked at until one with room is found. */
+constexpr std::size_t mostLookedAt = 400;
 
 /** Requests beyond its slots that a target may hold by the estimate. */
 constexpr double queueAllowance = 1.0;
@@ -23,6 +26,21 @@
 
 } // namespace
 
+/** A target with room. */
+struct TargetChooser::Pick
+{
+    TargetIndex target;
+    /** Expected wait for a slot and for the way there and back, in seconds. */
+    double cost = 0;
+    /** Tells targets of equal cost apart: the time to an answer grows with the load. */
+    double spread = 0;
+
+    bool operator<(const Pick &other) const
+    {
+        return std::tie(this->cost, this->spread) < std::tie(other.cost, other.spread);
+    }
+};
+
 /** The targets of one data centre, and the query. */
 struct TargetChooser::Scope
 {
@@ -36,11 +54,27 @@
         return index != this->query.avoid && this->table.at(index).hasConnection();
     }
 
-    TargetIndex draw() const
+    /** Returns what a target would cost, or nothing where it has no room. */
+    std::optional<Pick> consider(TargetIndex index) const
+    {
+        const Target &target = this->table.at(index);
+        const double load = estimatedLoad(this->table, target, this->query.now);
+        if (!this->fits(index) || load >= target.slots + queueAllowance) {
+            return std::nullopt;
+        }
+        const double seconds =
+                target.answerSeconds > 0 ? target.answerSeconds : assumedAnswerSeconds;
+        const double perSlot = seconds / target.slots;
+        const double wait = std::max(0.0, load + 1 - target.slots) * perSlot;
+        return Pick { index, wait, (load + 1) * perSlot };
+    }
+
+    /** Draws a position among the usable targets. */
+    std::size_t drawPosition() const
     {
         // A multiply and shift in place of a division; the bias is below 2^-32.
         const std::uint64_t bits = this->random() >> 32U;
-        return this->centre.usable[(bits * this->centre.usable.size()) >> 32U];
+        return (bits * this->centre.usable.size()) >> 32U;
     }
 };
 
@@ -83,15 +117,20 @@
 std::optional<TargetIndex> TargetChooser::choose(const TargetTable &table, const ChoiceQuery &query,
                                                  std::mt19937_64 &random)
 {
+    std::optional<Pick> best;
     for (const DataCentre &centre : table.dataCentres()) {
-        if (!centre.reachable || centre.usable.empty()) {
+        const double roundTrip = 2 * std::chrono::duration<double>(centre.oneWay).count();
+        const bool tooFar = best && best->cost <= roundTrip;
+        if (!centre.reachable || centre.usable.empty() || tooFar) {
             continue;
         }
-        if (const auto picked = (this->*this->picker)(Scope { table, centre, query, random })) {
-            return picked;
+        auto pick = (this->*this->picker)(Scope { table, centre, query, random });
+        if (pick) {
+            pick->cost += roundTrip;
+            best = !best || *pick < *best ? pick : best;
         }
     }
-    return std::nullopt;
+    return best ? std::optional(best->target) : std::nullopt;
 }
 
 double TargetChooser::estimatedLoad(const TargetTable &table, const Target &target, Instant now)
@@ -105,27 +144,27 @@
     return target.inFlight + others;
 }
 
-std::optional<TargetIndex> TargetChooser::pickRoundRobin(const Scope &scope)
+std::optional<TargetChooser::Pick> TargetChooser::pickRoundRobin(const Scope &scope)
 {
     for (std::size_t i = 0; i < scope.centre.usable.size(); ++i) {
         const TargetIndex index = scope.centre.usable[this->turn++ % scope.centre.usable.size()];
         if (scope.fits(index)) {
-            return index;
+            return Pick { index };
         }
     }
     return std::nullopt;
 }
 
-std::optional<TargetIndex> TargetChooser::pickRandom(const Scope &scope)
+std::optional<TargetChooser::Pick> TargetChooser::pickRandom(const Scope &scope)
 {
-    const TargetIndex drawn = scope.draw();
+    const TargetIndex drawn = scope.centre.usable[scope.drawPosition()];
     if (scope.fits(drawn)) {
-        return drawn;
+        return Pick { drawn };
     }
     return this->pickRoundRobin(scope);
 }
 
-std::optional<TargetIndex> TargetChooser::pickLeastInFlight(const Scope &scope)
+std::optional<TargetChooser::Pick> TargetChooser::pickLeastInFlight(const Scope &scope)
 {
     std::optional<TargetIndex> best;
     const std::size_t count = scope.centre.usable.size();
@@ -138,27 +177,21 @@
             best = index;
         }
     }
-    return best;
+    return best ? std::optional(Pick { *best }) : std::nullopt;
 }
 
-std::optional<TargetIndex> TargetChooser::pickProduct(const Scope &scope)
+std::optional<TargetChooser::Pick> TargetChooser::pickProduct(const Scope &scope)
 {
-    std::optional<TargetIndex> best;
-    double bestScore = std::numeric_limits<double>::max();
-    for (std::size_t i = 0; i < drawsPerChoice; ++i) {
-        const TargetIndex index = scope.draw();
-        const Target &target = scope.table.at(index);
-        const double load = estimatedLoad(scope.table, target, scope.query.now);
-        if (!scope.fits(index) || load >= target.slots + queueAllowance) {
-            continue;
-        }
-        const double seconds =
-                target.answerSeconds > 0 ? target.answerSeconds : assumedAnswerSeconds;
-        const double score = (load + 1) / target.slots * seconds;
-        if (score < bestScore) {
-            best = index;
-            bestScore = score;
+    std::optional<Pick> best;
+    const std::vector<TargetIndex> &usable = scope.centre.usable;
+    const std::size_t count = std::min(usable.size(), mostLookedAt);
+    std::size_t position = scope.drawPosition();
+    for (std::size_t i = 0; i < count && !(best && i >= comparedTargets); ++i) {
+        const auto pick = scope.consider(usable[position]);
+        if (pick && (!best || *pick < *best)) {
+            best = pick;
         }
+        position = position + 1 == usable.size() ? 0 : position + 1;
     }
     return best;
 }
