--- a/standins/common/CommandLine.cpp
+++ b/standins/common/CommandLine.cpp
@@ -16,6 +16,11 @@
     return this->options.at(option).isString();
 }
 
+bool CommandLine::isSet(const std::string &flag) const
+{
+    return this->options.at(flag).asBool();
+}
+
 std::string CommandLine::text(const std::string &option) const
 {
     return this->has(option) ? this->options.at(option).asString() : std::string();
--- a/standins/common/CommandLine.h
+++ b/standins/common/CommandLine.h
@@ -18,6 +18,9 @@
     /** Returns true when the option was given or has a default. */
     bool has(const std::string &option) const;
 
+    /** Returns true when a flag without a value was given. */
+    bool isSet(const std::string &flag) const;
+
     /** Returns an option's text; empty when it was not given. */
     std::string text(const std::string &option) const;
 
