--- a/modules/bulrush_config/records/RecordState.cpp
+++ b/modules/bulrush_config/records/RecordState.cpp
@@ -14,6 +14,8 @@
 constexpr std::array<std::string_view, 4> workKinds { "job", "watcher", "cancellation",
                                                       "job-done" };
 
+constexpr std::string_view heldReason = "an earlier record of the name needs newer software";
+
 bool isWorkKind(std::string_view kind)
 {
     return std::find(workKinds.begin(), workKinds.end(), kind) != workKinds.end();
@@ -104,7 +106,7 @@
 {
     const Record &record = *checked.record;
     if (chain.standing == Standing::Held) {
-        return with(verdict, Outcome::Held, "an earlier record of the name needs newer software");
+        return with(verdict, Outcome::Held, heldReason);
     }
     if (chain.standing == Standing::Waiting) {
         return this->judgeWaiting(chain, checked, verdict);
@@ -128,10 +130,9 @@
     }
     if (checked.isNewer) {
         chain.standing = Standing::Waiting;
-        chain.skippedId = record.id;
-    } else if (chain.skippedId.empty() || namesSkipped) {
-        chain.skippedId = record.id;
+        chain.doubtfulIds = { chain.headId };
     }
+    chain.skippedId = record.id;
     return with(verdict, Outcome::Refused, *refusal);
 }
 
@@ -139,23 +140,22 @@
                                   const Verdict &verdict)
 {
     const Record &record = *checked.record;
-    if (record.supersedes == chain.skippedId) {
-        const bool isValid = !checked.problem && !this->conflict(record);
-        if (isValid) {
-            chain.standing = Standing::Settled;
-            chain.headId = chain.skippedId;
-            return this->judgeSuccessor(chain, checked, verdict);
-        }
-        chain.headId = chain.skippedId;
-        chain.skippedId = record.id;
-        return with(verdict, Outcome::Refused,
-                    checked.problem ? checked.problem->text() : *this->conflict(record));
+    const std::vector<std::string> &doubtful = chain.doubtfulIds;
+    if (std::find(doubtful.begin(), doubtful.end(), record.supersedes) != doubtful.end()) {
+        chain.standing = Standing::Held;
+        return with(verdict, Outcome::Held, heldReason);
     }
-    if (record.supersedes != chain.headId) {
+    if (record.supersedes != chain.skippedId) {
         return this->lost(&chain, verdict);
     }
-    chain.standing = Standing::Held;
-    return with(verdict, Outcome::Held, "an earlier record of the name needs newer software");
+    if (checked.problem || this->conflict(record)) {
+        chain.doubtfulIds.push_back(std::exchange(chain.skippedId, record.id));
+        return with(verdict, Outcome::Refused,
+                    checked.problem ? checked.problem->text() : *this->conflict(record));
+    }
+    chain.standing = Standing::Settled;
+    chain.doubtfulIds.clear();
+    return this->judgeSuccessor(chain, checked, verdict);
 }
 
 Verdict RecordState::judgeJobDone(const Record &done, const Verdict &verdict)
--- a/modules/bulrush_config/records/RecordState.h
+++ b/modules/bulrush_config/records/RecordState.h
@@ -110,9 +110,12 @@
         /** Id of the last accepted record, also after a job has finished. */
         std::string headId;
 
-        /** Id of a refused successor of the head, which may be named in the head's place. */
+        /** Id of the last refused successor, which may be named in the head's place. */
         std::string skippedId;
 
+        /** While waiting: ids that are the head on some nodes, or were. */
+        std::vector<std::string> doubtfulIds;
+
         Standing standing = Standing::Settled;
         std::optional<LogOffset> finishedAt;
         std::deque<Verdict> history;
--- a/modules/bulrush_config/records/StateText.cpp
+++ b/modules/bulrush_config/records/StateText.cpp
@@ -67,6 +67,7 @@
                    { "name", key.name },
                    { "head", chain.headId },
                    { "skipped", chain.skippedId },
+                   { "doubtful", chain.doubtfulIds },
                    { "standing", static_cast<int>(chain.standing) },
                    { "history", json::array() } };
         if (chain.inForce) {
@@ -86,6 +87,7 @@
         Chain chain;
         chain.headId = row.at("head");
         chain.skippedId = row.at("skipped");
+        chain.doubtfulIds = row.at("doubtful").get<std::vector<std::string>>();
         const int standing = row.at("standing");
         if (standing < 0 || standing > static_cast<int>(RecordState::Standing::Held)) {
             throw Error("import state", key.name, "an unknown standing");
--- a/modules/bulrush_config/tests/ConfigWorld.cpp
+++ b/modules/bulrush_config/tests/ConfigWorld.cpp
@@ -58,6 +58,7 @@
     bind("read", &ConfigWorld::readAll);
     bind("expect-force", &ConfigWorld::expectForce);
     bind("expect-verdict", &ConfigWorld::expectVerdict);
+    bind("expect-accepted-by", &ConfigWorld::expectAcceptedBy);
     bind("expect-status", &ConfigWorld::expectStatus);
     interpreter.bind("cut", [this](const Step &step) { this->cutOff.insert(step.argument(0)); });
     interpreter.bind("heal", [this](const Step &step) { this->cutOff.erase(step.argument(0)); });
@@ -228,6 +229,24 @@
     step.require(winner == verdict->second.winner, "the winner was " + verdict->second.winner);
 }
 
+/** expect-accepted-by OLD NEW: settled names are the same, others in force were once accepted. */
+void ConfigWorld::expectAcceptedBy(const Step &step)
+{
+    const RecordState &older = this->node(step, step.argument(0)).follower.state();
+    const Node &newer = this->node(step, step.argument(1));
+    const std::vector<ChainKey> unsettled = older.unsettled();
+    for (const Record *record : older.inForce(RecordKind::Service)) {
+        const auto verdict = newer.verdicts.find(record->id);
+        step.require(verdict == newer.verdicts.end()
+                             || verdict->second.outcome == Outcome::Accepted,
+                     "in force was never accepted: " + record->id);
+        if (unsettled.empty()) {
+            const Record *other = newer.follower.state().find(RecordKind::Service, record->name);
+            step.require(other != nullptr && other->id == record->id, "the nodes differ");
+        }
+    }
+}
+
 void ConfigWorld::expectStatus(const Step &step)
 {
     const std::string status = statusName(this->node(step, step.argument(0)).follower.status());
--- a/modules/bulrush_config/tests/ConfigWorld.h
+++ b/modules/bulrush_config/tests/ConfigWorld.h
@@ -38,6 +38,7 @@
     void readAll(const Step &step);
     void expectForce(const Step &step);
     void expectVerdict(const Step &step);
+    void expectAcceptedBy(const Step &step);
     void expectStatus(const Step &step);
 
     Node &node(const Step &step, const std::string &name);
