--- a/modules/bulrush_node/work/JobSource.cpp
+++ b/modules/bulrush_node/work/JobSource.cpp
@@ -23,8 +23,10 @@
     std::set<JobId> present;
     for (const RecordKind kind : { RecordKind::Job, RecordKind::Watcher }) {
         for (const Record *record : records.inForce(kind)) {
-            present.insert(JobId(record->name));
-            this->take(*record);
+            if (this->runsHere(*record)) {
+                present.insert(JobId(record->name));
+                this->take(*record);
+            }
         }
     }
     for (const Record *record : records.inForce(RecordKind::Cancellation)) {
@@ -43,6 +45,12 @@
     });
 }
 
+bool JobSource::runsHere(const Record &record) const
+{
+    const std::optional<DataCentreId> wanted = readWorkBody(record).dataCentre;
+    return !wanted || *wanted == this->ownDataCentre;
+}
+
 void JobSource::take(const Record &record)
 {
     std::string &id = this->known[JobId(record.name)];
--- a/modules/bulrush_node/work/JobSource.h
+++ b/modules/bulrush_node/work/JobSource.h
@@ -15,6 +15,9 @@
 class JobSource
 {
 public:
+    /** @param dataCentre jobs that name another one are left out */
+    explicit JobSource(DataCentreId dataCentre) : ownDataCentre(std::move(dataCentre)) { }
+
     /** Applies the differences to the last call. */
     void update(const RecordState &records);
 
@@ -26,6 +29,9 @@
 private:
     void take(const Record &record);
 
+    bool runsHere(const Record &record) const;
+
+    const DataCentreId ownDataCentre;
     JobBook jobBook;
     std::map<JobId, std::string> known;
 };
--- a/modules/bulrush_node/work/WorkDesk.cpp
+++ b/modules/bulrush_node/work/WorkDesk.cpp
@@ -36,6 +36,7 @@
     : context(deskContext)
     , settings(deskSettings)
     , jobDone(std::move(jobDoneFunction))
+    , jobs(deskSettings.dataCentre)
     , liveNodes({ deskSettings.node })
     , renewer(deskSettings.node, deskSettings.durations)
     , reader(*deskContext.loop, *deskContext.clock, *deskContext.log, GroupOwner::workStream,
