Add the demo: the whole path through failures

Cause: the whole path had been tried by hand only. Change: tools/demo starts a deployment of examples/ with three data centres, publishes its records, and calls through a balancer while a node is killed and replaced, one is frozen for 3 s, one is cut off for 3 s and the platform is down for 2 s; then compares the targets' books with what was told.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,11 @@
 lint: packages all
 	@tools/lint $(BUILD)
 
+# The whole path with separate processes on loopback, through failures.
+demo: packages all
+	@tools/demo $(BUILD) kask-parn
+	@tools/demo $(BUILD) nyumba-bora
+
 format:
 	@git ls-files -co --exclude-standard '*.cpp' '*.h' | grep -v _generated.h | xargs clang-format -i
 
--- a/modules/bulrush_node/work/JobSource.h
+++ b/modules/bulrush_node/work/JobSource.h
@@ -16,7 +16,10 @@
 {
 public:
     /** @param dataCentre jobs that name another one are left out */
-    explicit JobSource(DataCentreId dataCentre) : ownDataCentre(std::move(dataCentre)) { }
+    explicit JobSource(DataCentreId dataCentre)
+        : ownDataCentre(std::move(dataCentre))
+    {
+    }
 
     /** Applies the differences to the last call. */
     void update(const RecordState &records);
