Place by learned usage, explain tasks, show groups

Cause: the daemon placed by first fit while the learned policy stood beside it; an operator could not see why a task waits. Weighed: bringing the policy's view up to date at each tick (a scan of every attempt 20 times a second) against at a round's first decision; the latter was taken. Change: LearnedPlacement adapts the policy to the owner's interface; GET /explain/job|task; worker groups in GET /status. Conclusion: interference stays untried in the daemon, as workers report no slowdown yet.

--- a/modules/bulrush_node/control/ControlTask.cpp
+++ b/modules/bulrush_node/control/ControlTask.cpp
@@ -1,6 +1,7 @@
 #include "bulrush_node/control/ControlTask.h"
 
 #include "bulrush_node/operators/OperatorTexts.h"
+#include "bulrush_node/operators/WorkTexts.h"
 
 #include <random>
 
@@ -299,6 +300,10 @@
                          [this](const HttpRequest &, const Parts &, const Reply &reply) {
                              reply(auditAnswer(this->records.audit()));
                          });
+    this->operators.bind("GET", "explain",
+                         [this](const HttpRequest &, const Parts &rest, const Reply &reply) {
+                             reply(explainAnswer(this->work, this->records.state(), rest));
+                         });
     this->operators.bind("POST", "records",
                          [this](const HttpRequest &request, const Parts &, const Reply &reply) {
                              this->publish(request, reply);
@@ -340,6 +345,7 @@
     view.logAvailable = this->records.logAvailable();
     view.peers = &this->mesh.peers();
     view.vms = &this->vms;
+    view.groups = groupsText(this->work);
     view.now = this->clock.now();
     return statusAnswer(view, this->sentToFront);
 }
--- a/modules/bulrush_node/operators/OperatorTexts.cpp
+++ b/modules/bulrush_node/operators/OperatorTexts.cpp
@@ -88,6 +88,7 @@
                           { "degraded", degradedJson(view, front) },
                           { "peers", peersJson(view) },
                           { "vms", view.vms->size() },
+                          { "groups", json::parse(view.groups) },
                           { "services", front ? servicesJson(*front) : json::array() } };
     return status.dump(2);
 }
--- a/modules/bulrush_node/operators/OperatorTexts.h
+++ b/modules/bulrush_node/operators/OperatorTexts.h
@@ -25,6 +25,8 @@
     bool logAvailable = false;
     const std::map<NodeId, PeerView> *peers = nullptr;
     const std::vector<VmEntry> *vms = nullptr;
+    /** The worker groups, as JSON text. */
+    std::string groups;
     Instant now {};
 };
 
--- /dev/null
+++ b/modules/bulrush_node/operators/WorkTexts.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "bulrush_config/bulrush_config.h"
+#include "bulrush_node/operators/OperatorsApi.h"
+#include "bulrush_node/work/WorkDesk.h"
+
+#include <string>
+#include <vector>
+
+namespace bulrush {
+
+/** Returns the worker groups of this node's data centre as a JSON array. */
+std::string groupsText(const WorkDesk &work);
+
+/**
+    Says where a job or a task stands and why: which group holds it, which worker runs it, what it
+    waits for.
+
+    @param rest "job" and NAME, or "task" and NAME#N
+*/
+HttpResponse explainAnswer(const WorkDesk &work, const RecordState &records,
+                           const std::vector<std::string> &rest);
+
+} // namespace bulrush
--- a/modules/bulrush_node/work/GroupDesk.cpp
+++ b/modules/bulrush_node/work/GroupDesk.cpp
@@ -5,8 +5,8 @@
 GroupDesk::GroupDesk(const GroupDeskContext &deskContext, const OwnerIdentity &identity,
                      const Durations &durations, Duration poll)
     : context(deskContext)
-    , placement(std::make_unique<FirstFit>())
-    , groupOwner(identity, durations, *this->placement)
+    , placement(*deskContext.clock, std::hash<GroupId>()(identity.group))
+    , groupOwner(identity, durations, this->placement)
     , reader(*deskContext.loop, *deskContext.clock, *deskContext.log,
              this->groupOwner.groupStream(), poll, *this)
 {
@@ -32,8 +32,14 @@
     this->groupOwner.updateVmList(list, this->context.clock->now());
 }
 
-void GroupDesk::tick(const WorkView &view, const JobBook &jobs)
+void GroupDesk::setWeights(const interference::PolicyWeights &weights)
 {
+    this->placement.setWeights(weights);
+}
+
+void GroupDesk::tick(const WorkView &view, const JobBook &jobs, const BatchClasses &classes)
+{
+    this->placement.beginRound(this->groupOwner.workers(), classes);
     for (const Action &action : this->groupOwner.tick(this->context.clock->now(), view, jobs)) {
         std::visit([this](const auto &kind) { this->carryOut(kind); }, action);
     }
--- a/modules/bulrush_node/work/GroupDesk.h
+++ b/modules/bulrush_node/work/GroupDesk.h
@@ -2,6 +2,7 @@
 
 #include "bulrush_core/events/EventLog.h"
 #include "bulrush_node/metrics/NodeMetrics.h"
+#include "bulrush_node/work/LearnedPlacement.h"
 #include "bulrush_platform/bulrush_platform.h"
 #include "bulrush_tasks/bulrush_tasks.h"
 
@@ -59,7 +60,10 @@
     void updateVms(const std::vector<VmStatus> &list);
 
     /** Does what is due. */
-    void tick(const WorkView &view, const JobBook &jobs);
+    void tick(const WorkView &view, const JobBook &jobs, const BatchClasses &classes);
+
+    /** Sets how much each of the three measures counts in the choice of workers. */
+    void setWeights(const interference::PolicyWeights &weights);
 
     const GroupOwner &owner() const { return this->groupOwner; }
 
@@ -73,7 +77,7 @@
     void carryOut(const EventAction &action);
 
     GroupDeskContext context;
-    std::unique_ptr<PlacementStrategy> placement;
+    LearnedPlacement placement;
     GroupOwner groupOwner;
     LogReader reader;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/modules/bulrush_node/work/JobSource.cpp
+++ b/modules/bulrush_node/work/JobSource.cpp
@@ -40,6 +40,7 @@
         const bool gone = !present.contains(entry.first);
         if (gone) {
             this->jobBook.remove(entry.first);
+            this->classes.erase(entry.first);
         }
         return gone;
     });
@@ -57,6 +58,7 @@
     if (id != record.id) {
         id = record.id;
         this->jobBook.add(jobSpecOf(record));
+        this->classes[JobId(record.name)] = BatchClassId(readWorkBody(record).batchClass);
     }
 }
 
--- a/modules/bulrush_node/work/JobSource.h
+++ b/modules/bulrush_node/work/JobSource.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrush_config/bulrush_config.h"
+#include "bulrush_node/work/LearnedPlacement.h"
 #include "bulrush_tasks/bulrush_tasks.h"
 
 namespace bulrush {
@@ -24,6 +25,9 @@
     /** Applies the differences to the last call. */
     void update(const RecordState &records);
 
+    /** Returns the batch class of each job and watcher in the book. */
+    const BatchClasses &batchClasses() const { return this->classes; }
+
     const JobBook &book() const { return this->jobBook; }
 
     /** Returns the record ids of the jobs and watchers that are in the book. */
@@ -36,6 +40,7 @@
 
     const DataCentreId ownDataCentre;
     JobBook jobBook;
+    BatchClasses classes;
     std::map<JobId, std::string> known;
 };
 
--- a/modules/bulrush_node/work/WorkDesk.cpp
+++ b/modules/bulrush_node/work/WorkDesk.cpp
@@ -50,6 +50,18 @@
     this->context.loop->scheduleEvery(tickPeriod, [this] { this->tick(); });
 }
 
+void WorkDesk::updateRecords(const RecordState &records)
+{
+    this->jobs.update(records);
+    for (const Record *record : records.inForce(RecordKind::Policy)) {
+        const PolicyBody policy = readPolicyBody(*record);
+        this->weights = { policy.tailLatency, policy.throughput, policy.evictions };
+    }
+    for (auto &[group, desk] : this->desks) {
+        desk->setWeights(this->weights);
+    }
+}
+
 void WorkDesk::updateVms(const std::vector<VmEntry> &vms)
 {
     this->workersByGroup.clear();
@@ -63,6 +75,7 @@
             const OwnerIdentity identity { this->settings.node, this->settings.process, group };
             this->desks[group] = std::make_unique<GroupDesk>(
                     this->context, identity, this->settings.durations, this->settings.poll);
+            this->desks[group]->setWeights(this->weights);
         }
     }
     for (auto &[group, desk] : this->desks) {
@@ -94,7 +107,7 @@
     double owned = 0;
     for (auto &[group, desk] : this->desks) {
         desk->setWanted(this->isWanted(group));
-        desk->tick(current, this->jobs.book());
+        desk->tick(current, this->jobs.book(), this->jobs.batchClasses());
         owned += desk->owner().phase() == GroupOwner::Phase::Owning ? 1 : 0;
     }
     this->context.metrics->set("bulrush_groups_owned", owned);
--- a/modules/bulrush_node/work/WorkDesk.h
+++ b/modules/bulrush_node/work/WorkDesk.h
@@ -41,7 +41,7 @@
     void start();
 
     /** Takes the records in force. */
-    void updateRecords(const RecordState &records) { this->jobs.update(records); }
+    void updateRecords(const RecordState &records);
 
     /** Takes the platform's list of VMs. */
     void updateVms(const std::vector<VmEntry> &vms);
@@ -75,6 +75,7 @@
     std::map<GroupId, std::unique_ptr<GroupDesk>> desks;
     Renewer renewer;
     Instant finishedCheckedAt {};
+    interference::PolicyWeights weights;
     LogReader reader;
 };
 
