Keep the compiled patterns of the schemas

Cause: the validator compiled each pattern again for every record. Ruled out: dropping the patterns, as names would then be checked in two places. Change: one validator a thread keeps its patterns.

--- a/modules/bulrush_config/schemas/SchemaBook.cpp
+++ b/modules/bulrush_config/schemas/SchemaBook.cpp
@@ -198,7 +198,8 @@
     if (loaded == loadedSchemas().end()) {
         throw Error("check schema", schemaName, "no such schema");
     }
-    valijson::Validator validator(valijson::Validator::kStrongTypes);
+    // Keeps the compiled patterns; one for each thread, as it is not safe to share.
+    thread_local valijson::Validator validator(valijson::Validator::kStrongTypes);
     valijson::ValidationResults results;
     if (validator.validate(loaded->second->rules, NlohmannJsonAdapter(value), &results)) {
         return std::nullopt;
--- a/modules/bulrush_config/tests/ConfigWorld.cpp
+++ b/modules/bulrush_config/tests/ConfigWorld.cpp
@@ -70,6 +70,15 @@
                              == this->node(step, step.argument(1)).follower.state().exportText(),
                      "the states differ");
     });
+    interpreter.bind("expect-no-snapshot", [this](const Step &step) {
+        bool refused = false;
+        try {
+            snapshotParts(this->node(step, step.argument(0)).follower.state());
+        } catch (const Error &) {
+            refused = true;
+        }
+        step.require(refused, "a snapshot was written");
+    });
     interpreter.bind("expect-unsettled", [this](const Step &step) {
         const auto count = static_cast<std::int64_t>(
                 this->node(step, step.argument(0)).follower.state().unsettled().size());
