--- a/modules/bulrush_keys/gate/KeyAdmission.cpp
+++ b/modules/bulrush_keys/gate/KeyAdmission.cpp
@@ -8,6 +8,7 @@
 void KeyAdmission::arrive(std::string_view arrival, std::string_view keyText, bool isFirstTry,
                           Instant now, UnixSeconds calendar)
 {
+    this->lastNow = now;
     const std::optional<IdempotencyKey> key = IdempotencyKey::parse(keyText);
     if (!key) {
         this->answer(arrival, KeyAnswerKind::BadKey,
@@ -35,7 +36,7 @@
 
 std::optional<KeyAppend> KeyAdmission::nextAppend(UnixSeconds calendar)
 {
-    if (this->appending || this->waiting.empty() || !this->logAvailable) {
+    if (this->appending || !this->logAvailable || !this->isAppendDue()) {
         return std::nullopt;
     }
     const std::size_t count = std::min(this->waiting.size(), maxBatch);
@@ -49,6 +50,8 @@
         }
     }
     this->appending = true;
+    this->lastAppend = this->lastNow;
+    this->lingerUntil.reset();
     ++this->appendNumber;
     return KeyAppend { this->appendNumber, KeyEntry { calendar, this->inFlight }.text() };
 }
@@ -123,6 +126,7 @@
 
 void KeyAdmission::tick(Instant now, UnixSeconds calendar)
 {
+    this->lastNow = now;
     for (auto gate = this->gates.begin(); gate != this->gates.end();) {
         if (now >= gate->second.deadline()) {
             gate = this->close(gate, "the log was too slow");
@@ -222,6 +226,9 @@
                            int status)
 {
     this->waiting.push_back({ verb, key, std::string(arrival), status });
+    if (!this->lingerUntil) {
+        this->lingerUntil = this->lastNow + this->pace.linger;
+    }
 }
 
 /** Drops an operation that was read back from those that would be appended again. */
@@ -231,6 +238,21 @@
     std::erase(this->inFlight, operation);
 }
 
+bool KeyAdmission::isAppendDue() const
+{
+    if (this->waiting.empty()) {
+        return false;
+    }
+    if (this->lastAppend && this->lastNow < *this->lastAppend + this->pace.gap) {
+        return false;
+    }
+    const auto isClaim = [](const KeyOperation &operation) {
+        return operation.verb == KeyVerb::Claim;
+    };
+    return !this->lingerUntil || this->lastNow >= *this->lingerUntil
+            || std::any_of(this->waiting.begin(), this->waiting.end(), isClaim);
+}
+
 bool KeyAdmission::isStillWanted(const KeyOperation &operation) const
 {
     if (operation.verb != KeyVerb::Claim) {
--- a/modules/bulrush_keys/gate/KeyAdmission.h
+++ b/modules/bulrush_keys/gate/KeyAdmission.h
@@ -74,6 +74,16 @@
     Unknown,
 };
 
+/** How a node spaces its appends, as the log takes only some hundred a second from all nodes. */
+struct AppendPace
+{
+    /** Least time between the starts of two appends. */
+    Duration gap = milliseconds(50);
+
+    /** How long completions and releases wait for a claim to go along with. */
+    Duration linger = milliseconds(200);
+};
+
 /**
     Decides on the keyed requests of one node. The claims of all arrivals that come while an append
     is in flight go into the next one (group commit).
@@ -88,9 +98,10 @@
     static constexpr std::size_t maxBatch = 256;
 
     /** @param claimWait how long an arrival waits for its claim to be read back */
-    KeyAdmission(KeyTimes times, Duration claimWait)
+    KeyAdmission(KeyTimes times, Duration claimWait, AppendPace pace = {})
         : keyBook(times)
         , claimWait(claimWait)
+        , pace(pace)
     {
     }
 
@@ -103,7 +114,10 @@
     void arrive(std::string_view arrival, std::string_view keyText, bool isFirstTry, Instant now,
                 UnixSeconds calendar);
 
-    /** Returns an append to make, where none is in flight and operations wait. */
+    /**
+        Returns an append to make, where none is in flight, operations wait and it is due.
+        Time is that of the last arrive() or tick().
+    */
     std::optional<KeyAppend> nextAppend(UnixSeconds calendar);
 
     /** Reports how the append in flight ended. */
@@ -144,16 +158,21 @@
     Gates::iterator close(Gates::iterator gate, std::string_view reason);
     void enqueue(KeyVerb verb, const std::string &key, std::string_view arrival, int status);
     void confirm(const KeyOperation &operation);
+    bool isAppendDue() const;
     bool isStillWanted(const KeyOperation &operation) const;
 
     KeyBook keyBook;
     const Duration claimWait;
+    const AppendPace pace;
     Gates gates;
     std::deque<KeyOperation> waiting;
     std::vector<KeyOperation> inFlight;
     std::uint64_t appendNumber = 0;
     bool appending = false;
     bool logAvailable = true;
+    Instant lastNow {};
+    std::optional<Instant> lastAppend;
+    std::optional<Instant> lingerUntil;
     std::vector<KeyAnswer> answers;
 };
 
--- a/modules/bulrush_keys/tests/KeyWorld.cpp
+++ b/modules/bulrush_keys/tests/KeyWorld.cpp
@@ -50,7 +50,8 @@
 {
     this->nodes.erase(step.argument(0));
     this->nodes.emplace(std::piecewise_construct, std::forward_as_tuple(step.argument(0)),
-                        std::forward_as_tuple(KeyAdmission(KeyTimes {}, claimWait)));
+                        std::forward_as_tuple(KeyAdmission(
+                                KeyTimes {}, claimWait, AppendPace { Duration(0), Duration(0) })));
 }
 
 /** arrive NODE ARRIVAL KEY [age=SECONDS] [first=yes] */
