--- a/modules/bulrush_config/bulrush_config.h
+++ b/modules/bulrush_config/bulrush_config.h
@@ -19,3 +19,4 @@
 #include "bulrush_config/settings/NodeSettings.h"
 #include "bulrush_config/snapshots/LogFollower.h"
 #include "bulrush_config/snapshots/Snapshot.h"
+#include "bulrush_config/snapshots/SnapshotSchedule.h"
--- a/modules/bulrush_config/snapshots/Snapshot.cpp
+++ b/modules/bulrush_config/snapshots/Snapshot.cpp
@@ -52,31 +52,16 @@
     return parts;
 }
 
-std::optional<RecordState> SnapshotAssembler::take(std::string_view text)
+std::optional<SnapshotPart> readSnapshotPart(std::string_view text)
 {
     if (!isSnapshotPart(text)) {
         return std::nullopt;
     }
     try {
         const json entry = parseStrictJson(text, partBounds).at("snapshot");
-        const Key key { entry.at("nextOffset"), entry.at("hash"), entry.at("parts") };
-        auto &parts = this->unfinished[key];
-        parts[entry.at("part")] = entry.at("text");
-        std::optional<RecordState> state;
-        if (parts.size() == key.parts) {
-            std::string whole;
-            for (const auto &[index, part] : parts) {
-                whole += part;
-            }
-            this->unfinished.erase(key);
-            if (hashOf(whole) == key.hash) {
-                state = RecordState::importText(whole);
-            }
-        }
-        if (this->unfinished.size() > maxUnfinished) {
-            this->unfinished.erase(this->unfinished.begin());
-        }
-        return state;
+        SnapshotPart part { entry.at("nextOffset"), entry.at("hash"), entry.at("part"),
+                            entry.at("parts"), entry.at("text") };
+        return part.part < part.parts ? std::optional(std::move(part)) : std::nullopt;
     } catch (const json::exception &) {
         return std::nullopt;
     } catch (const Error &) {
@@ -84,4 +69,40 @@
     }
 }
 
+std::optional<RecordState> SnapshotAssembler::take(std::string_view text)
+{
+    std::optional<SnapshotPart> part = readSnapshotPart(text);
+    if (!part) {
+        return std::nullopt;
+    }
+    const Key key { part->nextOffset, part->hash, part->parts };
+    auto &parts = this->unfinished[key];
+    parts[part->part] = std::move(part->text);
+    std::optional<RecordState> state;
+    if (parts.size() == key.parts) {
+        state = finish(key.hash, parts);
+        this->unfinished.erase(key);
+    }
+    if (this->unfinished.size() > maxUnfinished) {
+        this->unfinished.erase(this->unfinished.begin());
+    }
+    return state;
+}
+
+std::optional<RecordState> SnapshotAssembler::finish(const std::string &hash, const Parts &parts)
+{
+    std::string whole;
+    for (const auto &[index, text] : parts) {
+        whole += text;
+    }
+    if (hashOf(whole) != hash) {
+        return std::nullopt;
+    }
+    try {
+        return RecordState::importText(whole);
+    } catch (const Error &) {
+        return std::nullopt;
+    }
+}
+
 } // namespace bulrush
--- a/modules/bulrush_config/snapshots/Snapshot.h
+++ b/modules/bulrush_config/snapshots/Snapshot.h
@@ -15,6 +15,23 @@
 /** Greatest size of the state's text within one part of a snapshot. */
 constexpr std::size_t snapshotPartBytes = 16'384;
 
+/** One part of a snapshot, as it stands on the log. */
+struct SnapshotPart
+{
+    /** The offset after the last one that the snapshot holds. */
+    LogOffset nextOffset = 0;
+
+    /** Hash of the whole state's text. */
+    std::string hash;
+
+    std::size_t part = 0;
+    std::size_t parts = 0;
+    std::string text;
+};
+
+/** Reads a part of a snapshot; nothing where the entry is none or is malformed. */
+std::optional<SnapshotPart> readSnapshotPart(std::string_view text);
+
 /** Returns whether a log entry is a part of a snapshot. */
 bool isSnapshotPart(std::string_view text);
 
@@ -39,6 +56,10 @@
     std::optional<RecordState> take(std::string_view text);
 
 private:
+    using Parts = std::map<std::size_t, std::string>;
+
+    static std::optional<RecordState> finish(const std::string &hash, const Parts &parts);
+
     struct Key
     {
         LogOffset nextOffset = 0;
@@ -52,7 +73,7 @@
         }
     };
 
-    std::map<Key, std::map<std::size_t, std::string>> unfinished;
+    std::map<Key, Parts> unfinished;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_config/tests/record_test.cpp
+++ b/modules/bulrush_config/tests/record_test.cpp
@@ -1,4 +1,5 @@
 #include "bulrush_config/bulrush_config.h"
+#include "bulrush_core/bulrush_core.h"
 
 #include <criterion/criterion.h>
 
@@ -87,3 +88,24 @@
     cr_assert_eq(checkRecord(wrong.text()).problem->text(),
                  "/schema: found unknown version \"quota/7\", expected quota/1");
 }
+
+Test(SnapshotSchedule, oneNodeWritesAndTheOthersSeeIt)
+{
+    PausableClock clock;
+    const SnapshotPace pace { hours(2), minutes(10) };
+    SnapshotSchedule first(NodeId("entry-1"), clock.now(), pace);
+    SnapshotSchedule second(NodeId("entry-2"), clock.now(), pace);
+    clock.advance(hours(2) - minutes(1));
+    cr_assert_not(first.isDue(clock.now()));
+    RecordState state;
+    state.apply(0, quota("a", "", 1).text());
+    for (const std::string &part : snapshotParts(state)) {
+        first.take(part, clock.now());
+    }
+    clock.advance(minutes(11));
+    cr_assert_not(first.isDue(clock.now()), "another node's snapshot was not seen");
+    cr_assert(second.isDue(clock.now()));
+    second.noteWriting(clock.now());
+    cr_assert_not(second.isDue(clock.now()));
+    cr_assert_eq(first.lastSeen().value(), 1U);
+}
