--- a/modules/bulrush_config/tests/random_test.cpp
+++ b/modules/bulrush_config/tests/random_test.cpp
@@ -79,7 +79,7 @@
             "r" + std::to_string(static_cast<std::size_t>(argument) % (number + 1));
     const std::string schema = argument % 3 == 0 ? "service/2" : "service/1";
     const std::string value = argument % 5 == 0 ? "0" : "5";
-    const std::string publish =
+    std::string publish =
             "publish service s at=" + node + " id=" + id + " schema=" + schema + " value=" + value;
     switch (choice % 12) {
     case 0:
--- a/modules/bulrush_keys/tests/KeyWorld.cpp
+++ b/modules/bulrush_keys/tests/KeyWorld.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr seconds claimWait { 2 };
 constexpr std::array kindNames { "send",        "not-run",         "not-sent", "in-progress",
                                  "already-run", "outcome-unknown", "bad-key" };
 
@@ -49,9 +48,7 @@
 void KeyWorld::addNode(const Step &step)
 {
     this->nodes.erase(step.argument(0));
-    this->nodes.emplace(std::piecewise_construct, std::forward_as_tuple(step.argument(0)),
-                        std::forward_as_tuple(KeyAdmission(
-                                KeyTimes {}, claimWait, AppendPace { Duration(0), Duration(0) })));
+    this->nodes.try_emplace(step.argument(0));
 }
 
 /** arrive NODE ARRIVAL KEY [age=SECONDS] [first=yes] */
--- a/modules/bulrush_keys/tests/KeyWorld.h
+++ b/modules/bulrush_keys/tests/KeyWorld.h
@@ -26,7 +26,7 @@
 
     struct Node
     {
-        KeyAdmission admission;
+        KeyAdmission admission { KeyTimes {}, seconds(2), AppendPace { Duration(0), Duration(0) } };
         bool canReachLog = true;
     };
 
