--- a/modules/bulrush_config/records/RecordState.cpp
+++ b/modules/bulrush_config/records/RecordState.cpp
@@ -96,7 +96,7 @@
     verdict = this->judgeSuccessor(*chain, checked, verdict);
     chain->history.push_back(verdict);
     if (chain->history.size() > historyLength) {
-        chain->history.pop_front();
+        chain->history.erase(chain->history.begin());
     }
     return verdict;
 }
@@ -296,7 +296,7 @@
     if (chain == nullptr) {
         return {};
     }
-    return { chain->history.begin(), chain->history.end() };
+    return chain->history;
 }
 
 std::vector<ChainKey> RecordState::unsettled() const
--- a/modules/bulrush_config/records/RecordState.h
+++ b/modules/bulrush_config/records/RecordState.h
@@ -118,7 +118,7 @@
 
         Standing standing = Standing::Settled;
         std::optional<LogOffset> finishedAt;
-        std::deque<Verdict> history;
+        std::vector<Verdict> history;
     };
 
     friend class StateText;
