--- a/modules/bulrush_config/settings/NodeSettings.h
+++ b/modules/bulrush_config/settings/NodeSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrush_core/addresses/Endpoint.h"
 #include "bulrush_core/ids/Id.h"
 #include "bulrush_core/time/Clock.h"
 
@@ -11,18 +12,6 @@
 
 namespace bulrush {
 
-/** An IP number and a TCP port. */
-struct Endpoint
-{
-    std::string address;
-    std::uint16_t port = 0;
-
-    bool operator==(const Endpoint &) const = default;
-
-    /** Returns "address:port". */
-    std::string text() const;
-};
-
 /** Another node that is contacted at start. */
 struct PeerSettings
 {
@@ -45,9 +34,9 @@
 {
     milliseconds heartbeat { 500 };
     milliseconds peerLost { 2'000 };
-    milliseconds lease { 30'000 };
-    milliseconds renewalHorizon { 14'400'000 };
-    milliseconds clockAllowance { 2'000 };
+    milliseconds lease { 60'000 };
+    milliseconds renewalHorizon { 10'800'000 };
+    milliseconds clockAllowance { 10'000 };
     seconds keyLifetime { 3'600 };
     milliseconds logPoll { 500 };
 };
--- a/modules/bulrush_config/tests/ConfigWorld.cpp
+++ b/modules/bulrush_config/tests/ConfigWorld.cpp
@@ -247,7 +247,7 @@
     for (const Record *record : older.inForce(RecordKind::Service)) {
         const auto verdict = newer.verdicts.find(record->id);
         step.require(verdict == newer.verdicts.end()
-                             || verdict->second.outcome == Outcome::Accepted,
+                             || verdict->second.outcome == RecordOutcome::Accepted,
                      "in force was never accepted: " + record->id);
         if (unsettled.empty()) {
             const Record *other = newer.follower.state().find(RecordKind::Service, record->name);
--- a/modules/bulrush_config/tests/random_test.cpp
+++ b/modules/bulrush_config/tests/random_test.cpp
@@ -122,7 +122,7 @@
         RC_ASSERT(!checked.problem || namesAField(*checked.problem));
         RecordState state;
         const Verdict verdict = state.apply(0, text);
-        RC_ASSERT((verdict.outcome == Outcome::Accepted) == !checked.problem);
+        RC_ASSERT((verdict.outcome == RecordOutcome::Accepted) == !checked.problem);
         RecordState::importText(state.exportText());
     });
     cr_assert(passed);
--- a/modules/bulrush_config/tests/schemas_test.cpp
+++ b/modules/bulrush_config/tests/schemas_test.cpp
@@ -31,8 +31,14 @@
         return;
     }
     for (const auto &[field, rules] : schema.at("properties").items()) {
-        cr_assert(page.find("| `" + field + "` |") != std::string::npos, "%s: no row for %s",
-                  name.c_str(), field.c_str());
+        const std::size_t row = page.find("| `" + field + "` |");
+        cr_assert(row != std::string::npos, "%s: no row for %s", name.c_str(), field.c_str());
+        if (rules.contains("default") && rules.at("default").is_number()) {
+            const std::string shown = "| `" + rules.at("default").dump() + "` |";
+            const std::string line = page.substr(row, page.find('\n', row) - row);
+            cr_assert(line.find(shown) != std::string::npos, "%s: another default of %s",
+                      name.c_str(), field.c_str());
+        }
         assertFieldsInPage(rules, name, page);
     }
 }
@@ -120,7 +126,7 @@
         RecordState state;
         for (const std::filesystem::path &path : paths) {
             const Verdict verdict = state.apply(state.nextOffset(), fileText(path));
-            cr_assert(verdict.outcome == Outcome::Accepted, "%s: %s", path.c_str(),
+            cr_assert(verdict.outcome == RecordOutcome::Accepted, "%s: %s", path.c_str(),
                       verdict.reason.c_str());
         }
         for (const RecordKind kind : { RecordKind::Service, RecordKind::Job, RecordKind::Watcher,
