--- a/modules/bulrush_config/tests/schemas_test.cpp
+++ b/modules/bulrush_config/tests/schemas_test.cpp
@@ -31,8 +31,14 @@
         return;
     }
     for (const auto &[field, rules] : schema.at("properties").items()) {
-        cr_assert(page.find("| `" + field + "` |") != std::string::npos, "%s: no row for %s",
-                  name.c_str(), field.c_str());
+        const std::size_t row = page.find("| `" + field + "` |");
+        cr_assert(row != std::string::npos, "%s: no row for %s", name.c_str(), field.c_str());
+        if (rules.contains("default") && rules.at("default").is_number()) {
+            const std::string shown = "| `" + rules.at("default").dump() + "` |";
+            const std::string line = page.substr(row, page.find('\n', row) - row);
+            cr_assert(line.find(shown) != std::string::npos, "%s: another default of %s",
+                      name.c_str(), field.c_str());
+        }
         assertFieldsInPage(rules, name, page);
     }
 }
