Keep the mean of unreported load for each data centre

Cause: spilling over cost 0.6 ms at 95 % of even load. A target with an old report counts as the mean of all reports, but these come from home, where this node's own share is already left out; remote targets looked 2.5 of 8 slots emptier than they were. Ruled out: a margin before going away, which only hides the wrong estimate. Change: the mean of other nodes' requests is kept for each data centre, with gain 0.02.

--- a/modules/bulrush_routing/choice/TargetChooser.cpp
+++ b/modules/bulrush_routing/choice/TargetChooser.cpp
@@ -135,7 +135,7 @@
 
 double TargetChooser::estimatedLoad(const TargetTable &table, const Target &target, Instant now)
 {
-    double others = table.meanOthers();
+    double others = table.meanOthers(target.dataCentre);
     if (target.reported) {
         const double age = static_cast<double>((now - target.reportedAt).count());
         const double weight = 1.0 / (1.0 + age / static_cast<double>(reportHalfLife.count()));
--- a/modules/bulrush_routing/targets/TargetTable.cpp
+++ b/modules/bulrush_routing/targets/TargetTable.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/** Weight of one report in the mean over all targets. */
-constexpr double othersGain = 0.01;
+/** Weight of one report in the mean over its data centre's targets. */
+constexpr double othersGain = 0.02;
 
 /** Weight of one answer in a target's mean time to an answer. */
 constexpr double answerGain = 0.05;
@@ -143,7 +143,8 @@
     target.others = std::max(0.0, static_cast<double>(*report.load) - target.inFlight);
     target.reportedAt = now;
     target.reported = true;
-    this->othersMean += othersGain * (target.others - this->othersMean);
+    double &mean = this->centres[target.dataCentre].othersMean;
+    mean += othersGain * (target.others - mean);
 }
 
 void TargetTable::noteAnswerTime(TargetIndex index, Duration time)
@@ -186,7 +187,7 @@
     if (found != this->centres.end()) {
         return static_cast<std::size_t>(found - this->centres.begin());
     }
-    this->centres.push_back(DataCentre { id, {}, true, {} });
+    this->centres.push_back(DataCentre { id, {}, true, 0, {} });
     return this->centres.size() - 1;
 }
 
--- a/modules/bulrush_routing/targets/TargetTable.h
+++ b/modules/bulrush_routing/targets/TargetTable.h
@@ -80,6 +80,8 @@
     DataCentreId id;
     Duration oneWay {};
     bool reachable = true;
+    /** Mean of other nodes' requests on a target here, over the recent reports. */
+    double othersMean = 0;
     /** Targets that may get new requests. */
     std::vector<TargetIndex> usable;
 };
@@ -140,8 +142,8 @@
     /** Returns all data centres; the first is this node's own. */
     std::span<const DataCentre> dataCentres() const { return this->centres; }
 
-    /** Returns the mean of other nodes' requests on a target, over the recent reports. */
-    double meanOthers() const { return this->othersMean; }
+    /** Returns the mean of other nodes' requests on a target of a data centre. */
+    double meanOthers(std::size_t dataCentre) const { return this->centres[dataCentre].othersMean; }
 
     /** Returns the mean time to an answer in seconds over all targets. */
     double meanAnswerSeconds() const { return this->answerMean; }
@@ -162,7 +164,6 @@
     std::vector<Target> targets;
     std::unordered_map<TargetId, TargetIndex> indexes;
     std::vector<DataCentre> centres;
-    double othersMean = 0;
     double answerMean = 0;
 };
 
