Set aside targets that refuse everything though not full

Cause: a target that refuses or fails at once looks idle and draws requests. Written first, the scenario showed 29 of 100 requests on the one sound target of four, the two ejected ones and the floor's failing one left out; refusals counted as no failure at all. Change: a refusal counts as a failure unless the target reports full slots or leaves; a target that is due for ejection but kept by the floor counts ten times its load for a term. A wait timer of an earlier stay in the queue no longer ends a later one.

--- a/modules/bulrush_routing/budgets/OutlierEjector.cpp
+++ b/modules/bulrush_routing/budgets/OutlierEjector.cpp
@@ -21,35 +21,36 @@
 
 } // namespace
 
-void OutlierEjector::noteSuccess(TargetIndex index)
+void OutlierEjector::noteSuccess(TargetTable &table, TargetIndex index)
 {
-    this->recordOf(index).failures = 0;
+    table.setFailuresInARow(index, 0);
 }
 
 void OutlierEjector::noteFailure(TargetTable &table, TargetIndex index, Instant now)
 {
     Record &record = this->recordOf(index);
-    ++record.failures;
     const Target &target = table.at(index);
-    if (record.ejected || record.failures < failuresInARow || !target.present) {
+    table.setFailuresInARow(index, target.failuresInARow + 1);
+    if (record.failing || target.failuresInARow < failuresInARow || !target.present) {
         return;
     }
-    if (!floorAllows(table, target.dataCentre)) {
-        return;
+    record.failing = true;
+    if (floorAllows(table, target.dataCentre)) {
+        record.until = now + termOf(record.ejections++);
+        table.setEjected(index, true);
+    } else {
+        record.until = now + firstTerm;
     }
-    record.ejected = true;
-    record.until = now + termOf(record.ejections++);
-    table.setEjected(index, true);
 }
 
 void OutlierEjector::tick(TargetTable &table, Instant now)
 {
     for (std::size_t i = 0; i < this->records.size(); ++i) {
         Record &record = this->records[i];
-        if (record.ejected && record.until <= now) {
-            record.ejected = false;
+        if (record.failing && record.until <= now) {
+            record.failing = false;
             // One more failure is enough to eject it again.
-            record.failures = failuresInARow - 1;
+            table.setFailuresInARow(TargetIndex(i), failuresInARow - 1);
             table.setEjected(TargetIndex(i), false);
         }
     }
--- a/modules/bulrush_routing/budgets/OutlierEjector.h
+++ b/modules/bulrush_routing/budgets/OutlierEjector.h
@@ -8,7 +8,8 @@
 
 /**
     Ejects targets that fail request after request, for a time that grows with each ejection.
-    A floor keeps at least half of a data centre's targets in use, whatever they do.
+    A floor keeps at least half of a data centre's targets in use, whatever they do; one that the
+    floor keeps is a last resort for as long. @see TargetTable::setFailuresInARow
 */
 class OutlierEjector
 {
@@ -21,7 +22,7 @@
     static constexpr double largestShare = 0.5;
 
     /** Notes an answer that was no failure. */
-    void noteSuccess(TargetIndex index);
+    void noteSuccess(TargetTable &table, TargetIndex index);
 
     /** Notes a failure and ejects the target when it is due and the floor allows it. */
     void noteFailure(TargetTable &table, TargetIndex index, Instant now);
@@ -35,10 +36,10 @@
 private:
     struct Record
     {
-        unsigned failures = 0;
         unsigned ejections = 0;
         Instant until {};
-        bool ejected = false;
+        /** Due for ejection, whether or not the floor allowed it. */
+        bool failing = false;
     };
 
     Record &recordOf(TargetIndex index);
--- a/modules/bulrush_routing/choice/TargetChooser.cpp
+++ b/modules/bulrush_routing/choice/TargetChooser.cpp
@@ -1,6 +1,7 @@
 #include "bulrush_routing/choice/TargetChooser.h"
 
 #include "bulrush_core/errors/Error.h"
+#include "bulrush_routing/budgets/OutlierEjector.h"
 
 #include <algorithm>
 #include <tuple>
@@ -18,6 +19,9 @@
 /** Requests beyond its slots that a target may hold by the estimate. */
 constexpr double queueAllowance = 2.0;
 
+/** How much more loaded a target looks that fails request after request. */
+constexpr double failingPenalty = 10.0;
+
 /** Stands for an answer's time where none has been seen yet, in seconds. */
 constexpr double assumedAnswerSeconds = 0.02;
 
@@ -66,7 +70,10 @@
                 target.answerSeconds > 0 ? target.answerSeconds : assumedAnswerSeconds;
         const double perSlot = seconds / target.slots;
         const double wait = std::max(0.0, load + 1 - target.slots) * perSlot;
-        return Pick { index, wait, (load + 1) * perSlot };
+        // A target that fails at once looks idle; it has to look loaded instead.
+        const bool failing = target.failuresInARow >= OutlierEjector::failuresInARow;
+        const double penalty = failing ? failingPenalty : 1.0;
+        return Pick { index, wait, (load + 1) * perSlot * penalty };
     }
 
     /** Draws a position among the usable targets. */
--- a/modules/bulrush_routing/requests/RequestRun.h
+++ b/modules/bulrush_routing/requests/RequestRun.h
@@ -37,6 +37,7 @@
     Request request;
     std::vector<AttemptId> open;
     bool queued = false;
+    Instant queuedAt {};
     bool hedged = false;
     /** Whether an ended attempt may have run on its target. */
     bool mayHaveRun = false;
--- a/modules/bulrush_routing/requests/Router.cpp
+++ b/modules/bulrush_routing/requests/Router.cpp
@@ -108,7 +108,13 @@
     if (attempt == nullptr) {
         return;
     }
-    this->targets.noteReport(attempt->target, report, now);
+    const TargetIndex target = attempt->target;
+    this->targets.noteReport(target, report, now);
+    const bool isFull = report.load && *report.load >= this->targets.at(target).slots;
+    if (!isFull && !report.leaving) {
+        // It would look idle and draw ever more requests.
+        this->ejector.noteFailure(this->targets, target, now);
+    }
     this->endAttempt(id, AttemptEnd::RefusedUnstarted, now);
 }
 
@@ -124,7 +130,7 @@
     if (head.fault) {
         this->ejector.noteFailure(this->targets, attempt->target, now);
     } else {
-        this->ejector.noteSuccess(attempt->target);
+        this->ejector.noteSuccess(this->targets, attempt->target);
     }
     RequestRun &run = *this->runOf(attempt->request);
     const std::vector<AttemptId> open = run.open;
--- a/modules/bulrush_routing/requests/RouterEnding.cpp
+++ b/modules/bulrush_routing/requests/RouterEnding.cpp
@@ -122,7 +122,7 @@
 void Router::expireWait(RequestId id, Instant now)
 {
     RequestRun *run = this->runOf(id);
-    if (run != nullptr && run->queued) {
+    if (run != nullptr && run->queued && now - run->queuedAt >= Admission::longestWait) {
         this->giveUp(*run, now);
     }
 }
--- a/modules/bulrush_routing/requests/RouterSending.cpp
+++ b/modules/bulrush_routing/requests/RouterSending.cpp
@@ -63,6 +63,7 @@
         }
     }
     run.queued = true;
+    run.queuedAt = now;
     this->admission.push(run.request);
     this->timers.add(now + Admission::longestWait, WaitTimer { run.request.id });
 }
--- a/modules/bulrush_routing/targets/TargetTable.cpp
+++ b/modules/bulrush_routing/targets/TargetTable.cpp
@@ -100,6 +100,11 @@
     }
 }
 
+void TargetTable::setFailuresInARow(TargetIndex index, unsigned failures)
+{
+    this->targets[toSize(index)].failuresInARow = failures;
+}
+
 void TargetTable::expireOwnWords(Instant now)
 {
     for (std::size_t i = 0; i < this->targets.size(); ++i) {
--- a/modules/bulrush_routing/targets/TargetTable.h
+++ b/modules/bulrush_routing/targets/TargetTable.h
@@ -56,6 +56,8 @@
     unsigned connections = 0;
     bool present = false;
     bool ejected = false;
+    /** Failures since the last answer. */
+    unsigned failuresInARow = 0;
     /** One bit a LeavingSource. */
     std::uint8_t leavingSources = 0;
     /** When the target's own word about leaving lapses. */
@@ -108,6 +110,9 @@
     /** Notes whether a target is ejected as an outlier. */
     void setEjected(TargetIndex index, bool ejected);
 
+    /** Notes how many failures a target has had since its last answer. */
+    void setFailuresInARow(TargetIndex index, unsigned failures);
+
     /** Lets lapsed own words about leaving go. */
     void expireOwnWords(Instant now);
 
