Leave room on each target to interactive requests

Cause: at 120 % of slots 5.8 % of all requests were interactive ones refused, while bulk ones ran. Change: a bulk request needs two requests' more room on a target than an interactive one; the bench counts refused interactive requests apart.

--- a/bench/routing/Measures.cpp
+++ b/bench/routing/Measures.cpp
@@ -5,7 +5,7 @@
 
 namespace bulrush::bench {
 
-void Measures::note(routing::Outcome outcome, Duration taken)
+void Measures::note(routing::Outcome outcome, routing::RequestClass requestClass, Duration taken)
 {
     ++this->arrived;
     const double milliseconds = std::chrono::duration<double, std::milli>(taken).count();
@@ -15,6 +15,7 @@
         this->answerTimes.push_back(milliseconds);
     } else if (outcome == routing::Outcome::NotRun) {
         ++this->notRun;
+        this->interactiveNotRun += requestClass == routing::RequestClass::Interactive ? 1 : 0;
         this->refusalTimes.push_back(milliseconds);
     } else {
         ++this->unknown;
@@ -62,6 +63,7 @@
         { "p999_ms", quantile(this->answerTimes, 0.999) },
         { "late_share", share(this->late) },
         { "not_run_share", share(this->notRun) },
+        { "interactive_not_run_share", share(this->interactiveNotRun) },
         { "unknown_share", share(this->unknown) },
         { "lost_share", share(this->lost) },
         { "refusal_max_ms", quantile(this->refusalTimes, 1.0) },
@@ -74,19 +76,20 @@
 
 void Measures::printHeader()
 {
-    std::printf("%-20s %-16s %7s %7s %7s %8s %8s %8s %7s %8s %8s %7s\n", "case", "strategy",
-                "p50 ms", "p99 ms", "p99.9", "late %", "notrun %", "unkn. %", "lost %", "refus ms",
-                "goodput%", "again %");
+    std::printf("%-20s %-16s %7s %7s %7s %8s %8s %8s %8s %7s %8s %8s %7s\n", "case", "strategy",
+                "p50 ms", "p99 ms", "p99.9", "late %", "notrun %", "inter. %", "unkn. %", "lost %",
+                "refus ms", "goodput%", "again %");
 }
 
 void Measures::print(const std::string &caseName) const
 {
     const nlohmann::json json = this->toJson();
     const auto percent = [&json](const char *key) { return 100 * json[key].get<double>(); };
-    std::printf("%-20s %-16s %7.1f %7.1f %7.1f %8.3f %8.3f %8.3f %7.3f %8.2f %8.2f %7.2f\n",
+    std::printf("%-20s %-16s %7.1f %7.1f %7.1f %8.3f %8.3f %8.3f %8.3f %7.3f %8.2f %8.2f %7.2f\n",
                 caseName.c_str(), this->strategy.c_str(), json["p50_ms"].get<double>(),
                 json["p99_ms"].get<double>(), json["p999_ms"].get<double>(), percent("late_share"),
-                percent("not_run_share"), percent("unknown_share"), percent("lost_share"),
+                percent("not_run_share"), percent("interactive_not_run_share"),
+                percent("unknown_share"), percent("lost_share"),
                 json["refusal_max_ms"].get<double>(), percent("goodput_share"),
                 percent("second_send_share"));
 }
--- a/bench/routing/Measures.h
+++ b/bench/routing/Measures.h
@@ -17,6 +17,7 @@
     std::uint64_t arrived = 0;
     std::uint64_t late = 0;
     std::uint64_t notRun = 0;
+    std::uint64_t interactiveNotRun = 0;
     std::uint64_t unknown = 0;
     /** Requests that never got an outcome, such as those of a node that was lost. */
     std::uint64_t lost = 0;
@@ -25,7 +26,7 @@
     double goodputShare = 0;
 
     /** Notes how a request ended. */
-    void note(routing::Outcome outcome, Duration taken);
+    void note(routing::Outcome outcome, routing::RequestClass requestClass, Duration taken);
 
     /** Notes requests that got no outcome. */
     void noteLost(std::uint64_t count);
--- a/bench/routing/OmniscientQueue.cpp
+++ b/bench/routing/OmniscientQueue.cpp
@@ -46,7 +46,7 @@
         }
         if (arrival.at >= measuredFrom) {
             measures.note(refused ? routing::Outcome::NotRun : routing::Outcome::Answered,
-                          refused ? Duration(0) : taken);
+                          arrival.requestClass, refused ? Duration(0) : taken);
         }
     }
     measures.close(length - warmUp);
--- a/bench/routing/Simulation.cpp
+++ b/bench/routing/Simulation.cpp
@@ -329,7 +329,7 @@
 {
     const Arrival &arrival = this->arrivals[static_cast<std::size_t>(answer.request)];
     if (arrival.at >= this->begin + warmUp) {
-        this->measures.note(answer.outcome, this->now - arrival.at);
+        this->measures.note(answer.outcome, arrival.requestClass, this->now - arrival.at);
     }
 }
 
--- a/modules/bulrush_routing/choice/TargetChooser.cpp
+++ b/modules/bulrush_routing/choice/TargetChooser.cpp
@@ -63,7 +63,7 @@
     {
         const Target &target = this->table.at(index);
         const double load = estimatedLoad(this->table, target, this->query.now);
-        if (!this->fits(index) || load >= target.slots + queueAllowance) {
+        if (!this->fits(index) || load + this->query.reserve >= target.slots + queueAllowance) {
             return std::nullopt;
         }
         const double seconds =
--- a/modules/bulrush_routing/choice/TargetChooser.h
+++ b/modules/bulrush_routing/choice/TargetChooser.h
@@ -15,6 +15,8 @@
     Instant now;
     /** A target to stay away from, such as the one that the last attempt failed on. */
     std::optional<TargetIndex> avoid;
+    /** Room on each target that is left to requests of a higher class. */
+    double reserve = 0;
 };
 
 /** A way to choose among targets. */
--- a/modules/bulrush_routing/requests/RouterSending.cpp
+++ b/modules/bulrush_routing/requests/RouterSending.cpp
@@ -2,6 +2,18 @@
 
 namespace bulrush::routing {
 
+namespace {
+
+/** Room on each target that bulk requests leave to interactive ones. */
+constexpr double bulkReserve = 2.0;
+
+double reserveOf(const Request &request)
+{
+    return request.requestClass == RequestClass::Bulk ? bulkReserve : 0;
+}
+
+} // namespace
+
 bool Router::trySend(RequestRun &run, Instant now)
 {
     const auto target = this->choose(run, now);
@@ -11,12 +23,13 @@
 std::optional<TargetIndex> Router::choose(const RequestRun &run, Instant now)
 {
     if (run.avoid) {
-        const ChoiceQuery elsewhere { now, run.avoid };
+        const ChoiceQuery elsewhere { now, run.avoid, reserveOf(run.request) };
         if (const auto target = this->chooser.choose(this->targets, elsewhere, this->random)) {
             return target;
         }
     }
-    return this->chooser.choose(this->targets, ChoiceQuery { now, {} }, this->random);
+    return this->chooser.choose(this->targets, ChoiceQuery { now, {}, reserveOf(run.request) },
+                                this->random);
 }
 
 bool Router::send(RequestRun &run, TargetIndex target, Instant now)
