--- a/modules/bulrush_routing/choice/TargetChooser.cpp
+++ b/modules/bulrush_routing/choice/TargetChooser.cpp
@@ -1,6 +1,7 @@
 #include "bulrush_routing/choice/TargetChooser.h"
 
 #include "bulrush_core/errors/Error.h"
+#include "bulrush_routing/budgets/OutlierEjector.h"
 
 #include <algorithm>
 #include <tuple>
@@ -13,10 +14,13 @@
 constexpr std::size_t comparedTargets = 32;
 
 /** How many are looked at until one with room is found. */
-constexpr std::size_t mostLookedAt = 400;
+constexpr std::size_t mostLookedAt = 200;
 
 /** Requests beyond its slots that a target may hold by the estimate. */
-constexpr double queueAllowance = 1.0;
+constexpr double queueAllowance = 2.0;
+
+/** How much more loaded a target looks that fails request after request. */
+constexpr double failingPenalty = 10.0;
 
 /** Stands for an answer's time where none has been seen yet, in seconds. */
 constexpr double assumedAnswerSeconds = 0.02;
@@ -59,14 +63,17 @@
     {
         const Target &target = this->table.at(index);
         const double load = estimatedLoad(this->table, target, this->query.now);
-        if (!this->fits(index) || load >= target.slots + queueAllowance) {
+        if (!this->fits(index) || load + this->query.reserve >= target.slots + queueAllowance) {
             return std::nullopt;
         }
         const double seconds =
                 target.answerSeconds > 0 ? target.answerSeconds : assumedAnswerSeconds;
         const double perSlot = seconds / target.slots;
         const double wait = std::max(0.0, load + 1 - target.slots) * perSlot;
-        return Pick { index, wait, (load + 1) * perSlot };
+        // A target that fails at once looks idle; it has to look loaded instead.
+        const bool failing = target.failuresInARow >= OutlierEjector::failuresInARow;
+        const double penalty = failing ? failingPenalty : 1.0;
+        return Pick { index, wait, (load + 1) * perSlot * penalty };
     }
 
     /** Draws a position among the usable targets. */
@@ -135,10 +142,11 @@
 
 double TargetChooser::estimatedLoad(const TargetTable &table, const Target &target, Instant now)
 {
-    double others = table.meanOthers();
+    double others = table.meanOthers(target.dataCentre);
     if (target.reported) {
         const double age = static_cast<double>((now - target.reportedAt).count());
-        const double weight = 1.0 / (1.0 + age / static_cast<double>(reportHalfLife.count()));
+        constexpr double half = static_cast<double>(reportHalfLife.count());
+        const double weight = half / (half + age);
         others += weight * (target.others - others);
     }
     return target.inFlight + others;
--- a/modules/bulrush_routing/targets/TargetTable.h
+++ b/modules/bulrush_routing/targets/TargetTable.h
@@ -56,6 +56,8 @@
     unsigned connections = 0;
     bool present = false;
     bool ejected = false;
+    /** Failures since the last answer. */
+    unsigned failuresInARow = 0;
     /** One bit a LeavingSource. */
     std::uint8_t leavingSources = 0;
     /** When the target's own word about leaving lapses. */
@@ -80,6 +82,8 @@
     DataCentreId id;
     Duration oneWay {};
     bool reachable = true;
+    /** Mean of other nodes' requests on a target here, over the recent reports. */
+    double othersMean = 0;
     /** Targets that may get new requests. */
     std::vector<TargetIndex> usable;
 };
@@ -106,6 +110,9 @@
     /** Notes whether a target is ejected as an outlier. */
     void setEjected(TargetIndex index, bool ejected);
 
+    /** Notes how many failures a target has had since its last answer. */
+    void setFailuresInARow(TargetIndex index, unsigned failures);
+
     /** Lets lapsed own words about leaving go. */
     void expireOwnWords(Instant now);
 
@@ -140,8 +147,8 @@
     /** Returns all data centres; the first is this node's own. */
     std::span<const DataCentre> dataCentres() const { return this->centres; }
 
-    /** Returns the mean of other nodes' requests on a target, over the recent reports. */
-    double meanOthers() const { return this->othersMean; }
+    /** Returns the mean of other nodes' requests on a target of a data centre. */
+    double meanOthers(std::size_t dataCentre) const { return this->centres[dataCentre].othersMean; }
 
     /** Returns the mean time to an answer in seconds over all targets. */
     double meanAnswerSeconds() const { return this->answerMean; }
@@ -162,7 +169,6 @@
     std::vector<Target> targets;
     std::unordered_map<TargetId, TargetIndex> indexes;
     std::vector<DataCentre> centres;
-    double othersMean = 0;
     double answerMean = 0;
 };
 
