Explore longer tasks, and log starts and ends of attempts

Cause: three guards were still not missed: the horizon, the revocation and the batch sequence matter only for tasks that outlast a lapse wait.

--- a/modules/bulrush_tasks/model/Task.cpp
+++ b/modules/bulrush_tasks/model/Task.cpp
@@ -10,6 +10,10 @@
 
 constexpr std::array<std::string_view, 3> kindNames { "batch", "watcher", "service" };
 
+constexpr std::array<std::string_view, 8> outcomeNames { "finished",      "failed",   "evicted",
+                                                         "never started", "lapsed",   "lost",
+                                                         "cancelled",     "abandoned" };
+
 struct Amount
 {
     std::string_view name;
@@ -111,6 +115,11 @@
                                     : static_cast<TaskKind>(found - kindNames.begin());
 }
 
+std::string_view nameOf(Outcome outcome)
+{
+    return outcomeNames.at(static_cast<std::size_t>(outcome));
+}
+
 bool isFinal(Outcome outcome)
 {
     return outcome == Outcome::Finished || outcome == Outcome::Cancelled
--- a/modules/bulrush_tasks/model/Task.h
+++ b/modules/bulrush_tasks/model/Task.h
@@ -91,6 +91,9 @@
     Abandoned, ///< final: it failed on too many different workers
 };
 
+/** Returns an outcome's name for logs, such as "never started". */
+std::string_view nameOf(Outcome outcome);
+
 /** Returns whether no attempt may follow. */
 bool isFinal(Outcome outcome);
 
--- a/modules/bulrush_tasks/owner/GroupOwner.cpp
+++ b/modules/bulrush_tasks/owner/GroupOwner.cpp
@@ -61,6 +61,11 @@
 std::vector<Action> GroupOwner::tick(Instant now, const WorkView &view, const JobBook &jobs)
 {
     TickContext context { now, view, jobs, {} };
+    this->lastNow = now;
+    for (EventAction &event : this->pendingEvents) {
+        context.actions.emplace_back(std::move(event));
+    }
+    this->pendingEvents.clear();
     this->followOwnership(context);
     if (this->currentPhase != Phase::Owning) {
         return std::move(context.actions);
@@ -198,9 +203,17 @@
     this->queuedCheckpoints.clear();
     this->returning.clear();
     this->unplacedSince.clear();
+    this->failedAt.clear();
     this->urgentQueued = false;
 }
 
+void GroupOwner::tell(Event event, const AttemptId &attempt, std::string_view detail)
+{
+    this->pendingEvents.push_back({ event,
+                                    attempt.task.text() + '/' + std::to_string(attempt.attempt),
+                                    std::string(detail) });
+}
+
 std::string GroupOwner::recordId(std::string_view kind, std::uint64_t number) const
 {
     return this->identity.node.name() + '/' + this->identity.processId + '/'
--- a/modules/bulrush_tasks/owner/GroupOwner.h
+++ b/modules/bulrush_tasks/owner/GroupOwner.h
@@ -130,6 +130,7 @@
     void judge(const ManagedWorker &worker);
     void judgeAbsent(const AttemptId &attempt, const ManagedWorker &worker);
     void judgeItem(const InventoryItem &item, const ManagedWorker &worker);
+    void tell(Event event, const AttemptId &attempt, std::string_view detail);
     void queueCheckpoint(const InventoryItem &item);
     void reconcile(ManagedWorker &worker);
     bool isCommitted(const AttemptId &attempt, const ManagedWorker &worker) const;
@@ -211,6 +212,8 @@
     std::map<VmId, ManagedWorker> managed;
     FailureEvidence evidence;
     std::map<TaskId, Instant> failedAt;
+    std::vector<EventAction> pendingEvents; ///< for the next tick
+    Instant lastNow {};
     std::set<JobId> cannotRunTold;
     std::map<TaskId, Instant> unplacedSince;
     std::set<TaskId> returning; ///< in the operation in flight
--- a/modules/bulrush_tasks/owner/GroupOwnerLog.cpp
+++ b/modules/bulrush_tasks/owner/GroupOwnerLog.cpp
@@ -61,6 +61,12 @@
     this->queuedEnds.erase(record.attempt);
     const TaskState *task = this->state().find(record.attempt.task);
     if (task != nullptr && !task->open) {
+        this->tell(Event::AttemptEnded, record.attempt, nameOf(record.outcome));
+        if (record.outcome == Outcome::Failed) {
+            this->failedAt[record.attempt.task] = this->lastNow;
+        } else {
+            this->failedAt.erase(record.attempt.task);
+        }
         ManagedWorker &worker = this->managed[task->worker];
         worker.stops.erase(record.attempt);
         worker.throttles.erase(record.attempt);
--- a/modules/bulrush_tasks/owner/GroupOwnerWorkers.cpp
+++ b/modules/bulrush_tasks/owner/GroupOwnerWorkers.cpp
@@ -77,10 +77,14 @@
     if (worker.revokedSince) {
         worker.revokedSince = now;
     }
-    worker.inventory.clear();
+    std::map<AttemptId, InventoryItem> inventory;
     for (const InventoryItem &item : answer.inventory) {
-        worker.inventory[item.attempt] = item;
+        inventory[item.attempt] = item;
+        if (item.state == AttemptState::Running && !worker.inventory.contains(item.attempt)) {
+            this->tell(Event::AttemptStarted, item.attempt, answer.worker.name());
+        }
     }
+    worker.inventory = std::move(inventory);
     for (auto &[attempt, order] : worker.stops) {
         order.checkpointFirst = order.checkpointFirst && !worker.checkpointsSent;
     }
@@ -190,6 +194,7 @@
     for (const auto &[attempt, item] : worker.inventory) {
         if (item.state == AttemptState::Running && !worker.ledger.attempts().contains(attempt)) {
             worker.ledger.adopt(attempt, item.need);
+            this->tell(Event::WorkerBooksDiffer, attempt, "runs without an open attempt");
         }
     }
 }
--- a/modules/bulrush_tasks/tests/explorer/Explorer.cpp
+++ b/modules/bulrush_tasks/tests/explorer/Explorer.cpp
@@ -120,9 +120,10 @@
         world.addWorker(group, vmCapacity);
         world.assign(group, anyNode(world));
     }
+    const std::int64_t runMs = world.chance(500) ? 7000 : 30'000;
     world.addJob(
-            { JobId("batch"), TeamId("t"), TaskKind::Batch, 5, { 1500, 1000, 0 }, 7000, false });
-    world.addJob({ JobId("watch"), TeamId("t"), TaskKind::Watcher, 2, { 500, 500, 0 }, 0, true });
+            { JobId("batch"), TeamId("t"), TaskKind::Batch, 5, { 1500, 1000, 0 }, runMs, false });
+    world.addJob({ JobId("watch"), TeamId("t"), TaskKind::Watcher, 4, { 500, 500, 0 }, 0, true });
     world.addJob({ JobId("accel"), TeamId("u"), TaskKind::Batch, 3, { 500, 500, 1 }, 3000, false });
 }
 
