--- a/modules/bulrush_tasks/owner/GroupOwner.cpp
+++ b/modules/bulrush_tasks/owner/GroupOwner.cpp
@@ -190,6 +190,7 @@
                                                    "epoch " + std::to_string(this->ownEpoch) });
     }
     this->currentPhase = Phase::Idle;
+    this->wanted = false;
     for (PendingAppend *pending :
          { &this->pendingClaim, &this->pendingBatch, &this->pendingOperation,
            &this->pendingGroupSnapshot, &this->pendingWorkSnapshot }) {
--- a/modules/bulrush_tasks/owner/GroupOwner.h
+++ b/modules/bulrush_tasks/owner/GroupOwner.h
@@ -53,9 +53,12 @@
     GroupOwner(const GroupOwner &) = delete;
     GroupOwner &operator=(const GroupOwner &) = delete;
 
-    /** Sets whether this node is to own the group. When switched off it stops to act at once. */
+    /** Sets whether this node is to own the group. When switched off it stops to act at once. A
+       node that lost the group to another does not want it any more until it is told so again. */
     void setWanted(bool ownershipWanted);
 
+    bool isWanted() const { return this->wanted; }
+
     //==============================================================================
     /** Takes the next record of the group's stream. */
     void readGroupRecord(std::uint64_t offset, std::string_view payload);
--- a/modules/bulrush_tasks/owner/GroupOwnerExchange.cpp
+++ b/modules/bulrush_tasks/owner/GroupOwnerExchange.cpp
@@ -19,9 +19,13 @@
     }
 }
 
-/** A start or stop that was not sent yet does not wait for the period. */
+/** A start or stop that was not sent yet does not wait for the period, nor do the leases that a new
+    owner found: the first exchange brings the inventory and can renew nothing. */
 bool GroupOwner::isPressing(const ManagedWorker &worker) const
 {
+    if (worker.ledger.isKnown() && !worker.renewed) {
+        return true;
+    }
     for (const auto &[attempt, order] : worker.stops) {
         if (!order.sent) {
             return true;
@@ -63,6 +67,7 @@
     } else if (lease) {
         request.validUntilMs = worker.clock.validUntilMs(context.now, this->durations.transit);
     }
+    worker.renewed = worker.ledger.isKnown();
     this->addCommands(request, worker, id, lease);
     this->addStops(request, worker);
     worker.inFlight = true;
--- a/modules/bulrush_tasks/owner/ManagedWorker.h
+++ b/modules/bulrush_tasks/owner/ManagedWorker.h
@@ -31,6 +31,7 @@
     std::uint64_t sequence = 0; ///< of the last exchange in this epoch
     bool inFlight = false;
     bool everSent = false;
+    bool renewed = false; ///< an exchange of this epoch could renew leases
     bool checkpointsSent = false; ///< by the exchange in flight
     bool listedLeaving = false; ///< by the platform's list
     bool answeredLeaving = false; ///< by the worker itself
--- a/modules/bulrush_tasks/tests/explorer/FakeNode.cpp
+++ b/modules/bulrush_tasks/tests/explorer/FakeNode.cpp
@@ -3,14 +3,12 @@
 namespace bulrush::explorer {
 
 FakeNode::FakeNode(const NodeId &id, const Durations &nodeDurations, const Guards &nodeGuards,
-                   const std::vector<GroupId> &groups)
+                   const std::vector<GroupId> &groupIds)
     : nodeId(id)
     , durations(nodeDurations)
     , guards(nodeGuards)
+    , groups(groupIds)
 {
-    for (const GroupId &group : groups) {
-        this->wanted[group] = false;
-    }
     this->restart();
 }
 
@@ -22,8 +20,7 @@
     this->workReadAt = {};
     this->renewer = std::make_unique<Renewer>(this->nodeId, this->durations);
     this->owners.clear();
-    for (auto &[group, isWanted] : this->wanted) {
-        isWanted = false;
+    for (const GroupId &group : this->groups) {
         const OwnerIdentity identity { this->nodeId, std::to_string(this->lives), group };
         this->owners[group] =
                 std::make_unique<GroupOwner>(identity, this->durations, this->placement);
@@ -45,7 +42,7 @@
     std::map<std::string, std::uint64_t> streams { { GroupOwner::workStream,
                                                      this->work.nextOffset() } };
     for (const auto &[group, owner] : this->owners) {
-        if (this->wanted.at(group) || owner->phase() != GroupOwner::Phase::Idle) {
+        if (owner->isWanted() || owner->phase() != GroupOwner::Phase::Idle) {
             streams[owner->groupStream()] = owner->nextGroupOffset();
         }
     }
@@ -111,7 +108,6 @@
 
 void FakeNode::want(const GroupId &group, bool isWanted)
 {
-    this->wanted[group] = isWanted;
     this->owners.at(group)->setWanted(isWanted);
 }
 
--- a/modules/bulrush_tasks/tests/explorer/FakeNode.h
+++ b/modules/bulrush_tasks/tests/explorer/FakeNode.h
@@ -15,7 +15,7 @@
 {
 public:
     FakeNode(const NodeId &id, const Durations &durations, const Guards &guards,
-             const std::vector<GroupId> &groups);
+             const std::vector<GroupId> &groupIds);
 
     /** Starts a new process: everything in memory is lost. */
     void restart();
@@ -36,7 +36,7 @@
 
     GroupOwner &owner(const GroupId &group) { return *this->owners.at(group); }
     void want(const GroupId &group, bool wanted);
-    bool wants(const GroupId &group) const { return this->wanted.at(group); }
+    bool wants(const GroupId &group) const { return this->owners.at(group)->isWanted(); }
     bool owns(const GroupId &group) const;
 
     const NodeId &id() const { return this->nodeId; }
@@ -59,7 +59,7 @@
     Instant workReadAt {};
     std::unique_ptr<Renewer> renewer;
     std::map<GroupId, std::unique_ptr<GroupOwner>> owners;
-    std::map<GroupId, bool> wanted;
+    std::vector<GroupId> groups;
 };
 
 } // namespace bulrush::explorer
--- a/modules/bulrush_tasks/tests/explorer/World.h
+++ b/modules/bulrush_tasks/tests/explorer/World.h
@@ -73,6 +73,8 @@
     void setCut(bool isCut) { this->cut = isCut; }
     void setSilent(const VmId &worker, bool isSilent);
     void setLinkBroken(const NodeId &node, const VmId &worker, bool broken);
+    /** Holds back what a node sends to workers; releasing delivers it late. */
+    void holdMessages(const NodeId &node, bool hold);
     void mendLinks() { this->brokenLinks.clear(); }
     void setRenewing(bool on) { this->renewing = on; }
     void setListLag(Duration lag) { this->listLag = lag; }
@@ -149,6 +151,7 @@
     std::multimap<Instant, std::function<void()>> events;
     std::map<Event, std::pair<std::size_t, std::string>> logged;
     std::set<std::pair<NodeId, VmId>> brokenLinks;
+    std::map<NodeId, std::vector<ExchangeAction>> heldMessages;
     Chaos chaos;
     Duration listLag {};
     Instant listSentAt {};
--- a/modules/bulrush_tasks/tests/explorer/WorldMessages.cpp
+++ b/modules/bulrush_tasks/tests/explorer/WorldMessages.cpp
@@ -50,6 +50,11 @@
 
 void World::exchange(FakeNode &node, const ExchangeAction &action, bool byRenewer)
 {
+    const auto held = this->heldMessages.find(node.id());
+    if (held != this->heldMessages.end()) {
+        held->second.push_back(action);
+        return;
+    }
     const std::uint64_t copies = this->chance(this->chaos.doubledRequest) ? 2 : 1;
     for (std::uint64_t copy = 0; copy < copies; ++copy) {
         if (this->chance(this->chaos.lostRequest)) {
@@ -67,6 +72,19 @@
     }
 }
 
+void World::holdMessages(const NodeId &node, bool hold)
+{
+    if (hold) {
+        this->heldMessages[node];
+        return;
+    }
+    const std::vector<ExchangeAction> late = std::move(this->heldMessages[node]);
+    this->heldMessages.erase(node);
+    for (const ExchangeAction &action : late) {
+        this->deliver(*this->nodes.at(node), action, false, true);
+    }
+}
+
 void World::deliver(FakeNode &node, const ExchangeAction &action, bool byRenewer, bool late)
 {
     WorkerEntry &worker = this->workers.at(action.worker);
