Batch operations, and scan the backlog only when due

Cause: at 173 groups, two batches and two operations a start would be over 500 appends a second; each tick looked at every job of the backlog. Ruled out: one stream for all groups of a node (a takeover would read foreign groups). Change: batches without urgent work go every 2 s, operations every 5 s; urgent work and revocations go at once; between operations only urgent jobs are looked at, and a full group looks at none. Explorer: more takeovers, doubled appends.

--- a/modules/bulrush_tasks/leases/Durations.h
+++ b/modules/bulrush_tasks/leases/Durations.h
@@ -19,7 +19,8 @@
     Duration silence = seconds(90); ///< a worker is revoked after this long unanswered
     Duration listLag = seconds(120); ///< how old the platform's list of VMs may be
     Duration appendTimeout = milliseconds(500); ///< an unanswered append is sent again
-    Duration batchInterval = milliseconds(500); ///< between two appends of a group's stream
+    Duration batchInterval = seconds(2); ///< between two batches without urgent work
+    Duration operationInterval = seconds(5); ///< between two operations without urgent work
     Duration checkpointWait = seconds(30); ///< an eviction waits so long for a checkpoint
     Duration returnAfter = seconds(60); ///< tasks that fit nowhere go back to all groups
     Duration dropInterval = minutes(1); ///< completed tasks are dropped this often
--- a/modules/bulrush_tasks/model/JobBook.cpp
+++ b/modules/bulrush_tasks/model/JobBook.cpp
@@ -49,6 +49,18 @@
     return found == this->quotas.end() ? nullptr : &found->second;
 }
 
+std::vector<const JobSpec *> JobBook::urgentInOrder() const
+{
+    std::vector<const JobSpec *> result;
+    for (const auto &[order, job] : this->queue) {
+        if (order.first) {
+            break;
+        }
+        result.push_back(&this->jobs.at(job).spec);
+    }
+    return result;
+}
+
 std::vector<const JobSpec *> JobBook::inOrder() const
 {
     std::vector<const JobSpec *> result;
--- a/modules/bulrush_tasks/model/JobBook.h
+++ b/modules/bulrush_tasks/model/JobBook.h
@@ -35,6 +35,9 @@
     /** Returns all jobs, urgent ones first, each in the order of their addition. */
     std::vector<const JobSpec *> inOrder() const;
 
+    /** Returns the urgent jobs in the order of their addition. */
+    std::vector<const JobSpec *> urgentInOrder() const;
+
 private:
     struct Entry
     {
--- a/modules/bulrush_tasks/owner/GroupOwner.h
+++ b/modules/bulrush_tasks/owner/GroupOwner.h
@@ -170,12 +170,16 @@
     void addWorkerChanges(std::vector<WorkItem> &items, const TickContext &context) const;
     void addFinishedRanges(std::vector<WorkItem> &items, const TickContext &context) const;
     void addReturns(std::vector<WorkItem> &items, TickContext &context);
-    void addClaims(std::vector<WorkItem> &items, TickContext &context);
+    void addClaims(std::vector<WorkItem> &items, TickContext &context, bool urgentOnly);
+    std::optional<WorkItem> claimItem(const JobSpec &spec, TickContext &context,
+                                      std::vector<PlacementCandidate> &room,
+                                      std::map<TeamId, Resources> &usage);
     bool isOver(const TaskId &task, const TickContext &context) const;
     bool isAnyRunning(const VmId &id) const;
     std::optional<WorkItem> returnItem(const TaskId &task, const TickContext &context) const;
     std::map<TeamId, Resources> teamUsage(const TickContext &context) const;
-    std::uint32_t takeRoom(const JobSpec &spec, std::vector<PlacementCandidate> &room) const;
+    static std::uint32_t takeRoom(const JobSpec &spec, std::vector<PlacementCandidate> &room,
+                                  std::uint32_t most);
     void dropCompleted(TickContext &context);
     void tellCannotRun(const JobSpec &spec, TickContext &context);
 
@@ -204,6 +208,7 @@
 
     PendingAppend pendingOperation;
     std::uint64_t operationSequence = 0;
+    Instant operatedAt {};
     PendingAppend pendingGroupSnapshot;
     PendingAppend pendingWorkSnapshot;
     std::uint64_t groupSnapshotAsOf = 0;
--- a/modules/bulrush_tasks/owner/GroupOwnerWork.cpp
+++ b/modules/bulrush_tasks/owner/GroupOwnerWork.cpp
@@ -35,9 +35,13 @@
     }
     std::vector<WorkItem> items;
     this->addWorkerChanges(items, context);
-    this->addFinishedRanges(items, context);
-    this->addReturns(items, context);
-    this->addClaims(items, context);
+    const bool due = context.now - this->operatedAt >= this->durations.operationInterval;
+    if (due) {
+        this->addFinishedRanges(items, context);
+        this->addReturns(items, context);
+        this->operatedAt = context.now;
+    }
+    this->addClaims(items, context, !due);
     if (items.empty()) {
         return;
     }
@@ -144,7 +148,8 @@
 }
 
 /** Takes the room of as many tasks as fit, and returns their number. */
-std::uint32_t GroupOwner::takeRoom(const JobSpec &spec, std::vector<PlacementCandidate> &room) const
+std::uint32_t GroupOwner::takeRoom(const JobSpec &spec, std::vector<PlacementCandidate> &room,
+                                   std::uint32_t most)
 {
     std::int64_t taken = 0;
     for (PlacementCandidate &candidate : room) {
@@ -152,7 +157,7 @@
                 std::min({ timesIn(spec.need.cpuMilli, candidate.free.cpuMilli),
                            timesIn(spec.need.memoryMb, candidate.free.memoryMb),
                            timesIn(spec.need.accelerators, candidate.free.accelerators),
-                           std::int64_t { maxClaimedTasks } - taken });
+                           std::int64_t { most } - taken });
         candidate.free -= { spec.need.cpuMilli * fits, spec.need.memoryMb * fits,
                             spec.need.accelerators * fits };
         taken += fits;
@@ -160,44 +165,59 @@
     return static_cast<std::uint32_t>(taken);
 }
 
-void GroupOwner::addClaims(std::vector<WorkItem> &items, TickContext &context)
+void GroupOwner::addClaims(std::vector<WorkItem> &items, TickContext &context, bool urgentOnly)
 {
+    const auto jobs = urgentOnly ? context.jobs.urgentInOrder() : context.jobs.inOrder();
     std::vector<PlacementCandidate> room = this->candidates(context);
-    if (room.empty()) {
+    if (jobs.empty() || room.empty()) {
         return;
     }
     std::map<TeamId, Resources> usage = this->teamUsage(context);
-    for (const JobSpec *spec : context.jobs.inOrder()) {
-        const auto free =
-                context.view.claims->freeRange(spec->job, spec->taskCount, maxClaimedTasks);
-        if (!free || context.jobs.isCancelled(spec->job)) {
-            continue;
-        }
-        this->tellCannotRun(*spec, context);
-        std::vector<PlacementCandidate> roomAfter = room;
-        const std::uint32_t wanted =
-                std::min(free->last - free->first + 1, this->takeRoom(*spec, roomAfter));
-        const Resources *quota = context.jobs.quotaOf(spec->team);
-        std::uint32_t count = 0;
-        Resources &used = usage[spec->team];
-        while (count < wanted && (quota == nullptr || (used + spec->need).fitsIn(*quota))) {
-            used += spec->need;
-            ++count;
+    for (const JobSpec *spec : jobs) {
+        const bool full = std::none_of(room.begin(), room.end(), [](const auto &candidate) {
+            return candidate.free.cpuMilli > 0 && candidate.free.memoryMb > 0;
+        });
+        if (full || items.size() >= maxOperationItems) {
+            return;
         }
-        if (count > 0) {
-            room = std::move(roomAfter);
-            items.push_back({ WorkChange::ClaimTasks,
-                              spec->job,
-                              free->first,
-                              free->first + count - 1,
-                              0,
-                              {},
-                              {} });
+        if (auto item = this->claimItem(*spec, context, room, usage)) {
+            items.push_back(std::move(*item));
         }
-        if (items.size() >= maxOperationItems) {
-            return;
+    }
+}
+
+/** Returns the claim of as many tasks of a job as fit into the room and its team's quota. */
+std::optional<WorkItem> GroupOwner::claimItem(const JobSpec &spec, TickContext &context,
+                                              std::vector<PlacementCandidate> &room,
+                                              std::map<TeamId, Resources> &usage)
+{
+    const auto free = context.view.claims->freeRange(spec.job, spec.taskCount, maxClaimedTasks);
+    if (!free || context.jobs.isCancelled(spec.job)) {
+        return std::nullopt;
+    }
+    this->tellCannotRun(spec, context);
+    const Resources *quota = context.jobs.quotaOf(spec.team);
+    Resources &used = usage[spec.team];
+    std::uint32_t wanted = free->last - free->first + 1;
+    if (quota != nullptr) {
+        std::uint32_t allowed = 0;
+        Resources total = used + spec.need;
+        while (allowed < wanted && total.fitsIn(*quota)) {
+            total += spec.need;
+            ++allowed;
         }
+        wanted = allowed;
+    }
+    const std::uint32_t count = this->takeRoom(spec, room, wanted);
+    if (count == 0) {
+        return std::nullopt;
+    }
+    for (std::uint32_t taken = 0; taken < count; ++taken) {
+        used += spec.need;
     }
+    return WorkItem {
+        WorkChange::ClaimTasks, spec.job, free->first, free->first + count - 1, 0, {}, {}
+    };
 }
 
 /** Tells once that no worker of the group could ever hold a task, and what is missing. */
--- a/modules/bulrush_tasks/tests/ScenarioWorld.cpp
+++ b/modules/bulrush_tasks/tests/ScenarioWorld.cpp
@@ -193,6 +193,12 @@
     this->interpreter.bind("heard", [this](const Step &step) {
         this->world().setSilent(VmId(step.argument(0)), false);
     });
+    this->interpreter.bind("unlisted", [this](const Step &step) {
+        this->world().setUnlisted(VmId(step.argument(0)), true);
+    });
+    this->interpreter.bind("listed", [this](const Step &step) {
+        this->world().setUnlisted(VmId(step.argument(0)), false);
+    });
     this->interpreter.bind("break-link", [this](const Step &step) {
         this->world().setLinkBroken(NodeId(step.argument(0)), VmId(step.argument(1)), true);
     });
--- a/modules/bulrush_tasks/tests/explorer/Explorer.cpp
+++ b/modules/bulrush_tasks/tests/explorer/Explorer.cpp
@@ -63,7 +63,7 @@
 }
 
 const std::array troubles {
-    Trouble { "takeover", 120,
+    Trouble { "takeover", 350,
               [](World &world) { world.assign(anyGroup(world), anyNode(world)); } },
     Trouble { "node replaced", 60, replaceNode },
     Trouble { "node paused", 80,
@@ -96,12 +96,12 @@
     Chaos chaos;
     chaos.lostRequest = level(200);
     chaos.lostAnswer = level(200);
-    chaos.doubledRequest = level(150);
-    chaos.slowRequest = level(150);
+    chaos.doubledRequest = level(250);
+    chaos.slowRequest = level(250);
     chaos.slowAnswer = level(150);
     chaos.lostAppend = level(200);
-    chaos.lateAppend = level(150);
-    chaos.doubledAppend = level(150);
+    chaos.lateAppend = level(250);
+    chaos.doubledAppend = level(300);
     chaos.slowRead = level(150);
     return chaos;
 }
--- a/modules/bulrush_tasks/tests/explorer/World.cpp
+++ b/modules/bulrush_tasks/tests/explorer/World.cpp
@@ -23,6 +23,7 @@
     durations.listLag = seconds(3);
     durations.appendTimeout = milliseconds(600);
     durations.batchInterval = milliseconds(200);
+    durations.operationInterval = milliseconds(200);
     durations.checkpointWait = seconds(2);
     durations.dropInterval = seconds(3);
     durations.returnAfter = seconds(5);
@@ -150,6 +151,11 @@
     }
 }
 
+void World::setUnlisted(const VmId &worker, bool isUnlisted)
+{
+    this->workers.at(worker).unlisted = isUnlisted;
+}
+
 void World::evict(const TaskId &task)
 {
     this->note("evict " + task.text());
--- a/modules/bulrush_tasks/tests/explorer/World.h
+++ b/modules/bulrush_tasks/tests/explorer/World.h
@@ -75,6 +75,8 @@
     void setLinkBroken(const NodeId &node, const VmId &worker, bool broken);
     /** Holds back what a node sends to workers; releasing delivers it late. */
     void holdMessages(const NodeId &node, bool hold);
+    /** Leaves a VM out of the platform's list, as an older list does. */
+    void setUnlisted(const VmId &worker, bool isUnlisted);
     void mendLinks() { this->brokenLinks.clear(); }
     void setRenewing(bool on) { this->renewing = on; }
     void setListLag(Duration lag) { this->listLag = lag; }
@@ -116,6 +118,7 @@
         GroupId group;
         char dataCentre = 'a';
         bool silent = false;
+        bool unlisted = false;
         std::int64_t clockRatePpm = 0;
         Instant bornAt {};
         Instant diedAt {};
--- a/modules/bulrush_tasks/tests/explorer/WorldMessages.cpp
+++ b/modules/bulrush_tasks/tests/explorer/WorldMessages.cpp
@@ -126,7 +126,8 @@
         std::vector<VmStatus> list;
         for (const auto &[id, entry] : this->workers) {
             const bool dead = !entry.fake->isAlive() && entry.diedAt <= asOf;
-            if (entry.group == group && entry.bornAt <= asOf && !dead) {
+            const bool shown = entry.bornAt <= asOf && !dead && !entry.unlisted;
+            if (entry.group == group && shown) {
                 list.push_back({ id, entry.fake->isLeaving() });
             }
         }
