Claim by shares of the backlog, and measure recovery and the log

Cause: 20 groups that saw the same backlog all claimed the same first tasks, one won and the others waited for the next operation; each pass copied the room and looked up every job of a backlog of 30,000. Ruled out: random order (a test could not repeat it). Change: a group looks first at its share of the jobs and at its part of a large job; needs that found no room are remembered within a pass; the backlog is visited in place.

--- a/modules/bulrush_ownership/claims/GroupClaims.cpp
+++ b/modules/bulrush_ownership/claims/GroupClaims.cpp
@@ -189,24 +189,26 @@
 }
 
 std::optional<TaskRange> GroupClaims::freeRange(const JobId &job, std::uint32_t taskCount,
-                                                std::uint32_t limit) const
+                                                std::uint32_t limit, std::uint32_t from) const
 {
-    std::uint32_t first = 0;
+    std::uint32_t first = from;
     std::uint32_t end = taskCount;
     const auto found = this->ranges.find(job);
     if (found != this->ranges.end()) {
-        for (const auto &[heldFirst, range] : found->second) {
-            if (heldFirst > first) {
-                end = std::min(end, heldFirst);
-                break;
-            }
-            first = range.last + 1;
+        auto range = found->second.upper_bound(first);
+        if (range != found->second.begin() && std::prev(range)->second.last >= first) {
+            first = std::prev(range)->second.last + 1;
         }
+        while (range != found->second.end() && range->first == first) {
+            first = range->second.last + 1;
+            ++range;
+        }
+        end = range == found->second.end() ? taskCount : std::min(end, range->first);
     }
-    if (first >= end || limit == 0) {
-        return std::nullopt;
+    if (first < end && limit > 0) {
+        return TaskRange { job, first, std::min(end, first + limit) - 1 };
     }
-    return TaskRange { job, first, std::min(end, first + limit) - 1 };
+    return from == 0 ? std::nullopt : this->freeRange(job, taskCount, limit, 0);
 }
 
 std::map<JobId, std::uint32_t> GroupClaims::heldTasks() const
--- a/modules/bulrush_ownership/claims/GroupClaims.h
+++ b/modules/bulrush_ownership/claims/GroupClaims.h
@@ -58,10 +58,13 @@
     /** Returns the group that holds a task, whether completed or not. */
     std::optional<GroupId> holderOf(const JobId &job, std::uint32_t index) const;
 
-    /** Returns the first free range of a job, at most `limit` long. @param taskCount the job's size
-     */
+    /** Returns a free range of a job, at most `limit` long: the first at or after `from`, else the
+        first of all. @param taskCount the job's size */
     std::optional<TaskRange> freeRange(const JobId &job, std::uint32_t taskCount,
-                                       std::uint32_t limit) const;
+                                       std::uint32_t limit, std::uint32_t from = 0) const;
+
+    /** Returns how many groups were ever claimed. */
+    std::size_t groupCount() const { return this->owners.size(); }
 
     /** Returns every job with tasks that are held and not completed, with their number. */
     std::map<JobId, std::uint32_t> heldTasks() const;
--- a/modules/bulrush_ownership/tests/ownership_test.cpp
+++ b/modules/bulrush_ownership/tests/ownership_test.cpp
@@ -44,6 +44,12 @@
     cr_assert_eq(claims.rangesOf(GroupId("g")).size(), 2U);
     const auto range = claims.freeRange(JobId("j"), 20, 10);
     cr_assert(range && range->first == 4 && range->last == 5);
+    const auto later = claims.freeRange(JobId("j"), 20, 4, 5);
+    cr_assert(later && later->first == 5 && later->last == 5);
+    const auto behind = claims.freeRange(JobId("j"), 20, 4, 7);
+    cr_assert(behind && behind->first == 10 && behind->last == 13);
+    const auto wrapped = claims.freeRange(JobId("j"), 10, 4, 8);
+    cr_assert(wrapped && wrapped->first == 4);
 }
 
 Test(GroupClaims, completedRangesMerge)
--- a/modules/bulrush_tasks/model/JobBook.cpp
+++ b/modules/bulrush_tasks/model/JobBook.cpp
@@ -12,8 +12,9 @@
         order = found->second.order;
         this->queue.erase({ !found->second.spec.urgent, order });
     }
-    this->jobs[spec.job] = { spec, order };
-    this->queue[{ !spec.urgent, order }] = spec.job;
+    Entry &entry = this->jobs[spec.job];
+    entry = { spec, order };
+    this->queue[{ !spec.urgent, order }] = &entry.spec;
 }
 
 void JobBook::cancel(const JobId &job)
@@ -49,24 +50,22 @@
     return found == this->quotas.end() ? nullptr : &found->second;
 }
 
-std::vector<const JobSpec *> JobBook::urgentInOrder() const
+void JobBook::visit(bool urgentOnly, const std::function<bool(const JobSpec &)> &visitor) const
 {
-    std::vector<const JobSpec *> result;
-    for (const auto &[order, job] : this->queue) {
-        if (order.first) {
-            break;
+    for (const auto &[order, spec] : this->queue) {
+        const bool ordinary = order.first;
+        if ((ordinary && urgentOnly) || !visitor(*spec)) {
+            return;
         }
-        result.push_back(&this->jobs.at(job).spec);
     }
-    return result;
 }
 
 std::vector<const JobSpec *> JobBook::inOrder() const
 {
     std::vector<const JobSpec *> result;
     result.reserve(this->queue.size());
-    for (const auto &[order, job] : this->queue) {
-        result.push_back(&this->jobs.at(job).spec);
+    for (const auto &[order, spec] : this->queue) {
+        result.push_back(spec);
     }
     return result;
 }
--- a/modules/bulrush_tasks/model/JobBook.h
+++ b/modules/bulrush_tasks/model/JobBook.h
@@ -2,6 +2,7 @@
 
 #include "bulrush_tasks/model/Task.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <vector>
@@ -35,8 +36,8 @@
     /** Returns all jobs, urgent ones first, each in the order of their addition. */
     std::vector<const JobSpec *> inOrder() const;
 
-    /** Returns the urgent jobs in the order of their addition. */
-    std::vector<const JobSpec *> urgentInOrder() const;
+    /** Shows the jobs in the same order until the visitor returns false. */
+    void visit(bool urgentOnly, const std::function<bool(const JobSpec &)> &visitor) const;
 
 private:
     struct Entry
@@ -46,7 +47,7 @@
     };
 
     std::map<JobId, Entry> jobs;
-    std::map<std::pair<bool, std::uint64_t>, JobId> queue; ///< (ordinary, order)
+    std::map<std::pair<bool, std::uint64_t>, const JobSpec *> queue; ///< by (ordinary, order)
     std::set<JobId> cancelled;
     std::map<TeamId, Resources> quotas;
     std::uint64_t nextOrder = 0;
--- a/modules/bulrush_tasks/owner/GroupOwner.h
+++ b/modules/bulrush_tasks/owner/GroupOwner.h
@@ -5,6 +5,7 @@
 #include "bulrush_tasks/leases/Renewer.h"
 #include "bulrush_tasks/model/JobBook.h"
 #include "bulrush_tasks/owner/Actions.h"
+#include "bulrush_tasks/owner/ClaimPass.h"
 #include "bulrush_tasks/owner/FailureEvidence.h"
 #include "bulrush_tasks/owner/ManagedWorker.h"
 #include "bulrush_tasks/owner/PendingAppend.h"
@@ -153,6 +154,8 @@
 
     std::vector<TaskId> pendingTasks(const TickContext &context) const;
     bool isPending(const TaskId &task, const TickContext &context) const;
+    bool isStartableState(const TaskId &task, const TaskState *state,
+                          const TickContext &context) const;
     std::vector<PlacementCandidate> candidates(const TickContext &context) const;
     bool mayTakeWork(const VmId &id, const ManagedWorker &worker, const TickContext &context) const;
     void placeTasks(TickContext &context);
@@ -171,17 +174,16 @@
     void addFinishedRanges(std::vector<WorkItem> &items, const TickContext &context) const;
     void addReturns(std::vector<WorkItem> &items, TickContext &context);
     void addClaims(std::vector<WorkItem> &items, TickContext &context, bool urgentOnly);
-    std::optional<WorkItem> claimItem(const JobSpec &spec, TickContext &context,
-                                      std::vector<PlacementCandidate> &room,
-                                      std::map<TeamId, Resources> &usage);
+    std::optional<WorkItem> claimItem(const JobSpec &spec, const TickContext &context,
+                                      ClaimPass &pass) const;
+    std::vector<Resources> capacities() const;
     bool isOver(const TaskId &task, const TickContext &context) const;
     bool isAnyRunning(const VmId &id) const;
     std::optional<WorkItem> returnItem(const TaskId &task, const TickContext &context) const;
     std::map<TeamId, Resources> teamUsage(const TickContext &context) const;
-    static std::uint32_t takeRoom(const JobSpec &spec, std::vector<PlacementCandidate> &room,
-                                  std::uint32_t most);
     void dropCompleted(TickContext &context);
-    void tellCannotRun(const JobSpec &spec, TickContext &context);
+    void tellCannotRun(const JobSpec &spec, const std::vector<Resources> &capacities,
+                       TickContext &context);
 
     OwnerIdentity identity;
     Durations durations;
--- a/modules/bulrush_tasks/owner/GroupOwnerPlacement.cpp
+++ b/modules/bulrush_tasks/owner/GroupOwnerPlacement.cpp
@@ -17,10 +17,19 @@
     if (!context.view.usable) {
         return pending;
     }
+    const auto &states = this->state().tasks();
     for (const TaskRange &range : context.view.claims->rangesOf(this->identity.group)) {
-        for (std::uint32_t index = range.first; index <= range.last; ++index) {
-            const TaskId task { range.job, index };
-            if (this->isPending(task, context)) {
+        if (context.jobs.find(range.job) == nullptr || context.jobs.isCancelled(range.job)) {
+            continue;
+        }
+        TaskId task { range.job, range.first };
+        auto state = states.lower_bound(task);
+        for (; task.index <= range.last; ++task.index) {
+            while (state != states.end() && state->first < task) {
+                ++state;
+            }
+            const bool onRecord = state != states.end() && state->first == task;
+            if (this->isStartableState(task, onRecord ? &state->second : nullptr, context)) {
                 pending.push_back(task);
             }
         }
@@ -34,18 +43,21 @@
 
 bool GroupOwner::isPending(const TaskId &task, const TickContext &context) const
 {
-    const bool known = context.jobs.find(task.job) != nullptr;
-    if (!known || context.jobs.isCancelled(task.job) || this->returning.contains(task)
+    return context.jobs.find(task.job) != nullptr && !context.jobs.isCancelled(task.job)
+            && this->isStartableState(task, this->state().find(task), context);
+}
+
+/** Returns whether a task that its job still wants may get an attempt. */
+bool GroupOwner::isStartableState(const TaskId &task, const TaskState *state,
+                                  const TickContext &context) const
+{
+    const bool open = state != nullptr && state->open && this->guards.newAttemptAfterEnd;
+    if (open || (state != nullptr && state->final) || this->returning.contains(task)
         || this->queuedIntents.contains(task)) {
         return false;
     }
     const auto failed = this->failedAt.find(task);
-    if (failed != this->failedAt.end() && context.now - failed->second < retryDelay) {
-        return false;
-    }
-    const TaskState *state = this->state().find(task);
-    const bool open = state != nullptr && state->open && this->guards.newAttemptAfterEnd;
-    return state == nullptr || (!open && !state->final);
+    return failed == this->failedAt.end() || context.now - failed->second >= retryDelay;
 }
 
 bool GroupOwner::mayTakeWork(const VmId &id, const ManagedWorker &worker,
--- a/modules/bulrush_tasks/owner/GroupOwnerWork.cpp
+++ b/modules/bulrush_tasks/owner/GroupOwnerWork.cpp
@@ -1,6 +1,7 @@
 #include "bulrush_tasks/owner/GroupOwner.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace bulrush {
 
@@ -12,9 +13,19 @@
 /** The most tasks of one job that a group takes at a time. */
 constexpr std::uint32_t maxClaimedTasks = 32;
 
-std::int64_t timesIn(std::int64_t need, std::int64_t room)
+std::uint32_t quotaAllows(const Resources &need, const Resources &used, const Resources *quota,
+                          std::uint32_t wanted)
 {
-    return need <= 0 ? maxClaimedTasks : room / need;
+    if (quota == nullptr) {
+        return wanted;
+    }
+    std::uint32_t allowed = 0;
+    Resources total = used + need;
+    while (allowed < wanted && total.fitsIn(*quota)) {
+        total += need;
+        ++allowed;
+    }
+    return allowed;
 }
 
 } // namespace
@@ -147,69 +158,56 @@
     return usage;
 }
 
-/** Takes the room of as many tasks as fit, and returns their number. */
-std::uint32_t GroupOwner::takeRoom(const JobSpec &spec, std::vector<PlacementCandidate> &room,
-                                   std::uint32_t most)
-{
-    std::int64_t taken = 0;
-    for (PlacementCandidate &candidate : room) {
-        const std::int64_t fits =
-                std::min({ timesIn(spec.need.cpuMilli, candidate.free.cpuMilli),
-                           timesIn(spec.need.memoryMb, candidate.free.memoryMb),
-                           timesIn(spec.need.accelerators, candidate.free.accelerators),
-                           std::int64_t { most } - taken });
-        candidate.free -= { spec.need.cpuMilli * fits, spec.need.memoryMb * fits,
-                            spec.need.accelerators * fits };
-        taken += fits;
-    }
-    return static_cast<std::uint32_t>(taken);
-}
-
+/** Each group looks first at its own share of the jobs, so that groups which see the same backlog
+    do not all claim the same tasks. */
 void GroupOwner::addClaims(std::vector<WorkItem> &items, TickContext &context, bool urgentOnly)
 {
-    const auto jobs = urgentOnly ? context.jobs.urgentInOrder() : context.jobs.inOrder();
     std::vector<PlacementCandidate> room = this->candidates(context);
-    if (jobs.empty() || room.empty()) {
+    if (room.empty()) {
         return;
     }
-    std::map<TeamId, Resources> usage = this->teamUsage(context);
-    for (const JobSpec *spec : jobs) {
-        const bool full = std::none_of(room.begin(), room.end(), [](const auto &candidate) {
-            return candidate.free.cpuMilli > 0 && candidate.free.memoryMb > 0;
+    ClaimPass pass { std::move(room), this->teamUsage(context), this->capacities(), {} };
+    const std::size_t groupCount = std::max<std::size_t>(context.view.claims->groupCount(), 1);
+    const std::size_t ownShare = std::hash<GroupId>()(this->identity.group) % groupCount;
+    for (const bool ownJobs : { true, false }) {
+        context.jobs.visit(urgentOnly, [&](const JobSpec &spec) {
+            const bool own = std::hash<JobId>()(spec.job) % groupCount == ownShare;
+            if (own != ownJobs) {
+                return true;
+            }
+            if (!pass.canEverHold(spec.need)) {
+                this->tellCannotRun(spec, pass.capacities, context);
+            } else if (auto item = this->claimItem(spec, context, pass)) {
+                items.push_back(std::move(*item));
+            }
+            return !pass.isFull() && items.size() < maxOperationItems;
         });
-        if (full || items.size() >= maxOperationItems) {
-            return;
-        }
-        if (auto item = this->claimItem(*spec, context, room, usage)) {
-            items.push_back(std::move(*item));
-        }
     }
 }
 
 /** Returns the claim of as many tasks of a job as fit into the room and its team's quota. */
-std::optional<WorkItem> GroupOwner::claimItem(const JobSpec &spec, TickContext &context,
-                                              std::vector<PlacementCandidate> &room,
-                                              std::map<TeamId, Resources> &usage)
+std::optional<WorkItem> GroupOwner::claimItem(const JobSpec &spec, const TickContext &context,
+                                              ClaimPass &pass) const
 {
-    const auto free = context.view.claims->freeRange(spec.job, spec.taskCount, maxClaimedTasks);
-    if (!free || context.jobs.isCancelled(spec.job)) {
+    if (pass.isKnownNotToFit(spec.need) || context.jobs.isCancelled(spec.job)) {
         return std::nullopt;
     }
-    this->tellCannotRun(spec, context);
-    const Resources *quota = context.jobs.quotaOf(spec.team);
-    Resources &used = usage[spec.team];
-    std::uint32_t wanted = free->last - free->first + 1;
-    if (quota != nullptr) {
-        std::uint32_t allowed = 0;
-        Resources total = used + spec.need;
-        while (allowed < wanted && total.fitsIn(*quota)) {
-            total += spec.need;
-            ++allowed;
-        }
-        wanted = allowed;
+    const std::uint32_t parts = (spec.taskCount + maxClaimedTasks - 1) / maxClaimedTasks;
+    const auto part = static_cast<std::uint32_t>(std::hash<GroupId>()(this->identity.group)
+                                                 % std::max(parts, 1U));
+    const auto free = context.view.claims->freeRange(spec.job, spec.taskCount, maxClaimedTasks,
+                                                     part * maxClaimedTasks);
+    if (!free) {
+        return std::nullopt;
     }
-    const std::uint32_t count = this->takeRoom(spec, room, wanted);
+    const Resources *quota = context.jobs.quotaOf(spec.team);
+    Resources &used = pass.usage[spec.team];
+    const std::uint32_t most = quotaAllows(spec.need, used, quota, free->last - free->first + 1);
+    const std::uint32_t count = pass.takeRoom(spec.need, most);
     if (count == 0) {
+        if (most > 0) {
+            pass.notFitting.push_back(spec.need);
+        }
         return std::nullopt;
     }
     for (std::uint32_t taken = 0; taken < count; ++taken) {
@@ -220,20 +218,26 @@
     };
 }
 
-/** Tells once that no worker of the group could ever hold a task, and what is missing. */
-void GroupOwner::tellCannotRun(const JobSpec &spec, TickContext &context)
+std::vector<Resources> GroupOwner::capacities() const
 {
-    std::vector<Resources> capacities;
+    std::vector<Resources> result;
     for (const auto &[id, worker] : this->managed) {
         if (!worker.ledger.isKnown()) {
-            return;
+            return {};
         }
-        capacities.push_back(worker.ledger.capacity());
+        result.push_back(worker.ledger.capacity());
     }
-    const std::string missing = missingFor(spec.need, capacities);
-    if (!missing.empty() && this->cannotRunTold.insert(spec.job).second) {
-        context.actions.emplace_back(EventAction { Event::JobCannotRun, this->identity.group.name(),
-                                                   spec.job.name() + ": " + missing });
+    return result;
+}
+
+/** Tells once that no worker of the group could ever hold a task, and what is missing. */
+void GroupOwner::tellCannotRun(const JobSpec &spec, const std::vector<Resources> &capacities,
+                               TickContext &context)
+{
+    if (this->cannotRunTold.insert(spec.job).second) {
+        context.actions.emplace_back(
+                EventAction { Event::JobCannotRun, this->identity.group.name(),
+                              spec.job.name() + ": " + missingFor(spec.need, capacities) });
     }
 }
 
--- a/modules/bulrush_tasks/tests/explorer/FakeLog.cpp
+++ b/modules/bulrush_tasks/tests/explorer/FakeLog.cpp
@@ -4,8 +4,22 @@
 
 void FakeLog::append(const std::string &stream, std::string_view payload, Instant now)
 {
-    this->streams[stream].entries.push_back({ now, std::string(payload) });
-    ++this->appends;
+    Stream &target = this->streams[stream];
+    target.entries.push_back({ now, std::string(payload) });
+    ++target.totals.records;
+    target.totals.bytes += payload.size();
+}
+
+AppendTotals FakeLog::totals(std::string_view prefix) const
+{
+    AppendTotals sum;
+    for (const auto &[name, stream] : this->streams) {
+        if (name.starts_with(prefix)) {
+            sum.records += stream.totals.records;
+            sum.bytes += stream.totals.bytes;
+        }
+    }
+    return sum;
 }
 
 void FakeLog::truncate(Instant now, Duration retention)
--- a/modules/bulrush_tasks/tests/explorer/FakeLog.h
+++ b/modules/bulrush_tasks/tests/explorer/FakeLog.h
@@ -24,6 +24,13 @@
     std::vector<LoggedRecord> records;
 };
 
+/** How much was appended. */
+struct AppendTotals
+{
+    std::uint64_t records = 0;
+    std::uint64_t bytes = 0;
+};
+
 /** The platform's append-only log: streams with offsets and limited retention. */
 class FakeLog
 {
@@ -37,8 +44,8 @@
     /** Returns what the log holds of a stream from an offset on. */
     StreamRead read(const std::string &stream, std::uint64_t from) const;
 
-    /** Returns how many records were ever appended. */
-    std::uint64_t appendCount() const { return this->appends; }
+    /** Returns what was ever appended to the streams whose names begin like this. */
+    AppendTotals totals(std::string_view prefix) const;
 
 private:
     struct Entry
@@ -50,10 +57,10 @@
     {
         std::uint64_t firstOffset = 0;
         std::vector<Entry> entries;
+        AppendTotals totals;
     };
 
     std::map<std::string, Stream> streams;
-    std::uint64_t appends = 0;
 };
 
 } // namespace bulrush::explorer
