--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,9 @@
 
 clean:
 	@rm -rf build
+
+# Runs many more seeds of the explorer than the tests, and then without each guard in turn.
+EXPLORE_SEEDS ?= 20000
+explore: all
+	@$(BUILD)/bench/explore/explore_tasks 1 $(EXPLORE_SEEDS)
+	@$(BUILD)/bench/explore/explore_tasks mutations 3000
--- a/modules/bulrush_tasks/model/Task.cpp
+++ b/modules/bulrush_tasks/model/Task.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <tuple>
 
 namespace bulrush {
 
@@ -28,6 +29,16 @@
 
 } // namespace
 
+bool TaskId::operator<(const TaskId &other) const
+{
+    return std::tie(this->job, this->index) < std::tie(other.job, other.index);
+}
+
+bool AttemptId::operator<(const AttemptId &other) const
+{
+    return std::tie(this->task, this->attempt) < std::tie(other.task, other.attempt);
+}
+
 std::string TaskId::text() const
 {
     return this->job.name() + '#' + std::to_string(this->index);
--- a/modules/bulrush_tasks/model/Task.h
+++ b/modules/bulrush_tasks/model/Task.h
@@ -2,7 +2,6 @@
 
 #include "bulrush_core/ids/Id.h"
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,7 +16,8 @@
     JobId job;
     std::uint32_t index = 0;
 
-    auto operator<=>(const TaskId &) const = default;
+    bool operator==(const TaskId &) const = default;
+    bool operator<(const TaskId &other) const;
 
     /** Returns the text form "job#index", as workers see it. */
     std::string text() const;
@@ -32,7 +32,8 @@
     TaskId task;
     std::uint32_t attempt = 0;
 
-    auto operator<=>(const AttemptId &) const = default;
+    bool operator==(const AttemptId &) const = default;
+    bool operator<(const AttemptId &other) const;
 };
 
 /** What a VM has, or what a task is declared to need. */
@@ -42,7 +43,7 @@
     std::int64_t memoryMb = 0;
     std::int64_t accelerators = 0;
 
-    auto operator<=>(const Resources &) const = default;
+    bool operator==(const Resources &) const = default;
 
     Resources &operator+=(const Resources &other);
     Resources &operator-=(const Resources &other);
--- a/modules/bulrush_tasks/tests/explorer_test.cpp
+++ b/modules/bulrush_tasks/tests/explorer_test.cpp
@@ -3,6 +3,8 @@
 #include <criterion/criterion.h>
 
 #include <array>
+#include <string>
+#include <string_view>
 
 using namespace bulrush::explorer;
 
@@ -16,6 +18,57 @@
 
 } // namespace
 
+/** The seed at which the removal of each guard is found; `explore_tasks mutations` finds new ones.
+ */
+struct KnownSeed
+{
+    std::string_view mutation;
+    std::uint64_t seed;
+};
+
+constexpr std::array knownSeeds {
+    KnownSeed { "claimNeedsNextEpoch", 111 },
+    KnownSeed { "claimOfThisProcessOnly", 18 },
+    KnownSeed { "operationNeedsEpoch", 47 },
+    KnownSeed { "operationNeedsSequence", 132 },
+    KnownSeed { "rangesDisjoint", 2 },
+    KnownSeed { "fenceOldEpochs", 283 },
+    KnownSeed { "batchNeedsSequence", 388 },
+    KnownSeed { "refuseTruncated", 7 },
+    KnownSeed { "startAfterReadBack", 1 },
+    KnownSeed { "checkCapacity", 1 },
+    KnownSeed { "newAttemptAfterEnd", 1 },
+    KnownSeed { "boundedValidity", 2040 },
+    KnownSeed { "renewalHorizon", 248 },
+    KnownSeed { "lapseWait", 5 },
+    KnownSeed { "goneWait", 1746 },
+    KnownSeed { "respectRevocation", 2451 },
+    KnownSeed { "stopConfirmed", 1 },
+    KnownSeed { "checkpointFromStop", 1 },
+    KnownSeed { "endBeforeForget", 2 },
+    KnownSeed { "answerInOrder", 17 },
+    KnownSeed { "worker: compareToken", 53 },
+    KnownSeed { "worker: compareIncarnation", 25 },
+    KnownSeed { "worker: compareValidity", 2040 },
+    KnownSeed { "worker: runsOutLeases", 23 },
+};
+
+Test(Explorer, findsAFaultWithoutAnyGuard)
+{
+    cr_assert_eq(knownSeeds.size(), mutations().size());
+    for (const KnownSeed &known : knownSeeds) {
+        for (const Mutation &mutation : mutations()) {
+            if (mutation.name != known.mutation) {
+                continue;
+            }
+            Trial trial = mutated(mutation);
+            trial.seed = known.seed;
+            cr_expect(explore(trial).has_value(), "nothing is found without %s",
+                      std::string(known.mutation).c_str());
+        }
+    }
+}
+
 Test(Explorer, seedsOfTheFirstQuarterFindNoFault)
 {
     expectNoFault(1, 500);
