--- a/modules/bulrush_tasks/tests/ScenarioWorld.cpp
+++ b/modules/bulrush_tasks/tests/ScenarioWorld.cpp
@@ -124,6 +124,15 @@
     });
     this->interpreter.bind("worker", [this](const Step &step) { this->addWorker(step); });
     this->interpreter.bind("job", [this](const Step &step) { this->addJob(step); });
+    this->interpreter.bind("backlog", [this](const Step &step) {
+        for (std::int64_t index = 0; index < step.number(1); ++index) {
+            this->world().addJob(
+                    { JobId(step.argument(0) + '-' + std::to_string(index)),
+                      TeamId(step.option("team", "team")), TaskKind::Batch, 1, resourcesOf(step),
+                      duration_cast<milliseconds>(step.durationOption("runs", seconds(1))).count(),
+                      false });
+        }
+    });
     this->interpreter.bind("quota", [this](const Step &step) {
         this->world().setQuota(TeamId(step.argument(0)), resourcesOf(step));
     });
