--- a/modules/bulrush_tasks/model/Task.cpp
+++ b/modules/bulrush_tasks/model/Task.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <tuple>
 
 namespace bulrush {
 
@@ -10,6 +11,10 @@
 
 constexpr std::array<std::string_view, 3> kindNames { "batch", "watcher", "service" };
 
+constexpr std::array<std::string_view, 8> outcomeNames { "finished",      "failed",   "evicted",
+                                                         "never started", "lapsed",   "lost",
+                                                         "cancelled",     "abandoned" };
+
 struct Amount
 {
     std::string_view name;
@@ -24,6 +29,16 @@
 
 } // namespace
 
+bool TaskId::operator<(const TaskId &other) const
+{
+    return std::tie(this->job, this->index) < std::tie(other.job, other.index);
+}
+
+bool AttemptId::operator<(const AttemptId &other) const
+{
+    return std::tie(this->task, this->attempt) < std::tie(other.task, other.attempt);
+}
+
 std::string TaskId::text() const
 {
     return this->job.name() + '#' + std::to_string(this->index);
@@ -111,6 +126,11 @@
                                     : static_cast<TaskKind>(found - kindNames.begin());
 }
 
+std::string_view nameOf(Outcome outcome)
+{
+    return outcomeNames.at(static_cast<std::size_t>(outcome));
+}
+
 bool isFinal(Outcome outcome)
 {
     return outcome == Outcome::Finished || outcome == Outcome::Cancelled
--- a/modules/bulrush_tasks/owner/GroupOwner.h
+++ b/modules/bulrush_tasks/owner/GroupOwner.h
@@ -5,6 +5,7 @@
 #include "bulrush_tasks/leases/Renewer.h"
 #include "bulrush_tasks/model/JobBook.h"
 #include "bulrush_tasks/owner/Actions.h"
+#include "bulrush_tasks/owner/ClaimPass.h"
 #include "bulrush_tasks/owner/FailureEvidence.h"
 #include "bulrush_tasks/owner/ManagedWorker.h"
 #include "bulrush_tasks/owner/PendingAppend.h"
@@ -53,9 +54,12 @@
     GroupOwner(const GroupOwner &) = delete;
     GroupOwner &operator=(const GroupOwner &) = delete;
 
-    /** Sets whether this node is to own the group. When switched off it stops to act at once. */
+    /** Sets whether this node is to own the group. When switched off it stops to act at once. A
+       node that lost the group to another does not want it any more until it is told so again. */
     void setWanted(bool ownershipWanted);
 
+    bool isWanted() const { return this->wanted; }
+
     //==============================================================================
     /** Takes the next record of the group's stream. */
     void readGroupRecord(std::uint64_t offset, std::string_view payload);
@@ -130,6 +134,7 @@
     void judge(const ManagedWorker &worker);
     void judgeAbsent(const AttemptId &attempt, const ManagedWorker &worker);
     void judgeItem(const InventoryItem &item, const ManagedWorker &worker);
+    void tell(Event event, const AttemptId &attempt, std::string_view detail);
     void queueCheckpoint(const InventoryItem &item);
     void reconcile(ManagedWorker &worker);
     bool isCommitted(const AttemptId &attempt, const ManagedWorker &worker) const;
@@ -149,6 +154,8 @@
 
     std::vector<TaskId> pendingTasks(const TickContext &context) const;
     bool isPending(const TaskId &task, const TickContext &context) const;
+    bool isStartableState(const TaskId &task, const TaskState *state,
+                          const TickContext &context) const;
     std::vector<PlacementCandidate> candidates(const TickContext &context) const;
     bool mayTakeWork(const VmId &id, const ManagedWorker &worker, const TickContext &context) const;
     void placeTasks(TickContext &context);
@@ -166,14 +173,17 @@
     void addWorkerChanges(std::vector<WorkItem> &items, const TickContext &context) const;
     void addFinishedRanges(std::vector<WorkItem> &items, const TickContext &context) const;
     void addReturns(std::vector<WorkItem> &items, TickContext &context);
-    void addClaims(std::vector<WorkItem> &items, TickContext &context);
+    void addClaims(std::vector<WorkItem> &items, TickContext &context, bool urgentOnly);
+    std::optional<WorkItem> claimItem(const JobSpec &spec, const TickContext &context,
+                                      ClaimPass &pass) const;
+    std::vector<Resources> capacities() const;
     bool isOver(const TaskId &task, const TickContext &context) const;
     bool isAnyRunning(const VmId &id) const;
     std::optional<WorkItem> returnItem(const TaskId &task, const TickContext &context) const;
     std::map<TeamId, Resources> teamUsage(const TickContext &context) const;
-    std::uint32_t takeRoom(const JobSpec &spec, std::vector<PlacementCandidate> &room) const;
     void dropCompleted(TickContext &context);
-    void tellCannotRun(const JobSpec &spec, TickContext &context);
+    void tellCannotRun(const JobSpec &spec, const std::vector<Resources> &capacities,
+                       TickContext &context);
 
     OwnerIdentity identity;
     Durations durations;
@@ -200,6 +210,7 @@
 
     PendingAppend pendingOperation;
     std::uint64_t operationSequence = 0;
+    Instant operatedAt {};
     PendingAppend pendingGroupSnapshot;
     PendingAppend pendingWorkSnapshot;
     std::uint64_t groupSnapshotAsOf = 0;
@@ -211,6 +222,8 @@
     std::map<VmId, ManagedWorker> managed;
     FailureEvidence evidence;
     std::map<TaskId, Instant> failedAt;
+    std::vector<EventAction> pendingEvents; ///< for the next tick
+    Instant lastNow {};
     std::set<JobId> cannotRunTold;
     std::map<TaskId, Instant> unplacedSince;
     std::set<TaskId> returning; ///< in the operation in flight
--- a/modules/bulrush_tasks/tests/explorer/Explorer.cpp
+++ b/modules/bulrush_tasks/tests/explorer/Explorer.cpp
@@ -63,7 +63,7 @@
 }
 
 const std::array troubles {
-    Trouble { "takeover", 120,
+    Trouble { "takeover", 350,
               [](World &world) { world.assign(anyGroup(world), anyNode(world)); } },
     Trouble { "node replaced", 60, replaceNode },
     Trouble { "node paused", 80,
@@ -96,12 +96,12 @@
     Chaos chaos;
     chaos.lostRequest = level(200);
     chaos.lostAnswer = level(200);
-    chaos.doubledRequest = level(150);
-    chaos.slowRequest = level(150);
+    chaos.doubledRequest = level(250);
+    chaos.slowRequest = level(250);
     chaos.slowAnswer = level(150);
     chaos.lostAppend = level(200);
-    chaos.lateAppend = level(150);
-    chaos.doubledAppend = level(150);
+    chaos.lateAppend = level(250);
+    chaos.doubledAppend = level(300);
     chaos.slowRead = level(150);
     return chaos;
 }
@@ -120,9 +120,10 @@
         world.addWorker(group, vmCapacity);
         world.assign(group, anyNode(world));
     }
+    const std::int64_t runMs = world.chance(500) ? 7000 : 30'000;
     world.addJob(
-            { JobId("batch"), TeamId("t"), TaskKind::Batch, 5, { 1500, 1000, 0 }, 7000, false });
-    world.addJob({ JobId("watch"), TeamId("t"), TaskKind::Watcher, 2, { 500, 500, 0 }, 0, true });
+            { JobId("batch"), TeamId("t"), TaskKind::Batch, 5, { 1500, 1000, 0 }, runMs, false });
+    world.addJob({ JobId("watch"), TeamId("t"), TaskKind::Watcher, 4, { 500, 500, 0 }, 0, true });
     world.addJob({ JobId("accel"), TeamId("u"), TaskKind::Batch, 3, { 500, 500, 1 }, 3000, false });
 }
 
--- a/modules/bulrush_tasks/tests/explorer/World.h
+++ b/modules/bulrush_tasks/tests/explorer/World.h
@@ -73,6 +73,10 @@
     void setCut(bool isCut) { this->cut = isCut; }
     void setSilent(const VmId &worker, bool isSilent);
     void setLinkBroken(const NodeId &node, const VmId &worker, bool broken);
+    /** Holds back what a node sends to workers; releasing delivers it late. */
+    void holdMessages(const NodeId &node, bool hold);
+    /** Leaves a VM out of the platform's list, as an older list does. */
+    void setUnlisted(const VmId &worker, bool isUnlisted);
     void mendLinks() { this->brokenLinks.clear(); }
     void setRenewing(bool on) { this->renewing = on; }
     void setListLag(Duration lag) { this->listLag = lag; }
@@ -114,6 +118,7 @@
         GroupId group;
         char dataCentre = 'a';
         bool silent = false;
+        bool unlisted = false;
         std::int64_t clockRatePpm = 0;
         Instant bornAt {};
         Instant diedAt {};
@@ -149,6 +154,7 @@
     std::multimap<Instant, std::function<void()>> events;
     std::map<Event, std::pair<std::size_t, std::string>> logged;
     std::set<std::pair<NodeId, VmId>> brokenLinks;
+    std::map<NodeId, std::vector<ExchangeAction>> heldMessages;
     Chaos chaos;
     Duration listLag {};
     Instant listSentAt {};
