Do not take everyday slowdown for trouble

Cause: with the tail weighed most, the ladder stepped up from a slowdown of 1.28 on, which is hardly above that of an ordinary busy worker, and used up its budget of moves on it.

Change: tolerance follows the square root of the weights' proportion, and is wider.

--- a/modules/bulrush_interference/ladder/Ladder.cpp
+++ b/modules/bulrush_interference/ladder/Ladder.cpp
@@ -3,6 +3,7 @@
 #include "bulrush_core/errors/Error.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bulrush::interference {
 
@@ -49,9 +50,9 @@
 {
     const PolicyWeights parts = weights.normalised();
     LadderSettings settings;
-    const double patience = evenWeight / std::max(parts.tailLatency, smallestTailWeight);
-    settings.calmSlowdown = 1 + 0.2 * patience;
-    settings.tolerableSlowdown = 1 + 0.5 * patience;
+    const double patience = std::sqrt(evenWeight / std::max(parts.tailLatency, smallestTailWeight));
+    settings.calmSlowdown = 1 + 0.3 * patience;
+    settings.tolerableSlowdown = 1 + 0.6 * patience;
     settings.severeSlowdown = 1 + 1.5 * patience * (1 + parts.evictions);
     return settings;
 }
