Strengthen the placement tests where a removed guard went unseen

Cause: with the bound on replicas, the weighing of bad workers, the interference cost or the rack spreading removed, all tests still passed.

Change: scenarios and tests that depend on each of them; tests for waiting, headroom, harm where there is harm already, the filter and the ladder's least contribution.

--- a/modules/bulrush_interference/tests/interference_test.cpp
+++ b/modules/bulrush_interference/tests/interference_test.cpp
@@ -111,3 +111,33 @@
     }
     cr_assert_eq(moves, 1);
 }
+
+Test(Ladder, leavesTasksAloneThatDoNoHarm)
+{
+    Ladder ladder { LadderSettings {} };
+    PairEstimates estimates;
+    const std::array shares { ClassShare { quiet, 0.3 } };
+    for (int round = 0; round < 100; ++round) {
+        estimates.observe(service, shares, 1.0, {});
+    }
+    const std::array tasks { LadderTask { JobId("job"), quiet, 0.3, false, false } };
+    const Instant now { minutes(1) };
+    const WorkerPressure pressure { VmId("vm"), service, 3.0, now };
+    cr_assert(ladder.decide(pressure, tasks, estimates, now).empty());
+}
+
+Test(PressureFilter, smoothsNoiseAndStartsAnewAfterAnAction)
+{
+    PressureFilter filter;
+    const VmId worker("vm");
+    filter.observe(worker, service, 1.0, Instant(seconds(10)));
+    filter.observe(worker, service, 2.0, Instant(seconds(20)));
+    filter.observe(worker, service, 9.0, Instant(seconds(15)));
+    const auto smoothed = filter.worst(worker);
+    cr_assert(smoothed->slowdown > 1.3 && smoothed->slowdown < 1.5);
+    filter.restart(worker, Instant(seconds(30)));
+    filter.observe(worker, service, 5.0, Instant(seconds(25)));
+    cr_assert_not(filter.worst(worker).has_value());
+    filter.observe(worker, service, 1.1, Instant(seconds(31)));
+    cr_assert(filter.worst(worker)->slowdown < 1.2);
+}
--- a/modules/bulrush_placement/tests/placement_test.cpp
+++ b/modules/bulrush_placement/tests/placement_test.cpp
@@ -125,6 +125,7 @@
     setting.table.add(worker("b", "r1"));
     setting.table.commit(0, replica("x", "delicate"), setting.usage);
     setting.table.commit(1, replica("y", "robust"), setting.usage);
+    setting.table.commit(1, batchTask("more", "quiet", 1'000), setting.usage);
     const std::array shares { interference::ClassShare { BatchClassId("noisy"), 0.3 } };
     for (int report = 0; report < 40; ++report) {
         setting.pairs.observe(ServiceId("delicate"), shares, 3.0, {});
@@ -133,12 +134,54 @@
     cr_assert_eq(*setting.choose(batchTask("c", "noisy", 1'000)), 1U);
 }
 
+Test(PlacementPolicy, makesATaskWaitRatherThanDisturbAServiceMuch)
+{
+    Setting setting;
+    setting.table.add(worker("a", "r1"));
+    setting.table.commit(0, replica("x", "delicate"), setting.usage);
+    const std::array shares { interference::ClassShare { BatchClassId("noisy"), 0.3 } };
+    for (int report = 0; report < 40; ++report) {
+        setting.pairs.observe(ServiceId("delicate"), shares, 3.0, {});
+    }
+    TaskView task = batchTask("c", "noisy", 2'000);
+    task.mayWait = true;
+    cr_assert_not(setting.choose(task).has_value());
+    task.mayWait = false;
+    cr_assert(setting.choose(task).has_value());
+    TaskView mild = batchTask("d", "unknown", 500);
+    mild.mayWait = true;
+    cr_assert(setting.choose(mild).has_value());
+}
+
+Test(PlacementPolicy, spreadsHarmWhereAServiceIsDisturbedAlready)
+{
+    Setting setting;
+    setting.table.add(worker("a", "r1"));
+    setting.table.add(worker("b", "r1"));
+    setting.table.commit(0, replica("x", "service"), setting.usage);
+    setting.table.commit(1, replica("y", "service"), setting.usage);
+    const std::array shares { interference::ClassShare { BatchClassId("noisy"), 0.3 } };
+    for (int report = 0; report < 40; ++report) {
+        setting.pairs.observe(ServiceId("service"), shares, 2.0, {});
+    }
+    setting.table.commit(0, batchTask("c", "noisy", 1'000), setting.usage);
+    setting.table.commit(1, batchTask("d", "quiet", 3'000), setting.usage);
+    const std::array quiet { interference::ClassShare { BatchClassId("quiet"), 0.3 } };
+    for (int report = 0; report < 40; ++report) {
+        setting.pairs.observe(ServiceId("service"), quiet, 1.0, {});
+    }
+    setting.table.refreshHarm(0, setting.usage, setting.pairs, {});
+    setting.table.refreshHarm(1, setting.usage, setting.pairs, {});
+    cr_assert_eq(*setting.choose(batchTask("e", "noisy", 1'000)), 1U);
+}
+
 Test(PlacementPolicy, spreadsAServiceOverRacks)
 {
     Setting setting;
     setting.table.add(worker("a", "r1"));
     setting.table.add(worker("b", "r1"));
     setting.table.add(worker("c", "r2"));
+    setting.table.commit(2, batchTask("batch", "class", 3'000), setting.usage);
     setting.table.commit(0, replica("x", "service"), setting.usage);
     cr_assert_eq(*setting.choose(replica("y", "service")), 2U);
 }
