--- a/bench/policy/PolicyRun.cpp
+++ b/bench/policy/PolicyRun.cpp
@@ -10,13 +10,10 @@
 constexpr int runSeconds = 2'400;
 constexpr int fillSeconds = 300; ///< not measured
 constexpr int reportPeriod = 10;
-constexpr int reportLag = 30;
 constexpr int retrySeconds = 5;
 constexpr int restartSeconds = 30; ///< until a lost replica is missed
 constexpr int disturbedAt = 900;
 constexpr int noticeSeconds = 300; ///< between a withdrawal's notice and its end
-constexpr int guardPause = 60;
-constexpr double guardSlowdown = 2.5;
 constexpr int patienceSeconds = 180; ///< that a task may wait for a better worker
 constexpr int failuresPerSecond = 200;
 constexpr int drainPerSecond = 4;
@@ -24,13 +21,6 @@
 constexpr double secondsPerHour = 3'600;
 constexpr double milliPerCore = 1'000;
 
-const placement::Resources workerCapacity { 64'000, 250'000, 0 };
-
-Instant at(int second)
-{
-    return Instant(seconds(second));
-}
-
 double coreHours(const Arrival &arrival, double workSeconds)
 {
     return arrival.cpuMilli / milliPerCore * workSeconds / secondsPerHour;
@@ -279,107 +269,6 @@
     }
 }
 
-void PolicyRun::takeReports(int second)
-{
-    while (!this->reports.empty()
-           && this->reports.front().measuredAt + seconds(reportLag) <= at(second)) {
-        const WorkerReport report = this->reports.front();
-        this->reports.pop_front();
-        this->learn(report);
-        if (this->isAlive[report.worker] && !report.services.empty()) {
-            this->relieve(report, second);
-        }
-    }
-}
-
-void PolicyRun::learn(const WorkerReport &report)
-{
-    std::vector<interference::ClassShare> shares;
-    for (const ClassReport &entry : report.classes) {
-        const BatchClassId &batchClass = this->model.classes()[entry.batchClass].id;
-        this->usage.observe(batchClass, entry.declared, entry.used);
-        shares.push_back({ batchClass,
-                           static_cast<double>(entry.used.cpuMilli)
-                                   / static_cast<double>(workerCapacity.cpuMilli) });
-    }
-    for (std::size_t index = 0; index < report.services.size(); ++index) {
-        const Service &service = this->model.services()[report.services[index].service];
-        this->pairs.observe(service.id, shares, report.services[index].slowdown, report.measuredAt);
-        const placement::Resources used { static_cast<std::int64_t>(report.serviceCpuMilli[index]),
-                                          service.declared.memoryMb, 0 };
-        this->usage.observe(service.id, service.declared, used);
-    }
-    this->table.refresh(report.worker, this->usage);
-    this->table.refreshHarm(report.worker, this->usage, this->pairs, report.measuredAt);
-}
-
-void PolicyRun::relieve(const WorkerReport &report, int second)
-{
-    if (!this->variant.usesLadder) {
-        const auto worst = std::max_element(
-                report.services.begin(), report.services.end(),
-                [](const auto &left, const auto &right) { return left.slowdown < right.slowdown; });
-        this->guard(report, worst->slowdown, second);
-        return;
-    }
-    const VmId &worker = this->table.worker(report.worker).id;
-    for (const ServiceReport &entry : report.services) {
-        this->filter.observe(worker, this->model.services()[entry.service].id, entry.slowdown,
-                             report.measuredAt);
-    }
-    const auto pressure = this->filter.worst(worker);
-    if (!pressure) {
-        return;
-    }
-    std::vector<interference::LadderTask> tasks;
-    for (const auto &[job, task] : this->workers[report.worker].tasks()) {
-        const double share =
-                FakeWorker::cpuMilli(task) / static_cast<double>(workerCapacity.cpuMilli);
-        const bool isUrgent = task.arrival.task.urgency == placement::Urgency::Urgent;
-        tasks.push_back({ job, task.arrival.task.batchClass, share, isUrgent, false });
-    }
-    for (const auto &action : this->ladder.decide(*pressure, tasks, this->pairs, at(second))) {
-        this->filter.restart(worker, at(second));
-        this->act(action, report.worker, second);
-    }
-}
-
-void PolicyRun::guard(const WorkerReport &report, double slowdown, int second)
-{
-    const auto &tasks = this->workers[report.worker].tasks();
-    const bool isSettled = second - this->guardedAt[report.worker] >= guardPause;
-    if (slowdown < guardSlowdown || !isSettled || tasks.empty()) {
-        return;
-    }
-    this->guardedAt[report.worker] = second;
-    const auto largest =
-            std::max_element(tasks.begin(), tasks.end(), [](const auto &left, const auto &right) {
-                return left.second.arrival.cpuMilli < right.second.arrival.cpuMilli;
-            });
-    this->evict(this->workers[report.worker].stop(JobId(largest->first)), report.worker, second);
-}
-
-void PolicyRun::act(const interference::LadderAction &action, placement::WorkerSlot slot,
-                    int second)
-{
-    using interference::LadderActionKind;
-    FakeWorker &worker = this->workers[slot];
-    switch (action.kind) {
-    case LadderActionKind::Throttle:
-        worker.setThrottled(action.job, true);
-        break;
-    case LadderActionKind::Restore:
-        worker.setThrottled(action.job, false);
-        break;
-    case LadderActionKind::CheckpointAndMove:
-        worker.checkpointAndStop(action.job);
-        break;
-    case LadderActionKind::Evict:
-        this->evict(worker.stop(action.job), slot, second);
-        break;
-    }
-}
-
 void PolicyRun::evict(const RunningTask &task, placement::WorkerSlot slot, int second)
 {
     RunningTask evicted = task;
--- a/bench/policy/PolicyRun.h
+++ b/bench/policy/PolicyRun.h
@@ -15,6 +15,18 @@
 
 namespace bulrush::bench {
 
+/** What every worker of the measurement has. */
+inline constexpr placement::Resources workerCapacity { 64'000, 250'000, 0 };
+
+/** Least seconds between two evictions by the guard on one worker. */
+inline constexpr int guardPause = 60;
+
+/** Returns the instant of a second of the run. */
+inline Instant at(int second)
+{
+    return Instant(seconds(second));
+}
+
 /** What one run measured. */
 struct RunResult
 {
