Add the operators' command line and its pages

Cause: operators had only the HTTP interface of a node, and no page that says what to do when something fails.

Ruled out: writing a record's id and supersedes by hand at each publish, as a file in version control would have to change each time; the tool fills them in from what is in force. Counting only the named nodes as in force: their linked peers are counted too.

Change: module bulrush_cli with validate, publish, get, list, diff, history, status, audit, drain, explain and completion, as tables or JSON, with documented exit statuses; program bulrushrill; pages COMMANDS, METRICS, SECURITY, OPERATIONS and two man pages. Fake nodes in the tests run the daemon's own RecordState and answer texts. Tests keep commands, options, metrics and events equal to their pages.

Conclusion: explain needs an endpoint that the daemon lacks so far, and says so.

--- /dev/null
+++ b/modules/bulrush_cli/client/HttpOperatorsClient.cpp
@@ -0,0 +1,34 @@
+#include "bulrush_cli/client/HttpOperatorsClient.h"
+
+#include <thread>
+
+namespace bulrush {
+
+std::vector<CallResult> HttpOperatorsClient::callAll(std::span<const Endpoint> nodes,
+                                                     const HttpRequest &request, Duration timeout)
+{
+    std::vector<CallResult> results(nodes.size());
+    std::size_t open = nodes.size();
+    if (open == 0) {
+        return results;
+    }
+    EventLoop loop;
+    HttpCaller caller(loop, nodes.size());
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+        caller.call(nodes[i], request, timeout, [&loop, &results, &open, i](CallResult result) {
+            results[i] = std::move(result);
+            if (--open == 0) {
+                loop.stop();
+            }
+        });
+    }
+    loop.run();
+    return results;
+}
+
+void HttpOperatorsClient::pause(Duration span)
+{
+    std::this_thread::sleep_for(span);
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_cli/commands/Command.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "bulrush_cli/client/NodeGroup.h"
+#include "bulrush_cli/commands/Cli.h"
+
+namespace bulrush {
+
+/** What one command works with. */
+struct CommandContext
+{
+    const CliContext &cli;
+    const CommandLine &line;
+    const NodeGroup &nodes;
+};
+
+// One function for each command. @throws CommandError
+
+ExitStatus runValidate(const CommandContext &context);
+ExitStatus runPublish(const CommandContext &context);
+ExitStatus runGet(const CommandContext &context);
+ExitStatus runList(const CommandContext &context);
+ExitStatus runDiff(const CommandContext &context);
+ExitStatus runHistory(const CommandContext &context);
+ExitStatus runStatus(const CommandContext &context);
+ExitStatus runAudit(const CommandContext &context);
+ExitStatus runDrain(const CommandContext &context);
+ExitStatus runExplain(const CommandContext &context);
+ExitStatus runCompletion(const CommandContext &context);
+
+/** Throws when a node answered but refused. */
+void requireSuccess(const NodeAnswer &answer);
+
+/** Prints an answer as JSON. */
+void printJson(const CommandContext &context, const nlohmann::json &value);
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_cli/tests/commands_test.cpp
@@ -0,0 +1,258 @@
+#include "FakeNodes.h"
+
+#include <criterion/criterion.h>
+
+using namespace bulrush;
+
+Test(CommandLine, namesFieldFoundAndExpected)
+{
+    CliRun cli(1);
+    const std::vector<std::pair<std::vector<std::string>, std::string>> wrong {
+        { { "publihs", "x" }, "command line: found \"publihs x\"" },
+        { {}, "command line" },
+        { { "get", "service" }, "command line" },
+        { { "--output", "xml", "status" }, "--output: found \"xml\", expected table or json" },
+        { { "--node", "localhost:1", "status" },
+          "--node: found \"localhost:1\", expected IP:PORT" },
+        { { "--node", "10.0.0.1", "status" }, "--node: found \"10.0.0.1\"" },
+        { { "--node", "10.0.0.1:70000", "status" }, "--node: found \"10.0.0.1:70000\"" },
+        { { "publish", "--wait", "-1", "x" }, "--wait: found \"-1\"" },
+        { { "publish", "--wait", "soon", "x" }, "--wait: found \"soon\"" },
+        { { "get", "servise", "review" }, "KIND: found \"servise\"" },
+        { { "list", "jobs" }, "KIND: found \"jobs\"" },
+        { { "explain", "task", "nightly" }, "TASK: found \"nightly\", expected JOB#NUMBER" },
+        { { "explain", "task", "nightly#x" }, "TASK: found \"nightly#x\"" },
+        { { "completion", "fish" }, "command line" },
+    };
+    for (const auto &[words, message] : wrong) {
+        cr_expect(cli.run(words) == ExitStatus::WrongCommandLine, "%s", message.c_str());
+        cr_expect(holds(cli.err, message), "expected %s, found %s", message.c_str(),
+                  cli.err.str().c_str());
+    }
+}
+
+Test(CommandLine, readsEndpoints)
+{
+    cr_assert_eq(readEndpoint("10.0.0.1:9100").text(), "10.0.0.1:9100");
+    cr_assert_eq(readEndpoint("[::1]:9100").address, "::1");
+}
+
+Test(CommandLine, asksForNodes)
+{
+    CliRun cli(0);
+    cr_assert(cli.run({ "list" }) == ExitStatus::WrongCommandLine);
+    cr_assert(holds(cli.err, "--node: found none"));
+    cr_assert(cli.run({ "status" }) == ExitStatus::WrongCommandLine);
+}
+
+Test(CommandLine, namedNodesGoBeforeTheEnvironment)
+{
+    CliRun cli(2);
+    cr_assert(cli.run({ "--node", "10.0.0.2:9100", "list" }) == ExitStatus::Done);
+    cr_assert_eq(cli.nodes.node(1).calls, 0);
+    cr_assert_eq(cli.nodes.node(2).calls, 1);
+}
+
+Test(CommandLine, showsHelpAndVersion)
+{
+    CliRun cli(0);
+    cr_assert(cli.run({ "--help" }) == ExitStatus::Done);
+    cr_assert(holds(cli.out, "Usage:"));
+    for (const std::string_view command : commandNames()) {
+        const std::string text(command);
+        const std::size_t examples = cli.out.str().find("Examples:");
+        cr_expect(cli.out.str().find(" " + text, examples) != std::string::npos, "%s",
+                  text.c_str());
+    }
+    cr_assert(cli.run({ "--version" }) == ExitStatus::Done);
+    cr_assert(holds(cli.out, "bulrushrill 0.1.0"));
+}
+
+//==============================================================================
+Test(Validate, worksWithoutANode)
+{
+    CliRun cli(0);
+    const std::string good = cli.file("review.json", serviceFile(200));
+    cr_assert(cli.run({ "validate", good }) == ExitStatus::Done);
+    cr_assert(holds(cli.out, "service/review is valid"));
+}
+
+Test(Validate, namesTheFieldOfEachFile)
+{
+    CliRun cli(0);
+    const std::string good = cli.file("review.json", serviceFile(200));
+    const std::string bad = cli.file("bad.json", serviceFile(0));
+    const std::string broken = cli.file("broken.json", "{");
+    const std::string list = cli.file("list.json", "[]");
+    cr_assert(cli.run({ "validate", bad, good, broken, list, "/nowhere/x.json" })
+              == ExitStatus::Refused);
+    cr_assert(holds(cli.err, "/body/deadlineMs: found 0, expected"));
+    cr_assert(holds(cli.err, "the whole text: found []"));
+    cr_assert(holds(cli.err, "the file cannot be read"));
+    cr_assert(holds(cli.out, "service/review is valid"));
+}
+
+Test(Validate, writesJson)
+{
+    CliRun cli(0);
+    const std::string bad = cli.file("bad.json", serviceFile(0));
+    cr_assert(cli.run({ "--output", "json", "validate", bad }) == ExitStatus::Refused);
+    cr_assert(nlohmann::json::parse(cli.out.str()).at(0).at("valid") == false);
+}
+
+//==============================================================================
+Test(Get, printsTheRecordInForce)
+{
+    CliRun cli(2);
+    cli.nodes.append(serviceRecord("old-1", "", "paul", 100));
+    cli.nodes.node(1).answers = false;
+    cr_assert(cli.run({ "get", "service", "review" }) == ExitStatus::Done);
+    cr_assert(nlohmann::json::parse(cli.out.str()).at("id") == "old-1");
+    cr_assert(cli.run({ "get", "service", "other" }) == ExitStatus::Refused);
+    cr_assert(holds(cli.err, "no record service/other is in force"));
+}
+
+Test(List, showsOneLineARecord)
+{
+    CliRun cli(1);
+    cli.nodes.append(serviceRecord("old-1", "", "paul", 100));
+    cr_assert(cli.run({ "list" }) == ExitStatus::Done);
+    cr_assert_eq(cli.out.str(),
+                 "KIND     NAME    SCHEMA     ID     PUBLISHER\n"
+                 "service  review  service/1  old-1  paul\n");
+    cr_assert(cli.run({ "list", "job" }) == ExitStatus::Done);
+    cr_assert_not(holds(cli.out, "review"));
+    cr_assert(cli.run({ "--output", "json", "list", "service" }) == ExitStatus::Done);
+    cr_assert_eq(nlohmann::json::parse(cli.out.str()).size(), 1U);
+}
+
+Test(List, endsWhenNoNodeAnswers)
+{
+    CliRun cli(1);
+    cli.nodes.node(1).answers = false;
+    cr_assert(cli.run({ "list" }) == ExitStatus::NoNodeAnswered);
+}
+
+Test(Diff, showsUnifiedLines)
+{
+    CliRun cli(1);
+    cli.nodes.append(serviceRecord("old-1", "", "paul", 100));
+    const std::string same = cli.file("review.json", serviceFile(100));
+    const std::string changed = cli.file("changed.json", serviceFile(200));
+    cr_assert(cli.run({ "diff", same }) == ExitStatus::Done);
+    cr_assert(holds(cli.out, "no difference"));
+    cr_assert(cli.run({ "diff", changed }) == ExitStatus::Done);
+    cr_assert(holds(cli.out, "-    \"deadlineMs\": 100,\n+    \"deadlineMs\": 200,\n"));
+    cr_assert(holds(cli.out, "--- in force\n"));
+}
+
+Test(Diff, showsAWholeNewRecord)
+{
+    CliRun cli(1);
+    const std::string file = cli.file("review.json", serviceFile(100));
+    cr_assert(cli.run({ "diff", file }) == ExitStatus::Done);
+    cr_assert(holds(cli.out, "+  \"name\": \"review\","));
+    cr_assert(holds(cli.out, "@@ -0,0 +1,"));
+}
+
+Test(Diff, separatesDistantChanges)
+{
+    const std::string oldText = "a\nb\nc\nd\ne\nf\ng\nh\ni\nj\n";
+    const std::string newText = "A\nb\nc\nd\ne\nf\ng\nh\ni\nJ\n";
+    cr_assert_eq(unifiedDiff(oldText, "old", newText, "new"),
+                 "--- old\n+++ new\n@@ -1,4 +1,4 @@\n-a\n+A\n b\n c\n d\n"
+                 "@@ -7,4 +7,4 @@\n g\n h\n i\n-j\n+J\n");
+}
+
+Test(History, showsWhoSupersededWhom)
+{
+    CliRun cli(1);
+    cli.nodes.append(serviceRecord("old-1", "", "paul", 100));
+    cli.nodes.append(serviceRecord("anna-1", "old-1", "anna", 200));
+    cli.nodes.append(serviceRecord("carl-1", "old-1", "carl", 300));
+    cr_assert(cli.run({ "history", "service", "review" }) == ExitStatus::Done);
+    cr_assert(holds(cli.out, "1       accepted  service/review  anna-1  old-1       anna"));
+    cr_assert(holds(cli.out, "2       refused   service/review  carl-1  old-1       carl"));
+    cr_assert(cli.run({ "audit" }) == ExitStatus::Done);
+    cr_assert(holds(cli.out, "which was there first"));
+    cr_assert(cli.run({ "--output", "json", "audit" }) == ExitStatus::Done);
+    cr_assert_eq(nlohmann::json::parse(cli.out.str()).size(), 3U);
+}
+
+//==============================================================================
+Test(Status, showsAllNodes)
+{
+    CliRun cli(3);
+    cli.nodes.append(serviceRecord("old-1", "", "paul", 100));
+    cli.nodes.node(2).answers = false;
+    cli.nodes.node(3).isStalled = true;
+    cr_assert(cli.run({ "status" }) == ExitStatus::Done);
+    cr_assert(holds(cli.out, "node-1  10.0.0.1:9100  north        serving"));
+    cr_assert(holds(cli.out, "10.0.0.2:9100  ?            no connection"));
+    cr_assert(holds(cli.out, "1d 3h"));
+    cr_assert(holds(cli.out, "node-3  the platform's log does not answer"));
+    cr_assert(holds(cli.out, "node-1  no link to node node-2"));
+    cr_assert(holds(cli.out, "review   100 ms    target-1"));
+    cr_assert(cli.run({ "--output", "json", "status" }) == ExitStatus::Done);
+    const auto status = nlohmann::json::parse(cli.out.str());
+    cr_assert(status.at("nodes").at(1).at("answered") == false);
+}
+
+Test(Status, endsWhenNoNodeAnswers)
+{
+    CliRun cli(1);
+    cli.nodes.node(1).answers = false;
+    cr_assert(cli.run({ "status" }) == ExitStatus::NoNodeAnswered);
+}
+
+Test(Drain, asksExactlyOneNode)
+{
+    CliRun cli(2);
+    cr_assert(cli.run({ "drain" }) == ExitStatus::WrongCommandLine);
+    cr_assert(holds(cli.err, "found 2 nodes, expected exactly the one"));
+    cr_assert(cli.run({ "--node", "10.0.0.2:9100", "drain" }) == ExitStatus::Done);
+    cr_assert(holds(cli.out, "10.0.0.2:9100: draining"));
+    cli.nodes.node(2).answers = false;
+    cr_assert(cli.run({ "--node", "10.0.0.2:9100", "drain" }) == ExitStatus::NoNodeAnswered);
+}
+
+Test(Explain, printsTheNodesFields)
+{
+    CliRun cli(1);
+    cli.nodes.node(1).extraAnswers["explain"] =
+            OperatorsApi::json(200, R"({"job":"nightly","waiting":[{"task":3,"reason":"quota"}]})");
+    cr_assert(cli.run({ "explain", "job", "nightly" }) == ExitStatus::Done);
+    cr_assert_eq(cli.out.str(),
+                 "job: nightly\nwaiting:\n  -\n    reason: quota\n"
+                 "    task: 3\n");
+    cr_assert(cli.run({ "explain", "task", "nightly#3" }) == ExitStatus::Done);
+    cr_assert(cli.run({ "--output", "json", "explain", "request" }) == ExitStatus::Done);
+    cr_assert(nlohmann::json::parse(cli.out.str()).at("job") == "nightly");
+}
+
+Test(Explain, saysThatANodeHasNone)
+{
+    CliRun cli(1);
+    cr_assert(cli.run({ "explain", "job", "nightly" }) == ExitStatus::Refused);
+    cr_assert(holds(cli.err, "the node has no explanation of job nightly"));
+}
+
+Test(Completion, offersAllCommandsAndOptions)
+{
+    for (const std::string shell : { "bash", "zsh" }) {
+        CliRun cli(0);
+        cr_assert(cli.run({ "completion", shell }) == ExitStatus::Done);
+        for (const auto names : { commandNames(), optionNames() }) {
+            for (const std::string_view name : names) {
+                cr_expect(holds(cli.out, name));
+            }
+        }
+    }
+}
+
+Test(Table, keepsControlCharactersFromTheTerminal)
+{
+    Table table({ "NAME" });
+    table.add({ "a\x1b[2J" });
+    cr_assert_eq(table.text(), "NAME\na?[2J\n");
+}
