Name the nodes that did not answer a publish

Cause: with a silent node each poll of publish waited 5 s, and the message did not say which nodes were left out.

Ruled out: leaving the node out of the count in silence.

Change: calls to all nodes wait 2 s; publish names the silent ones.

--- a/modules/bulrush_cli/client/NodeGroup.cpp
+++ b/modules/bulrush_cli/client/NodeGroup.cpp
@@ -7,6 +7,7 @@
 using nlohmann::json;
 
 constexpr Duration callTimeout = seconds(5);
+constexpr Duration askAllTimeout = seconds(2);
 constexpr int unauthorized = 401;
 
 NodeAnswer readAnswer(const Endpoint &node, const CallResult &result)
@@ -49,7 +50,7 @@
 {
     std::vector<NodeAnswer> answers;
     for (const Endpoint &node : this->nodes) {
-        answers.push_back(this->call(std::span(&node, 1), "GET", path, "").front());
+        answers.push_back(this->call(std::span(&node, 1), "GET", path, "", callTimeout).front());
         if (answers.back().status) {
             return answers.back();
         }
@@ -59,12 +60,12 @@
 
 std::vector<NodeAnswer> NodeGroup::askAll(std::string_view path) const
 {
-    return this->call(this->nodes, "GET", path, "");
+    return this->call(this->nodes, "GET", path, "", askAllTimeout);
 }
 
 NodeAnswer NodeGroup::post(const Endpoint &node, std::string_view path, std::string_view text) const
 {
-    return this->call(std::span(&node, 1), "POST", path, text).front();
+    return this->call(std::span(&node, 1), "POST", path, text, callTimeout).front();
 }
 
 void NodeGroup::throwNoneAnswered(const std::vector<NodeAnswer> &answers)
@@ -83,7 +84,7 @@
 
 std::vector<NodeAnswer> NodeGroup::call(std::span<const Endpoint> endpoints,
                                         std::string_view method, std::string_view path,
-                                        std::string_view text) const
+                                        std::string_view text, Duration timeout) const
 {
     HttpRequest request;
     request.method = method;
@@ -95,7 +96,7 @@
     if (!text.empty()) {
         request.headers.push_back({ "content-type", "application/json" });
     }
-    const auto results = this->client.callAll(endpoints, request, callTimeout);
+    const auto results = this->client.callAll(endpoints, request, timeout);
     std::vector<NodeAnswer> answers;
     for (std::size_t i = 0; i < endpoints.size(); ++i) {
         answers.push_back(readAnswer(endpoints[i], results[i]));
--- a/modules/bulrush_cli/client/NodeGroup.h
+++ b/modules/bulrush_cli/client/NodeGroup.h
@@ -46,7 +46,8 @@
         @throws CommandError when none answers or the key is refused */
     NodeAnswer askAny(std::string_view path) const;
 
-    /** Asks all nodes at once. @throws CommandError when a node refuses the key */
+    /** Asks all nodes at once; waits only shortly, as one that is silent must not hold up the
+        others. @throws CommandError when a node refuses the key */
     std::vector<NodeAnswer> askAll(std::string_view path) const;
 
     /** Sends a text to one node. @throws CommandError when the key is refused */
@@ -59,7 +60,8 @@
 
 private:
     std::vector<NodeAnswer> call(std::span<const Endpoint> endpoints, std::string_view method,
-                                 std::string_view path, std::string_view text) const;
+                                 std::string_view path, std::string_view text,
+                                 Duration timeout) const;
 
     OperatorsClient &client;
     const std::vector<Endpoint> nodes;
--- a/modules/bulrush_cli/commands/Publication.cpp
+++ b/modules/bulrush_cli/commands/Publication.cpp
@@ -46,10 +46,11 @@
     if (!isEverywhere) {
         return this->finish(ExitStatus::OutcomeUnknown,
                             "accepted at offset " + offset + ", but in force only on " + nodes
-                                    + " within the wait");
+                                    + " within the wait" + this->silentNodes());
     }
     return this->finish(ExitStatus::Done,
-                        "in force at offset " + offset + " on " + nodes + this->successor());
+                        "in force at offset " + offset + " on " + nodes + this->silentNodes()
+                                + this->successor());
 }
 
 //==============================================================================
@@ -200,6 +201,7 @@
 /** Counts the nodes that were asked and the peers that they are connected to. */
 Publication::Spread Publication::spread() const
 {
+    Spread result;
     std::map<std::string, std::uint64_t> offsets;
     const auto take = [&offsets](const json &node) {
         std::uint64_t &offset = offsets[node.value("node", "")];
@@ -207,6 +209,7 @@
     };
     for (const NodeAnswer &answer : this->context.nodes.askAll("/status")) {
         if (!answer.succeeded()) {
+            result.silent.push_back(answer.node.text());
             continue;
         }
         take(answer.body);
@@ -219,7 +222,9 @@
     const auto wanted = this->verdict.value("offset", std::uint64_t(0));
     const auto inForce = std::count_if(offsets.begin(), offsets.end(),
                                        [wanted](const auto &node) { return node.second > wanted; });
-    return { static_cast<std::size_t>(inForce), offsets.size() };
+    result.inForce = static_cast<std::size_t>(inForce);
+    result.reached = offsets.size();
+    return result;
 }
 
 //==============================================================================
@@ -261,6 +266,15 @@
             + record.value("id", "");
 }
 
+std::string Publication::silentNodes() const
+{
+    std::string addresses;
+    for (const std::string &address : this->lastSpread.silent) {
+        addresses += (addresses.empty() ? "; no answer from " : ", ") + address;
+    }
+    return addresses;
+}
+
 ExitStatus Publication::finishRefused()
 {
     std::string message =
@@ -289,6 +303,7 @@
                     { "verdict", this->verdict },
                     { "nodesInForce", this->lastSpread.inForce },
                     { "nodesReached", this->lastSpread.reached },
+                    { "nodesSilent", this->lastSpread.silent },
                     { "message", message } });
         return status;
     }
--- a/modules/bulrush_cli/commands/Publication.h
+++ b/modules/bulrush_cli/commands/Publication.h
@@ -23,6 +23,9 @@
     {
         std::size_t inForce = 0;
         std::size_t reached = 0;
+
+        /** Addresses of named nodes that did not answer. */
+        std::vector<std::string> silent;
     };
 
     void completeRecord();
@@ -42,6 +45,7 @@
     ExitStatus finish(ExitStatus status, const std::string &message);
     ExitStatus finishRefused();
     std::string successor() const;
+    std::string silentNodes() const;
 
     const CommandContext &context;
     RecordFile file;
--- a/modules/bulrush_cli/tests/publish_test.cpp
+++ b/modules/bulrush_cli/tests/publish_test.cpp
@@ -128,7 +128,7 @@
     cli.nodes.node(1).answers = false;
     const std::string file = cli.file("review.json", serviceFile(200));
     cr_assert(cli.run({ "publish", file }) == ExitStatus::Done, "%s", cli.err.str().c_str());
-    cr_assert(holds(cli.out, "on 1 of 1 nodes"));
+    cr_assert(holds(cli.out, "on 1 of 1 nodes; no answer from 10.0.0.1:9100\n"));
 }
 
 Test(Publish, endsWhenNoNodeAnswers)
