Take each node of the command line once

Ruled out: lists of files, which are handed over once; the new test holds that too.

Change: a node that stands twice is taken once, on the command line and in the environment.

--- a/modules/bulrush_cli/commandline/CommandLine.cpp
+++ b/modules/bulrush_cli/commandline/CommandLine.cpp
@@ -88,7 +88,11 @@
     }
     std::vector<Endpoint> nodes;
     for (const std::string &text : texts) {
-        nodes.push_back(readEndpoint(text));
+        const Endpoint node = readEndpoint(text);
+        // docopt repeats the last of several equal options once for each usage.
+        if (std::find(nodes.begin(), nodes.end(), node) == nodes.end()) {
+            nodes.push_back(node);
+        }
     }
     return nodes;
 }
--- a/modules/bulrush_cli/tests/commands_test.cpp
+++ b/modules/bulrush_cli/tests/commands_test.cpp
@@ -53,6 +53,22 @@
     cr_assert_eq(cli.nodes.node(2).calls, 1);
 }
 
+Test(CommandLine, takesEachNodeAndFileOnce)
+{
+    CliEnvironment environment;
+    const std::vector<std::string> nodes { "--node", "10.0.0.1:1", "--node", "10.0.0.2:1",
+                                           "--node", "10.0.0.3:1", "--node", "10.0.0.2:1" };
+    for (const std::string command : { "status", "drain", "list", "audit" }) {
+        std::vector<std::string> words = nodes;
+        words.push_back(command);
+        cr_expect_eq(readCommandLine(words, environment).nodes.size(), 3U, "%s", command.c_str());
+    }
+    const CommandLine line = readCommandLine({ "validate", "a", "b", "a" }, environment);
+    cr_assert_eq(line.files.size(), 3U);
+    environment.nodes = "10.0.0.1:1,,10.0.0.1:1";
+    cr_assert_eq(readCommandLine({ "status" }, environment).nodes.size(), 1U);
+}
+
 Test(CommandLine, showsHelpAndVersion)
 {
     CliRun cli(0);
