Measure what each role costs at several sizes

Ruled out: wall time, as the machine is shared; a simulator of a whole cluster, as one owner with its log and workers shows the slopes already; guessing message sizes, as the real codecs give them.

--- /dev/null
+++ b/bench/capacity/Model.cpp
@@ -0,0 +1,286 @@
+#include "Model.h"
+
+#include "bulrush_core/errors/Error.h"
+
+#include <algorithm>
+
+namespace bulrush::bench {
+
+namespace {
+
+constexpr double microsPerSecond = 1e6;
+constexpr double secondsPerDay = 86'400;
+constexpr double exchangePeriod = 15; ///< seconds, as Durations has it
+constexpr double ticksPerSecond = 20; ///< of a WorkDesk
+constexpr double readsPerSecond = 2; ///< of a stream that holds nothing new
+constexpr double beatsPerSecond = 2;
+constexpr double vmReadsPerSecond = 1;
+constexpr double finishedCheck = 0.5; ///< seconds between two checks for finished jobs
+constexpr double slowVmListPeriod = 60; ///< seconds, of what is proposed
+constexpr double slowExchangePeriod = 30;
+constexpr double slowReadsPerSecond = 0.5;
+constexpr double nearPeers = 8;
+constexpr int mostNodes = 2'000;
+
+} // namespace
+
+Cost &Cost::operator+=(const Cost &other)
+{
+    this->each += other.each;
+    this->shared += other.shared;
+    this->perPeer += other.perPeer;
+    return *this;
+}
+
+Model::Model(const std::vector<Series> &series, const Target &wantedTarget,
+             const Assumptions &assumptions)
+    : all(series)
+    , target(wantedTarget)
+    , assumed(assumptions)
+{
+}
+
+const Series &Model::find(const std::string &name) const
+{
+    const auto found =
+            std::find_if(this->all.begin(), this->all.end(),
+                         [&name](const Series &series) { return series.name() == name; });
+    if (found == this->all.end()) {
+        throw Error("work out the capacity", name, "no such series");
+    }
+    return *found;
+}
+
+Fit Model::fit(const std::string &name) const
+{
+    return fitLine(this->find(name).points);
+}
+
+double Model::greatest(const std::string &name) const
+{
+    return this->find(name).points.back().value;
+}
+
+std::vector<RoleCost> Model::today() const
+{
+    const double groups = this->target.workers / this->assumed.workersPerGroup;
+    return { this->base(),
+             this->vmList(),
+             this->exchanges("", exchangePeriod),
+             this->ticks(),
+             this->starts(this->assumed.workersPerGroup),
+             this->workStream(this->assumed.workersPerGroup),
+             this->records(this->assumed.logWay / finishedCheck),
+             this->emptyReads(groups, readsPerSecond),
+             this->heartbeats(),
+             this->keys() };
+}
+
+/** @see docs/CAPACITY.md, "What would carry it" */
+std::vector<RoleCost> Model::proposed() const
+{
+    const double groups = 2 * this->target.dataCentres;
+    const double workersPerGroup = this->target.workers / groups;
+    return { this->base(),
+             this->vmListOfDataCentre(),
+             this->exchanges(", compact trial", slowExchangePeriod),
+             this->starts(workersPerGroup),
+             this->workStream(workersPerGroup),
+             this->records(0),
+             this->emptyReads(groups, slowReadsPerSecond),
+             this->heartbeats(nearPeers),
+             this->keys() };
+}
+
+//==============================================================================
+/** The process itself, as an idle daemon has it; measured apart. */
+RoleCost Model::base() const
+{
+    const Fit idle = this->fit("daemon/resident memory");
+    const Fit core = this->fit("daemon/idle processor time");
+    return {
+        "process", {}, { core.intercept / microsPerSecond, 0, 0 }, { idle.intercept, 0, 0 }, {}
+    };
+}
+
+RoleCost Model::vmList() const
+{
+    const double bytes = this->fit("platform/list of VMs").at(this->target.workers);
+    const double micros = this->fit("platform/list of VMs read").at(this->target.workers);
+    RoleCost cost { "list of VMs", {}, {}, {}, {} };
+    cost.bytes.each = vmReadsPerSecond * (bytes + this->assumed.httpBytes);
+    cost.core.each = vmReadsPerSecond * micros / microsPerSecond;
+    cost.memory.each = bytes;
+    return cost;
+}
+
+/** The list of one data centre, read less often. */
+RoleCost Model::vmListOfDataCentre() const
+{
+    const double vms = this->target.workers / this->target.dataCentres;
+    const double bytes = this->fit("platform/list of VMs").at(vms);
+    const double micros = this->fit("platform/list of VMs read").at(vms);
+    RoleCost cost { "list of VMs", {}, {}, {}, {} };
+    cost.bytes.each = (bytes + this->assumed.httpBytes) / slowVmListPeriod;
+    cost.core.each = micros / slowVmListPeriod / microsPerSecond;
+    cost.memory.each = bytes;
+    return cost;
+}
+
+RoleCost Model::exchanges(const std::string &trial, double period) const
+{
+    const double tasks = this->target.tasksPerWorker();
+    const double bytes = this->fit("group owner/exchange request" + trial).at(tasks)
+            + this->fit("group owner/exchange answer" + trial).at(tasks) + this->assumed.httpBytes;
+    const double micros = this->fit("group owner/exchange codec").at(tasks)
+            + this->fit("group owner/exchange taken in").at(tasks);
+    const double startExchanges =
+            this->fit("group owner/exchanges beyond the period by starts").slope
+            * this->target.startsPerSecond;
+    const double rate = this->target.workers / period + startExchanges;
+    RoleCost cost { "exchanges", {}, {}, {}, {} };
+    cost.bytes.shared = rate * bytes;
+    cost.core.shared = rate * micros / microsPerSecond;
+    cost.memory.shared = this->target.tasks() * this->fit("group owner/heap of an owner").slope;
+    return cost;
+}
+
+RoleCost Model::ticks() const
+{
+    const double groups = this->target.workers / this->assumed.workersPerGroup;
+    const double micros =
+            this->fit("group owner/quiet tick by workers").at(this->assumed.workersPerGroup)
+            + this->fit("group owner/quiet tick by waiting jobs").slope * this->assumed.waitingJobs
+            + this->fit("group owner/quiet tick by ranges").slope * this->assumed.ranges;
+    RoleCost cost { "ticks of owners", {}, {}, {}, {} };
+    cost.core.shared = groups * ticksPerSecond * micros / microsPerSecond;
+    return cost;
+}
+
+RoleCost Model::starts(double workersPerGroup) const
+{
+    const double starts = this->target.startsPerSecond;
+    const double groups = this->target.workers / workersPerGroup;
+    const double appends =
+            groups * this->fit("group owner/group appends a second").at(workersPerGroup);
+    RoleCost cost { "group streams", {}, {}, {}, {} };
+    cost.bytes.shared = starts
+                    * (this->fit("group owner/group stream by starts").slope
+                       + this->fit("group owner/group stream as read by starts").slope)
+            + 2 * appends * this->assumed.httpBytes;
+    cost.core.shared =
+            starts * this->fit("group owner/group stream read by starts").slope / microsPerSecond;
+    cost.appends.shared = appends;
+    return cost;
+}
+
+/** Every node reads every claim; the claims of a start are those that its group appends. */
+RoleCost Model::workStream(double workersPerGroup) const
+{
+    const double starts = this->target.startsPerSecond;
+    const double groups = this->target.workers / workersPerGroup;
+    const double appends =
+            groups * this->fit("group owner/work appends a second").at(workersPerGroup);
+    const double read = starts * this->fit("group owner/work stream as read by starts").slope;
+    RoleCost cost { "work stream", {}, {}, {}, {} };
+    cost.bytes.each = read + appends * this->assumed.httpBytes;
+    cost.bytes.shared = starts * this->fit("group owner/work stream by starts").slope
+            + appends * this->assumed.httpBytes;
+    cost.core.each = appends * this->fit("work stream/claims folded").slope / microsPerSecond;
+    cost.memory.each = this->fit("work stream/heap").at(this->assumed.ranges);
+    cost.appends.shared = appends;
+    return cost;
+}
+
+/** @param copies how many nodes, as a share of all others, write the end of a job once more */
+RoleCost Model::records(double copies) const
+{
+    const double peak = this->assumed.peakFactor / secondsPerDay;
+    const double changes = this->target.changesPerDay * peak;
+    const double jobs = this->target.jobsPerDay * peak;
+    const double record = this->fit("configuration/records as read").slope;
+    const double both = this->fit("configuration/job and its end as read").slope;
+    const double end = both - record;
+    RoleCost cost { "configuration", {}, {}, {}, {} };
+    cost.bytes.each = changes * (record + this->assumed.httpBytes)
+            + jobs * (both + 2 * this->assumed.httpBytes);
+    cost.bytes.perPeer = copies * jobs * (end + this->assumed.httpBytes);
+    cost.core.each = (changes * this->fit("configuration/records folded").slope
+                      + jobs * this->fit("configuration/job and its end folded").slope)
+            / microsPerSecond;
+    cost.memory.each = this->fit("configuration/heap").at(this->assumed.recordsInForce)
+            + this->greatest("configuration/heap of ended jobs");
+    cost.appends.shared = changes + 2 * jobs;
+    cost.appends.perPeer = copies * jobs;
+    return cost;
+}
+
+RoleCost Model::emptyReads(double groups, double reads) const
+{
+    const double bytes = this->fit("platform/empty reads").slope + this->assumed.httpBytes;
+    constexpr double sharedStreams = 3;
+    RoleCost cost { "reads of quiet streams", {}, {}, {}, {} };
+    cost.bytes.each = sharedStreams * reads * bytes;
+    cost.bytes.shared = groups * reads * bytes;
+    return cost;
+}
+
+RoleCost Model::heartbeats() const
+{
+    constexpr double bothWays = 2;
+    RoleCost cost { "heartbeats", {}, {}, {}, {} };
+    cost.bytes.perPeer =
+            bothWays * beatsPerSecond * this->fit("peers/heartbeats sent in a period").slope;
+    // A daemon's own time a peer, which holds the system calls too.
+    cost.core.perPeer = this->fit("daemon/idle processor time").slope / microsPerSecond;
+    return cost;
+}
+
+/** Heartbeats with a fixed number of other nodes, over one link a pair. */
+RoleCost Model::heartbeats(double peers) const
+{
+    constexpr double linksPerPair = 2;
+    const RoleCost mesh = this->heartbeats();
+    RoleCost cost { mesh.role, {}, {}, {}, {} };
+    cost.bytes.each = peers * mesh.bytes.perPeer / linksPerPair;
+    cost.core.each = peers * mesh.core.perPeer / linksPerPair;
+    return cost;
+}
+
+RoleCost Model::keys() const
+{
+    const double rate = this->assumed.keyedRequestsPerSecond;
+    RoleCost cost { "keys", {}, {}, {}, {} };
+    // One key an entry and one read an entry: a node's claims rarely wait for each other here.
+    cost.bytes.each = rate * (this->fit("keys/entry as read").at(1) + this->assumed.httpBytes);
+    cost.bytes.shared = rate * (this->fit("keys/entry").at(1) + this->assumed.httpBytes);
+    cost.core.each = rate * this->fit("keys/keys folded").slope / microsPerSecond;
+    cost.memory.each = rate * this->assumed.keyLifetime * this->fit("keys/heap").slope;
+    cost.appends.shared = rate;
+    return cost;
+}
+
+//==============================================================================
+RoleCost totalOf(const std::vector<RoleCost> &roles)
+{
+    RoleCost total { "total", {}, {}, {}, {} };
+    for (const RoleCost &role : roles) {
+        total.bytes += role.bytes;
+        total.core += role.core;
+        total.memory += role.memory;
+        total.appends += role.appends;
+    }
+    return total;
+}
+
+int leastNodes(const Cost &cost, double limit)
+{
+    for (int nodes = 1; nodes <= mostNodes; ++nodes) {
+        if (cost.at(nodes) <= limit) {
+            return nodes;
+        }
+    }
+    return 0;
+}
+
+} // namespace bulrush::bench
