Work out the target from an earlier result, and the proposed changes

Cause: the model's assumptions change more often than the slopes, and a whole measurement takes four minutes on a busy machine.

Ruled out: heartbeat time from the frame codec alone (0.04 us a frame): the idle daemons show 1,010 us a second and peer, so the model takes theirs.

--- a/bench/capacity/Model.cpp
+++ b/bench/capacity/Model.cpp
@@ -16,10 +16,12 @@
 constexpr double beatsPerSecond = 2;
 constexpr double vmReadsPerSecond = 1;
 constexpr double finishedCheck = 0.5; ///< seconds between two checks for finished jobs
-constexpr double slowVmListPeriod = 60; ///< seconds, of what is proposed
+constexpr double slowVmListPeriod = 10; ///< seconds, of what is proposed
 constexpr double slowExchangePeriod = 30;
+constexpr double slowBeat = 2; ///< times the time between two heartbeats
 constexpr double slowReadsPerSecond = 0.5;
 constexpr double nearPeers = 8;
+constexpr double fastReads = 20; ///< a second of a busy stream: one each way to the log and back
 constexpr int mostNodes = 2'000;
 
 } // namespace
@@ -66,14 +68,14 @@
     const double groups = this->target.workers / this->assumed.workersPerGroup;
     return { this->base(),
              this->vmList(),
-             this->exchanges("", exchangePeriod),
+             this->exchanges(),
              this->ticks(),
              this->starts(this->assumed.workersPerGroup),
-             this->workStream(this->assumed.workersPerGroup),
-             this->records(this->assumed.logWay / finishedCheck),
+             this->workStream(this->assumed.workersPerGroup, 1),
+             this->records(this->assumed.logWay / finishedCheck, fastReads),
              this->emptyReads(groups, readsPerSecond),
              this->heartbeats(),
-             this->keys() };
+             this->keys(1) };
 }
 
 /** @see docs/CAPACITY.md, "What would carry it" */
@@ -83,13 +85,13 @@
     const double workersPerGroup = this->target.workers / groups;
     return { this->base(),
              this->vmListOfDataCentre(),
-             this->exchanges(", compact trial", slowExchangePeriod),
+             this->smallExchanges(),
              this->starts(workersPerGroup),
-             this->workStream(workersPerGroup),
-             this->records(0),
+             this->workStream(workersPerGroup, this->target.dataCentres),
+             this->records(0, 1),
              this->emptyReads(groups, slowReadsPerSecond),
              this->heartbeats(nearPeers),
-             this->keys() };
+             this->keys(this->target.dataCentres) };
 }
 
 //==============================================================================
@@ -114,37 +116,65 @@
     return cost;
 }
 
-/** The list of one data centre, read less often. */
+/** One node of each data centre reads the list of its data centre and passes on what changed. */
 RoleCost Model::vmListOfDataCentre() const
 {
-    const double vms = this->target.workers / this->target.dataCentres;
+    const double readers = this->target.dataCentres;
+    const double vms = this->target.workers / readers;
     const double bytes = this->fit("platform/list of VMs").at(vms);
     const double micros = this->fit("platform/list of VMs read").at(vms);
+    const double reads = readers / slowVmListPeriod;
     RoleCost cost { "list of VMs", {}, {}, {}, {} };
-    cost.bytes.each = (bytes + this->assumed.httpBytes) / slowVmListPeriod;
-    cost.core.each = micros / slowVmListPeriod / microsPerSecond;
+    cost.bytes.shared = reads * (bytes + this->assumed.httpBytes);
+    cost.core.shared = reads * micros / microsPerSecond;
     cost.memory.each = bytes;
     return cost;
 }
 
-RoleCost Model::exchanges(const std::string &trial, double period) const
+double Model::exchangeBytes(const std::string &trial, double tasks) const
 {
-    const double tasks = this->target.tasksPerWorker();
-    const double bytes = this->fit("group owner/exchange request" + trial).at(tasks)
+    return this->fit("group owner/exchange request" + trial).at(tasks)
             + this->fit("group owner/exchange answer" + trial).at(tasks) + this->assumed.httpBytes;
-    const double micros = this->fit("group owner/exchange codec").at(tasks)
+}
+
+double Model::exchangeMicros(double tasks) const
+{
+    return this->fit("group owner/exchange codec").at(tasks)
             + this->fit("group owner/exchange taken in").at(tasks);
-    const double startExchanges =
-            this->fit("group owner/exchanges beyond the period by starts").slope
+}
+
+/** Returns how many exchanges a second starts cause, as each start does not wait for its turn. */
+double Model::startExchanges() const
+{
+    return this->fit("group owner/exchanges beyond the period by starts").slope
             * this->target.startsPerSecond;
-    const double rate = this->target.workers / period + startExchanges;
+}
+
+RoleCost Model::exchanges() const
+{
+    const double tasks = this->target.tasksPerWorker();
+    const double rate = this->target.workers / exchangePeriod + this->startExchanges();
     RoleCost cost { "exchanges", {}, {}, {}, {} };
-    cost.bytes.shared = rate * bytes;
-    cost.core.shared = rate * micros / microsPerSecond;
+    cost.bytes.shared = rate * this->exchangeBytes("", tasks);
+    cost.core.shared = rate * this->exchangeMicros(tasks) / microsPerSecond;
     cost.memory.shared = this->target.tasks() * this->fit("group owner/heap of an owner").slope;
     return cost;
 }
 
+/** The trial encoding; a start's own exchange carries the one task that it is about. */
+RoleCost Model::smallExchanges() const
+{
+    const double tasks = this->target.tasksPerWorker();
+    const double periodic = this->target.workers / slowExchangePeriod;
+    const double starting = this->startExchanges();
+    RoleCost cost = this->exchanges();
+    cost.bytes.shared = periodic * this->exchangeBytes(", compact trial", tasks)
+            + starting * this->exchangeBytes(", compact trial", 1);
+    cost.core.shared = (periodic * this->exchangeMicros(tasks) + starting * this->exchangeMicros(1))
+            / microsPerSecond;
+    return cost;
+}
+
 RoleCost Model::ticks() const
 {
     const double groups = this->target.workers / this->assumed.workersPerGroup;
@@ -175,7 +205,7 @@
 }
 
 /** Every node reads every claim; the claims of a start are those that its group appends. */
-RoleCost Model::workStream(double workersPerGroup) const
+RoleCost Model::workStream(double workersPerGroup, double streams) const
 {
     const double starts = this->target.startsPerSecond;
     const double groups = this->target.workers / workersPerGroup;
@@ -183,17 +213,19 @@
             groups * this->fit("group owner/work appends a second").at(workersPerGroup);
     const double read = starts * this->fit("group owner/work stream as read by starts").slope;
     RoleCost cost { "work stream", {}, {}, {}, {} };
-    cost.bytes.each = read + appends * this->assumed.httpBytes;
+    cost.bytes.each = (read + appends * this->assumed.httpBytes) / streams;
     cost.bytes.shared = starts * this->fit("group owner/work stream by starts").slope
             + appends * this->assumed.httpBytes;
-    cost.core.each = appends * this->fit("work stream/claims folded").slope / microsPerSecond;
-    cost.memory.each = this->fit("work stream/heap").at(this->assumed.ranges);
+    cost.core.each =
+            appends * this->fit("work stream/claims folded").slope / microsPerSecond / streams;
+    cost.memory.each = this->fit("work stream/heap").at(this->assumed.ranges / streams);
     cost.appends.shared = appends;
     return cost;
 }
 
-/** @param copies how many nodes, as a share of all others, write the end of a job once more */
-RoleCost Model::records(double copies) const
+/** @param copies how many nodes, as a share of all others, write the end of a job once more
+    @param mostReads a second; entries that come in between share one */
+RoleCost Model::records(double copies, double mostReads) const
 {
     const double peak = this->assumed.peakFactor / secondsPerDay;
     const double changes = this->target.changesPerDay * peak;
@@ -202,8 +234,8 @@
     const double both = this->fit("configuration/job and its end as read").slope;
     const double end = both - record;
     RoleCost cost { "configuration", {}, {}, {}, {} };
-    cost.bytes.each = changes * (record + this->assumed.httpBytes)
-            + jobs * (both + 2 * this->assumed.httpBytes);
+    const double reads = std::min(mostReads, changes + 2 * jobs);
+    cost.bytes.each = changes * record + jobs * both + reads * this->assumed.httpBytes;
     cost.bytes.perPeer = copies * jobs * (end + this->assumed.httpBytes);
     cost.core.each = (changes * this->fit("configuration/records folded").slope
                       + jobs * this->fit("configuration/job and its end folded").slope)
@@ -242,21 +274,22 @@
     constexpr double linksPerPair = 2;
     const RoleCost mesh = this->heartbeats();
     RoleCost cost { mesh.role, {}, {}, {}, {} };
-    cost.bytes.each = peers * mesh.bytes.perPeer / linksPerPair;
-    cost.core.each = peers * mesh.core.perPeer / linksPerPair;
+    cost.bytes.each = peers * mesh.bytes.perPeer / linksPerPair / slowBeat;
+    cost.core.each = peers * mesh.core.perPeer / linksPerPair / slowBeat;
     return cost;
 }
 
-RoleCost Model::keys() const
+RoleCost Model::keys(double streams) const
 {
-    const double rate = this->assumed.keyedRequestsPerSecond;
+    const double allKeys = this->assumed.keyedRequestsPerSecond;
+    const double rate = allKeys / streams;
     RoleCost cost { "keys", {}, {}, {}, {} };
     // One key an entry and one read an entry: a node's claims rarely wait for each other here.
     cost.bytes.each = rate * (this->fit("keys/entry as read").at(1) + this->assumed.httpBytes);
-    cost.bytes.shared = rate * (this->fit("keys/entry").at(1) + this->assumed.httpBytes);
+    cost.bytes.shared = allKeys * (this->fit("keys/entry").at(1) + this->assumed.httpBytes);
     cost.core.each = rate * this->fit("keys/keys folded").slope / microsPerSecond;
     cost.memory.each = rate * this->assumed.keyLifetime * this->fit("keys/heap").slope;
-    cost.appends.shared = rate;
+    cost.appends.shared = allKeys;
     return cost;
 }
 
--- a/bench/capacity/Model.h
+++ b/bench/capacity/Model.h
@@ -55,15 +55,19 @@
     RoleCost base() const;
     RoleCost vmList() const;
     RoleCost vmListOfDataCentre() const;
-    RoleCost exchanges(const std::string &trial, double period) const;
+    double exchangeBytes(const std::string &trial, double tasks) const;
+    double exchangeMicros(double tasks) const;
+    double startExchanges() const;
+    RoleCost exchanges() const;
+    RoleCost smallExchanges() const;
     RoleCost ticks() const;
     RoleCost starts(double workersPerGroup) const;
-    RoleCost workStream(double workersPerGroup) const;
-    RoleCost records(double copies) const;
+    RoleCost workStream(double workersPerGroup, double streams) const;
+    RoleCost records(double copies, double mostReads) const;
     RoleCost emptyReads(double groups, double readsPerSecond) const;
     RoleCost heartbeats() const;
     RoleCost heartbeats(double peers) const;
-    RoleCost keys() const;
+    RoleCost keys(double streams) const;
 
     const std::vector<Series> &all;
     Target target;
--- a/bench/capacity/Report.cpp
+++ b/bench/capacity/Report.cpp
@@ -91,21 +91,37 @@
     }
 }
 
-void printComparison(const std::string &path, const std::vector<Series> &all)
+std::vector<Series> readResult(const std::string &path)
 {
     std::ifstream file(path);
-    const json earlier = json::parse(file, nullptr, false);
-    if (!earlier.is_object() || !earlier.contains("series")) {
+    const json result = json::parse(file, nullptr, false);
+    if (!result.is_object() || !result.contains("series")) {
         throw Error("read earlier result", path, "no result of this bench");
     }
+    std::vector<Series> all;
+    for (const json &series : result.at("series")) {
+        all.push_back({ series.at("role"),
+                        series.at("quantity"),
+                        series.at("unit"),
+                        series.at("size"),
+                        {} });
+        for (const json &point : series.at("points")) {
+            all.back().points.push_back({ point.at(0), point.at(1) });
+        }
+    }
+    return all;
+}
+
+void printComparison(const std::string &path, const std::vector<Series> &all)
+{
     std::printf("\n%-42s %14s %14s %8s\n", "slope of", "earlier", "now", "ratio");
-    for (const json &before : earlier.at("series")) {
+    for (const Series &before : readResult(path)) {
         for (const Series &now : all) {
-            if (before.at("role") != now.role || before.at("quantity") != now.quantity) {
+            if (before.name() != now.name()) {
                 continue;
             }
             const double slope = fitLine(now.points).slope;
-            const double old = before.at("slope");
+            const double old = fitLine(before.points).slope;
             std::printf("%-42s %14.4f %14.4f %8.2f\n", now.name().c_str(), old, slope,
                         old == 0 ? 1.0 : slope / old);
         }
--- a/bench/capacity/Report.h
+++ b/bench/capacity/Report.h
@@ -27,6 +27,9 @@
 void writeResult(const std::string &path, const RunInfo &info, const std::vector<Series> &all,
                  const Model &model);
 
+/** Returns the series of a result file. @throws Error when it is unreadable */
+std::vector<Series> readResult(const std::string &path);
+
 /** Prints each slope beside that of an earlier result file. @throws Error when it is unreadable */
 void printComparison(const std::string &path, const std::vector<Series> &all);
 
--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -3,8 +3,10 @@
 
     Usage: bench_capacity --daemon FILE [--output FILE] [--plot-data FILE] [--compare FILE]
                           [--seed N] [--commit ID]
+           bench_capacity --from FILE [--plot-data FILE]
 
-    The daemon's file holds what tools/measure-daemon printed.
+    The second form measures nothing and works the model out from an earlier result. The daemon's
+   file holds what tools/measure-daemon printed.
 */
 
 #include "DaemonMeasures.h"
@@ -33,6 +35,7 @@
     std::string output = "capacity.json";
     std::string plotData = "capacity.dat";
     std::string compare;
+    std::string from;
     RunInfo info;
 };
 
@@ -51,6 +54,8 @@
             options.plotData = value;
         } else if (name == "--output") {
             options.output = value;
+        } else if (name == "--from") {
+            options.from = value;
         } else if (name == "--compare") {
             options.compare = value;
         } else if (name == "--seed") {
@@ -89,13 +94,16 @@
 {
     try {
         const Options options = parse(argc, argv);
-        const std::vector<Series> all = measureAll(options);
+        const bool measures = options.from.empty();
+        const std::vector<Series> all = measures ? measureAll(options) : readResult(options.from);
         const Target target;
         const Model model(all, target, {});
         printTable(all);
         printModel("Today's build", model.today(), target);
         printModel("With what is proposed", model.proposed(), target);
-        writeResult(options.output, options.info, all, model);
+        if (measures) {
+            writeResult(options.output, options.info, all, model);
+        }
         writePlotData(options.plotData, all, model);
         if (!options.compare.empty()) {
             printComparison(options.compare, all);
