Take the proposed groups as 44 workers and count their owners' time

Ruled out: the fitted line for that time, as it bends; the model takes the value measured at 44.

Change: a series of an owner's time by workers, and a role for it in the proposed model.

--- a/bench/capacity/GroupMeasures.cpp
+++ b/bench/capacity/GroupMeasures.cpp
@@ -96,6 +96,7 @@
                 { starts, static_cast<double>(costs.exchanges) - static_cast<double>(periodic) });
         set.add("processor time by starts", "us", by, { starts, costs.cpuMicros() });
         const std::string byWorkers = "workers of 30 tasks in the group";
+        set.add("owner in full churn", "us/s", byWorkers, { size, costs.cpuMicros() / seconds });
         set.add("starts a second", "1/s", byWorkers, { size, starts / seconds });
         set.add("group appends a second", "1/s", byWorkers,
                 { size, static_cast<double>(costs.groupAppends) / seconds });
--- a/bench/capacity/Model.cpp
+++ b/bench/capacity/Model.cpp
@@ -18,6 +18,7 @@
 constexpr double finishedCheck = 0.5; ///< seconds between two checks for finished jobs
 constexpr double slowVmListPeriod = 10; ///< seconds, of what is proposed
 constexpr double slowExchangePeriod = 30;
+constexpr double largeGroup = 44; ///< workers
 constexpr double slowBeat = 2; ///< times the time between two heartbeats
 constexpr double slowReadsPerSecond = 0.5;
 constexpr double nearPeers = 8;
@@ -63,6 +64,17 @@
     return this->find(name).points.back().value;
 }
 
+double Model::valueAt(const std::string &name, double size) const
+{
+    const std::vector<Point> &points = this->find(name).points;
+    const auto found = std::find_if(points.begin(), points.end(),
+                                    [size](const Point &point) { return point.size == size; });
+    if (found == points.end()) {
+        throw Error("work out the capacity", name, "not measured at " + std::to_string(size));
+    }
+    return found->value;
+}
+
 std::vector<RoleCost> Model::today() const
 {
     const double groups = this->target.workers / this->assumed.workersPerGroup;
@@ -81,11 +93,12 @@
 /** @see docs/CAPACITY.md, "What would carry it" */
 std::vector<RoleCost> Model::proposed() const
 {
-    const double groups = 2 * this->target.dataCentres;
-    const double workersPerGroup = this->target.workers / groups;
+    const double workersPerGroup = largeGroup;
+    const double groups = this->target.workers / workersPerGroup;
     return { this->base(),
              this->vmListOfDataCentre(),
              this->smallExchanges(),
+             this->busyOwners(),
              this->starts(workersPerGroup),
              this->workStream(workersPerGroup, this->target.dataCentres),
              this->records(0, 1),
@@ -187,6 +200,17 @@
     return cost;
 }
 
+/** Owners that act only on a change, at the rate of changes of the peak. Holds the exchanges' own
+    time once more. */
+RoleCost Model::busyOwners() const
+{
+    const double groups = this->target.workers / largeGroup;
+    const double micros = this->valueAt("group owner/owner in full churn", largeGroup);
+    RoleCost cost { "owners at work", {}, {}, {}, {} };
+    cost.core.shared = groups * micros / microsPerSecond;
+    return cost;
+}
+
 RoleCost Model::starts(double workersPerGroup) const
 {
     const double starts = this->target.startsPerSecond;
--- a/bench/capacity/Model.h
+++ b/bench/capacity/Model.h
@@ -50,6 +50,7 @@
 private:
     const Series &find(const std::string &name) const;
     Fit fit(const std::string &name) const;
+    double valueAt(const std::string &name, double size) const; ///< as measured at the size
     double greatest(const std::string &name) const; ///< value at the greatest size
 
     RoleCost base() const;
@@ -61,6 +62,7 @@
     RoleCost exchanges() const;
     RoleCost smallExchanges() const;
     RoleCost ticks() const;
+    RoleCost busyOwners() const;
     RoleCost starts(double workersPerGroup) const;
     RoleCost workStream(double workersPerGroup, double streams) const;
     RoleCost records(double copies, double mostReads) const;
--- a/bench/capacity/PeerMeasures.cpp
+++ b/bench/capacity/PeerMeasures.cpp
@@ -24,7 +24,7 @@
     message.records_next = 123'456;
     message.records_as_of = 123'456;
     message.requests_in_flight = 7;
-    return wire::encode(std::move(message));
+    return wire::encode(message);
 }
 
 /** One beat of a node: one frame made, and one read from each other node. */
@@ -33,8 +33,7 @@
     const wire::Bytes own = heartbeat();
     std::uint64_t furthest = 0;
     for (std::size_t peer = 1; peer < nodes; ++peer) {
-        const wire::Bytes sent = own;
-        const wire::Frame &frame = wire::readFrame(sent, "entry-2");
+        const wire::Frame &frame = wire::readFrame(own, "entry-2");
         furthest = std::max(furthest, frame.message_as_Heartbeat()->records_next());
     }
 }
