--- a/modules/bulrush_tasks/tests/explorer/World.cpp
+++ b/modules/bulrush_tasks/tests/explorer/World.cpp
@@ -66,7 +66,7 @@
 //==============================================================================
 VmId World::addWorker(const GroupId &group, const Resources &capacity)
 {
-    const VmId id("w" + std::to_string(++this->workerCount));
+    VmId id("w" + std::to_string(++this->workerCount));
     WorkerEntry &entry = this->workers[id];
     entry.fake = std::make_unique<FakeWorker>(id, capacity, this->checks, this->options.help);
     entry.group = group;
--- a/modules/bulrush_tasks/tests/explorer_test.cpp
+++ b/modules/bulrush_tasks/tests/explorer_test.cpp
@@ -63,7 +63,9 @@
             }
             Trial trial = mutated(mutation);
             trial.seed = known.seed;
-            cr_expect(explore(trial).has_value(), "nothing is found without %s",
+            cr_expect(explore(trial).has_value(),
+                      "nothing is found without %s; does `explore_tasks mutations 10000` find a "
+                      "seed?",
                       std::string(known.mutation).c_str());
         }
     }
