Give up a reservation when its worker leaves or is set aside

Cause: a large task kept its reservation on a worker that was leaving, where it could never start, and got no other: it starved.

Change: marking a worker as leaving or set aside frees its reservation.

--- a/modules/bulrush_placement/view/WorkerTable.cpp
+++ b/modules/bulrush_placement/view/WorkerTable.cpp
@@ -138,12 +138,14 @@
 void WorkerTable::setLeaving(WorkerSlot slot, bool isLeaving)
 {
     this->views[slot].isLeaving = isLeaving;
+    this->dropUselessReservation(slot);
     this->refreshRoom(slot);
 }
 
 void WorkerTable::setAside(WorkerSlot slot, bool isSetAside)
 {
     this->views[slot].isSetAside = isSetAside;
+    this->dropUselessReservation(slot);
     this->refreshRoom(slot);
 }
 
@@ -170,6 +172,14 @@
     return count == racks->second.end() ? 0 : count->second;
 }
 
+void WorkerTable::dropUselessReservation(WorkerSlot slot)
+{
+    WorkerView &worker = this->views[slot];
+    if (worker.isLeaving || worker.isSetAside) {
+        worker.reservedFor = JobId();
+    }
+}
+
 void WorkerTable::refreshRoom(WorkerSlot slot)
 {
     const WorkerView &worker = this->views[slot];
--- a/modules/bulrush_placement/view/WorkerTable.h
+++ b/modules/bulrush_placement/view/WorkerTable.h
@@ -97,6 +97,7 @@
     };
 
     void refreshRoom(WorkerSlot slot);
+    void dropUselessReservation(WorkerSlot slot);
     void countLoad(WorkerView &worker, const TaskView &task, int change);
 
     std::vector<WorkerView> views;
