Remove the record files that the tests wrote

Cause: each run left its record files in the temporary folder.

Ruled out: a fixed name for each, as tests run side by side.

Change: CliRun removes what it wrote.

Conclusion: done.

--- a/modules/bulrush_cli/tests/FakeNodes.cpp
+++ b/modules/bulrush_cli/tests/FakeNodes.cpp
@@ -204,12 +204,21 @@
             { this->nodes, this->nodes.clock, newId, this->out, this->err, this->environment });
 }
 
-std::string CliRun::file(const std::string &name, const std::string &text) const
+CliRun::~CliRun()
+{
+    for (const std::string &path : this->files) {
+        std::error_code ignored;
+        std::filesystem::remove(path, ignored);
+    }
+}
+
+std::string CliRun::file(const std::string &name, const std::string &text)
 {
     const auto path = std::filesystem::temp_directory_path()
             / ("bulrush_cli_test." + std::to_string(getpid()) + "." + name);
     std::ofstream(path) << text;
-    return path.string();
+    this->files.push_back(path.string());
+    return this->files.back();
 }
 
 std::string serviceFile(int deadlineMs)
--- a/modules/bulrush_cli/tests/FakeNodes.h
+++ b/modules/bulrush_cli/tests/FakeNodes.h
@@ -79,17 +79,24 @@
 {
     explicit CliRun(int nodeCount);
 
+    /** Removes the files that it wrote. */
+    ~CliRun();
+
+    CliRun(const CliRun &) = delete;
+    CliRun &operator=(const CliRun &) = delete;
+
     /** Runs one command line; all nodes are named in the environment. */
     ExitStatus run(const std::vector<std::string> &words);
 
     /** Writes a record file and returns its path. */
-    std::string file(const std::string &name, const std::string &text) const;
+    std::string file(const std::string &name, const std::string &text);
 
     FakeNodes nodes;
     CliEnvironment environment;
     std::ostringstream out;
     std::ostringstream err;
     int idsGiven = 0;
+    std::vector<std::string> files;
 };
 
 /** Returns a service record without id, publisher and supersedes. */
