Hedge after the 99.5th percentile in place of the 98th

Cause: hedges were 1.1 % of requests and nearly all of long requests, which a second send does not shorten. Change: the quantile.

--- a/modules/bulrush_routing/budgets/HedgePolicy.h
+++ b/modules/bulrush_routing/budgets/HedgePolicy.h
@@ -25,7 +25,7 @@
     bool approve(RetryBudget &budget) const;
 
 private:
-    static constexpr double quantile = 0.98;
+    static constexpr double quantile = 0.995;
 
     double estimateSeconds = 0;
 };
