Mend what lint found in the node and its base

Change: spelled comparisons of ids and endpoints, references where copies were made, one look-up of a service's routes, a wait for signals that needs no signal to itself.

--- a/modules/bulrush_core/addresses/Endpoint.h
+++ b/modules/bulrush_core/addresses/Endpoint.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace bulrush {
 
@@ -12,7 +12,13 @@
     std::string address;
     std::uint16_t port = 0;
 
-    auto operator<=>(const Endpoint &) const = default;
+    bool operator==(const Endpoint &) const = default;
+
+    /** Orders by address, then port. */
+    bool operator<(const Endpoint &other) const
+    {
+        return std::tie(this->address, this->port) < std::tie(other.address, other.port);
+    }
 
     /** Returns "address:port". */
     std::string text() const { return this->address + ":" + std::to_string(this->port); }
--- a/modules/bulrush_core/ids/Id.h
+++ b/modules/bulrush_core/ids/Id.h
@@ -30,7 +30,11 @@
     /** Returns whether no name was given. */
     bool isEmpty() const { return this->text.empty(); }
 
-    auto operator<=>(const NameId &) const = default;
+    bool operator==(const NameId &other) const { return this->text == other.text; }
+    std::strong_ordering operator<=>(const NameId &other) const
+    {
+        return this->text <=> other.text;
+    }
 
     friend std::ostream &operator<<(std::ostream &stream, const NameId &id)
     {
--- a/modules/bulrush_node/front/FrontTask.cpp
+++ b/modules/bulrush_node/front/FrontTask.cpp
@@ -198,12 +198,20 @@
 
 //==============================================================================
 void FrontTask::requestLeaving(HttpClient::ExchangeId id)
+{
+    if (ServiceRoutes *routes = this->routesOf(id)) {
+        routes->router().bytesLeft(ServiceRoutes::attemptOf(id));
+    }
+}
+
+ServiceRoutes *FrontTask::routesOf(HttpClient::ExchangeId id)
 {
     for (auto &[name, routes] : this->services) {
         if (routes.number() == ServiceRoutes::numberOf(id)) {
-            routes.router().bytesLeft(ServiceRoutes::attemptOf(id));
+            return &routes;
         }
     }
+    return nullptr;
 }
 
 void FrontTask::responseArrived(HttpClient::ExchangeId id, HttpResponse response)
@@ -211,22 +219,20 @@
     const Instant now = this->clock.now();
     const routing::AttemptId attempt = ServiceRoutes::attemptOf(id);
     const TargetAnswer answer = readTargetAnswer(response);
-    for (auto &[name, routes] : this->services) {
-        if (routes.number() != ServiceRoutes::numberOf(id)) {
-            continue;
-        }
-        if (answer.refusedUnstarted) {
-            routes.router().refusedUnstarted(attempt, answer.head.report, now);
-            continue;
-        }
-        const auto request = routes.router().answerHead(attempt, answer.head, now);
-        if (request) {
-            const auto arrival = this->arrivals.find(static_cast<ArrivalId>(*request));
-            if (arrival != this->arrivals.end()) {
-                arrival->second.answer = std::move(response);
-            }
+    ServiceRoutes *routes = this->routesOf(id);
+    if (routes == nullptr) {
+        return;
+    }
+    if (answer.refusedUnstarted) {
+        routes->router().refusedUnstarted(attempt, answer.head.report, now);
+    } else {
+        const auto request = routes->router().answerHead(attempt, answer.head, now);
+        const auto arrival = request ? this->arrivals.find(static_cast<ArrivalId>(*request))
+                                     : this->arrivals.end();
+        if (arrival != this->arrivals.end()) {
+            arrival->second.answer = std::move(response);
         }
-        routes.router().answerComplete(attempt, now);
+        routes->router().answerComplete(attempt, now);
     }
     this->pump();
 }
@@ -236,15 +242,14 @@
 {
     const Instant now = this->clock.now();
     const routing::AttemptId attempt = ServiceRoutes::attemptOf(id);
-    for (auto &[name, routes] : this->services) {
-        if (routes.number() != ServiceRoutes::numberOf(id)) {
-            continue;
-        }
-        if (failure == ExchangeFailure::NotSent) {
-            routes.router().sendFailedBeforeAnyByte(attempt, now);
-        } else {
-            routes.router().attemptLost(attempt, now);
-        }
+    ServiceRoutes *routes = this->routesOf(id);
+    if (routes == nullptr) {
+        return;
+    }
+    if (failure == ExchangeFailure::NotSent) {
+        routes->router().sendFailedBeforeAnyByte(attempt, now);
+    } else {
+        routes->router().attemptLost(attempt, now);
     }
     this->pump();
 }
--- a/modules/bulrush_node/front/FrontTask.h
+++ b/modules/bulrush_node/front/FrontTask.h
@@ -70,6 +70,8 @@
     void exchangeFailed(HttpClient::ExchangeId id, ExchangeFailure failure,
                         std::string_view reason) override;
 
+    ServiceRoutes *routesOf(HttpClient::ExchangeId id);
+
     // Messages.
     void configure(const FrontConfiguration &configuration);
     void decideKey(const KeyVerdict &verdict);
--- a/modules/bulrush_node/metrics/NodeMetrics.cpp
+++ b/modules/bulrush_node/metrics/NodeMetrics.cpp
@@ -86,7 +86,7 @@
 
 void NodeMetrics::requestEnded(const ServiceId &service, std::string_view outcome, Duration time)
 {
-    const std::string name = service.name();
+    const std::string &name = service.name();
     this->families->requests.Add({ { "service", name }, { "outcome", std::string(outcome) } })
             .Increment();
     this->families->requestTime.Add({ { "service", name } }, secondsBuckets)
--- a/modules/bulrush_node/peers/PeerMesh.cpp
+++ b/modules/bulrush_node/peers/PeerMesh.cpp
@@ -254,7 +254,7 @@
     wire::HeartbeatT heartbeat;
     heartbeat.records_next = this->listener.recordsNext();
     heartbeat.draining = this->draining;
-    const wire::Bytes bytes = wire::encode(std::move(heartbeat));
+    const wire::Bytes bytes = wire::encode(heartbeat);
     for (const auto &[id, link] : this->links) {
         if (!link.node.isEmpty()) {
             this->send(id, bytes);
--- a/modules/bulrush_platform/log/HttpPlatform.cpp
+++ b/modules/bulrush_platform/log/HttpPlatform.cpp
@@ -104,9 +104,10 @@
 {
     HttpRequest request = makeRequest("POST", "/log/" + std::string(stream));
     request.body = std::move(body);
-    this->call(
-            std::move(request), callTimeout,
-            [callback = std::move(callback)](CallResult result) { callback(parseOffset(result)); });
+    this->call(std::move(request), callTimeout,
+               [callback = std::move(callback)](const CallResult &result) {
+                   callback(parseOffset(result));
+               });
 }
 
 void HttpPlatform::read(std::string_view stream, LogOffset from, Duration wait,
@@ -115,15 +116,18 @@
     HttpRequest request = makeRequest("GET", "/log/" + std::string(stream));
     request.query = "from=" + std::to_string(from) + "&max=" + std::to_string(recordsPerRead)
             + "&waitMs=" + std::to_string(duration_cast<milliseconds>(wait).count());
-    this->call(
-            std::move(request), wait + callTimeout,
-            [callback = std::move(callback)](CallResult result) { callback(parsePage(result)); });
+    this->call(std::move(request), wait + callTimeout,
+               [callback = std::move(callback)](const CallResult &result) {
+                   callback(parsePage(result));
+               });
 }
 
 void HttpPlatform::readVms(Callback callback)
 {
     this->call(makeRequest("GET", "/vms"), callTimeout,
-               [callback = std::move(callback)](CallResult result) { callback(parseVms(result)); });
+               [callback = std::move(callback)](const CallResult &result) {
+                   callback(parseVms(result));
+               });
 }
 
 void HttpPlatform::call(HttpRequest request, Duration timeout, HttpCaller::Callback callback)
--- a/programs/bulrushrilld/main.cpp
+++ b/programs/bulrushrilld/main.cpp
@@ -2,7 +2,9 @@
 
 #include <docopt/docopt.h>
 
+#include <atomic>
 #include <csignal>
+#include <ctime>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -59,14 +61,15 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     const bulrush::SystemClock clock;
     bulrush::NodeRuntime runtime(settings, clock);
-    std::thread waiter([&runtime, signals] {
-        int signal = 0;
-        sigwait(&signals, &signal);
+    std::atomic<bool> ended = false;
+    std::thread waiter([&runtime, &ended, signals] {
+        constexpr timespec pollPeriod { 0, 200'000'000 };
+        while (!ended && sigtimedwait(&signals, nullptr, &pollPeriod) < 0) { }
         runtime.drain();
     });
     runtime.run();
-    // An operator's drain ends the node without a signal: release the waiting thread.
-    pthread_kill(waiter.native_handle(), SIGTERM);
+    // An operator's drain ends the node without a signal.
+    ended = true;
     waiter.join();
 }
 
