--- a/modules/bulrush_node/bulrush_node.h
+++ b/modules/bulrush_node/bulrush_node.h
@@ -11,3 +11,4 @@
 */
 
 #include "bulrush_node/runtime/NodeRuntime.h"
+#include "bulrush_node/work/WorkDurations.h"
--- a/modules/bulrush_node/control/ControlTask.cpp
+++ b/modules/bulrush_node/control/ControlTask.cpp
@@ -2,6 +2,7 @@
 
 #include "bulrush_node/operators/OperatorTexts.h"
 #include "bulrush_node/operators/WorkTexts.h"
+#include "bulrush_node/work/WorkDurations.h"
 
 #include <random>
 
@@ -9,6 +10,11 @@
 
 namespace {
 
+HttpResponse startingAnswer()
+{
+    return OperatorsApi::error(503, "the node is starting: no records are in force yet");
+}
+
 constexpr Duration vmListPeriod = seconds(1);
 
 /** The end of a job is written again until it is read back. */
@@ -47,19 +53,6 @@
     return desk;
 }
 
-Durations durationsOf(const NodeSettings &settings)
-{
-    Durations durations;
-    durations.lease = settings.times.lease;
-    durations.renewalHorizon = settings.times.renewalHorizon;
-    durations.clockAllowance = settings.times.clockAllowance;
-    const std::vector<std::string> broken = checkDurations(durations);
-    if (!broken.empty()) {
-        throw Error("check settings", "/times", "this must hold: " + broken.front());
-    }
-    return durations;
-}
-
 WorkDeskSettings workDeskSettings(const NodeSettings &settings, std::string_view process)
 {
     WorkDeskSettings desk;
@@ -86,7 +79,8 @@
     , stop(std::move(stopFunction))
     , process(processName(nodeSettings.node, runtimeClock))
     , platform(owningLoop, nodeSettings.platform)
-    , records(owningLoop, runtimeClock, this->platform, nodeSettings.times.logPoll, eventLog, *this)
+    , records(owningLoop, runtimeClock, this->platform, nodeSettings.node,
+              nodeSettings.times.logPoll, eventLog, *this)
     , mesh(owningLoop, runtimeClock, meshSettings(nodeSettings), nodeMetrics, eventLog, *this)
     , keys(owningLoop, runtimeClock, this->platform, keyDeskSettings(nodeSettings, this->process),
            nodeMetrics, [this](KeyVerdict verdict) { this->toFront(std::move(verdict)); })
@@ -283,14 +277,16 @@
                              response.contentType = "text/plain; version=0.0.4";
                              reply(std::move(response));
                          });
-    this->operators.bind("GET", "records",
-                         [this](const HttpRequest &, const Parts &rest, const Reply &reply) {
-                             reply(recordsAnswer(this->records.state(), rest));
-                         });
-    this->operators.bind("GET", "history",
-                         [this](const HttpRequest &, const Parts &rest, const Reply &reply) {
-                             reply(historyAnswer(this->records.state(), rest));
-                         });
+    this->operators.bind(
+            "GET", "records", [this](const HttpRequest &, const Parts &rest, const Reply &reply) {
+                reply(this->records.isUsable() ? recordsAnswer(this->records.state(), rest)
+                                               : startingAnswer());
+            });
+    this->operators.bind(
+            "GET", "history", [this](const HttpRequest &, const Parts &rest, const Reply &reply) {
+                reply(this->records.isUsable() ? historyAnswer(this->records.state(), rest)
+                                               : startingAnswer());
+            });
     this->operators.bind(
             "GET", "verdicts", [this](const HttpRequest &, const Parts &rest, const Reply &reply) {
                 reply(verdictAnswer(rest.empty() ? nullptr
--- a/modules/bulrush_node/control/RecordsKeeper.cpp
+++ b/modules/bulrush_node/control/RecordsKeeper.cpp
@@ -10,20 +10,17 @@
 constexpr std::size_t tailLength = 2'000;
 constexpr std::size_t auditLength = 2'000;
 
-/** A snapshot is written after this many entries. */
-constexpr LogOffset entriesPerSnapshot = 500;
-
-/** Below this many entries between the log's start and the state a snapshot is pressing. */
-constexpr LogOffset retainedReserve = 50;
-
 } // namespace
 
-RecordsKeeper::RecordsKeeper(EventLoop &loop, const Clock &clock, Log &platformLog, Duration poll,
-                             EventLog &eventLog, Listener &recordsListener)
-    : log(platformLog)
+RecordsKeeper::RecordsKeeper(EventLoop &loop, const Clock &runtimeClock, Log &platformLog,
+                             const NodeId &node, Duration poll, EventLog &eventLog,
+                             Listener &recordsListener)
+    : clock(runtimeClock)
+    , log(platformLog)
     , events(eventLog)
     , listener(recordsListener)
-    , reader(loop, clock, platformLog, recordsStream, poll, *this)
+    , schedule(node, runtimeClock.now())
+    , reader(loop, runtimeClock, platformLog, recordsStream, poll, *this)
 {
 }
 
@@ -35,6 +32,9 @@
 void RecordsKeeper::pageRead(const LogPage &page, Instant /*sentAt*/)
 {
     const FollowStatus before = this->follower.status();
+    for (const LogEntry &entry : page.entries) {
+        this->schedule.take(entry.text, this->clock.now());
+    }
     this->take(page);
     const FollowStatus after = this->follower.status();
     if (after == FollowStatus::Truncated && before != after) {
@@ -42,7 +42,7 @@
                            "first retained offset " + std::to_string(page.firstRetained));
     }
     if (after == FollowStatus::Current) {
-        this->writeSnapshotIfDue(page);
+        this->writeSnapshotIfDue();
         if (!this->usable) {
             this->usable = true;
             this->listener.recordsChanged();
@@ -102,17 +102,12 @@
     this->listener.logAvailabilityChanged(available);
 }
 
-void RecordsKeeper::writeSnapshotIfDue(const LogPage &page)
+void RecordsKeeper::writeSnapshotIfDue()
 {
-    const LogOffset next = this->state().nextOffset();
-    const bool many = next >= this->snapshotAt + entriesPerSnapshot;
-    const bool pressing = page.firstRetained > 0
-            && this->snapshotAt < page.firstRetained + retainedReserve
-            && next > this->snapshotAt + retainedReserve;
-    if ((!many && !pressing) || !this->state().unsettled().empty()) {
+    if (!this->schedule.isDue(this->clock.now()) || !this->state().unsettled().empty()) {
         return;
     }
-    this->snapshotAt = next;
+    this->schedule.noteWriting(this->clock.now());
     for (std::string &part : snapshotParts(this->state())) {
         this->log.append(recordsStream, std::move(part), [](std::optional<LogOffset>) {});
     }
--- a/modules/bulrush_node/control/RecordsKeeper.h
+++ b/modules/bulrush_node/control/RecordsKeeper.h
@@ -31,8 +31,8 @@
         virtual void logAvailabilityChanged(bool available) = 0;
     };
 
-    RecordsKeeper(EventLoop &loop, const Clock &clock, Log &log, Duration poll, EventLog &events,
-                  Listener &listener);
+    RecordsKeeper(EventLoop &loop, const Clock &clock, Log &log, const NodeId &node, Duration poll,
+                  EventLog &events, Listener &listener);
 
     RecordsKeeper(const RecordsKeeper &) = delete;
     RecordsKeeper &operator=(const RecordsKeeper &) = delete;
@@ -75,8 +75,9 @@
     void take(const LogPage &page);
     void note(const Verdict &verdict);
     void keep(const std::vector<LogEntry> &entries);
-    void writeSnapshotIfDue(const LogPage &page);
+    void writeSnapshotIfDue();
 
+    const Clock &clock;
     Log &log;
     EventLog &events;
     Listener &listener;
@@ -84,7 +85,7 @@
     std::deque<LogEntry> tail;
     std::deque<Verdict> verdicts;
     std::map<std::string, Verdict, std::less<>> verdictsById;
-    LogOffset snapshotAt = 0;
+    SnapshotSchedule schedule;
     bool usable = false;
     LogReader reader;
 };
--- a/modules/bulrush_node/front/FrontTask.cpp
+++ b/modules/bulrush_node/front/FrontTask.cpp
@@ -21,6 +21,8 @@
 /** An idempotent request is sent again when this part of its time passed in silence. */
 constexpr int silenceShareOfDeadline = 2;
 
+constexpr Duration targetWatchPeriod = seconds(1);
+
 constexpr Duration retryAfterStart = seconds(1);
 constexpr Duration retryAfterKeyUnclear = seconds(1);
 
@@ -48,6 +50,7 @@
     , client(owningLoop, connectionIndexes, { frontSettings.answerBytes, keepWarmSeconds, 1 },
              *this)
 {
+    this->loop.scheduleEvery(targetWatchPeriod, [this] { this->watchTargets(); });
 }
 
 void FrontTask::handle(FrontMessage message)
@@ -333,6 +336,28 @@
     this->scheduleTick();
 }
 
+void FrontTask::watchTargets()
+{
+    std::uint64_t retries = 0;
+    for (auto &[name, routes] : this->services) {
+        retries += routes.router().counts().retries;
+        for (const TargetId &target : routes.targets()) {
+            const auto index = routes.router().targetTable().find(target);
+            const auto state = index ? routes.router().targetTable().at(*index).state()
+                                     : routing::TargetState::Live;
+            const auto before = std::exchange(this->seenStates[target], state);
+            if (state == before || state == routing::TargetState::Live) {
+                continue;
+            }
+            const bool leaving = state == routing::TargetState::Leaving;
+            this->events.write(leaving ? Event::TargetLeaving : Event::TargetEjected, target.name(),
+                               name.name());
+        }
+    }
+    this->metrics.count("bulrush_retries_total", double(retries - this->retriesCounted));
+    this->retriesCounted = retries;
+}
+
 void FrontTask::scheduleTick()
 {
     Instant due = Instant::max();
--- a/modules/bulrush_node/front/FrontTask.h
+++ b/modules/bulrush_node/front/FrontTask.h
@@ -86,6 +86,7 @@
     void respond(ArrivalId id, HttpResponse response, std::string_view outcome);
     void endKey(const Arrival &arrival, ArrivalId id, KeyEnd::Outcome outcome, int status);
     void scheduleTick();
+    void watchTargets();
 
     EventLoop &loop;
     const Clock &clock;
@@ -103,6 +104,8 @@
     bool drained = false;
     Instant drainUntil {};
     bool pumping = false;
+    std::map<TargetId, routing::TargetState> seenStates;
+    std::uint64_t retriesCounted = 0;
     EventLoop::TimerId tickTimer = 0;
     Instant tickAt = Instant::max();
 };
--- a/modules/bulrush_node/front/ServiceRoutes.cpp
+++ b/modules/bulrush_node/front/ServiceRoutes.cpp
@@ -24,7 +24,7 @@
 void ServiceRoutes::configure(const FrontService &newService,
                               const FrontConfiguration &configuration, Instant now)
 {
-    const unsigned share = std::max(1U, connectionsOfTarget / std::max(1U, configuration.nodes));
+    const unsigned share = routing::connectionShare(connectionsOfTarget, configuration.nodes);
     std::set<TargetId> present;
     std::set<DataCentreId> dataCentres;
     for (const FrontTarget &target : newService.targets) {
@@ -74,6 +74,15 @@
     return static_cast<std::uint16_t>(exchange >> attemptBits);
 }
 
+std::vector<TargetId> ServiceRoutes::targets() const
+{
+    std::vector<TargetId> names;
+    for (const FrontTarget &target : this->service.targets) {
+        names.push_back(target.target);
+    }
+    return names;
+}
+
 const Endpoint &ServiceRoutes::endpointOf(const TargetId &target) const
 {
     return this->endpoints.at(target);
--- a/modules/bulrush_node/front/ServiceRoutes.h
+++ b/modules/bulrush_node/front/ServiceRoutes.h
@@ -34,6 +34,9 @@
     /** Returns where a target is reached. */
     const Endpoint &endpointOf(const TargetId &target) const;
 
+    /** Returns the names of the targets that may get requests. */
+    std::vector<TargetId> targets() const;
+
     std::uint16_t number() const { return this->serviceNumber; }
     Duration deadline() const { return this->service.deadline; }
     routing::Router &router() { return this->serviceRouter; }
--- /dev/null
+++ b/modules/bulrush_node/tests/records_keeper_test.cpp
@@ -0,0 +1,123 @@
+#include "bulrush_core/bulrush_core.h"
+#include "bulrush_node/control/RecordsKeeper.h"
+
+#include <criterion/criterion.h>
+
+#include <memory>
+
+using namespace bulrush;
+
+namespace {
+
+/** Holds one stream in memory; every call is answered at once, with at most the page's size. */
+struct MemoryLog : Log
+{
+    void append(std::string_view /*stream*/, std::string body, AppendCallback callback) override
+    {
+        this->entries.push_back(std::move(body));
+        callback(this->entries.size() - 1);
+    }
+
+    void read(std::string_view /*stream*/, LogOffset from, Duration /*wait*/,
+              ReadCallback callback) override
+    {
+        LogPage page { 0, this->entries.size(), {} };
+        for (LogOffset offset = from; offset < this->entries.size(); ++offset) {
+            page.entries.push_back({ offset, this->entries[offset] });
+        }
+        callback(page);
+    }
+
+    std::vector<std::string> entries;
+};
+
+struct IgnoringListener : RecordsKeeper::Listener
+{
+    void recordsChanged() override { ++this->changes; }
+    void logAvailabilityChanged(bool /*available*/) override { }
+
+    int changes = 0;
+};
+
+std::string serviceRecord(int number)
+{
+    const std::string text = std::to_string(number);
+    return R"({"schema":"service/1","kind":"service","name":"s)" + text + R"(","id":"id)" + text
+            + R"(","supersedes":"","publisher":"p","body":{"team":"t","deadlineMs":100,"targets":[)"
+            + R"({"target":"a","dataCentre":"d","address":"127.0.0.1","port":1,"slots":8}]}})";
+}
+
+/** A number of nodes that follow one log. */
+struct Nodes
+{
+    explicit Nodes(int count)
+    {
+        this->events.setThreshold(Severity::Error);
+        for (int node = 0; node < count; ++node) {
+            const NodeId id("node-" + std::to_string(node));
+            this->keepers.push_back(std::make_unique<RecordsKeeper>(this->loop, this->clock,
+                                                                    this->log, id, seconds(1),
+                                                                    this->events, this->listener));
+            this->keepers.back()->start();
+        }
+    }
+
+    /** Advances the clock in small steps, each long enough for every node to read. */
+    void advance(Duration span)
+    {
+        constexpr Duration step = seconds(30);
+        for (Duration passed {}; passed < span; passed += step) {
+            this->clock.advance(step);
+            for (int reads = 0; reads < 3; ++reads) {
+                this->loop.runOnce();
+            }
+        }
+    }
+
+    bool areAllAt(LogOffset offset) const
+    {
+        return std::all_of(
+                this->keepers.begin(), this->keepers.end(),
+                [offset](const auto &keeper) { return keeper->state().nextOffset() == offset; });
+    }
+
+    EventLoop loop;
+    PausableClock clock;
+    EventLog events { "test" };
+    MemoryLog log;
+    IgnoringListener listener;
+    std::vector<std::unique_ptr<RecordsKeeper>> keepers;
+};
+
+} // namespace
+
+Test(RecordsKeeper, nodesWriteFewSnapshotsAndThenRest)
+{
+    constexpr int records = 600;
+    Nodes nodes(9);
+    for (int number = 0; number < records; ++number) {
+        nodes.log.entries.push_back(serviceRecord(number));
+    }
+    nodes.advance(hours(1));
+    cr_assert_eq(nodes.log.entries.size(), records, "a snapshot came before its time");
+    nodes.advance(hours(2));
+    const std::size_t parts = snapshotParts(nodes.keepers.front()->state()).size();
+    const std::size_t written = nodes.log.entries.size() - records;
+    cr_assert_geq(written, parts, "no whole snapshot was written");
+    cr_assert_leq(written, 2 * parts, "%zu entries of snapshots of %zu parts", written, parts);
+    cr_assert(nodes.areAllAt(nodes.log.entries.size()));
+}
+
+Test(RecordsKeeper, peersRecordsAreTakenWithoutGapsOnly)
+{
+    Nodes nodes(1);
+    RecordsKeeper &keeper = *nodes.keepers.front();
+    keeper.takeFromPeer(NodeId("peer"), { { 1, serviceRecord(1) } });
+    cr_assert_eq(keeper.state().nextOffset(), 0U);
+    keeper.takeFromPeer(NodeId("peer"), { { 0, serviceRecord(0) }, { 1, serviceRecord(1) } });
+    cr_assert_eq(keeper.state().nextOffset(), 2U);
+    const auto kept = keeper.entriesFrom(1);
+    cr_assert(kept.has_value());
+    cr_assert_eq(kept->size(), 1U);
+    cr_assert_not(keeper.entriesFrom(0)->empty());
+}
--- a/modules/bulrush_node/work/GroupDesk.cpp
+++ b/modules/bulrush_node/work/GroupDesk.cpp
@@ -48,8 +48,33 @@
 void GroupDesk::pageRead(const LogPage &page, Instant /*sentAt*/)
 {
     this->groupOwner.noteGroupFirstOffset(page.firstRetained);
+    if (!this->countFrom) {
+        this->countFrom = page.end;
+    }
     for (const LogEntry &entry : page.entries) {
         this->groupOwner.readGroupRecord(entry.offset, entry.text);
+        if (entry.offset >= *this->countFrom) {
+            this->noteEnds(entry.text);
+        }
+    }
+}
+
+void GroupDesk::noteEnds(std::string_view payload)
+{
+    const std::optional<GroupBatch> batch = decodeGroupBatch(payload);
+    if (!batch || batch->epoch != this->groupOwner.epoch()) {
+        return;
+    }
+    for (const GroupRecord &record : batch->records) {
+        const auto *end = std::get_if<EndRecord>(&record);
+        if (end == nullptr) {
+            continue;
+        }
+        if (end->outcome == Outcome::Finished) {
+            this->context.metrics->count("bulrush_batch_tasks_finished_total");
+        } else if (end->outcome == Outcome::Evicted) {
+            this->context.metrics->count("bulrush_evictions_total");
+        }
     }
 }
 
--- a/modules/bulrush_node/work/GroupDesk.h
+++ b/modules/bulrush_node/work/GroupDesk.h
@@ -72,11 +72,14 @@
     void pageRead(const LogPage &page, Instant sentAt) override;
     void availabilityChanged(bool /*available*/) override { }
 
+    void noteEnds(std::string_view payload);
     void carryOut(const AppendAction &action);
     void carryOut(const ExchangeAction &action);
     void carryOut(const EventAction &action);
 
     GroupDeskContext context;
+    /** Ends before this offset were on record before this node read the stream. */
+    std::optional<LogOffset> countFrom;
     LearnedPlacement placement;
     GroupOwner groupOwner;
     LogReader reader;
--- a/programs/bulrushrilld/main.cpp
+++ b/programs/bulrushrilld/main.cpp
@@ -82,6 +82,7 @@
     const std::string path = options.at("--settings").asString();
     try {
         const bulrush::NodeSettings settings = bulrush::readSettings(readFile(path));
+        bulrush::durationsOf(settings);
         if (options.at("--check-settings").asBool()) {
             std::cout << path << ": the settings are valid\n";
             return 0;
