--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,18 @@
 format:
 	@git ls-files -co --exclude-standard '*.cpp' '*.h' | grep -v _generated.h | xargs clang-format -i
 
+# All measurements but the capacity's; results as JSON beside the build.
+RESULTS := $(BUILD)/results
+bench: packages all
+	@mkdir -p $(RESULTS)
+	@git describe --always --dirty >$(RESULTS)/commit
+	@$(BUILD)/bench/routing/bench_routing --output=$(RESULTS)/routing.json
+	@$(BUILD)/bench/keys/bench_keys
+	@$(BUILD)/bench/catchup/bench_catchup
+	@$(BUILD)/bench/tasks/bench_tasks
+	@tools/bench-path $(BUILD) --output $(RESULTS)/path.json
+	@$(BUILD)/bench/policy/bench_policy $(RESULTS)/policy.json
+
 # Measures the slopes of docs/CAPACITY.md and draws its plots. COMPARE=FILE sets an earlier result
 # beside this one.
 bench-capacity: packages
--- a/modules/bulrush_node/operators/OperatorTexts.h
+++ b/modules/bulrush_node/operators/OperatorTexts.h
@@ -26,7 +26,7 @@
     const std::map<NodeId, PeerView> *peers = nullptr;
     const std::vector<VmEntry> *vms = nullptr;
     /** The worker groups, as JSON text. */
-    std::string groups;
+    std::string groups = "[]";
     Instant now {};
 };
 
