Give each run of a job an identity of its own

Cause: the work and group streams knew a run by its job's name, and the completed ranges of a name are never erased. A job that was published again after its end was accepted and reported as done at once; no task ran.

Ruled out: a counter of a name's ends, as an ended name is forgotten after 4,096 offsets and the counter with it; the id of the record in force, as a record that supersedes a running job would run its finished tasks again.

While nothing is in force, a refused record that its successor names counts as the first, so that nodes of older and newer software give the run one id. JobSource names the run NAME.HASH, HASH being eight hex digits of that id's XXH64. Commands, job-done records and cancellations go by the name as before; the id of a job-done record comes from the record that is superseded, which is in force in one run only. A cancellation is taken only for a run that is in the book, and the times of sent ends are dropped after their retry period.

Conclusion: a name runs each time that it is published after its end.

--- a/modules/bulrush_config/records/RecordState.cpp
+++ b/modules/bulrush_config/records/RecordState.cpp
@@ -121,6 +121,7 @@
     } else {
         refusal = this->conflict(record);
     }
+    noteSuccessor(chain, record, !refusal);
     if (!refusal) {
         chain.inForce = record;
         chain.headId = record.id;
@@ -136,6 +137,23 @@
     return with(verdict, RecordOutcome::Refused, *refusal);
 }
 
+/** Keeps the run's id. A refused record that its successor names counts as the run's first, as it
+    may have been accepted by newer software, and all nodes must give the run the same id. */
+void RecordState::noteSuccessor(Chain &chain, const Record &record, bool accepted)
+{
+    if (chain.inForce) {
+        return;
+    }
+    const bool namesFirst = !chain.nextRunId.empty() && record.supersedes == chain.skippedId;
+    std::string first = namesFirst ? chain.nextRunId : record.id;
+    if (accepted) {
+        chain.runId = std::move(first);
+        chain.nextRunId.clear();
+    } else {
+        chain.nextRunId = std::move(first);
+    }
+}
+
 Verdict RecordState::judgeWaiting(Chain &chain, const CheckedRecord &checked,
                                   const Verdict &verdict)
 {
@@ -290,6 +308,26 @@
     return chain->standing == Standing::Waiting ? chain->skippedId : chain->headId;
 }
 
+std::string RecordState::runId(std::string_view name) const
+{
+    std::string last;
+    LogOffset lastEnd = 0;
+    for (const std::string_view kind : { workKinds[0], workKinds[1] }) {
+        const Chain *chain = this->findChain(kind, name);
+        if (chain == nullptr) {
+            continue;
+        }
+        if (chain->inForce) {
+            return chain->runId;
+        }
+        if (chain->finishedAt.value_or(0) >= lastEnd) {
+            last = chain->runId;
+            lastEnd = chain->finishedAt.value_or(0);
+        }
+    }
+    return last;
+}
+
 std::vector<Verdict> RecordState::history(std::string_view kind, std::string_view name) const
 {
     const Chain *chain = this->findChain(kind, name);
--- a/modules/bulrush_config/records/RecordState.h
+++ b/modules/bulrush_config/records/RecordState.h
@@ -80,6 +80,13 @@
     /** Returns the id that the next record of a name has to supersede; empty for none. */
     std::string headId(std::string_view kind, std::string_view name) const;
 
+    /**
+        Returns the id of the record that began the present run of a job or watcher, else that of
+        its last run while its name is remembered; empty for none. A run lasts from the first
+        record after the name's last end to the next end, whatever supersedes the record meanwhile.
+    */
+    std::string runId(std::string_view name) const;
+
     /** Returns the last verdicts on a name, oldest first. */
     std::vector<Verdict> history(std::string_view kind, std::string_view name) const;
 
@@ -113,6 +120,13 @@
         /** Id of the last refused successor, which may be named in the head's place. */
         std::string skippedId;
 
+        /** Id of the record that began what is in force, or what was until its end. */
+        std::string runId;
+
+        /** Id of the first refused record that the next one may succeed to while nothing is in
+            force: newer software may have accepted it, and so begun the run with it. */
+        std::string nextRunId;
+
         /** While waiting: ids that are the head on some nodes, or were. */
         std::vector<std::string> doubtfulIds;
 
@@ -131,6 +145,7 @@
     std::optional<std::string> conflict(const Record &record) const;
     bool isWorkUnsettled(std::string_view name, std::string_view exceptKind) const;
     bool hasWork(std::string_view kind, std::string_view name) const;
+    static void noteSuccessor(Chain &chain, const Record &record, bool accepted);
     Chain *findChain(std::string_view kind, std::string_view name);
     const Chain *findChain(std::string_view kind, std::string_view name) const;
     void finish(const ChainKey &key, LogOffset offset);
--- a/modules/bulrush_config/records/StateText.cpp
+++ b/modules/bulrush_config/records/StateText.cpp
@@ -67,6 +67,8 @@
                    { "name", key.name },
                    { "head", chain.headId },
                    { "skipped", chain.skippedId },
+                   { "run", chain.runId },
+                   { "nextRun", chain.nextRunId },
                    { "doubtful", chain.doubtfulIds },
                    { "standing", static_cast<int>(chain.standing) },
                    { "history", json::array() } };
@@ -87,6 +89,9 @@
         Chain chain;
         chain.headId = row.at("head");
         chain.skippedId = row.at("skipped");
+        // Texts of older software name no run: the record in force counts as its first.
+        chain.runId = row.value("run", chain.headId);
+        chain.nextRunId = row.value("nextRun", "");
         chain.doubtfulIds = row.at("doubtful").get<std::vector<std::string>>();
         const int standing = row.at("standing");
         if (standing < 0 || standing > static_cast<int>(RecordState::Standing::Held)) {
--- a/modules/bulrush_config/tests/record_test.cpp
+++ b/modules/bulrush_config/tests/record_test.cpp
@@ -63,6 +63,60 @@
     cr_assert(state.apply(4, job("b", "a").text()).outcome == RecordOutcome::Accepted);
 }
 
+Test(Records, aRunLastsFromTheFirstRecordToTheEnd)
+{
+    RecordState state;
+    cr_assert(state.runId("nightly").empty());
+    state.apply(0, job("a", "").text());
+    state.apply(1, job("b", "a").text());
+    cr_assert_eq(state.runId("nightly"), "a");
+    const Record done =
+            jobDoneRecord(job("b", "a"), "done-1", NodeId("entry-1"), JobOutcome::Finished);
+    cr_assert(state.apply(2, done.text()).outcome == RecordOutcome::Accepted);
+    cr_assert_eq(state.runId("nightly"), "a");
+    RecordState copy = RecordState::importText(state.exportText());
+    for (RecordState *each : { &state, &copy }) {
+        each->apply(3, job("c", "b").text());
+        each->apply(4, job("d", "c").text());
+        cr_assert_eq(each->runId("nightly"), "c");
+    }
+    cr_assert_eq(copy.exportText(), state.exportText());
+}
+
+Test(Records, aRunOfAnOldStateTextBeginsWithTheRecordInForce)
+{
+    RecordState state;
+    state.apply(0, job("a", "").text());
+    state.apply(1, job("b", "a").text());
+    std::string text = state.exportText();
+    for (const std::string_view field : { R"("nextRun":"",)", R"("run":"a",)" }) {
+        const std::size_t at = text.find(field);
+        cr_assert_neq(at, std::string::npos);
+        text.erase(at, field.size());
+    }
+    const RecordState old = RecordState::importText(text);
+    cr_assert_eq(old.runId("nightly"), "b");
+    cr_assert_eq(old.headId("job", "nightly"), "b");
+}
+
+Test(Records, aRunHasOneIdWhetherItsFirstRecordIsKnownOrNot)
+{
+    Record refused = job("a", "");
+    refused.body.replace(refused.body.find("500"), 3, "0");
+    Record newer = job("a", "");
+    newer.schema = "job/2";
+    for (const Record &first : { job("a", ""), refused, newer }) {
+        RecordState state;
+        state.apply(0, first.text());
+        cr_assert(state.apply(1, job("b", "a").text()).outcome == RecordOutcome::Accepted);
+        cr_assert_eq(state.runId("nightly"), "a");
+    }
+    RecordState state;
+    state.apply(0, refused.text());
+    cr_assert(state.apply(1, job("b", "").text()).outcome == RecordOutcome::Accepted);
+    cr_assert_eq(state.runId("nightly"), "b");
+}
+
 Test(Records, exportedStateIsEqualAfterImport)
 {
     RecordState state;
--- a/modules/bulrush_node/control/ControlTask.cpp
+++ b/modules/bulrush_node/control/ControlTask.cpp
@@ -93,7 +93,7 @@
     , workers(owningLoop, durationsOf(nodeSettings).exchangeTimeout)
     , work({ &owningLoop, &runtimeClock, &this->platform, &this->workers, &nodeMetrics, &eventLog },
            workDeskSettings(nodeSettings, this->process),
-           [this](const JobId &job) { this->jobDone(job); })
+           [this](const std::string &name, const JobId &run) { this->jobDone(name, run); })
     , operators(owningLoop, nodeSettings.operators, nodeSettings.operatorsKey)
     , startedAt(runtimeClock.now())
 {
@@ -230,20 +230,22 @@
     this->work.updateNodes(nodes);
 }
 
-void ControlTask::jobDone(const JobId &job)
+void ControlTask::jobDone(const std::string &name, const JobId &run)
 {
-    const Record *record = this->records.state().find(RecordKind::Job, job.name());
+    const Record *record = this->records.state().find(RecordKind::Job, name);
     if (record == nullptr) {
-        record = this->records.state().find(RecordKind::Watcher, job.name());
+        record = this->records.state().find(RecordKind::Watcher, name);
     }
-    Instant &sentAt = this->jobDoneSentAt[job];
-    if (record == nullptr || sentAt + jobDoneRetryPeriod > this->clock.now()) {
+    const Instant now = this->clock.now();
+    std::erase_if(this->jobDoneSentAt,
+                  [now](const auto &sent) { return sent.second + jobDoneRetryPeriod <= now; });
+    if (record == nullptr || !this->jobDoneSentAt.emplace(run, now).second) {
         return;
     }
-    sentAt = this->clock.now();
     const JobOutcome outcome =
-            this->work.jobBook().isCancelled(job) ? JobOutcome::Cancelled : JobOutcome::Finished;
-    // Every node derives the same id, so that the end is on record once.
+            this->work.jobBook().isCancelled(run) ? JobOutcome::Cancelled : JobOutcome::Finished;
+    // Every node derives the same id, so that the end is on record once. No other run has it, as
+    // a record is in force in one run only.
     const std::string id = "done-" + record->id;
     const Record done = jobDoneRecord(*record, id, this->settings.node, outcome);
     this->platform.append("records", done.text(), [](std::optional<LogOffset>) {});
--- a/modules/bulrush_node/control/ControlTask.h
+++ b/modules/bulrush_node/control/ControlTask.h
@@ -63,7 +63,7 @@
 
     // Work on workers.
     void updateWorkNodes();
-    void jobDone(const JobId &job);
+    void jobDone(const std::string &name, const JobId &run);
 
     // Operators.
     void bindOperatorCommands();
--- a/modules/bulrush_node/operators/WorkTexts.cpp
+++ b/modules/bulrush_node/operators/WorkTexts.cpp
@@ -84,7 +84,8 @@
 
 HttpResponse explainJob(const WorkDesk &work, const RecordState &records, const std::string &name)
 {
-    const JobSpec *spec = work.jobBook().find(JobId(name));
+    const std::optional<JobId> run = runOf(records, name);
+    const JobSpec *spec = run ? work.jobBook().find(*run) : nullptr;
     if (spec == nullptr) {
         const bool known =
                 !records.headId("job", name).empty() || !records.headId("watcher", name).empty();
@@ -105,12 +106,17 @@
     return OperatorsApi::json(200, answer.dump(2));
 }
 
-HttpResponse explainTask(const WorkDesk &work, const std::string &text)
+HttpResponse explainTask(const WorkDesk &work, const RecordState &records, const std::string &text)
 {
-    const auto task = TaskId::parse(text);
+    std::optional<TaskId> task = TaskId::parse(text);
     if (!task) {
         return OperatorsApi::error(400, "found '" + text + "', expected NAME#NUMBER");
     }
+    const std::optional<JobId> run = runOf(records, task->job.name());
+    if (!run) {
+        return OperatorsApi::error(404, "no job or watcher has this name");
+    }
+    task->job = *run;
     const auto group = work.claims().holderOf(task->job, task->index);
     if (!group) {
         return OperatorsApi::json(200,
@@ -156,7 +162,7 @@
         return explainJob(work, records, rest[1]);
     }
     if (rest.size() == 2 && rest[0] == "task") {
-        return explainTask(work, rest[1]);
+        return explainTask(work, records, rest[1]);
     }
     return OperatorsApi::error(400, "expected /explain/job/NAME or /explain/task/NAME#NUMBER");
 }
--- a/modules/bulrush_node/work/JobSource.cpp
+++ b/modules/bulrush_node/work/JobSource.cpp
@@ -1,14 +1,37 @@
 #include "bulrush_node/work/JobSource.h"
 
+#include <array>
+#include <cstdio>
 #include <set>
+#include <xxhash.h>
 
 namespace bulrush {
 
-JobSpec jobSpecOf(const Record &record)
+namespace {
+
+constexpr unsigned upperHalf = 32;
+
+} // namespace
+
+JobId runOf(std::string_view name, std::string_view firstRecordId)
+{
+    const XXH64_hash_t hash = XXH64(firstRecordId.data(), firstRecordId.size(), 0);
+    std::array<char, 9> digits {};
+    std::snprintf(digits.data(), digits.size(), "%08x", static_cast<unsigned>(hash >> upperHalf));
+    return JobId(std::string(name) + '.' + digits.data());
+}
+
+std::optional<JobId> runOf(const RecordState &records, std::string_view name)
+{
+    const std::string first = records.runId(name);
+    return first.empty() ? std::nullopt : std::optional(runOf(name, first));
+}
+
+JobSpec jobSpecOf(const Record &record, const JobId &run)
 {
     const WorkBody body = readWorkBody(record);
     JobSpec spec;
-    spec.job = JobId(record.name);
+    spec.job = run;
     spec.team = body.team;
     spec.kind = record.kind == kindName(RecordKind::Watcher) ? TaskKind::Watcher : TaskKind::Batch;
     spec.taskCount = static_cast<std::uint32_t>(body.tasks);
@@ -23,14 +46,18 @@
     std::set<JobId> present;
     for (const RecordKind kind : { RecordKind::Job, RecordKind::Watcher }) {
         for (const Record *record : records.inForce(kind)) {
-            if (this->runsHere(*record)) {
-                present.insert(JobId(record->name));
-                this->take(*record);
+            const std::optional<JobId> run = runOf(records, record->name);
+            if (run && this->runsHere(*record)) {
+                present.insert(*run);
+                this->take(*record, *run);
             }
         }
     }
     for (const Record *record : records.inForce(RecordKind::Cancellation)) {
-        this->jobBook.cancel(JobId(record->name));
+        const std::optional<JobId> run = runOf(records, record->name);
+        if (run && present.contains(*run)) {
+            this->jobBook.cancel(*run);
+        }
     }
     for (const Record *record : records.inForce(RecordKind::Quota)) {
         const QuotaBody quota = readQuotaBody(*record);
@@ -52,13 +79,13 @@
     return !wanted || *wanted == this->ownDataCentre;
 }
 
-void JobSource::take(const Record &record)
+void JobSource::take(const Record &record, const JobId &run)
 {
-    std::string &id = this->known[JobId(record.name)];
-    if (id != record.id) {
-        id = record.id;
-        this->jobBook.add(jobSpecOf(record));
-        this->classes[JobId(record.name)] = BatchClassId(readWorkBody(record).batchClass);
+    Declaration &declaration = this->known[run];
+    if (declaration.recordId != record.id) {
+        declaration = { record.name, record.id };
+        this->jobBook.add(jobSpecOf(record, run));
+        this->classes[run] = BatchClassId(readWorkBody(record).batchClass);
     }
 }
 
--- a/modules/bulrush_node/work/JobSource.h
+++ b/modules/bulrush_node/work/JobSource.h
@@ -4,14 +4,33 @@
 #include "bulrush_node/work/LearnedPlacement.h"
 #include "bulrush_tasks/bulrush_tasks.h"
 
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
 namespace bulrush {
 
-/** Returns a job or watcher as its record declares it. */
-JobSpec jobSpecOf(const Record &record);
+/**
+    Returns the run of a job or watcher as its record declares it.
+
+    @param run the id that the work and group streams know the run by, @see runOf()
+*/
+JobSpec jobSpecOf(const Record &record, const JobId &run);
+
+/**
+    Returns the id that the work and group streams know a run by: the job's name, '.' and eight hex
+    digits from the id of the record that began the run. The same on every node; a name that is
+    published again after its end gets another one.
+*/
+JobId runOf(std::string_view name, std::string_view firstRecordId);
+
+/** Returns the present or last run of a job or watcher, or nothing where none is remembered. */
+std::optional<JobId> runOf(const RecordState &records, std::string_view name);
 
 /**
-    Brings a JobBook to what the records in force say: adds jobs and watchers, marks the cancelled,
-    removes those whose record is gone, sets the quotas.
+    Brings a JobBook to what the records in force say: adds the runs of jobs and watchers, marks the
+    cancelled, removes those whose record is gone, sets the quotas.
 */
 class JobSource
 {
@@ -30,18 +49,25 @@
 
     const JobBook &book() const { return this->jobBook; }
 
-    /** Returns the record ids of the jobs and watchers that are in the book. */
-    const std::map<JobId, std::string> &recordIds() const { return this->known; }
+    /** A run's job or watcher and the record that declares it now. */
+    struct Declaration
+    {
+        std::string name;
+        std::string recordId;
+    };
+
+    /** Returns the declarations of the runs that are in the book. */
+    const std::map<JobId, Declaration> &declarations() const { return this->known; }
 
 private:
-    void take(const Record &record);
+    void take(const Record &record, const JobId &run);
 
     bool runsHere(const Record &record) const;
 
     const DataCentreId ownDataCentre;
     JobBook jobBook;
     BatchClasses classes;
-    std::map<JobId, std::string> known;
+    std::map<JobId, Declaration> known;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_node/work/WorkDesk.cpp
+++ b/modules/bulrush_node/work/WorkDesk.cpp
@@ -32,7 +32,7 @@
 }
 
 WorkDesk::WorkDesk(const GroupDeskContext &deskContext, const WorkDeskSettings &deskSettings,
-                   std::function<void(const JobId &)> jobDoneFunction)
+                   JobDoneFunction jobDoneFunction)
     : context(deskContext)
     , settings(deskSettings)
     , jobDone(std::move(jobDoneFunction))
@@ -158,10 +158,10 @@
         return;
     }
     this->finishedCheckedAt = now;
-    for (const auto &[job, recordId] : this->jobs.recordIds()) {
-        const JobSpec *spec = this->jobs.book().find(job);
-        if (spec != nullptr && this->work.state().isComplete(job, spec->taskCount)) {
-            this->jobDone(job);
+    for (const auto &[run, declaration] : this->jobs.declarations()) {
+        const JobSpec *spec = this->jobs.book().find(run);
+        if (spec != nullptr && this->work.state().isComplete(run, spec->taskCount)) {
+            this->jobDone(declaration.name, run);
         }
     }
 }
--- a/modules/bulrush_node/work/WorkDesk.h
+++ b/modules/bulrush_node/work/WorkDesk.h
@@ -30,9 +30,12 @@
 class WorkDesk : private LogReader::Listener
 {
 public:
+    /** Takes a job's or watcher's name and its run. */
+    using JobDoneFunction = std::function<void(const std::string &, const JobId &)>;
+
     /** @param jobDone called with a job whose tasks are all completed, until its record is gone */
     WorkDesk(const GroupDeskContext &context, const WorkDeskSettings &settings,
-             std::function<void(const JobId &)> jobDone);
+             JobDoneFunction jobDone);
 
     WorkDesk(const WorkDesk &) = delete;
     WorkDesk &operator=(const WorkDesk &) = delete;
@@ -66,7 +69,7 @@
 
     GroupDeskContext context;
     const WorkDeskSettings settings;
-    const std::function<void(const JobId &)> jobDone;
+    const JobDoneFunction jobDone;
     JobSource jobs;
     StreamFollower<GroupClaims> work;
     Instant readAt {};
