Answer the task path that the command-line tool asks for

Cause: `explain task NAME#N` asks for /explain/task/NAME/N, and nodes knew only /explain/task/NAME#N, so that they answered 400. The tool's tests ask stand-in nodes that answer any path.

Before: by reading, 400; not run.

Conclusion: a task is explained by its job's name from the command line.

--- a/modules/bulrush_node/operators/WorkTexts.cpp
+++ b/modules/bulrush_node/operators/WorkTexts.cpp
@@ -164,7 +164,10 @@
     if (rest.size() == 2 && rest[0] == "task") {
         return explainTask(work, records, rest[1]);
     }
-    return OperatorsApi::error(400, "expected /explain/job/NAME or /explain/task/NAME#NUMBER");
+    if (rest.size() == 3 && rest[0] == "task") {
+        return explainTask(work, records, rest[1] + '#' + rest[2]);
+    }
+    return OperatorsApi::error(400, "expected /explain/job/NAME or /explain/task/NAME/NUMBER");
 }
 
 } // namespace bulrush
--- a/modules/bulrush_node/operators/WorkTexts.h
+++ b/modules/bulrush_node/operators/WorkTexts.h
@@ -16,7 +16,8 @@
     Says where a job or a task stands and why: which group holds it, which worker runs it, what it
     waits for.
 
-    @param rest "job" and NAME, or "task" and NAME#N; names as operators give them, without the run
+    @param rest "job" and NAME, "task" and NAME#N, or "task", NAME and N; names as operators give
+           them, without the run
 */
 HttpResponse explainAnswer(const WorkDesk &work, const RecordState &records,
                            const std::vector<std::string> &rest);
