Use idle connections again, and none that the peer closes

Ruled out: sending from within the answer's callback, the ALPN name (80 connections for 80 requests with and without each). Change: host is the address; an abandoned connection closes at once; an answer is handed over after its connection's callback, and a connection whose peer says close is closed with the answer.

--- a/modules/bulrush_net/http/HttpClient.cpp
+++ b/modules/bulrush_net/http/HttpClient.cpp
@@ -51,6 +51,9 @@
     std::string target;
     bool left = false;
     bool tooLarge = false;
+    bool complete = false;
+    /** Whether the peer says that it closes the connection after this answer. */
+    bool closes = false;
     std::size_t sentBytes = 0;
 };
 
@@ -103,8 +106,9 @@
         case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
             return client.appendBody(exchange, text);
         case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
+            // A connection that the peer will close must not carry another request.
             client.complete(exchange.id);
-            return 0;
+            return exchange.closes ? -1 : 0;
         case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
             client.fail(exchange.id, text.empty() ? "no connection" : text);
             return 0;
@@ -149,6 +153,7 @@
 HttpClient::~HttpClient()
 {
     this->protocols->owner = nullptr;
+    *this->alive = false;
 }
 
 void HttpClient::send(ExchangeId id, const Endpoint &endpoint, std::size_t connection,
@@ -164,14 +169,14 @@
     }
     this->exchanges.emplace(id, std::move(owned));
 
-    const std::string host = endpoint.text();
     lws_client_connect_info info = {};
     info.context = this->loop.context();
     info.vhost = this->vhosts.at(connection);
     info.address = endpoint.address.c_str();
     info.port = endpoint.port;
     info.path = exchange.target.c_str();
-    info.host = host.c_str();
+    // libwebsockets finds an idle connection again only where host and address are the same text.
+    info.host = endpoint.address.c_str();
     info.method = exchange.request.method.c_str();
     info.protocol = "http-client";
     info.local_protocol_name = "http-client";
@@ -195,7 +200,8 @@
     this->exchanges.erase(found);
     if (wsi != nullptr) {
         lws_set_opaque_user_data(wsi, nullptr);
-        lws_set_timeout(wsi, PENDING_TIMEOUT_KILLED_BY_PARENT, LWS_TO_KILL_ASYNC);
+        // At once, so that the next request on this index opens a connection of its own.
+        lws_set_timeout(wsi, PENDING_TIMEOUT_KILLED_BY_PARENT, LWS_TO_KILL_SYNC);
     }
 }
 
@@ -252,6 +258,7 @@
 {
     exchange.response.status = static_cast<int>(lws_http_client_http_response(wsi));
     exchange.response.contentType = copyStandardHeader(wsi, WSI_TOKEN_HTTP_CONTENT_TYPE);
+    exchange.closes = copyStandardHeader(wsi, WSI_TOKEN_CONNECTION) == "close";
     const std::string retryAfter = copyStandardHeader(wsi, WSI_TOKEN_HTTP_RETRY_AFTER);
     if (!retryAfter.empty()) {
         exchange.response.headers.push_back({ "retry-after", retryAfter });
@@ -285,6 +292,23 @@
 void HttpClient::complete(ExchangeId id)
 {
     const auto found = this->exchanges.find(id);
+    // Handed over after this callback: only then is the connection idle, or closed, and a request
+    // sent on its index does not end up behind this exchange.
+    found->second->wsi = nullptr;
+    found->second->complete = true;
+    this->loop.schedule(Duration::zero(), [this, id, living = this->alive] {
+        if (*living) {
+            this->handOver(id);
+        }
+    });
+}
+
+void HttpClient::handOver(ExchangeId id)
+{
+    const auto found = this->exchanges.find(id);
+    if (found == this->exchanges.end()) {
+        return;
+    }
     HttpResponse response = std::move(found->second->response);
     this->exchanges.erase(found);
     this->listener.responseArrived(id, std::move(response));
@@ -293,7 +317,7 @@
 void HttpClient::fail(ExchangeId id, std::string_view reason)
 {
     const auto found = this->exchanges.find(id);
-    if (found == this->exchanges.end()) {
+    if (found == this->exchanges.end() || found->second->complete) {
         return;
     }
     ExchangeFailure failure = ExchangeFailure::NotSent;
--- a/modules/bulrush_net/http/HttpClient.h
+++ b/modules/bulrush_net/http/HttpClient.h
@@ -86,6 +86,7 @@
     int readBody(Exchange &exchange, lws *wsi);
     int appendBody(Exchange &exchange, std::string_view bytes);
     void complete(ExchangeId id);
+    void handOver(ExchangeId id);
     void fail(ExchangeId id, std::string_view reason);
     Exchange *find(ExchangeId id);
 
@@ -95,6 +96,7 @@
     std::shared_ptr<Protocols> protocols;
     std::vector<lws_vhost *> vhosts;
     std::map<ExchangeId, std::unique_ptr<Exchange>> exchanges;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 } // namespace bulrush
--- a/modules/bulrush_net/http/HttpServer.cpp
+++ b/modules/bulrush_net/http/HttpServer.cpp
@@ -157,7 +157,7 @@
                       std::size_t length)
     {
         const lws_protocols *protocol = lws_get_protocol(wsi);
-        if (protocol == nullptr || protocol->user == nullptr || user == nullptr) {
+        if (protocol == nullptr || protocol->user == nullptr) {
             return 0;
         }
         HttpServer *owner = static_cast<HttpServer::Protocols *>(protocol->user)->owner;
@@ -165,6 +165,12 @@
             return 0;
         }
         HttpServer &server = *owner;
+        if (reason == LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED) {
+            ++server.acceptedCount;
+        }
+        if (user == nullptr) {
+            return 0;
+        }
         auto &session = *static_cast<HttpServer::Session *>(user);
         const std::string_view bytes(static_cast<const char *>(in), in == nullptr ? 0 : length);
         switch (reason) {
--- a/modules/bulrush_net/http/HttpServer.h
+++ b/modules/bulrush_net/http/HttpServer.h
@@ -48,6 +48,9 @@
     /** Answers a request; ignored when the caller has gone. */
     void respond(RequestId id, HttpResponse response);
 
+    /** Returns how many connections were accepted since the start. */
+    std::uint64_t acceptedConnections() const { return this->acceptedCount; }
+
     /** Returns how many requests wait for their answer or are being answered. */
     std::size_t openRequests() const { return this->exchanges.size(); }
 
@@ -74,6 +77,7 @@
     std::map<RequestId, std::unique_ptr<Exchange>> exchanges;
     RequestId nextRequest = 1;
     std::size_t connectionCount = 0;
+    std::uint64_t acceptedCount = 0;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_net/tests/net_test.cpp
+++ b/modules/bulrush_net/tests/net_test.cpp
@@ -28,6 +28,9 @@
         response.headers.push_back({ "bulrush-load", "3/8" });
         response.body =
                 request.method + " " + request.path + "?" + request.query + " " + request.body;
+        if (request.path == "/close") {
+            response.headers.push_back({ "connection", "close" });
+        }
         if (request.path == "/large") {
             response.body.assign(300'000, 'x');
         }
@@ -53,6 +56,9 @@
     void responseArrived(HttpClient::ExchangeId id, HttpResponse response) override
     {
         this->responses[id] = std::move(response);
+        if (this->onAnswer) {
+            this->onAnswer(id);
+        }
     }
 
     void exchangeFailed(HttpClient::ExchangeId id, ExchangeFailure failure,
@@ -63,6 +69,7 @@
 
     std::size_t ended() const { return this->responses.size() + this->failures.size(); }
 
+    std::function<void(HttpClient::ExchangeId)> onAnswer;
     std::set<HttpClient::ExchangeId> left;
     std::map<HttpClient::ExchangeId, HttpResponse> responses;
     std::map<HttpClient::ExchangeId, ExchangeFailure> failures;
@@ -101,6 +108,24 @@
         cr_assert_eq(client.responses[id].body, "POST /echo?a=1&b=2 " + std::to_string(id));
     }
     cr_assert_eq(headerValue(client.responses[1].headers, "bulrush-load"), "3/8");
+    cr_assert_eq(server.server.acceptedConnections(), 1U, "an idle connection was not used again");
+}
+
+Test(Http, noRequestGoesToAConnectionThatThePeerCloses)
+{
+    EventLoop loop;
+    EchoServer server(loop, 18105);
+    RecordingClient client(loop);
+    const Endpoint endpoint { "127.0.0.1", 18105 };
+    client.onAnswer = [&](HttpClient::ExchangeId id) {
+        if (id < 20) {
+            client.client.send(id + 1, endpoint, 0, post("/close", std::to_string(id + 1)));
+        }
+    };
+    client.client.send(1, endpoint, 0, post("/close", "1"));
+    runUntil(loop, [&] { return client.ended() == 20 || !client.failures.empty(); });
+    cr_assert(client.failures.empty(), "a request was lost with the connection");
+    cr_assert_eq(client.responses[20].body, "POST /close?a=1&b=2 20");
 }
 
 Test(Http, answerLargerThanOneReadArrivesWhole)
