Name the folder of the group desks after what it holds

Cause: the folder 'work' reads like a path of a machine and says little. Change: bulrush_node/groups; no code changed. Conclusion: the folder's name is its theme.

--- a/modules/bulrush_node/bulrush_node.h
+++ b/modules/bulrush_node/bulrush_node.h
@@ -10,5 +10,5 @@
     Needs: the decision modules, bulrush_net, bulrush_platform, bulrush_wire, prometheus-cpp.
 */
 
+#include "bulrush_node/groups/WorkDurations.h"
 #include "bulrush_node/runtime/NodeRuntime.h"
-#include "bulrush_node/work/WorkDurations.h"
--- a/modules/bulrush_node/control/ControlTask.cpp
+++ b/modules/bulrush_node/control/ControlTask.cpp
@@ -1,8 +1,8 @@
 #include "bulrush_node/control/ControlTask.h"
 
+#include "bulrush_node/groups/WorkDurations.h"
 #include "bulrush_node/operators/OperatorTexts.h"
 #include "bulrush_node/operators/WorkTexts.h"
-#include "bulrush_node/work/WorkDurations.h"
 
 #include <random>
 
--- a/modules/bulrush_node/control/ControlTask.h
+++ b/modules/bulrush_node/control/ControlTask.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "bulrush_node/control/RecordsKeeper.h"
+#include "bulrush_node/groups/HttpWorkers.h"
+#include "bulrush_node/groups/WorkDesk.h"
 #include "bulrush_node/keys/KeyDesk.h"
 #include "bulrush_node/messages/FrontMessages.h"
 #include "bulrush_node/metrics/NodeMetrics.h"
 #include "bulrush_node/operators/OperatorsApi.h"
 #include "bulrush_node/peers/PeerMesh.h"
-#include "bulrush_node/work/HttpWorkers.h"
-#include "bulrush_node/work/WorkDesk.h"
 
 #include <functional>
 #include <map>
--- a/modules/bulrush_node/work/GroupDesk.cpp
+++ b/modules/bulrush_node/groups/GroupDesk.cpp
@@ -1,4 +1,4 @@
-#include "bulrush_node/work/GroupDesk.h"
+#include "bulrush_node/groups/GroupDesk.h"
 
 namespace bulrush {
 
--- a/modules/bulrush_node/work/GroupDesk.h
+++ b/modules/bulrush_node/groups/GroupDesk.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "bulrush_core/events/EventLog.h"
+#include "bulrush_node/groups/LearnedPlacement.h"
 #include "bulrush_node/metrics/NodeMetrics.h"
-#include "bulrush_node/work/LearnedPlacement.h"
 #include "bulrush_platform/bulrush_platform.h"
 #include "bulrush_tasks/bulrush_tasks.h"
 
--- a/modules/bulrush_node/work/HttpWorkers.cpp
+++ b/modules/bulrush_node/groups/HttpWorkers.cpp
@@ -1,4 +1,4 @@
-#include "bulrush_node/work/HttpWorkers.h"
+#include "bulrush_node/groups/HttpWorkers.h"
 
 #include "bulrush_core/errors/Error.h"
 
--- a/modules/bulrush_node/work/JobSource.cpp
+++ b/modules/bulrush_node/groups/JobSource.cpp
@@ -1,4 +1,4 @@
-#include "bulrush_node/work/JobSource.h"
+#include "bulrush_node/groups/JobSource.h"
 
 #include <array>
 #include <cstdio>
--- a/modules/bulrush_node/work/JobSource.h
+++ b/modules/bulrush_node/groups/JobSource.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "bulrush_config/bulrush_config.h"
-#include "bulrush_node/work/LearnedPlacement.h"
+#include "bulrush_node/groups/LearnedPlacement.h"
 #include "bulrush_tasks/bulrush_tasks.h"
 
 #include <map>
--- a/modules/bulrush_node/work/LearnedPlacement.cpp
+++ b/modules/bulrush_node/groups/LearnedPlacement.cpp
@@ -1,4 +1,4 @@
-#include "bulrush_node/work/LearnedPlacement.h"
+#include "bulrush_node/groups/LearnedPlacement.h"
 
 namespace bulrush {
 
--- a/modules/bulrush_node/work/WorkDesk.cpp
+++ b/modules/bulrush_node/groups/WorkDesk.cpp
@@ -1,4 +1,4 @@
-#include "bulrush_node/work/WorkDesk.h"
+#include "bulrush_node/groups/WorkDesk.h"
 
 #include <xxhash.h>
 
--- a/modules/bulrush_node/work/WorkDesk.h
+++ b/modules/bulrush_node/groups/WorkDesk.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "bulrush_node/work/GroupDesk.h"
-#include "bulrush_node/work/JobSource.h"
+#include "bulrush_node/groups/GroupDesk.h"
+#include "bulrush_node/groups/JobSource.h"
 
 #include <functional>
 #include <map>
--- a/modules/bulrush_node/work/WorkDurations.cpp
+++ b/modules/bulrush_node/groups/WorkDurations.cpp
@@ -1,4 +1,4 @@
-#include "bulrush_node/work/WorkDurations.h"
+#include "bulrush_node/groups/WorkDurations.h"
 
 #include "bulrush_core/errors/Error.h"
 
--- a/modules/bulrush_node/operators/WorkTexts.h
+++ b/modules/bulrush_node/operators/WorkTexts.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "bulrush_config/bulrush_config.h"
+#include "bulrush_node/groups/WorkDesk.h"
 #include "bulrush_node/operators/OperatorsApi.h"
-#include "bulrush_node/work/WorkDesk.h"
 
 #include <string>
 #include <vector>
--- a/modules/bulrush_node/tests/job_source_test.cpp
+++ b/modules/bulrush_node/tests/job_source_test.cpp
@@ -1,5 +1,5 @@
 #include "bulrush_core/bulrush_core.h"
-#include "bulrush_node/work/JobSource.h"
+#include "bulrush_node/groups/JobSource.h"
 #include "bulrush_ownership/bulrush_ownership.h"
 
 #include <criterion/criterion.h>
