Keep the names of the client's vhosts as long as their context

Cause: the daemon under the thread sanitizer, run through the demo, gave four warnings: libwebsockets reads a vhost's name that lay on the stack of the client's constructor, since it keeps the pointer. Ruled out: a race between the two tasks; both ends of each warning name that stack slot. Change: the names live with the protocol tables, which the loop keeps.

--- a/modules/bulrush_net/http/HttpClient.cpp
+++ b/modules/bulrush_net/http/HttpClient.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <string>
 
 namespace bulrush {
@@ -60,6 +61,8 @@
 struct HttpClient::Protocols
 {
     std::array<lws_protocols, 2> entries {};
+    /** libwebsockets keeps pointers to the vhosts' names, and no copies. */
+    std::deque<std::string> vhostNames;
     HttpClient *owner = nullptr;
 };
 
@@ -134,7 +137,8 @@
         "http-client", &HttpClientCallbacks::handle, 0, 0, 0, this->protocols.get(), 0
     };
     for (std::size_t index = 0; index < connections; ++index) {
-        const std::string name = "http-client-" + std::to_string(index);
+        const std::string &name =
+                this->protocols->vhostNames.emplace_back("http-client-" + std::to_string(index));
         lws_context_creation_info info = {};
         info.port = CONTEXT_PORT_NO_LISTEN;
         info.protocols = this->protocols->entries.data();
