Say 'unknown' to a repeat whose key could not be decided

Cause: a re-read of the change: a keyed request whose claim outlasted its deadline, or that reached a starting node, was told 'not run', also when its caller had sent the key before; that try may have run. Ruled out: a router's refusal after the claim was won, which is true: the key was free. Change: one answer for what was not sent, which goes by the key and the caller's first-try mark. Seen: a repeat got 503 before (test failed), 504 after; a first try keeps 503. Conclusion: 'not run' is said only where no earlier try can have run. 404 for a service that is not in force still says so for a repeat.

--- a/modules/bulrush_node/front/FrontTask.cpp
+++ b/modules/bulrush_node/front/FrontTask.cpp
@@ -26,6 +26,19 @@
 constexpr Duration retryAfterStart = seconds(1);
 constexpr Duration retryAfterKeyUnclear = seconds(1);
 
+/** Returns whether an earlier try with the request's key may have run. */
+bool mayHaveRunBefore(const RequestHead &head)
+{
+    return !head.key.empty() && !head.firstTry;
+}
+
+/** The answer to a request that was not sent, before its key was decided. */
+HttpResponse notSent(const RequestHead &head, std::string_view reason, Duration retryAfter)
+{
+    return mayHaveRunBefore(head) ? answers::unknown(reason, retryAfter)
+                                  : answers::notRun(reason, retryAfter);
+}
+
 template<class... Functions>
 struct Overloaded : Functions...
 {
@@ -96,7 +109,7 @@
     arrival.request = std::move(request);
     arrival.arrivedAt = this->clock.now();
     if (!this->configured) {
-        this->server.respond(id, answers::notRun("the node is starting", retryAfterStart));
+        this->server.respond(id, notSent(arrival.head, "the node is starting", retryAfterStart));
         return;
     }
     const auto routes = this->services.find(arrival.head.service);
@@ -130,8 +143,11 @@
         return;
     }
     this->endKey(found->second, id, KeyEnd::Outcome::NotSent, 0);
-    this->respond(id, answers::notRun("the key could not be claimed in time", retryAfterKeyUnclear),
-                  "not_run");
+    const bool mayHaveRun = mayHaveRunBefore(found->second.head);
+    this->respond(id,
+                  notSent(found->second.head, "the key could not be claimed in time",
+                          retryAfterKeyUnclear),
+                  mayHaveRun ? "unknown" : "not_run");
 }
 
 void FrontTask::decideKey(const KeyVerdict &verdict)
