--- a/modules/bulrush_core/bulrush_core.h
+++ b/modules/bulrush_core/bulrush_core.h
@@ -11,6 +11,7 @@
 
 #include "bulrush_core/addresses/Endpoint.h"
 #include "bulrush_core/errors/Error.h"
+#include "bulrush_core/events/DecisionLog.h"
 #include "bulrush_core/events/EventCatalogue.h"
 #include "bulrush_core/events/EventLog.h"
 #include "bulrush_core/ids/Id.h"
--- a/modules/bulrush_core/time/Clock.h
+++ b/modules/bulrush_core/time/Clock.h
@@ -41,6 +41,9 @@
 
     /** Returns the calendar time. It may step in either direction. */
     virtual UnixSeconds calendarTime() const = 0;
+
+    /** Returns the calendar time in milliseconds since 1970; as exact as the clock is. */
+    virtual std::int64_t calendarMillis() const { return this->calendarTime() * 1000; }
 };
 
 } // namespace bulrush
--- a/modules/bulrush_core/time/SystemClock.h
+++ b/modules/bulrush_core/time/SystemClock.h
@@ -4,12 +4,13 @@
 
 namespace bulrush {
 
-/** The clock of the machine. */
+/** The clock of the machine. Its monotonic time counts while the machine is suspended. */
 class SystemClock : public Clock
 {
 public:
     Instant now() const override;
     UnixSeconds calendarTime() const override;
+    std::int64_t calendarMillis() const override;
 };
 
 } // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_entry/front/CallerProtocol.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "bulrush_entry/front/CallerTypes.h"
+#include "bulrush_net/http/HttpMessage.h"
+
+#include <string_view>
+#include <vector>
+
+namespace bulrush {
+
+/** Spells callers' requests and answers in the platform's way. */
+class CallerProtocol
+{
+public:
+    CallerProtocol() = default;
+    virtual ~CallerProtocol() = default;
+    CallerProtocol(const CallerProtocol &) = delete;
+    CallerProtocol &operator=(const CallerProtocol &) = delete;
+
+    /** The headers beyond the standard's that decode() needs, in lower case. */
+    virtual std::vector<std::string> headerNames() const = 0;
+
+    virtual CallerRequest decode(const HttpRequest &request) const = 0;
+    virtual HttpResponse encode(const CallerAnswer &answer) const = 0;
+
+    /** Returns whether a request asks whether this node takes requests. */
+    virtual bool asksReadiness(const HttpRequest &request) const = 0;
+};
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_entry/front/OwnerQuestions.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "bulrush_core/time/Clock.h"
+#include "bulrush_steps/model/StepJob.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace bulrush {
+
+/** What the owner of the workers answers. */
+struct OwnerAnswer
+{
+    enum class Kind : std::uint8_t { Known, NotKnown, NoAnswer };
+
+    Kind kind = Kind::NoAnswer;
+    JobState state = JobState::Queued;
+    std::uint32_t waiting = 0;
+};
+
+/** Questions to the owner, wherever it is. Callbacks are never called from within a call. */
+class OwnerQuestions
+{
+public:
+    using Callback = std::function<void(OwnerAnswer)>;
+
+    OwnerQuestions() = default;
+    virtual ~OwnerQuestions() = default;
+    OwnerQuestions(const OwnerQuestions &) = delete;
+    OwnerQuestions &operator=(const OwnerQuestions &) = delete;
+
+    virtual void askState(const JobId &job, Callback callback) = 0;
+    virtual void askWaiting(const std::string &queue, Callback callback) = 0;
+};
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -0,0 +1,112 @@
+#include "bulrush_entry/node/EntryMetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <array>
+
+namespace bulrush {
+
+namespace {
+
+constexpr std::array<const char *, 6> storeOutcomes { "done",        "refused", "fenced",
+                                                      "out_of_order", "trimmed", "unknown" };
+constexpr std::array<const char *, 5> wishes { "submit", "query", "cancel", "count", "unsupported" };
+constexpr std::array<const char *, 9> callerOutcomes { "accepted", "refused",  "no_queue",
+                                                       "malformed", "unknown", "state",
+                                                       "cancelled", "no_job",  "waiting" };
+
+/** Upper bounds of the histograms' buckets, in seconds. */
+const prometheus::Histogram::BucketBoundaries secondsBuckets { 0.002, 0.005, 0.01, 0.02, 0.05,
+                                                               0.1,   0.2,   0.5,  1.0,  2.0,
+                                                               5.0 };
+
+double inSeconds(Duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+} // namespace
+
+struct EntryMetrics::Families
+{
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter> &storeCalls =
+            prometheus::BuildCounter()
+                    .Name("bulrush_entry_store_calls_total")
+                    .Help("Calls to the store by call and outcome")
+                    .Register(registry);
+    prometheus::Family<prometheus::Histogram> &storeSeconds =
+            prometheus::BuildHistogram()
+                    .Name("bulrush_entry_store_call_seconds")
+                    .Help("Duration of calls to the store")
+                    .Register(registry);
+    prometheus::Family<prometheus::Counter> &callers =
+            prometheus::BuildCounter()
+                    .Name("bulrush_entry_requests_total")
+                    .Help("Callers' requests by kind and outcome")
+                    .Register(registry);
+    prometheus::Family<prometheus::Histogram> &callerSeconds =
+            prometheus::BuildHistogram()
+                    .Name("bulrush_entry_request_seconds")
+                    .Help("Time from a request's arrival to its answer")
+                    .Register(registry);
+    prometheus::Gauge &owner = prometheus::BuildGauge()
+                                       .Name("bulrush_entry_owner")
+                                       .Help("1 while this node orders the workers")
+                                       .Register(registry)
+                                       .Add({});
+    prometheus::Gauge &droppedLines = prometheus::BuildGauge()
+                                              .Name("bulrush_entry_log_lines_dropped")
+                                              .Help("Log lines dropped since the start")
+                                              .Register(registry)
+                                              .Add({});
+};
+
+EntryMetrics::EntryMetrics()
+    : families(std::make_unique<Families>())
+{
+}
+
+EntryMetrics::~EntryMetrics() = default;
+
+void EntryMetrics::storeCall(std::string_view call, StoreOutcome outcome, Duration took)
+{
+    const std::string name(call);
+    this->families->storeCalls
+            .Add({ { "call", name },
+                   { "outcome", storeOutcomes.at(static_cast<std::size_t>(outcome)) } })
+            .Increment();
+    this->families->storeSeconds.Add({ { "call", name } }, secondsBuckets).Observe(inSeconds(took));
+}
+
+void EntryMetrics::callerServed(CallerWish wish, CallerOutcome outcome, Duration took)
+{
+    const std::string kind = wishes.at(static_cast<std::size_t>(wish));
+    this->families->callers
+            .Add({ { "kind", kind },
+                   { "outcome", callerOutcomes.at(static_cast<std::size_t>(outcome)) } })
+            .Increment();
+    this->families->callerSeconds.Add({ { "kind", kind } }, secondsBuckets)
+            .Observe(inSeconds(took));
+}
+
+void EntryMetrics::setOwner(bool owner)
+{
+    this->families->owner.Set(owner ? 1.0 : 0.0);
+}
+
+void EntryMetrics::setDroppedLines(std::uint64_t lines)
+{
+    this->families->droppedLines.Set(static_cast<double>(lines));
+}
+
+std::string EntryMetrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(this->families->registry.Collect());
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_entry/node/EntryMetrics.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "bulrush_entry/front/CallerTypes.h"
+#include "bulrush_steps/ports/KeyedLog.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace bulrush {
+
+/** The counters and histograms of an entry VM. */
+class EntryMetrics
+{
+public:
+    EntryMetrics();
+    ~EntryMetrics();
+
+    EntryMetrics(const EntryMetrics &) = delete;
+    EntryMetrics &operator=(const EntryMetrics &) = delete;
+
+    void storeCall(std::string_view call, StoreOutcome outcome, Duration took);
+    void callerServed(CallerWish wish, CallerOutcome outcome, Duration took);
+    void setOwner(bool owner);
+    void setDroppedLines(std::uint64_t lines);
+
+    /** Returns all metrics in the Prometheus text format. */
+    std::string text() const;
+
+private:
+    struct Families;
+    std::unique_ptr<Families> families;
+};
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -0,0 +1,268 @@
+#include "bulrush_entry/node/EntryNode.h"
+
+#include "bulrush_core/errors/Error.h"
+
+#include <algorithm>
+
+namespace bulrush {
+
+namespace {
+
+/** The beat of all that is not driven by an answer. */
+constexpr milliseconds tickInterval { 10 };
+
+/** The same on a node that does not order workers. */
+constexpr milliseconds idleTickInterval { 50 };
+
+/** How long a question for a newer configuration waits at the store. */
+constexpr milliseconds configWait { 1000 };
+
+/** How long a question for new jobs waits at the store. */
+constexpr milliseconds jobsWait { 1000 };
+
+/** Between two questions for jobs when the store did not answer. */
+constexpr milliseconds jobsRetryDelay { 100 };
+
+/** A stopping node is idle when no request has come for so long. */
+constexpr milliseconds idleSpan { 1200 };
+
+/** The platform takes a node that is not ready out of rotation within this time. */
+constexpr milliseconds leaveRotation { 2500 };
+
+/** Left of the grace for the end of the process itself. */
+constexpr milliseconds exitMargin { 700 };
+
+/** Open connections of callers; more are refused. */
+constexpr std::size_t mostCallers = 3000;
+
+HttpServer::Limits callerLimits(const CallerProtocol &protocol)
+{
+    HttpServer::Limits limits;
+    limits.connections = mostCallers;
+    limits.headerNames = protocol.headerNames();
+    return limits;
+}
+
+} // namespace
+
+EntryNode::EntryNode(EventLoop &eventLoop, const Clock &systemClock,
+                     const EntrySettings &entrySettings, EntryPorts entryPorts,
+                     JsonDecisionLog &decisionLog)
+    : loop(eventLoop)
+    , clock(systemClock)
+    , settings(entrySettings)
+    , ports(entryPorts)
+    , decisions(decisionLog)
+    , health(systemClock, decisionLog)
+    , store(systemClock, entryPorts.log, entryPorts.group, this->health, this->metrics)
+    , config(systemClock, this->store, entryPorts.decoder, decisionLog, configWait,
+             [this] { this->configChanged(); })
+    , view(systemClock, this->store, decisionLog)
+    , workers(systemClock, this->store, entryPorts.decoder, decisionLog, *this)
+    , dispatcher(systemClock, entryPorts.workers, this->store, entrySettings.dispatch, decisionLog,
+                 *this)
+    , ownership(systemClock, this->store,
+                OwnerLink::memberName(
+                        entrySettings.inner,
+                        static_cast<std::uint64_t>(systemClock.calendarMillis())),
+                entrySettings.ownershipTimes(), decisionLog, *this)
+    , takeover(systemClock, this->store, this->view)
+    , owner(eventLoop, systemClock, this->store, this->dispatcher, entrySettings.inner)
+    , desk(systemClock, this->store, entryPorts.decoder, this->owner, this->view, this->health,
+           decisionLog)
+    , callers(eventLoop, entrySettings.callers, callerLimits(entryPorts.callers), *this)
+    , readiness(eventLoop, entrySettings.readiness, HttpServer::Limits(), *this)
+{
+    this->decisions.write(DecisionLine(Event::NodeStarted)
+                                  .with("data_centre", this->settings.dataCentre.name())
+                                  .with("callers", this->settings.callers.text())
+                                  .with("store", this->settings.store.text()));
+    this->loop.schedule(Duration::zero(), [this] { this->tick(); });
+}
+
+void EntryNode::tick()
+{
+    this->config.tick();
+    this->ownership.tick();
+    this->takeover.tick();
+    this->owner.tick();
+    this->desk.tick();
+    this->health.lost();
+    if (this->dispatcher.active()) {
+        this->workers.tick();
+        this->followJobs();
+        this->dispatcher.tick();
+    }
+    if (this->drainingSince) {
+        this->drainTick();
+    }
+    const bool busy = this->dispatcher.active() || this->takeover.running();
+    this->loop.schedule(busy ? tickInterval : idleTickInterval, [this] { this->tick(); });
+}
+
+void EntryNode::configChanged()
+{
+    this->desk.configure(*this->config.config());
+    this->dispatcher.configure(*this->config.config());
+}
+
+void EntryNode::ownershipGained(std::uint64_t fencingToken)
+{
+    this->metrics.setOwner(true);
+    const Instant gainedAt = this->clock.now();
+    this->takeover.begin(
+            fencingToken, this->settings.inner.text(),
+            [this, gainedAt](LogOffset markOffset) { this->takeoverDone(gainedAt, markOffset); },
+            [this] { this->ownership.superseded("the store knows a newer owner"); });
+}
+
+void EntryNode::takeoverDone(Instant gainedAt, LogOffset markOffset)
+{
+    OwnershipTerm term;
+    term.fencingToken = this->ownership.fencingToken();
+    term.firstOwnOffset = markOffset;
+    term.formerOrdersOver = gainedAt + this->settings.ownershipTimes().formerOrdersOver();
+    this->dispatcher.begin(term, this->view.book());
+    if (this->config.config()) {
+        this->dispatcher.configure(*this->config.config());
+    }
+    StreamScan::Listener &records = *this;
+    this->jobs = std::make_shared<StreamScan>(this->store, LogStream::Jobs, records);
+    this->jobs->startAt(this->view.nextJobOffset());
+    this->workers.restart();
+    const Duration took = this->clock.now() - gainedAt;
+    this->decisions.write(
+            DecisionLine(Event::OwnerReady)
+                    .with("fencing_token", term.fencingToken)
+                    .with("jobs", static_cast<std::int64_t>(this->view.book().entries().size()))
+                    .with("mark_offset", markOffset)
+                    .with("took_ms", duration_cast<milliseconds>(took).count()));
+}
+
+void EntryNode::ownershipLost(std::string_view /*reason*/)
+{
+    this->metrics.setOwner(false);
+    this->takeover.cancel();
+    this->dispatcher.end();
+    // Perhaps called from within the scan, which must outlive its own call.
+    this->loop.schedule(Duration::zero(), [scan = std::move(this->jobs)] {});
+    this->jobs = nullptr;
+}
+
+void EntryNode::superseded(std::string_view by)
+{
+    this->ownership.superseded(by);
+}
+
+void EntryNode::workerListed(const WorkerEntry &entry)
+{
+    if (this->dispatcher.active()) {
+        this->dispatcher.workerListed(entry);
+    }
+}
+
+void EntryNode::workerUnlisted(const TargetId &worker)
+{
+    if (this->dispatcher.active()) {
+        this->dispatcher.workerUnlisted(worker);
+    }
+}
+
+void EntryNode::followJobs()
+{
+    if (!this->jobs || this->jobs->busy() || this->clock.now() < this->jobsRetryAt) {
+        return;
+    }
+    this->jobs->advance(jobsWait, [this](StoreOutcome outcome) {
+        if (outcome != StoreOutcome::Done) {
+            this->jobsRetryAt = this->clock.now() + jobsRetryDelay;
+            return;
+        }
+        // Called from within the scan: what follows must not start before it has returned.
+        this->loop.schedule(Duration::zero(), [this] { this->followJobs(); });
+    });
+}
+
+void EntryNode::recordRead(LogStream /*stream*/, const KeyedRecord &record)
+{
+    if (!this->dispatcher.active()) {
+        return;
+    }
+    try {
+        this->dispatcher.applyJobRecord(record);
+    } catch (const Error &error) {
+        this->decisions.write(DecisionLine(Event::RecordIgnored)
+                                      .with("key", record.key)
+                                      .with("offset", record.offset)
+                                      .with("reason", error.what()));
+    }
+}
+
+bool EntryNode::ready()
+{
+    return !this->drainingSince && this->desk.configured() && !this->health.lost();
+}
+
+void EntryNode::requestArrived(HttpServer::RequestId id, HttpRequest request)
+{
+    if (this->ports.callers.asksReadiness(request)) {
+        HttpResponse response;
+        response.status = this->ready() ? 200 : 503;
+        this->readiness.respond(id, std::move(response));
+        return;
+    }
+    CallerRequest decoded = this->ports.callers.decode(request);
+    this->lastRequestAt = this->clock.now();
+    this->open[id] = { decoded.wish, this->lastRequestAt };
+    this->desk.serve(std::move(decoded),
+                     [this, id](const CallerAnswer &told) { this->answer(id, told); });
+}
+
+void EntryNode::answer(HttpServer::RequestId id, const CallerAnswer &told)
+{
+    const auto found = this->open.find(id);
+    if (found == this->open.end()) {
+        return;
+    }
+    const Duration took = this->clock.now() - found->second.arrivedAt;
+    this->metrics.callerServed(found->second.wish, told.outcome, took);
+    this->open.erase(found);
+    this->callers.respond(id, this->ports.callers.encode(told));
+}
+
+void EntryNode::callerGone(HttpServer::RequestId id)
+{
+    this->open.erase(id);
+}
+
+void EntryNode::settingsRead(std::string_view outcome)
+{
+    this->decisions.write(DecisionLine(Event::SettingsRead).with("outcome", outcome));
+}
+
+void EntryNode::drain()
+{
+    if (this->drainingSince) {
+        return;
+    }
+    this->drainingSince = this->clock.now();
+    this->decisions.write(DecisionLine(Event::NodeStopping)
+                                  .with("open_requests", static_cast<std::int64_t>(this->open.size())));
+    this->ownership.leave();
+}
+
+void EntryNode::drainTick()
+{
+    const Instant now = this->clock.now();
+    const Duration sinceDrain = now - *this->drainingSince;
+    const bool idle = this->open.empty() && now - this->lastRequestAt > idleSpan
+            && sinceDrain > leaveRotation;
+    if (!idle && sinceDrain < this->settings.grace - exitMargin) {
+        return;
+    }
+    this->decisions.write(DecisionLine(Event::NodeStopped)
+                                  .with("open_requests", static_cast<std::int64_t>(this->open.size())));
+    this->loop.stop();
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "bulrush_core/events/DecisionLog.h"
+#include "bulrush_entry/front/StoreHealth.h"
+#include "bulrush_entry/front/SubmissionDesk.h"
+#include "bulrush_entry/node/EntryMetrics.h"
+#include "bulrush_entry/node/EntryPorts.h"
+#include "bulrush_entry/node/ObservedStore.h"
+#include "bulrush_entry/owner/OwnerLink.h"
+#include "bulrush_entry/settings/EntrySettings.h"
+#include "bulrush_net/http/HttpServer.h"
+#include "bulrush_steps/bulrush_steps.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace bulrush {
+
+/**
+    One entry VM on a platform with a store: serves callers, and orders the workers while it is the
+    owner. All on one event loop.
+*/
+class EntryNode : private HttpServer::Listener,
+                  private OwnershipKeeper::Listener,
+                  private Dispatcher::Listener,
+                  private WorkerFollower::Listener,
+                  private StreamScan::Listener
+{
+public:
+    EntryNode(EventLoop &loop, const Clock &clock, const EntrySettings &settings, EntryPorts ports,
+              JsonDecisionLog &decisions);
+
+    /** Begins a graceful stop; the loop stops when it is over. */
+    void drain();
+
+    /** Notes that the settings were read again. */
+    void settingsRead(std::string_view outcome);
+
+private:
+    struct OpenRequest
+    {
+        CallerWish wish = CallerWish::Unsupported;
+        Instant arrivedAt {};
+    };
+
+    // HttpServer::Listener
+    void requestArrived(HttpServer::RequestId id, HttpRequest request) override;
+    void callerGone(HttpServer::RequestId id) override;
+
+    // OwnershipKeeper::Listener
+    void ownershipGained(std::uint64_t fencingToken) override;
+    void ownershipLost(std::string_view reason) override;
+
+    // Dispatcher::Listener
+    void superseded(std::string_view by) override;
+    bool isOwner() const override { return this->ownership.isOwner(); }
+
+    // WorkerFollower::Listener
+    void workerListed(const WorkerEntry &entry) override;
+    void workerUnlisted(const TargetId &worker) override;
+
+    // StreamScan::Listener
+    void scanBegins(LogStream /*stream*/) override { }
+    void recordRead(LogStream stream, const KeyedRecord &record) override;
+    void scanEnded(LogStream /*stream*/) override { }
+
+    void tick();
+    void followJobs();
+    void configChanged();
+    void takeoverDone(Instant gainedAt, LogOffset markOffset);
+    void answer(HttpServer::RequestId id, const CallerAnswer &answer);
+    bool ready();
+    void drainTick();
+
+    EventLoop &loop;
+    const Clock &clock;
+    const EntrySettings settings;
+    EntryPorts ports;
+    JsonDecisionLog &decisions;
+    EntryMetrics metrics;
+    StoreHealth health;
+    ObservedStore store;
+    ConfigFollower config;
+    RecordsView view;
+    WorkerFollower workers;
+    Dispatcher dispatcher;
+    OwnershipKeeper ownership;
+    Takeover takeover;
+    std::shared_ptr<StreamScan> jobs;
+    Instant jobsRetryAt {};
+    OwnerLink owner;
+    SubmissionDesk desk;
+    HttpServer callers;
+    HttpServer readiness;
+    std::map<HttpServer::RequestId, OpenRequest> open;
+    Instant lastRequestAt {};
+    std::optional<Instant> drainingSince;
+    bool left = false;
+};
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_entry/node/ObservedStore.cpp
@@ -0,0 +1,83 @@
+#include "bulrush_entry/node/ObservedStore.h"
+
+namespace bulrush {
+
+ObservedStore::ObservedStore(const Clock &systemClock, KeyedLog &keyedLog, MemberGroup &memberGroup,
+                             StoreHealth &storeHealth, EntryMetrics &entryMetrics)
+    : clock(systemClock)
+    , log(keyedLog)
+    , group(memberGroup)
+    , health(storeHealth)
+    , metrics(entryMetrics)
+{
+}
+
+void ObservedStore::note(const char *call, StoreOutcome outcome, Instant sentAt)
+{
+    this->health.note(call, outcome);
+    this->metrics.storeCall(call, outcome, this->clock.now() - sentAt);
+}
+
+void ObservedStore::append(LogStream stream, const std::vector<KeyedRecord> &records,
+                           const std::optional<WriterMark> &mark, Duration timeout,
+                           std::function<void(AppendResult)> callback)
+{
+    const Instant sentAt = this->clock.now();
+    this->log.append(stream, records, mark, timeout,
+                     [this, sentAt, callback = std::move(callback)](const AppendResult &result) {
+                         this->note("append", result.outcome, sentAt);
+                         callback(result);
+                     });
+}
+
+void ObservedStore::read(LogStream stream, LogOffset from, milliseconds wait, Duration timeout,
+                         std::function<void(ReadResult)> callback)
+{
+    const Instant sentAt = this->clock.now();
+    this->log.read(stream, from, wait, timeout,
+                   [this, sentAt, callback = std::move(callback)](ReadResult result) {
+                       this->note("read", result.outcome, sentAt);
+                       callback(std::move(result));
+                   });
+}
+
+void ObservedStore::newest(LogStream stream, std::string_view afterKey, Duration timeout,
+                           std::function<void(NewestResult)> callback)
+{
+    const Instant sentAt = this->clock.now();
+    this->log.newest(stream, afterKey, timeout,
+                     [this, sentAt, callback = std::move(callback)](NewestResult result) {
+                         this->note("newest", result.outcome, sentAt);
+                         callback(std::move(result));
+                     });
+}
+
+void ObservedStore::join(const std::string &member, std::uint64_t generation,
+                         milliseconds timeToLive, Duration timeout,
+                         std::function<void(Membership)> callback)
+{
+    const Instant sentAt = this->clock.now();
+    this->group.join(member, generation, timeToLive, timeout,
+                     [this, sentAt, callback = std::move(callback)](const Membership &membership) {
+                         this->note("join", membership.outcome, sentAt);
+                         callback(membership);
+                     });
+}
+
+void ObservedStore::leave(const std::string &member, Duration timeout,
+                          std::function<void()> callback)
+{
+    this->group.leave(member, timeout, std::move(callback));
+}
+
+void ObservedStore::findHolder(Duration timeout, std::function<void(PartitionHolder)> callback)
+{
+    const Instant sentAt = this->clock.now();
+    this->group.findHolder(timeout, [this, sentAt, callback = std::move(callback)](
+                                            const PartitionHolder &holder) {
+        this->note("holder", holder.outcome, sentAt);
+        callback(holder);
+    });
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_entry/settings/EntrySettings.cpp
@@ -0,0 +1,31 @@
+#include "bulrush_entry/settings/EntrySettings.h"
+
+#include "bulrush_core/errors/Error.h"
+
+namespace bulrush {
+
+OwnershipTimes EntrySettings::ownershipTimes() const
+{
+    OwnershipTimes times;
+    times.timeToLive = this->leastTimeToLive * 3 / 2;
+    times.extension = this->dispatch.longestLease;
+    times.lease = this->dispatch.lease();
+    return times;
+}
+
+void EntrySettings::check() const
+{
+    const auto require = [](bool holds, const char *what) {
+        if (!holds) {
+            throw Error("check settings", "", what);
+        }
+    };
+    require(this->dispatch.longestLease > milliseconds(0), "the longest lease must be positive");
+    require(this->dispatch.holdWait * 2 < this->dispatch.lease(),
+            "a lease must outlast two holds");
+    require(this->leastTimeToLive > milliseconds(0),
+            "the store's shortest time to live must be positive");
+    require(this->grace > milliseconds(1000), "a graceful stop needs more than a second");
+}
+
+} // namespace bulrush
--- a/modules/bulrush_net/http/HttpServer.cpp
+++ b/modules/bulrush_net/http/HttpServer.cpp
@@ -39,6 +39,7 @@
     HeaderToken { WSI_TOKEN_HTTP_CONTENT_TYPE, "content-type" },
     HeaderToken { WSI_TOKEN_HTTP_AUTHORIZATION, "authorization" },
     HeaderToken { WSI_TOKEN_HTTP_ACCEPT, "accept" },
+    HeaderToken { WSI_TOKEN_HOST, "host" },
 };
 
 /** The request headers beyond the standard's that are handed over. */
@@ -100,7 +101,7 @@
     return {};
 }
 
-std::vector<HttpHeader> copyHeaders(lws *wsi)
+std::vector<HttpHeader> copyHeaders(lws *wsi, const std::vector<std::string> &extraNames)
 {
     std::vector<HttpHeader> headers;
     for (const HeaderToken &entry : headerTokens) {
@@ -115,6 +116,12 @@
             headers.push_back({ name, std::move(value) });
         }
     }
+    for (const std::string &name : extraNames) {
+        std::string value = copyCustomHeader(wsi, name + ":");
+        if (!value.empty()) {
+            headers.push_back({ name, std::move(value) });
+        }
+    }
     return headers;
 }
 
@@ -236,7 +243,7 @@
     exchange->request.method = methodOf(wsi);
     exchange->request.path = path;
     exchange->request.query = copyQuery(wsi);
-    exchange->request.headers = copyHeaders(wsi);
+    exchange->request.headers = copyHeaders(wsi, this->limits.headerNames);
     const std::string contentLength = copyHeader(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
     if (!contentLength.empty()) {
         exchange->expectedBytes = std::strtoull(contentLength.c_str(), nullptr, 10);
--- a/modules/bulrush_net/http/HttpServer.h
+++ b/modules/bulrush_net/http/HttpServer.h
@@ -7,6 +7,8 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <string>
+#include <vector>
 
 struct lws;
 
@@ -36,6 +38,8 @@
     {
         std::size_t requestBytes = 1U << 20U;
         std::size_t connections = 1024;
+        /** Names in lower case of headers that are handed over beside the usual ones. */
+        std::vector<std::string> headerNames {};
     };
 
     /** Listens at once. @throws Error when the endpoint cannot be bound */
--- /dev/null
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -0,0 +1,580 @@
+#include "bulrush_steps/dispatch/Dispatcher.h"
+
+#include "bulrush_core/errors/Error.h"
+#include "bulrush_core/events/DecisionLog.h"
+#include "bulrush_steps/model/TaskText.h"
+#include "bulrush_steps/policy/WorkOrder.h"
+
+#include <algorithm>
+
+namespace bulrush {
+
+namespace {
+
+/** Attempts that one owner may count for a task; its fencing token makes the higher part. */
+constexpr std::uint64_t attemptsPerOwner = 1000;
+
+/** A lasting task that ended starts again after this long. */
+constexpr milliseconds restartDelay { 0 };
+
+} // namespace
+
+Dispatcher::Dispatcher(const Clock &systemClock, WorkerPort &port, KeyedLog &log,
+                       const DispatchSettings &dispatchSettings, DecisionLog &decisionLog,
+                       Listener &ownershipListener)
+    : clock(systemClock)
+    , settings(dispatchSettings)
+    , decisions(decisionLog)
+    , listener(ownershipListener)
+    , keeper(systemClock, port, dispatchSettings, decisionLog, *this)
+    , writer(systemClock, log, *this)
+{
+}
+
+void Dispatcher::begin(const OwnershipTerm &ownershipTerm, JobBook jobBook)
+{
+    this->term = ownershipTerm;
+    this->book = std::move(jobBook);
+    this->isActive = true;
+    this->formerSettled = false;
+    this->waiting.clear();
+    this->writer.begin(this->term.fencingToken);
+    for (const auto &[id, job] : this->book.entries()) {
+        if (!job.over()) {
+            this->waiting.insert(id);
+        } else if (!job.endOnRecord && !job.cancelled) {
+            this->jobChanged(job);
+        }
+    }
+    this->keeper.begin(this->term.fencingToken);
+}
+
+void Dispatcher::end()
+{
+    this->isActive = false;
+    this->keeper.end();
+    this->writer.end();
+    this->book.clear();
+    this->waiting.clear();
+    this->writtenRoster.clear();
+}
+
+void Dispatcher::configure(const ServingConfig &serving)
+{
+    this->config = serving;
+}
+
+bool Dispatcher::mayOrder() const
+{
+    return this->isActive && this->listener.isOwner();
+}
+
+void Dispatcher::applyJobRecord(const KeyedRecord &record)
+{
+    const std::optional<JobId> id = this->book.applyJobRecord(record, this->clock);
+    if (this->book.newestOwner() > this->term.fencingToken) {
+        this->listener.superseded("a newer owner's mark");
+        return;
+    }
+    if (!id) {
+        return;
+    }
+    JobEntry &job = *this->book.find(*id);
+    if (job.cancelled) {
+        this->stopRuns(job, "cancelled");
+        return;
+    }
+    this->waiting.insert(*id);
+}
+
+void Dispatcher::stopRuns(const JobEntry &job, std::string_view why)
+{
+    this->keeper.eachRun(job.spec.id, [this, why](Worker &worker, Run &run) {
+        if (!run.stopWanted) {
+            this->decisions.write(DecisionLine(Event::TaskStopped)
+                                          .with("task", text(run.attempt.task))
+                                          .with("attempt", run.attempt.attempt)
+                                          .with("worker", worker.entry.worker.name())
+                                          .with("why", why));
+        }
+        run.stopWanted = true;
+    });
+}
+
+void Dispatcher::tick()
+{
+    if (!this->isActive) {
+        return;
+    }
+    const Instant now = this->clock.now();
+    this->writer.tick();
+    if (!this->isActive) {
+        return;
+    }
+    this->keeper.tick();
+    this->updateRoster();
+    if (this->mayOrder()) {
+        this->controlFills(now);
+        this->plan(now);
+    }
+}
+
+void Dispatcher::updateRoster()
+{
+    std::set<TargetId> roster;
+    for (auto &[id, worker] : this->keeper.workers()) {
+        roster.insert(id);
+    }
+    if (!this->formerSettled && this->clock.now() < this->term.formerOrdersOver) {
+        // A worker of the former owner's may still run its tasks.
+        roster.insert(this->book.roster().begin(), this->book.roster().end());
+    }
+    if (roster != this->writtenRoster) {
+        this->writtenRoster = std::move(roster);
+        this->writer.noteRoster();
+    }
+}
+
+std::string Dispatcher::rosterRecord()
+{
+    return records::encodeRoster({ this->writtenRoster.begin(), this->writtenRoster.end() });
+}
+
+std::string Dispatcher::progressRecord(const JobId &id)
+{
+    const JobEntry *job = this->book.find(id);
+    return job == nullptr ? std::string() : records::encode(JobBook::progressOf(*job));
+}
+
+void Dispatcher::stored(const std::vector<JobId> &jobs, bool withRoster)
+{
+    for (const JobId &id : jobs) {
+        JobEntry *job = this->book.find(id);
+        if (job == nullptr || job->endOnRecord || !(job->succeeded || job->failed)) {
+            continue;
+        }
+        job->endOnRecord = true;
+        const Duration age = this->clock.now() - job->acceptedAt;
+        this->decisions.write(DecisionLine(Event::JobEnded)
+                                      .with("job", id.name())
+                                      .with("queue", job->spec.queue)
+                                      .with("state", text(job->shownState()))
+                                      .with("age_ms", duration_cast<milliseconds>(age).count()));
+    }
+    if (!withRoster) {
+        return;
+    }
+    for (auto &[id, worker] : this->keeper.workers()) {
+        worker.onRoster = this->writtenRoster.contains(id);
+    }
+}
+
+void Dispatcher::fencedOff()
+{
+    this->listener.superseded("the store has a newer owner's epoch");
+}
+
+void Dispatcher::superseded(const Worker &worker)
+{
+    this->listener.superseded(worker.entry.worker.name());
+}
+
+void Dispatcher::jobChanged(const JobEntry &job)
+{
+    this->writer.noteJob(job.spec.id, job.succeeded || job.failed);
+}
+
+Run Dispatcher::foundRun(const Worker &worker, const ListedRun &listed)
+{
+    Run run;
+    run.attempt = listed.attempt;
+    run.orderSentAt = this->clock.now();
+    JobEntry *job = this->book.find(listed.attempt.task.job);
+    const bool known = job != nullptr && job->has(listed.attempt.task);
+    if (!known) {
+        run.stopWanted = true;
+    } else {
+        const StepSpec &step = job->step(listed.attempt.task);
+        TaskState &task = job->task(listed.attempt.task);
+        run.size = step.size;
+        if (step.fills) {
+            run.fillCpuMilli = step.size.cpuMilli;
+            run.size.cpuMilli = 0;
+        }
+        run.lasting = step.lasting;
+        run.image = step.image;
+        run.tailTarget = step.tailTarget;
+        run.expected = this->durations.expected(job->spec.queue, step);
+        run.stopWanted = job->over() || task.succeeded;
+        ++task.openRuns;
+        task.lastAttempt = std::max(task.lastAttempt, listed.attempt.attempt);
+        job->begun = true;
+    }
+    this->decisions.write(DecisionLine(Event::RunFound)
+                                  .with("task", text(listed.attempt.task))
+                                  .with("attempt", listed.attempt.attempt)
+                                  .with("worker", worker.entry.worker.name())
+                                  .with("kept", !run.stopWanted));
+    return run;
+}
+
+void Dispatcher::release(TaskState &task, std::string checkpoint)
+{
+    if (task.openRuns > 0) {
+        --task.openRuns;
+    }
+    if (!checkpoint.empty()) {
+        task.checkpoint = std::move(checkpoint);
+    }
+}
+
+std::uint64_t Dispatcher::runEnded(const Worker &worker, const Run *run, const ListedEnd &end)
+{
+    JobEntry *job = this->book.find(end.attempt.task.job);
+    this->decisions.write(DecisionLine(Event::TaskEnded)
+                                  .with("task", text(end.attempt.task))
+                                  .with("attempt", end.attempt.attempt)
+                                  .with("worker", worker.entry.worker.name())
+                                  .with("end", text(end.kind))
+                                  .with("number", end.number));
+    if (job == nullptr || !job->has(end.attempt.task)) {
+        return this->writer.newestChange();
+    }
+    const StepSpec &step = job->step(end.attempt.task);
+    TaskState &task = job->task(end.attempt.task);
+    task.lastAttempt = std::max(task.lastAttempt, end.attempt.attempt);
+    if (run != nullptr) {
+        this->release(task, end.checkpoint);
+    }
+    const Instant now = this->clock.now();
+    if (end.kind == EndKind::Succeeded && run != nullptr && !step.fills) {
+        this->durations.learn(job->spec.queue, step, now - run->orderSentAt);
+    }
+    this->waiting.insert(job->spec.id);
+    const bool wasOver = job->over();
+    bool counted = false;
+    if (end.kind == EndKind::Succeeded) {
+        counted = JobBook::countSuccess(*job, end.attempt.task);
+        if (step.gang) {
+            this->endGang(*job, end.attempt);
+        }
+    } else if (end.kind == EndKind::Failed) {
+        counted = JobBook::countFailure(*job, end.attempt);
+        task.checkpoint.clear();
+    }
+    if (step.lasting) {
+        task.notBefore = now + restartDelay;
+    }
+    if (!counted) {
+        return this->writer.newestChange();
+    }
+    if (job->failed && !wasOver) {
+        this->stopRuns(*job, "the job failed");
+    }
+    return this->writer.noteJob(job->spec.id, job->over());
+}
+
+void Dispatcher::endGang(JobEntry &job, const AttemptRef &attempt)
+{
+    TaskRef ref = attempt.task;
+    for (ref.index = 0; ref.index < job.step(ref).taskCount; ++ref.index) {
+        JobBook::countSuccess(job, ref);
+    }
+}
+
+void Dispatcher::runLost(const Worker &worker, const Run &run, std::string_view reason)
+{
+    this->decisions.write(DecisionLine(Event::TaskLost)
+                                  .with("task", text(run.attempt.task))
+                                  .with("attempt", run.attempt.attempt)
+                                  .with("worker", worker.entry.worker.name())
+                                  .with("reason", reason));
+    JobEntry *job = this->book.find(run.attempt.task.job);
+    if (job == nullptr || !job->has(run.attempt.task)) {
+        return;
+    }
+    this->release(job->task(run.attempt.task), {});
+    this->waiting.insert(job->spec.id);
+}
+
+void Dispatcher::startRefused(const Worker &worker, const Run &run, OrderOutcome outcome)
+{
+    this->decisions.write(DecisionLine(Event::StartRefused)
+                                  .with("task", text(run.attempt.task))
+                                  .with("attempt", run.attempt.attempt)
+                                  .with("worker", worker.entry.worker.name())
+                                  .with("outcome", text(outcome)));
+    JobEntry *job = this->book.find(run.attempt.task.job);
+    if (job == nullptr || !job->has(run.attempt.task)) {
+        return;
+    }
+    this->release(job->task(run.attempt.task), {});
+    this->waiting.insert(job->spec.id);
+}
+
+std::optional<JobState> Dispatcher::stateOf(const JobId &id) const
+{
+    const JobEntry *job = this->book.find(id);
+    return job == nullptr ? std::nullopt : std::optional(job->shownState());
+}
+
+std::uint32_t Dispatcher::waitingJobs(std::string_view queue) const
+{
+    std::uint32_t count = 0;
+    for (const JobId &id : this->waiting) {
+        const JobEntry *job = this->book.find(id);
+        if (job != nullptr && job->spec.queue == queue && !job->begun && !job->over()
+            && !job->spec.timed) {
+            ++count;
+        }
+    }
+    return count;
+}
+
+void Dispatcher::controlFills(Instant now)
+{
+    for (auto &[id, worker] : this->keeper.workers()) {
+        worker.fillRoom = FillControl::unusedProcessors(worker, now);
+        if (!worker.confirmed) {
+            continue;
+        }
+        for (const PaceChange &change : this->fillControl.decide(worker, now, this->settings)) {
+            Run &run = worker.runs.at(change.attempt);
+            this->decisions.write(DecisionLine(Event::TaskPaced)
+                                          .with("task", text(change.attempt.task))
+                                          .with("worker", id.name())
+                                          .with("percent", change.percent)
+                                          .with("tail_share", Placement::worstTailShare(worker)));
+            this->keeper.pace(worker, run, change.percent);
+        }
+    }
+}
+
+bool Dispatcher::formerRunsSettled(const JobEntry &job, Instant now)
+{
+    if (this->formerSettled || job.acceptedOffset >= this->term.firstOwnOffset
+        || now >= this->term.formerOrdersOver) {
+        return true;
+    }
+    for (const TargetId &id : this->book.roster()) {
+        const Worker *worker = this->keeper.find(id);
+        if (worker == nullptr || !worker->adopted) {
+            return false;
+        }
+    }
+    this->formerSettled = true;
+    return true;
+}
+
+bool Dispatcher::occurrenceDue(const JobEntry &job, std::uint32_t occurrence) const
+{
+    if (!job.spec.timed) {
+        return true;
+    }
+    const UnixMillis due = job.spec.firstDue + job.spec.interval.count() * occurrence;
+    return this->clock.calendarMillis() >= due;
+}
+
+WorkRank Dispatcher::rank(const JobEntry &job, Instant now) const
+{
+    WaitingJob waitingJob;
+    waitingJob.priority = job.spec.priority;
+    waitingJob.lasting = job.spec.lasting();
+    waitingJob.age = now - job.acceptedAt;
+    const milliseconds chain = this->durations.longestChain(job.spec);
+    waitingJob.remaining = chain;
+    const auto stretched = static_cast<double>(chain.count()) * job.spec.slackFactor;
+    waitingJob.objective =
+            milliseconds(static_cast<std::int64_t>(stretched)) + job.spec.latencyTarget;
+    return rankOf(waitingJob);
+}
+
+std::vector<Dispatcher::Candidate> Dispatcher::candidates(Instant now)
+{
+    std::vector<std::pair<WorkRank, JobEntry *>> ranked;
+    for (auto at = this->waiting.begin(); at != this->waiting.end();) {
+        JobEntry *job = this->book.find(*at);
+        if (job == nullptr || job->over()) {
+            at = this->waiting.erase(at);
+            continue;
+        }
+        ++at;
+        if (this->formerRunsSettled(*job, now)) {
+            ranked.emplace_back(this->rank(*job, now), job);
+        }
+    }
+    std::stable_sort(ranked.begin(), ranked.end(),
+                     [](const auto &a, const auto &b) { return a.first < b.first; });
+    std::vector<Candidate> list;
+    for (const auto &[rank, job] : ranked) {
+        this->addCandidates(*job, list);
+    }
+    return list;
+}
+
+void Dispatcher::addCandidates(JobEntry &job, std::vector<Candidate> &list)
+{
+    bool anyWaiting = false;
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
+        const OccurrenceState &state = job.occurrences[occurrence];
+        if (!this->occurrenceDue(job, occurrence)) {
+            anyWaiting = true;
+            break;
+        }
+        for (std::uint32_t step = 0; step < state.steps.size(); ++step) {
+            const std::vector<TaskState> &tasks = state.steps[step].tasks;
+            const bool open = std::any_of(tasks.begin(), tasks.end(), [](const TaskState &task) {
+                return !task.succeeded && task.openRuns == 0;
+            });
+            if (open && job.stepUnlocked(occurrence, step)) {
+                anyWaiting = true;
+                list.push_back({ &job, occurrence, step });
+            }
+        }
+    }
+    if (!anyWaiting) {
+        this->waiting.erase(job.spec.id);
+    }
+}
+
+PlacementRequest Dispatcher::requestFor(const Candidate &candidate)
+{
+    PlacementRequest request;
+    request.step = &candidate.job->spec.steps[candidate.step];
+    request.service = candidate.job->spec.service;
+    const QueuePolicy *queue = this->config.queue(candidate.job->spec.queue);
+    if (queue != nullptr) {
+        request.service = queue->service;
+    }
+    if (request.step->mostPerWorker == 0 && !request.step->oneRack) {
+        return request;
+    }
+    this->keeper.eachRun(candidate.job->spec.id, [&](Worker &worker, Run &run) {
+        const TaskRef &task = run.attempt.task;
+        if (task.occurrence == candidate.occurrence && task.step == candidate.step) {
+            ++request.siblings[worker.entry.worker];
+            request.rack = worker.rack;
+        }
+    });
+    return request;
+}
+
+std::uint64_t Dispatcher::nextAttempt(const TaskState &task) const
+{
+    return std::max(task.lastAttempt, this->term.fencingToken * attemptsPerOwner) + 1;
+}
+
+void Dispatcher::startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt)
+{
+    const StepSpec &step = job.step(ref);
+    TaskState &task = job.task(ref);
+    Run run;
+    run.attempt = { ref, attempt };
+    run.size = step.size;
+    if (step.fills) {
+        run.fillCpuMilli = step.size.cpuMilli;
+        run.size.cpuMilli = 0;
+    }
+    run.lasting = step.lasting;
+    run.image = step.image;
+    run.tailTarget = step.tailTarget;
+    run.expected = this->durations.expected(job.spec.queue, step);
+    task.lastAttempt = attempt;
+    ++task.openRuns;
+    job.begun = true;
+    this->decisions.write(DecisionLine(Event::TaskStarted)
+                                  .with("task", text(ref))
+                                  .with("attempt", attempt)
+                                  .with("worker", worker.entry.worker.name())
+                                  .with("free_cpu", worker.free().cpuMilli)
+                                  .with("fill_room", static_cast<std::int64_t>(worker.fillRoom))
+                                  .with("resumes", !task.checkpoint.empty()));
+    this->keeper.start(worker, std::move(run), job.spec, task.checkpoint);
+}
+
+bool Dispatcher::planStep(const Candidate &candidate, Instant now)
+{
+    JobEntry &job = *candidate.job;
+    PlacementRequest request = this->requestFor(candidate);
+    const Placement placement(now);
+    TaskRef ref { job.spec.id, candidate.occurrence, candidate.step, 0 };
+    const StepSpec &step = *request.step;
+    for (ref.index = 0; ref.index < step.taskCount; ++ref.index) {
+        TaskState &task = job.task(ref);
+        if (task.succeeded || task.openRuns > 0 || now < task.notBefore) {
+            continue;
+        }
+        Worker *worker = placement.choose(this->keeper.workers(), request);
+        if (worker == nullptr) {
+            return false;
+        }
+        this->startTask(job, ref, *worker, this->nextAttempt(task));
+        ++request.siblings[worker->entry.worker];
+        request.rack = worker->rack;
+    }
+    return true;
+}
+
+bool Dispatcher::planGang(const Candidate &candidate, Instant now)
+{
+    JobEntry &job = *candidate.job;
+    PlacementRequest request = this->requestFor(candidate);
+    const Placement placement(now);
+    const StepSpec &step = *request.step;
+    TaskRef ref { job.spec.id, candidate.occurrence, candidate.step, 0 };
+    std::uint64_t attempt = 0;
+    std::string checkpoint;
+    for (ref.index = 0; ref.index < step.taskCount; ++ref.index) {
+        const TaskState &task = job.task(ref);
+        if (task.openRuns > 0) {
+            return true;
+        }
+        attempt = std::max(attempt, this->nextAttempt(task));
+        checkpoint = std::max(checkpoint, task.checkpoint);
+    }
+    std::vector<Worker *> chosen;
+    for (std::uint32_t index = 0; index < step.taskCount; ++index) {
+        Worker *worker = placement.choose(this->keeper.workers(), request);
+        if (worker == nullptr) {
+            break;
+        }
+        chosen.push_back(worker);
+        // Taken while the rest is chosen; the start takes it for good.
+        worker->committed += step.size;
+        ++request.siblings[worker->entry.worker];
+        request.rack = worker->rack;
+    }
+    for (Worker *worker : chosen) {
+        worker->committed -= step.size;
+    }
+    if (chosen.size() < step.taskCount) {
+        return false;
+    }
+    for (ref.index = 0; ref.index < step.taskCount; ++ref.index) {
+        job.task(ref).checkpoint = checkpoint;
+        this->startTask(job, ref, *chosen[ref.index], attempt);
+    }
+    return true;
+}
+
+void Dispatcher::plan(Instant now)
+{
+    // A size that found no room finds none for the rest of this round.
+    std::vector<const StepSpec *> unplaced;
+    for (const Candidate &candidate : this->candidates(now)) {
+        const StepSpec &step = candidate.job->spec.steps[candidate.step];
+        const bool hopeless = std::any_of(unplaced.begin(), unplaced.end(), [&step](const StepSpec *other) {
+            return other->fills == step.fills && other->size.fitsInto(step.size);
+        });
+        if (hopeless) {
+            continue;
+        }
+        const bool placed = step.gang ? this->planGang(candidate, now) : this->planStep(candidate, now);
+        const bool constrained = step.mostPerWorker > 0 || !step.requiredLabel.empty() || step.gang;
+        if (!placed && !constrained) {
+            unplaced.push_back(&step);
+        }
+    }
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/dispatch/ProgressWriter.cpp
@@ -0,0 +1,136 @@
+#include "bulrush_steps/dispatch/ProgressWriter.h"
+
+#include <algorithm>
+
+namespace bulrush {
+
+namespace {
+
+/** How long changes are collected before they are appended together. */
+constexpr milliseconds collectDelay { 40 };
+
+/** The same for changes that a caller waits for. */
+constexpr milliseconds urgentDelay { 10 };
+
+constexpr milliseconds appendTimeout { 800 };
+constexpr milliseconds retryDelay { 100 };
+
+/** Keeps one append well below the store's bound on a request. */
+constexpr std::size_t mostRecordsAtOnce = 200;
+
+} // namespace
+
+ProgressWriter::ProgressWriter(const Clock &systemClock, KeyedLog &keyedLog,
+                               Listener &progressListener)
+    : clock(systemClock)
+    , log(keyedLog)
+    , listener(progressListener)
+{
+}
+
+WriterMark ProgressWriter::epochMark(std::uint64_t epoch)
+{
+    return { "owner", epoch, 0 };
+}
+
+void ProgressWriter::begin(std::uint64_t epoch)
+{
+    this->end();
+    this->mark = epochMark(epoch);
+}
+
+void ProgressWriter::end()
+{
+    *this->living = false;
+    this->living = std::make_shared<bool>(true);
+    this->changed.clear();
+    this->rosterChanged = false;
+    this->sending.clear();
+    this->inFlight = false;
+    this->dueAt = Instant::max();
+    this->storedUpTo = this->newest;
+}
+
+std::uint64_t ProgressWriter::noteJob(const JobId &job, bool urgent)
+{
+    this->changed.insert(job);
+    const Instant due = this->clock.now() + (urgent ? urgentDelay : collectDelay);
+    this->dueAt = std::min(this->dueAt, due);
+    return ++this->newest;
+}
+
+void ProgressWriter::noteRoster()
+{
+    this->rosterChanged = true;
+    this->dueAt = std::min(this->dueAt, this->clock.now() + urgentDelay);
+    ++this->newest;
+}
+
+void ProgressWriter::tick()
+{
+    const Instant now = this->clock.now();
+    if (this->inFlight || now < this->retryAt) {
+        return;
+    }
+    if (!this->sending.empty()) {
+        this->send();
+        return;
+    }
+    if (now < this->dueAt) {
+        return;
+    }
+    const bool partial = this->changed.size() > mostRecordsAtOnce;
+    this->sendingJobs.clear();
+    while (!this->changed.empty() && this->sendingJobs.size() < mostRecordsAtOnce) {
+        const JobId job = *this->changed.begin();
+        this->changed.erase(this->changed.begin());
+        this->sending.push_back(
+                { records::jobKey(job), this->listener.progressRecord(job), LogOffset { 0 } });
+        this->sendingJobs.push_back(job);
+    }
+    this->sendingRoster = this->rosterChanged;
+    if (this->rosterChanged) {
+        this->sending.push_back(
+                { records::rosterKey(), this->listener.rosterRecord(), LogOffset { 0 } });
+    }
+    this->rosterChanged = false;
+    this->sendingUpTo = partial ? this->storedUpTo : this->newest;
+    this->dueAt = partial ? now : Instant::max();
+    ++this->mark.sequence;
+    this->send();
+}
+
+void ProgressWriter::send()
+{
+    this->inFlight = true;
+    this->log.append(LogStream::Progress, this->sending, this->mark, appendTimeout,
+                     [this, current = this->living](const AppendResult &result) {
+                         if (*current) {
+                             this->inFlight = false;
+                             this->answered(result);
+                         }
+                     });
+}
+
+void ProgressWriter::answered(const AppendResult &result)
+{
+    if (result.outcome == StoreOutcome::Fenced) {
+        this->listener.fencedOff();
+        return;
+    }
+    // The store expects the number behind ours when our append took effect and its answer was lost.
+    const bool tookEffect = result.outcome == StoreOutcome::OutOfOrder
+            && result.expectedSequence == this->mark.sequence + 1;
+    if (result.outcome == StoreOutcome::OutOfOrder && !tookEffect) {
+        this->mark.sequence = result.expectedSequence;
+    }
+    if (result.outcome != StoreOutcome::Done && !tookEffect) {
+        this->retryAt = this->clock.now() + retryDelay;
+        return;
+    }
+    this->sending.clear();
+    this->storedUpTo = std::max(this->storedUpTo, this->sendingUpTo);
+    this->listener.stored(this->sendingJobs, this->sendingRoster);
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/follow/ConfigFollower.cpp
@@ -0,0 +1,65 @@
+#include "bulrush_steps/follow/ConfigFollower.h"
+
+#include "bulrush_core/errors/Error.h"
+#include "bulrush_core/events/DecisionLog.h"
+
+namespace bulrush {
+
+namespace {
+
+/** Between two questions when the store did not answer. */
+constexpr milliseconds retryDelay { 150 };
+
+} // namespace
+
+ConfigFollower::ConfigFollower(const Clock &systemClock, KeyedLog &log,
+                               const RecordDecoder &recordDecoder, DecisionLog &decisionLog,
+                               milliseconds waitTime, std::function<void()> changed)
+    : clock(systemClock)
+    , decoder(recordDecoder)
+    , decisions(decisionLog)
+    , wait(waitTime)
+    , onChange(std::move(changed))
+    , scan(log, LogStream::Configuration, *this)
+{
+}
+
+void ConfigFollower::tick()
+{
+    if (this->scan.busy() || this->clock.now() < this->retryAt) {
+        return;
+    }
+    this->scan.advance(this->wait, [this](StoreOutcome outcome) {
+        if (outcome != StoreOutcome::Done) {
+            this->retryAt = this->clock.now() + retryDelay;
+        }
+    });
+}
+
+void ConfigFollower::recordRead(LogStream /*stream*/, const KeyedRecord &record)
+{
+    if (!this->decoder.isServingConfig(record.key) || record.value.empty()) {
+        return;
+    }
+    try {
+        ServingConfig config = this->decoder.servingConfig(record.value);
+        if (this->inForce && config.version <= this->inForce->version) {
+            return;
+        }
+        this->inForce = std::move(config);
+    } catch (const Error &error) {
+        this->decisions.write(DecisionLine(Event::RecordIgnored)
+                                      .with("key", record.key)
+                                      .with("offset", record.offset)
+                                      .with("reason", error.what()));
+        return;
+    }
+    this->decisions.write(
+            DecisionLine(Event::ConfigInForce)
+                    .with("version", this->inForce->version)
+                    .with("offset", record.offset)
+                    .with("queues", static_cast<std::int64_t>(this->inForce->queues.size())));
+    this->onChange();
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/follow/RecordsView.cpp
@@ -0,0 +1,83 @@
+#include "bulrush_steps/follow/RecordsView.h"
+
+#include "bulrush_core/errors/Error.h"
+#include "bulrush_core/events/DecisionLog.h"
+
+#include <utility>
+
+namespace bulrush {
+
+RecordsView::RecordsView(const Clock &systemClock, KeyedLog &log, DecisionLog &decisionLog)
+    : clock(systemClock)
+    , decisions(decisionLog)
+    , jobs(log, LogStream::Jobs, *this)
+    , progress(log, LogStream::Progress, *this)
+{
+}
+
+void RecordsView::refresh(std::function<void(bool)> done)
+{
+    if (this->running) {
+        this->waitingForNext.push_back(std::move(done));
+        return;
+    }
+    this->running = true;
+    this->waiting.push_back(std::move(done));
+    this->readOn(this->jobs);
+}
+
+void RecordsView::readOn(StreamScan &scan)
+{
+    scan.advance(milliseconds(0),
+                 [this, &scan](StoreOutcome outcome) { this->advanced(scan, outcome); });
+}
+
+void RecordsView::advanced(StreamScan &scan, StoreOutcome outcome)
+{
+    if (outcome != StoreOutcome::Done) {
+        this->finish(false);
+        return;
+    }
+    if (!scan.caughtUp()) {
+        this->readOn(scan);
+        return;
+    }
+    if (&scan == &this->jobs) {
+        this->readOn(this->progress);
+        return;
+    }
+    this->finish(true);
+}
+
+void RecordsView::finish(bool succeeded)
+{
+    this->running = false;
+    const auto callers = std::exchange(this->waiting, {});
+    for (const auto &done : callers) {
+        done(succeeded);
+    }
+    const auto later = std::exchange(this->waitingForNext, {});
+    for (const auto &done : later) {
+        this->refresh(done);
+    }
+}
+
+void RecordsView::scanBegins(LogStream /*stream*/) { }
+
+void RecordsView::recordRead(LogStream stream, const KeyedRecord &record)
+{
+    try {
+        if (stream == LogStream::Jobs) {
+            this->jobBook.applyJobRecord(record, this->clock);
+        } else {
+            this->jobBook.applyProgress(record);
+        }
+    } catch (const Error &error) {
+        this->decisions.write(DecisionLine(Event::RecordIgnored)
+                                      .with("key", record.key)
+                                      .with("offset", record.offset)
+                                      .with("reason", error.what()));
+    }
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/follow/WorkerFollower.cpp
@@ -0,0 +1,85 @@
+#include "bulrush_steps/follow/WorkerFollower.h"
+
+#include "bulrush_core/errors/Error.h"
+#include "bulrush_core/events/DecisionLog.h"
+
+namespace bulrush {
+
+namespace {
+
+/** Workers write often: the list is read at an interval, not whenever it changes. */
+constexpr milliseconds readInterval { 250 };
+
+/** Keys that are remembered as malformed. */
+constexpr std::size_t mostIgnoredKeys = 1000;
+
+} // namespace
+
+WorkerFollower::WorkerFollower(const Clock &systemClock, KeyedLog &log,
+                               const RecordDecoder &recordDecoder, DecisionLog &decisionLog,
+                               Listener &listListener)
+    : clock(systemClock)
+    , decoder(recordDecoder)
+    , decisions(decisionLog)
+    , listener(listListener)
+    , scan(log, LogStream::Workers, *this)
+{
+}
+
+void WorkerFollower::tick()
+{
+    const Instant now = this->clock.now();
+    if (this->scan.busy() || now < this->nextAt) {
+        return;
+    }
+    this->nextAt = now + readInterval;
+    this->scan.advance(milliseconds(0), [](StoreOutcome /*outcome*/) { });
+}
+
+void WorkerFollower::restart()
+{
+    this->scan.restart();
+    this->listed.clear();
+    this->nextAt = Instant();
+}
+
+void WorkerFollower::scanBegins(LogStream /*stream*/)
+{
+    this->unseen = this->listed;
+}
+
+void WorkerFollower::scanEnded(LogStream /*stream*/)
+{
+    for (const TargetId &worker : this->unseen) {
+        this->listed.erase(worker);
+        this->listener.workerUnlisted(worker);
+    }
+    this->unseen.clear();
+}
+
+void WorkerFollower::recordRead(LogStream /*stream*/, const KeyedRecord &record)
+{
+    const TargetId worker(record.key);
+    this->unseen.erase(worker);
+    if (record.value.empty()) {
+        if (this->listed.erase(worker) > 0) {
+            this->listener.workerUnlisted(worker);
+        }
+        return;
+    }
+    try {
+        const WorkerEntry entry = this->decoder.workerEntry(record.key, record.value);
+        this->listed.insert(worker);
+        this->listener.workerListed(entry);
+    } catch (const Error &error) {
+        if (this->ignoredKeys.size() < mostIgnoredKeys
+            && this->ignoredKeys.insert(record.key).second) {
+            this->decisions.write(DecisionLine(Event::RecordIgnored)
+                                          .with("key", record.key)
+                                          .with("offset", record.offset)
+                                          .with("reason", error.what()));
+        }
+    }
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/model/JobBook.cpp
@@ -0,0 +1,203 @@
+#include "bulrush_steps/model/JobBook.h"
+
+#include <algorithm>
+
+namespace bulrush {
+
+JobState JobEntry::shownState() const
+{
+    if (this->endOnRecord && this->succeeded) {
+        return JobState::Succeeded;
+    }
+    if (this->endOnRecord && this->failed) {
+        return JobState::Failed;
+    }
+    if (this->cancelled) {
+        return JobState::Cancelled;
+    }
+    return this->begun ? JobState::Running : JobState::Queued;
+}
+
+TaskState &JobEntry::task(const TaskRef &ref)
+{
+    return this->occurrences.at(ref.occurrence).steps.at(ref.step).tasks.at(ref.index);
+}
+
+bool JobEntry::has(const TaskRef &ref) const
+{
+    return ref.occurrence < this->occurrences.size() && ref.step < this->spec.steps.size()
+            && ref.index < this->spec.steps[ref.step].taskCount;
+}
+
+bool JobEntry::stepUnlocked(std::uint32_t occurrence, std::uint32_t step) const
+{
+    const OccurrenceState &state = this->occurrences.at(occurrence);
+    const std::vector<std::uint32_t> &needed = this->spec.steps.at(step).dependsOn;
+    return std::all_of(needed.begin(), needed.end(), [this, &state](std::uint32_t earlier) {
+        return state.steps.at(earlier).succeeded == this->spec.steps.at(earlier).taskCount;
+    });
+}
+
+JobEntry &JobBook::addJob(StepJob job)
+{
+    JobEntry entry;
+    entry.occurrences.resize(job.occurrences);
+    for (OccurrenceState &occurrence : entry.occurrences) {
+        for (const StepSpec &step : job.steps) {
+            StepState state;
+            state.tasks.resize(step.taskCount);
+            occurrence.steps.push_back(std::move(state));
+        }
+    }
+    const JobId id = job.id;
+    entry.spec = std::move(job);
+    return this->jobs.emplace(id, std::move(entry)).first->second;
+}
+
+std::optional<JobId> JobBook::applyJobRecord(const KeyedRecord &record, const Clock &clock)
+{
+    const records::ParsedKey key = records::parseKey(record.key);
+    if (key.kind == records::KeyKind::Owner) {
+        this->ownerToken = std::max(this->ownerToken, records::decodeOwner(record.value));
+        return std::nullopt;
+    }
+    if (record.value.empty()) {
+        return std::nullopt;
+    }
+    if (key.kind == records::KeyKind::Cancellation) {
+        JobEntry *job = this->find(key.job);
+        if (job == nullptr) {
+            this->earlyCancellations[key.job] = true;
+            return std::nullopt;
+        }
+        job->cancelled = !job->endOnRecord;
+        return key.job;
+    }
+    if (key.kind != records::KeyKind::Job || this->find(key.job) != nullptr) {
+        return std::nullopt;
+    }
+    JobEntry &job = this->addJob(records::decodeJob(record.value));
+    job.acceptedOffset = record.offset;
+    const UnixMillis age = clock.calendarMillis() - job.spec.acceptedAt;
+    job.acceptedAt = clock.now() - milliseconds(std::max<UnixMillis>(0, age));
+    job.cancelled = this->earlyCancellations.erase(key.job) > 0;
+    const auto progress = this->earlyProgress.find(key.job);
+    if (progress != this->earlyProgress.end()) {
+        const KeyedRecord early { record.key, records::encode(progress->second), 0 };
+        this->earlyProgress.erase(progress);
+        this->applyProgress(early);
+    }
+    return key.job;
+}
+
+void JobBook::applyProgress(const KeyedRecord &record)
+{
+    const records::ParsedKey key = records::parseKey(record.key);
+    if (record.value.empty()) {
+        return;
+    }
+    if (key.kind == records::KeyKind::Roster) {
+        this->rosterWorkers = records::decodeRoster(record.value);
+        return;
+    }
+    if (key.kind != records::KeyKind::Job) {
+        return;
+    }
+    JobProgress progress = records::decodeProgress(record.key, record.value);
+    JobEntry *job = this->find(key.job);
+    if (job == nullptr) {
+        this->earlyProgress[key.job] = std::move(progress);
+        return;
+    }
+    for (const TaskProgress &task : progress.tasks) {
+        const TaskRef ref { key.job, task.occurrence, task.step, task.index };
+        if (!job->has(ref)) {
+            continue;
+        }
+        job->begun = true;
+        for (const std::uint64_t attempt : task.failedAttempts) {
+            countFailure(*job, { ref, attempt });
+        }
+        if (task.succeeded) {
+            countSuccess(*job, ref);
+        }
+    }
+    job->succeeded = progress.succeeded;
+    job->failed = progress.failed;
+    job->endOnRecord = progress.succeeded || progress.failed;
+}
+
+JobEntry *JobBook::find(const JobId &job)
+{
+    const auto found = this->jobs.find(job);
+    return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+const JobEntry *JobBook::find(const JobId &job) const
+{
+    const auto found = this->jobs.find(job);
+    return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+bool JobBook::countSuccess(JobEntry &job, const TaskRef &ref)
+{
+    TaskState &task = job.task(ref);
+    if (task.succeeded || job.step(ref).lasting) {
+        return false;
+    }
+    task.succeeded = true;
+    OccurrenceState &occurrence = job.occurrences[ref.occurrence];
+    StepState &step = occurrence.steps[ref.step];
+    ++step.succeeded;
+    if (step.succeeded == step.tasks.size()) {
+        ++occurrence.succeededSteps;
+    }
+    job.succeeded = std::all_of(job.occurrences.begin(), job.occurrences.end(),
+                                [&job](const OccurrenceState &each) {
+                                    return each.succeededSteps == job.spec.steps.size();
+                                });
+    return true;
+}
+
+bool JobBook::countFailure(JobEntry &job, const AttemptRef &attempt)
+{
+    std::vector<std::uint64_t> &counted = job.task(attempt.task).failedAttempts;
+    if (std::find(counted.begin(), counted.end(), attempt.attempt) != counted.end()) {
+        return false;
+    }
+    if (job.step(attempt.task).lasting) {
+        return false;
+    }
+    counted.push_back(attempt.attempt);
+    if (counted.size() >= job.spec.maxAttempts) {
+        job.failed = true;
+    }
+    return true;
+}
+
+JobProgress JobBook::progressOf(const JobEntry &job)
+{
+    JobProgress progress;
+    progress.job = job.spec.id;
+    progress.succeeded = job.succeeded;
+    progress.failed = job.failed && !job.succeeded;
+    if (progress.succeeded) {
+        return progress;
+    }
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
+        const OccurrenceState &state = job.occurrences[occurrence];
+        for (std::uint32_t step = 0; step < state.steps.size(); ++step) {
+            const std::vector<TaskState> &tasks = state.steps[step].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                const TaskState &task = tasks[index];
+                if (task.succeeded || !task.failedAttempts.empty()) {
+                    progress.tasks.push_back(
+                            { occurrence, step, index, task.succeeded, task.failedAttempts });
+                }
+            }
+        }
+    }
+    return progress;
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/model/JobBook.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "bulrush_core/log/LogTypes.h"
+#include "bulrush_steps/model/JobRecords.h"
+#include "bulrush_steps/model/StepJob.h"
+#include "bulrush_steps/ports/KeyedLog.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace bulrush {
+
+/** What is known of one task. */
+struct TaskState
+{
+    bool succeeded = false;
+    /** Attempts whose failure was counted. */
+    std::vector<std::uint64_t> failedAttempts;
+    std::uint64_t lastAttempt = 0;
+    /** The newest checkpoint that a worker listed. */
+    std::string checkpoint;
+    /** Runs that may be alive. */
+    std::uint32_t openRuns = 0;
+    /** Not started again before this moment. */
+    Instant notBefore {};
+    /** When it was last seen running or ready; for tasks that last. */
+    Instant waitingSince {};
+};
+
+struct StepState
+{
+    std::vector<TaskState> tasks;
+    std::uint32_t succeeded = 0;
+};
+
+struct OccurrenceState
+{
+    std::vector<StepState> steps;
+    std::uint32_t succeededSteps = 0;
+};
+
+/** One job and all that is known of it. */
+struct JobEntry
+{
+    StepJob spec;
+    std::vector<OccurrenceState> occurrences;
+    LogOffset acceptedOffset = 0;
+    /** When it was accepted, by this process's clock. */
+    Instant acceptedAt {};
+    bool cancelled = false;
+    bool succeeded = false;
+    bool failed = false;
+    /** Whether the end that succeeded or failed says is on record. */
+    bool endOnRecord = false;
+    /** Whether any task was started. */
+    bool begun = false;
+
+    bool over() const { return this->cancelled || this->succeeded || this->failed; }
+
+    /** Returns what callers may be shown. */
+    JobState shownState() const;
+
+    TaskState &task(const TaskRef &ref);
+    const StepSpec &step(const TaskRef &ref) const { return this->spec.steps.at(ref.step); }
+
+    /** Returns whether a name is of a task that the job has. */
+    bool has(const TaskRef &ref) const;
+
+    /** Returns whether all steps that a step depends on have succeeded. */
+    bool stepUnlocked(std::uint32_t occurrence, std::uint32_t step) const;
+};
+
+/** All jobs that the log tells of. Applying a record twice is applying it once. */
+class JobBook
+{
+public:
+    /** Applies a record of the stream of jobs. @returns the job that it changed, if any
+        @throws Error when it is malformed
+    */
+    std::optional<JobId> applyJobRecord(const KeyedRecord &record, const Clock &clock);
+
+    /** Applies a record of progress. @throws Error when it is malformed */
+    void applyProgress(const KeyedRecord &record);
+
+    JobEntry *find(const JobId &job);
+    const JobEntry *find(const JobId &job) const;
+
+    std::unordered_map<JobId, JobEntry> &entries() { return this->jobs; }
+    const std::unordered_map<JobId, JobEntry> &entries() const { return this->jobs; }
+
+    /** Workers that a former owner may have started tasks on. */
+    const std::vector<TargetId> &roster() const { return this->rosterWorkers; }
+
+    /** The highest fencing token that an owner has put on record. */
+    std::uint64_t newestOwner() const { return this->ownerToken; }
+
+    /** Counts a success; returns false when it was counted before. */
+    static bool countSuccess(JobEntry &job, const TaskRef &ref);
+
+    /** Counts a failed attempt; returns false when it was counted before. */
+    static bool countFailure(JobEntry &job, const AttemptRef &attempt);
+
+    /** Returns what is to be put on record of a job. */
+    static JobProgress progressOf(const JobEntry &job);
+
+    void clear() { *this = JobBook(); }
+
+private:
+    JobEntry &addJob(StepJob job);
+
+    std::unordered_map<JobId, JobEntry> jobs;
+    /** Progress and cancellations of jobs that are not known yet. */
+    std::unordered_map<JobId, JobProgress> earlyProgress;
+    std::unordered_map<JobId, bool> earlyCancellations;
+    std::vector<TargetId> rosterWorkers;
+    std::uint64_t ownerToken = 0;
+};
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/model/JobRecords.cpp
@@ -0,0 +1,241 @@
+#include "bulrush_steps/model/JobRecords.h"
+
+#include "bulrush_core/errors/Error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bulrush::records {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int schemaVersion = 1;
+constexpr std::string_view jobPrefix = "job/";
+constexpr std::string_view cancellationPrefix = "cancelled/";
+constexpr std::string_view ownerName = "owner";
+constexpr std::string_view rosterName = "roster";
+
+template<class Decode>
+auto decoded(std::string_view what, std::string_view value, Decode decode)
+{
+    try {
+        const json record = json::parse(value);
+        if (record.at("schema").get<int>() != schemaVersion) {
+            throw Error("decode record", what, "unknown schema version");
+        }
+        return decode(record);
+    } catch (const json::exception &error) {
+        throw Error("decode record", what, error.what());
+    }
+}
+
+json encodeStep(const StepSpec &step)
+{
+    json record = { { "tasks", step.taskCount },
+                    { "cpuMilli", step.size.cpuMilli },
+                    { "memoryMb", step.size.memoryMb },
+                    { "estimateMs", step.estimate.count() } };
+    const auto put = [&record](const char *name, const auto &value, bool present) {
+        if (present) {
+            record[name] = value;
+        }
+    };
+    put("accelerators", step.size.accelerators, step.size.accelerators != 0);
+    put("dependsOn", step.dependsOn, !step.dependsOn.empty());
+    put("checkpoints", true, step.checkpoints);
+    put("gang", true, step.gang);
+    put("oneRack", true, step.oneRack);
+    put("requiredLabel", step.requiredLabel, !step.requiredLabel.empty());
+    put("dataRack", step.dataRack, !step.dataRack.empty());
+    put("mostPerWorker", step.mostPerWorker, step.mostPerWorker != 0);
+    put("copiesAllowed", true, step.copiesAllowed);
+    put("lasting", true, step.lasting);
+    put("image", step.image, !step.image.empty());
+    put("tailTargetMs", step.tailTarget.count(), step.tailTarget.count() != 0);
+    put("fills", true, step.fills);
+    put("mayBeAway", step.mayBeAway, step.mayBeAway != 0);
+    return record;
+}
+
+StepSpec decodeStep(const json &record)
+{
+    StepSpec step;
+    step.taskCount = record.at("tasks").get<std::uint32_t>();
+    step.size.cpuMilli = record.at("cpuMilli").get<std::int64_t>();
+    step.size.memoryMb = record.at("memoryMb").get<std::int64_t>();
+    step.size.accelerators = record.value("accelerators", std::int64_t { 0 });
+    step.estimate = milliseconds(record.at("estimateMs").get<std::int64_t>());
+    step.dependsOn = record.value("dependsOn", std::vector<std::uint32_t>());
+    step.checkpoints = record.value("checkpoints", false);
+    step.gang = record.value("gang", false);
+    step.oneRack = record.value("oneRack", false);
+    step.requiredLabel = record.value("requiredLabel", std::string());
+    step.dataRack = record.value("dataRack", std::string());
+    step.mostPerWorker = record.value("mostPerWorker", 0U);
+    step.copiesAllowed = record.value("copiesAllowed", false);
+    step.lasting = record.value("lasting", false);
+    step.image = record.value("image", std::string());
+    step.tailTarget = milliseconds(record.value("tailTargetMs", std::int64_t { 0 }));
+    step.fills = record.value("fills", false);
+    step.mayBeAway = record.value("mayBeAway", 0U);
+    return step;
+}
+
+} // namespace
+
+std::string jobKey(const JobId &job)
+{
+    return std::string(jobPrefix) + job.name();
+}
+
+std::string cancellationKey(const JobId &job)
+{
+    return std::string(cancellationPrefix) + job.name();
+}
+
+std::string ownerKey()
+{
+    return std::string(ownerName);
+}
+
+std::string rosterKey()
+{
+    return std::string(rosterName);
+}
+
+ParsedKey parseKey(std::string_view key)
+{
+    if (key.starts_with(jobPrefix)) {
+        return { KeyKind::Job, JobId(key.substr(jobPrefix.size())) };
+    }
+    if (key.starts_with(cancellationPrefix)) {
+        return { KeyKind::Cancellation, JobId(key.substr(cancellationPrefix.size())) };
+    }
+    if (key == ownerName) {
+        return { KeyKind::Owner, {} };
+    }
+    if (key == rosterName) {
+        return { KeyKind::Roster, {} };
+    }
+    return {};
+}
+
+std::string encode(const StepJob &job)
+{
+    json steps = json::array();
+    for (const StepSpec &step : job.steps) {
+        steps.push_back(encodeStep(step));
+    }
+    const json record = { { "schema", schemaVersion },
+                          { "job", job.id.name() },
+                          { "queue", job.queue },
+                          { "service", job.service.name() },
+                          { "payload", job.payload },
+                          { "steps", std::move(steps) },
+                          { "occurrences", job.occurrences },
+                          { "timed", job.timed },
+                          { "firstDueMs", job.firstDue },
+                          { "intervalMs", job.interval.count() },
+                          { "acceptedAtMs", job.acceptedAt },
+                          { "priority", job.priority },
+                          { "maxAttempts", job.maxAttempts },
+                          { "slackFactor", job.slackFactor },
+                          { "latencyTargetMs", job.latencyTarget.count() } };
+    return record.dump();
+}
+
+StepJob decodeJob(std::string_view value)
+{
+    return decoded("job", value, [](const json &record) {
+        StepJob job;
+        job.id = JobId(record.at("job").get<std::string>());
+        job.queue = record.at("queue").get<std::string>();
+        job.service = ServiceId(record.at("service").get<std::string>());
+        job.payload = record.at("payload").get<std::string>();
+        for (const json &step : record.at("steps")) {
+            job.steps.push_back(decodeStep(step));
+        }
+        job.occurrences = record.at("occurrences").get<std::uint32_t>();
+        job.timed = record.at("timed").get<bool>();
+        job.firstDue = record.at("firstDueMs").get<UnixMillis>();
+        job.interval = milliseconds(record.at("intervalMs").get<std::int64_t>());
+        job.acceptedAt = record.at("acceptedAtMs").get<UnixMillis>();
+        job.priority = record.at("priority").get<std::uint32_t>();
+        job.maxAttempts = record.at("maxAttempts").get<std::uint32_t>();
+        job.slackFactor = record.at("slackFactor").get<double>();
+        job.latencyTarget = milliseconds(record.at("latencyTargetMs").get<std::int64_t>());
+        return job;
+    });
+}
+
+std::string encode(const JobProgress &progress)
+{
+    json tasks = json::array();
+    for (const TaskProgress &task : progress.tasks) {
+        tasks.push_back({ task.occurrence, task.step, task.index, task.succeeded,
+                          task.failedAttempts });
+    }
+    const json record = { { "schema", schemaVersion },
+                          { "succeeded", progress.succeeded },
+                          { "failed", progress.failed },
+                          { "tasks", std::move(tasks) } };
+    return record.dump();
+}
+
+JobProgress decodeProgress(std::string_view key, std::string_view value)
+{
+    return decoded("progress", value, [key](const json &record) {
+        JobProgress progress;
+        progress.job = parseKey(key).job;
+        progress.succeeded = record.at("succeeded").get<bool>();
+        progress.failed = record.at("failed").get<bool>();
+        for (const json &row : record.at("tasks")) {
+            TaskProgress task;
+            task.occurrence = row.at(0).get<std::uint32_t>();
+            task.step = row.at(1).get<std::uint32_t>();
+            task.index = row.at(2).get<std::uint32_t>();
+            task.succeeded = row.at(3).get<bool>();
+            task.failedAttempts = row.at(4).get<std::vector<std::uint64_t>>();
+            progress.tasks.push_back(std::move(task));
+        }
+        return progress;
+    });
+}
+
+std::string encodeRoster(const std::vector<TargetId> &workers)
+{
+    json names = json::array();
+    for (const TargetId &worker : workers) {
+        names.push_back(worker.name());
+    }
+    return json { { "schema", schemaVersion }, { "workers", std::move(names) } }.dump();
+}
+
+std::vector<TargetId> decodeRoster(std::string_view value)
+{
+    return decoded("roster", value, [](const json &record) {
+        std::vector<TargetId> workers;
+        for (const json &name : record.at("workers")) {
+            workers.emplace_back(name.get<std::string>());
+        }
+        return workers;
+    });
+}
+
+std::string encodeOwner(std::uint64_t fencingToken, std::string_view member)
+{
+    return json { { "schema", schemaVersion },
+                  { "fencingToken", fencingToken },
+                  { "member", member } }
+            .dump();
+}
+
+std::uint64_t decodeOwner(std::string_view value)
+{
+    return decoded("owner", value, [](const json &record) {
+        return record.at("fencingToken").get<std::uint64_t>();
+    });
+}
+
+} // namespace bulrush::records
--- /dev/null
+++ b/modules/bulrush_steps/model/StepJob.cpp
@@ -0,0 +1,13 @@
+#include "bulrush_steps/model/StepJob.h"
+
+#include <algorithm>
+
+namespace bulrush {
+
+bool StepJob::lasting() const
+{
+    return std::any_of(this->steps.begin(), this->steps.end(),
+                       [](const StepSpec &step) { return step.lasting; });
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/model/TaskText.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "bulrush_steps/ports/WorkerPort.h"
+
+#include <string>
+#include <string_view>
+
+namespace bulrush {
+
+/** Returns a task's name for log lines: job/occurrence/step/index. */
+std::string text(const TaskRef &task);
+
+std::string_view text(OrderOutcome outcome);
+std::string_view text(EndKind kind);
+std::string_view text(JobState state);
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/ownership/OwnershipKeeper.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "bulrush_core/time/Clock.h"
+#include "bulrush_steps/ports/MemberGroup.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace bulrush {
+
+class DecisionLog;
+
+/** Durations of ownership. */
+struct OwnershipTimes
+{
+    /** A member that the store has not heard of for so long loses its partition. */
+    milliseconds timeToLive { 1500 };
+    /** How long an owner goes on without the store after that; workers' fences stop it sooner. */
+    milliseconds extension { 6000 };
+    /** The longest lease that an owner grants. */
+    milliseconds lease { 4000 };
+
+    /** Returns after what time from a take-over no order of the former owner can have an effect. */
+    milliseconds formerOrdersOver() const;
+};
+
+/**
+    Stays a member of the group and knows from when and until when this node is the owner.
+
+    All times count from when a successful join was sent, by a clock that counts while the machine
+    is suspended.
+*/
+class OwnershipKeeper
+{
+public:
+    /** Receives changes. */
+    struct Listener
+    {
+        virtual ~Listener() = default;
+
+        /** Called when the partition is this node's. @param fencingToken higher than any before */
+        virtual void ownershipGained(std::uint64_t fencingToken) = 0;
+
+        virtual void ownershipLost(std::string_view reason) = 0;
+    };
+
+    OwnershipKeeper(const Clock &clock, MemberGroup &group, std::string member,
+                    const OwnershipTimes &times, DecisionLog &decisions, Listener &listener);
+
+    /** Joins again when it is time; ends an ownership whose time is over. */
+    void tick();
+
+    /** Returns whether this node may order at this moment. */
+    bool isOwner() const;
+
+    std::uint64_t fencingToken() const { return this->token; }
+
+    /** Gives up an ownership that another node has taken over. */
+    void superseded(std::string_view by);
+
+    /** Leaves the group for good. */
+    void leave();
+
+private:
+    void joinAnswered(Instant sentAt, const Membership &membership);
+    void lose(std::string_view reason);
+
+    const Clock &clock;
+    MemberGroup &group;
+    const std::string member;
+    const OwnershipTimes times;
+    DecisionLog &decisions;
+    Listener &listener;
+    bool inFlight = false;
+    bool leaving = false;
+    Instant nextJoinAt {};
+    std::uint64_t generation = 0;
+    bool owner = false;
+    std::uint64_t token = 0;
+    /** Until when this node may order without another join. */
+    Instant validUntil {};
+    /** The partition is not taken again at a generation up to this one. */
+    std::uint64_t supersededAt = 0;
+    std::shared_ptr<bool> living = std::make_shared<bool>(true);
+};
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/policy/DurationBook.cpp
@@ -0,0 +1,55 @@
+#include "bulrush_steps/policy/DurationBook.h"
+
+#include <algorithm>
+
+namespace bulrush {
+
+namespace {
+
+/** The weight of the newest sample once enough were seen. */
+constexpr double newestWeight = 0.05;
+
+/** A step without an estimate is taken to last this long. */
+constexpr milliseconds unknownEstimate { 1000 };
+
+milliseconds estimateOf(const StepSpec &step)
+{
+    return step.estimate.count() > 0 ? step.estimate : unknownEstimate;
+}
+
+} // namespace
+
+void DurationBook::learn(const std::string &queue, const StepSpec &step, Duration actual)
+{
+    Ratio &ratio = this->ratios[queue];
+    const double seen = std::chrono::duration<double>(actual).count()
+            / std::chrono::duration<double>(estimateOf(step)).count();
+    ++ratio.samples;
+    const double weight = std::max(newestWeight, 1.0 / ratio.samples);
+    ratio.value += weight * (seen - ratio.value);
+}
+
+milliseconds DurationBook::expected(const std::string &queue, const StepSpec &step) const
+{
+    const auto found = this->ratios.find(queue);
+    const double ratio = found == this->ratios.end() ? 1.0 : found->second.value;
+    const auto estimate = static_cast<double>(estimateOf(step).count());
+    return milliseconds(static_cast<std::int64_t>(estimate * ratio));
+}
+
+milliseconds DurationBook::longestChain(const StepJob &job) const
+{
+    std::vector<milliseconds> ends(job.steps.size());
+    milliseconds longest { 0 };
+    for (std::size_t step = 0; step < job.steps.size(); ++step) {
+        milliseconds start { 0 };
+        for (const std::uint32_t earlier : job.steps[step].dependsOn) {
+            start = std::max(start, ends.at(earlier));
+        }
+        ends[step] = start + this->expected(job.queue, job.steps[step]);
+        longest = std::max(longest, ends[step]);
+    }
+    return longest;
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -0,0 +1,134 @@
+#include "bulrush_steps/policy/Placement.h"
+
+#include <algorithm>
+
+namespace bulrush {
+
+namespace {
+
+/** Starts on one worker that may wait for their answers at once. */
+constexpr std::uint32_t mostOrdersInFlight = 6;
+
+/** A worker gets no filling work while a serving task uses more than this share of its bound. */
+constexpr double fillTailShare = 0.6;
+
+/** A filling task starts only where at least this share of its processors is unused. */
+constexpr double leastFillShare = 0.7;
+
+/** What a full share of failed runs takes off a worker's score. */
+constexpr double failurePenalty = 3.0;
+
+/** What an earlier failure of the same task takes off. */
+constexpr double failedHerePenalty = 2.0;
+
+/** What each time that a worker is slower takes off. */
+constexpr double slownessPenalty = 1.0;
+
+/** What being away from the rack of the data takes off. */
+constexpr double awayPenalty = 1.5;
+
+/** What each sibling on the same worker takes off. */
+constexpr double siblingPenalty = 0.03;
+
+} // namespace
+
+double Placement::worstTailShare(const Worker &worker)
+{
+    double worst = 0.0;
+    for (const auto &[attempt, run] : worker.runs) {
+        if (run.tailTarget.count() > 0) {
+            worst = std::max(worst, run.load / static_cast<double>(run.tailTarget.count()));
+        }
+    }
+    return worst;
+}
+
+bool Placement::couldEverHold(const Worker &worker, const PlacementRequest &request)
+{
+    const StepSpec &step = *request.step;
+    Room size = step.size;
+    if (step.fills) {
+        size.cpuMilli = 0;
+    }
+    const std::vector<std::string> &labels = worker.entry.labels;
+    const bool labelled = step.requiredLabel.empty()
+            || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end();
+    return worker.entry.service == request.service && labelled
+            && size.fitsInto(worker.entry.capacity);
+}
+
+bool Placement::mayHold(const Worker &worker, const PlacementRequest &request) const
+{
+    const bool usable = worker.listed && !worker.entry.draining && worker.confirmed
+            && worker.onRoster && this->now >= worker.avoidUntil
+            && worker.ordersInFlight < mostOrdersInFlight;
+    if (!usable || !couldEverHold(worker, request)) {
+        return false;
+    }
+    const StepSpec &step = *request.step;
+    Room size = step.size;
+    if (step.fills) {
+        size.cpuMilli = 0;
+    }
+    if (!size.fitsInto(worker.free())) {
+        return false;
+    }
+    if (step.mostPerWorker > 0) {
+        const auto held = request.siblings.find(worker.entry.worker);
+        if (held != request.siblings.end() && held->second >= step.mostPerWorker) {
+            return false;
+        }
+    }
+    if (step.fills) {
+        const double unused = worker.fillRoom - static_cast<double>(worker.fillDemand());
+        return unused >= leastFillShare * static_cast<double>(step.size.cpuMilli)
+                && worstTailShare(worker) <= fillTailShare;
+    }
+    return true;
+}
+
+double Placement::score(const Worker &worker, const PlacementRequest &request) const
+{
+    const StepSpec &step = *request.step;
+    const auto capacity = static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
+    double score = step.fills
+            ? (worker.fillRoom - static_cast<double>(worker.fillDemand())) / capacity
+                    - worstTailShare(worker)
+            : static_cast<double>(worker.free().cpuMilli) / capacity;
+    score -= failurePenalty * worker.failureShare;
+    score -= slownessPenalty * (worker.slowness - 1.0);
+    if (!step.dataRack.empty() && step.dataRack != worker.rack) {
+        score -= awayPenalty;
+    }
+    if (step.oneRack && !request.rack.empty() && request.rack != worker.rack) {
+        score -= awayPenalty;
+    }
+    const auto held = request.siblings.find(worker.entry.worker);
+    if (held != request.siblings.end()) {
+        score -= siblingPenalty * held->second;
+    }
+    const bool failedHere = std::find(request.failedOn.begin(), request.failedOn.end(),
+                                      worker.entry.worker)
+            != request.failedOn.end();
+    return failedHere ? score - failedHerePenalty : score;
+}
+
+Worker *Placement::choose(std::map<TargetId, Worker> &workers,
+                          const PlacementRequest &request) const
+{
+    Worker *best = nullptr;
+    double bestScore = 0.0;
+    for (auto &[id, worker] : workers) {
+        if (!this->mayHold(worker, request)) {
+            continue;
+        }
+        const double score = this->score(worker, request);
+        if (best == nullptr || score > bestScore) {
+            best = &worker;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/policy/Placement.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "bulrush_steps/workers/Worker.h"
+
+#include <map>
+#include <vector>
+
+namespace bulrush {
+
+/** What one task needs of its worker. */
+struct PlacementRequest
+{
+    const StepSpec *step = nullptr;
+    ServiceId service;
+    /** Workers that hold tasks of the same step and occurrence, and how many. */
+    std::map<TargetId, std::uint32_t> siblings;
+    /** Workers on which earlier attempts of the task failed. */
+    std::vector<TargetId> failedOn;
+    /** For a step that wants one rack: the rack that its tasks are on; empty for none yet. */
+    std::string rack;
+};
+
+/**
+    Chooses the worker of a task.
+
+    Work that reserves processors goes where most of them are free. Work that fills goes where the
+    others leave most unused, and nowhere where a serving task is close to its bound.
+*/
+class Placement
+{
+public:
+    explicit Placement(Instant now)
+        : now(now)
+    {
+    }
+
+    /** Returns the best worker, or null when no worker may hold the task now. */
+    Worker *choose(std::map<TargetId, Worker> &workers, const PlacementRequest &request) const;
+
+    /** Returns whether a worker could hold the task if nothing else ran on it. */
+    static bool couldEverHold(const Worker &worker, const PlacementRequest &request);
+
+    /** Returns the greatest tail latency on a worker as a share of its bound. */
+    static double worstTailShare(const Worker &worker);
+
+private:
+    bool mayHold(const Worker &worker, const PlacementRequest &request) const;
+    double score(const Worker &worker, const PlacementRequest &request) const;
+
+    Instant now;
+};
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/workers/LeaseClock.cpp
@@ -0,0 +1,52 @@
+#include "bulrush_steps/workers/LeaseClock.h"
+
+#include <algorithm>
+
+namespace bulrush {
+
+namespace {
+
+/** A worker's clock runs at no less than this share of true time. */
+constexpr double slowestClockRate = 0.98;
+
+/** Covers rounding to whole milliseconds and the worker's own time to end what runs. */
+constexpr milliseconds leaseSlack { 150 };
+
+} // namespace
+
+void LeaseClock::read(WorkerMillis clock, Instant arrivedAt)
+{
+    this->reading = Reading { clock, arrivedAt };
+}
+
+void LeaseClock::reset()
+{
+    this->reading.reset();
+    this->latestLeaseEnd = 0;
+}
+
+std::optional<WorkerMillis> LeaseClock::clockAt(Instant now) const
+{
+    if (!this->reading) {
+        return std::nullopt;
+    }
+    return this->reading->clock
+            + duration_cast<milliseconds>(now - this->reading->arrivedAt).count();
+}
+
+void LeaseClock::promised(WorkerMillis leaseEnd)
+{
+    this->latestLeaseEnd = std::max(this->latestLeaseEnd, leaseEnd);
+}
+
+std::optional<Instant> LeaseClock::leaseOverAt() const
+{
+    if (!this->reading) {
+        return std::nullopt;
+    }
+    const auto left = std::max<WorkerMillis>(0, this->latestLeaseEnd - this->reading->clock);
+    const auto stretched = static_cast<std::int64_t>(static_cast<double>(left) / slowestClockRate);
+    return this->reading->arrivedAt + milliseconds(stretched) + leaseSlack;
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_wire/frames/OwnerFrames.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "bulrush_wire/generated/owner_generated.h"
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace bulrush::wire {
+
+/** Verifies a received frame between an entry VM and the owner. @throws Error when it is malformed */
+const OwnerFrame &readOwnerFrame(std::span<const std::uint8_t> bytes, std::string_view peer);
+
+/** Encodes a message, such as OwnerQuestionT, as one frame. */
+template<class MessageT>
+std::vector<std::uint8_t> encodeOwnerFrame(MessageT message)
+{
+    OwnerFrameT frame;
+    frame.message.Set(std::move(message));
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(OwnerFrame::Pack(builder, &frame));
+    return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
+}
+
+} // namespace bulrush::wire
--- a/programs/bulrushrilld/main.cpp
+++ b/programs/bulrushrilld/main.cpp
@@ -1,4 +1,6 @@
 #include "bulrush_node/bulrush_node.h"
+#include "platform/node/PlatformNode.h"
+#include "platform/settings/SettingsFile.h"
 
 #include <docopt/docopt.h>
 
@@ -16,11 +18,14 @@
 
 Usage:
   bulrushrilld --settings FILE [--check-settings]
+  bulrushrilld --platform [--settings FILE] [--check-settings]
   bulrushrilld (-h | --help)
   bulrushrilld --version
 
 Options:
   --settings FILE   The settings, JSON; docs/CONFIGURATION.md describes each field.
+  --platform        Run on a platform with a store of its own. The settings are the platform's file,
+                    YAML; without --settings the environment names it.
   --check-settings  Check the settings and end.
   -h --help         Show this text.
   --version         Show the version.
@@ -73,24 +78,57 @@
     waiter.join();
 }
 
+/** Returns the path of the platform's settings file. */
+std::string platformSettingsPath(const docopt::value &option)
+{
+    if (option.isString()) {
+        return option.asString();
+    }
+    const char *path = std::getenv(bulrush::platform::settingsVariable);
+    if (path == nullptr) {
+        throw bulrush::Error("read settings", bulrush::platform::settingsVariable,
+                             "the environment names no settings file");
+    }
+    return path;
+}
+
+void runOnPlatform(const std::string &path, bool checkOnly)
+{
+    const bulrush::EntrySettings settings = bulrush::platform::readSettingsFile(path);
+    if (checkOnly) {
+        std::cout << path << ": the settings are valid\n";
+        return;
+    }
+    bulrush::platform::runNode(settings, path);
+}
+
+void runOwn(const std::string &path, bool checkOnly)
+{
+    const bulrush::NodeSettings settings = bulrush::readSettings(readFile(path));
+    bulrush::durationsOf(settings);
+    if (checkOnly) {
+        std::cout << path << ": the settings are valid\n";
+        return;
+    }
+    runNode(settings);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     const std::vector<std::string> words(argv + 1, argv + argc);
     const auto options = docopt::docopt(usage, words, true, "bulrushrilld 0.1.0");
-    const std::string path = options.at("--settings").asString();
+    const bool checkOnly = options.at("--check-settings").asBool();
     try {
-        const bulrush::NodeSettings settings = bulrush::readSettings(readFile(path));
-        bulrush::durationsOf(settings);
-        if (options.at("--check-settings").asBool()) {
-            std::cout << path << ": the settings are valid\n";
-            return 0;
+        if (options.at("--platform").asBool()) {
+            runOnPlatform(platformSettingsPath(options.at("--settings")), checkOnly);
+        } else {
+            runOwn(options.at("--settings").asString(), checkOnly);
         }
-        runNode(settings);
         return 0;
     } catch (const bulrush::Error &error) {
-        std::cerr << "bulrushrilld: " << path << ": " << error.what() << "\n";
+        std::cerr << "bulrushrilld: " << error.what() << "\n";
         return exitRefused;
     }
 }
