--- a/modules/bulrush_entry/front/SubmissionDesk.cpp
+++ b/modules/bulrush_entry/front/SubmissionDesk.cpp
@@ -150,7 +150,7 @@
 {
     pending->inFlight = true;
     this->log.append(LogStream::Jobs, { pending->record }, std::nullopt, appendTimeout,
-                     [this, pending](const AppendResult &result) {
+                     [this, pending](const AppendAnswer &result) {
                          pending->inFlight = false;
                          if (pending->callback) {
                              this->appended(pending, result);
@@ -158,7 +158,7 @@
                      });
 }
 
-void SubmissionDesk::appended(const std::shared_ptr<Pending> &pending, const AppendResult &result)
+void SubmissionDesk::appended(const std::shared_ptr<Pending> &pending, const AppendAnswer &result)
 {
     if (result.outcome == StoreOutcome::Done) {
         const bool accepted = pending->success == CallerOutcome::Accepted;
--- a/modules/bulrush_entry/front/SubmissionDesk.h
+++ b/modules/bulrush_entry/front/SubmissionDesk.h
@@ -68,7 +68,7 @@
     void stateFromRecords(const JobId &job, const Callback &callback);
     void append(Pending pending);
     void send(const std::shared_ptr<Pending> &pending);
-    void appended(const std::shared_ptr<Pending> &pending, const AppendResult &result);
+    void appended(const std::shared_ptr<Pending> &pending, const AppendAnswer &result);
     void giveUp(const std::shared_ptr<Pending> &pending, std::string_view reason);
     Instant giveUpTime(const CallerRequest &request, const QueuePolicy &queue) const;
     CallerAnswer refusal(std::string reason) const;
--- a/modules/bulrush_entry/node/EntryPorts.h
+++ b/modules/bulrush_entry/node/EntryPorts.h
@@ -5,7 +5,7 @@
 #include "bulrush_steps/ports/KeyedLog.h"
 #include "bulrush_steps/ports/MemberGroup.h"
 #include "bulrush_steps/ports/RecordDecoder.h"
-#include "bulrush_steps/ports/WorkerPort.h"
+#include "bulrush_steps/ports/WorkerOrders.h"
 
 namespace bulrush {
 
@@ -14,7 +14,7 @@
 {
     KeyedLog &log;
     MemberGroup &group;
-    WorkerPort &workers;
+    WorkerOrders &workers;
     const RecordDecoder &decoder;
     const CallerProtocol &callers;
 };
--- a/modules/bulrush_entry/node/ObservedStore.cpp
+++ b/modules/bulrush_entry/node/ObservedStore.cpp
@@ -20,11 +20,11 @@
 
 void ObservedStore::append(LogStream stream, const std::vector<KeyedRecord> &records,
                            const std::optional<WriterMark> &mark, Duration timeout,
-                           std::function<void(AppendResult)> callback)
+                           std::function<void(AppendAnswer)> callback)
 {
     const Instant sentAt = this->clock.now();
     this->log.append(stream, records, mark, timeout,
-                     [this, sentAt, callback = std::move(callback)](const AppendResult &result) {
+                     [this, sentAt, callback = std::move(callback)](const AppendAnswer &result) {
                          this->note("append", result.outcome, sentAt);
                          callback(result);
                      });
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-Dispatcher::Dispatcher(const Clock &systemClock, WorkerPort &port, KeyedLog &log,
+Dispatcher::Dispatcher(const Clock &systemClock, WorkerOrders &port, KeyedLog &log,
                        const DispatchSettings &dispatchSettings, DecisionLog &decisionLog,
                        Listener &ownershipListener)
     : clock(systemClock)
@@ -31,7 +31,7 @@
 {
 }
 
-void Dispatcher::begin(const OwnershipTerm &ownershipTerm, JobBook jobBook)
+void Dispatcher::begin(const OwnershipTerm &ownershipTerm, StepJobBook jobBook)
 {
     this->term = ownershipTerm;
     this->book = std::move(jobBook);
@@ -143,7 +143,7 @@
 std::string Dispatcher::progressRecord(const JobId &id)
 {
     const JobEntry *job = this->book.find(id);
-    return job == nullptr ? std::string() : records::encode(JobBook::progressOf(*job));
+    return job == nullptr ? std::string() : records::encode(StepJobBook::progressOf(*job));
 }
 
 void Dispatcher::stored(const std::vector<JobId> &jobs, bool withRoster)
@@ -195,7 +195,7 @@
         run.stopWanted = true;
     } else {
         const StepSpec &step = job->step(listed.attempt.task);
-        TaskState &task = job->task(listed.attempt.task);
+        StepTask &task = job->task(listed.attempt.task);
         run.size = step.size;
         if (step.fills) {
             run.fillCpuMilli = step.size.cpuMilli;
@@ -218,7 +218,7 @@
     return run;
 }
 
-void Dispatcher::release(TaskState &task, std::string checkpoint)
+void Dispatcher::release(StepTask &task, std::string checkpoint)
 {
     if (task.openRuns > 0) {
         --task.openRuns;
@@ -241,7 +241,7 @@
         return this->writer.newestChange();
     }
     const StepSpec &step = job->step(end.attempt.task);
-    TaskState &task = job->task(end.attempt.task);
+    StepTask &task = job->task(end.attempt.task);
     task.lastAttempt = std::max(task.lastAttempt, end.attempt.attempt);
     if (run != nullptr) {
         this->release(task, end.checkpoint);
@@ -254,12 +254,12 @@
     const bool wasOver = job->over();
     bool counted = false;
     if (end.kind == EndKind::Succeeded) {
-        counted = JobBook::countSuccess(*job, end.attempt.task);
+        counted = StepJobBook::countSuccess(*job, end.attempt.task);
         if (step.gang) {
             this->endGang(*job, end.attempt);
         }
     } else if (end.kind == EndKind::Failed) {
-        counted = JobBook::countFailure(*job, end.attempt);
+        counted = StepJobBook::countFailure(*job, end.attempt);
         task.checkpoint.clear();
     }
     if (step.lasting) {
@@ -278,7 +278,7 @@
 {
     TaskRef ref = attempt.task;
     for (ref.index = 0; ref.index < job.step(ref).taskCount; ++ref.index) {
-        JobBook::countSuccess(job, ref);
+        StepJobBook::countSuccess(job, ref);
     }
 }
 
@@ -422,8 +422,8 @@
             break;
         }
         for (std::uint32_t step = 0; step < state.steps.size(); ++step) {
-            const std::vector<TaskState> &tasks = state.steps[step].tasks;
-            const bool open = std::any_of(tasks.begin(), tasks.end(), [](const TaskState &task) {
+            const std::vector<StepTask> &tasks = state.steps[step].tasks;
+            const bool open = std::any_of(tasks.begin(), tasks.end(), [](const StepTask &task) {
                 return !task.succeeded && task.openRuns == 0;
             });
             if (open && job.stepUnlocked(occurrence, step)) {
@@ -437,9 +437,9 @@
     }
 }
 
-PlacementRequest Dispatcher::requestFor(const Candidate &candidate)
+TaskRequest Dispatcher::requestFor(const Candidate &candidate)
 {
-    PlacementRequest request;
+    TaskRequest request;
     request.step = &candidate.job->spec.steps[candidate.step];
     request.service = candidate.job->spec.service;
     const QueuePolicy *queue = this->config.queue(candidate.job->spec.queue);
@@ -459,7 +459,7 @@
     return request;
 }
 
-std::uint64_t Dispatcher::nextAttempt(const TaskState &task) const
+std::uint64_t Dispatcher::nextAttempt(const StepTask &task) const
 {
     return std::max(task.lastAttempt, this->term.fencingToken * attemptsPerOwner) + 1;
 }
@@ -467,7 +467,7 @@
 void Dispatcher::startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt)
 {
     const StepSpec &step = job.step(ref);
-    TaskState &task = job.task(ref);
+    StepTask &task = job.task(ref);
     Run run;
     run.attempt = { ref, attempt };
     run.size = step.size;
@@ -495,12 +495,12 @@
 bool Dispatcher::planStep(const Candidate &candidate, Instant now)
 {
     JobEntry &job = *candidate.job;
-    PlacementRequest request = this->requestFor(candidate);
+    TaskRequest request = this->requestFor(candidate);
     const Placement placement(now);
     TaskRef ref { job.spec.id, candidate.occurrence, candidate.step, 0 };
     const StepSpec &step = *request.step;
     for (ref.index = 0; ref.index < step.taskCount; ++ref.index) {
-        TaskState &task = job.task(ref);
+        StepTask &task = job.task(ref);
         if (task.succeeded || task.openRuns > 0 || now < task.notBefore) {
             continue;
         }
@@ -518,14 +518,14 @@
 bool Dispatcher::planGang(const Candidate &candidate, Instant now)
 {
     JobEntry &job = *candidate.job;
-    PlacementRequest request = this->requestFor(candidate);
+    TaskRequest request = this->requestFor(candidate);
     const Placement placement(now);
     const StepSpec &step = *request.step;
     TaskRef ref { job.spec.id, candidate.occurrence, candidate.step, 0 };
     std::uint64_t attempt = 0;
     std::string checkpoint;
     for (ref.index = 0; ref.index < step.taskCount; ++ref.index) {
-        const TaskState &task = job.task(ref);
+        const StepTask &task = job.task(ref);
         if (task.openRuns > 0) {
             return true;
         }
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -2,7 +2,7 @@
 
 #include "bulrush_steps/dispatch/DispatchSettings.h"
 #include "bulrush_steps/dispatch/ProgressWriter.h"
-#include "bulrush_steps/model/JobBook.h"
+#include "bulrush_steps/model/StepJobBook.h"
 #include "bulrush_steps/model/ServingConfig.h"
 #include "bulrush_steps/policy/DurationBook.h"
 #include "bulrush_steps/policy/FillControl.h"
@@ -45,11 +45,11 @@
         virtual bool isOwner() const = 0;
     };
 
-    Dispatcher(const Clock &clock, WorkerPort &port, KeyedLog &log, const DispatchSettings &settings,
+    Dispatcher(const Clock &clock, WorkerOrders &port, KeyedLog &log, const DispatchSettings &settings,
                DecisionLog &decisions, Listener &listener);
 
     /** Begins with all that is on record. The store has taken the term's token as epoch before. */
-    void begin(const OwnershipTerm &term, JobBook book);
+    void begin(const OwnershipTerm &term, StepJobBook book);
 
     /** Ends: orders nothing more and forgets everything. */
     void end();
@@ -72,7 +72,7 @@
     /** Returns how many accepted jobs of a queue have not begun. */
     std::uint32_t waitingJobs(std::string_view queue) const;
 
-    const JobBook &jobs() const { return this->book; }
+    const StepJobBook &jobs() const { return this->book; }
     const RunKeeper &runs() const { return this->keeper; }
 
 private:
@@ -107,13 +107,13 @@
     bool planStep(const Candidate &candidate, Instant now);
     bool planGang(const Candidate &candidate, Instant now);
     void startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt);
-    PlacementRequest requestFor(const Candidate &candidate);
-    std::uint64_t nextAttempt(const TaskState &task) const;
+    TaskRequest requestFor(const Candidate &candidate);
+    std::uint64_t nextAttempt(const StepTask &task) const;
     bool occurrenceDue(const JobEntry &job, std::uint32_t occurrence) const;
     bool formerRunsSettled(const JobEntry &job, Instant now);
     void stopRuns(const JobEntry &job, std::string_view why);
     void endGang(JobEntry &job, const AttemptRef &attempt);
-    void release(TaskState &task, std::string checkpoint);
+    void release(StepTask &task, std::string checkpoint);
     void jobChanged(const JobEntry &job);
 
     const Clock &clock;
@@ -122,7 +122,7 @@
     Listener &listener;
     RunKeeper keeper;
     ProgressWriter writer;
-    JobBook book;
+    StepJobBook book;
     ServingConfig config;
     OwnershipTerm term;
     DurationBook durations;
--- a/modules/bulrush_steps/dispatch/ProgressWriter.cpp
+++ b/modules/bulrush_steps/dispatch/ProgressWriter.cpp
@@ -104,7 +104,7 @@
 {
     this->inFlight = true;
     this->log.append(LogStream::Progress, this->sending, this->mark, appendTimeout,
-                     [this, current = this->living](const AppendResult &result) {
+                     [this, current = this->living](const AppendAnswer &result) {
                          if (*current) {
                              this->inFlight = false;
                              this->answered(result);
@@ -112,7 +112,7 @@
                      });
 }
 
-void ProgressWriter::answered(const AppendResult &result)
+void ProgressWriter::answered(const AppendAnswer &result)
 {
     if (result.outcome == StoreOutcome::Fenced) {
         this->listener.fencedOff();
--- a/modules/bulrush_steps/dispatch/ProgressWriter.h
+++ b/modules/bulrush_steps/dispatch/ProgressWriter.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "bulrush_core/time/Clock.h"
-#include "bulrush_steps/model/JobBook.h"
+#include "bulrush_steps/model/StepJobBook.h"
 #include "bulrush_steps/ports/KeyedLog.h"
 
 #include <memory>
@@ -65,7 +65,7 @@
 
 private:
     void send();
-    void answered(const AppendResult &result);
+    void answered(const AppendAnswer &result);
 
     const Clock &clock;
     KeyedLog &log;
--- a/modules/bulrush_steps/follow/RecordsView.h
+++ b/modules/bulrush_steps/follow/RecordsView.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "bulrush_steps/follow/StreamScan.h"
-#include "bulrush_steps/model/JobBook.h"
+#include "bulrush_steps/model/StepJobBook.h"
 
 #include <functional>
 #include <vector>
@@ -22,7 +22,7 @@
     /** Reads all that is on record at this moment. @param done told whether that succeeded */
     void refresh(std::function<void(bool)> done);
 
-    const JobBook &book() const { return this->jobBook; }
+    const StepJobBook &book() const { return this->jobBook; }
 
     /** Returns the offset of the jobs' stream behind the last record that was read. */
     LogOffset nextJobOffset() const { return this->jobs.next(); }
@@ -37,7 +37,7 @@
 
     const Clock &clock;
     DecisionLog &decisions;
-    JobBook jobBook;
+    StepJobBook jobBook;
     StreamScan jobs;
     StreamScan progress;
     std::vector<std::function<void(bool)>> waiting;
--- a/modules/bulrush_steps/model/JobBook.cpp
+++ b/modules/bulrush_steps/model/StepJobBook.cpp
@@ -1,4 +1,4 @@
-#include "bulrush_steps/model/JobBook.h"
+#include "bulrush_steps/model/StepJobBook.h"
 
 #include <algorithm>
 
@@ -18,7 +18,7 @@
     return this->begun ? JobState::Running : JobState::Queued;
 }
 
-TaskState &JobEntry::task(const TaskRef &ref)
+StepTask &JobEntry::task(const TaskRef &ref)
 {
     return this->occurrences.at(ref.occurrence).steps.at(ref.step).tasks.at(ref.index);
 }
@@ -38,7 +38,7 @@
     });
 }
 
-JobEntry &JobBook::addJob(StepJob job)
+JobEntry &StepJobBook::addJob(StepJob job)
 {
     JobEntry entry;
     entry.occurrences.resize(job.occurrences);
@@ -54,7 +54,7 @@
     return this->jobs.emplace(id, std::move(entry)).first->second;
 }
 
-std::optional<JobId> JobBook::applyJobRecord(const KeyedRecord &record, const Clock &clock)
+std::optional<JobId> StepJobBook::applyJobRecord(const KeyedRecord &record, const Clock &clock)
 {
     const records::ParsedKey key = records::parseKey(record.key);
     if (key.kind == records::KeyKind::Owner) {
@@ -90,7 +90,7 @@
     return key.job;
 }
 
-void JobBook::applyProgress(const KeyedRecord &record)
+void StepJobBook::applyProgress(const KeyedRecord &record)
 {
     const records::ParsedKey key = records::parseKey(record.key);
     if (record.value.empty()) {
@@ -127,21 +127,21 @@
     job->endOnRecord = progress.succeeded || progress.failed;
 }
 
-JobEntry *JobBook::find(const JobId &job)
+JobEntry *StepJobBook::find(const JobId &job)
 {
     const auto found = this->jobs.find(job);
     return found == this->jobs.end() ? nullptr : &found->second;
 }
 
-const JobEntry *JobBook::find(const JobId &job) const
+const JobEntry *StepJobBook::find(const JobId &job) const
 {
     const auto found = this->jobs.find(job);
     return found == this->jobs.end() ? nullptr : &found->second;
 }
 
-bool JobBook::countSuccess(JobEntry &job, const TaskRef &ref)
+bool StepJobBook::countSuccess(JobEntry &job, const TaskRef &ref)
 {
-    TaskState &task = job.task(ref);
+    StepTask &task = job.task(ref);
     if (task.succeeded || job.step(ref).lasting) {
         return false;
     }
@@ -159,7 +159,7 @@
     return true;
 }
 
-bool JobBook::countFailure(JobEntry &job, const AttemptRef &attempt)
+bool StepJobBook::countFailure(JobEntry &job, const AttemptRef &attempt)
 {
     std::vector<std::uint64_t> &counted = job.task(attempt.task).failedAttempts;
     if (std::find(counted.begin(), counted.end(), attempt.attempt) != counted.end()) {
@@ -175,7 +175,7 @@
     return true;
 }
 
-JobProgress JobBook::progressOf(const JobEntry &job)
+JobProgress StepJobBook::progressOf(const JobEntry &job)
 {
     JobProgress progress;
     progress.job = job.spec.id;
@@ -187,9 +187,9 @@
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
         const OccurrenceState &state = job.occurrences[occurrence];
         for (std::uint32_t step = 0; step < state.steps.size(); ++step) {
-            const std::vector<TaskState> &tasks = state.steps[step].tasks;
+            const std::vector<StepTask> &tasks = state.steps[step].tasks;
             for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                const TaskState &task = tasks[index];
+                const StepTask &task = tasks[index];
                 if (task.succeeded || !task.failedAttempts.empty()) {
                     progress.tasks.push_back(
                             { occurrence, step, index, task.succeeded, task.failedAttempts });
--- a/modules/bulrush_steps/model/JobBook.h
+++ b/modules/bulrush_steps/model/StepJobBook.h
@@ -14,7 +14,7 @@
 namespace bulrush {
 
 /** What is known of one task. */
-struct TaskState
+struct StepTask
 {
     bool succeeded = false;
     /** Attempts whose failure was counted. */
@@ -32,7 +32,7 @@
 
 struct StepState
 {
-    std::vector<TaskState> tasks;
+    std::vector<StepTask> tasks;
     std::uint32_t succeeded = 0;
 };
 
@@ -63,7 +63,7 @@
     /** Returns what callers may be shown. */
     JobState shownState() const;
 
-    TaskState &task(const TaskRef &ref);
+    StepTask &task(const TaskRef &ref);
     const StepSpec &step(const TaskRef &ref) const { return this->spec.steps.at(ref.step); }
 
     /** Returns whether a name is of a task that the job has. */
@@ -74,7 +74,7 @@
 };
 
 /** All jobs that the log tells of. Applying a record twice is applying it once. */
-class JobBook
+class StepJobBook
 {
 public:
     /** Applies a record of the stream of jobs. @returns the job that it changed, if any
@@ -106,7 +106,7 @@
     /** Returns what is to be put on record of a job. */
     static JobProgress progressOf(const JobEntry &job);
 
-    void clear() { *this = JobBook(); }
+    void clear() { *this = StepJobBook(); }
 
 private:
     JobEntry &addJob(StepJob job);
--- a/modules/bulrush_steps/model/TaskText.h
+++ b/modules/bulrush_steps/model/TaskText.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "bulrush_steps/ports/WorkerPort.h"
+#include "bulrush_steps/ports/WorkerOrders.h"
 
 #include <string>
 #include <string_view>
--- a/modules/bulrush_steps/ownership/Takeover.cpp
+++ b/modules/bulrush_steps/ownership/Takeover.cpp
@@ -77,7 +77,7 @@
 {
     this->inFlight = true;
     this->log.append(LogStream::Progress, {}, ProgressWriter::epochMark(this->token), callTimeout,
-                     [this, current = this->living](const AppendResult &result) {
+                     [this, current = this->living](const AppendAnswer &result) {
                          if (!*current) {
                              return;
                          }
@@ -100,7 +100,7 @@
     const KeyedRecord mark { records::ownerKey(), records::encodeOwner(this->token, this->member),
                              0 };
     this->log.append(LogStream::Jobs, { mark }, std::nullopt, callTimeout,
-                     [this, current = this->living](const AppendResult &result) {
+                     [this, current = this->living](const AppendAnswer &result) {
                          if (!*current) {
                              return;
                          }
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -43,7 +43,7 @@
     return worst;
 }
 
-bool Placement::couldEverHold(const Worker &worker, const PlacementRequest &request)
+bool Placement::couldEverHold(const Worker &worker, const TaskRequest &request)
 {
     const StepSpec &step = *request.step;
     Room size = step.size;
@@ -57,7 +57,7 @@
             && size.fitsInto(worker.entry.capacity);
 }
 
-bool Placement::mayHold(const Worker &worker, const PlacementRequest &request) const
+bool Placement::mayHold(const Worker &worker, const TaskRequest &request) const
 {
     const bool usable = worker.listed && !worker.entry.draining && worker.confirmed
             && worker.onRoster && this->now >= worker.avoidUntil
@@ -87,7 +87,7 @@
     return true;
 }
 
-double Placement::score(const Worker &worker, const PlacementRequest &request) const
+double Placement::score(const Worker &worker, const TaskRequest &request) const
 {
     const StepSpec &step = *request.step;
     const auto capacity = static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
@@ -114,7 +114,7 @@
 }
 
 Worker *Placement::choose(std::map<TargetId, Worker> &workers,
-                          const PlacementRequest &request) const
+                          const TaskRequest &request) const
 {
     Worker *best = nullptr;
     double bestScore = 0.0;
--- a/modules/bulrush_steps/policy/Placement.h
+++ b/modules/bulrush_steps/policy/Placement.h
@@ -8,7 +8,7 @@
 namespace bulrush {
 
 /** What one task needs of its worker. */
-struct PlacementRequest
+struct TaskRequest
 {
     const StepSpec *step = nullptr;
     ServiceId service;
@@ -35,17 +35,17 @@
     }
 
     /** Returns the best worker, or null when no worker may hold the task now. */
-    Worker *choose(std::map<TargetId, Worker> &workers, const PlacementRequest &request) const;
+    Worker *choose(std::map<TargetId, Worker> &workers, const TaskRequest &request) const;
 
     /** Returns whether a worker could hold the task if nothing else ran on it. */
-    static bool couldEverHold(const Worker &worker, const PlacementRequest &request);
+    static bool couldEverHold(const Worker &worker, const TaskRequest &request);
 
     /** Returns the greatest tail latency on a worker as a share of its bound. */
     static double worstTailShare(const Worker &worker);
 
 private:
-    bool mayHold(const Worker &worker, const PlacementRequest &request) const;
-    double score(const Worker &worker, const PlacementRequest &request) const;
+    bool mayHold(const Worker &worker, const TaskRequest &request) const;
+    double score(const Worker &worker, const TaskRequest &request) const;
 
     Instant now;
 };
--- a/modules/bulrush_steps/ports/KeyedLog.h
+++ b/modules/bulrush_steps/ports/KeyedLog.h
@@ -56,7 +56,7 @@
     std::uint64_t sequence = 0;
 };
 
-struct AppendResult
+struct AppendAnswer
 {
     StoreOutcome outcome = StoreOutcome::Unknown;
     /** Offset of the first record. */
@@ -98,7 +98,7 @@
     /** Appends records, all or none. Without records it sets the writer's epoch. */
     virtual void append(LogStream stream, const std::vector<KeyedRecord> &records,
                         const std::optional<WriterMark> &mark, Duration timeout,
-                        std::function<void(AppendResult)> callback) = 0;
+                        std::function<void(AppendAnswer)> callback) = 0;
 
     /** Reads from an offset on. @param wait how long the store waits for a record */
     virtual void read(LogStream stream, LogOffset from, milliseconds wait, Duration timeout,
--- a/modules/bulrush_steps/ports/WorkerPort.h
+++ b/modules/bulrush_steps/ports/WorkerOrders.h
@@ -48,7 +48,7 @@
     std::optional<WorkerMillis> clock;
 };
 
-struct StartOrder
+struct RunStart
 {
     AttemptRef attempt;
     std::string payload;
@@ -58,14 +58,14 @@
     std::string ticket;
 };
 
-struct StopOrder
+struct RunStop
 {
     AttemptRef attempt;
     std::uint64_t fencingToken = 0;
 };
 
 /** Sets the share of processor time that a task works at. */
-struct PaceOrder
+struct RunPace
 {
     AttemptRef attempt;
     std::uint32_t percent = 100;
@@ -73,7 +73,7 @@
 };
 
 /** Renews the lease of everything on a worker, acknowledges ends and asks for both lists. */
-struct HoldOrder
+struct WorkerHold
 {
     std::uint64_t fencingToken = 0;
     /** Ends up to this number may be forgotten by the worker. */
@@ -116,23 +116,23 @@
 };
 
 /** Orders to workers. Callbacks are called once, never from within a call. */
-class WorkerPort
+class WorkerOrders
 {
 public:
     using Callback = std::function<void(OrderAnswer)>;
 
-    WorkerPort() = default;
-    virtual ~WorkerPort() = default;
-    WorkerPort(const WorkerPort &) = delete;
-    WorkerPort &operator=(const WorkerPort &) = delete;
+    WorkerOrders() = default;
+    virtual ~WorkerOrders() = default;
+    WorkerOrders(const WorkerOrders &) = delete;
+    WorkerOrders &operator=(const WorkerOrders &) = delete;
 
-    virtual void start(const WorkerAddress &worker, const StartOrder &order, Duration timeout,
+    virtual void start(const WorkerAddress &worker, const RunStart &order, Duration timeout,
                        Callback callback) = 0;
-    virtual void stop(const WorkerAddress &worker, const StopOrder &order, Duration timeout,
+    virtual void stop(const WorkerAddress &worker, const RunStop &order, Duration timeout,
                       Callback callback) = 0;
-    virtual void pace(const WorkerAddress &worker, const PaceOrder &order, Duration timeout,
+    virtual void pace(const WorkerAddress &worker, const RunPace &order, Duration timeout,
                       Callback callback) = 0;
-    virtual void hold(const WorkerAddress &worker, const HoldOrder &order, Duration timeout,
+    virtual void hold(const WorkerAddress &worker, const WorkerHold &order, Duration timeout,
                       std::function<void(HoldAnswer)> callback) = 0;
 };
 
--- a/modules/bulrush_steps/workers/LeaseClock.h
+++ b/modules/bulrush_steps/workers/LeaseClock.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "bulrush_core/time/Clock.h"
-#include "bulrush_steps/ports/WorkerPort.h"
+#include "bulrush_steps/ports/WorkerOrders.h"
 
 #include <optional>
 
--- a/modules/bulrush_steps/workers/RunKeeper.cpp
+++ b/modules/bulrush_steps/workers/RunKeeper.cpp
@@ -30,7 +30,7 @@
 
 } // namespace
 
-RunKeeper::RunKeeper(const Clock &systemClock, WorkerPort &workerPort,
+RunKeeper::RunKeeper(const Clock &systemClock, WorkerOrders &workerPort,
                      const DispatchSettings &dispatchSettings, DecisionLog &decisionLog,
                      Listener &runListener)
     : clock(systemClock)
@@ -153,7 +153,7 @@
 
 void RunKeeper::sendHold(Worker &worker)
 {
-    HoldOrder order;
+    WorkerHold order;
     order.fencingToken = this->fencingToken;
     // After trouble the worker may be a new process that numbers its ends anew.
     const bool stored = worker.processedChange <= this->listener.storedChange();
@@ -329,7 +329,7 @@
 void RunKeeper::start(Worker &worker, Run run, const StepJob &job, std::string checkpoint)
 {
     const std::optional<WorkerMillis> end = this->leaseEnd(worker);
-    StartOrder order;
+    RunStart order;
     order.attempt = run.attempt;
     order.payload = job.payload;
     order.leaseEnd = end.value_or(0);
@@ -411,7 +411,7 @@
 void RunKeeper::sendStop(Worker &worker, Run &run)
 {
     run.orderInFlight = true;
-    const StopOrder order { run.attempt, this->fencingToken };
+    const RunStop order { run.attempt, this->fencingToken };
     this->port.stop(worker.address, order, orderTimeout,
                     [this, id = worker.entry.worker, attempt = run.attempt,
                      current = this->living](const OrderAnswer &answer) {
@@ -450,7 +450,7 @@
 void RunKeeper::pace(Worker &worker, Run &run, std::uint32_t percent)
 {
     run.pacePercent = percent;
-    const PaceOrder order { run.attempt, percent, this->fencingToken };
+    const RunPace order { run.attempt, percent, this->fencingToken };
     this->port.pace(worker.address, order, orderTimeout,
                     [this, id = worker.entry.worker, attempt = run.attempt,
                      current = this->living](const OrderAnswer &answer) {
--- a/modules/bulrush_steps/workers/RunKeeper.h
+++ b/modules/bulrush_steps/workers/RunKeeper.h
@@ -47,7 +47,7 @@
         virtual bool mayOrder() const = 0;
     };
 
-    RunKeeper(const Clock &clock, WorkerPort &port, const DispatchSettings &settings,
+    RunKeeper(const Clock &clock, WorkerOrders &port, const DispatchSettings &settings,
               DecisionLog &decisions, Listener &listener);
     ~RunKeeper();
 
@@ -103,7 +103,7 @@
     bool holdIsDue(const Worker &worker, Instant now) const;
 
     const Clock &clock;
-    WorkerPort &port;
+    WorkerOrders &port;
     const DispatchSettings settings;
     DecisionLog &decisions;
     Listener &listener;
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "bulrush_steps/ports/WorkerEntry.h"
-#include "bulrush_steps/ports/WorkerPort.h"
+#include "bulrush_steps/ports/WorkerOrders.h"
 #include "bulrush_steps/workers/LeaseClock.h"
 
 #include <cstdint>
