Drop runs for a lapsed lease only while no other node can own the workers

Ruled out: a new owner that starts too early (its waiting time held). Change: a lease counts as over only while the owner's last join is younger than the time to live; an owner that was unconfirmed for longer and finds another generation begins anew.

--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -55,6 +55,7 @@
     // Dispatcher::Listener
     void superseded(std::string_view by) override;
     bool isOwner() const override { return this->ownership.isOwner(); }
+    bool isSoleOwner() const override { return this->ownership.isSoleOwner(); }
 
     // WorkerFollower::Listener
     void workerListed(const WorkerEntry &entry) override;
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -43,6 +43,9 @@
 
         /** Returns whether this node is the owner at this moment. */
         virtual bool isOwner() const = 0;
+
+        /** Returns whether no other node can be the owner at this moment. */
+        virtual bool isSoleOwner() const = 0;
     };
 
     Dispatcher(const Clock &clock, WorkerOrders &port, KeyedLog &log, const DispatchSettings &settings,
@@ -91,6 +94,7 @@
     void superseded(const Worker &worker) override;
     std::uint64_t storedChange() const override { return this->writer.storedChange(); }
     bool mayOrder() const override;
+    bool soleOwner() const override { return this->listener.isSoleOwner(); }
 
     // ProgressWriter::Listener
     std::string progressRecord(const JobId &job) override;
--- a/modules/bulrush_steps/ownership/OwnershipKeeper.cpp
+++ b/modules/bulrush_steps/ownership/OwnershipKeeper.cpp
@@ -41,13 +41,19 @@
 
 bool OwnershipKeeper::isOwner() const
 {
-    return this->owner && this->clock.now() < this->validUntil;
+    const Instant validUntil = this->confirmedAt + this->times.timeToLive + this->times.extension;
+    return this->owner && this->clock.now() < validUntil;
+}
+
+bool OwnershipKeeper::isSoleOwner() const
+{
+    return this->owner && this->clock.now() < this->confirmedAt + this->times.timeToLive;
 }
 
 void OwnershipKeeper::tick()
 {
     const Instant now = this->clock.now();
-    if (this->owner && now >= this->validUntil) {
+    if (this->owner && !this->isOwner()) {
         this->lose("the store has not confirmed it for too long");
     }
     if (this->leaving || this->inFlight || now < this->nextJoinAt) {
@@ -67,6 +73,7 @@
     if (membership.outcome != StoreOutcome::Done || this->leaving) {
         return;
     }
+    const bool changed = membership.generation != this->generation;
     this->generation = membership.generation;
     if (!membership.holdsPartition) {
         if (this->owner) {
@@ -74,17 +81,16 @@
         }
         return;
     }
-    const Instant valid = sentAt + this->times.timeToLive + this->times.extension;
-    if (this->owner) {
-        this->validUntil = std::max(this->validUntil, valid);
-        return;
+    if (this->owner && changed && sentAt >= this->confirmedAt + this->times.timeToLive) {
+        // It may have been another node's in between.
+        this->lose("the store may have given it to another node meanwhile");
     }
-    if (membership.generation <= this->supersededAt) {
+    this->confirmedAt = sentAt;
+    if (this->owner || membership.generation <= this->supersededAt) {
         return;
     }
     this->owner = true;
     this->token = membership.generation;
-    this->validUntil = valid;
     this->decisions.write(DecisionLine(Event::OwnershipGained).with("fencing_token", this->token));
     this->listener.ownershipGained(this->token);
 }
--- a/modules/bulrush_steps/ownership/OwnershipKeeper.h
+++ b/modules/bulrush_steps/ownership/OwnershipKeeper.h
@@ -55,6 +55,9 @@
     /** Returns whether this node may order at this moment. */
     bool isOwner() const;
 
+    /** Returns whether no other node can be the owner at this moment. */
+    bool isSoleOwner() const;
+
     std::uint64_t fencingToken() const { return this->token; }
 
     /** Gives up an ownership that another node has taken over. */
@@ -79,8 +82,8 @@
     std::uint64_t generation = 0;
     bool owner = false;
     std::uint64_t token = 0;
-    /** Until when this node may order without another join. */
-    Instant validUntil {};
+    /** When the last join that succeeded was sent. */
+    Instant confirmedAt {};
     /** The partition is not taken again at a generation up to this one. */
     std::uint64_t supersededAt = 0;
     std::shared_ptr<bool> living = std::make_shared<bool>(true);
--- a/modules/bulrush_steps/workers/RunKeeper.cpp
+++ b/modules/bulrush_steps/workers/RunKeeper.cpp
@@ -311,7 +311,7 @@
 
 void RunKeeper::dropLapsed(Worker &worker)
 {
-    if (worker.runs.empty() || worker.confirmed) {
+    if (worker.runs.empty() || worker.confirmed || !this->listener.soleOwner()) {
         return;
     }
     const std::optional<Instant> over = worker.clock.leaseOverAt();
--- a/modules/bulrush_steps/workers/RunKeeper.h
+++ b/modules/bulrush_steps/workers/RunKeeper.h
@@ -45,6 +45,9 @@
 
         /** Returns whether orders may be sent at this moment. */
         virtual bool mayOrder() const = 0;
+
+        /** Returns whether nobody else can have renewed a lease that this owner has not renewed. */
+        virtual bool soleOwner() const = 0;
     };
 
     RunKeeper(const Clock &clock, WorkerOrders &port, const DispatchSettings &settings,
