Keep a job that succeeded on record closed when one of its ends is listed again

The record of a job that succeeded names no tasks; a worker listed an end again that the former owner had put on record but not acknowledged; counting it set the job's success anew from its tasks, to false, and the job ran again. Ruled out: lost progress (the record held the success), the epoch at the store (no append of a former owner was taken). Change: nothing is counted for a job that succeeded. The new test fails without it.

--- a/modules/bulrush_steps/model/StepJobBook.cpp
+++ b/modules/bulrush_steps/model/StepJobBook.cpp
@@ -142,7 +142,8 @@
 bool StepJobBook::countSuccess(JobEntry &job, const TaskRef &ref)
 {
     StepTask &task = job.task(ref);
-    if (task.succeeded || job.step(ref).lasting) {
+    // What is on record may say that the whole job succeeded without naming its tasks.
+    if (job.succeeded || task.succeeded || job.step(ref).lasting) {
         return false;
     }
     task.succeeded = true;
