--- a/modules/bulrush_steps/ownership/OwnershipKeeper.cpp
+++ b/modules/bulrush_steps/ownership/OwnershipKeeper.cpp
@@ -75,6 +75,10 @@
     }
     const bool changed = membership.generation != this->generation;
     this->generation = membership.generation;
+    if (changed) {
+        // The next join confirms the change, so that whoever holds the partition now may have it.
+        this->nextJoinAt = this->clock.now();
+    }
     if (!membership.holdsPartition) {
         if (this->owner) {
             this->lose("the store has given it to another node");
