Learn which images press on which, and pace and place filling tasks by it

The control paced all filling tasks of a worker down at 0.85 of a serving task's bound, which load alone reaches (95th percentile 39 of 50 ms with nothing beside it). Ruled out: room (memory and processors were free). Change: a model of pressure learned online per pair of images; placement and pace follow it.

--- a/modules/bulrush_steps/bulrush_steps.h
+++ b/modules/bulrush_steps/bulrush_steps.h
@@ -28,6 +28,7 @@
 #include "bulrush_steps/policy/DurationBook.h"
 #include "bulrush_steps/policy/FillControl.h"
 #include "bulrush_steps/policy/Placement.h"
+#include "bulrush_steps/policy/PressureModel.h"
 #include "bulrush_steps/policy/WorkOrder.h"
 #include "bulrush_steps/ports/KeyedLog.h"
 #include "bulrush_steps/ports/MemberGroup.h"
--- a/modules/bulrush_steps/dispatch/DispatchSettings.h
+++ b/modules/bulrush_steps/dispatch/DispatchSettings.h
@@ -25,6 +25,8 @@
     milliseconds paceDelay { 100 };
     /** How long a worker may wait before it answers a hold that it has nothing to tell for. */
     milliseconds holdWait { 1000 };
+    /** The same on a worker whose serving tasks run beside filling ones. */
+    milliseconds holdWaitBesideFills { 400 };
 
     /** The lease that is asked for. */
     milliseconds lease() const { return this->longestLease * 2 / 3; }
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -56,6 +56,7 @@
     this->writer.end();
     this->book.clear();
     this->waiting.clear();
+    this->fillControl.forgetWorkers();
     this->writtenRoster.clear();
 }
 
@@ -334,17 +335,18 @@
 void Dispatcher::controlFills(Instant now)
 {
     for (auto &[id, worker] : this->keeper.workers()) {
-        worker.fillRoom = FillControl::unusedProcessors(worker, now);
-        if (!worker.confirmed) {
+        if (worker.reportedAt <= worker.observedAt) {
             continue;
         }
+        worker.observedAt = now;
+        worker.fillRoom = FillControl::unusedProcessors(worker, now);
+        this->fillControl.observe(worker);
         for (const PaceChange &change : this->fillControl.decide(worker, now, this->settings)) {
             Run &run = worker.runs.at(change.attempt);
             this->decisions.write(DecisionLine(Event::TaskPaced)
                                           .with("task", text(change.attempt.task))
                                           .with("worker", id.name())
-                                          .with("percent", change.percent)
-                                          .with("tail_share", Placement::worstTailShare(worker)));
+                                          .with("percent", change.percent));
             this->keeper.pace(worker, run, change.percent);
         }
     }
@@ -496,7 +498,7 @@
 {
     JobEntry &job = *candidate.job;
     TaskRequest request = this->requestFor(candidate);
-    const Placement placement(now);
+    const Placement placement(now, this->fillControl.pressures());
     TaskRef ref { job.spec.id, candidate.occurrence, candidate.step, 0 };
     const StepSpec &step = *request.step;
     for (ref.index = 0; ref.index < step.taskCount; ++ref.index) {
@@ -519,7 +521,7 @@
 {
     JobEntry &job = *candidate.job;
     TaskRequest request = this->requestFor(candidate);
-    const Placement placement(now);
+    const Placement placement(now, this->fillControl.pressures());
     const StepSpec &step = *request.step;
     TaskRef ref { job.spec.id, candidate.occurrence, candidate.step, 0 };
     std::uint64_t attempt = 0;
--- a/modules/bulrush_steps/policy/FillControl.cpp
+++ b/modules/bulrush_steps/policy/FillControl.cpp
@@ -1,28 +1,24 @@
 #include "bulrush_steps/policy/FillControl.h"
 
-#include "bulrush_steps/policy/Placement.h"
-
 #include <algorithm>
+#include <cmath>
 
 namespace bulrush {
 
 namespace {
 
-/** Above this share of a serving task's bound, filling tasks slow down. */
-constexpr double slowDownShare = 0.85;
+/** Pressure that is kept free below a serving task's bound. */
+constexpr double pressureMargin = 0.05;
 
-/** Below this share they speed up again. */
-constexpr double speedUpShare = 0.6;
+/** Paces are set in steps, so that small changes of the figures cause no orders. */
+constexpr std::uint32_t paceStep = 20;
 
-/** How much of a processor's share filling tasks get back at a time, in percent. */
-constexpr std::uint32_t speedUpStep = 20;
+/** A coefficient below this is no cause of harm. */
+constexpr double harmlessCoefficient = 0.1;
 
 /** The figures that workers report are of the last half second. */
 constexpr milliseconds reportWindow { 500 };
 
-/** Between two changes upwards. */
-constexpr milliseconds speedUpInterval { 1500 };
-
 /** Of the processors that serving and short tasks reserve, the share that they are taken to use. */
 constexpr double expectedUse = 0.6;
 
@@ -58,35 +54,87 @@
     return std::min(std::max(assumed, used * growthFactor), capacity);
 }
 
-std::vector<PaceChange> FillControl::decide(const Worker &worker, Instant now,
-                                            const DispatchSettings &settings)
+std::map<AttemptRef, double> FillControl::wantedShares(const Worker &worker) const
 {
-    State &state = this->states[worker.entry.worker];
-    const double share = Placement::worstTailShare(worker);
-    if (share <= 1.0) {
-        state.overSince = Instant::max();
-    } else if (state.overSince == Instant::max()) {
-        state.overSince = now;
+    std::map<AttemptRef, double> shares;
+    for (const auto &[attempt, run] : worker.runs) {
+        if (run.fillCpuMilli > 0) {
+            shares[attempt] = 1.0;
+        }
     }
-    const bool overLong = state.overSince != Instant::max()
-            && now - state.overSince > settings.harmLimit / 4;
-    const bool settled = now - state.changedAt > reportWindow + settings.paceDelay;
-    if (overLong) {
-        state.percent = 0;
-        state.changedAt = now;
-    } else if (share > slowDownShare && settled && state.percent > 0) {
-        state.percent /= share > 1.0 ? 4 : 2;
-        state.changedAt = now;
-    } else if (share < speedUpShare && state.percent < 100
-               && now - state.changedAt > speedUpInterval) {
-        state.percent = std::min<std::uint32_t>(100, state.percent + speedUpStep);
-        state.changedAt = now;
+    for (const auto &[servingAttempt, serving] : worker.runs) {
+        if (serving.tailTarget.count() == 0 || shares.empty()) {
+            continue;
+        }
+        // What presses on it: its own load, and the filling runs at the shares wanted so far.
+        double expected = this->model.pressure(serving);
+        std::vector<std::pair<double, const Run *>> pressing;
+        for (const auto &[attempt, run] : worker.runs) {
+            if (run.fillCpuMilli == 0) {
+                continue;
+            }
+            const double coefficient = this->model.coefficient(run.image, serving.image);
+            Run atFullPace = run;
+            atFullPace.pacePercent = 100;
+            const double full = PressureModel::fullShare(worker, atFullPace) * shares[attempt];
+            expected += coefficient * (full - PressureModel::usedShare(worker, run));
+            pressing.emplace_back(coefficient, &run);
+        }
+        const auto more = [](const auto &a, const auto &b) { return a.first > b.first; };
+        std::sort(pressing.begin(), pressing.end(), more);
+        double excess = expected - (this->model.bound(serving) - pressureMargin);
+        for (const auto &[coefficient, run] : pressing) {
+            if (excess <= 0.0 || coefficient < harmlessCoefficient) {
+                break;
+            }
+            Run atFullPace = *run;
+            atFullPace.pacePercent = 100;
+            double &share = shares[run->attempt];
+            const double perShare = coefficient * PressureModel::fullShare(worker, atFullPace);
+            const double cut = std::min(share, excess / std::max(perShare, 1e-6));
+            share -= cut;
+            excess -= cut * perShare;
+        }
     }
-    std::vector<PaceChange> changes;
+    return shares;
+}
+
+void FillControl::stopHarm(const Worker &worker, Instant now, const DispatchSettings &settings,
+                           std::map<AttemptRef, double> &shares)
+{
     for (const auto &[attempt, run] : worker.runs) {
-        const bool paced = run.fillCpuMilli > 0 && run.phase == RunPhase::Running;
-        if (paced && run.pacePercent != state.percent) {
-            changes.push_back({ attempt, state.percent });
+        if (run.tailTarget.count() == 0) {
+            continue;
+        }
+        if (run.load <= static_cast<double>(run.tailTarget.count())) {
+            this->overSince.erase(attempt);
+            continue;
+        }
+        const Instant since = this->overSince.try_emplace(attempt, now).first->second;
+        for (auto &[fill, share] : shares) {
+            const Run &filling = worker.runs.at(fill);
+            const double coefficient = this->model.coefficient(filling.image, run.image);
+            const bool suspect = now - since >= settings.harmLimit / 4
+                    && coefficient >= harmlessCoefficient;
+            if (suspect || now - since >= settings.harmLimit / 3) {
+                share = 0.0;
+            }
+        }
+    }
+}
+
+std::vector<PaceChange> FillControl::decide(const Worker &worker, Instant now,
+                                            const DispatchSettings &settings)
+{
+    std::map<AttemptRef, double> shares = this->wantedShares(worker);
+    this->stopHarm(worker, now, settings, shares);
+    std::vector<PaceChange> changes;
+    for (const auto &[attempt, share] : shares) {
+        const Run &run = worker.runs.at(attempt);
+        const auto steps = static_cast<std::uint32_t>(std::floor(share * 100.0 / paceStep + 0.01));
+        const std::uint32_t percent = std::min<std::uint32_t>(100, steps * paceStep);
+        if (run.phase == RunPhase::Running && run.pacePercent != percent) {
+            changes.push_back({ attempt, percent });
         }
     }
     return changes;
--- a/modules/bulrush_steps/policy/FillControl.h
+++ b/modules/bulrush_steps/policy/FillControl.h
@@ -1,13 +1,15 @@
 #pragma once
 
 #include "bulrush_steps/dispatch/DispatchSettings.h"
+#include "bulrush_steps/policy/PressureModel.h"
 #include "bulrush_steps/workers/Worker.h"
 
 #include <map>
+#include <vector>
 
 namespace bulrush {
 
-/** Which filling runs of a worker are to change their pace, and to what share. */
+/** A filling run that is to work at another share. */
 struct PaceChange
 {
     AttemptRef attempt;
@@ -17,32 +19,36 @@
 /**
     Keeps filling tasks from harming the serving tasks beside them.
 
-    It halves the share of the filling tasks on a worker while the tail of a serving task there is
-    near its bound, stops their work altogether when the tail stays over it, and gives back in steps.
+    Of the filling runs on a worker it slows down those that press most on a serving task whose tail
+    is expected near its bound, as far as the model asks for, and stops their work altogether when
+    the tail stays over its bound all the same.
 */
 class FillControl
 {
 public:
-    /** Decides on one worker from its newest figures. */
+    /** Takes a worker's newest report. */
+    void observe(const Worker &worker) { this->model.observe(worker); }
+
+    /** Decides on one worker. */
     std::vector<PaceChange> decide(const Worker &worker, Instant now,
                                    const DispatchSettings &settings);
 
     /** Returns the processors that filling tasks find unused on a worker, in thousandths. */
     static double unusedProcessors(const Worker &worker, Instant now);
 
-    /** Forgets a worker. */
-    void forget(const TargetId &worker) { this->states.erase(worker); }
+    const PressureModel &pressures() const { return this->model; }
+
+    /** Forgets all workers, and keeps what was learned of images. */
+    void forgetWorkers() { this->overSince.clear(); }
 
 private:
-    struct State
-    {
-        std::uint32_t percent = 100;
-        Instant changedAt {};
-        /** Since when a serving task is over its bound; none while none is. */
-        Instant overSince = Instant::max();
-    };
-
-    std::map<TargetId, State> states;
+    std::map<AttemptRef, double> wantedShares(const Worker &worker) const;
+    void stopHarm(const Worker &worker, Instant now, const DispatchSettings &settings,
+                  std::map<AttemptRef, double> &shares);
+
+    PressureModel model;
+    /** Since when a serving run is over its bound. */
+    std::map<AttemptRef, Instant> overSince;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -9,8 +9,11 @@
 /** Starts on one worker that may wait for their answers at once. */
 constexpr std::uint32_t mostOrdersInFlight = 6;
 
-/** A worker gets no filling work while a serving task uses more than this share of its bound. */
-constexpr double fillTailShare = 0.6;
+/** Pressure that a filling task must leave free on each serving task beside it. */
+constexpr double leastPressureLeft = 0.1;
+
+/** What the whole pressure that a filling task puts on serving tasks takes off a worker's score. */
+constexpr double pressureWeight = 3.0;
 
 /** A filling task starts only where at least this share of its processors is unused. */
 constexpr double leastFillShare = 0.7;
@@ -32,15 +35,20 @@
 
 } // namespace
 
-double Placement::worstTailShare(const Worker &worker)
+double Placement::pressureLeft(const Worker &worker, const StepSpec &step) const
 {
-    double worst = 0.0;
+    const auto capacity = static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
+    const double share = static_cast<double>(step.size.cpuMilli) / capacity;
+    double least = 1.0;
     for (const auto &[attempt, run] : worker.runs) {
-        if (run.tailTarget.count() > 0) {
-            worst = std::max(worst, run.load / static_cast<double>(run.tailTarget.count()));
+        if (run.tailTarget.count() == 0) {
+            continue;
         }
+        const double added = this->pressures.coefficient(step.image, run.image) * share;
+        const double expected = this->pressures.expectedPressure(worker, run) + added;
+        least = std::min(least, this->pressures.bound(run) - expected);
     }
-    return worst;
+    return least;
 }
 
 bool Placement::couldEverHold(const Worker &worker, const TaskRequest &request)
@@ -82,7 +90,7 @@
     if (step.fills) {
         const double unused = worker.fillRoom - static_cast<double>(worker.fillDemand());
         return unused >= leastFillShare * static_cast<double>(step.size.cpuMilli)
-                && worstTailShare(worker) <= fillTailShare;
+                && this->pressureLeft(worker, step) >= leastPressureLeft;
     }
     return true;
 }
@@ -91,10 +99,17 @@
 {
     const StepSpec &step = *request.step;
     const auto capacity = static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
-    double score = step.fills
-            ? (worker.fillRoom - static_cast<double>(worker.fillDemand())) / capacity
-                    - worstTailShare(worker)
-            : static_cast<double>(worker.free().cpuMilli) / capacity;
+    double score = static_cast<double>(worker.free().cpuMilli) / capacity;
+    if (step.fills) {
+        score = (worker.fillRoom - static_cast<double>(worker.fillDemand())) / capacity;
+        const double share = static_cast<double>(step.size.cpuMilli) / capacity;
+        for (const auto &[attempt, run] : worker.runs) {
+            if (run.tailTarget.count() > 0) {
+                const double coefficient = this->pressures.coefficient(step.image, run.image);
+                score -= pressureWeight * coefficient * share;
+            }
+        }
+    }
     score -= failurePenalty * worker.failureShare;
     score -= slownessPenalty * (worker.slowness - 1.0);
     if (!step.dataRack.empty() && step.dataRack != worker.rack) {
--- a/modules/bulrush_steps/policy/Placement.h
+++ b/modules/bulrush_steps/policy/Placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrush_steps/policy/PressureModel.h"
 #include "bulrush_steps/workers/Worker.h"
 
 #include <map>
@@ -29,8 +30,9 @@
 class Placement
 {
 public:
-    explicit Placement(Instant now)
+    Placement(Instant now, const PressureModel &pressures)
         : now(now)
+        , pressures(pressures)
     {
     }
 
@@ -40,14 +42,16 @@
     /** Returns whether a worker could hold the task if nothing else ran on it. */
     static bool couldEverHold(const Worker &worker, const TaskRequest &request);
 
-    /** Returns the greatest tail latency on a worker as a share of its bound. */
-    static double worstTailShare(const Worker &worker);
+    /** Returns the least pressure that would be free on a worker's serving tasks with a filling
+        step's task beside them; 1 where nothing serves. */
+    double pressureLeft(const Worker &worker, const StepSpec &step) const;
 
 private:
     bool mayHold(const Worker &worker, const TaskRequest &request) const;
     double score(const Worker &worker, const TaskRequest &request) const;
 
     Instant now;
+    const PressureModel &pressures;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/workers/RunKeeper.cpp
+++ b/modules/bulrush_steps/workers/RunKeeper.cpp
@@ -151,6 +151,17 @@
     return *workerNow + this->settings.lease().count();
 }
 
+milliseconds RunKeeper::holdWait(const Worker &worker) const
+{
+    bool serves = false;
+    bool fills = false;
+    for (const auto &[attempt, run] : worker.runs) {
+        serves = serves || run.tailTarget.count() > 0;
+        fills = fills || run.fillCpuMilli > 0;
+    }
+    return serves && fills ? this->settings.holdWaitBesideFills : this->settings.holdWait;
+}
+
 void RunKeeper::sendHold(Worker &worker)
 {
     WorkerHold order;
@@ -161,7 +172,7 @@
         order.acknowledgedEnds = stored ? worker.processedEnds : worker.acknowledgedEnds;
         order.leaseEnd = this->leaseEnd(worker);
         const bool endsWait = worker.processedEnds > order.acknowledgedEnds;
-        order.wait = endsWait ? milliseconds(0) : this->settings.holdWait;
+        order.wait = endsWait ? milliseconds(0) : this->holdWait(worker);
     }
     if (order.leaseEnd) {
         worker.clock.promised(*order.leaseEnd);
@@ -209,6 +220,7 @@
     worker->bornAt = answer.bornAt;
     worker->failedHolds = 0;
     worker->clock.read(answer.clock, now);
+    worker->reportedAt = now;
     worker->acknowledgedEnds = std::max(worker->acknowledgedEnds, acknowledged);
     this->processEnds(*worker, answer);
     this->processRuns(*worker, answer, sentAt);
--- a/modules/bulrush_steps/workers/RunKeeper.h
+++ b/modules/bulrush_steps/workers/RunKeeper.h
@@ -103,6 +103,7 @@
     void addRun(Worker &worker, Run run);
     void removeRun(Worker &worker, const AttemptRef &attempt);
     std::optional<WorkerMillis> leaseEnd(Worker &worker);
+    milliseconds holdWait(const Worker &worker) const;
     bool holdIsDue(const Worker &worker, Instant now) const;
 
     const Clock &clock;
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -67,6 +67,11 @@
     bool holdInFlight = false;
     std::uint64_t holdNumber = 0;
     Instant nextHoldAt {};
+    /** When it last reported what runs. */
+    Instant reportedAt {};
+    /** When the filling tasks' control last took a report. */
+    Instant observedAt {};
+
     /** Ends that were processed, and the change of the records that holds them. */
     std::uint64_t processedEnds = 0;
     std::uint64_t processedChange = 0;
