Pack work that reserves processors on the fullest worker; pace filling tasks only on harm

Ruled out: memory. Change: best fit in place of worst fit; lasting work behind short work of its priority; filling tasks keep their pace until a serving task is over its bound, and leave 12 % of the memory.

--- a/modules/bulrush_steps/policy/FillControl.cpp
+++ b/modules/bulrush_steps/policy/FillControl.cpp
@@ -20,10 +20,10 @@
 constexpr milliseconds reportWindow { 500 };
 
 /** Of the processors that serving and short tasks reserve, the share that they are taken to use. */
-constexpr double expectedUse = 0.6;
+constexpr double expectedUse = 0.4;
 
 /** Filling tasks that get less than this share of what they ask for show how much is unused. */
-constexpr double saturatedShare = 0.85;
+constexpr double saturatedShare = 0.6;
 
 /** How much more is tried where filling tasks get all they ask for. */
 constexpr double growthFactor = 1.25;
@@ -62,41 +62,54 @@
             shares[attempt] = 1.0;
         }
     }
-    for (const auto &[servingAttempt, serving] : worker.runs) {
-        if (serving.tailTarget.count() == 0 || shares.empty()) {
+    return shares;
+}
+
+void FillControl::limitShares(const Worker &worker, const Run &serving,
+                              std::map<AttemptRef, double> &shares) const
+{
+    struct Pressing
+    {
+        AttemptRef attempt;
+        double coefficient = 0.0;
+        /** The share of the worker's processors at full pace. */
+        double atFullPace = 0.0;
+    };
+    const double own = this->model.ownPressure(worker, serving);
+    double expected = own;
+    bool paced = false;
+    std::vector<Pressing> pressing;
+    for (const auto &[attempt, run] : worker.runs) {
+        if (run.fillCpuMilli == 0) {
             continue;
         }
-        // What presses on it: its own load, and the filling runs at the shares wanted so far.
-        double expected = this->model.pressure(serving);
-        std::vector<std::pair<double, const Run *>> pressing;
-        for (const auto &[attempt, run] : worker.runs) {
-            if (run.fillCpuMilli == 0) {
-                continue;
-            }
-            const double coefficient = this->model.coefficient(run.image, serving.image);
-            Run atFullPace = run;
-            atFullPace.pacePercent = 100;
-            const double full = PressureModel::fullShare(worker, atFullPace) * shares[attempt];
-            expected += coefficient * (full - PressureModel::usedShare(worker, run));
-            pressing.emplace_back(coefficient, &run);
-        }
-        const auto more = [](const auto &a, const auto &b) { return a.first > b.first; };
-        std::sort(pressing.begin(), pressing.end(), more);
-        double excess = expected - (this->model.bound(serving) - pressureMargin);
-        for (const auto &[coefficient, run] : pressing) {
-            if (excess <= 0.0 || coefficient < harmlessCoefficient) {
-                break;
-            }
-            Run atFullPace = *run;
-            atFullPace.pacePercent = 100;
-            double &share = shares[run->attempt];
-            const double perShare = coefficient * PressureModel::fullShare(worker, atFullPace);
-            const double cut = std::min(share, excess / std::max(perShare, 1e-6));
-            share -= cut;
-            excess -= cut * perShare;
+        Run fullPace = run;
+        fullPace.pacePercent = 100;
+        const double coefficient = this->model.coefficient(run.image, serving.image);
+        const double atFullPace = PressureModel::fullShare(worker, fullPace);
+        expected += coefficient * atFullPace * shares[attempt];
+        paced = paced || run.pacePercent < 100;
+        pressing.push_back({ attempt, coefficient, atFullPace });
+    }
+    const bool over = serving.load > static_cast<double>(serving.tailTarget.count());
+    if (!over && !paced) {
+        return;
+    }
+    const auto more = [](const Pressing &a, const Pressing &b) {
+        return a.coefficient > b.coefficient;
+    };
+    std::sort(pressing.begin(), pressing.end(), more);
+    double excess = expected - (this->model.bound(serving) - pressureMargin);
+    for (const Pressing &each : pressing) {
+        if (excess <= 0.0 || each.coefficient < harmlessCoefficient) {
+            break;
         }
+        double &share = shares[each.attempt];
+        const double perShare = each.coefficient * each.atFullPace;
+        const double cut = std::min(share, excess / std::max(perShare, 1e-6));
+        share -= cut;
+        excess -= cut * perShare;
     }
-    return shares;
 }
 
 void FillControl::stopHarm(const Worker &worker, Instant now, const DispatchSettings &settings,
@@ -114,9 +127,9 @@
         for (auto &[fill, share] : shares) {
             const Run &filling = worker.runs.at(fill);
             const double coefficient = this->model.coefficient(filling.image, run.image);
-            const bool suspect = now - since >= settings.harmLimit / 4
+            const bool suspect = now - since >= settings.harmLimit / 8
                     && coefficient >= harmlessCoefficient;
-            if (suspect || now - since >= settings.harmLimit / 3) {
+            if (suspect || now - since >= settings.harmLimit / 4) {
                 share = 0.0;
             }
         }
--- a/modules/bulrush_steps/policy/FillControl.h
+++ b/modules/bulrush_steps/policy/FillControl.h
@@ -43,6 +43,8 @@
 
 private:
     std::map<AttemptRef, double> wantedShares(const Worker &worker) const;
+    void limitShares(const Worker &worker, const Run &serving,
+                     std::map<AttemptRef, double> &shares) const;
     void stopHarm(const Worker &worker, Instant now, const DispatchSettings &settings,
                   std::map<AttemptRef, double> &shares);
 
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -10,7 +10,7 @@
 constexpr std::uint32_t mostOrdersInFlight = 6;
 
 /** Pressure that a filling task must leave free on each serving task beside it. */
-constexpr double leastPressureLeft = 0.1;
+constexpr double leastPressureLeft = 0.15;
 
 /** What the whole pressure that a filling task puts on serving tasks takes off a worker's score. */
 constexpr double pressureWeight = 3.0;
@@ -18,6 +18,9 @@
 /** A filling task starts only where at least this share of its processors is unused. */
 constexpr double leastFillShare = 0.7;
 
+/** Of a worker's memory, the share that filling tasks leave to work that comes before them. */
+constexpr double memoryShareLeftByFills = 0.12;
+
 /** What a full share of failed runs takes off a worker's score. */
 constexpr double failurePenalty = 3.0;
 
@@ -88,6 +91,11 @@
         }
     }
     if (step.fills) {
+        const auto memory = static_cast<double>(worker.entry.capacity.memoryMb);
+        const auto memoryLeft = static_cast<double>(worker.free().memoryMb - size.memoryMb);
+        if (memoryLeft < memoryShareLeftByFills * memory) {
+            return false;
+        }
         const double unused = worker.fillRoom - static_cast<double>(worker.fillDemand());
         return unused >= leastFillShare * static_cast<double>(step.size.cpuMilli)
                 && this->pressureLeft(worker, step) >= leastPressureLeft;
@@ -99,7 +107,8 @@
 {
     const StepSpec &step = *request.step;
     const auto capacity = static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
-    double score = static_cast<double>(worker.free().cpuMilli) / capacity;
+    // The fullest worker first: what is left over stays in pieces that large tasks fit into.
+    double score = -static_cast<double>(worker.free().cpuMilli) / capacity;
     if (step.fills) {
         score = (worker.fillRoom - static_cast<double>(worker.fillDemand())) / capacity;
         const double share = static_cast<double>(step.size.cpuMilli) / capacity;
--- a/modules/bulrush_steps/policy/PressureModel.cpp
+++ b/modules/bulrush_steps/policy/PressureModel.cpp
@@ -64,13 +64,29 @@
     return std::max(0.0, 1.0 - found->second.idleTail / target);
 }
 
+double PressureModel::ownPressure(const Worker &worker, const Run &serving) const
+{
+    double own = this->pressure(serving);
+    for (const auto &[attempt, run] : worker.runs) {
+        if (run.fillCpuMilli > 0) {
+            own -= this->coefficient(run.image, serving.image) * usedShare(worker, run);
+        }
+    }
+    return std::max(0.0, own);
+}
+
+double PressureModel::usualPressure(const Run &serving) const
+{
+    const auto found = this->images.find(serving.image);
+    return found == this->images.end() ? Serving().usualPressure : found->second.usualPressure;
+}
+
 double PressureModel::expectedPressure(const Worker &worker, const Run &serving) const
 {
-    double expected = this->pressure(serving);
+    double expected = (this->ownPressure(worker, serving) + this->usualPressure(serving)) / 2.0;
     for (const auto &[attempt, run] : worker.runs) {
         if (run.fillCpuMilli > 0) {
-            const double more = fullShare(worker, run) - usedShare(worker, run);
-            expected += this->coefficient(run.image, serving.image) * std::max(0.0, more);
+            expected += this->coefficient(run.image, serving.image) * fullShare(worker, run);
         }
     }
     return expected;
--- a/modules/bulrush_steps/policy/PressureModel.h
+++ b/modules/bulrush_steps/policy/PressureModel.h
@@ -36,7 +36,14 @@
     /** Returns the share that a filling run may use at its present pace. */
     static double fullShare(const Worker &worker, const Run &fill);
 
-    /** Returns the pressure on a serving run to expect once all filling runs show in reports. */
+    /** Returns the pressure on a serving run that no filling run beside it makes. */
+    double ownPressure(const Worker &worker, const Run &serving) const;
+
+    /** Returns what a serving run's own pressure usually is. */
+    double usualPressure(const Run &serving) const;
+
+    /** Returns the pressure on a serving run to expect while the filling runs keep their paces: its
+        own load swings, so that its usual pressure counts as much as the present one. */
     double expectedPressure(const Worker &worker, const Run &serving) const;
 
 private:
--- a/modules/bulrush_steps/policy/WorkOrder.cpp
+++ b/modules/bulrush_steps/policy/WorkOrder.cpp
@@ -7,6 +7,9 @@
 /** Up to so many times its objective a job still earns something. */
 constexpr int lateFactor = 3;
 
+/** A task that lasts loses little by a moment's wait; short work of its priority goes before it. */
+constexpr std::int64_t behindShortWorkMs = 1'000'000'000;
+
 enum Band : std::uint32_t { canEarnFully, canEarnLate, tooLate };
 
 } // namespace
@@ -14,7 +17,7 @@
 WorkRank rankOf(const WaitingJob &job)
 {
     if (job.lasting) {
-        return { canEarnFully, job.priority, 0 };
+        return { canEarnFully, job.priority, behindShortWorkMs };
     }
     const Duration end = job.age + job.remaining;
     const auto slack = duration_cast<milliseconds>(job.objective - end).count();
