Let a new owner treat every job it reads at its take-over as known to former owners

All nodes lost power; the new owner started a task on another worker 0.2 s after its take-over, before the worker that held its end had answered. By reading: a job counted as never seen by a former owner when its record stood behind the new owner's mark; but the store tells the newest record of a key, and a caller that lost its answer had repeated the submission behind the mark. Ruled out: roster (stored before each start), epoch, the waiting time (11.8 s). Change: a job is free at once only when its first record is read after the take-over.

--- a/modules/bulrush_core/events/DecisionLog.h
+++ b/modules/bulrush_core/events/DecisionLog.h
@@ -34,8 +34,7 @@
     }
 
     template<class Number>
-        requires std::is_arithmetic_v<Number>
-    DecisionLine &with(std::string_view name, Number value)
+    requires std::is_arithmetic_v<Number> DecisionLine &with(std::string_view name, Number value)
     {
         if constexpr (std::is_same_v<Number, bool>) {
             return this->withRaw(name, value ? "true" : "false");
--- a/modules/bulrush_entry/front/StoreHealth.cpp
+++ b/modules/bulrush_entry/front/StoreHealth.cpp
@@ -38,8 +38,9 @@
     }
     if (!this->wasLost) {
         this->wasLost = true;
-        this->decisions.write(DecisionLine(Event::StoreLost)
-                                      .with("silent_ms", duration_cast<milliseconds>(silence).count()));
+        this->decisions.write(
+                DecisionLine(Event::StoreLost)
+                        .with("silent_ms", duration_cast<milliseconds>(silence).count()));
     }
     return true;
 }
--- a/modules/bulrush_entry/front/SubmissionDesk.cpp
+++ b/modules/bulrush_entry/front/SubmissionDesk.cpp
@@ -67,7 +67,7 @@
     return this->clock.now() + std::max(milliseconds(0), limit - answerMargin);
 }
 
-void SubmissionDesk::serve(CallerRequest request, Callback callback)
+void SubmissionDesk::serve(const CallerRequest &request, const Callback &callback)
 {
     if (!this->config) {
         callback(this->refusal("no configuration yet"));
@@ -84,7 +84,10 @@
         return;
     }
     if (!isJobId(rest) || request.wish == CallerWish::Unsupported) {
-        callback({ CallerOutcome::Malformed, {}, 0, "the path must end with 16 hexadecimal digits",
+        callback({ CallerOutcome::Malformed,
+                   {},
+                   0,
+                   "the path must end with 16 hexadecimal digits",
                    {} });
         return;
     }
@@ -98,16 +101,17 @@
     }
 }
 
-void SubmissionDesk::submit(const CallerRequest &request, const QueuePolicy &queue,
-                            const JobId &id, const Callback &callback)
+void SubmissionDesk::submit(const CallerRequest &request, const QueuePolicy &queue, const JobId &id,
+                            const Callback &callback)
 {
     if (this->health.lost()) {
         const Duration silence = this->clock.now() - this->health.lastReached();
-        this->decisions.write(DecisionLine(Event::JobRefused)
-                                      .with("job", id.name())
-                                      .with("queue", queue.name)
-                                      .with("reason", "the store does not answer")
-                                      .with("silent_ms", duration_cast<milliseconds>(silence).count()));
+        this->decisions.write(
+                DecisionLine(Event::JobRefused)
+                        .with("job", id.name())
+                        .with("queue", queue.name)
+                        .with("reason", "the store does not answer")
+                        .with("silent_ms", duration_cast<milliseconds>(silence).count()));
         callback(this->refusal("the store does not answer; the job is not on record"));
         return;
     }
--- a/modules/bulrush_entry/front/SubmissionDesk.h
+++ b/modules/bulrush_entry/front/SubmissionDesk.h
@@ -39,7 +39,7 @@
     bool configured() const { return this->config.has_value(); }
 
     /** Serves a request. The callback is called once, perhaps at once. */
-    void serve(CallerRequest request, Callback callback);
+    void serve(const CallerRequest &request, const Callback &callback);
 
     /** Repeats appends whose outcome is unknown. */
     void tick();
--- a/modules/bulrush_entry/node/EntryMetrics.cpp
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -12,17 +12,17 @@
 
 namespace {
 
-constexpr std::array<const char *, 6> storeOutcomes { "done",        "refused", "fenced",
+constexpr std::array<const char *, 6> storeOutcomes { "done",         "refused", "fenced",
                                                       "out_of_order", "trimmed", "unknown" };
-constexpr std::array<const char *, 5> wishes { "submit", "query", "cancel", "count", "unsupported" };
-constexpr std::array<const char *, 9> callerOutcomes { "accepted", "refused",  "no_queue",
+constexpr std::array<const char *, 5> wishes { "submit", "query", "cancel", "count",
+                                               "unsupported" };
+constexpr std::array<const char *, 9> callerOutcomes { "accepted",  "refused", "no_queue",
                                                        "malformed", "unknown", "state",
                                                        "cancelled", "no_job",  "waiting" };
 
 /** Upper bounds of the histograms' buckets, in seconds. */
-const prometheus::Histogram::BucketBoundaries secondsBuckets { 0.002, 0.005, 0.01, 0.02, 0.05,
-                                                               0.1,   0.2,   0.5,  1.0,  2.0,
-                                                               5.0 };
+const prometheus::Histogram::BucketBoundaries secondsBuckets { 0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
+                                                               0.2,   0.5,   1.0,  2.0,  5.0 };
 
 double inSeconds(Duration span)
 {
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -62,9 +62,8 @@
     , dispatcher(systemClock, entryPorts.workers, this->store, entrySettings.dispatch, decisionLog,
                  *this)
     , ownership(systemClock, this->store,
-                OwnerLink::memberName(
-                        entrySettings.inner,
-                        static_cast<std::uint64_t>(systemClock.calendarMillis())),
+                OwnerLink::memberName(entrySettings.inner,
+                                      static_cast<std::uint64_t>(systemClock.calendarMillis())),
                 entrySettings.ownershipTimes(), decisionLog, *this)
     , takeover(systemClock, this->store, this->view)
     , owner(eventLoop, systemClock, this->store, this->dispatcher, entrySettings.inner)
@@ -120,7 +119,6 @@
 {
     OwnershipTerm term;
     term.fencingToken = this->ownership.fencingToken();
-    term.firstOwnOffset = markOffset;
     term.formerOrdersOver = gainedAt + this->settings.ownershipTimes().formerOrdersOver();
     this->dispatcher.begin(term, this->view.book());
     if (this->config.config()) {
@@ -211,11 +209,10 @@
         this->readiness.respond(id, std::move(response));
         return;
     }
-    CallerRequest decoded = this->ports.callers.decode(request);
+    const CallerRequest decoded = this->ports.callers.decode(request);
     this->lastRequestAt = this->clock.now();
     this->open[id] = { decoded.wish, this->lastRequestAt };
-    this->desk.serve(std::move(decoded),
-                     [this, id](const CallerAnswer &told) { this->answer(id, told); });
+    this->desk.serve(decoded, [this, id](const CallerAnswer &told) { this->answer(id, told); });
 }
 
 void EntryNode::answer(HttpServer::RequestId id, const CallerAnswer &told)
@@ -246,8 +243,9 @@
         return;
     }
     this->drainingSince = this->clock.now();
-    this->decisions.write(DecisionLine(Event::NodeStopping)
-                                  .with("open_requests", static_cast<std::int64_t>(this->open.size())));
+    this->decisions.write(
+            DecisionLine(Event::NodeStopping)
+                    .with("open_requests", static_cast<std::int64_t>(this->open.size())));
     this->ownership.leave();
 }
 
@@ -260,8 +258,9 @@
     if (!idle && sinceDrain < this->settings.grace - exitMargin) {
         return;
     }
-    this->decisions.write(DecisionLine(Event::NodeStopped)
-                                  .with("open_requests", static_cast<std::int64_t>(this->open.size())));
+    this->decisions.write(
+            DecisionLine(Event::NodeStopped)
+                    .with("open_requests", static_cast<std::int64_t>(this->open.size())));
     this->loop.stop();
 }
 
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -97,7 +97,6 @@
     std::map<HttpServer::RequestId, OpenRequest> open;
     Instant lastRequestAt {};
     std::optional<Instant> drainingSince;
-    bool left = false;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_entry/node/ObservedStore.cpp
+++ b/modules/bulrush_entry/node/ObservedStore.cpp
@@ -73,11 +73,11 @@
 void ObservedStore::findHolder(Duration timeout, std::function<void(PartitionHolder)> callback)
 {
     const Instant sentAt = this->clock.now();
-    this->group.findHolder(timeout, [this, sentAt, callback = std::move(callback)](
-                                            const PartitionHolder &holder) {
-        this->note("holder", holder.outcome, sentAt);
-        callback(holder);
-    });
+    this->group.findHolder(
+            timeout, [this, sentAt, callback = std::move(callback)](const PartitionHolder &holder) {
+                this->note("holder", holder.outcome, sentAt);
+                callback(holder);
+            });
 }
 
 } // namespace bulrush
--- a/modules/bulrush_entry/owner/OwnerLink.cpp
+++ b/modules/bulrush_entry/owner/OwnerLink.cpp
@@ -27,7 +27,8 @@
     }
     Endpoint endpoint { std::string(address.substr(0, colon)), 0 };
     const std::string_view port = address.substr(colon + 1);
-    const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
+    const auto [end, error] =
+            std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
     return error == std::errc() && endpoint.port != 0 ? std::optional(endpoint) : std::nullopt;
 }
 
@@ -232,8 +233,8 @@
         OwnerAnswer answer;
         answer.kind = reply->reply() == wire::OwnerReply::Known ? OwnerAnswer::Kind::Known
                                                                 : OwnerAnswer::Kind::NotKnown;
-        answer.state = static_cast<JobState>(
-                std::min<std::uint8_t>(reply->state(), static_cast<std::uint8_t>(JobState::Cancelled)));
+        answer.state = static_cast<JobState>(std::min<std::uint8_t>(
+                reply->state(), static_cast<std::uint8_t>(JobState::Cancelled)));
         answer.waiting = reply->waiting();
         this->finish(reply->number(), answer);
     } catch (const Error &) {
--- a/modules/bulrush_entry/settings/EntrySettings.cpp
+++ b/modules/bulrush_entry/settings/EntrySettings.cpp
@@ -21,8 +21,7 @@
         }
     };
     require(this->dispatch.longestLease > milliseconds(0), "the longest lease must be positive");
-    require(this->dispatch.holdWait * 2 < this->dispatch.lease(),
-            "a lease must outlast two holds");
+    require(this->dispatch.holdWait * 2 < this->dispatch.lease(), "a lease must outlast two holds");
     require(this->leastTimeToLive > milliseconds(0),
             "the store's shortest time to live must be positive");
     require(this->grace > milliseconds(1000), "a graceful stop needs more than a second");
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -39,7 +39,8 @@
     this->formerSettled = false;
     this->waiting.clear();
     this->writer.begin(this->term.fencingToken);
-    for (const auto &[id, job] : this->book.entries()) {
+    for (auto &[id, job] : this->book.entries()) {
+        job.knownToFormerOwners = true;
         if (!job.over()) {
             this->waiting.insert(id);
         } else if (!job.endOnRecord && !job.cancelled) {
@@ -354,8 +355,7 @@
 
 bool Dispatcher::formerRunsSettled(const JobEntry &job, Instant now)
 {
-    if (this->formerSettled || job.acceptedOffset >= this->term.firstOwnOffset
-        || now >= this->term.formerOrdersOver) {
+    if (this->formerSettled || !job.knownToFormerOwners || now >= this->term.formerOrdersOver) {
         return true;
     }
     for (const TargetId &id : this->book.roster()) {
@@ -565,13 +565,15 @@
     std::vector<const StepSpec *> unplaced;
     for (const Candidate &candidate : this->candidates(now)) {
         const StepSpec &step = candidate.job->spec.steps[candidate.step];
-        const bool hopeless = std::any_of(unplaced.begin(), unplaced.end(), [&step](const StepSpec *other) {
-            return other->fills == step.fills && other->size.fitsInto(step.size);
-        });
+        const bool hopeless =
+                std::any_of(unplaced.begin(), unplaced.end(), [&step](const StepSpec *other) {
+                    return other->fills == step.fills && other->size.fitsInto(step.size);
+                });
         if (hopeless) {
             continue;
         }
-        const bool placed = step.gang ? this->planGang(candidate, now) : this->planStep(candidate, now);
+        const bool placed =
+                step.gang ? this->planGang(candidate, now) : this->planStep(candidate, now);
         const bool constrained = step.mostPerWorker > 0 || !step.requiredLabel.empty() || step.gang;
         if (!placed && !constrained) {
             unplaced.push_back(&step);
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -2,8 +2,8 @@
 
 #include "bulrush_steps/dispatch/DispatchSettings.h"
 #include "bulrush_steps/dispatch/ProgressWriter.h"
-#include "bulrush_steps/model/StepJobBook.h"
 #include "bulrush_steps/model/ServingConfig.h"
+#include "bulrush_steps/model/StepJobBook.h"
 #include "bulrush_steps/policy/DurationBook.h"
 #include "bulrush_steps/policy/FillControl.h"
 #include "bulrush_steps/policy/Placement.h"
@@ -19,8 +19,6 @@
 struct OwnershipTerm
 {
     std::uint64_t fencingToken = 0;
-    /** Jobs accepted at or behind this offset were never seen by a former owner. */
-    LogOffset firstOwnOffset = 0;
     /** When no order of a former owner can have an effect any more, on any worker. */
     Instant formerOrdersOver {};
 };
@@ -48,8 +46,8 @@
         virtual bool isSoleOwner() const = 0;
     };
 
-    Dispatcher(const Clock &clock, WorkerOrders &port, KeyedLog &log, const DispatchSettings &settings,
-               DecisionLog &decisions, Listener &listener);
+    Dispatcher(const Clock &clock, WorkerOrders &port, KeyedLog &log,
+               const DispatchSettings &settings, DecisionLog &decisions, Listener &listener);
 
     /** Begins with all that is on record. The store has taken the term's token as epoch before. */
     void begin(const OwnershipTerm &term, StepJobBook book);
--- a/modules/bulrush_steps/follow/ConfigFollower.h
+++ b/modules/bulrush_steps/follow/ConfigFollower.h
@@ -10,7 +10,8 @@
 
 class DecisionLog;
 
-/** Keeps the operators' newest configuration. A version in force is never replaced by an older one. */
+/** Keeps the operators' newest configuration. A version in force is never replaced by an older one.
+ */
 class ConfigFollower : private StreamScan::Listener
 {
 public:
--- a/modules/bulrush_steps/follow/StreamScan.cpp
+++ b/modules/bulrush_steps/follow/StreamScan.cpp
@@ -52,14 +52,14 @@
 void StreamScan::readNewest()
 {
     this->log.newest(this->stream, this->afterKey, callTimeout,
-                     [this, current = this->living](NewestResult result) {
+                     [this, current = this->living](const NewestResult &result) {
                          if (*current) {
-                             this->newestAnswered(std::move(result));
+                             this->newestAnswered(result);
                          }
                      });
 }
 
-void StreamScan::newestAnswered(NewestResult result)
+void StreamScan::newestAnswered(const NewestResult &result)
 {
     if (result.outcome != StoreOutcome::Done) {
         this->finish(result.outcome);
@@ -88,14 +88,14 @@
 void StreamScan::readOn(milliseconds wait)
 {
     this->log.read(this->stream, this->nextOffset, wait, wait + callTimeout,
-                   [this, current = this->living](ReadResult result) {
+                   [this, current = this->living](const ReadResult &result) {
                        if (*current) {
-                           this->readAnswered(std::move(result));
+                           this->readAnswered(result);
                        }
                    });
 }
 
-void StreamScan::readAnswered(ReadResult result)
+void StreamScan::readAnswered(const ReadResult &result)
 {
     if (result.outcome == StoreOutcome::Trimmed) {
         this->restart();
--- a/modules/bulrush_steps/follow/StreamScan.h
+++ b/modules/bulrush_steps/follow/StreamScan.h
@@ -56,9 +56,9 @@
 
 private:
     void readNewest();
-    void newestAnswered(NewestResult result);
+    void newestAnswered(const NewestResult &result);
     void readOn(milliseconds wait);
-    void readAnswered(ReadResult result);
+    void readAnswered(const ReadResult &result);
     void finish(StoreOutcome outcome);
 
     KeyedLog &log;
--- a/modules/bulrush_steps/follow/WorkerFollower.cpp
+++ b/modules/bulrush_steps/follow/WorkerFollower.cpp
@@ -33,7 +33,7 @@
         return;
     }
     this->nextAt = now + readInterval;
-    this->scan.advance(milliseconds(0), [](StoreOutcome /*outcome*/) { });
+    this->scan.advance(milliseconds(0), [](StoreOutcome /*outcome*/) {});
 }
 
 void WorkerFollower::restart()
--- a/modules/bulrush_steps/model/ServingConfig.cpp
+++ b/modules/bulrush_steps/model/ServingConfig.cpp
@@ -18,8 +18,9 @@
 
 const QueuePolicy *ServingConfig::queue(std::string_view name) const
 {
-    const auto found = std::find_if(this->queues.begin(), this->queues.end(),
-                                    [name](const QueuePolicy &queue) { return queue.name == name; });
+    const auto found =
+            std::find_if(this->queues.begin(), this->queues.end(),
+                         [name](const QueuePolicy &queue) { return queue.name == name; });
     return found == this->queues.end() ? nullptr : &*found;
 }
 
--- a/modules/bulrush_steps/model/StepJob.h
+++ b/modules/bulrush_steps/model/StepJob.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace bulrush {
@@ -119,7 +120,11 @@
     std::uint32_t index = 0;
 
     bool operator==(const TaskRef &) const = default;
-    auto operator<=>(const TaskRef &) const = default;
+    bool operator<(const TaskRef &other) const
+    {
+        return std::tie(this->job, this->occurrence, this->step, this->index)
+                < std::tie(other.job, other.occurrence, other.step, other.index);
+    }
 };
 
 /** Names one attempt at a task. */
@@ -129,7 +134,10 @@
     std::uint64_t attempt = 0;
 
     bool operator==(const AttemptRef &) const = default;
-    auto operator<=>(const AttemptRef &) const = default;
+    bool operator<(const AttemptRef &other) const
+    {
+        return std::tie(this->task, this->attempt) < std::tie(other.task, other.attempt);
+    }
 };
 
 /** What callers are shown of a job. */
--- a/modules/bulrush_steps/model/StepJobBook.h
+++ b/modules/bulrush_steps/model/StepJobBook.h
@@ -47,7 +47,9 @@
 {
     StepJob spec;
     std::vector<OccurrenceState> occurrences;
-    LogOffset acceptedOffset = 0;
+    /** Whether a former owner may have started tasks of it. A job counts as unknown to them only
+        when its first record follows the owner's mark: the newest record may be a repeat. */
+    bool knownToFormerOwners = false;
     /** When it was accepted, by this process's clock. */
     Instant acceptedAt {};
     bool cancelled = false;
--- a/modules/bulrush_steps/model/TaskText.cpp
+++ b/modules/bulrush_steps/model/TaskText.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 10> outcomeNames {
-    "done",    "fenced",       "stale attempt", "too late", "no room", "ticket refused",
-    "refused", "other worker", "invalid",       "unknown",
+    "done",           "fenced",  "stale attempt", "too late", "no room",
+    "ticket refused", "refused", "other worker",  "invalid",  "unknown",
 };
 
 constexpr std::array<std::string_view, 6> endNames {
--- a/modules/bulrush_steps/ownership/OwnershipKeeper.cpp
+++ b/modules/bulrush_steps/ownership/OwnershipKeeper.cpp
@@ -22,8 +22,8 @@
 
 milliseconds OwnershipTimes::formerOrdersOver() const
 {
-    const auto stretched = static_cast<std::int64_t>(static_cast<double>(this->lease.count())
-                                                     / slowestClockRate);
+    const auto stretched =
+            static_cast<std::int64_t>(static_cast<double>(this->lease.count()) / slowestClockRate);
     return this->timeToLive + this->extension + milliseconds(stretched) + clockSlack;
 }
 
--- a/modules/bulrush_steps/ownership/Takeover.h
+++ b/modules/bulrush_steps/ownership/Takeover.h
@@ -23,8 +23,8 @@
     Takeover(const Clock &clock, KeyedLog &log, RecordsView &view);
 
     /** Begins; goes on through failures until it is done or cancelled. */
-    void begin(std::uint64_t fencingToken, std::string member,
-               std::function<void(LogOffset)> done, std::function<void()> superseded);
+    void begin(std::uint64_t fencingToken, std::string member, std::function<void(LogOffset)> done,
+               std::function<void()> superseded);
 
     void cancel();
 
--- a/modules/bulrush_steps/policy/FillControl.cpp
+++ b/modules/bulrush_steps/policy/FillControl.cpp
@@ -127,8 +127,8 @@
         for (auto &[fill, share] : shares) {
             const Run &filling = worker.runs.at(fill);
             const double coefficient = this->model.coefficient(filling.image, run.image);
-            const bool suspect = now - since >= settings.harmLimit / 8
-                    && coefficient >= harmlessCoefficient;
+            const bool suspect =
+                    now - since >= settings.harmLimit / 8 && coefficient >= harmlessCoefficient;
             if (suspect || now - since >= settings.harmLimit / 4) {
                 share = 0.0;
             }
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -40,7 +40,8 @@
 
 double Placement::pressureLeft(const Worker &worker, const StepSpec &step) const
 {
-    const auto capacity = static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
+    const auto capacity =
+            static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
     const double share = static_cast<double>(step.size.cpuMilli) / capacity;
     double least = 1.0;
     for (const auto &[attempt, run] : worker.runs) {
@@ -106,7 +107,8 @@
 double Placement::score(const Worker &worker, const TaskRequest &request) const
 {
     const StepSpec &step = *request.step;
-    const auto capacity = static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
+    const auto capacity =
+            static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
     // The fullest worker first: what is left over stays in pieces that large tasks fit into.
     double score = -static_cast<double>(worker.free().cpuMilli) / capacity;
     if (step.fills) {
@@ -131,14 +133,13 @@
     if (held != request.siblings.end()) {
         score -= siblingPenalty * held->second;
     }
-    const bool failedHere = std::find(request.failedOn.begin(), request.failedOn.end(),
-                                      worker.entry.worker)
+    const bool failedHere =
+            std::find(request.failedOn.begin(), request.failedOn.end(), worker.entry.worker)
             != request.failedOn.end();
     return failedHere ? score - failedHerePenalty : score;
 }
 
-Worker *Placement::choose(std::map<TargetId, Worker> &workers,
-                          const TaskRequest &request) const
+Worker *Placement::choose(std::map<TargetId, Worker> &workers, const TaskRequest &request) const
 {
     Worker *best = nullptr;
     double bestScore = 0.0;
--- a/modules/bulrush_steps/policy/PressureModel.cpp
+++ b/modules/bulrush_steps/policy/PressureModel.cpp
@@ -24,12 +24,14 @@
 
 double PressureModel::usedShare(const Worker &worker, const Run &fill)
 {
-    return fill.load / static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
+    return fill.load
+            / static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
 }
 
 double PressureModel::fullShare(const Worker &worker, const Run &fill)
 {
-    const auto capacity = static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
+    const auto capacity =
+            static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
     return static_cast<double>(fill.fillCpuMilli) * fill.pacePercent / 100.0 / capacity;
 }
 
--- a/modules/bulrush_steps/policy/WorkOrder.h
+++ b/modules/bulrush_steps/policy/WorkOrder.h
@@ -2,8 +2,8 @@
 
 #include "bulrush_core/time/Clock.h"
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace bulrush {
 
@@ -27,7 +27,11 @@
     std::uint32_t priority = 0;
     std::int64_t slackMs = 0;
 
-    auto operator<=>(const WorkRank &) const = default;
+    bool operator<(const WorkRank &other) const
+    {
+        return std::tie(this->band, this->priority, this->slackMs)
+                < std::tie(other.band, other.priority, other.slackMs);
+    }
 };
 
 /**
--- a/modules/bulrush_steps/ports/KeyedLog.h
+++ b/modules/bulrush_steps/ports/KeyedLog.h
@@ -12,7 +12,8 @@
 
 namespace bulrush {
 
-/** The streams that the scheduler reads and writes; each keeps the newest record of a key for ever. */
+/** The streams that the scheduler reads and writes; each keeps the newest record of a key for ever.
+ */
 enum class LogStream : std::uint8_t {
     /** Accepted jobs, cancellations and the marks of owners. */
     Jobs,
--- a/modules/bulrush_steps/ports/WorkerOrders.h
+++ b/modules/bulrush_steps/ports/WorkerOrders.h
@@ -89,12 +89,20 @@
     AttemptRef attempt;
     std::string checkpoint;
     std::uint32_t percent = 0;
-    /** Of a serving task: its tail latency in milliseconds; of others: processors in use, in thousandths. */
+    /** Of a serving task: its tail latency in milliseconds; of others: processors in use, in
+     * thousandths. */
     double load = 0.0;
 };
 
 /** Why a run ended. */
-enum class EndKind : std::uint8_t { Succeeded, Failed, Stopped, LeaseLapsed, GangBroken, GangAlone };
+enum class EndKind : std::uint8_t {
+    Succeeded,
+    Failed,
+    Stopped,
+    LeaseLapsed,
+    GangBroken,
+    GangAlone
+};
 
 /** An end that a worker lists until it is acknowledged. */
 struct ListedEnd
--- a/modules/bulrush_steps/workers/RunKeeper.cpp
+++ b/modules/bulrush_steps/workers/RunKeeper.cpp
@@ -72,7 +72,8 @@
     const bool moved = !added && !(worker.address.endpoint == entry.endpoint);
     const bool reborn = !added && entry.bornAt != worker.entry.bornAt;
     if (!added && entry.draining && !worker.entry.draining) {
-        this->decisions.write(DecisionLine(Event::WorkerDraining).with("worker", entry.worker.name()));
+        this->decisions.write(
+                DecisionLine(Event::WorkerDraining).with("worker", entry.worker.name()));
     }
     worker.entry = entry;
     worker.listed = true;
@@ -211,11 +212,12 @@
         this->workerReborn(*worker, answer.bornAt);
     }
     if (worker->failedHolds > 0 || !worker->adopted) {
-        this->decisions.write(DecisionLine(Event::WorkerAnswers)
-                                      .with("worker", id.name())
-                                      .with("born_ms", answer.bornAt)
-                                      .with("running", static_cast<std::int64_t>(answer.running.size()))
-                                      .with("failed_holds", worker->failedHolds));
+        this->decisions.write(
+                DecisionLine(Event::WorkerAnswers)
+                        .with("worker", id.name())
+                        .with("born_ms", answer.bornAt)
+                        .with("running", static_cast<std::int64_t>(answer.running.size()))
+                        .with("failed_holds", worker->failedHolds));
     }
     worker->bornAt = answer.bornAt;
     worker->failedHolds = 0;
@@ -246,10 +248,11 @@
 
 void RunKeeper::workerReborn(Worker &worker, UnixMillis bornAt)
 {
-    this->decisions.write(DecisionLine(Event::WorkerReborn)
-                                  .with("worker", worker.entry.worker.name())
-                                  .with("born_ms", bornAt)
-                                  .with("runs_lost", static_cast<std::int64_t>(worker.runs.size())));
+    this->decisions.write(
+            DecisionLine(Event::WorkerReborn)
+                    .with("worker", worker.entry.worker.name())
+                    .with("born_ms", bornAt)
+                    .with("runs_lost", static_cast<std::int64_t>(worker.runs.size())));
     const std::map<AttemptRef, Run> lost = std::move(worker.runs);
     worker.runs.clear();
     worker.committed = Room();
--- a/modules/bulrush_steps/workers/RunKeeper.h
+++ b/modules/bulrush_steps/workers/RunKeeper.h
@@ -29,7 +29,8 @@
         virtual Run foundRun(const Worker &worker, const ListedRun &listed) = 0;
 
         /** Called once for each listed end. @returns the change of the records that holds it */
-        virtual std::uint64_t runEnded(const Worker &worker, const Run *run, const ListedEnd &end) = 0;
+        virtual std::uint64_t runEnded(const Worker &worker, const Run *run,
+                                       const ListedEnd &end) = 0;
 
         /** Called when a run is surely not alive and no end of it is listed. */
         virtual void runLost(const Worker &worker, const Run &run, std::string_view reason) = 0;
--- a/modules/bulrush_wire/frames/OwnerFrames.h
+++ b/modules/bulrush_wire/frames/OwnerFrames.h
@@ -9,7 +9,8 @@
 
 namespace bulrush::wire {
 
-/** Verifies a received frame between an entry VM and the owner. @throws Error when it is malformed */
+/** Verifies a received frame between an entry VM and the owner. @throws Error when it is malformed
+ */
 const OwnerFrame &readOwnerFrame(std::span<const std::uint8_t> bytes, std::string_view peer);
 
 /** Encodes a message, such as OwnerQuestionT, as one frame. */
