Move a filling task away from a serving task that it slows, and place by expected harm

A paced filling task resumed as soon as the tail fell, and slowed the same neighbour again; a fixed margin of pressure kept filling tasks from workers where nothing would have been harmed. Ruled out: reports that come too late (0.4 s). Change: the filling run that presses most moves when a serving task is over its bound, if it can resume; placement allows a number of serving tasks expected over their bounds, more for work that would be late otherwise.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -14,6 +14,14 @@
 /** Attempts that one owner may count for a task; its fencing token makes the higher part. */
 constexpr std::uint64_t attemptsPerOwner = 1000;
 
+/** How much harm to serving tasks, in tasks over their bound, a filling task may be expected to do:
+    while it can wait, and when it would be late otherwise. */
+constexpr double riskOfPatientFill = 0.3;
+constexpr double riskOfUrgentFill = 0.6;
+
+/** A filling task is urgent when this much of its objective is left beside its work. */
+constexpr double urgentSlackShare = 0.3;
+
 /** A lasting task that ended starts again after this long. */
 constexpr milliseconds restartDelay { 0 };
 
@@ -91,18 +99,42 @@
 
 void Dispatcher::stopRuns(const JobEntry &job, std::string_view why)
 {
-    this->keeper.eachRun(job.spec.id, [this, why](Worker &worker, Run &run) {
-        if (!run.stopWanted) {
-            this->decisions.write(DecisionLine(Event::TaskStopped)
-                                          .with("task", text(run.attempt.task))
-                                          .with("attempt", run.attempt.attempt)
-                                          .with("worker", worker.entry.worker.name())
-                                          .with("why", why));
-        }
-        run.stopWanted = true;
+    this->keeper.eachRun(job.spec.id, [this, why](const Worker &worker, Run &run) {
+        this->stopRun(worker, run, why);
     });
 }
 
+void Dispatcher::stopRun(const Worker &worker, Run &run, std::string_view why)
+{
+    if (run.stopWanted) {
+        return;
+    }
+    run.stopWanted = true;
+    this->decisions.write(DecisionLine(Event::TaskStopped)
+                                  .with("task", text(run.attempt.task))
+                                  .with("attempt", run.attempt.attempt)
+                                  .with("worker", worker.entry.worker.name())
+                                  .with("why", why));
+}
+
+Run Dispatcher::describeRun(const JobEntry &job, const AttemptRef &attempt) const
+{
+    const StepSpec &step = job.step(attempt.task);
+    Run run;
+    run.attempt = attempt;
+    run.size = step.size;
+    if (step.fills) {
+        run.fillCpuMilli = step.size.cpuMilli;
+        run.size.cpuMilli = 0;
+    }
+    run.lasting = step.lasting;
+    run.resumes = step.checkpoints;
+    run.image = step.image;
+    run.tailTarget = step.tailTarget;
+    run.expected = this->durations.expected(job.spec.queue, step);
+    return run;
+}
+
 void Dispatcher::tick()
 {
     if (!this->isActive) {
@@ -196,17 +228,9 @@
     if (!known) {
         run.stopWanted = true;
     } else {
-        const StepSpec &step = job->step(listed.attempt.task);
         StepTask &task = job->task(listed.attempt.task);
-        run.size = step.size;
-        if (step.fills) {
-            run.fillCpuMilli = step.size.cpuMilli;
-            run.size.cpuMilli = 0;
-        }
-        run.lasting = step.lasting;
-        run.image = step.image;
-        run.tailTarget = step.tailTarget;
-        run.expected = this->durations.expected(job->spec.queue, step);
+        run = this->describeRun(*job, listed.attempt);
+        run.orderSentAt = this->clock.now();
         run.stopWanted = job->over() || task.succeeded;
         ++task.openRuns;
         task.lastAttempt = std::max(task.lastAttempt, listed.attempt.attempt);
@@ -342,8 +366,12 @@
         worker.observedAt = now;
         worker.fillRoom = FillControl::unusedProcessors(worker, now);
         this->fillControl.observe(worker);
-        for (const PaceChange &change : this->fillControl.decide(worker, now, this->settings)) {
+        for (const FillChange &change : this->fillControl.decide(worker, now, this->settings)) {
             Run &run = worker.runs.at(change.attempt);
+            if (change.moves) {
+                this->stopRun(worker, run, "it slows a serving task");
+                continue;
+            }
             this->decisions.write(DecisionLine(Event::TaskPaced)
                                           .with("task", text(change.attempt.task))
                                           .with("worker", id.name())
@@ -383,14 +411,26 @@
     waitingJob.priority = job.spec.priority;
     waitingJob.lasting = job.spec.lasting();
     waitingJob.age = now - job.acceptedAt;
-    const milliseconds chain = this->durations.longestChain(job.spec);
-    waitingJob.remaining = chain;
-    const auto stretched = static_cast<double>(chain.count()) * job.spec.slackFactor;
-    waitingJob.objective =
-            milliseconds(static_cast<std::int64_t>(stretched)) + job.spec.latencyTarget;
+    waitingJob.remaining = this->durations.longestChain(job.spec);
+    waitingJob.objective = this->objective(job.spec);
     return rankOf(waitingJob);
 }
 
+bool Dispatcher::urgent(const JobEntry &job, Instant now) const
+{
+    const milliseconds chain = this->durations.longestChain(job.spec);
+    const milliseconds objective = this->objective(job.spec);
+    const Duration slack = objective - chain - (now - job.acceptedAt);
+    return std::chrono::duration<double>(slack)
+            < urgentSlackShare * std::chrono::duration<double>(objective);
+}
+
+milliseconds Dispatcher::objective(const StepJob &job) const
+{
+    const auto chain = static_cast<double>(this->durations.longestChain(job).count());
+    return milliseconds(static_cast<std::int64_t>(chain * job.slackFactor)) + job.latencyTarget;
+}
+
 std::vector<Dispatcher::Candidate> Dispatcher::candidates(Instant now)
 {
     std::vector<std::pair<WorkRank, JobEntry *>> ranked;
@@ -409,12 +449,12 @@
                      [](const auto &a, const auto &b) { return a.first < b.first; });
     std::vector<Candidate> list;
     for (const auto &[rank, job] : ranked) {
-        this->addCandidates(*job, list);
+        this->addCandidates(*job, this->urgent(*job, now), list);
     }
     return list;
 }
 
-void Dispatcher::addCandidates(JobEntry &job, std::vector<Candidate> &list)
+void Dispatcher::addCandidates(JobEntry &job, bool urgent, std::vector<Candidate> &list)
 {
     bool anyWaiting = false;
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
@@ -430,7 +470,7 @@
             });
             if (open && job.stepUnlocked(occurrence, step)) {
                 anyWaiting = true;
-                list.push_back({ &job, occurrence, step });
+                list.push_back({ &job, occurrence, step, urgent });
             }
         }
     }
@@ -444,6 +484,7 @@
     TaskRequest request;
     request.step = &candidate.job->spec.steps[candidate.step];
     request.service = candidate.job->spec.service;
+    request.riskAllowed = candidate.urgent ? riskOfUrgentFill : riskOfPatientFill;
     const QueuePolicy *queue = this->config.queue(candidate.job->spec.queue);
     if (queue != nullptr) {
         request.service = queue->service;
@@ -468,19 +509,8 @@
 
 void Dispatcher::startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt)
 {
-    const StepSpec &step = job.step(ref);
     StepTask &task = job.task(ref);
-    Run run;
-    run.attempt = { ref, attempt };
-    run.size = step.size;
-    if (step.fills) {
-        run.fillCpuMilli = step.size.cpuMilli;
-        run.size.cpuMilli = 0;
-    }
-    run.lasting = step.lasting;
-    run.image = step.image;
-    run.tailTarget = step.tailTarget;
-    run.expected = this->durations.expected(job.spec.queue, step);
+    const Run run = this->describeRun(job, { ref, attempt });
     task.lastAttempt = attempt;
     ++task.openRuns;
     job.begun = true;
@@ -491,7 +521,7 @@
                                   .with("free_cpu", worker.free().cpuMilli)
                                   .with("fill_room", static_cast<std::int64_t>(worker.fillRoom))
                                   .with("resumes", !task.checkpoint.empty()));
-    this->keeper.start(worker, std::move(run), job.spec, task.checkpoint);
+    this->keeper.start(worker, run, job.spec, task.checkpoint);
 }
 
 bool Dispatcher::planStep(const Candidate &candidate, Instant now)
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -82,6 +82,8 @@
         JobEntry *job = nullptr;
         std::uint32_t occurrence = 0;
         std::uint32_t step = 0;
+        /** Whether it will be late unless it starts soon. */
+        bool urgent = false;
     };
 
     // RunKeeper::Listener
@@ -104,7 +106,9 @@
     void controlFills(Instant now);
     void plan(Instant now);
     std::vector<Candidate> candidates(Instant now);
-    void addCandidates(JobEntry &job, std::vector<Candidate> &list);
+    void addCandidates(JobEntry &job, bool urgent, std::vector<Candidate> &list);
+    bool urgent(const JobEntry &job, Instant now) const;
+    milliseconds objective(const StepJob &job) const;
     WorkRank rank(const JobEntry &job, Instant now) const;
     bool planStep(const Candidate &candidate, Instant now);
     bool planGang(const Candidate &candidate, Instant now);
@@ -114,6 +118,8 @@
     bool occurrenceDue(const JobEntry &job, std::uint32_t occurrence) const;
     bool formerRunsSettled(const JobEntry &job, Instant now);
     void stopRuns(const JobEntry &job, std::string_view why);
+    void stopRun(const Worker &worker, Run &run, std::string_view why);
+    Run describeRun(const JobEntry &job, const AttemptRef &attempt) const;
     void endGang(JobEntry &job, const AttemptRef &attempt);
     void release(StepTask &task, std::string checkpoint);
     void jobChanged(const JobEntry &job);
--- a/modules/bulrush_steps/policy/FillControl.cpp
+++ b/modules/bulrush_steps/policy/FillControl.cpp
@@ -1,20 +1,13 @@
 #include "bulrush_steps/policy/FillControl.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace bulrush {
 
 namespace {
 
-/** Pressure that is kept free below a serving task's bound. */
-constexpr double pressureMargin = 0.05;
-
-/** Paces are set in steps, so that small changes of the figures cause no orders. */
-constexpr std::uint32_t paceStep = 20;
-
-/** A coefficient below this is no cause of harm. */
-constexpr double harmlessCoefficient = 0.1;
+/** A filling run that presses less than this is not moved. */
+constexpr double leastPressureToMove = 0.05;
 
 /** The figures that workers report are of the last half second. */
 constexpr milliseconds reportWindow { 500 };
@@ -54,103 +47,83 @@
     return std::min(std::max(assumed, used * growthFactor), capacity);
 }
 
-std::map<AttemptRef, double> FillControl::wantedShares(const Worker &worker) const
+void FillControl::forgetWorkers()
 {
-    std::map<AttemptRef, double> shares;
-    for (const auto &[attempt, run] : worker.runs) {
-        if (run.fillCpuMilli > 0) {
-            shares[attempt] = 1.0;
-        }
-    }
-    return shares;
+    this->overSince.clear();
+    this->movedAt.clear();
 }
 
-void FillControl::limitShares(const Worker &worker, const Run &serving,
-                              std::map<AttemptRef, double> &shares) const
+void FillControl::noteOver(const Worker &worker, Instant now)
 {
-    struct Pressing
-    {
-        AttemptRef attempt;
-        double coefficient = 0.0;
-        /** The share of the worker's processors at full pace. */
-        double atFullPace = 0.0;
-    };
-    const double own = this->model.ownPressure(worker, serving);
-    double expected = own;
-    bool paced = false;
-    std::vector<Pressing> pressing;
     for (const auto &[attempt, run] : worker.runs) {
-        if (run.fillCpuMilli == 0) {
+        if (run.tailTarget.count() == 0) {
             continue;
         }
-        Run fullPace = run;
-        fullPace.pacePercent = 100;
-        const double coefficient = this->model.coefficient(run.image, serving.image);
-        const double atFullPace = PressureModel::fullShare(worker, fullPace);
-        expected += coefficient * atFullPace * shares[attempt];
-        paced = paced || run.pacePercent < 100;
-        pressing.push_back({ attempt, coefficient, atFullPace });
-    }
-    const bool over = serving.load > static_cast<double>(serving.tailTarget.count());
-    if (!over && !paced) {
-        return;
-    }
-    const auto more = [](const Pressing &a, const Pressing &b) {
-        return a.coefficient > b.coefficient;
-    };
-    std::sort(pressing.begin(), pressing.end(), more);
-    double excess = expected - (this->model.bound(serving) - pressureMargin);
-    for (const Pressing &each : pressing) {
-        if (excess <= 0.0 || each.coefficient < harmlessCoefficient) {
-            break;
+        if (run.load > static_cast<double>(run.tailTarget.count())) {
+            this->overSince.try_emplace(attempt, now);
+        } else {
+            this->overSince.erase(attempt);
         }
-        double &share = shares[each.attempt];
-        const double perShare = each.coefficient * each.atFullPace;
-        const double cut = std::min(share, excess / std::max(perShare, 1e-6));
-        share -= cut;
-        excess -= cut * perShare;
     }
 }
 
-void FillControl::stopHarm(const Worker &worker, Instant now, const DispatchSettings &settings,
-                           std::map<AttemptRef, double> &shares)
+const Run *FillControl::worstFill(const Worker &worker, const Run &serving) const
 {
+    const Run *worst = nullptr;
+    double most = leastPressureToMove;
     for (const auto &[attempt, run] : worker.runs) {
-        if (run.tailTarget.count() == 0) {
+        if (run.fillCpuMilli == 0 || run.stopWanted || run.phase != RunPhase::Running) {
             continue;
         }
-        if (run.load <= static_cast<double>(run.tailTarget.count())) {
-            this->overSince.erase(attempt);
-            continue;
-        }
-        const Instant since = this->overSince.try_emplace(attempt, now).first->second;
-        for (auto &[fill, share] : shares) {
-            const Run &filling = worker.runs.at(fill);
-            const double coefficient = this->model.coefficient(filling.image, run.image);
-            const bool suspect =
-                    now - since >= settings.harmLimit / 8 && coefficient >= harmlessCoefficient;
-            if (suspect || now - since >= settings.harmLimit / 4) {
-                share = 0.0;
-            }
+        const double pressure = this->model.coefficient(run.image, serving.image)
+                * PressureModel::usedShare(worker, run);
+        if (pressure > most) {
+            most = pressure;
+            worst = &run;
         }
     }
+    return worst;
+}
+
+bool FillControl::standStill(const Worker &worker, Instant now,
+                             const DispatchSettings &settings) const
+{
+    return std::any_of(worker.runs.begin(), worker.runs.end(), [&](const auto &each) {
+        const auto since = this->overSince.find(each.first);
+        return since != this->overSince.end() && now - since->second >= settings.harmLimit / 3;
+    });
 }
 
-std::vector<PaceChange> FillControl::decide(const Worker &worker, Instant now,
+std::vector<FillChange> FillControl::decide(const Worker &worker, Instant now,
                                             const DispatchSettings &settings)
 {
-    std::map<AttemptRef, double> shares = this->wantedShares(worker);
-    this->stopHarm(worker, now, settings, shares);
-    std::vector<PaceChange> changes;
-    for (const auto &[attempt, share] : shares) {
-        const Run &run = worker.runs.at(attempt);
-        const auto steps = static_cast<std::uint32_t>(std::floor(share * 100.0 / paceStep + 0.01));
-        const std::uint32_t percent = std::min<std::uint32_t>(100, steps * paceStep);
-        if (run.phase == RunPhase::Running && run.pacePercent != percent) {
-            changes.push_back({ attempt, percent });
+    this->noteOver(worker, now);
+    const std::uint32_t percent = this->standStill(worker, now, settings) ? 0 : 100;
+    std::map<AttemptRef, FillChange> changes;
+    for (const auto &[attempt, run] : worker.runs) {
+        const bool fills = run.fillCpuMilli > 0 && run.phase == RunPhase::Running;
+        if (fills && run.pacePercent != percent) {
+            changes[attempt] = { attempt, percent, false };
         }
     }
-    return changes;
+    const auto moved = this->movedAt.find(worker.entry.worker);
+    const bool settled = moved == this->movedAt.end()
+            || now - moved->second > reportWindow + settings.stopTime + settings.paceDelay;
+    const Run *worst = nullptr;
+    for (const auto &[attempt, run] : worker.runs) {
+        if (settled && worst == nullptr && this->overSince.contains(attempt)) {
+            worst = this->worstFill(worker, run);
+        }
+    }
+    if (worst != nullptr) {
+        this->movedAt[worker.entry.worker] = now;
+        changes[worst->attempt] = { worst->attempt, 0, worst->resumes };
+    }
+    std::vector<FillChange> list;
+    for (const auto &[attempt, change] : changes) {
+        list.push_back(change);
+    }
+    return list;
 }
 
 } // namespace bulrush
--- a/modules/bulrush_steps/policy/FillControl.h
+++ b/modules/bulrush_steps/policy/FillControl.h
@@ -9,19 +9,21 @@
 
 namespace bulrush {
 
-/** A filling run that is to work at another share. */
-struct PaceChange
+/** A filling run that is to work at another share, or elsewhere. */
+struct FillChange
 {
     AttemptRef attempt;
     std::uint32_t percent = 100;
+    /** Whether it is to be stopped and started on another worker. */
+    bool moves = false;
 };
 
 /**
     Keeps filling tasks from harming the serving tasks beside them.
 
-    Of the filling runs on a worker it slows down those that press most on a serving task whose tail
-    is expected near its bound, as far as the model asks for, and stops their work altogether when
-    the tail stays over its bound all the same.
+    When a serving task is over its bound, the filling run beside it that presses most on it by the
+    model moves to another worker; one that cannot resume stands still in its place. When the tail
+    stays over its bound all the same, all filling runs there stand still.
 */
 class FillControl
 {
@@ -30,7 +32,7 @@
     void observe(const Worker &worker) { this->model.observe(worker); }
 
     /** Decides on one worker. */
-    std::vector<PaceChange> decide(const Worker &worker, Instant now,
+    std::vector<FillChange> decide(const Worker &worker, Instant now,
                                    const DispatchSettings &settings);
 
     /** Returns the processors that filling tasks find unused on a worker, in thousandths. */
@@ -39,18 +41,18 @@
     const PressureModel &pressures() const { return this->model; }
 
     /** Forgets all workers, and keeps what was learned of images. */
-    void forgetWorkers() { this->overSince.clear(); }
+    void forgetWorkers();
 
 private:
-    std::map<AttemptRef, double> wantedShares(const Worker &worker) const;
-    void limitShares(const Worker &worker, const Run &serving,
-                     std::map<AttemptRef, double> &shares) const;
-    void stopHarm(const Worker &worker, Instant now, const DispatchSettings &settings,
-                  std::map<AttemptRef, double> &shares);
+    const Run *worstFill(const Worker &worker, const Run &serving) const;
+    bool standStill(const Worker &worker, Instant now, const DispatchSettings &settings) const;
+    void noteOver(const Worker &worker, Instant now);
 
     PressureModel model;
     /** Since when a serving run is over its bound. */
     std::map<AttemptRef, Instant> overSince;
+    /** When a worker last lost a filling run because of harm. */
+    std::map<TargetId, Instant> movedAt;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -9,11 +9,8 @@
 /** Starts on one worker that may wait for their answers at once. */
 constexpr std::uint32_t mostOrdersInFlight = 6;
 
-/** Pressure that a filling task must leave free on each serving task beside it. */
-constexpr double leastPressureLeft = 0.15;
-
-/** What the whole pressure that a filling task puts on serving tasks takes off a worker's score. */
-constexpr double pressureWeight = 3.0;
+/** What one serving task more over its bound takes off a worker's score for a filling task. */
+constexpr double riskWeight = 5.0;
 
 /** A filling task starts only where at least this share of its processors is unused. */
 constexpr double leastFillShare = 0.7;
@@ -38,21 +35,12 @@
 
 } // namespace
 
-double Placement::pressureLeft(const Worker &worker, const StepSpec &step) const
+double Placement::addedRisk(const Worker &worker, const StepSpec &step) const
 {
     const auto capacity =
             static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
     const double share = static_cast<double>(step.size.cpuMilli) / capacity;
-    double least = 1.0;
-    for (const auto &[attempt, run] : worker.runs) {
-        if (run.tailTarget.count() == 0) {
-            continue;
-        }
-        const double added = this->pressures.coefficient(step.image, run.image) * share;
-        const double expected = this->pressures.expectedPressure(worker, run) + added;
-        least = std::min(least, this->pressures.bound(run) - expected);
-    }
-    return least;
+    return this->pressures.addedRisk(worker, step.image, share);
 }
 
 bool Placement::couldEverHold(const Worker &worker, const TaskRequest &request)
@@ -99,7 +87,7 @@
         }
         const double unused = worker.fillRoom - static_cast<double>(worker.fillDemand());
         return unused >= leastFillShare * static_cast<double>(step.size.cpuMilli)
-                && this->pressureLeft(worker, step) >= leastPressureLeft;
+                && this->addedRisk(worker, step) <= request.riskAllowed;
     }
     return true;
 }
@@ -113,13 +101,7 @@
     double score = -static_cast<double>(worker.free().cpuMilli) / capacity;
     if (step.fills) {
         score = (worker.fillRoom - static_cast<double>(worker.fillDemand())) / capacity;
-        const double share = static_cast<double>(step.size.cpuMilli) / capacity;
-        for (const auto &[attempt, run] : worker.runs) {
-            if (run.tailTarget.count() > 0) {
-                const double coefficient = this->pressures.coefficient(step.image, run.image);
-                score -= pressureWeight * coefficient * share;
-            }
-        }
+        score -= riskWeight * this->addedRisk(worker, step);
     }
     score -= failurePenalty * worker.failureShare;
     score -= slownessPenalty * (worker.slowness - 1.0);
--- a/modules/bulrush_steps/policy/Placement.h
+++ b/modules/bulrush_steps/policy/Placement.h
@@ -17,6 +17,8 @@
     std::map<TargetId, std::uint32_t> siblings;
     /** Workers on which earlier attempts of the task failed. */
     std::vector<TargetId> failedOn;
+    /** How many serving tasks more may be expected over their bound because of a filling task. */
+    double riskAllowed = 0.0;
     /** For a step that wants one rack: the rack that its tasks are on; empty for none yet. */
     std::string rack;
 };
@@ -42,11 +44,8 @@
     /** Returns whether a worker could hold the task if nothing else ran on it. */
     static bool couldEverHold(const Worker &worker, const TaskRequest &request);
 
-    /** Returns the least pressure that would be free on a worker's serving tasks with a filling
-        step's task beside them; 1 where nothing serves. */
-    double pressureLeft(const Worker &worker, const StepSpec &step) const;
-
 private:
+    double addedRisk(const Worker &worker, const StepSpec &step) const;
     bool mayHold(const Worker &worker, const TaskRequest &request) const;
     double score(const Worker &worker, const TaskRequest &request) const;
 
--- a/modules/bulrush_steps/policy/PressureModel.cpp
+++ b/modules/bulrush_steps/policy/PressureModel.cpp
@@ -1,6 +1,8 @@
 #include "bulrush_steps/policy/PressureModel.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numbers>
 
 namespace bulrush {
 
@@ -17,6 +19,9 @@
 /** The weight of the newest report in an image's usual pressure. */
 constexpr double usualWeight = 0.01;
 
+/** Even a model that fits well is not taken to be surer than this. */
+constexpr double leastVariance = 0.01;
+
 /** Shares below this say nothing of an image. */
 constexpr double leastShare = 0.01;
 
@@ -94,6 +99,29 @@
     return expected;
 }
 
+double PressureModel::overRisk(const Run &serving, double pressure) const
+{
+    const auto found = this->images.find(serving.image);
+    const double variance =
+            found == this->images.end() ? Serving().variance : found->second.variance;
+    const double deviations = (pressure - this->bound(serving)) / std::sqrt(variance);
+    return std::erfc(-deviations / std::numbers::sqrt2) / 2.0;
+}
+
+double PressureModel::addedRisk(const Worker &worker, const std::string &fillImage,
+                                double share) const
+{
+    double added = 0.0;
+    for (const auto &[attempt, run] : worker.runs) {
+        if (run.tailTarget.count() > 0) {
+            const double expected = this->expectedPressure(worker, run);
+            const double more = this->coefficient(fillImage, run.image) * share;
+            added += this->overRisk(run, expected + more) - this->overRisk(run, expected);
+        }
+    }
+    return added;
+}
+
 void PressureModel::observe(const Worker &worker)
 {
     for (const auto &[attempt, run] : worker.runs) {
@@ -125,6 +153,8 @@
     }
     const double error = this->pressure(serving) - predicted;
     image.usualPressure += usualWeight * error;
+    image.variance += usualWeight * (error * error - image.variance);
+    image.variance = std::max(image.variance, leastVariance);
     for (const auto &[fill, share] : shares) {
         if (share < leastShare) {
             continue;
--- a/modules/bulrush_steps/policy/PressureModel.h
+++ b/modules/bulrush_steps/policy/PressureModel.h
@@ -46,6 +46,10 @@
         own load swings, so that its usual pressure counts as much as the present one. */
     double expectedPressure(const Worker &worker, const Run &serving) const;
 
+    /** Returns by how much one more filling task raises the number of serving tasks on a worker
+       that are expected over their bound. */
+    double addedRisk(const Worker &worker, const std::string &fillImage, double share) const;
+
 private:
     struct Coefficient
     {
@@ -59,9 +63,13 @@
         double idleTail = 0.0;
         /** The usual pressure without filling tasks. */
         double usualPressure = 0.35;
+        /** Variance of the reports around the model. */
+        double variance = 0.0225;
         std::map<std::string, Coefficient> byFill;
     };
 
+    double overRisk(const Run &serving, double pressure) const;
+
     void learn(const Worker &worker, const Run &serving);
 
     std::map<std::string, Serving> images;
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -30,6 +30,8 @@
     /** Processors that a filling task asks for; its size reserves none. */
     std::int64_t fillCpuMilli = 0;
     bool lasting = false;
+    /** Whether another run can go on from where it was stopped. */
+    bool resumes = false;
     bool stopWanted = false;
     bool orderInFlight = false;
     Instant orderSentAt {};
