--- a/modules/bulrush_steps/policy/FillControl.cpp
+++ b/modules/bulrush_steps/policy/FillControl.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /** A filling run that presses less than this is not moved. */
-constexpr double leastPressureToMove = 0.05;
+constexpr double leastPressureToMove = 0.025;
 
 /** The figures that workers report are of the last half second. */
 constexpr milliseconds reportWindow { 500 };
@@ -90,7 +90,7 @@
 {
     return std::any_of(worker.runs.begin(), worker.runs.end(), [&](const auto &each) {
         const auto since = this->overSince.find(each.first);
-        return since != this->overSince.end() && now - since->second >= settings.harmLimit / 3;
+        return since != this->overSince.end() && now - since->second >= settings.harmLimit * 2 / 5;
     });
 }
 
