Move tasks off workers that stand still or turn slow; spread a task's attempts over workers

Ruled out: leases (such workers answer). Change: RunWatch compares a run's progress with its siblings' durations; a run without progress over 0.9 s, or that would end sooner elsewhere, is stopped and starts again on another worker; two failures in a row keep new work off a worker.

--- a/modules/bulrush_steps/bulrush_steps.h
+++ b/modules/bulrush_steps/bulrush_steps.h
@@ -29,6 +29,7 @@
 #include "bulrush_steps/policy/FillControl.h"
 #include "bulrush_steps/policy/Placement.h"
 #include "bulrush_steps/policy/PressureModel.h"
+#include "bulrush_steps/policy/RunWatch.h"
 #include "bulrush_steps/policy/WorkOrder.h"
 #include "bulrush_steps/ports/KeyedLog.h"
 #include "bulrush_steps/ports/MemberGroup.h"
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "bulrush_core/errors/Error.h"
 #include "bulrush_core/events/DecisionLog.h"
 #include "bulrush_steps/model/TaskText.h"
+#include "bulrush_steps/policy/RunWatch.h"
 #include "bulrush_steps/policy/WorkOrder.h"
 
 #include <algorithm>
@@ -22,6 +23,12 @@
 /** A filling task is urgent when this much of its objective is left beside its work. */
 constexpr double urgentSlackShare = 0.3;
 
+/** Times that a task is moved because its run stands still or is slow. */
+constexpr std::uint32_t mostRescues = 3;
+
+/** A worker on which a run stood still or was slow gets nothing new for this long. */
+constexpr milliseconds unsoundPause { 2500 };
+
 /** A lasting task that ended starts again after this long. */
 constexpr milliseconds restartDelay { 0 };
 
@@ -149,6 +156,7 @@
     this->updateRoster();
     if (this->mayOrder()) {
         this->controlFills(now);
+        this->rescueRuns(now);
         this->plan(now);
     }
 }
@@ -274,7 +282,10 @@
     }
     const Instant now = this->clock.now();
     if (end.kind == EndKind::Succeeded && run != nullptr && !step.fills) {
-        this->durations.learn(job->spec.queue, step, now - run->orderSentAt);
+        this->learnDuration(*job, *run);
+    }
+    if (end.kind == EndKind::Failed) {
+        task.failedOn.push_back(worker.entry.worker);
     }
     this->waiting.insert(job->spec.id);
     const bool wasOver = job->over();
@@ -381,6 +392,49 @@
     }
 }
 
+milliseconds Dispatcher::usualDuration(const JobEntry &job, const TaskRef &task) const
+{
+    const milliseconds mean = job.occurrences[task.occurrence].steps[task.step].meanDuration;
+    return mean.count() > 0 ? mean : this->durations.expected(job.spec.queue, job.step(task));
+}
+
+void Dispatcher::learnDuration(JobEntry &job, const Run &run)
+{
+    const Duration took = this->clock.now() - run.orderSentAt;
+    const TaskRef &task = run.attempt.task;
+    this->durations.learn(job.spec.queue, job.step(task), took);
+    StepState &step = job.occurrences[task.occurrence].steps[task.step];
+    const auto newest = duration_cast<milliseconds>(took);
+    step.meanDuration = step.meanDuration.count() == 0 ? newest : (step.meanDuration + newest) / 2;
+}
+
+void Dispatcher::rescueRuns(Instant now)
+{
+    for (auto &[id, worker] : this->keeper.workers()) {
+        for (auto &[attempt, run] : worker.runs) {
+            if (run.stopWanted || run.phase != RunPhase::Running) {
+                continue;
+            }
+            JobEntry *job = this->book.find(attempt.task.job);
+            if (job == nullptr || !job->has(attempt.task)) {
+                continue;
+            }
+            StepTask &task = job->task(attempt.task);
+            const RunVerdict verdict =
+                    judgeRun(worker, run, now, this->usualDuration(*job, attempt.task));
+            const bool gang = job->step(attempt.task).gang;
+            if (verdict == RunVerdict::Sound || gang || task.rescues >= mostRescues) {
+                continue;
+            }
+            ++task.rescues;
+            worker.avoidUntil = std::max(worker.avoidUntil, now + unsoundPause);
+            task.failedOn.push_back(id);
+            const bool stalled = verdict == RunVerdict::Stalled;
+            this->stopRun(worker, run, stalled ? "it stands still" : "it is slow there");
+        }
+    }
+}
+
 bool Dispatcher::formerRunsSettled(const JobEntry &job, Instant now)
 {
     if (this->formerSettled || !job.knownToFormerOwners || now >= this->term.formerOrdersOver) {
@@ -536,6 +590,7 @@
         if (task.succeeded || task.openRuns > 0 || now < task.notBefore) {
             continue;
         }
+        request.failedOn = task.failedOn;
         Worker *worker = placement.choose(this->keeper.workers(), request);
         if (worker == nullptr) {
             return false;
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -104,6 +104,9 @@
 
     void updateRoster();
     void controlFills(Instant now);
+    void rescueRuns(Instant now);
+    milliseconds usualDuration(const JobEntry &job, const TaskRef &task) const;
+    void learnDuration(JobEntry &job, const Run &run);
     void plan(Instant now);
     std::vector<Candidate> candidates(Instant now);
     void addCandidates(JobEntry &job, bool urgent, std::vector<Candidate> &list);
--- a/modules/bulrush_steps/model/StepJobBook.h
+++ b/modules/bulrush_steps/model/StepJobBook.h
@@ -20,6 +20,10 @@
     /** Attempts whose failure was counted. */
     std::vector<std::uint64_t> failedAttempts;
     std::uint64_t lastAttempt = 0;
+    /** Workers on which attempts failed. */
+    std::vector<TargetId> failedOn;
+    /** How many times it was moved because its run stood still or was slow. */
+    std::uint32_t rescues = 0;
     /** The newest checkpoint that a worker listed. */
     std::string checkpoint;
     /** Runs that may be alive. */
@@ -34,6 +38,8 @@
 {
     std::vector<StepTask> tasks;
     std::uint32_t succeeded = 0;
+    /** Mean duration of the tasks that succeeded under this owner; 0 before the first. */
+    milliseconds meanDuration { 0 };
 };
 
 struct OccurrenceState
--- a/modules/bulrush_steps/tests/FakeWorkers.h
+++ b/modules/bulrush_steps/tests/FakeWorkers.h
@@ -24,6 +24,9 @@
     std::uint64_t fencingToken = 0;
     WorkerMillis leaseEnd = 0;
     std::map<AttemptRef, ListedRun> running;
+    /** When a run was first listed; runs progress from then on, unless the worker hangs. */
+    std::map<AttemptRef, Instant> listedSince;
+    bool hangs = false;
     std::vector<ListedEnd> ended;
     std::uint64_t lastEnd = 0;
     /** The greatest acknowledgement that it got. */
@@ -147,7 +150,15 @@
         std::erase_if(fake.ended, [&order](const ListedEnd &end) {
             return end.number <= order.acknowledgedEnds;
         });
-        for (const auto &[attempt, run] : fake.running) {
+        constexpr milliseconds spanOfOnePercent { 100 };
+        constexpr std::int64_t almostDone = 99;
+        for (auto &[attempt, run] : fake.running) {
+            const Instant since =
+                    fake.listedSince.try_emplace(attempt, this->clock.now()).first->second;
+            if (!fake.hangs) {
+                const auto percent = (this->clock.now() - since) / spanOfOnePercent;
+                run.percent = static_cast<std::uint32_t>(std::min(almostDone, percent));
+            }
             answer.running.push_back(run);
         }
         answer.ended = fake.ended;
--- a/modules/bulrush_steps/tests/dispatcher_test.cpp
+++ b/modules/bulrush_steps/tests/dispatcher_test.cpp
@@ -278,6 +278,38 @@
     cr_assert_gt(bench.workers.starts[2].attempt.attempt, bench.workers.starts[0].attempt.attempt);
 }
 
+/* A worker stands still while it still answers. */
+Test(Dispatcher, aRunThatStandsStillStartsAgainElsewhere)
+{
+    Bench bench;
+    bench.begin({});
+    bench.list("w1");
+    bench.run(milliseconds(100));
+    bench.worker("w1").hangs = true;
+    bench.accept(jobOf("a", 1));
+    bench.run(milliseconds(300));
+    bench.list("w2");
+    bench.run(seconds(2));
+    cr_assert_eq(bench.worker("w1").stopped.size(), 1U);
+    cr_assert_eq(bench.startsOn("w2"), 1U);
+}
+
+/* A worker fails all that it starts. */
+Test(Dispatcher, aTaskDoesNotSpendAllItsAttemptsOnOneFailingWorker)
+{
+    Bench bench;
+    bench.begin({});
+    bench.list("w1");
+    bench.run(milliseconds(100));
+    bench.accept(jobOf("a", 1));
+    bench.run(milliseconds(100));
+    bench.list("w2");
+    bench.run(milliseconds(200));
+    bench.workers.endRun(TargetId("w1"), bench.workers.starts[0].attempt, EndKind::Failed);
+    bench.run(milliseconds(500));
+    cr_assert_eq(bench.startsOn("w2"), 1U);
+}
+
 Test(Dispatcher, aCancelledJobIsStoppedAndNotStartedAgain)
 {
     Bench bench;
@@ -372,6 +404,7 @@
     bench.list("w1");
     bench.run(milliseconds(100));
     StepJob timed = jobOf("a", 1);
+    timed.steps[0].estimate = seconds(10);
     timed.timed = true;
     timed.occurrences = 2;
     timed.firstDue = bench.clock.calendarMillis() + 2000;
--- a/modules/bulrush_steps/workers/RunKeeper.cpp
+++ b/modules/bulrush_steps/workers/RunKeeper.cpp
@@ -2,6 +2,7 @@
 
 #include "bulrush_core/events/DecisionLog.h"
 #include "bulrush_steps/model/TaskText.h"
+#include "bulrush_steps/policy/RunWatch.h"
 
 #include <algorithm>
 #include <set>
@@ -25,9 +26,6 @@
 /** A worker that refused a start gets nothing new for this long. */
 constexpr milliseconds refusalPause { 400 };
 
-/** The weight of the newest end in a worker's share of failures. */
-constexpr double failureWeight = 0.15;
-
 } // namespace
 
 RunKeeper::RunKeeper(const Clock &systemClock, WorkerOrders &workerPort,
@@ -275,8 +273,8 @@
         const auto found = worker.runs.find(end.attempt);
         const Run *run = found == worker.runs.end() ? nullptr : &found->second;
         if (end.kind == EndKind::Succeeded || end.kind == EndKind::Failed) {
-            const double failed = end.kind == EndKind::Failed ? 1.0 : 0.0;
-            worker.failureShare += failureWeight * (failed - worker.failureShare);
+            const milliseconds pause = noteEnd(worker, end.kind == EndKind::Failed);
+            worker.avoidUntil = std::max(worker.avoidUntil, this->clock.now() + pause);
         }
         const std::uint64_t change = this->listener.runEnded(worker, run, end);
         worker.processedChange = std::max(worker.processedChange, change);
@@ -465,6 +463,8 @@
 void RunKeeper::pace(Worker &worker, Run &run, std::uint32_t percent)
 {
     run.pacePercent = percent;
+    // It could not progress meanwhile, or from now on.
+    run.progressedAt = this->clock.now();
     const RunPace order { run.attempt, percent, this->fencingToken };
     this->port.pace(worker.address, order, orderTimeout,
                     [this, id = worker.entry.worker, attempt = run.attempt,
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -90,6 +90,8 @@
     Instant avoidUntil {};
     /** Moving share of runs that failed here, 0 to 1. */
     double failureShare = 0.0;
+    /** Runs that failed here since the last that succeeded. */
+    std::uint32_t failuresInARow = 0;
     /** How many times as long tasks take here as elsewhere. */
     double slowness = 1.0;
 
