--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -23,6 +23,9 @@
 /** Between two questions for jobs when the store did not answer. */
 constexpr milliseconds jobsRetryDelay { 100 };
 
+/** Between two readings of the records by a member that is not the owner. */
+constexpr milliseconds warmReadInterval { 3000 };
+
 /** A stopping node is idle when no request has come for so long. */
 constexpr milliseconds idleSpan { 1200 };
 
@@ -92,6 +95,7 @@
         this->followJobs();
         this->dispatcher.tick();
     }
+    this->keepRecordsWarm();
     if (this->drainingSince) {
         this->drainTick();
     }
@@ -99,6 +103,17 @@
     this->loop.schedule(busy ? tickInterval : idleTickInterval, [this] { this->tick(); });
 }
 
+void EntryNode::keepRecordsWarm()
+{
+    const Instant now = this->clock.now();
+    const bool standsBy = this->ownership.isMember() && !this->dispatcher.active()
+            && !this->takeover.running() && !this->health.lost();
+    if (standsBy && now >= this->nextWarmRead) {
+        this->nextWarmRead = now + warmReadInterval;
+        this->view.refresh([](bool /*succeeded*/) {});
+    }
+}
+
 void EntryNode::configChanged()
 {
     this->desk.configure(*this->config.config());
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -68,6 +68,7 @@
 
     void tick();
     void followJobs();
+    void keepRecordsWarm();
     void configChanged();
     void takeoverDone(Instant gainedAt, LogOffset markOffset);
     void answer(HttpServer::RequestId id, const CallerAnswer &answer);
@@ -90,6 +91,8 @@
     Takeover takeover;
     std::shared_ptr<StreamScan> jobs;
     Instant jobsRetryAt {};
+    /** When a member that is not the owner reads the records again, to take over sooner. */
+    Instant nextWarmRead {};
     OwnerLink owner;
     SubmissionDesk desk;
     HttpServer callers;
--- a/modules/bulrush_net/http/HttpCaller.cpp
+++ b/modules/bulrush_net/http/HttpCaller.cpp
@@ -13,27 +13,43 @@
                       Callback callback)
 {
     const HttpClient::ExchangeId id = this->nextCall++;
-    const std::optional<std::size_t> connection = this->freeConnection(endpoint);
     Call &call = this->calls[id];
     call.endpoint = endpoint;
+    call.request = std::move(request);
     call.callback = std::move(callback);
+    call.timer = this->loop.schedule(timeout, [this, id] { this->timedOut(id); });
+    this->waiting[endpoint].push_back(id);
+    this->sendNext(endpoint);
+}
+
+void HttpCaller::sendNext(const Endpoint &endpoint)
+{
+    const auto queue = this->waiting.find(endpoint);
+    if (queue == this->waiting.end()) {
+        return;
+    }
+    const std::optional<std::size_t> connection = this->freeConnection(endpoint);
     if (!connection) {
-        call.connection = this->connections;
-        call.timer = this->loop.schedule(Duration::zero(), [this, id] {
-            this->finish(id, { {}, ExchangeFailure::NotSent, "too many open calls" });
-        });
         return;
     }
-    call.connection = *connection;
+    const HttpClient::ExchangeId id = queue->second.front();
+    queue->second.pop_front();
+    if (queue->second.empty()) {
+        this->waiting.erase(queue);
+    }
+    this->calls.at(id).connection = *connection;
     this->busy[endpoint].insert(*connection);
-    call.timer = this->loop.schedule(timeout, [this, id] { this->timedOut(id); });
-    this->loop.schedule(Duration::zero(), [this, id, request = std::move(request)]() mutable {
-        const auto found = this->calls.find(id);
-        if (found != this->calls.end()) {
-            const Endpoint peer = found->second.endpoint;
-            this->client.send(id, peer, found->second.connection, std::move(request));
-        }
-    });
+    this->loop.schedule(Duration::zero(), [this, id] { this->send(id); });
+}
+
+void HttpCaller::send(HttpClient::ExchangeId id)
+{
+    const auto found = this->calls.find(id);
+    if (found != this->calls.end()) {
+        const Endpoint peer = found->second.endpoint;
+        HttpRequest request = std::move(found->second.request);
+        this->client.send(id, peer, *found->second.connection, std::move(request));
+    }
 }
 
 std::optional<std::size_t> HttpCaller::freeConnection(const Endpoint &endpoint) const
@@ -60,6 +76,16 @@
 
 void HttpCaller::timedOut(HttpClient::ExchangeId id)
 {
+    const Call &call = this->calls.at(id);
+    if (!call.connection) {
+        std::deque<HttpClient::ExchangeId> &queue = this->waiting.at(call.endpoint);
+        std::erase(queue, id);
+        if (queue.empty()) {
+            this->waiting.erase(call.endpoint);
+        }
+        this->finish(id, { {}, ExchangeFailure::NotSent, "no connection became free" });
+        return;
+    }
     this->client.abandon(id);
     this->finish(id, { {}, ExchangeFailure::Lost, "timeout" });
 }
@@ -73,9 +99,9 @@
     const Call call = std::move(found->second);
     this->calls.erase(found);
     this->loop.cancel(call.timer);
-    const auto connectionsInUse = this->busy.find(call.endpoint);
-    if (connectionsInUse != this->busy.end()) {
-        connectionsInUse->second.erase(call.connection);
+    if (call.connection) {
+        this->busy[call.endpoint].erase(*call.connection);
+        this->sendNext(call.endpoint);
     }
     call.callback(std::move(result));
 }
--- a/modules/bulrush_net/http/HttpCaller.h
+++ b/modules/bulrush_net/http/HttpCaller.h
@@ -2,6 +2,7 @@
 
 #include "bulrush_net/http/HttpClient.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -24,7 +25,12 @@
     }
 };
 
-/** Calls HTTP endpoints with a timeout each, over connections that it chooses itself. */
+/**
+    Calls HTTP endpoints with a timeout each, over connections that it chooses itself.
+
+    A call that finds all connections to its endpoint in use waits for one; its timeout counts
+    from the call.
+*/
 class HttpCaller : private HttpClient::Listener
 {
 public:
@@ -40,7 +46,9 @@
     struct Call
     {
         Endpoint endpoint;
-        std::size_t connection = 0;
+        /** None while the call waits for a connection. */
+        std::optional<std::size_t> connection;
+        HttpRequest request;
         EventLoop::TimerId timer = 0;
         Callback callback;
     };
@@ -51,6 +59,8 @@
                         std::string_view reason) override;
 
     std::optional<std::size_t> freeConnection(const Endpoint &endpoint) const;
+    void send(HttpClient::ExchangeId id);
+    void sendNext(const Endpoint &endpoint);
     void timedOut(HttpClient::ExchangeId id);
     void finish(HttpClient::ExchangeId id, CallResult result);
 
@@ -59,6 +69,7 @@
     HttpClient client;
     std::map<HttpClient::ExchangeId, Call> calls;
     std::map<Endpoint, std::set<std::size_t>> busy;
+    std::map<Endpoint, std::deque<HttpClient::ExchangeId>> waiting;
     HttpClient::ExchangeId nextCall = 1;
 };
 
--- a/modules/bulrush_net/loop/EventLoop.cpp
+++ b/modules/bulrush_net/loop/EventLoop.cpp
@@ -11,7 +11,8 @@
 /** Bounds libwebsockets' tables, which otherwise follow the machine's limit of open files. */
 constexpr int maxOpenSockets = 4096;
 constexpr int maxHeaderBytes = 8192;
-constexpr int maxHeaderTables = 512;
+/** An open connection may hold one, also while it is idle. */
+constexpr int maxHeaderTables = maxOpenSockets;
 
 int wakeCallback(lws *wsi, lws_callback_reasons reason, void * /*user*/, void * /*in*/,
                  std::size_t /*length*/)
--- a/modules/bulrush_steps/follow/RecordsView.cpp
+++ b/modules/bulrush_steps/follow/RecordsView.cpp
@@ -23,7 +23,10 @@
     }
     this->running = true;
     this->waiting.push_back(std::move(done));
+    this->failed = false;
+    this->openScans = 2;
     this->readOn(this->jobs);
+    this->readOn(this->progress);
 }
 
 void RecordsView::readOn(StreamScan &scan)
@@ -34,19 +37,20 @@
 
 void RecordsView::advanced(StreamScan &scan, StoreOutcome outcome)
 {
-    if (outcome != StoreOutcome::Done) {
-        this->finish(false);
-        return;
-    }
-    if (!scan.caughtUp()) {
+    if (outcome == StoreOutcome::Done && !scan.caughtUp()) {
         this->readOn(scan);
         return;
     }
-    if (&scan == &this->jobs) {
-        this->readOn(this->progress);
-        return;
+    this->scanDone(outcome == StoreOutcome::Done);
+}
+
+void RecordsView::scanDone(bool succeeded)
+{
+    this->failed = this->failed || !succeeded;
+    --this->openScans;
+    if (this->openScans == 0) {
+        this->finish(!this->failed);
     }
-    this->finish(true);
 }
 
 void RecordsView::finish(bool succeeded)
--- a/modules/bulrush_steps/follow/RecordsView.h
+++ b/modules/bulrush_steps/follow/RecordsView.h
@@ -33,6 +33,7 @@
     void scanEnded(LogStream /*stream*/) override { }
     void readOn(StreamScan &scan);
     void advanced(StreamScan &scan, StoreOutcome outcome);
+    void scanDone(bool succeeded);
     void finish(bool succeeded);
 
     const Clock &clock;
@@ -44,6 +45,8 @@
     /** Callers that came while a reading was under way: it may have passed what they ask for. */
     std::vector<std::function<void(bool)>> waitingForNext;
     bool running = false;
+    std::uint32_t openScans = 0;
+    bool failed = false;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/ownership/OwnershipKeeper.cpp
+++ b/modules/bulrush_steps/ownership/OwnershipKeeper.cpp
@@ -12,9 +12,18 @@
 /** Joins sent in one time to live. */
 constexpr int joinsPerTimeToLive = 3;
 
-/** A worker's clock may run 2 % slow, and messages take time. */
+/** Looks of a node that is no member in one time to live. */
+constexpr int looksPerTimeToLive = 4;
+
+/** Members that the group is kept at: the owner, and others to take over. */
+constexpr std::uint32_t fewMembers = 3;
+
+/** Nodes that find members missing join spread over this time. */
+constexpr milliseconds joinSpread { 500 };
+
+/** A worker's clock may run 2 % slow; an order may wait for a connection and on its way. */
 constexpr double slowestClockRate = 0.98;
-constexpr milliseconds clockSlack { 200 };
+constexpr milliseconds orderSlack { 1000 };
 
 constexpr milliseconds joinTimeout { 800 };
 
@@ -24,7 +33,7 @@
 {
     const auto stretched =
             static_cast<std::int64_t>(static_cast<double>(this->lease.count()) / slowestClockRate);
-    return this->timeToLive + this->extension + milliseconds(stretched) + clockSlack;
+    return this->timeToLive + this->extension + milliseconds(stretched) + orderSlack;
 }
 
 OwnershipKeeper::OwnershipKeeper(const Clock &systemClock, MemberGroup &memberGroup,
@@ -32,10 +41,11 @@
                                  DecisionLog &decisionLog, Listener &ownershipListener)
     : clock(systemClock)
     , group(memberGroup)
-    , member(std::move(memberName))
+    , name(std::move(memberName))
     , times(ownershipTimes)
     , decisions(decisionLog)
     , listener(ownershipListener)
+    , random(static_cast<std::minstd_rand::result_type>(std::hash<std::string>()(this->name)))
 {
 }
 
@@ -60,14 +70,53 @@
         return;
     }
     this->inFlight = true;
+    if (this->member) {
+        this->join();
+    } else {
+        this->lookOn();
+    }
+}
+
+void OwnershipKeeper::join()
+{
+    const Instant now = this->clock.now();
     this->nextJoinAt = now + this->times.timeToLive / joinsPerTimeToLive;
-    this->group.join(this->member, this->generation, this->times.timeToLive, joinTimeout,
-                     [this, now, current = this->living](const Membership &membership) {
+    this->group.join(this->name, this->generation, this->times.timeToLive, joinTimeout,
+                     [this, now](const Membership &membership) {
                          this->inFlight = false;
                          this->joinAnswered(now, membership);
                      });
 }
 
+void OwnershipKeeper::lookOn()
+{
+    this->nextJoinAt = this->clock.now() + this->times.timeToLive / looksPerTimeToLive;
+    this->group.findHolder(joinTimeout, [this](const PartitionHolder &holder) {
+        this->inFlight = false;
+        if (holder.outcome == StoreOutcome::Done) {
+            this->membersCounted(holder.members);
+        }
+    });
+}
+
+void OwnershipKeeper::membersCounted(std::uint32_t members)
+{
+    if (members >= fewMembers) {
+        this->membersMissing = false;
+        return;
+    }
+    const Instant now = this->clock.now();
+    if (this->membersMissing) {
+        this->member = true;
+        this->nextJoinAt = now;
+        return;
+    }
+    // All that look on see it at once: each looks again after a time of its own before it joins.
+    this->membersMissing = true;
+    std::uniform_int_distribution<std::int64_t> spread(0, joinSpread.count());
+    this->nextJoinAt = now + milliseconds(spread(this->random));
+}
+
 void OwnershipKeeper::joinAnswered(Instant sentAt, const Membership &membership)
 {
     if (membership.outcome != StoreOutcome::Done || this->leaving) {
@@ -122,7 +171,9 @@
     if (this->owner) {
         this->lose("this node stops");
     }
-    this->group.leave(this->member, joinTimeout, [] {});
+    if (this->member) {
+        this->group.leave(this->name, joinTimeout, [] {});
+    }
 }
 
 } // namespace bulrush
--- a/modules/bulrush_steps/ownership/OwnershipKeeper.h
+++ b/modules/bulrush_steps/ownership/OwnershipKeeper.h
@@ -4,7 +4,7 @@
 #include "bulrush_steps/ports/MemberGroup.h"
 
 #include <functional>
-#include <memory>
+#include <random>
 #include <string>
 #include <string_view>
 
@@ -27,7 +27,10 @@
 };
 
 /**
-    Stays a member of the group and knows from when and until when this node is the owner.
+    Takes part in the group and knows from when and until when this node is the owner.
+
+    Each change of the group may move the partition, and a move costs up to a second without an
+    owner. So only a few nodes are members, and the others look on and join when members are gone.
 
     All times count from when a successful join was sent, by a clock that counts while the machine
     is suspended.
@@ -46,7 +49,7 @@
         virtual void ownershipLost(std::string_view reason) = 0;
     };
 
-    OwnershipKeeper(const Clock &clock, MemberGroup &group, std::string member,
+    OwnershipKeeper(const Clock &clock, MemberGroup &group, std::string memberName,
                     const OwnershipTimes &times, DecisionLog &decisions, Listener &listener);
 
     /** Joins again when it is time; ends an ownership whose time is over. */
@@ -55,6 +58,9 @@
     /** Returns whether this node may order at this moment. */
     bool isOwner() const;
 
+    /** Returns whether this node would take over if the owner were gone. */
+    bool isMember() const { return this->member; }
+
     /** Returns whether no other node can be the owner at this moment. */
     bool isSoleOwner() const;
 
@@ -67,18 +73,25 @@
     void leave();
 
 private:
+    void join();
+    void lookOn();
+    void membersCounted(std::uint32_t members);
     void joinAnswered(Instant sentAt, const Membership &membership);
     void lose(std::string_view reason);
 
     const Clock &clock;
     MemberGroup &group;
-    const std::string member;
+    const std::string name;
     const OwnershipTimes times;
     DecisionLog &decisions;
     Listener &listener;
     bool inFlight = false;
     bool leaving = false;
+    bool member = false;
+    /** Whether members were missing at the last look. */
+    bool membersMissing = false;
     Instant nextJoinAt {};
+    std::minstd_rand random;
     std::uint64_t generation = 0;
     bool owner = false;
     std::uint64_t token = 0;
@@ -86,7 +99,6 @@
     Instant confirmedAt {};
     /** The partition is not taken again at a generation up to this one. */
     std::uint64_t supersededAt = 0;
-    std::shared_ptr<bool> living = std::make_shared<bool>(true);
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/ownership/Takeover.cpp
+++ b/modules/bulrush_steps/ownership/Takeover.cpp
@@ -28,7 +28,9 @@
     this->member = std::move(memberName);
     this->whenDone = std::move(done);
     this->whenSuperseded = std::move(superseded);
-    this->advance(Step::ShutOut);
+    this->shutOutDone = false;
+    this->markDone = false;
+    this->advance(Step::Announce);
 }
 
 void Takeover::cancel()
@@ -61,11 +63,8 @@
     switch (this->step) {
     case Step::Idle:
         return;
-    case Step::ShutOut:
-        this->shutOut();
-        return;
-    case Step::Mark:
-        this->putMark();
+    case Step::Announce:
+        this->announce();
         return;
     case Step::Read:
         this->readRecords();
@@ -73,9 +72,35 @@
     }
 }
 
-void Takeover::shutOut()
+void Takeover::announce()
 {
     this->inFlight = true;
+    this->openCalls = 0;
+    if (!this->shutOutDone) {
+        ++this->openCalls;
+        this->shutOut();
+    }
+    if (!this->markDone) {
+        ++this->openCalls;
+        this->putMark();
+    }
+}
+
+void Takeover::announced()
+{
+    --this->openCalls;
+    if (this->openCalls > 0) {
+        return;
+    }
+    if (this->shutOutDone && this->markDone) {
+        this->advance(Step::Read);
+    } else {
+        this->retryLater();
+    }
+}
+
+void Takeover::shutOut()
+{
     this->log.append(LogStream::Progress, {}, ProgressWriter::epochMark(this->token), callTimeout,
                      [this, current = this->living](const AppendAnswer &result) {
                          if (!*current) {
@@ -85,18 +110,14 @@
                              this->whenSuperseded();
                              return;
                          }
-                         if (result.outcome != StoreOutcome::Done
-                             && result.outcome != StoreOutcome::OutOfOrder) {
-                             this->retryLater();
-                             return;
-                         }
-                         this->advance(Step::Mark);
+                         this->shutOutDone = result.outcome == StoreOutcome::Done
+                                 || result.outcome == StoreOutcome::OutOfOrder;
+                         this->announced();
                      });
 }
 
 void Takeover::putMark()
 {
-    this->inFlight = true;
     const KeyedRecord mark { records::ownerKey(), records::encodeOwner(this->token, this->member),
                              0 };
     this->log.append(LogStream::Jobs, { mark }, std::nullopt, callTimeout,
@@ -104,12 +125,9 @@
                          if (!*current) {
                              return;
                          }
-                         if (result.outcome != StoreOutcome::Done) {
-                             this->retryLater();
-                             return;
-                         }
+                         this->markDone = result.outcome == StoreOutcome::Done;
                          this->markOffset = result.offset;
-                         this->advance(Step::Read);
+                         this->announced();
                      });
 }
 
--- a/modules/bulrush_steps/ownership/Takeover.h
+++ b/modules/bulrush_steps/ownership/Takeover.h
@@ -34,11 +34,13 @@
     bool running() const { return this->step != Step::Idle; }
 
 private:
-    enum class Step : std::uint8_t { Idle, ShutOut, Mark, Read };
+    enum class Step : std::uint8_t { Idle, Announce, Read };
 
     void shutOut();
     void putMark();
     void readRecords();
+    void announce();
+    void announced();
     void advance(Step next);
     void retryLater();
 
@@ -47,6 +49,9 @@
     RecordsView &view;
     Step step = Step::Idle;
     bool inFlight = false;
+    bool shutOutDone = false;
+    bool markDone = false;
+    std::uint32_t openCalls = 0;
     Instant retryAt {};
     std::uint64_t token = 0;
     std::string member;
--- a/modules/bulrush_steps/ports/MemberGroup.h
+++ b/modules/bulrush_steps/ports/MemberGroup.h
@@ -25,6 +25,8 @@
     StoreOutcome outcome = StoreOutcome::Unknown;
     /** Empty when nobody holds it. */
     std::string member;
+    /** How many members hold any partition of the group. */
+    std::uint32_t members = 0;
 };
 
 /** The platform's group of members, which hands the scheduler's partition to one of them. */
