Place no filling task where a serving task is over its bound; serve metrics, status and explanations

Its log shows new filling tasks started, at full pace, on workers whose other filling tasks had just been told to stand still. Ruled out: late reports (each 0.4 s), a change of owner. Change: no filling task is placed within 0.8 s of a report of harm.

--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -35,6 +35,13 @@
 /** Left of the grace for the end of the process itself. */
 constexpr milliseconds exitMargin { 700 };
 
+/** Paths of the operators' interface. */
+constexpr std::string_view metricsPath = "/metrics";
+constexpr std::string_view statusPath = "/v1/status";
+constexpr std::string_view explainPath = "/v1/explain/";
+
+constexpr HttpServer::Limits operatorLimits { 64U << 10U, 32, {} };
+
 /** Open connections of callers; more are refused. */
 constexpr std::size_t mostCallers = 3000;
 
@@ -74,6 +81,7 @@
            decisionLog)
     , callers(eventLoop, entrySettings.callers, callerLimits(entryPorts.callers), *this)
     , readiness(eventLoop, entrySettings.readiness, HttpServer::Limits(), *this)
+    , operators(eventLoop, entrySettings.operators, *this)
 {
     this->decisions.write(DecisionLine(Event::NodeStarted)
                                   .with("data_centre", this->settings.dataCentre.name())
@@ -230,6 +238,65 @@
     this->desk.serve(decoded, [this, id](const CallerAnswer &told) { this->answer(id, told); });
 }
 
+EntryNode::OperatorsServer::OperatorsServer(EventLoop &eventLoop, const Endpoint &endpoint,
+                                            EntryNode &owningNode)
+    : node(owningNode)
+    , server(eventLoop, endpoint, operatorLimits, *this)
+{
+}
+
+void EntryNode::OperatorsServer::respond(HttpServer::RequestId id, HttpResponse response)
+{
+    this->server.respond(id, std::move(response));
+}
+
+void EntryNode::OperatorsServer::requestArrived(HttpServer::RequestId id, HttpRequest request)
+{
+    this->node.answerOperator(id, request);
+}
+
+NodeStatus EntryNode::status()
+{
+    NodeStatus status;
+    status.node = this->settings.node.name();
+    status.ready = this->ready();
+    status.owner = this->dispatcher.active();
+    status.fencingToken = this->ownership.fencingToken();
+    status.configVersion = this->config.config() ? this->config.config()->version : 0;
+    status.storeLost = this->health.lost();
+    status.storeSilence = this->clock.now() - this->health.lastReached();
+    return status;
+}
+
+void EntryNode::answerOperator(HttpServer::RequestId id, const HttpRequest &request)
+{
+    HttpResponse response;
+    if (request.method == "GET" && request.path == metricsPath) {
+        this->metrics.setDroppedLines(this->decisions.droppedLines());
+        response.contentType = "text/plain; version=0.0.4";
+        response.body = this->metrics.text();
+        this->operators.respond(id, std::move(response));
+        return;
+    }
+    if (request.method == "GET" && request.path == statusPath) {
+        response.body = statusText(this->status(), this->dispatcher);
+        this->operators.respond(id, std::move(response));
+        return;
+    }
+    if (request.method == "GET" && request.path.starts_with(explainPath)) {
+        const JobId job(request.path.substr(explainPath.size()));
+        const bool owns = this->dispatcher.active();
+        const StepJobBook &book = owns ? this->dispatcher.jobs() : this->view.book();
+        const std::optional<std::string> text = explainText(job, book, this->dispatcher);
+        response.status = text ? 200 : 404;
+        response.body = text.value_or(R"({"error":"the job is not known here; ask the owner"})");
+        this->operators.respond(id, std::move(response));
+        return;
+    }
+    response.status = 404;
+    this->operators.respond(id, std::move(response));
+}
+
 void EntryNode::answer(HttpServer::RequestId id, const CallerAnswer &told)
 {
     const auto found = this->open.find(id);
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -6,6 +6,7 @@
 #include "bulrush_entry/node/EntryMetrics.h"
 #include "bulrush_entry/node/EntryPorts.h"
 #include "bulrush_entry/node/ObservedStore.h"
+#include "bulrush_entry/operators/StatusTexts.h"
 #include "bulrush_entry/owner/OwnerLink.h"
 #include "bulrush_entry/settings/EntrySettings.h"
 #include "bulrush_net/http/HttpServer.h"
@@ -44,6 +45,21 @@
         Instant arrivedAt {};
     };
 
+    /** Hands the operators' requests on, apart from the callers'. */
+    class OperatorsServer : private HttpServer::Listener
+    {
+    public:
+        OperatorsServer(EventLoop &loop, const Endpoint &endpoint, EntryNode &owningNode);
+        void respond(HttpServer::RequestId id, HttpResponse response);
+
+    private:
+        void requestArrived(HttpServer::RequestId id, HttpRequest request) override;
+        void callerGone(HttpServer::RequestId /*id*/) override { }
+
+        EntryNode &node;
+        HttpServer server;
+    };
+
     // HttpServer::Listener
     void requestArrived(HttpServer::RequestId id, HttpRequest request) override;
     void callerGone(HttpServer::RequestId id) override;
@@ -73,6 +89,8 @@
     void takeoverDone(Instant gainedAt, LogOffset markOffset);
     void answer(HttpServer::RequestId id, const CallerAnswer &answer);
     bool ready();
+    void answerOperator(HttpServer::RequestId id, const HttpRequest &request);
+    NodeStatus status();
     void drainTick();
 
     EventLoop &loop;
@@ -97,6 +115,7 @@
     SubmissionDesk desk;
     HttpServer callers;
     HttpServer readiness;
+    OperatorsServer operators;
     std::map<HttpServer::RequestId, OpenRequest> open;
     Instant lastRequestAt {};
     std::optional<Instant> drainingSince;
--- /dev/null
+++ b/modules/bulrush_entry/operators/StatusTexts.cpp
@@ -0,0 +1,99 @@
+#include "bulrush_entry/operators/StatusTexts.h"
+
+#include "bulrush_steps/model/TaskText.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bulrush {
+
+namespace {
+
+using nlohmann::json;
+
+json runText(const TargetId &worker, const Run &run)
+{
+    return { { "task", text(run.attempt.task) },
+             { "attempt", run.attempt.attempt },
+             { "worker", worker.name() },
+             { "percent", run.percent },
+             { "pace", run.pacePercent },
+             { "stopping", run.stopWanted },
+             { "unanswered", run.phase == RunPhase::Unsure } };
+}
+
+json stepText(const JobEntry &job, std::uint32_t occurrence, std::uint32_t step)
+{
+    const StepState &state = job.occurrences[occurrence].steps[step];
+    std::uint32_t running = 0;
+    std::uint32_t failures = 0;
+    for (const StepTask &task : state.tasks) {
+        running += task.openRuns > 0 ? 1U : 0U;
+        failures += static_cast<std::uint32_t>(task.failedAttempts.size());
+    }
+    return { { "occurrence", occurrence },
+             { "step", step },
+             { "tasks", state.tasks.size() },
+             { "succeeded", state.succeeded },
+             { "running", running },
+             { "failed_attempts", failures },
+             { "waits_for_steps", !job.stepUnlocked(occurrence, step) } };
+}
+
+} // namespace
+
+std::string statusText(const NodeStatus &status, const Dispatcher &dispatcher)
+{
+    json record = { { "node", status.node },
+                    { "ready", status.ready },
+                    { "owner", status.owner },
+                    { "fencing_token", status.fencingToken },
+                    { "config_version", status.configVersion },
+                    { "store_lost", status.storeLost },
+                    { "store_silent_ms",
+                      duration_cast<milliseconds>(status.storeSilence).count() } };
+    json workers = json::array();
+    for (const auto &[id, worker] : dispatcher.runs().workers()) {
+        workers.push_back({ { "worker", id.name() },
+                            { "listed", worker.listed },
+                            { "answers", worker.confirmed },
+                            { "draining", worker.entry.draining },
+                            { "runs", worker.runs.size() },
+                            { "free_cpu", worker.free().cpuMilli },
+                            { "failure_share", worker.failureShare } });
+    }
+    record["workers"] = std::move(workers);
+    return record.dump();
+}
+
+std::optional<std::string> explainText(const JobId &id, const StepJobBook &book,
+                                       const Dispatcher &dispatcher)
+{
+    const JobEntry *job = book.find(id);
+    if (job == nullptr) {
+        return std::nullopt;
+    }
+    json record = { { "job", id.name() },
+                    { "queue", job->spec.queue },
+                    { "state", text(job->shownState()) },
+                    { "cancelled", job->cancelled },
+                    { "end_on_record", job->endOnRecord } };
+    json steps = json::array();
+    for (std::uint32_t occurrence = 0; occurrence < job->occurrences.size(); ++occurrence) {
+        for (std::uint32_t step = 0; step < job->spec.steps.size(); ++step) {
+            steps.push_back(stepText(*job, occurrence, step));
+        }
+    }
+    json runs = json::array();
+    for (const auto &[worker, state] : dispatcher.runs().workers()) {
+        for (const auto &[attempt, run] : state.runs) {
+            if (attempt.task.job == id) {
+                runs.push_back(runText(worker, run));
+            }
+        }
+    }
+    record["steps"] = std::move(steps);
+    record["runs"] = std::move(runs);
+    return record.dump();
+}
+
+} // namespace bulrush
--- a/modules/bulrush_entry/settings/EntrySettings.h
+++ b/modules/bulrush_entry/settings/EntrySettings.h
@@ -21,6 +21,8 @@
     Endpoint readiness;
     /** Where other entry VMs connect. */
     Endpoint inner;
+    /** Where operators read metrics, status and explanations. */
+    Endpoint operators;
     /** The platform's store. */
     Endpoint store;
     /** The service that says which workers may run a step; none where there is none. */
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -23,6 +23,9 @@
 /** A filling task is urgent when this much of its objective is left beside its work. */
 constexpr double urgentSlackShare = 0.3;
 
+/** A worker whose serving task is over its bound gets no filling task for this long. */
+constexpr milliseconds fillBlock { 800 };
+
 /** Times that a task is moved because its run stands still or is slow. */
 constexpr std::uint32_t mostRescues = 3;
 
@@ -377,6 +380,9 @@
         worker.observedAt = now;
         worker.fillRoom = FillControl::unusedProcessors(worker, now);
         this->fillControl.observe(worker);
+        if (FillControl::harms(worker)) {
+            worker.fillsBlockedUntil = now + fillBlock;
+        }
         for (const FillChange &change : this->fillControl.decide(worker, now, this->settings)) {
             Run &run = worker.runs.at(change.attempt);
             if (change.moves) {
--- a/modules/bulrush_steps/policy/FillControl.cpp
+++ b/modules/bulrush_steps/policy/FillControl.cpp
@@ -47,6 +47,14 @@
     return std::min(std::max(assumed, used * growthFactor), capacity);
 }
 
+bool FillControl::harms(const Worker &worker)
+{
+    return std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto &each) {
+        const Run &run = each.second;
+        return run.tailTarget.count() > 0 && run.load > static_cast<double>(run.tailTarget.count());
+    });
+}
+
 void FillControl::forgetWorkers()
 {
     this->overSince.clear();
--- a/modules/bulrush_steps/policy/FillControl.h
+++ b/modules/bulrush_steps/policy/FillControl.h
@@ -35,6 +35,9 @@
     std::vector<FillChange> decide(const Worker &worker, Instant now,
                                    const DispatchSettings &settings);
 
+    /** Returns whether a serving run on a worker is over its bound by the newest report. */
+    static bool harms(const Worker &worker);
+
     /** Returns the processors that filling tasks find unused on a worker, in thousandths. */
     static double unusedProcessors(const Worker &worker, Instant now);
 
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -79,6 +79,9 @@
             return false;
         }
     }
+    if (step.fills && this->now < worker.fillsBlockedUntil) {
+        return false;
+    }
     if (step.fills) {
         const auto memory = static_cast<double>(worker.entry.capacity.memoryMb);
         const auto memoryLeft = static_cast<double>(worker.free().memoryMb - size.memoryMb);
--- a/modules/bulrush_steps/tests/policy_test.cpp
+++ b/modules/bulrush_steps/tests/policy_test.cpp
@@ -192,6 +192,24 @@
     cr_assert_not_null(placement.choose(workers, request));
 }
 
+/* Others stand still there because of harm: a new filling task would go on harming. */
+Test(Placement, aHarmedWorkerGetsNoFillingTask)
+{
+    const PressureModel model = learnedModel();
+    std::map<TargetId, Worker> workers;
+    workers.emplace(TargetId("a"), workerWith("a", { servingRun("s", "web", 80) }));
+    cr_assert(FillControl::harms(workers.at(TargetId("a"))));
+    const StepSpec step = fillStep("light");
+    TaskRequest request;
+    request.step = &step;
+    request.service = ServiceId("review");
+    request.riskAllowed = 10.0;
+    const Placement placement(start, model);
+    cr_assert_not_null(placement.choose(workers, request));
+    workers.at(TargetId("a")).fillsBlockedUntil = start + milliseconds(1);
+    cr_assert_null(placement.choose(workers, request));
+}
+
 /* Large tasks come while many small ones run: the room stays in pieces that they fit into. */
 Test(Placement, reservingWorkGoesToTheFullestWorkerThatHoldsIt)
 {
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -88,6 +88,8 @@
     std::uint32_t ordersInFlight = 0;
     /** Gets nothing new before this moment: it refused or failed. */
     Instant avoidUntil {};
+    /** Gets no filling task before this moment: a serving task is over its bound. */
+    Instant fillsBlockedUntil {};
     /** Moving share of runs that failed here, 0 to 1. */
     double failureShare = 0.0;
     /** Runs that failed here since the last that succeeded. */
