--- a/modules/bulrush_entry/front/SubmissionDesk.cpp
+++ b/modules/bulrush_entry/front/SubmissionDesk.cpp
@@ -78,7 +78,7 @@
         callback({ CallerOutcome::NoSuchQueue, {}, 0, "no such queue", {} });
         return;
     }
-    const std::string rest = request.path.substr(queue->pathPrefix.size());
+    const std::string rest = request.path.substr(queue->prefix.size());
     if (request.wish == CallerWish::Query && rest.empty()) {
         this->count(queue->name, callback);
         return;
--- a/modules/bulrush_entry/tests/submission_desk_test.cpp
+++ b/modules/bulrush_entry/tests/submission_desk_test.cpp
@@ -55,7 +55,7 @@
         QueuePolicy queue;
         queue.name = "q";
         queue.host = "h";
-        queue.pathPrefix = "/q/";
+        queue.prefix = "/q/";
         queue.service = ServiceId("s");
         config.queues = { queue };
         this->desk.configure(config);
--- a/modules/bulrush_steps/model/ServingConfig.cpp
+++ b/modules/bulrush_steps/model/ServingConfig.cpp
@@ -8,8 +8,8 @@
 {
     const QueuePolicy *best = nullptr;
     for (const QueuePolicy &queue : this->queues) {
-        const bool matches = queue.host == host && path.starts_with(queue.pathPrefix);
-        if (matches && (best == nullptr || best->pathPrefix.size() < queue.pathPrefix.size())) {
+        const bool matches = queue.host == host && path.starts_with(queue.prefix);
+        if (matches && (best == nullptr || best->prefix.size() < queue.prefix.size())) {
             best = &queue;
         }
     }
--- a/modules/bulrush_steps/model/ServingConfig.h
+++ b/modules/bulrush_steps/model/ServingConfig.h
@@ -15,7 +15,7 @@
 {
     std::string name;
     std::string host;
-    std::string pathPrefix;
+    std::string prefix;
     ServiceId service;
     std::uint32_t priority = 0;
     std::uint32_t maxAttempts = 1;
