--- /dev/null
+++ b/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
@@ -0,0 +1,259 @@
+// How the owner chooses what to start, and where.
+
+#include "bulrush_steps/dispatch/Dispatcher.h"
+
+#include "bulrush_core/events/DecisionLog.h"
+#include "bulrush_steps/model/TaskText.h"
+#include "bulrush_steps/policy/WorkOrder.h"
+
+#include <algorithm>
+
+namespace bulrush {
+
+namespace {
+
+/** Attempts that one owner may count for a task; its fencing token makes the higher part. */
+constexpr std::uint64_t attemptsPerOwner = 1000;
+
+/** How much harm to serving tasks, in tasks over their bound, a filling task may be expected to do:
+    while it can wait, and when it would be late otherwise. */
+constexpr double riskOfPatientFill = 0.3;
+constexpr double riskOfUrgentFill = 0.6;
+
+/** A filling task is urgent when this much of its objective is left beside its work. */
+constexpr double urgentSlackShare = 0.3;
+
+} // namespace
+
+bool Dispatcher::formerRunsSettled(const JobEntry &job, Instant now)
+{
+    if (this->formerSettled || !job.knownToFormerOwners || now >= this->term.formerOrdersOver) {
+        return true;
+    }
+    for (const TargetId &id : this->book.roster()) {
+        const Worker *worker = this->keeper.find(id);
+        if (worker == nullptr || !worker->adopted) {
+            return false;
+        }
+    }
+    this->formerSettled = true;
+    return true;
+}
+
+bool Dispatcher::occurrenceDue(const JobEntry &job, std::uint32_t occurrence) const
+{
+    if (!job.spec.timed) {
+        return true;
+    }
+    const UnixMillis due = job.spec.firstDue + job.spec.interval.count() * occurrence;
+    return this->clock.calendarMillis() >= due;
+}
+
+WorkRank Dispatcher::rank(const JobEntry &job, Instant now) const
+{
+    WaitingJob waitingJob;
+    waitingJob.priority = job.spec.priority;
+    waitingJob.lasting = job.spec.lasting();
+    waitingJob.age = now - job.acceptedAt;
+    waitingJob.remaining = this->durations.longestChain(job.spec);
+    waitingJob.objective = this->objective(job.spec);
+    return rankOf(waitingJob);
+}
+
+bool Dispatcher::urgent(const JobEntry &job, Instant now) const
+{
+    const milliseconds chain = this->durations.longestChain(job.spec);
+    const milliseconds objective = this->objective(job.spec);
+    const Duration slack = objective - chain - (now - job.acceptedAt);
+    return std::chrono::duration<double>(slack)
+            < urgentSlackShare * std::chrono::duration<double>(objective);
+}
+
+milliseconds Dispatcher::objective(const StepJob &job) const
+{
+    const auto chain = static_cast<double>(this->durations.longestChain(job).count());
+    return milliseconds(static_cast<std::int64_t>(chain * job.slackFactor)) + job.latencyTarget;
+}
+
+std::vector<Dispatcher::Candidate> Dispatcher::candidates(Instant now)
+{
+    std::vector<std::pair<WorkRank, JobEntry *>> ranked;
+    for (auto at = this->waiting.begin(); at != this->waiting.end();) {
+        JobEntry *job = this->book.find(*at);
+        if (job == nullptr || job->over()) {
+            at = this->waiting.erase(at);
+            continue;
+        }
+        ++at;
+        if (this->formerRunsSettled(*job, now)) {
+            ranked.emplace_back(this->rank(*job, now), job);
+        }
+    }
+    std::stable_sort(ranked.begin(), ranked.end(),
+                     [](const auto &a, const auto &b) { return a.first < b.first; });
+    std::vector<Candidate> list;
+    for (const auto &[rank, job] : ranked) {
+        this->addCandidates(*job, this->urgent(*job, now), list);
+    }
+    return list;
+}
+
+void Dispatcher::addCandidates(JobEntry &job, bool urgent, std::vector<Candidate> &list)
+{
+    bool anyWaiting = false;
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
+        const OccurrenceState &state = job.occurrences[occurrence];
+        if (!this->occurrenceDue(job, occurrence)) {
+            anyWaiting = true;
+            break;
+        }
+        for (std::uint32_t step = 0; step < state.steps.size(); ++step) {
+            const std::vector<StepTask> &tasks = state.steps[step].tasks;
+            const bool open = std::any_of(tasks.begin(), tasks.end(), [](const StepTask &task) {
+                return !task.succeeded && task.openRuns == 0;
+            });
+            if (open && job.stepUnlocked(occurrence, step)) {
+                anyWaiting = true;
+                list.push_back({ &job, occurrence, step, urgent });
+            }
+        }
+    }
+    if (!anyWaiting) {
+        this->waiting.erase(job.spec.id);
+    }
+}
+
+TaskRequest Dispatcher::requestFor(const Candidate &candidate)
+{
+    TaskRequest request;
+    request.step = &candidate.job->spec.steps[candidate.step];
+    request.service = candidate.job->spec.service;
+    request.riskAllowed = candidate.urgent ? riskOfUrgentFill : riskOfPatientFill;
+    const QueuePolicy *queue = this->config.queue(candidate.job->spec.queue);
+    if (queue != nullptr) {
+        request.service = queue->service;
+    }
+    if (request.step->mostPerWorker == 0 && !request.step->oneRack) {
+        return request;
+    }
+    this->keeper.eachRun(candidate.job->spec.id, [&](Worker &worker, Run &run) {
+        const TaskRef &task = run.attempt.task;
+        if (task.occurrence == candidate.occurrence && task.step == candidate.step) {
+            ++request.siblings[worker.entry.worker];
+            request.rack = worker.rack;
+        }
+    });
+    return request;
+}
+
+std::uint64_t Dispatcher::nextAttempt(const StepTask &task) const
+{
+    return std::max(task.lastAttempt, this->term.fencingToken * attemptsPerOwner) + 1;
+}
+
+void Dispatcher::startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt)
+{
+    StepTask &task = job.task(ref);
+    const Run run = this->describeRun(job, { ref, attempt });
+    task.lastAttempt = attempt;
+    ++task.openRuns;
+    job.begun = true;
+    this->decisions.write(DecisionLine(Event::TaskStarted)
+                                  .with("task", text(ref))
+                                  .with("attempt", attempt)
+                                  .with("worker", worker.entry.worker.name())
+                                  .with("free_cpu", worker.free().cpuMilli)
+                                  .with("fill_room", static_cast<std::int64_t>(worker.fillRoom))
+                                  .with("resumes", !task.checkpoint.empty()));
+    this->keeper.start(worker, run, job.spec, task.checkpoint);
+}
+
+bool Dispatcher::planStep(const Candidate &candidate, Instant now)
+{
+    JobEntry &job = *candidate.job;
+    TaskRequest request = this->requestFor(candidate);
+    const Placement placement(now, this->fillControl.pressures());
+    TaskRef ref { job.spec.id, candidate.occurrence, candidate.step, 0 };
+    const StepSpec &step = *request.step;
+    for (ref.index = 0; ref.index < step.taskCount; ++ref.index) {
+        StepTask &task = job.task(ref);
+        if (task.succeeded || task.openRuns > 0 || now < task.notBefore) {
+            continue;
+        }
+        request.failedOn = task.failedOn;
+        Worker *worker = placement.choose(this->keeper.workers(), request);
+        if (worker == nullptr) {
+            return false;
+        }
+        this->startTask(job, ref, *worker, this->nextAttempt(task));
+        ++request.siblings[worker->entry.worker];
+        request.rack = worker->rack;
+    }
+    return true;
+}
+
+bool Dispatcher::planGang(const Candidate &candidate, Instant now)
+{
+    JobEntry &job = *candidate.job;
+    TaskRequest request = this->requestFor(candidate);
+    const Placement placement(now, this->fillControl.pressures());
+    const StepSpec &step = *request.step;
+    TaskRef ref { job.spec.id, candidate.occurrence, candidate.step, 0 };
+    std::uint64_t attempt = 0;
+    std::string checkpoint;
+    for (ref.index = 0; ref.index < step.taskCount; ++ref.index) {
+        const StepTask &task = job.task(ref);
+        if (task.openRuns > 0) {
+            return true;
+        }
+        attempt = std::max(attempt, this->nextAttempt(task));
+        checkpoint = std::max(checkpoint, task.checkpoint);
+    }
+    std::vector<Worker *> chosen;
+    for (std::uint32_t index = 0; index < step.taskCount; ++index) {
+        Worker *worker = placement.choose(this->keeper.workers(), request);
+        if (worker == nullptr) {
+            break;
+        }
+        chosen.push_back(worker);
+        // Taken while the rest is chosen; the start takes it for good.
+        worker->committed += step.size;
+        ++request.siblings[worker->entry.worker];
+        request.rack = worker->rack;
+    }
+    for (Worker *worker : chosen) {
+        worker->committed -= step.size;
+    }
+    if (chosen.size() < step.taskCount) {
+        return false;
+    }
+    for (ref.index = 0; ref.index < step.taskCount; ++ref.index) {
+        job.task(ref).checkpoint = checkpoint;
+        this->startTask(job, ref, *chosen[ref.index], attempt);
+    }
+    return true;
+}
+
+void Dispatcher::plan(Instant now)
+{
+    // A size that found no room finds none for the rest of this round.
+    std::vector<const StepSpec *> unplaced;
+    for (const Candidate &candidate : this->candidates(now)) {
+        const StepSpec &step = candidate.job->spec.steps[candidate.step];
+        const bool hopeless =
+                std::any_of(unplaced.begin(), unplaced.end(), [&step](const StepSpec *other) {
+                    return other->fills == step.fills && other->size.fitsInto(step.size);
+                });
+        if (hopeless) {
+            continue;
+        }
+        const bool placed =
+                step.gang ? this->planGang(candidate, now) : this->planStep(candidate, now);
+        const bool constrained = step.mostPerWorker > 0 || !step.requiredLabel.empty() || step.gang;
+        if (!placed && !constrained) {
+            unplaced.push_back(&step);
+        }
+    }
+}
+
+} // namespace bulrush
