--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -19,9 +19,6 @@
 /** A worker on which a run stood still or was slow gets nothing new for this long. */
 constexpr milliseconds unsoundPause { 2500 };
 
-/** A lasting task that ended starts again after this long. */
-constexpr milliseconds restartDelay { 0 };
-
 } // namespace
 
 Dispatcher::Dispatcher(const Clock &systemClock, WorkerOrders &port, KeyedLog &log,
@@ -270,7 +267,6 @@
     if (run != nullptr) {
         this->release(task, end.checkpoint);
     }
-    const Instant now = this->clock.now();
     if (end.kind == EndKind::Succeeded && run != nullptr && !step.fills) {
         this->learnDuration(*job, *run);
     }
@@ -289,9 +285,6 @@
         counted = StepJobBook::countFailure(*job, end.attempt);
         task.checkpoint.clear();
     }
-    if (step.lasting) {
-        task.notBefore = now + restartDelay;
-    }
     if (!counted) {
         return this->writer.newestChange();
     }
--- a/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
@@ -177,7 +177,7 @@
     const StepSpec &step = *request.step;
     for (ref.index = 0; ref.index < step.taskCount; ++ref.index) {
         StepTask &task = job.task(ref);
-        if (task.succeeded || task.openRuns > 0 || now < task.notBefore) {
+        if (task.succeeded || task.openRuns > 0) {
             continue;
         }
         request.failedOn = task.failedOn;
--- a/modules/bulrush_steps/model/StepJobBook.h
+++ b/modules/bulrush_steps/model/StepJobBook.h
@@ -28,10 +28,6 @@
     std::string checkpoint;
     /** Runs that may be alive. */
     std::uint32_t openRuns = 0;
-    /** Not started again before this moment. */
-    Instant notBefore {};
-    /** When it was last seen running or ready; for tasks that last. */
-    Instant waitingSince {};
 };
 
 struct StepState
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -24,9 +24,6 @@
 /** What an earlier failure of the same task takes off. */
 constexpr double failedHerePenalty = 2.0;
 
-/** What each time that a worker is slower takes off. */
-constexpr double slownessPenalty = 1.0;
-
 /** What being away from the rack of the data takes off. */
 constexpr double awayPenalty = 1.5;
 
@@ -107,7 +104,6 @@
         score -= riskWeight * this->addedRisk(worker, step);
     }
     score -= failurePenalty * worker.failureShare;
-    score -= slownessPenalty * (worker.slowness - 1.0);
     if (!step.dataRack.empty() && step.dataRack != worker.rack) {
         score -= awayPenalty;
     }
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -94,8 +94,6 @@
     double failureShare = 0.0;
     /** Runs that failed here since the last that succeeded. */
     std::uint32_t failuresInARow = 0;
-    /** How many times as long tasks take here as elsewhere. */
-    double slowness = 1.0;
 
     /** Returns the processors that filling tasks ask for together, in thousandths. */
     std::int64_t fillDemand() const
