--- a/modules/bulrush_net/http/HttpServer.cpp
+++ b/modules/bulrush_net/http/HttpServer.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <string>
+#include <utility>
 
 namespace bulrush {
 
@@ -204,7 +205,7 @@
                        Listener &requestListener)
     : loop(owningLoop)
     , endpoint(listenEndpoint)
-    , limits(serverLimits)
+    , limits(std::move(serverLimits))
     , listener(requestListener)
     , protocols(std::make_shared<Protocols>())
 {
