Stretch a lease by a slow clock in one place

The slowest rate of a worker's clock, and the sum that follows from it, stood in LeaseClock and in OwnershipKeeper; both bounds must agree, so longestByOurClock serves both. RunKeeper::stop was called by nobody: the dispatcher marks the run itself.

--- a/modules/bulrush_steps/ownership/OwnershipKeeper.cpp
+++ b/modules/bulrush_steps/ownership/OwnershipKeeper.cpp
@@ -1,6 +1,7 @@
 #include "bulrush_steps/ownership/OwnershipKeeper.h"
 
 #include "bulrush_core/events/DecisionLog.h"
+#include "bulrush_steps/workers/LeaseClock.h"
 
 #include <algorithm>
 #include <utility>
@@ -21,8 +22,7 @@
 /** Nodes that find members missing join spread over this time. */
 constexpr milliseconds joinSpread { 500 };
 
-/** A worker's clock may run 2 % slow; an order may wait for a connection and on its way. */
-constexpr double slowestClockRate = 0.98;
+/** An order may wait for a connection and on its way. */
 constexpr milliseconds orderSlack { 1000 };
 
 constexpr milliseconds joinTimeout { 800 };
@@ -31,9 +31,7 @@
 
 milliseconds OwnershipTimes::formerOrdersOver() const
 {
-    const auto stretched =
-            static_cast<std::int64_t>(static_cast<double>(this->lease.count()) / slowestClockRate);
-    return this->timeToLive + this->extension + milliseconds(stretched) + orderSlack;
+    return this->timeToLive + this->extension + longestByOurClock(this->lease) + orderSlack;
 }
 
 OwnershipKeeper::OwnershipKeeper(const Clock &systemClock, MemberGroup &memberGroup,
--- a/modules/bulrush_steps/workers/LeaseClock.cpp
+++ b/modules/bulrush_steps/workers/LeaseClock.cpp
@@ -14,6 +14,12 @@
 
 } // namespace
 
+milliseconds longestByOurClock(milliseconds workerSpan)
+{
+    const auto span = static_cast<double>(workerSpan.count());
+    return milliseconds(static_cast<std::int64_t>(span / slowestClockRate));
+}
+
 void LeaseClock::read(WorkerMillis clock, Instant arrivedAt)
 {
     this->reading = Reading { clock, arrivedAt };
@@ -45,8 +51,7 @@
         return std::nullopt;
     }
     const auto left = std::max<WorkerMillis>(0, this->latestLeaseEnd - this->reading->clock);
-    const auto stretched = static_cast<std::int64_t>(static_cast<double>(left) / slowestClockRate);
-    return this->reading->arrivedAt + milliseconds(stretched) + leaseSlack;
+    return this->reading->arrivedAt + longestByOurClock(milliseconds(left)) + leaseSlack;
 }
 
 } // namespace bulrush
--- a/modules/bulrush_steps/workers/LeaseClock.h
+++ b/modules/bulrush_steps/workers/LeaseClock.h
@@ -7,6 +7,9 @@
 
 namespace bulrush {
 
+/** Returns how long a span of a worker's clock may last by ours: that clock may run slow. */
+milliseconds longestByOurClock(milliseconds workerSpan);
+
 /**
     Maps a worker's steady clock to ours and bounds when its lease has surely ended.
 
--- a/modules/bulrush_steps/workers/RunKeeper.cpp
+++ b/modules/bulrush_steps/workers/RunKeeper.cpp
@@ -409,18 +409,6 @@
     this->listener.startRefused(*worker, refused, answer.outcome);
 }
 
-void RunKeeper::stop(const TargetId &id, const AttemptRef &attempt)
-{
-    Worker *worker = this->find(id);
-    if (worker == nullptr) {
-        return;
-    }
-    const auto found = worker->runs.find(attempt);
-    if (found != worker->runs.end()) {
-        found->second.stopWanted = true;
-    }
-}
-
 void RunKeeper::sendStop(Worker &worker, Run &run)
 {
     run.orderInFlight = true;
--- a/modules/bulrush_steps/workers/RunKeeper.h
+++ b/modules/bulrush_steps/workers/RunKeeper.h
@@ -76,9 +76,6 @@
     /** Sends a start. The run counts as alive from now on. */
     void start(Worker &worker, Run run, const StepJob &job, std::string checkpoint);
 
-    /** Wants a run stopped; the order is sent by tick() until the run is gone. */
-    void stop(const TargetId &worker, const AttemptRef &attempt);
-
     /** Sets the share of processor time that a run works at. */
     void pace(Worker &worker, Run &run, std::uint32_t percent);
 
