Let the decision log recover when its reader reads again

Cause: a line that found the waiting text full was dropped before anything was written, so that a reader that had once fallen 256 KB behind got no line ever again. Found by the new test that fills the log's pipe (aReaderThatDoesNotReadBlocksNobody: 'the log did not recover', seen failing). Ruled out: poll or write failing (the pipe was empty by then). Change: what waits is written first, then the new line is taken or dropped. Two more tests: a reader that is gone, a flood of one event. Conclusion: no writer blocks, and the log goes on.

--- a/modules/bulrush_core/events/DecisionLog.cpp
+++ b/modules/bulrush_core/events/DecisionLog.cpp
@@ -70,6 +70,7 @@
 protected:
     void sink_it_(const spdlog::details::log_msg &message) override
     {
+        this->flush_();
         if (this->waiting.size() + message.payload.size() > waitingBytes) {
             ++this->droppedCount;
             return;
--- /dev/null
+++ b/modules/bulrush_core/tests/decision_log_test.cpp
@@ -0,0 +1,139 @@
+#include "bulrush_core/bulrush_core.h"
+
+#include <criterion/criterion.h>
+
+#include <array>
+#include <csignal>
+#include <fcntl.h>
+#include <sstream>
+#include <unistd.h>
+
+using namespace bulrush;
+
+namespace {
+
+/** Replaces the standard output by a pipe that nobody reads until the test does. */
+class ScopedPipeOutput
+{
+public:
+    ScopedPipeOutput()
+        : formerOutput(dup(STDOUT_FILENO))
+    {
+        std::signal(SIGPIPE, SIG_IGN);
+        cr_assert_eq(pipe(this->ends.data()), 0);
+        cr_assert_neq(dup2(this->ends[1], STDOUT_FILENO), -1);
+        close(this->ends[1]);
+        cr_assert_neq(fcntl(this->ends[0], F_SETFL, O_NONBLOCK), -1);
+    }
+
+    ~ScopedPipeOutput()
+    {
+        dup2(this->formerOutput, STDOUT_FILENO);
+        close(this->formerOutput);
+        this->closeReader();
+    }
+
+    ScopedPipeOutput(const ScopedPipeOutput &) = delete;
+    ScopedPipeOutput &operator=(const ScopedPipeOutput &) = delete;
+
+    std::string readAll() const
+    {
+        std::string text;
+        std::array<char, 65536> buffer {};
+        for (;;) {
+            const ssize_t length = read(this->ends[0], buffer.data(), buffer.size());
+            if (length <= 0) {
+                return text;
+            }
+            text.append(buffer.data(), static_cast<std::size_t>(length));
+        }
+    }
+
+    void closeReader()
+    {
+        if (this->ends[0] >= 0) {
+            close(this->ends[0]);
+            this->ends[0] = -1;
+        }
+    }
+
+private:
+    int formerOutput;
+    std::array<int, 2> ends {};
+};
+
+/** Writes lines of some length, all within the budget of lines a second. */
+void writeLines(JsonDecisionLog &log, PausableClock &clock, int count)
+{
+    const std::string filler(200, 'x');
+    for (int number = 0; number < count; ++number) {
+        clock.advance(milliseconds(10));
+        log.write(DecisionLine(Event::TaskStarted).with("number", number).with("filler", filler));
+    }
+}
+
+int countLines(const std::string &text, const std::string &word)
+{
+    std::istringstream lines(text);
+    std::string line;
+    int count = 0;
+    while (std::getline(lines, line)) {
+        cr_expect(line.starts_with('{') && line.ends_with('}'), "a torn line: %s", line.c_str());
+        count += line.find(word) == std::string::npos ? 0 : 1;
+    }
+    return count;
+}
+
+} // namespace
+
+/* The log's pipe is full: whoever writes a line goes on, and what is lost is counted. */
+Test(DecisionLog, aReaderThatDoesNotReadBlocksNobody, .timeout = 60)
+{
+    ScopedPipeOutput output;
+    PausableClock clock;
+    JsonDecisionLog log("n1", clock);
+    constexpr int lines = 20000;
+    writeLines(log, clock, lines);
+    cr_assert_gt(log.droppedLines(), 0U);
+    const int kept = countLines(output.readAll(), "task started");
+    cr_assert_lt(kept, lines);
+    std::string later;
+    for (int round = 0; round < 50; ++round) {
+        writeLines(log, clock, 1);
+        later += output.readAll();
+    }
+    cr_assert_gt(countLines(later, "task started"), 0, "the log did not recover");
+}
+
+Test(DecisionLog, aReaderThatIsGoneBlocksNobody, .timeout = 60)
+{
+    ScopedPipeOutput output;
+    PausableClock clock;
+    JsonDecisionLog log("n1", clock);
+    output.closeReader();
+    writeLines(log, clock, 5000);
+    cr_assert_gt(log.droppedLines(), 0U);
+}
+
+/* One event comes in a flood: it keeps to its budget, and the others go on. */
+Test(DecisionLog, aFloodOfOneEventIsBoundedAndSaid)
+{
+    ScopedPipeOutput output;
+    PausableClock clock;
+    JsonDecisionLog log("n1", clock);
+    constexpr int flood = 5000;
+    std::string text;
+    for (int number = 0; number < flood; ++number) {
+        log.write(DecisionLine(Event::TaskStarted).with("number", number));
+        text += output.readAll();
+    }
+    log.write(DecisionLine(Event::StoreLost));
+    clock.advance(seconds(1));
+    log.write(DecisionLine(Event::TaskStarted));
+    text += output.readAll();
+    cr_assert_eq(countLines(text, "store lost"), 1);
+    cr_assert_eq(countLines(text, "lines dropped"), 1);
+    const int written = countLines(text, "\"name\":\"task started\"");
+    cr_assert_lt(written, flood);
+    cr_assert_eq(static_cast<std::uint64_t>(flood + 1 - written), log.droppedLines());
+}
