Count and time the owner's orders; answer status and explain as the daemon does

Orders to workers, the wait of a job for its first task and the time to its end are metrics; a test holds METRICS.md against them. A repeated job and a worker that is set aside are written to the log, and a test finds events that nothing writes (E1603 and E1626 were such). The operators' interface of an entry VM uses the names and paths of the daemon's own, so that the command line's status and explain work on it.

--- a/modules/bulrush_cli/tests/FakeNodes.cpp
+++ b/modules/bulrush_cli/tests/FakeNodes.cpp
@@ -136,6 +136,10 @@
     if (name == "audit") {
         return auditAnswer(node.verdicts);
     }
+    const auto extra = node.extraAnswers.find(name);
+    if (extra != node.extraAnswers.end()) {
+        return extra->second;
+    }
     if (name == "status") {
         return OperatorsApi::json(200, this->status(node));
     }
@@ -147,10 +151,7 @@
         }
         return verdictAnswer(nullptr);
     }
-    const auto extra = node.extraAnswers.find(name);
-    return extra != node.extraAnswers.end()
-            ? extra->second
-            : OperatorsApi::error(404, "no such command: GET /" + name);
+    return OperatorsApi::error(404, "no such command: GET /" + name);
 }
 
 std::string FakeNodes::status(const FakeNode &node) const
--- a/modules/bulrush_cli/tests/pages_test.cpp
+++ b/modules/bulrush_cli/tests/pages_test.cpp
@@ -1,9 +1,11 @@
 #include "FakeNodes.h"
 
+#include "bulrush_entry/node/EntryMetrics.h"
 #include "bulrush_node/metrics/NodeMetrics.h"
 
 #include <criterion/criterion.h>
 
+#include <filesystem>
 #include <fstream>
 #include <regex>
 #include <set>
@@ -109,6 +111,41 @@
             "METRICS.md");
 }
 
+Test(Pages, metricsPageNamesAllMetricsOfAnEntryNode)
+{
+    EntryMetrics metrics;
+    metrics.storeCall("append", StoreOutcome::Done, milliseconds(1));
+    metrics.callerServed(CallerWish::Submit, CallerOutcome::Accepted, milliseconds(1));
+    metrics.workerAnswered("start", OrderOutcome::Done, milliseconds(1));
+    metrics.jobBegun(milliseconds(1));
+    metrics.jobEnded(JobState::Succeeded, milliseconds(1));
+    assertSame(namesIn(metrics.text(), "# HELP (\\w+)"),
+               namesIn(section(page("docs/METRICS.md"), "On the users' platform"),
+                       "\n\\| `(bulrush_\\w+)` \\|"),
+               "METRICS.md");
+}
+
+/* An event that the pages explain and nothing writes would be looked for in vain. */
+Test(Pages, everyEventIsWrittenSomewhere)
+{
+    Names written;
+    const std::filesystem::path source(BULRUSH_SOURCE_DIR);
+    for (const char *folder : { "modules", "platform", "programs" }) {
+        for (const auto &file : std::filesystem::recursive_directory_iterator(source / folder)) {
+            const std::string name = file.path().filename();
+            const bool tests = file.path().string().find("/tests/") != std::string::npos;
+            if (file.path().extension() != ".cpp" || tests || name == "EventCatalogue.cpp") {
+                continue;
+            }
+            written.merge(namesIn(page(file.path().lexically_relative(source)), "Event::(\\w+)"));
+        }
+    }
+    const std::string header = page("modules/bulrush_core/events/EventCatalogue.h");
+    for (const std::string &event : namesIn(header, "\n    (\\w+) = \\d+,")) {
+        cr_expect(written.contains(event), "nothing writes %s", event.c_str());
+    }
+}
+
 Test(Pages, operationsPageNamesOnlyKnownEventsAndMetrics)
 {
     const std::string text = page("docs/OPERATIONS.md");
--- a/modules/bulrush_entry/node/EntryMetrics.cpp
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -1,5 +1,7 @@
 #include "bulrush_entry/node/EntryMetrics.h"
 
+#include "bulrush_steps/model/TaskText.h"
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -7,6 +9,7 @@
 #include <prometheus/text_serializer.h>
 
 #include <array>
+#include <string>
 
 namespace bulrush {
 
@@ -54,6 +57,27 @@
                     .Name("bulrush_entry_request_seconds")
                     .Help("Time from a request's arrival to its answer")
                     .Register(registry);
+    prometheus::Family<prometheus::Counter> &workerOrders =
+            prometheus::BuildCounter()
+                    .Name("bulrush_entry_worker_orders_total")
+                    .Help("Orders to workers by order and outcome")
+                    .Register(registry);
+    prometheus::Family<prometheus::Histogram> &workerSeconds =
+            prometheus::BuildHistogram()
+                    .Name("bulrush_entry_worker_order_seconds")
+                    .Help("Duration of orders to workers")
+                    .Register(registry);
+    prometheus::Histogram &startWait =
+            prometheus::BuildHistogram()
+                    .Name("bulrush_entry_job_wait_seconds")
+                    .Help("Time from a job's acceptance to the start of its first task")
+                    .Register(registry)
+                    .Add({}, secondsBuckets);
+    prometheus::Family<prometheus::Histogram> &jobSeconds =
+            prometheus::BuildHistogram()
+                    .Name("bulrush_entry_job_seconds")
+                    .Help("Time from a job's acceptance to its end on record")
+                    .Register(registry);
     prometheus::Gauge &owner = prometheus::BuildGauge()
                                        .Name("bulrush_entry_owner")
                                        .Help("1 while this node orders the workers")
@@ -94,6 +118,28 @@
             .Observe(inSeconds(took));
 }
 
+void EntryMetrics::workerAnswered(std::string_view order, OrderOutcome outcome, Duration took)
+{
+    const std::string name(order);
+    this->families->workerOrders
+            .Add({ { "order", name }, { "outcome", std::string(bulrush::text(outcome)) } })
+            .Increment();
+    this->families->workerSeconds.Add({ { "order", name } }, secondsBuckets)
+            .Observe(inSeconds(took));
+}
+
+void EntryMetrics::jobBegun(Duration waited)
+{
+    this->families->startWait.Observe(inSeconds(waited));
+}
+
+void EntryMetrics::jobEnded(JobState state, Duration took)
+{
+    this->families->jobSeconds
+            .Add({ { "state", std::string(bulrush::text(state)) } }, secondsBuckets)
+            .Observe(inSeconds(took));
+}
+
 void EntryMetrics::setOwner(bool owner)
 {
     this->families->owner.Set(owner ? 1.0 : 0.0);
--- a/modules/bulrush_entry/node/EntryMetrics.h
+++ b/modules/bulrush_entry/node/EntryMetrics.h
@@ -2,6 +2,7 @@
 
 #include "bulrush_entry/front/CallerTypes.h"
 #include "bulrush_steps/ports/KeyedLog.h"
+#include "bulrush_steps/ports/WorkerOrders.h"
 
 #include <memory>
 #include <string>
@@ -21,6 +22,14 @@
 
     void storeCall(std::string_view call, StoreOutcome outcome, Duration took);
     void callerServed(CallerWish wish, CallerOutcome outcome, Duration took);
+    void workerAnswered(std::string_view order, OrderOutcome outcome, Duration took);
+
+    /** Notes that the first task of a job starts. @param waited since the job was accepted */
+    void jobBegun(Duration waited);
+
+    /** Notes that a job's end is on record. @param took since the job was accepted */
+    void jobEnded(JobState state, Duration took);
+
     void setOwner(bool owner);
     void setDroppedLines(std::uint64_t lines);
 
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -38,7 +38,7 @@
 /** Paths of the operators' interface. */
 constexpr std::string_view metricsPath = "/metrics";
 constexpr std::string_view statusPath = "/v1/status";
-constexpr std::string_view explainPath = "/v1/explain/";
+constexpr std::string_view explainPath = "/v1/explain/job/";
 
 constexpr HttpServer::Limits operatorLimits { 64U << 10U, 32, {} };
 
@@ -65,12 +65,12 @@
     , decisions(decisionLog)
     , health(systemClock, decisionLog)
     , store(systemClock, entryPorts.log, entryPorts.group, this->health, this->metrics)
+    , orders(systemClock, entryPorts.workers, this->metrics)
     , config(systemClock, this->store, entryPorts.decoder, decisionLog, configWait,
              [this] { this->configChanged(); })
     , view(systemClock, this->store, decisionLog)
     , workers(systemClock, this->store, entryPorts.decoder, decisionLog, *this)
-    , dispatcher(systemClock, entryPorts.workers, this->store, entrySettings.dispatch, decisionLog,
-                 *this)
+    , dispatcher(systemClock, this->orders, this->store, entrySettings.dispatch, decisionLog, *this)
     , ownership(systemClock, this->store,
                 OwnerLink::memberName(entrySettings.inner,
                                       static_cast<std::uint64_t>(systemClock.calendarMillis())),
@@ -83,6 +83,7 @@
     , readiness(eventLoop, entrySettings.readiness, HttpServer::Limits(), *this)
     , operators(eventLoop, entrySettings.operators, *this)
 {
+    this->startedAt = this->clock.now();
     this->decisions.write(DecisionLine(Event::NodeStarted)
                                   .with("data_centre", this->settings.dataCentre.name())
                                   .with("callers", this->settings.callers.text())
@@ -259,7 +260,10 @@
 {
     NodeStatus status;
     status.node = this->settings.node.name();
+    status.dataCentre = this->settings.dataCentre.name();
+    status.uptime = this->clock.now() - this->startedAt;
     status.ready = this->ready();
+    status.draining = this->drainingSince.has_value();
     status.owner = this->dispatcher.active();
     status.fencingToken = this->ownership.fencingToken();
     status.configVersion = this->config.config() ? this->config.config()->version : 0;
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -6,6 +6,7 @@
 #include "bulrush_entry/node/EntryMetrics.h"
 #include "bulrush_entry/node/EntryPorts.h"
 #include "bulrush_entry/node/ObservedStore.h"
+#include "bulrush_entry/node/ObservedWorkers.h"
 #include "bulrush_entry/operators/StatusTexts.h"
 #include "bulrush_entry/owner/OwnerLink.h"
 #include "bulrush_entry/settings/EntrySettings.h"
@@ -71,6 +72,8 @@
     // Dispatcher::Listener
     void superseded(std::string_view by) override;
     bool isOwner() const override { return this->ownership.isOwner(); }
+    void jobBegun(Duration waited) override { this->metrics.jobBegun(waited); }
+    void jobEnded(JobState state, Duration took) override { this->metrics.jobEnded(state, took); }
     bool isSoleOwner() const override { return this->ownership.isSoleOwner(); }
 
     // WorkerFollower::Listener
@@ -101,6 +104,7 @@
     EntryMetrics metrics;
     StoreHealth health;
     ObservedStore store;
+    ObservedWorkers orders;
     ConfigFollower config;
     RecordsView view;
     WorkerFollower workers;
@@ -117,6 +121,7 @@
     HttpServer readiness;
     OperatorsServer operators;
     std::map<HttpServer::RequestId, OpenRequest> open;
+    Instant startedAt {};
     Instant lastRequestAt {};
     std::optional<Instant> drainingSince;
 };
--- a/modules/bulrush_entry/operators/StatusTexts.cpp
+++ b/modules/bulrush_entry/operators/StatusTexts.cpp
@@ -35,8 +35,21 @@
              { "tasks", state.tasks.size() },
              { "succeeded", state.succeeded },
              { "running", running },
-             { "failed_attempts", failures },
-             { "waits_for_steps", !job.stepUnlocked(occurrence, step) } };
+             { "failedAttempts", failures },
+             { "waitsForSteps", !job.stepUnlocked(occurrence, step) } };
+}
+
+json degradedText(const NodeStatus &status)
+{
+    json degraded = json::array();
+    if (status.configVersion == 0) {
+        degraded.push_back("no configuration yet");
+    }
+    if (status.storeLost) {
+        const auto silent = duration_cast<milliseconds>(status.storeSilence).count();
+        degraded.push_back("the store has not answered for " + std::to_string(silent) + " ms");
+    }
+    return degraded;
 }
 
 } // namespace
@@ -44,13 +57,19 @@
 std::string statusText(const NodeStatus &status, const Dispatcher &dispatcher)
 {
     json record = { { "node", status.node },
+                    { "dataCentre", status.dataCentre },
+                    { "uptimeSeconds", duration_cast<seconds>(status.uptime).count() },
                     { "ready", status.ready },
-                    { "owner", status.owner },
-                    { "fencing_token", status.fencingToken },
-                    { "config_version", status.configVersion },
-                    { "store_lost", status.storeLost },
-                    { "store_silent_ms",
-                      duration_cast<milliseconds>(status.storeSilence).count() } };
+                    { "draining", status.draining },
+                    { "degraded", degradedText(status) },
+                    { "peers", json::array() },
+                    { "recordsOffset", status.configVersion },
+                    { "logAvailable", !status.storeLost } };
+    if (status.owner) {
+        record["groups"] = json::array({ { { "group", "workers" },
+                                           { "fencingToken", status.fencingToken },
+                                           { "workers", dispatcher.runs().workers().size() } } });
+    }
     json workers = json::array();
     for (const auto &[id, worker] : dispatcher.runs().workers()) {
         workers.push_back({ { "worker", id.name() },
@@ -58,8 +77,8 @@
                             { "answers", worker.confirmed },
                             { "draining", worker.entry.draining },
                             { "runs", worker.runs.size() },
-                            { "free_cpu", worker.free().cpuMilli },
-                            { "failure_share", worker.failureShare } });
+                            { "freeCpuMilli", worker.free().cpuMilli },
+                            { "failureShare", worker.failureShare } });
     }
     record["workers"] = std::move(workers);
     return record.dump();
@@ -76,7 +95,7 @@
                     { "queue", job->spec.queue },
                     { "state", text(job->shownState()) },
                     { "cancelled", job->cancelled },
-                    { "end_on_record", job->endOnRecord } };
+                    { "endOnRecord", job->endOnRecord } };
     json steps = json::array();
     for (std::uint32_t occurrence = 0; occurrence < job->occurrences.size(); ++occurrence) {
         for (std::uint32_t step = 0; step < job->spec.steps.size(); ++step) {
--- a/modules/bulrush_entry/operators/StatusTexts.h
+++ b/modules/bulrush_entry/operators/StatusTexts.h
@@ -11,7 +11,10 @@
 struct NodeStatus
 {
     std::string node;
+    std::string dataCentre;
+    Duration uptime {};
     bool ready = false;
+    bool draining = false;
     bool owner = false;
     std::uint64_t fencingToken = 0;
     std::uint64_t configVersion = 0;
@@ -20,7 +23,8 @@
     Duration storeSilence {};
 };
 
-/** Returns a node's status as JSON; with the workers and their runs when it is the owner. */
+/** Returns a node's status as JSON, with the names of the daemon's own status; with the workers and
+ * their runs when it is the owner. */
 std::string statusText(const NodeStatus &status, const Dispatcher &dispatcher);
 
 /** Returns where a job's tasks are and why, as JSON; none when the job is not known here. */
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -75,6 +75,12 @@
 
 void Dispatcher::applyJobRecord(const KeyedRecord &record)
 {
+    const records::ParsedKey key = records::parseKey(record.key);
+    if (key.kind == records::KeyKind::Job && this->book.find(key.job) != nullptr) {
+        this->decisions.write(DecisionLine(Event::JobRepeated)
+                                      .with("job", key.job.name())
+                                      .with("offset", record.offset));
+    }
     const std::optional<JobId> id = this->book.applyJobRecord(record, this->clock);
     if (this->book.newestOwner() > this->term.fencingToken) {
         this->listener.superseded("a newer owner's mark");
@@ -184,6 +190,7 @@
         }
         job->endOnRecord = true;
         const Duration age = this->clock.now() - job->acceptedAt;
+        this->listener.jobEnded(job->shownState(), age);
         this->decisions.write(DecisionLine(Event::JobEnded)
                                       .with("job", id.name())
                                       .with("queue", job->spec.queue)
@@ -413,10 +420,11 @@
                 continue;
             }
             ++task.rescues;
-            worker.avoidUntil = std::max(worker.avoidUntil, now + unsoundPause);
             task.failedOn.push_back(id);
             const bool stalled = verdict == RunVerdict::Stalled;
-            this->stopRun(worker, run, stalled ? "it stands still" : "it is slow there");
+            const std::string_view why = stalled ? "it stands still" : "it is slow there";
+            this->keeper.setAside(worker, unsoundPause, why);
+            this->stopRun(worker, run, why);
         }
     }
 }
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -44,6 +44,12 @@
 
         /** Returns whether no other node can be the owner at this moment. */
         virtual bool isSoleOwner() const = 0;
+
+        /** Called when the first task of a job starts. @param waited since its acceptance */
+        virtual void jobBegun(Duration /*waited*/) { }
+
+        /** Called when a job's end is on record. @param took since its acceptance */
+        virtual void jobEnded(JobState /*state*/, Duration /*took*/) { }
     };
 
     Dispatcher(const Clock &clock, WorkerOrders &port, KeyedLog &log,
--- a/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
@@ -157,6 +157,9 @@
     const Run run = this->describeRun(job, { ref, attempt });
     task.lastAttempt = attempt;
     ++task.openRuns;
+    if (!job.begun) {
+        this->listener.jobBegun(this->clock.now() - job.acceptedAt);
+    }
     job.begun = true;
     this->decisions.write(DecisionLine(Event::TaskStarted)
                                   .with("task", text(ref))
--- a/modules/bulrush_steps/workers/RunKeeper.cpp
+++ b/modules/bulrush_steps/workers/RunKeeper.cpp
@@ -274,7 +274,9 @@
         const Run *run = found == worker.runs.end() ? nullptr : &found->second;
         if (end.kind == EndKind::Succeeded || end.kind == EndKind::Failed) {
             const milliseconds pause = noteEnd(worker, end.kind == EndKind::Failed);
-            worker.avoidUntil = std::max(worker.avoidUntil, this->clock.now() + pause);
+            if (pause.count() > 0) {
+                this->setAside(worker, pause, "runs fail on it");
+            }
         }
         const std::uint64_t change = this->listener.runEnded(worker, run, end);
         worker.processedChange = std::max(worker.processedChange, change);
@@ -448,6 +450,16 @@
     }
 }
 
+void RunKeeper::setAside(Worker &worker, milliseconds span, std::string_view reason)
+{
+    worker.avoidUntil = std::max(worker.avoidUntil, this->clock.now() + span);
+    this->decisions.write(DecisionLine(Event::WorkerSetAside)
+                                  .with("worker", worker.entry.worker.name())
+                                  .with("for_ms", span.count())
+                                  .with("failure_share", worker.failureShare)
+                                  .with("reason", reason));
+}
+
 void RunKeeper::pace(Worker &worker, Run &run, std::uint32_t percent)
 {
     run.pacePercent = percent;
--- a/modules/bulrush_steps/workers/RunKeeper.h
+++ b/modules/bulrush_steps/workers/RunKeeper.h
@@ -76,6 +76,9 @@
     /** Sends a start. The run counts as alive from now on. */
     void start(Worker &worker, Run run, const StepJob &job, std::string checkpoint);
 
+    /** Keeps new tasks off a worker for a time. */
+    void setAside(Worker &worker, milliseconds span, std::string_view reason);
+
     /** Sets the share of processor time that a run works at. */
     void pace(Worker &worker, Run &run, std::uint32_t percent);
 
