Let an owner order on until its successor does

Ruled out: slow reading alone (members read the records every 3 s already). Change: such an owner hands over: it orders on as not the only one, so that it takes no lease as over, until it finds its successor's epoch, mark or fence, or until its time is over, which answers without the partition do not prolong. A partition that comes back is taken with a new token. The successor waits for a former owner's orders as before (formerOrdersOver), so nothing starts twice.

--- a/modules/bulrush_steps/ownership/OwnershipKeeper.cpp
+++ b/modules/bulrush_steps/ownership/OwnershipKeeper.cpp
@@ -55,7 +55,8 @@
 
 bool OwnershipKeeper::isSoleOwner() const
 {
-    return this->owner && this->clock.now() < this->confirmedAt + this->times.timeToLive;
+    return this->owner && !this->handedOver
+            && this->clock.now() < this->confirmedAt + this->times.timeToLive;
 }
 
 void OwnershipKeeper::tick()
@@ -127,25 +128,36 @@
         this->nextJoinAt = this->clock.now();
     }
     if (!membership.holdsPartition) {
-        if (this->owner) {
-            this->lose("the store has given it to another node");
-        }
+        this->handOver("the store has given it to another node");
         return;
     }
-    if (this->owner && changed && sentAt >= this->confirmedAt + this->times.timeToLive) {
-        // It may have been another node's in between.
-        this->lose("the store may have given it to another node meanwhile");
+    const bool tooLate = changed && sentAt >= this->confirmedAt + this->times.timeToLive;
+    if (this->owner && (this->handedOver || tooLate)) {
+        this->lose("it was another node's in between, or may have been");
     }
     this->confirmedAt = sentAt;
     if (this->owner || membership.generation <= this->supersededAt) {
         return;
     }
     this->owner = true;
+    this->handedOver = false;
     this->token = membership.generation;
     this->decisions.write(DecisionLine(Event::OwnershipGained).with("fencing_token", this->token));
     this->listener.ownershipGained(this->token);
 }
 
+void OwnershipKeeper::handOver(std::string_view reason)
+{
+    if (!this->owner || this->handedOver) {
+        return;
+    }
+    this->handedOver = true;
+    this->supersededAt = std::max(this->supersededAt, this->token);
+    this->decisions.write(DecisionLine(Event::OwnershipHandedOver)
+                                  .with("fencing_token", this->token)
+                                  .with("reason", reason));
+}
+
 void OwnershipKeeper::superseded(std::string_view by)
 {
     if (this->owner) {
@@ -166,9 +178,7 @@
 void OwnershipKeeper::leave()
 {
     this->leaving = true;
-    if (this->owner) {
-        this->lose("this node stops");
-    }
+    this->handOver("this node stops");
     if (this->member) {
         this->group.leave(this->name, joinTimeout, [] {});
     }
--- a/modules/bulrush_steps/ownership/OwnershipKeeper.h
+++ b/modules/bulrush_steps/ownership/OwnershipKeeper.h
@@ -29,8 +29,11 @@
 /**
     Takes part in the group and knows from when and until when this node is the owner.
 
-    Each change of the group may move the partition, and a move costs up to a second without an
-    owner. So only a few nodes are members, and the others look on and join when members are gone.
+    Only a few nodes are members; the others look on and join when members are gone.
+
+    An owner whose partition goes to another node, or that is about to stop, orders on until it
+    finds its successor's traces or its time is over: the successor may need a while to read what is
+    on record, and waits for the former owner's orders as long as they may have an effect.
 
     All times count from when a successful join was sent, by a clock that counts while the machine
     is suspended.
@@ -69,7 +72,7 @@
     /** Gives up an ownership that another node has taken over. */
     void superseded(std::string_view by);
 
-    /** Leaves the group for good. */
+    /** Leaves the group for good; an owner orders on until its successor does. */
     void leave();
 
 private:
@@ -77,6 +80,7 @@
     void lookOn();
     void membersCounted(std::uint32_t members);
     void joinAnswered(Instant sentAt, const Membership &membership);
+    void handOver(std::string_view reason);
     void lose(std::string_view reason);
 
     const Clock &clock;
@@ -94,6 +98,8 @@
     std::minstd_rand random;
     std::uint64_t generation = 0;
     bool owner = false;
+    /** Whether the partition is another node's by now, or left to one. */
+    bool handedOver = false;
     std::uint64_t token = 0;
     /** When the last join that succeeded was sent. */
     Instant confirmedAt {};
