Follow the load of a serving job; keep the tasks of a large job from piling up beside it

A placement weighed only by how much it raised the number of tasks over their bounds: once one was expected over, each further task raised it by nothing. And the load of a serving job swings (mean 0.5, amplitude 0.2, 14 s, all its tasks alike), which the model took as noise around a usual value. Change: LoadTrend follows level and slope of a job's load over all its tasks; a filling task is placed where, with it there, few enough of the tasks that it presses on are expected over their bounds a second from now (0.5, or 0.9 when it is urgent; before: 0.3 and 0.6 added); places that press less go first.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -366,7 +366,7 @@
         }
         worker.observedAt = now;
         worker.fillRoom = FillControl::unusedProcessors(worker, now);
-        this->fillControl.observe(worker);
+        this->fillControl.observe(worker, now);
         if (FillControl::harms(worker)) {
             worker.fillsBlockedUntil = now + fillBlock;
         }
--- a/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
@@ -17,8 +17,8 @@
 
 /** How much harm to serving tasks, in tasks over their bound, a filling task may be expected to do:
     while it can wait, and when it would be late otherwise. */
-constexpr double riskOfPatientFill = 0.3;
-constexpr double riskOfUrgentFill = 0.6;
+constexpr double riskOfPatientFill = 0.5;
+constexpr double riskOfUrgentFill = 0.9;
 
 /** A filling task is urgent when this much of its objective is left beside its work. */
 constexpr double urgentSlackShare = 0.3;
--- a/modules/bulrush_steps/policy/FillControl.h
+++ b/modules/bulrush_steps/policy/FillControl.h
@@ -29,7 +29,7 @@
 {
 public:
     /** Takes a worker's newest report. */
-    void observe(const Worker &worker) { this->model.observe(worker); }
+    void observe(const Worker &worker, Instant now) { this->model.observe(worker, now); }
 
     /** Decides on one worker. */
     std::vector<FillChange> decide(const Worker &worker, Instant now,
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -12,6 +12,14 @@
 /** What one serving task more over its bound takes off a worker's score for a filling task. */
 constexpr double riskWeight = 5.0;
 
+/** The load of serving tasks is taken as it will be after this time: a filling task stays a while.
+ */
+constexpr milliseconds fillOutlook { 1000 };
+
+/** What a full pressure added to serving tasks takes off: room is left beside tasks that are
+   pressed easily for the filling tasks that do not press on them. */
+constexpr double pressureWeight = 2.0;
+
 /** A filling task starts only where at least this share of its processors is unused. */
 constexpr double leastFillShare = 0.7;
 
@@ -32,12 +40,17 @@
 
 } // namespace
 
-double Placement::addedRisk(const Worker &worker, const StepSpec &step) const
+double Placement::shareOf(const Worker &worker, const StepSpec &step)
 {
     const auto capacity =
             static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
-    const double share = static_cast<double>(step.size.cpuMilli) / capacity;
-    return this->pressures.addedRisk(worker, step.image, share);
+    return static_cast<double>(step.size.cpuMilli) / capacity;
+}
+
+double Placement::riskOfFilling(const Worker &worker, const StepSpec &step) const
+{
+    return this->pressures.riskBeside(worker, step.image, shareOf(worker, step),
+                                      this->now + fillOutlook);
 }
 
 bool Placement::couldEverHold(const Worker &worker, const TaskRequest &request)
@@ -87,7 +100,7 @@
         }
         const double unused = worker.fillRoom - static_cast<double>(worker.fillDemand());
         return unused >= leastFillShare * static_cast<double>(step.size.cpuMilli)
-                && this->addedRisk(worker, step) <= request.riskAllowed;
+                && this->riskOfFilling(worker, step) <= request.riskAllowed;
     }
     return true;
 }
@@ -101,7 +114,9 @@
     double score = -static_cast<double>(worker.free().cpuMilli) / capacity;
     if (step.fills) {
         score = (worker.fillRoom - static_cast<double>(worker.fillDemand())) / capacity;
-        score -= riskWeight * this->addedRisk(worker, step);
+        score -= riskWeight * this->riskOfFilling(worker, step);
+        score -= pressureWeight
+                * this->pressures.addedPressure(worker, step.image, shareOf(worker, step));
     }
     score -= failurePenalty * worker.failureShare;
     if (!step.dataRack.empty() && step.dataRack != worker.rack) {
--- a/modules/bulrush_steps/policy/Placement.h
+++ b/modules/bulrush_steps/policy/Placement.h
@@ -17,7 +17,7 @@
     std::map<TargetId, std::uint32_t> siblings;
     /** Workers on which earlier attempts of the task failed. */
     std::vector<TargetId> failedOn;
-    /** How many serving tasks more may be expected over their bound because of a filling task. */
+    /** How many serving tasks may be expected over their bound beside a filling task. */
     double riskAllowed = 0.0;
     /** For a step that wants one rack: the rack that its tasks are on; empty for none yet. */
     std::string rack;
@@ -45,7 +45,8 @@
     static bool couldEverHold(const Worker &worker, const TaskRequest &request);
 
 private:
-    double addedRisk(const Worker &worker, const StepSpec &step) const;
+    static double shareOf(const Worker &worker, const StepSpec &step);
+    double riskOfFilling(const Worker &worker, const StepSpec &step) const;
     bool mayHold(const Worker &worker, const TaskRequest &request) const;
     double score(const Worker &worker, const TaskRequest &request) const;
 
--- a/modules/bulrush_steps/policy/PressureModel.cpp
+++ b/modules/bulrush_steps/policy/PressureModel.cpp
@@ -8,19 +8,28 @@
 
 namespace {
 
-/** Variance of a report around the model: load swings by itself. */
-constexpr double reportVariance = 0.03;
+/** Variance of one report around the load that it is of. */
+constexpr double reportVariance = 0.005;
 
 /** Coefficients drift: what was learned long ago counts less. */
 constexpr double driftPerReport = 0.0005;
 
 constexpr double largestCoefficient = 8.0;
 
-/** The weight of the newest report in an image's usual pressure. */
-constexpr double usualWeight = 0.01;
+/** The weight of the newest report in the variance of an image's reports. */
+constexpr double varianceWeight = 0.01;
 
 /** Even a model that fits well is not taken to be surer than this. */
-constexpr double leastVariance = 0.01;
+constexpr double leastVariance = 0.0025;
+
+/** A filling task that presses less than this is taken to press not at all. */
+constexpr double leastPressure = 0.005;
+
+/** Of serving tasks that have not reported. */
+constexpr double unknownPressure = 0.45;
+
+/** The load of a job that has not reported for so long is forgotten. */
+constexpr milliseconds loadKept { 30'000 };
 
 /** Shares below this say nothing of an image. */
 constexpr double leastShare = 0.01;
@@ -54,11 +63,11 @@
 double PressureModel::pressure(const Run &serving) const
 {
     const auto found = this->images.find(serving.image);
-    const Serving known = found == this->images.end() ? Serving() : found->second;
-    if (serving.load <= 0.0 || known.idleTail <= 0.0) {
-        return known.usualPressure;
+    if (serving.load <= 0.0 || found == this->images.end() || found->second.idleTail <= 0.0) {
+        return unknownPressure;
     }
-    return 1.0 - known.idleTail / std::max(known.idleTail, serving.load);
+    const double idle = found->second.idleTail;
+    return 1.0 - idle / std::max(idle, serving.load);
 }
 
 double PressureModel::bound(const Run &serving) const
@@ -71,26 +80,16 @@
     return std::max(0.0, 1.0 - found->second.idleTail / target);
 }
 
-double PressureModel::ownPressure(const Worker &worker, const Run &serving) const
+double PressureModel::ownLoad(const Run &serving, Instant moment) const
 {
-    double own = this->pressure(serving);
-    for (const auto &[attempt, run] : worker.runs) {
-        if (run.fillCpuMilli > 0) {
-            own -= this->coefficient(run.image, serving.image) * usedShare(worker, run);
-        }
-    }
-    return std::max(0.0, own);
-}
-
-double PressureModel::usualPressure(const Run &serving) const
-{
-    const auto found = this->images.find(serving.image);
-    return found == this->images.end() ? Serving().usualPressure : found->second.usualPressure;
+    const auto found = this->loads.find(serving.attempt.task.job);
+    return found == this->loads.end() ? unknownPressure : found->second.at(moment);
 }
 
-double PressureModel::expectedPressure(const Worker &worker, const Run &serving) const
+double PressureModel::expectedPressure(const Worker &worker, const Run &serving,
+                                       Instant moment) const
 {
-    double expected = (this->ownPressure(worker, serving) + this->usualPressure(serving)) / 2.0;
+    double expected = this->ownLoad(serving, moment);
     for (const auto &[attempt, run] : worker.runs) {
         if (run.fillCpuMilli > 0) {
             expected += this->coefficient(run.image, serving.image) * fullShare(worker, run);
@@ -99,39 +98,59 @@
     return expected;
 }
 
-double PressureModel::overRisk(const Run &serving, double pressure) const
+double PressureModel::overRisk(const Run &serving, double pressure, Instant moment) const
 {
-    const auto found = this->images.find(serving.image);
-    const double variance =
-            found == this->images.end() ? Serving().variance : found->second.variance;
+    const auto image = this->images.find(serving.image);
+    const auto load = this->loads.find(serving.attempt.task.job);
+    double variance = image == this->images.end() ? Serving().variance : image->second.variance;
+    variance += (load == this->loads.end() ? LoadTrend() : load->second).varianceAt(moment);
     const double deviations = (pressure - this->bound(serving)) / std::sqrt(variance);
     return std::erfc(-deviations / std::numbers::sqrt2) / 2.0;
 }
 
-double PressureModel::addedRisk(const Worker &worker, const std::string &fillImage,
-                                double share) const
+double PressureModel::riskBeside(const Worker &worker, const std::string &fillImage, double share,
+                                 Instant moment) const
+{
+    double risk = 0.0;
+    for (const auto &[attempt, run] : worker.runs) {
+        const double more = this->coefficient(fillImage, run.image) * share;
+        if (run.tailTarget.count() > 0 && more > leastPressure) {
+            const double expected = this->expectedPressure(worker, run, moment);
+            risk += this->overRisk(run, expected + more, moment);
+        }
+    }
+    return risk;
+}
+
+double PressureModel::addedPressure(const Worker &worker, const std::string &fillImage,
+                                    double share) const
 {
-    double added = 0.0;
+    double sum = 0.0;
     for (const auto &[attempt, run] : worker.runs) {
         if (run.tailTarget.count() > 0) {
-            const double expected = this->expectedPressure(worker, run);
-            const double more = this->coefficient(fillImage, run.image) * share;
-            added += this->overRisk(run, expected + more) - this->overRisk(run, expected);
+            sum += this->coefficient(fillImage, run.image) * share;
         }
     }
-    return added;
+    return sum;
 }
 
-void PressureModel::observe(const Worker &worker)
+void PressureModel::observe(const Worker &worker, Instant now)
 {
     for (const auto &[attempt, run] : worker.runs) {
         if (run.tailTarget.count() > 0 && run.load > 0.0) {
-            this->learn(worker, run);
+            this->learn(worker, run, now);
         }
     }
+    this->forgetOldLoads(now);
+}
+
+void PressureModel::forgetOldLoads(Instant now)
+{
+    std::erase_if(this->loads,
+                  [now](const auto &each) { return now - each.second.newest() > loadKept; });
 }
 
-void PressureModel::learn(const Worker &worker, const Run &serving)
+void PressureModel::learn(const Worker &worker, const Run &serving, Instant now)
 {
     Serving &image = this->images[serving.image];
     if (image.idleTail <= 0.0 || serving.load < image.idleTail) {
@@ -143,18 +162,21 @@
             shares[run.image] += usedShare(worker, run);
         }
     }
-    double predicted = image.usualPressure;
-    double variance = reportVariance;
+    double fromFills = 0.0;
+    double fillVariance = 0.0;
     for (const auto &[fill, share] : shares) {
         Coefficient &known = image.byFill[fill];
         known.variance += driftPerReport;
-        predicted += known.value * share;
-        variance += known.variance * share * share;
+        fromFills += known.value * share;
+        fillVariance += known.variance * share * share;
     }
-    const double error = this->pressure(serving) - predicted;
-    image.usualPressure += usualWeight * error;
-    image.variance += usualWeight * (error * error - image.variance);
+    LoadTrend &load = this->loads[serving.attempt.task.job];
+    const double pressure = this->pressure(serving);
+    const double error = pressure - load.at(now) - fromFills;
+    const double variance = reportVariance + load.varianceAt(now) + fillVariance;
+    image.variance += varianceWeight * (error * error - image.variance);
     image.variance = std::max(image.variance, leastVariance);
+    load.observe(pressure - fromFills, reportVariance + fillVariance, now);
     for (const auto &[fill, share] : shares) {
         if (share < leastShare) {
             continue;
--- a/modules/bulrush_steps/tests/policy_test.cpp
+++ b/modules/bulrush_steps/tests/policy_test.cpp
@@ -3,6 +3,10 @@
 
 #include <criterion/criterion.h>
 
+#include <cmath>
+#include <numbers>
+#include <random>
+
 using namespace bulrush;
 
 namespace {
@@ -56,17 +60,23 @@
     return worker;
 }
 
+/** How long a model learns. */
+constexpr seconds learningSpan { 30 };
+
 /** A model that has seen a heavy and a light image beside a serving one. */
 PressureModel learnedModel()
 {
     PressureModel model;
-    model.observe(workerWith("w", { servingRun("s", "web", 10) }));
-    for (int round = 0; round < 300; ++round) {
-        model.observe(workerWith("w", { servingRun("s", "web", 15) }));
-        model.observe(
-                workerWith("w", { servingRun("s", "web", 45), fillingRun("f", "heavy", 6400) }));
-        model.observe(
-                workerWith("w", { servingRun("s", "web", 15), fillingRun("f", "light", 6400) }));
+    const Worker alone = workerWith("w", { servingRun("s", "web", 15) });
+    const Worker besideHeavy =
+            workerWith("w", { servingRun("s", "web", 45), fillingRun("f", "heavy", 6400) });
+    const Worker besideLight =
+            workerWith("w", { servingRun("s", "web", 15), fillingRun("f", "light", 6400) });
+    model.observe(workerWith("w", { servingRun("s", "web", 10) }), start - learningSpan);
+    for (Instant now = start - learningSpan; now < start; now += milliseconds(100)) {
+        model.observe(alone, now);
+        model.observe(besideHeavy, now);
+        model.observe(besideLight, now);
     }
     return model;
 }
@@ -170,6 +180,54 @@
     cr_assert_lt(model.coefficient("new", "web"), 1.0);
 }
 
+namespace {
+
+/** The load of a job whose users come in waves. */
+double waveAt(Instant moment)
+{
+    constexpr double mean = 0.5;
+    constexpr double swing = 0.2;
+    constexpr double periodSeconds = 14.0;
+    const double passed = std::chrono::duration<double>(moment - start).count();
+    return mean + swing * std::sin(2.0 * std::numbers::pi * passed / periodSeconds);
+}
+
+} // namespace
+
+/* Users come in waves, and each reading is rough. */
+Test(LoadTrend, tellsWhereAWaveWillBeAMomentFromNow)
+{
+    LoadTrend trend;
+    std::minstd_rand random(7);
+    std::normal_distribution<double> noise(0.0, 0.05);
+    Instant now = start;
+    double withSlope = 0.0;
+    double withoutSlope = 0.0;
+    for (; now < start + seconds(60); now += milliseconds(60)) {
+        trend.observe(waveAt(now) + noise(random), 0.0025, now);
+        const Instant soon = now + seconds(1);
+        withSlope += std::pow(trend.at(soon) - waveAt(soon), 2);
+        withoutSlope += std::pow(trend.at(now) - waveAt(soon), 2);
+    }
+    cr_assert_lt(withSlope, 0.75 * withoutSlope, "%.3f and %.3f", withSlope, withoutSlope);
+    cr_assert_gt(trend.varianceAt(now + seconds(2)), trend.varianceAt(now));
+}
+
+/* The load of a job is known from the tasks that have little beside them. */
+Test(PressureModel, aTaskIsExpectedToBeAsLoadedAsItsSiblings)
+{
+    PressureModel model = learnedModel();
+    const Worker quiet = workerWith("w", { servingRun("s", "web", 15) });
+    const Worker loaded = workerWith("w", { servingRun("s", "web", 33) });
+    const Worker other = workerWith("v", { servingRun("s", "web", 15) });
+    const Run &sibling = other.runs.begin()->second;
+    const double before = model.expectedPressure(other, sibling, start);
+    for (Instant now = start; now < start + seconds(3); now += milliseconds(100)) {
+        model.observe(loaded, now);
+    }
+    cr_assert_gt(model.expectedPressure(other, sibling, start + seconds(3)), before + 0.2);
+}
+
 Test(Placement, aFillingTaskAvoidsTheServingTaskThatItSlows)
 {
     const PressureModel model = learnedModel();
@@ -192,6 +250,49 @@
     cr_assert_not_null(placement.choose(workers, request));
 }
 
+/* A large job arrives: its filling tasks are placed one after the other before any of them shows in
+   a report. Once a serving task is expected over its bound, one more does not count as harmless. */
+Test(Placement, theTasksOfALargeJobDoNotPileUpBesideAServingTask)
+{
+    const PressureModel model = learnedModel();
+    std::map<TargetId, Worker> workers;
+    workers.emplace(TargetId("a"), workerWith("a", { servingRun("s", "web", 15) }));
+    Worker &worker = workers.at(TargetId("a"));
+    const StepSpec step = fillStep("heavy");
+    TaskRequest request;
+    request.step = &step;
+    request.service = ServiceId("review");
+    request.riskAllowed = 0.8;
+    const Placement placement(start, model);
+    constexpr std::uint32_t tasks = 8;
+    std::uint32_t placed = 0;
+    while (placed < tasks && placement.choose(workers, request) != nullptr) {
+        Run run = fillingRun("large", "heavy", 0);
+        run.attempt.task.index = ++placed;
+        worker.runs.emplace(run.attempt, run);
+    }
+    cr_assert_leq(placed, 2U, "%u were placed", placed);
+}
+
+/* Neither worker's serving task is near its bound: the task goes where it presses less, though a
+   little less is unused there. */
+Test(Placement, aFillingTaskGoesWhereItPressesLess)
+{
+    PressureModel model = learnedModel();
+    model.observe(workerWith("w", { servingRun("d", "db", 10) }), start);
+    std::map<TargetId, Worker> workers;
+    workers.emplace(TargetId("a"), workerWith("a", { servingRun("d", "db", 12) }));
+    workers.emplace(TargetId("b"), workerWith("b", { servingRun("s", "web", 12) }));
+    workers.at(TargetId("b")).fillRoom = 61000;
+    const StepSpec step = fillStep("light");
+    TaskRequest request;
+    request.step = &step;
+    request.service = ServiceId("review");
+    request.riskAllowed = 1.0;
+    const Placement placement(start, model);
+    cr_assert(placement.choose(workers, request)->entry.worker == TargetId("b"));
+}
+
 /* Others stand still there because of harm: a new filling task would go on harming. */
 Test(Placement, aHarmedWorkerGetsNoFillingTask)
 {
@@ -266,12 +367,15 @@
 Test(FillControl, thePressingRunMovesAndOthersStay)
 {
     FillControl control;
-    for (int round = 0; round < 300; ++round) {
-        control.observe(workerWith("w", { servingRun("s", "web", 10) }));
-        control.observe(
-                workerWith("w", { servingRun("s", "web", 15), fillingRun("l", "light", 6400) }));
-        control.observe(
-                workerWith("w", { servingRun("s", "web", 45), fillingRun("h", "heavy", 6400) }));
+    const Worker alone = workerWith("w", { servingRun("s", "web", 10) });
+    const Worker besideLight =
+            workerWith("w", { servingRun("s", "web", 15), fillingRun("l", "light", 6400) });
+    const Worker besideHeavy =
+            workerWith("w", { servingRun("s", "web", 45), fillingRun("h", "heavy", 6400) });
+    for (Instant now = start - learningSpan; now < start; now += milliseconds(100)) {
+        control.observe(alone, now);
+        control.observe(besideLight, now);
+        control.observe(besideHeavy, now);
     }
     const Worker calm =
             workerWith("w", { servingRun("s", "web", 30), fillingRun("h", "heavy", 6400) });
