--- /dev/null
+++ b/bench/dispatch/BenchWorkers.cpp
@@ -0,0 +1,136 @@
+#include "BenchWorkers.h"
+
+#include <utility>
+
+namespace bulrush {
+
+namespace {
+
+/** There and back. */
+constexpr milliseconds roundTrip { 3 };
+
+/** The tail that serving tasks report, in milliseconds. */
+constexpr double servingTail = 18.0;
+
+constexpr std::uint32_t wholePercent = 100;
+
+} // namespace
+
+BenchWorkers::BenchWorkers(
+        const Clock &benchClock,
+        std::function<std::optional<milliseconds>(const AttemptRef &)> timeOfRuns)
+    : clock(benchClock)
+    , runTimeOf(std::move(timeOfRuns))
+{
+}
+
+void BenchWorkers::later(Duration span, std::function<void()> act)
+{
+    this->events.push({ this->clock.now() + span, this->nextNumber++, std::move(act) });
+}
+
+void BenchWorkers::advance()
+{
+    while (!this->events.empty() && this->events.top().at <= this->clock.now()) {
+        const std::function<void()> act = this->events.top().act;
+        this->events.pop();
+        act();
+    }
+}
+
+void BenchWorkers::start(const WorkerAddress &worker, const RunStart &order, Duration /*timeout*/,
+                         Callback callback)
+{
+    ++this->starts;
+    State &state = this->states[worker.worker];
+    Running running;
+    running.listed.attempt = order.attempt;
+    running.startedAt = this->clock.now();
+    running.runTime = this->runTimeOf(order.attempt);
+    running.listed.load = running.runTime ? 0.0 : servingTail;
+    if (running.runTime) {
+        this->later(*running.runTime, [this, name = worker.worker, attempt = order.attempt] {
+            this->endRun(name, attempt, EndKind::Succeeded);
+        });
+    }
+    state.running[order.attempt] = running;
+    this->later(roundTrip, [callback = std::move(callback)] {
+        callback({ OrderOutcome::Done, {} });
+    });
+}
+
+void BenchWorkers::stop(const WorkerAddress &worker, const RunStop &order, Duration /*timeout*/,
+                        Callback callback)
+{
+    this->later(roundTrip, [this, name = worker.worker, attempt = order.attempt,
+                            callback = std::move(callback)] {
+        this->endRun(name, attempt, EndKind::Stopped);
+        callback({ OrderOutcome::Done, {} });
+    });
+}
+
+void BenchWorkers::pace(const WorkerAddress & /*worker*/, const RunPace & /*order*/,
+                        Duration /*timeout*/, Callback callback)
+{
+    this->later(roundTrip, [callback = std::move(callback)] {
+        callback({ OrderOutcome::Done, {} });
+    });
+}
+
+void BenchWorkers::endRun(const TargetId &worker, const AttemptRef &attempt, EndKind kind)
+{
+    State &state = this->states[worker];
+    if (state.running.erase(attempt) == 0) {
+        return;
+    }
+    ++this->ends;
+    state.ended.push_back({ ++state.lastEnd, attempt, kind, "" });
+    if (state.waiting) {
+        this->answerHold(state);
+    }
+}
+
+void BenchWorkers::hold(const WorkerAddress &worker, const WorkerHold &order, Duration /*timeout*/,
+                        std::function<void(HoldAnswer)> callback)
+{
+    ++this->holds;
+    State &state = this->states[worker.worker];
+    std::erase_if(state.ended, [&order](const ListedEnd &end) {
+        return end.number <= order.acknowledgedEnds;
+    });
+    const std::uint64_t number = this->nextNumber;
+    state.waiting = WaitingHold { number, std::move(callback) };
+    if (!state.ended.empty() || order.wait == milliseconds(0)) {
+        this->answerHold(state);
+        return;
+    }
+    this->later(order.wait, [this, number, name = worker.worker] {
+        State &waited = this->states[name];
+        if (waited.waiting && waited.waiting->number == number) {
+            this->answerHold(waited);
+        }
+    });
+}
+
+void BenchWorkers::answerHold(State &state)
+{
+    HoldAnswer answer;
+    answer.outcome = OrderOutcome::Done;
+    answer.bornAt = 1;
+    answer.clock = duration_cast<milliseconds>(this->clock.now().time_since_epoch()).count();
+    for (auto &[attempt, running] : state.running) {
+        if (running.runTime) {
+            const Duration done = this->clock.now() - running.startedAt;
+            running.listed.percent = static_cast<std::uint32_t>(
+                    wholePercent * done / std::max(milliseconds(1), *running.runTime));
+        } else {
+            running.listed.percent = wholePercent;
+        }
+        answer.running.push_back(running.listed);
+    }
+    answer.ended = state.ended;
+    const auto callback = std::exchange(state.waiting, std::nullopt)->callback;
+    this->later(roundTrip, [callback, answer = std::move(answer)] { callback(answer); });
+}
+
+} // namespace bulrush
--- a/modules/bulrush_entry/settings/EntrySettings.h
+++ b/modules/bulrush_entry/settings/EntrySettings.h
@@ -36,6 +36,8 @@
     /** The shortest time to live that the store grants a member. */
     milliseconds leastTimeToLive { 1000 };
     std::size_t memoryMb = 0;
+    /** The processor time that this machine has, in cores. */
+    double processors = 1.0;
     DispatchSettings dispatch;
 
     /** Returns the durations of ownership that follow. */
--- a/modules/bulrush_steps/ownership/OwnershipKeeper.cpp
+++ b/modules/bulrush_steps/ownership/OwnershipKeeper.cpp
@@ -113,7 +113,7 @@
     // All that look on see it at once: each looks again after a time of its own before it joins.
     this->membersMissing = true;
     std::uniform_int_distribution<std::int64_t> spread(0, joinSpread.count());
-    this->nextJoinAt = now + milliseconds(spread(this->random));
+    this->nextJoinAt = now + this->times.patience + milliseconds(spread(this->random));
 }
 
 void OwnershipKeeper::joinAnswered(Instant sentAt, const Membership &membership)
--- a/modules/bulrush_steps/tests/ownership_test.cpp
+++ b/modules/bulrush_steps/tests/ownership_test.cpp
@@ -46,8 +46,8 @@
 class OwnershipBench : public OwnershipKeeper::Listener
 {
 public:
-    OwnershipBench()
-        : keeper(clock, group, "10.0.0.1:7000#1", times(), decisions, *this)
+    explicit OwnershipBench(const OwnershipTimes &ownershipTimes = times())
+        : keeper(clock, group, "10.0.0.1:7000#1", ownershipTimes, decisions, *this)
     {
     }
 
@@ -103,6 +103,21 @@
     cr_assert(bench.keeper.isMember());
 }
 
+/* Machines of several sizes: the small ones leave the work of an owner to the large ones. */
+Test(OwnershipKeeper, aSmallMachineLeavesTheMembershipToLargerOnes)
+{
+    OwnershipTimes times = OwnershipBench::times();
+    times.patience = seconds(2);
+    OwnershipBench bench(times);
+    bench.run(seconds(1));
+    bench.group.members = 3;
+    bench.run(seconds(5));
+    cr_assert_eq(bench.group.joins, 0);
+    bench.group.members = 0;
+    bench.run(seconds(4));
+    cr_assert(bench.keeper.isOwner(), "nobody else came");
+}
+
 Test(OwnershipKeeper, withoutTheStoreItIsSoonNotTheOnlyOwnerAndLaterNone)
 {
     OwnershipBench bench;
