Judge workers once a step, and let an image without a place hold up only its like

Every filling task that found no place held up all that asked for as much or more in that round, of whatever image: the most urgent backlog of an image that presses hard stopped the others. On 490 workers the owner judged every worker for every task, and looked at every run each 10 ms (perf: look-ups of images and jobs by name). Change: UnplacedStep rules out the like; StepPlacement judges all workers once and after a start only the one that took it; runs and the roster are looked at each 50 ms. Tests: rulesOutOnlyWhatAsksForAsMuch, choosesAsIfAllWorkersWereJudgedAnew.

--- a/bench/dispatch/BenchWorkers.cpp
+++ b/bench/dispatch/BenchWorkers.cpp
@@ -62,11 +62,12 @@
 void BenchWorkers::stop(const WorkerAddress &worker, const RunStop &order, Duration /*timeout*/,
                         Callback callback)
 {
-    this->later(roundTrip, [this, name = worker.worker, attempt = order.attempt,
-                            callback = std::move(callback)] {
-        this->endRun(name, attempt, EndKind::Stopped);
-        callback({ OrderOutcome::Done, {} });
-    });
+    this->later(
+            roundTrip,
+            [this, name = worker.worker, attempt = order.attempt, callback = std::move(callback)] {
+                this->endRun(name, attempt, EndKind::Stopped);
+                callback({ OrderOutcome::Done, {} });
+            });
 }
 
 void BenchWorkers::pace(const WorkerAddress & /*worker*/, const RunPace & /*order*/,
@@ -95,9 +96,8 @@
 {
     ++this->holds;
     State &state = this->states[worker.worker];
-    std::erase_if(state.ended, [&order](const ListedEnd &end) {
-        return end.number <= order.acknowledgedEnds;
-    });
+    std::erase_if(state.ended,
+                  [&order](const ListedEnd &end) { return end.number <= order.acknowledgedEnds; });
     const std::uint64_t number = this->nextNumber;
     state.waiting = WaitingHold { number, std::move(callback) };
     if (!state.ended.empty() || order.wait == milliseconds(0)) {
--- a/bench/dispatch/main.cpp
+++ b/bench/dispatch/main.cpp
@@ -46,8 +46,8 @@
             callback(answer);
         });
     }
-    void read(LogStream /*stream*/, LogOffset /*from*/, milliseconds /*wait*/,
-              Duration /*timeout*/, std::function<void(ReadResult)> /*callback*/) override
+    void read(LogStream /*stream*/, LogOffset /*from*/, milliseconds /*wait*/, Duration /*timeout*/,
+              std::function<void(ReadResult)> /*callback*/) override
     {
     }
     void newest(LogStream /*stream*/, std::string_view /*afterKey*/, Duration /*timeout*/,
--- a/modules/bulrush_steps/bulrush_steps.h
+++ b/modules/bulrush_steps/bulrush_steps.h
@@ -31,6 +31,7 @@
 #include "bulrush_steps/policy/Placement.h"
 #include "bulrush_steps/policy/PressureModel.h"
 #include "bulrush_steps/policy/RunWatch.h"
+#include "bulrush_steps/policy/StepPlacement.h"
 #include "bulrush_steps/policy/WorkOrder.h"
 #include "bulrush_steps/ports/KeyedLog.h"
 #include "bulrush_steps/ports/MemberGroup.h"
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -13,6 +13,9 @@
 /** A worker whose serving task is over its bound gets no filling task for this long. */
 constexpr milliseconds fillBlock { 800 };
 
+/** Between two looks at every run, and at the list of workers that goes on record. */
+constexpr milliseconds slowBeatInterval { 50 };
+
 /** Times that a task is moved because its run stands still or is slow. */
 constexpr std::uint32_t mostRescues = 3;
 
@@ -146,12 +149,19 @@
         return;
     }
     this->keeper.tick();
-    this->updateRoster();
-    if (this->mayOrder()) {
-        this->controlFills(now);
+    const bool slowBeat = now >= this->nextSlowBeat;
+    if (slowBeat) {
+        this->nextSlowBeat = now + slowBeatInterval;
+        this->updateRoster();
+    }
+    if (!this->mayOrder()) {
+        return;
+    }
+    this->controlFills(now);
+    if (slowBeat) {
         this->rescueRuns(now);
-        this->plan(now);
     }
+    this->plan(now);
 }
 
 void Dispatcher::updateRoster()
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -88,8 +88,8 @@
         JobEntry *job = nullptr;
         std::uint32_t occurrence = 0;
         std::uint32_t step = 0;
-        /** Whether it will be late unless it starts soon. */
-        bool urgent = false;
+        /** How many serving tasks may be expected over their bounds beside a filling task of it. */
+        double riskAllowed = 0.0;
     };
 
     // RunKeeper::Listener
@@ -115,7 +115,7 @@
     void learnDuration(JobEntry &job, const Run &run);
     void plan(Instant now);
     std::vector<Candidate> candidates(Instant now);
-    void addCandidates(JobEntry &job, bool urgent, std::vector<Candidate> &list);
+    void addCandidates(JobEntry &job, double riskAllowed, std::vector<Candidate> &list);
     bool urgent(const JobEntry &job, Instant now) const;
     milliseconds objective(const StepJob &job) const;
     WorkRank rank(const JobEntry &job, Instant now) const;
@@ -146,6 +146,7 @@
     FillControl fillControl;
     bool isActive = false;
     bool formerSettled = false;
+    Instant nextSlowBeat {};
     std::set<TargetId> writtenRoster;
     /** Jobs that may have tasks to start. */
     std::set<JobId> waiting;
--- a/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
@@ -4,6 +4,7 @@
 
 #include "bulrush_core/events/DecisionLog.h"
 #include "bulrush_steps/model/TaskText.h"
+#include "bulrush_steps/policy/StepPlacement.h"
 #include "bulrush_steps/policy/WorkOrder.h"
 
 #include <algorithm>
@@ -93,12 +94,13 @@
                      [](const auto &a, const auto &b) { return a.first < b.first; });
     std::vector<Candidate> list;
     for (const auto &[rank, job] : ranked) {
-        this->addCandidates(*job, this->urgent(*job, now), list);
+        const double risk = this->urgent(*job, now) ? riskOfUrgentFill : riskOfPatientFill;
+        this->addCandidates(*job, risk, list);
     }
     return list;
 }
 
-void Dispatcher::addCandidates(JobEntry &job, bool urgent, std::vector<Candidate> &list)
+void Dispatcher::addCandidates(JobEntry &job, double riskAllowed, std::vector<Candidate> &list)
 {
     bool anyWaiting = false;
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
@@ -114,7 +116,7 @@
             });
             if (open && job.stepUnlocked(occurrence, step)) {
                 anyWaiting = true;
-                list.push_back({ &job, occurrence, step, urgent });
+                list.push_back({ &job, occurrence, step, riskAllowed });
             }
         }
     }
@@ -128,7 +130,7 @@
     TaskRequest request;
     request.step = &candidate.job->spec.steps[candidate.step];
     request.service = candidate.job->spec.service;
-    request.riskAllowed = candidate.urgent ? riskOfUrgentFill : riskOfPatientFill;
+    request.riskAllowed = candidate.riskAllowed;
     const QueuePolicy *queue = this->config.queue(candidate.job->spec.queue);
     if (queue != nullptr) {
         request.service = queue->service;
@@ -176,6 +178,7 @@
     JobEntry &job = *candidate.job;
     TaskRequest request = this->requestFor(candidate);
     const Placement placement(now, this->fillControl.pressures());
+    StepPlacement places(placement, this->keeper.workers(), request);
     TaskRef ref { job.spec.id, candidate.occurrence, candidate.step, 0 };
     const StepSpec &step = *request.step;
     for (ref.index = 0; ref.index < step.taskCount; ++ref.index) {
@@ -184,13 +187,21 @@
             continue;
         }
         request.failedOn = task.failedOn;
-        Worker *worker = placement.choose(this->keeper.workers(), request);
+        Worker *worker = task.failedOn.empty() ? places.choose()
+                                               : placement.choose(this->keeper.workers(), request);
         if (worker == nullptr) {
             return false;
         }
         this->startTask(job, ref, *worker, this->nextAttempt(task));
         ++request.siblings[worker->entry.worker];
+        const bool rackChosen = step.oneRack && request.rack != worker->rack;
         request.rack = worker->rack;
+        request.failedOn.clear();
+        if (rackChosen) {
+            places = StepPlacement(placement, this->keeper.workers(), request);
+        } else {
+            places.taken(*worker, request);
+        }
     }
     return true;
 }
@@ -239,13 +250,13 @@
 
 void Dispatcher::plan(Instant now)
 {
-    // A size that found no room finds none for the rest of this round.
-    std::vector<const StepSpec *> unplaced;
+    // What found no room leaves none for the like of it in the rest of this round.
+    std::vector<UnplacedStep> unplaced;
     for (const Candidate &candidate : this->candidates(now)) {
         const StepSpec &step = candidate.job->spec.steps[candidate.step];
         const bool hopeless =
-                std::any_of(unplaced.begin(), unplaced.end(), [&step](const StepSpec *other) {
-                    return other->fills == step.fills && other->size.fitsInto(step.size);
+                std::any_of(unplaced.begin(), unplaced.end(), [&](const UnplacedStep &each) {
+                    return each.rulesOut(step, candidate.riskAllowed);
                 });
         if (hopeless) {
             continue;
@@ -254,7 +265,7 @@
                 step.gang ? this->planGang(candidate, now) : this->planStep(candidate, now);
         const bool constrained = step.mostPerWorker > 0 || !step.requiredLabel.empty() || step.gang;
         if (!placed && !constrained) {
-            unplaced.push_back(&step);
+            unplaced.push_back({ &step, candidate.riskAllowed });
         }
     }
 }
--- a/modules/bulrush_steps/ownership/OwnershipKeeper.h
+++ b/modules/bulrush_steps/ownership/OwnershipKeeper.h
@@ -21,8 +21,8 @@
     milliseconds extension { 6000 };
     /** The longest lease that an owner grants. */
     milliseconds lease { 4000 };
-    /** How long a node leaves a missing membership to others: machines with more processor time than
-        this one make better owners and come first. */
+    /** How long a node leaves a missing membership to others: machines with more processor time
+       than this one make better owners and come first. */
     milliseconds patience { 0 };
 
     /** Returns after what time from a take-over no order of the former owner can have an effect. */
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -67,14 +67,8 @@
             && size.fitsInto(worker.entry.capacity);
 }
 
-bool Placement::mayHold(const Worker &worker, const TaskRequest &request) const
+bool Placement::hasRoom(const Worker &worker, const TaskRequest &request)
 {
-    const bool usable = worker.listed && !worker.entry.draining && worker.confirmed
-            && worker.onRoster && this->now >= worker.avoidUntil
-            && worker.ordersInFlight < mostOrdersInFlight;
-    if (!usable || !couldEverHold(worker, request)) {
-        return false;
-    }
     const StepSpec &step = *request.step;
     Room size = step.size;
     if (step.fills) {
@@ -83,42 +77,51 @@
     if (!size.fitsInto(worker.free())) {
         return false;
     }
-    if (step.mostPerWorker > 0) {
-        const auto held = request.siblings.find(worker.entry.worker);
-        if (held != request.siblings.end() && held->second >= step.mostPerWorker) {
-            return false;
-        }
-    }
-    if (step.fills && this->now < worker.fillsBlockedUntil) {
-        return false;
-    }
-    if (step.fills) {
-        const auto memory = static_cast<double>(worker.entry.capacity.memoryMb);
-        const auto memoryLeft = static_cast<double>(worker.free().memoryMb - size.memoryMb);
-        if (memoryLeft < memoryShareLeftByFills * memory) {
-            return false;
-        }
-        const double unused = worker.fillRoom - static_cast<double>(worker.fillDemand());
-        return unused >= leastFillShare * static_cast<double>(step.size.cpuMilli)
-                && this->riskOfFilling(worker, step) <= request.riskAllowed;
+    if (step.mostPerWorker == 0) {
+        return true;
     }
-    return true;
+    const auto held = request.siblings.find(worker.entry.worker);
+    return held == request.siblings.end() || held->second < step.mostPerWorker;
+}
+
+bool Placement::mayHold(const Worker &worker, const TaskRequest &request) const
+{
+    const bool usable = worker.listed && !worker.entry.draining && worker.confirmed
+            && worker.onRoster && this->now >= worker.avoidUntil
+            && worker.ordersInFlight < mostOrdersInFlight;
+    return usable && hasRoom(worker, request) && couldEverHold(worker, request);
 }
 
-double Placement::score(const Worker &worker, const TaskRequest &request) const
+std::optional<double> Placement::fillScore(const Worker &worker, const TaskRequest &request) const
 {
     const StepSpec &step = *request.step;
+    if (this->now < worker.fillsBlockedUntil) {
+        return std::nullopt;
+    }
+    const auto memory = static_cast<double>(worker.entry.capacity.memoryMb);
+    const auto memoryLeft = static_cast<double>(worker.free().memoryMb - step.size.memoryMb);
+    if (memoryLeft < memoryShareLeftByFills * memory) {
+        return std::nullopt;
+    }
+    const double unused = worker.fillRoom - static_cast<double>(worker.fillDemand());
+    if (unused < leastFillShare * static_cast<double>(step.size.cpuMilli)) {
+        return std::nullopt;
+    }
+    const double risk = this->riskOfFilling(worker, step);
+    if (risk > request.riskAllowed) {
+        return std::nullopt;
+    }
     const auto capacity =
             static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
-    // The fullest worker first: what is left over stays in pieces that large tasks fit into.
-    double score = -static_cast<double>(worker.free().cpuMilli) / capacity;
-    if (step.fills) {
-        score = (worker.fillRoom - static_cast<double>(worker.fillDemand())) / capacity;
-        score -= riskWeight * this->riskOfFilling(worker, step);
-        score -= pressureWeight
-                * this->pressures.addedPressure(worker, step.image, shareOf(worker, step));
-    }
-    score -= failurePenalty * worker.failureShare;
+    const double pressure =
+            this->pressures.addedPressure(worker, step.image, shareOf(worker, step));
+    return unused / capacity - riskWeight * risk - pressureWeight * pressure;
+}
+
+double Placement::commonScore(const Worker &worker, const TaskRequest &request)
+{
+    const StepSpec &step = *request.step;
+    double score = -failurePenalty * worker.failureShare;
     if (!step.dataRack.empty() && step.dataRack != worker.rack) {
         score -= awayPenalty;
     }
@@ -135,18 +138,31 @@
     return failedHere ? score - failedHerePenalty : score;
 }
 
+std::optional<double> Placement::judge(const Worker &worker, const TaskRequest &request) const
+{
+    if (!this->mayHold(worker, request)) {
+        return std::nullopt;
+    }
+    if (!request.step->fills) {
+        const auto capacity =
+                static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
+        // The fullest worker first: what is left over stays in pieces that large tasks fit into.
+        return commonScore(worker, request)
+                - static_cast<double>(worker.free().cpuMilli) / capacity;
+    }
+    const std::optional<double> score = this->fillScore(worker, request);
+    return score ? std::optional(*score + commonScore(worker, request)) : std::nullopt;
+}
+
 Worker *Placement::choose(std::map<TargetId, Worker> &workers, const TaskRequest &request) const
 {
     Worker *best = nullptr;
     double bestScore = 0.0;
     for (auto &[id, worker] : workers) {
-        if (!this->mayHold(worker, request)) {
-            continue;
-        }
-        const double score = this->score(worker, request);
-        if (best == nullptr || score > bestScore) {
+        const std::optional<double> score = this->judge(worker, request);
+        if (score && (best == nullptr || *score > bestScore)) {
             best = &worker;
-            bestScore = score;
+            bestScore = *score;
         }
     }
     return best;
--- a/modules/bulrush_steps/policy/Placement.h
+++ b/modules/bulrush_steps/policy/Placement.h
@@ -4,6 +4,7 @@
 #include "bulrush_steps/workers/Worker.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace bulrush {
@@ -41,14 +42,19 @@
     /** Returns the best worker, or null when no worker may hold the task now. */
     Worker *choose(std::map<TargetId, Worker> &workers, const TaskRequest &request) const;
 
+    /** Returns how well a worker suits a task; none when it may not hold it now. */
+    std::optional<double> judge(const Worker &worker, const TaskRequest &request) const;
+
     /** Returns whether a worker could hold the task if nothing else ran on it. */
     static bool couldEverHold(const Worker &worker, const TaskRequest &request);
 
 private:
     static double shareOf(const Worker &worker, const StepSpec &step);
     double riskOfFilling(const Worker &worker, const StepSpec &step) const;
+    static bool hasRoom(const Worker &worker, const TaskRequest &request);
     bool mayHold(const Worker &worker, const TaskRequest &request) const;
-    double score(const Worker &worker, const TaskRequest &request) const;
+    std::optional<double> fillScore(const Worker &worker, const TaskRequest &request) const;
+    static double commonScore(const Worker &worker, const TaskRequest &request);
 
     Instant now;
     const PressureModel &pressures;
--- a/modules/bulrush_steps/tests/policy_test.cpp
+++ b/modules/bulrush_steps/tests/policy_test.cpp
@@ -293,6 +293,62 @@
     cr_assert(placement.choose(workers, request)->entry.worker == TargetId("b"));
 }
 
+/* A backlog of filling tasks: an image that finds no place must not hold up one that presses less.
+ */
+Test(UnplacedStep, rulesOutOnlyWhatAsksForAsMuch)
+{
+    const StepSpec heavy = fillStep("heavy");
+    const StepSpec light = fillStep("light");
+    const UnplacedStep unplaced { &heavy, 0.5 };
+    cr_assert(unplaced.rulesOut(heavy, 0.5));
+    cr_assert_not(unplaced.rulesOut(light, 0.5));
+    cr_assert_not(unplaced.rulesOut(heavy, 0.9), "it may risk more");
+    StepSpec reserving = heavy;
+    reserving.fills = false;
+    cr_assert_not(unplaced.rulesOut(reserving, 0.5));
+    StepSpec smaller = heavy;
+    smaller.size.memoryMb /= 2;
+    cr_assert_not(unplaced.rulesOut(smaller, 0.5));
+    const UnplacedStep noRoom { &reserving, 0.0 };
+    reserving.image = "other";
+    cr_assert(noRoom.rulesOut(reserving, 0.0));
+}
+
+/* A step of many tasks: each start counts for the next choice. */
+Test(StepPlacement, choosesAsIfAllWorkersWereJudgedAnew)
+{
+    const PressureModel model;
+    StepSpec step;
+    step.size = { 9000, 30000, 0 };
+    step.mostPerWorker = 3;
+    TaskRequest request;
+    request.step = &step;
+    request.service = ServiceId("review");
+    const Placement placement(start, model);
+    std::map<TargetId, Worker> one;
+    for (const char *name : { "a", "b", "c" }) {
+        one.emplace(TargetId(name), workerWith(name, { runOf("x", 20000, "") }));
+    }
+    std::map<TargetId, Worker> other = one;
+    TaskRequest otherRequest = request;
+    StepPlacement places(placement, one, request);
+    for (int task = 0; task < 12; ++task) {
+        Worker *first = places.choose();
+        Worker *second = placement.choose(other, otherRequest);
+        cr_assert_eq(first == nullptr, second == nullptr);
+        if (first == nullptr) {
+            continue;
+        }
+        cr_assert(first->entry.worker == second->entry.worker);
+        for (Worker *worker : { first, second }) {
+            worker->committed += step.size;
+        }
+        ++request.siblings[first->entry.worker];
+        ++otherRequest.siblings[second->entry.worker];
+        places.taken(*first, request);
+    }
+}
+
 /* Others stand still there because of harm: a new filling task would go on harming. */
 Test(Placement, aHarmedWorkerGetsNoFillingTask)
 {
