--- a/modules/bulrush_net/loop/EventLoop.cpp
+++ b/modules/bulrush_net/loop/EventLoop.cpp
@@ -4,6 +4,8 @@
 
 #include <libwebsockets.h>
 
+#include <algorithm>
+
 namespace bulrush {
 
 namespace {
@@ -30,27 +32,16 @@
 
 } // namespace
 
-namespace {
-
-/** What libwebsockets hands back when a timer fires. */
-struct TimerEntry
+struct EventLoop::Alarm
 {
     lws_sorted_usec_list_t list;
     EventLoop *loop;
-    EventLoop::TimerId id;
-};
-
-} // namespace
-
-struct EventLoop::Timer
-{
-    TimerEntry entry = {};
-    Duration period {};
-    std::function<void()> action;
 };
 
 EventLoop::EventLoop()
+    : alarm(std::make_unique<Alarm>())
 {
+    this->alarm->loop = this;
     lws_set_log_level(LLL_ERR, nullptr);
     lws_context_creation_info info = {};
     info.port = CONTEXT_PORT_NO_LISTEN;
@@ -72,9 +63,7 @@
 
 EventLoop::~EventLoop()
 {
-    for (auto &[id, timer] : this->timers) {
-        lws_sul_cancel(&timer->entry.list);
-    }
+    lws_sul_cancel(&this->alarm->list);
     lws_context_destroy(this->lwsContext);
 }
 
@@ -115,21 +104,19 @@
 
 EventLoop::TimerId EventLoop::schedule(Duration after, std::function<void()> action)
 {
-    auto timer = std::make_unique<Timer>();
-    timer->entry.loop = this;
-    timer->entry.id = this->nextTimer++;
-    timer->action = std::move(action);
-    const TimerId id = timer->entry.id;
-    const auto delay = duration_cast<microseconds>(after).count();
-    lws_sul_schedule(this->lwsContext, 0, &timer->entry.list, &EventLoop::timerFired, delay);
-    this->timers.emplace(id, std::move(timer));
+    const TimerId id = this->nextTimer++;
+    Timer &timer = this->timers[id];
+    timer.dueAt = lws_now_usecs() + duration_cast<microseconds>(after).count();
+    timer.action = std::move(action);
+    this->timersByTime.emplace(timer.dueAt, id);
+    this->setAlarm();
     return id;
 }
 
 EventLoop::TimerId EventLoop::scheduleEvery(Duration period, std::function<void()> action)
 {
     const TimerId id = this->schedule(period, std::move(action));
-    this->timers.at(id)->period = period;
+    this->timers.at(id).period = period;
     return id;
 }
 
@@ -137,30 +124,74 @@
 {
     const auto found = this->timers.find(timer);
     if (found != this->timers.end()) {
-        lws_sul_cancel(&found->second->entry.list);
+        this->timersByTime.erase({ found->second.dueAt, timer });
         this->timers.erase(found);
     }
 }
 
-void EventLoop::timerFired(lws_sorted_usec_list *entry)
+void EventLoop::setAlarm()
+{
+    if (this->firing || this->timersByTime.empty()) {
+        return;
+    }
+    const Micros earliest = this->timersByTime.begin()->first;
+    if (this->alarmAt != 0 && this->alarmAt <= earliest) {
+        return;
+    }
+    this->alarmAt = earliest;
+    const Micros delay = std::max<Micros>(0, earliest - lws_now_usecs());
+    lws_sul_schedule(this->lwsContext, 0, &this->alarm->list, &EventLoop::alarmRang, delay);
+}
+
+void EventLoop::alarmRang(lws_sorted_usec_list *entry)
 {
-    const TimerEntry *timer = lws_container_of(entry, TimerEntry, list);
-    timer->loop->fire(timer->id);
+    const Alarm *alarm = lws_container_of(entry, Alarm, list);
+    alarm->loop->fireDue();
+}
+
+void EventLoop::fireDue()
+{
+    this->alarmAt = 0;
+    this->firing = true;
+    const Micros now = lws_now_usecs();
+    // Timers that are added meanwhile wait for the next round: sockets come in between.
+    const TimerId firstNew = this->nextTimer;
+    std::vector<TimerId> due;
+    for (const auto &[dueAt, id] : this->timersByTime) {
+        if (dueAt > now) {
+            break;
+        }
+        if (id < firstNew) {
+            due.push_back(id);
+        }
+    }
+    for (const TimerId id : due) {
+        this->fire(id);
+    }
+    this->firing = false;
+    this->setAlarm();
 }
 
 void EventLoop::fire(TimerId id)
 {
-    const std::function<void()> action = this->timers.at(id)->action;
-    const Duration period = this->timers.at(id)->period;
+    const auto found = this->timers.find(id);
+    if (found == this->timers.end()) {
+        return;
+    }
+    this->timersByTime.erase({ found->second.dueAt, id });
+    const Duration period = found->second.period;
     if (period == Duration::zero()) {
-        this->timers.erase(id);
+        const std::function<void()> action = std::move(found->second.action);
+        this->timers.erase(found);
+        action();
+        return;
     }
+    const std::function<void()> action = found->second.action;
     action();
-    const auto found = this->timers.find(id);
-    if (period != Duration::zero() && found != this->timers.end()) {
-        const auto delay = duration_cast<microseconds>(period).count();
-        lws_sul_schedule(this->lwsContext, 0, &found->second->entry.list, &EventLoop::timerFired,
-                         delay);
+    const auto again = this->timers.find(id);
+    if (again != this->timers.end()) {
+        again->second.dueAt = lws_now_usecs() + duration_cast<microseconds>(period).count();
+        this->timersByTime.emplace(again->second.dueAt, id);
     }
 }
 
--- a/modules/bulrush_net/loop/EventLoop.h
+++ b/modules/bulrush_net/loop/EventLoop.h
@@ -8,7 +8,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 struct lws_context;
@@ -67,16 +69,33 @@
     void woken();
 
 private:
-    struct Timer;
+    /** Microseconds of libwebsockets' monotonic clock. */
+    using Micros = std::int64_t;
 
-    static void timerFired(lws_sorted_usec_list *entry);
+    struct Timer
+    {
+        Micros dueAt = 0;
+        Duration period {};
+        std::function<void()> action;
+    };
+
+    /** The one timer of libwebsockets: its own list of timers takes longer the more there are. */
+    struct Alarm;
+
+    static void alarmRang(lws_sorted_usec_list *entry);
+    void fireDue();
     void fire(TimerId id);
+    void setAlarm();
 
     std::vector<std::shared_ptr<void>> kept;
     lws_context *lwsContext = nullptr;
     std::atomic<bool> stopping = false;
     std::vector<std::function<void()>> wakeListeners;
-    std::map<TimerId, std::unique_ptr<Timer>> timers;
+    std::map<TimerId, Timer> timers;
+    std::set<std::pair<Micros, TimerId>> timersByTime;
+    std::unique_ptr<Alarm> alarm;
+    Micros alarmAt = 0;
+    bool firing = false;
     TimerId nextTimer = 1;
 };
 
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -114,6 +114,8 @@
     milliseconds usualDuration(const JobEntry &job, const TaskRef &task) const;
     void learnDuration(JobEntry &job, const Run &run);
     void plan(Instant now);
+    void planRound(Instant now);
+    bool mayStartMore() const;
     std::vector<Candidate> candidates(Instant now);
     void addCandidates(JobEntry &job, double riskAllowed, std::vector<Candidate> &list);
     bool urgent(const JobEntry &job, Instant now) const;
@@ -147,6 +149,7 @@
     bool isActive = false;
     bool formerSettled = false;
     Instant nextSlowBeat {};
+    Instant nextPlan {};
     std::set<TargetId> writtenRoster;
     /** Jobs that may have tasks to start. */
     std::set<JobId> waiting;
--- a/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
@@ -21,6 +21,12 @@
 constexpr double riskOfPatientFill = 0.5;
 constexpr double riskOfUrgentFill = 0.9;
 
+/** Starts that wait for their answers at once: more would time out behind each other. */
+constexpr std::uint32_t mostStartsInFlight = 160;
+
+/** Choosing what to start takes at most one in so many parts of the owner's time. */
+constexpr int planShare = 4;
+
 /** A filling task is urgent when this much of its objective is left beside its work. */
 constexpr double urgentSlackShare = 0.3;
 
@@ -186,6 +192,9 @@
         if (task.succeeded || task.openRuns > 0) {
             continue;
         }
+        if (!this->mayStartMore()) {
+            return true;
+        }
         request.failedOn = task.failedOn;
         Worker *worker = task.failedOn.empty() ? places.choose()
                                                : placement.choose(this->keeper.workers(), request);
@@ -248,7 +257,22 @@
     return true;
 }
 
+bool Dispatcher::mayStartMore() const
+{
+    return this->keeper.startsInFlight() < mostStartsInFlight;
+}
+
 void Dispatcher::plan(Instant now)
+{
+    if (now < this->nextPlan || !this->mayStartMore()) {
+        return;
+    }
+    this->planRound(now);
+    const Instant done = this->clock.now();
+    this->nextPlan = done + (done - now) * (planShare - 1);
+}
+
+void Dispatcher::planRound(Instant now)
 {
     // What found no room leaves none for the like of it in the rest of this round.
     std::vector<UnplacedStep> unplaced;
@@ -261,6 +285,9 @@
         if (hopeless) {
             continue;
         }
+        if (!this->mayStartMore()) {
+            return;
+        }
         const bool placed =
                 step.gang ? this->planGang(candidate, now) : this->planStep(candidate, now);
         const bool constrained = step.mostPerWorker > 0 || !step.requiredLabel.empty() || step.gang;
--- a/modules/bulrush_steps/workers/RunKeeper.cpp
+++ b/modules/bulrush_steps/workers/RunKeeper.cpp
@@ -55,6 +55,7 @@
     *this->living = false;
     this->living = std::make_shared<bool>(true);
     this->workerTable.clear();
+    this->startsWaiting = 0;
 }
 
 Worker *RunKeeper::find(const TargetId &worker)
@@ -356,11 +357,13 @@
     run.orderInFlight = true;
     const AttemptRef attempt = run.attempt;
     ++worker.ordersInFlight;
+    ++this->startsWaiting;
     this->addRun(worker, std::move(run));
     this->port.start(worker.address, order, orderTimeout,
                      [this, id = worker.entry.worker, attempt,
                       current = this->living](const OrderAnswer &answer) {
                          if (*current) {
+                             --this->startsWaiting;
                              this->startAnswered(id, attempt, answer);
                          }
                      });
--- a/modules/bulrush_steps/workers/RunKeeper.h
+++ b/modules/bulrush_steps/workers/RunKeeper.h
@@ -82,6 +82,9 @@
     /** Sets the share of processor time that a run works at. */
     void pace(Worker &worker, Run &run, std::uint32_t percent);
 
+    /** Returns how many starts wait for their answers. */
+    std::uint32_t startsInFlight() const { return this->startsWaiting; }
+
     std::map<TargetId, Worker> &workers() { return this->workerTable; }
     const std::map<TargetId, Worker> &workers() const { return this->workerTable; }
     Worker *find(const TargetId &worker);
@@ -114,6 +117,7 @@
     Listener &listener;
     std::uint64_t fencingToken = 0;
     std::map<TargetId, Worker> workerTable;
+    std::uint32_t startsWaiting = 0;
     /** Tells callbacks of an ended ownership from those of this one. */
     std::shared_ptr<bool> living;
 };
