Trial: start no filling tasks while the owner's beats come late; restart lasting tasks before short work

Try: OwnerLoad, filling tasks wait while the owner's beats are more than 50 ms apart. Change: a lasting job that has waited 1.5 s goes first in its priority. Test: aLastingTaskDoesNotWaitForEver.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -41,13 +41,14 @@
     this->term = ownershipTerm;
     this->book = std::move(jobBook);
     this->isActive = true;
+    this->load.reset();
     this->formerSettled = false;
     this->waiting.clear();
     this->writer.begin(this->term.fencingToken);
     for (auto &[id, job] : this->book.entries()) {
         job.knownToFormerOwners = true;
         if (!job.over()) {
-            this->waiting.insert(id);
+            this->noteWaiting(id);
         } else if (!job.endOnRecord && !job.cancelled) {
             this->jobChanged(job);
         }
@@ -97,7 +98,12 @@
         this->stopRuns(job, "cancelled");
         return;
     }
-    this->waiting.insert(*id);
+    this->noteWaiting(*id);
+}
+
+void Dispatcher::noteWaiting(const JobId &job)
+{
+    this->waiting.try_emplace(job, this->clock.now());
 }
 
 void Dispatcher::stopRuns(const JobEntry &job, std::string_view why)
@@ -144,6 +150,7 @@
         return;
     }
     const Instant now = this->clock.now();
+    this->load.beat(now);
     this->writer.tick();
     if (!this->isActive) {
         return;
@@ -290,7 +297,7 @@
     if (end.kind == EndKind::Failed) {
         task.failedOn.push_back(worker.entry.worker);
     }
-    this->waiting.insert(job->spec.id);
+    this->noteWaiting(job->spec.id);
     const bool wasOver = job->over();
     bool counted = false;
     if (end.kind == EndKind::Succeeded) {
@@ -331,7 +338,7 @@
         return;
     }
     this->release(job->task(run.attempt.task), {});
-    this->waiting.insert(job->spec.id);
+    this->noteWaiting(job->spec.id);
 }
 
 void Dispatcher::startRefused(const Worker &worker, const Run &run, OrderOutcome outcome)
@@ -346,7 +353,7 @@
         return;
     }
     this->release(job->task(run.attempt.task), {});
-    this->waiting.insert(job->spec.id);
+    this->noteWaiting(job->spec.id);
 }
 
 std::optional<JobState> Dispatcher::stateOf(const JobId &id) const
@@ -358,7 +365,7 @@
 std::uint32_t Dispatcher::waitingJobs(std::string_view queue) const
 {
     std::uint32_t count = 0;
-    for (const JobId &id : this->waiting) {
+    for (const auto &[id, since] : this->waiting) {
         const JobEntry *job = this->book.find(id);
         if (job != nullptr && job->spec.queue == queue && !job->begun && !job->over()
             && !job->spec.timed) {
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -6,6 +6,7 @@
 #include "bulrush_steps/model/StepJobBook.h"
 #include "bulrush_steps/policy/DurationBook.h"
 #include "bulrush_steps/policy/FillControl.h"
+#include "bulrush_steps/policy/OwnerLoad.h"
 #include "bulrush_steps/policy/Placement.h"
 #include "bulrush_steps/policy/WorkOrder.h"
 #include "bulrush_steps/workers/RunKeeper.h"
@@ -128,6 +129,7 @@
     std::uint64_t nextAttempt(const StepTask &task) const;
     bool occurrenceDue(const JobEntry &job, std::uint32_t occurrence) const;
     bool formerRunsSettled(const JobEntry &job, Instant now);
+    void noteWaiting(const JobId &job);
     void stopRuns(const JobEntry &job, std::string_view why);
     void stopRun(const Worker &worker, Run &run, std::string_view why);
     Run describeRun(const JobEntry &job, const AttemptRef &attempt) const;
@@ -150,9 +152,10 @@
     bool formerSettled = false;
     Instant nextSlowBeat {};
     Instant nextPlan {};
+    OwnerLoad load;
     std::set<TargetId> writtenRoster;
-    /** Jobs that may have tasks to start. */
-    std::set<JobId> waiting;
+    /** Jobs that may have tasks to start, and since when. */
+    std::map<JobId, Instant> waiting;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
@@ -62,6 +62,8 @@
     waitingJob.priority = job.spec.priority;
     waitingJob.lasting = job.spec.lasting();
     waitingJob.age = now - job.acceptedAt;
+    const auto since = this->waiting.find(job.spec.id);
+    waitingJob.waited = since == this->waiting.end() ? Duration::zero() : now - since->second;
     waitingJob.remaining = this->durations.longestChain(job.spec);
     waitingJob.objective = this->objective(job.spec);
     return rankOf(waitingJob);
@@ -86,7 +88,7 @@
 {
     std::vector<std::pair<WorkRank, JobEntry *>> ranked;
     for (auto at = this->waiting.begin(); at != this->waiting.end();) {
-        JobEntry *job = this->book.find(*at);
+        JobEntry *job = this->book.find(at->first);
         if (job == nullptr || job->over()) {
             at = this->waiting.erase(at);
             continue;
@@ -278,6 +280,9 @@
     std::vector<UnplacedStep> unplaced;
     for (const Candidate &candidate : this->candidates(now)) {
         const StepSpec &step = candidate.job->spec.steps[candidate.step];
+        if (step.fills && this->load.overloaded()) {
+            continue;
+        }
         const bool hopeless =
                 std::any_of(unplaced.begin(), unplaced.end(), [&](const UnplacedStep &each) {
                     return each.rulesOut(step, candidate.riskAllowed);
--- a/modules/bulrush_steps/policy/WorkOrder.cpp
+++ b/modules/bulrush_steps/policy/WorkOrder.cpp
@@ -10,6 +10,9 @@
 /** A task that lasts loses little by a moment's wait; short work of its priority goes before it. */
 constexpr std::int64_t behindShortWorkMs = 1'000'000'000;
 
+/** But it must not stay away for long because there is always short work. */
+constexpr milliseconds longestLastingWait { 1500 };
+
 enum Band : std::uint32_t { CanEarnFully, CanEarnLate, TooLate };
 
 } // namespace
@@ -17,7 +20,8 @@
 WorkRank rankOf(const WaitingJob &job)
 {
     if (job.lasting) {
-        return { CanEarnFully, job.priority, behindShortWorkMs };
+        const bool patient = job.waited < longestLastingWait;
+        return { CanEarnFully, job.priority, patient ? behindShortWorkMs : 0 };
     }
     const Duration end = job.age + job.remaining;
     const auto slack = duration_cast<milliseconds>(job.objective - end).count();
--- a/modules/bulrush_steps/policy/WorkOrder.h
+++ b/modules/bulrush_steps/policy/WorkOrder.h
@@ -14,6 +14,8 @@
     bool lasting = false;
     /** Since the job was accepted, or its occurrence due. */
     Duration age {};
+    /** Since some of its tasks wait for a start. */
+    Duration waited {};
     /** Expected time until its last task could end if it started now. */
     Duration remaining {};
     /** The time within which it earns fully. */
--- a/modules/bulrush_steps/tests/policy_test.cpp
+++ b/modules/bulrush_steps/tests/policy_test.cpp
@@ -349,6 +349,42 @@
     }
 }
 
+/* There is always short work of its priority: a lasting task that ended must start again all the
+   same. */
+Test(WorkOrder, aLastingTaskDoesNotWaitForEver)
+{
+    WaitingJob shortJob;
+    shortJob.remaining = milliseconds(500);
+    shortJob.objective = seconds(2);
+    WaitingJob lasting;
+    lasting.lasting = true;
+    lasting.waited = milliseconds(200);
+    cr_assert(rankOf(shortJob) < rankOf(lasting));
+    lasting.waited = seconds(2);
+    cr_assert(rankOf(lasting) < rankOf(shortJob));
+}
+
+/* More starts than the owner's machine can order: its beats come late. */
+Test(OwnerLoad, lateBeatsInARowAreOverload)
+{
+    OwnerLoad load;
+    Instant now = start;
+    const auto beats = [&](int count, milliseconds gap) {
+        for (int beat = 0; beat < count; ++beat) {
+            now += gap;
+            load.beat(now);
+        }
+    };
+    beats(100, milliseconds(10));
+    cr_assert_not(load.overloaded());
+    beats(1, milliseconds(150));
+    cr_assert_not(load.overloaded(), "one late beat is none");
+    beats(10, milliseconds(120));
+    cr_assert(load.overloaded());
+    beats(10, milliseconds(10));
+    cr_assert_not(load.overloaded());
+}
+
 /* Others stand still there because of harm: a new filling task would go on harming. */
 Test(Placement, aHarmedWorkerGetsNoFillingTask)
 {
