--- a/modules/bulrush_steps/bulrush_steps.h
+++ b/modules/bulrush_steps/bulrush_steps.h
@@ -28,7 +28,6 @@
 #include "bulrush_steps/policy/DurationBook.h"
 #include "bulrush_steps/policy/FillControl.h"
 #include "bulrush_steps/policy/LoadTrend.h"
-#include "bulrush_steps/policy/OwnerLoad.h"
 #include "bulrush_steps/policy/Placement.h"
 #include "bulrush_steps/policy/PressureModel.h"
 #include "bulrush_steps/policy/RunWatch.h"
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -41,7 +41,6 @@
     this->term = ownershipTerm;
     this->book = std::move(jobBook);
     this->isActive = true;
-    this->load.reset();
     this->formerSettled = false;
     this->waiting.clear();
     this->writer.begin(this->term.fencingToken);
@@ -150,7 +149,6 @@
         return;
     }
     const Instant now = this->clock.now();
-    this->load.beat(now);
     this->writer.tick();
     if (!this->isActive) {
         return;
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -6,7 +6,6 @@
 #include "bulrush_steps/model/StepJobBook.h"
 #include "bulrush_steps/policy/DurationBook.h"
 #include "bulrush_steps/policy/FillControl.h"
-#include "bulrush_steps/policy/OwnerLoad.h"
 #include "bulrush_steps/policy/Placement.h"
 #include "bulrush_steps/policy/WorkOrder.h"
 #include "bulrush_steps/workers/RunKeeper.h"
@@ -152,7 +151,6 @@
     bool formerSettled = false;
     Instant nextSlowBeat {};
     Instant nextPlan {};
-    OwnerLoad load;
     std::set<TargetId> writtenRoster;
     /** Jobs that may have tasks to start, and since when. */
     std::map<JobId, Instant> waiting;
--- a/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
@@ -280,9 +280,6 @@
     std::vector<UnplacedStep> unplaced;
     for (const Candidate &candidate : this->candidates(now)) {
         const StepSpec &step = candidate.job->spec.steps[candidate.step];
-        if (step.fills && this->load.overloaded()) {
-            continue;
-        }
         const bool hopeless =
                 std::any_of(unplaced.begin(), unplaced.end(), [&](const UnplacedStep &each) {
                     return each.rulesOut(step, candidate.riskAllowed);
