Let an owner that ends put so on record, so that its successor waits only for its last leases

Ruled out: placement and order of work (all known jobs waited, not this one alone). Change: an owner that ends writes a resignation with its token; where it is of the last owner before, and that had settled what it had found, only its last leases are waited for (5.1 s). Killed owners write none: as before.

--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -26,6 +26,11 @@
 /** Between two readings of the records by a member that is not the owner. */
 constexpr milliseconds warmReadInterval { 3000 };
 
+/** An owner that ends says so on record, so that its successor need not wait for all it might do.
+ */
+constexpr milliseconds resignationTimeout { 500 };
+constexpr int mostResignationTries = 6;
+
 /** A stopping node is idle when no request has come for so long. */
 constexpr milliseconds idleSpan { 1200 };
 
@@ -145,6 +150,7 @@
     OwnershipTerm term;
     term.fencingToken = this->ownership.fencingToken();
     term.formerOrdersOver = gainedAt + this->settings.ownershipTimes().formerOrdersOver();
+    term.resignedOrdersOver = this->settings.ownershipTimes().resignedOrdersOver();
     this->dispatcher.begin(term, this->view.book());
     if (this->config.config()) {
         this->dispatcher.configure(*this->config.config());
@@ -166,12 +172,38 @@
 {
     this->metrics.setOwner(false);
     this->takeover.cancel();
+    this->pendingResignation = this->dispatcher.resignation();
+    this->resignationTries = 0;
     this->dispatcher.end();
+    this->resign();
     // Perhaps called from within the scan, which must outlive its own call.
     this->loop.schedule(Duration::zero(), [scan = std::move(this->jobs)] {});
     this->jobs = nullptr;
 }
 
+void EntryNode::resign()
+{
+    if (!this->pendingResignation || this->resignationTries++ == mostResignationTries) {
+        return;
+    }
+    const KeyedRecord record { records::resignationKey(),
+                               records::encodeResignation(*this->pendingResignation), 0 };
+    const std::uint64_t token = this->pendingResignation->fencingToken;
+    this->store.append(LogStream::Jobs, { record }, std::nullopt, resignationTimeout,
+                       [this, token](const AppendAnswer &answer) {
+                           const bool current = this->pendingResignation
+                                   && this->pendingResignation->fencingToken == token;
+                           if (!current) {
+                               return;
+                           }
+                           if (answer.outcome == StoreOutcome::Done) {
+                               this->pendingResignation.reset();
+                               return;
+                           }
+                           this->loop.schedule(resignationTimeout, [this] { this->resign(); });
+                       });
+}
+
 void EntryNode::superseded(std::string_view by)
 {
     this->ownership.superseded(by);
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -87,6 +87,7 @@
 
     void tick();
     void followJobs();
+    void resign();
     void keepRecordsWarm();
     void configChanged();
     void takeoverDone(Instant gainedAt, LogOffset markOffset);
@@ -121,6 +122,9 @@
     HttpServer readiness;
     OperatorsServer operators;
     std::map<HttpServer::RequestId, OpenRequest> open;
+    /** What this node has yet to put on record of its last ownership. */
+    std::optional<Resignation> pendingResignation;
+    int resignationTries = 0;
     Instant startedAt {};
     Instant lastRequestAt {};
     std::optional<Instant> drainingSince;
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -53,6 +53,27 @@
         }
     }
     this->keeper.begin(this->term.fencingToken);
+    this->noteResignation();
+}
+
+void Dispatcher::noteResignation()
+{
+    const Resignation &resignation = this->book.resignation();
+    const std::uint64_t former = this->book.ownerBefore(this->term.fencingToken);
+    if (former == 0 || resignation.fencingToken != former || !resignation.settled) {
+        return;
+    }
+    const Instant over = this->clock.now() + this->term.resignedOrdersOver;
+    this->term.formerOrdersOver = std::min(this->term.formerOrdersOver, over);
+}
+
+std::optional<Resignation> Dispatcher::resignation() const
+{
+    if (!this->isActive) {
+        return std::nullopt;
+    }
+    const bool settled = this->formerSettled || this->clock.now() >= this->term.formerOrdersOver;
+    return Resignation { this->term.fencingToken, settled };
 }
 
 void Dispatcher::end()
@@ -90,6 +111,7 @@
         return;
     }
     if (!id) {
+        this->noteResignation();
         return;
     }
     JobEntry &job = *this->book.find(*id);
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -21,6 +21,8 @@
     std::uint64_t fencingToken = 0;
     /** When no order of a former owner can have an effect any more, on any worker. */
     Instant formerOrdersOver {};
+    /** How long after its resignation an owner's orders may have an effect. */
+    milliseconds resignedOrdersOver { 6000 };
 };
 
 /**
@@ -63,6 +65,9 @@
 
     bool active() const { return this->isActive; }
 
+    /** Returns what this owner can say of itself when it ends; none when it is none. */
+    std::optional<Resignation> resignation() const;
+
     /** Applies a record of the jobs' stream that was read after begin(). */
     void applyJobRecord(const KeyedRecord &record);
 
@@ -108,6 +113,7 @@
     void stored(const std::vector<JobId> &jobs, bool withRoster) override;
     void fencedOff() override;
 
+    void noteResignation();
     void updateRoster();
     void controlFills(Instant now);
     void rescueRuns(Instant now);
--- a/modules/bulrush_steps/model/JobRecords.cpp
+++ b/modules/bulrush_steps/model/JobRecords.cpp
@@ -14,6 +14,7 @@
 constexpr std::string_view jobPrefix = "job/";
 constexpr std::string_view cancellationPrefix = "cancelled/";
 constexpr std::string_view ownerName = "owner";
+constexpr std::string_view resignationName = "resignation";
 constexpr std::string_view rosterName = "roster";
 
 template<class Decode>
@@ -99,6 +100,11 @@
     return std::string(ownerName);
 }
 
+std::string resignationKey()
+{
+    return std::string(resignationName);
+}
+
 std::string rosterKey()
 {
     return std::string(rosterName);
@@ -115,6 +121,9 @@
     if (key == ownerName) {
         return { KeyKind::Owner, {} };
     }
+    if (key == resignationName) {
+        return { KeyKind::Resignation, {} };
+    }
     if (key == rosterName) {
         return { KeyKind::Roster, {} };
     }
@@ -230,6 +239,23 @@
     }.dump();
 }
 
+std::string encodeResignation(const Resignation &resignation)
+{
+    return json {
+        { "schema", schemaVersion },
+        { "fencingToken", resignation.fencingToken },
+        { "settled", resignation.settled }
+    }.dump();
+}
+
+Resignation decodeResignation(std::string_view value)
+{
+    return decoded("resignation", value, [](const json &record) {
+        return Resignation { record.at("fencingToken").get<std::uint64_t>(),
+                             record.at("settled").get<bool>() };
+    });
+}
+
 std::uint64_t decodeOwner(std::string_view value)
 {
     return decoded("owner", value, [](const json &record) {
--- a/modules/bulrush_steps/model/JobRecords.h
+++ b/modules/bulrush_steps/model/JobRecords.h
@@ -30,6 +30,14 @@
     std::vector<TaskProgress> tasks;
 };
 
+/** An owner's word that it orders nothing any more. */
+struct Resignation
+{
+    std::uint64_t fencingToken = 0;
+    /** Whether it had accounted for all that its own predecessors had ordered. */
+    bool settled = false;
+};
+
 /** The keys and values of the scheduler's own records, JSON with a schema version. */
 namespace records {
 
@@ -42,11 +50,14 @@
 /** Returns the key of an owner's mark. */
 std::string ownerKey();
 
+/** Returns the key of an owner's word that it orders nothing any more. */
+std::string resignationKey();
+
 /** Returns the key of the list of workers that may hold tasks. */
 std::string rosterKey();
 
 /** What a key of the jobs' stream stands for. */
-enum class KeyKind : std::uint8_t { Job, Cancellation, Owner, Roster, Unknown };
+enum class KeyKind : std::uint8_t { Job, Cancellation, Owner, Resignation, Roster, Unknown };
 
 struct ParsedKey
 {
@@ -60,12 +71,14 @@
 std::string encode(const JobProgress &progress);
 std::string encodeRoster(const std::vector<TargetId> &workers);
 std::string encodeOwner(std::uint64_t fencingToken, std::string_view member);
+std::string encodeResignation(const Resignation &resignation);
 
 /** @throws Error naming the field when the record is malformed */
 StepJob decodeJob(std::string_view value);
 JobProgress decodeProgress(std::string_view key, std::string_view value);
 std::vector<TargetId> decodeRoster(std::string_view value);
 std::uint64_t decodeOwner(std::string_view value);
+Resignation decodeResignation(std::string_view value);
 
 } // namespace records
 
--- a/modules/bulrush_steps/model/StepJobBook.cpp
+++ b/modules/bulrush_steps/model/StepJobBook.cpp
@@ -58,12 +58,18 @@
 {
     const records::ParsedKey key = records::parseKey(record.key);
     if (key.kind == records::KeyKind::Owner) {
-        this->ownerToken = std::max(this->ownerToken, records::decodeOwner(record.value));
+        const std::uint64_t owner = records::decodeOwner(record.value);
+        this->ownerToken = std::max(this->ownerToken, owner);
+        this->ownersSeen.insert(owner);
         return std::nullopt;
     }
     if (record.value.empty()) {
         return std::nullopt;
     }
+    if (key.kind == records::KeyKind::Resignation) {
+        this->newestResignation = records::decodeResignation(record.value);
+        return std::nullopt;
+    }
     if (key.kind == records::KeyKind::Cancellation) {
         JobEntry *job = this->find(key.job);
         if (job == nullptr) {
@@ -126,6 +132,12 @@
     job->endOnRecord = progress.succeeded || progress.failed;
 }
 
+std::uint64_t StepJobBook::ownerBefore(std::uint64_t token) const
+{
+    const auto next = this->ownersSeen.lower_bound(token);
+    return next == this->ownersSeen.begin() ? 0 : *std::prev(next);
+}
+
 JobEntry *StepJobBook::find(const JobId &job)
 {
     const auto found = this->jobs.find(job);
--- a/modules/bulrush_steps/model/StepJobBook.h
+++ b/modules/bulrush_steps/model/StepJobBook.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -101,6 +102,12 @@
     /** The highest fencing token that an owner has put on record. */
     std::uint64_t newestOwner() const { return this->ownerToken; }
 
+    /** Returns the token of the last owner before a given one; 0 when its mark was not seen. */
+    std::uint64_t ownerBefore(std::uint64_t token) const;
+
+    /** The newest word of an owner that it orders nothing any more. */
+    const Resignation &resignation() const { return this->newestResignation; }
+
     /** Counts a success; returns false when it was counted before. */
     static bool countSuccess(JobEntry &job, const TaskRef &ref);
 
@@ -121,6 +128,8 @@
     std::unordered_map<JobId, bool> earlyCancellations;
     std::vector<TargetId> rosterWorkers;
     std::uint64_t ownerToken = 0;
+    std::set<std::uint64_t> ownersSeen;
+    Resignation newestResignation;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/ownership/OwnershipKeeper.cpp
+++ b/modules/bulrush_steps/ownership/OwnershipKeeper.cpp
@@ -31,7 +31,12 @@
 
 milliseconds OwnershipTimes::formerOrdersOver() const
 {
-    return this->timeToLive + this->extension + longestByOurClock(this->lease) + orderSlack;
+    return this->timeToLive + this->extension + this->resignedOrdersOver();
+}
+
+milliseconds OwnershipTimes::resignedOrdersOver() const
+{
+    return longestByOurClock(this->lease) + orderSlack;
 }
 
 OwnershipKeeper::OwnershipKeeper(const Clock &systemClock, MemberGroup &memberGroup,
--- a/modules/bulrush_steps/ownership/OwnershipKeeper.h
+++ b/modules/bulrush_steps/ownership/OwnershipKeeper.h
@@ -25,6 +25,9 @@
        than this one make better owners and come first. */
     milliseconds patience { 0 };
 
+    /** Returns after what time from its resignation an owner's orders can have no effect. */
+    milliseconds resignedOrdersOver() const;
+
     /** Returns after what time from a take-over no order of the former owner can have an effect. */
     milliseconds formerOrdersOver() const;
 };
--- a/modules/bulrush_steps/tests/dispatcher_test.cpp
+++ b/modules/bulrush_steps/tests/dispatcher_test.cpp
@@ -168,6 +168,45 @@
     cr_assert_eq(bench.startsOn("w1"), 1U);
 }
 
+namespace {
+
+/** Begins as owner 3 after owner 2, with a worker that does not answer, and reads a resignation.
+    @returns how many starts there are once a resigned owner's leases are over */
+std::size_t startsAfterResignation(const Resignation &resignation)
+{
+    Bench bench;
+    bench.worker("w2").silent = true;
+    StepJobBook book = bookWith(jobOf("a", 1), { TargetId("w1"), TargetId("w2") }, bench.clock);
+    for (const std::uint64_t owner : { 2U, 3U }) {
+        book.applyJobRecord({ records::ownerKey(), records::encodeOwner(owner, "m"), 1 },
+                            bench.clock);
+    }
+    bench.begin(std::move(book));
+    bench.list("w1");
+    bench.run(seconds(1));
+    bench.dispatcher.applyJobRecord(
+            { records::resignationKey(), records::encodeResignation(resignation), 5 });
+    bench.run(OwnershipTerm().resignedOrdersOver - seconds(1));
+    cr_assert(bench.workers.starts.empty(), "a lease that the former owner granted may last");
+    bench.run(milliseconds(1200));
+    return bench.workers.starts.size();
+}
+
+} // namespace
+
+/* A worker is lost while the owner changes: its tasks must not wait until nobody could order. Found
+   by a hunt: a task that lasts did not run for 14 s. */
+Test(Dispatcher, afterAResignationOnlyTheLastLeasesAreWaitedFor)
+{
+    cr_assert_eq(startsAfterResignation({ 2, true }), 1U);
+}
+
+Test(Dispatcher, aResignationCountsOnlyFromTheLastOwnerThatHadSettledWhatItFound)
+{
+    cr_assert_eq(startsAfterResignation({ 2, false }), 0U);
+    cr_assert_eq(startsAfterResignation({ 1, true }), 0U);
+}
+
 /* The caller repeats its submission, and the repeat is read as the job's newest record. */
 Test(Dispatcher, aRepeatedSubmissionDoesNotFreeAJobThatAFormerOwnerKnew)
 {
