Tell the successor how much of an owner's own wait is left

Two owners stop within 2 s while four workers are down: the first successor had not settled, its resignation did not count, and the second waited 12.6 s again. Change: a resignation says for how long yet orders of former owners may have an effect; the successor waits for the longer of that and the last leases. Tests: anOwnerThatHasNotSettledSaysForHowLongYet, aResignationCountsOnlyFromTheLastOwnerAndWithWhatItLeavesUnsettled.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -60,10 +60,11 @@
 {
     const Resignation &resignation = this->book.resignation();
     const std::uint64_t former = this->book.ownerBefore(this->term.fencingToken);
-    if (former == 0 || resignation.fencingToken != former || !resignation.settled) {
+    if (former == 0 || resignation.fencingToken != former) {
         return;
     }
-    const Instant over = this->clock.now() + this->term.resignedOrdersOver;
+    const milliseconds wait = std::max(this->term.resignedOrdersOver, resignation.unsettledFor);
+    const Instant over = this->clock.now() + wait;
     this->term.formerOrdersOver = std::min(this->term.formerOrdersOver, over);
 }
 
@@ -72,8 +73,10 @@
     if (!this->isActive) {
         return std::nullopt;
     }
-    const bool settled = this->formerSettled || this->clock.now() >= this->term.formerOrdersOver;
-    return Resignation { this->term.fencingToken, settled };
+    const Duration left = this->term.formerOrdersOver - this->clock.now();
+    const bool settled = this->formerSettled || left <= Duration::zero();
+    return Resignation { this->term.fencingToken,
+                         settled ? milliseconds(0) : std::chrono::ceil<milliseconds>(left) };
 }
 
 void Dispatcher::end()
--- a/modules/bulrush_steps/model/JobRecords.cpp
+++ b/modules/bulrush_steps/model/JobRecords.cpp
@@ -244,7 +244,7 @@
     return json {
         { "schema", schemaVersion },
         { "fencingToken", resignation.fencingToken },
-        { "settled", resignation.settled }
+        { "unsettledMs", resignation.unsettledFor.count() }
     }.dump();
 }
 
@@ -252,7 +252,7 @@
 {
     return decoded("resignation", value, [](const json &record) {
         return Resignation { record.at("fencingToken").get<std::uint64_t>(),
-                             record.at("settled").get<bool>() };
+                             milliseconds(record.at("unsettledMs").get<std::int64_t>()) };
     });
 }
 
--- a/modules/bulrush_steps/model/JobRecords.h
+++ b/modules/bulrush_steps/model/JobRecords.h
@@ -34,8 +34,9 @@
 struct Resignation
 {
     std::uint64_t fencingToken = 0;
-    /** Whether it had accounted for all that its own predecessors had ordered. */
-    bool settled = false;
+    /** For how long yet orders of its own predecessors may have an effect; 0 where it had accounted
+        for all of them. */
+    milliseconds unsettledFor { 0 };
 };
 
 /** The keys and values of the scheduler's own records, JSON with a schema version. */
--- a/modules/bulrush_steps/tests/dispatcher_test.cpp
+++ b/modules/bulrush_steps/tests/dispatcher_test.cpp
@@ -210,13 +210,28 @@
    by a hunt: a task that lasts did not run for 14 s. */
 Test(Dispatcher, afterAResignationOnlyTheLastLeasesAreWaitedFor)
 {
-    cr_assert_eq(startsAfterResignation({ 2, true }), 1U);
+    cr_assert_eq(startsAfterResignation({ 2, milliseconds(0) }), 1U);
+    cr_assert_eq(startsAfterResignation({ 2, seconds(3) }), 1U);
 }
 
-Test(Dispatcher, aResignationCountsOnlyFromTheLastOwnerThatHadSettledWhatItFound)
+Test(Dispatcher, aResignationCountsOnlyFromTheLastOwnerAndWithWhatItLeavesUnsettled)
 {
-    cr_assert_eq(startsAfterResignation({ 2, false }), 0U);
-    cr_assert_eq(startsAfterResignation({ 1, true }), 0U);
+    cr_assert_eq(startsAfterResignation({ 2, seconds(9) }), 0U);
+    cr_assert_eq(startsAfterResignation({ 1, milliseconds(0) }), 0U);
+}
+
+/* Owners restart in turn: each tells its successor how much of its own wait is left. */
+Test(Dispatcher, anOwnerThatHasNotSettledSaysForHowLongYet)
+{
+    Bench bench;
+    bench.worker("w2").silent = true;
+    bench.begin(bookWith(jobOf("a", 1), { TargetId("w1"), TargetId("w2") }, bench.clock));
+    bench.list("w1");
+    bench.run(seconds(2));
+    cr_assert_eq(bench.dispatcher.resignation()->unsettledFor.count(),
+                 (formerOrders - seconds(2)).count());
+    bench.run(formerOrders);
+    cr_assert_eq(bench.dispatcher.resignation()->unsettledFor.count(), 0);
 }
 
 /* The caller repeats its submission, and the repeat is read as the job's newest record. */
