--- a/soak/NodeProcess.cpp
+++ b/soak/NodeProcess.cpp
@@ -29,7 +29,8 @@
 
 } // namespace
 
-NodeProcess::NodeProcess(std::string daemonPath, int number, int storePort, std::string folder)
+NodeProcess::NodeProcess(std::string daemonPath, int number, int storePort,
+                         const std::string &folder)
     : daemon(std::move(daemonPath))
     , ip(addressOf(number))
     , settingsPath(folder + "/node-" + std::to_string(number) + ".yaml")
--- a/soak/NodeProcess.h
+++ b/soak/NodeProcess.h
@@ -11,7 +11,7 @@
 public:
     /** @param number tells its address and files
         @param folder where its settings and its log go */
-    NodeProcess(std::string daemon, int number, int storePort, std::string folder);
+    NodeProcess(std::string daemon, int number, int storePort, const std::string &folder);
 
     /** Ends the process, if it runs. */
     ~NodeProcess();
