Take no run for lost that may be of a worker's new life

Logs: w1 starts anew; before the owner hears of it, it sends w1 a start, which the new life carries out (E1611 at 4407.331); the answer of a waiting hold then tells of the new life, and all runs of w1 are taken for lost, that one too (E1613 at 4407.338), and it starts on w3. Ruled out: a change of owner (0.3 s later), leases. Change: at a rebirth only runs are lost that were confirmed before the worker's last report; one started since is lost when a hold sent afterwards does not list it, one without an answer goes the way of unanswered starts. Test: aRunThatMayBeOfAWorkersNewLifeIsNotTakenForLost, seen failing before.

--- a/modules/bulrush_steps/tests/FakeWorkers.h
+++ b/modules/bulrush_steps/tests/FakeWorkers.h
@@ -27,6 +27,8 @@
     /** When a run was first listed; runs progress from then on, unless the worker hangs. */
     std::map<AttemptRef, Instant> listedSince;
     bool hangs = false;
+    /** Its answers to holds were made before anything ran. */
+    bool hidesRuns = false;
     std::vector<ListedEnd> ended;
     std::uint64_t lastEnd = 0;
     /** The greatest acknowledgement that it got. */
@@ -167,6 +169,9 @@
         constexpr milliseconds spanOfOnePercent { 100 };
         constexpr std::int64_t almostDone = 99;
         for (auto &[attempt, run] : fake.running) {
+            if (fake.hidesRuns) {
+                continue;
+            }
             const Instant since =
                     fake.listedSince.try_emplace(attempt, this->clock.now()).first->second;
             if (!fake.hangs) {
--- a/modules/bulrush_steps/tests/dispatcher_test.cpp
+++ b/modules/bulrush_steps/tests/dispatcher_test.cpp
@@ -344,6 +344,30 @@
     cr_assert_gt(bench.workers.starts[2].attempt.attempt, bench.workers.starts[0].attempt.attempt);
 }
 
+/* A start reaches a worker's new life before the owner knows of it: the task runs there, and must
+   not start elsewhere. Found by the fault soak, seed 50003. */
+Test(Dispatcher, aRunThatMayBeOfAWorkersNewLifeIsNotTakenForLost)
+{
+    Bench bench;
+    bench.begin({});
+    bench.list("w1");
+    bench.run(milliseconds(100));
+    bench.workers.holdsWait = true;
+    bench.run(milliseconds(20));
+    bench.dispatcher.tick();
+    bench.workers.restart(TargetId("w1"));
+    bench.accept(jobOf("a", 1));
+    bench.clock.advance(tickSpan);
+    bench.dispatcher.tick();
+    cr_assert_eq(bench.worker("w1").running.size(), 1U, "the new life runs it");
+    bench.worker("w1").hidesRuns = true;
+    bench.workers.deliver();
+    bench.worker("w1").hidesRuns = false;
+    bench.list("w2");
+    bench.run(seconds(1));
+    cr_assert_eq(bench.workers.starts.size(), 1U, "it runs twice at once");
+}
+
 /* A hold outlasts a worker's restart: what it acknowledged were ends of the former life, and those
    of the new one are numbered anew. Found by the fault soak, seed 100. */
 Test(Dispatcher, anAcknowledgementOfAFormerLifeIsNotTakenForTheNewOne)
--- a/modules/bulrush_steps/workers/RunKeeper.cpp
+++ b/modules/bulrush_steps/workers/RunKeeper.cpp
@@ -249,19 +249,27 @@
 
 void RunKeeper::workerReborn(Worker &worker, UnixMillis bornAt)
 {
-    this->decisions.write(
-            DecisionLine(Event::WorkerReborn)
-                    .with("worker", worker.entry.worker.name())
-                    .with("born_ms", bornAt)
-                    .with("runs_lost", static_cast<std::int64_t>(worker.runs.size())));
-    const std::map<AttemptRef, Run> lost = std::move(worker.runs);
-    worker.runs.clear();
-    worker.committed = Room();
+    std::vector<Run> lost;
+    for (auto &[attempt, run] : worker.runs) {
+        const bool ofFormerLife =
+                run.phase == RunPhase::Running && run.confirmedAt <= worker.reportedAt;
+        if (ofFormerLife) {
+            lost.push_back(run);
+        } else if (run.phase == RunPhase::Running) {
+            // Started since the last report: perhaps in the new life, whose next report tells.
+            run.confirmedAt = this->clock.now();
+        }
+    }
+    this->decisions.write(DecisionLine(Event::WorkerReborn)
+                                  .with("worker", worker.entry.worker.name())
+                                  .with("born_ms", bornAt)
+                                  .with("runs_lost", static_cast<std::int64_t>(lost.size())));
     worker.processedEnds = 0;
     worker.processedChange = 0;
     worker.acknowledgedEnds = 0;
     worker.clock.reset();
-    for (const auto &[attempt, run] : lost) {
+    for (const Run &run : lost) {
+        this->removeRun(worker, run.attempt);
         this->listener.runLost(worker, run, "the worker's process started anew");
     }
 }
