--- a/modules/bulrush_core/addresses/Endpoint.h
+++ b/modules/bulrush_core/addresses/Endpoint.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <tuple>
 
 namespace bulrush {
@@ -20,6 +22,9 @@
         return std::tie(this->address, this->port) < std::tie(other.address, other.port);
     }
 
+    /** Returns the endpoint of "address:port"; none where the text is no such. */
+    static std::optional<Endpoint> parse(std::string_view text);
+
     /** Returns "address:port". */
     std::string text() const { return this->address + ":" + std::to_string(this->port); }
 };
--- a/modules/bulrush_core/tests/core_test.cpp
+++ b/modules/bulrush_core/tests/core_test.cpp
@@ -85,3 +85,13 @@
     }
     cr_assert_eq(rowsInPage, rows, "the page lists events that the code does not have");
 }
+
+Test(Endpoint, readsWhatItWrites)
+{
+    const Endpoint endpoint { "10.0.0.1", 9100 };
+    cr_assert(Endpoint::parse(endpoint.text()) == endpoint);
+    for (const char *malformed :
+         { "", "10.0.0.1", ":9100", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:91x" }) {
+        cr_assert_not(Endpoint::parse(malformed).has_value(), "%s", malformed);
+    }
+}
--- a/modules/bulrush_entry/front/SubmissionDesk.cpp
+++ b/modules/bulrush_entry/front/SubmissionDesk.cpp
@@ -287,8 +287,7 @@
             CallerAnswer counted;
             counted.outcome = CallerOutcome::Waiting;
             for (const auto &[id, job] : this->view.book().entries()) {
-                const bool waits = !job.begun && !job.over() && !job.spec.timed;
-                counted.waiting += waits && job.spec.queue == queue ? 1U : 0U;
+                counted.waiting += job.waitsIn(queue) ? 1U : 0U;
             }
             callback(counted);
         });
--- a/modules/bulrush_entry/owner/OwnerLink.cpp
+++ b/modules/bulrush_entry/owner/OwnerLink.cpp
@@ -4,8 +4,6 @@
 #include "bulrush_steps/dispatch/Dispatcher.h"
 #include "bulrush_wire/frames/OwnerFrames.h"
 
-#include <charconv>
-
 namespace bulrush {
 
 namespace {
@@ -20,16 +18,7 @@
 
 std::optional<Endpoint> endpointOf(std::string_view member)
 {
-    const std::string_view address = member.substr(0, member.find('#'));
-    const auto colon = address.rfind(':');
-    if (colon == std::string_view::npos) {
-        return std::nullopt;
-    }
-    Endpoint endpoint { std::string(address.substr(0, colon)), 0 };
-    const std::string_view port = address.substr(colon + 1);
-    const auto [end, error] =
-            std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
-    return error == std::errc() && endpoint.port != 0 ? std::optional(endpoint) : std::nullopt;
+    return Endpoint::parse(member.substr(0, member.find('#')));
 }
 
 } // namespace
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -157,11 +157,8 @@
     const StepSpec &step = job.step(attempt.task);
     Run run;
     run.attempt = attempt;
-    run.size = step.size;
-    if (step.fills) {
-        run.fillCpuMilli = step.size.cpuMilli;
-        run.size.cpuMilli = 0;
-    }
+    run.size = step.reserved();
+    run.fillCpuMilli = step.fills ? step.size.cpuMilli : 0;
     run.lasting = step.lasting;
     run.resumes = step.checkpoints;
     run.image = step.image;
@@ -274,9 +271,8 @@
     Run run;
     run.attempt = listed.attempt;
     run.orderSentAt = this->clock.now();
-    JobEntry *job = this->book.find(listed.attempt.task.job);
-    const bool known = job != nullptr && job->has(listed.attempt.task);
-    if (!known) {
+    JobEntry *job = this->jobOf(listed.attempt.task);
+    if (job == nullptr) {
         run.stopWanted = true;
     } else {
         StepTask &task = job->task(listed.attempt.task);
@@ -307,14 +303,14 @@
 
 std::uint64_t Dispatcher::runEnded(const Worker &worker, const Run *run, const ListedEnd &end)
 {
-    JobEntry *job = this->book.find(end.attempt.task.job);
+    JobEntry *job = this->jobOf(end.attempt.task);
     this->decisions.write(DecisionLine(Event::TaskEnded)
                                   .with("task", text(end.attempt.task))
                                   .with("attempt", end.attempt.attempt)
                                   .with("worker", worker.entry.worker.name())
                                   .with("end", text(end.kind))
                                   .with("number", end.number));
-    if (job == nullptr || !job->has(end.attempt.task)) {
+    if (job == nullptr) {
         return this->writer.newestChange();
     }
     const StepSpec &step = job->step(end.attempt.task);
@@ -358,6 +354,21 @@
     }
 }
 
+JobEntry *Dispatcher::jobOf(const TaskRef &task)
+{
+    JobEntry *job = this->book.find(task.job);
+    return job != nullptr && job->has(task) ? job : nullptr;
+}
+
+void Dispatcher::giveBack(const Run &run)
+{
+    JobEntry *job = this->jobOf(run.attempt.task);
+    if (job != nullptr) {
+        this->release(job->task(run.attempt.task), {});
+        this->noteWaiting(job->spec.id);
+    }
+}
+
 void Dispatcher::runLost(const Worker &worker, const Run &run, std::string_view reason)
 {
     this->decisions.write(DecisionLine(Event::TaskLost)
@@ -365,12 +376,7 @@
                                   .with("attempt", run.attempt.attempt)
                                   .with("worker", worker.entry.worker.name())
                                   .with("reason", reason));
-    JobEntry *job = this->book.find(run.attempt.task.job);
-    if (job == nullptr || !job->has(run.attempt.task)) {
-        return;
-    }
-    this->release(job->task(run.attempt.task), {});
-    this->noteWaiting(job->spec.id);
+    this->giveBack(run);
 }
 
 void Dispatcher::startRefused(const Worker &worker, const Run &run, OrderOutcome outcome)
@@ -380,12 +386,7 @@
                                   .with("attempt", run.attempt.attempt)
                                   .with("worker", worker.entry.worker.name())
                                   .with("outcome", text(outcome)));
-    JobEntry *job = this->book.find(run.attempt.task.job);
-    if (job == nullptr || !job->has(run.attempt.task)) {
-        return;
-    }
-    this->release(job->task(run.attempt.task), {});
-    this->noteWaiting(job->spec.id);
+    this->giveBack(run);
 }
 
 std::optional<JobState> Dispatcher::stateOf(const JobId &id) const
@@ -399,8 +400,7 @@
     std::uint32_t count = 0;
     for (const auto &[id, since] : this->waiting) {
         const JobEntry *job = this->book.find(id);
-        if (job != nullptr && job->spec.queue == queue && !job->begun && !job->over()
-            && !job->spec.timed) {
+        if (job != nullptr && job->waitsIn(queue)) {
             ++count;
         }
     }
@@ -457,8 +457,8 @@
             if (run.stopWanted || run.phase != RunPhase::Running) {
                 continue;
             }
-            JobEntry *job = this->book.find(attempt.task.job);
-            if (job == nullptr || !job->has(attempt.task)) {
+            JobEntry *job = this->jobOf(attempt.task);
+            if (job == nullptr) {
                 continue;
             }
             StepTask &task = job->task(attempt.task);
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -125,9 +125,7 @@
     bool mayStartMore() const;
     std::vector<Candidate> candidates(Instant now);
     void addCandidates(JobEntry &job, double riskAllowed, std::vector<Candidate> &list);
-    bool urgent(const JobEntry &job, Instant now) const;
-    milliseconds objective(const StepJob &job) const;
-    WorkRank rank(const JobEntry &job, Instant now) const;
+    WaitingJob describeWaiting(const JobEntry &job, Instant since, Instant now) const;
     bool planStep(const Candidate &candidate, Instant now);
     bool planGang(const Candidate &candidate, Instant now);
     void startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt);
@@ -141,6 +139,12 @@
     Run describeRun(const JobEntry &job, const AttemptRef &attempt) const;
     void endGang(JobEntry &job, const AttemptRef &attempt);
     void release(StepTask &task, std::string checkpoint);
+
+    /** Returns the job of a task; null when it has none. */
+    JobEntry *jobOf(const TaskRef &task);
+
+    /** Lets the task of a run that is not alive start again. */
+    void giveBack(const Run &run);
     void jobChanged(const JobEntry &job);
 
     const Clock &clock;
--- a/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
@@ -27,9 +27,6 @@
 /** Choosing what to start takes at most one in so many parts of the owner's time. */
 constexpr int planShare = 4;
 
-/** A filling task is urgent when this much of its objective is left beside its work. */
-constexpr double urgentSlackShare = 0.3;
-
 } // namespace
 
 bool Dispatcher::formerRunsSettled(const JobEntry &job, Instant now)
@@ -56,54 +53,48 @@
     return this->clock.calendarMillis() >= due;
 }
 
-WorkRank Dispatcher::rank(const JobEntry &job, Instant now) const
+WaitingJob Dispatcher::describeWaiting(const JobEntry &job, Instant since, Instant now) const
 {
     WaitingJob waitingJob;
     waitingJob.priority = job.spec.priority;
     waitingJob.lasting = job.spec.lasting();
     waitingJob.age = now - job.acceptedAt;
-    const auto since = this->waiting.find(job.spec.id);
-    waitingJob.waited = since == this->waiting.end() ? Duration::zero() : now - since->second;
-    waitingJob.remaining = this->durations.longestChain(job.spec);
-    waitingJob.objective = this->objective(job.spec);
-    return rankOf(waitingJob);
-}
-
-bool Dispatcher::urgent(const JobEntry &job, Instant now) const
-{
+    waitingJob.waited = now - since;
     const milliseconds chain = this->durations.longestChain(job.spec);
-    const milliseconds objective = this->objective(job.spec);
-    const Duration slack = objective - chain - (now - job.acceptedAt);
-    return std::chrono::duration<double>(slack)
-            < urgentSlackShare * std::chrono::duration<double>(objective);
-}
-
-milliseconds Dispatcher::objective(const StepJob &job) const
-{
-    const auto chain = static_cast<double>(this->durations.longestChain(job).count());
-    return milliseconds(static_cast<std::int64_t>(chain * job.slackFactor)) + job.latencyTarget;
+    const auto stretched = static_cast<double>(chain.count()) * job.spec.slackFactor;
+    waitingJob.remaining = chain;
+    waitingJob.objective =
+            milliseconds(static_cast<std::int64_t>(stretched)) + job.spec.latencyTarget;
+    return waitingJob;
 }
 
 std::vector<Dispatcher::Candidate> Dispatcher::candidates(Instant now)
 {
-    std::vector<std::pair<WorkRank, JobEntry *>> ranked;
+    struct Ranked
+    {
+        WorkRank rank;
+        double riskAllowed;
+        JobEntry *job;
+    };
+    std::vector<Ranked> ranked;
     for (auto at = this->waiting.begin(); at != this->waiting.end();) {
         JobEntry *job = this->book.find(at->first);
         if (job == nullptr || job->over()) {
             at = this->waiting.erase(at);
             continue;
         }
-        ++at;
         if (this->formerRunsSettled(*job, now)) {
-            ranked.emplace_back(this->rank(*job, now), job);
+            const WaitingJob described = this->describeWaiting(*job, at->second, now);
+            const double risk = isUrgent(described) ? riskOfUrgentFill : riskOfPatientFill;
+            ranked.push_back({ rankOf(described), risk, job });
         }
+        ++at;
     }
     std::stable_sort(ranked.begin(), ranked.end(),
-                     [](const auto &a, const auto &b) { return a.first < b.first; });
+                     [](const Ranked &a, const Ranked &b) { return a.rank < b.rank; });
     std::vector<Candidate> list;
-    for (const auto &[rank, job] : ranked) {
-        const double risk = this->urgent(*job, now) ? riskOfUrgentFill : riskOfPatientFill;
-        this->addCandidates(*job, risk, list);
+    for (const Ranked &each : ranked) {
+        this->addCandidates(*each.job, each.riskAllowed, list);
     }
     return list;
 }
--- a/modules/bulrush_steps/model/StepJob.h
+++ b/modules/bulrush_steps/model/StepJob.h
@@ -81,6 +81,14 @@
     /** How many tasks of a lasting step may be away because of the scheduler's own actions. */
     std::uint32_t mayBeAway = 0;
 
+    /** Returns what a task takes away from others: a filling task takes no processors. */
+    Room reserved() const
+    {
+        Room room = this->size;
+        room.cpuMilli = this->fills ? 0 : room.cpuMilli;
+        return room;
+    }
+
     bool operator==(const StepSpec &) const = default;
 };
 
--- a/modules/bulrush_steps/model/StepJobBook.cpp
+++ b/modules/bulrush_steps/model/StepJobBook.cpp
@@ -73,7 +73,7 @@
     if (key.kind == records::KeyKind::Cancellation) {
         JobEntry *job = this->find(key.job);
         if (job == nullptr) {
-            this->earlyCancellations[key.job] = true;
+            this->earlyCancellations.insert(key.job);
             return std::nullopt;
         }
         job->cancelled = !job->endOnRecord;
--- a/modules/bulrush_steps/model/StepJobBook.h
+++ b/modules/bulrush_steps/model/StepJobBook.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace bulrush {
@@ -65,6 +66,12 @@
 
     bool over() const { return this->cancelled || this->succeeded || this->failed; }
 
+    /** Returns whether it counts as one of a queue's jobs that have not begun. */
+    bool waitsIn(std::string_view queue) const
+    {
+        return this->spec.queue == queue && !this->begun && !this->over() && !this->spec.timed;
+    }
+
     /** Returns what callers may be shown. */
     JobState shownState() const;
 
@@ -125,7 +132,7 @@
     std::unordered_map<JobId, JobEntry> jobs;
     /** Progress and cancellations of jobs that are not known yet. */
     std::unordered_map<JobId, JobProgress> earlyProgress;
-    std::unordered_map<JobId, bool> earlyCancellations;
+    std::unordered_set<JobId> earlyCancellations;
     std::vector<TargetId> rosterWorkers;
     std::uint64_t ownerToken = 0;
     std::set<std::uint64_t> ownersSeen;
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -42,9 +42,7 @@
 
 double Placement::shareOf(const Worker &worker, const StepSpec &step)
 {
-    const auto capacity =
-            static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
-    return static_cast<double>(step.size.cpuMilli) / capacity;
+    return worker.shareOf(static_cast<double>(step.size.cpuMilli));
 }
 
 double Placement::riskOfFilling(const Worker &worker, const StepSpec &step) const
@@ -56,25 +54,17 @@
 bool Placement::couldEverHold(const Worker &worker, const TaskRequest &request)
 {
     const StepSpec &step = *request.step;
-    Room size = step.size;
-    if (step.fills) {
-        size.cpuMilli = 0;
-    }
     const std::vector<std::string> &labels = worker.entry.labels;
     const bool labelled = step.requiredLabel.empty()
             || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end();
     return worker.entry.service == request.service && labelled
-            && size.fitsInto(worker.entry.capacity);
+            && step.reserved().fitsInto(worker.entry.capacity);
 }
 
 bool Placement::hasRoom(const Worker &worker, const TaskRequest &request)
 {
     const StepSpec &step = *request.step;
-    Room size = step.size;
-    if (step.fills) {
-        size.cpuMilli = 0;
-    }
-    if (!size.fitsInto(worker.free())) {
+    if (!step.reserved().fitsInto(worker.free())) {
         return false;
     }
     if (step.mostPerWorker == 0) {
@@ -111,11 +101,9 @@
     if (risk > request.riskAllowed) {
         return std::nullopt;
     }
-    const auto capacity =
-            static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
     const double pressure =
             this->pressures.addedPressure(worker, step.image, shareOf(worker, step));
-    return unused / capacity - riskWeight * risk - pressureWeight * pressure;
+    return worker.shareOf(unused) - riskWeight * risk - pressureWeight * pressure;
 }
 
 double Placement::commonScore(const Worker &worker, const TaskRequest &request)
@@ -144,11 +132,9 @@
         return std::nullopt;
     }
     if (!request.step->fills) {
-        const auto capacity =
-                static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
         // The fullest worker first: what is left over stays in pieces that large tasks fit into.
         return commonScore(worker, request)
-                - static_cast<double>(worker.free().cpuMilli) / capacity;
+                - worker.shareOf(static_cast<double>(worker.free().cpuMilli));
     }
     const std::optional<double> score = this->fillScore(worker, request);
     return score ? std::optional(*score + commonScore(worker, request)) : std::nullopt;
--- a/modules/bulrush_steps/policy/PressureModel.cpp
+++ b/modules/bulrush_steps/policy/PressureModel.cpp
@@ -38,15 +38,12 @@
 
 double PressureModel::usedShare(const Worker &worker, const Run &fill)
 {
-    return fill.load
-            / static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
+    return worker.shareOf(fill.load);
 }
 
 double PressureModel::fullShare(const Worker &worker, const Run &fill)
 {
-    const auto capacity =
-            static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.cpuMilli));
-    return static_cast<double>(fill.fillCpuMilli) * fill.pacePercent / 100.0 / capacity;
+    return worker.shareOf(static_cast<double>(fill.fillCpuMilli) * fill.pacePercent / 100.0);
 }
 
 double PressureModel::coefficient(const std::string &fillImage,
--- a/modules/bulrush_steps/policy/WorkOrder.cpp
+++ b/modules/bulrush_steps/policy/WorkOrder.cpp
@@ -13,6 +13,9 @@
 /** But it must not stay away for long because there is always short work. */
 constexpr milliseconds longestLastingWait { 1500 };
 
+/** A job is urgent when less than this share of its objective is left beside its work. */
+constexpr double urgentSlackShare = 0.3;
+
 enum Band : std::uint32_t { CanEarnFully, CanEarnLate, TooLate };
 
 } // namespace
@@ -35,4 +38,10 @@
     return { TooLate, job.priority, -lateSlack };
 }
 
+bool isUrgent(const WaitingJob &job)
+{
+    const std::chrono::duration<double> slack = job.objective - job.remaining - job.age;
+    return slack < urgentSlackShare * std::chrono::duration<double>(job.objective);
+}
+
 } // namespace bulrush
--- a/modules/bulrush_steps/policy/WorkOrder.h
+++ b/modules/bulrush_steps/policy/WorkOrder.h
@@ -43,4 +43,7 @@
 */
 WorkRank rankOf(const WaitingJob &job);
 
+/** Returns whether little of a job's objective is left beside its work. */
+bool isUrgent(const WaitingJob &job);
+
 } // namespace bulrush
--- a/modules/bulrush_steps/tests/policy_test.cpp
+++ b/modules/bulrush_steps/tests/policy_test.cpp
@@ -349,6 +349,19 @@
     }
 }
 
+Test(WorkOrder, aJobIsUrgentWhenLittleOfItsObjectiveIsLeft)
+{
+    WaitingJob job;
+    job.remaining = seconds(2);
+    job.objective = seconds(10);
+    job.age = seconds(4);
+    cr_assert_not(isUrgent(job));
+    job.age = milliseconds(5100);
+    cr_assert(isUrgent(job));
+    job.age = seconds(30);
+    cr_assert(isUrgent(job), "it is late already");
+}
+
 /* There is always short work of its priority: a lasting task that ended must start again all the
    same. */
 Test(WorkOrder, aLastingTaskDoesNotWaitForEver)
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -4,6 +4,7 @@
 #include "bulrush_steps/ports/WorkerOrders.h"
 #include "bulrush_steps/workers/LeaseClock.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -105,6 +106,13 @@
         return sum;
     }
 
+    /** Returns what share of the worker's processors some thousandths are. */
+    double shareOf(double cpuMilli) const
+    {
+        return cpuMilli
+                / static_cast<double>(std::max<std::int64_t>(1, this->entry.capacity.cpuMilli));
+    }
+
     /** Returns what is free for work that reserves its size. */
     Room free() const
     {
