Log an owner's load and how long each job's steps waited for their starts

The logs could not tell whether large jobs were late because the owner lacked processor time, because workers had no room, or because single tasks failed. E1635 is a line a second of the owner: how late its loop ran, open start requests, waiting jobs, steps without a worker, and the starts and rounds of planning of that second. E1606 tells the job's tasks, runs and the wait of its steps for their starts. The delay of the loop is a histogram as well. No decision changes.

--- a/modules/bulrush_core/events/EventCatalogue.cpp
+++ b/modules/bulrush_core/events/EventCatalogue.cpp
@@ -56,6 +56,7 @@
     EventInfo { Event::OwnershipLost, Severity::Warning, "ownership lost" },
     EventInfo { Event::OwnerReady, Severity::Info, "owner ready" },
     EventInfo { Event::OwnershipHandedOver, Severity::Info, "ownership handed over" },
+    EventInfo { Event::OwnerLoad, Severity::Info, "owner load" },
     EventInfo { Event::ConfigApplied, Severity::Info, "config in force" },
     EventInfo { Event::SettingsRead, Severity::Info, "settings read" },
     EventInfo { Event::StoreLost, Severity::Warning, "store lost" },
--- a/modules/bulrush_core/events/EventCatalogue.h
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -59,6 +59,7 @@
     OwnershipLost = 1632,
     OwnerReady = 1633,
     OwnershipHandedOver = 1634,
+    OwnerLoad = 1635,
     ConfigApplied = 1641,
     SettingsRead = 1642,
     StoreLost = 1651,
--- a/modules/bulrush_entry/node/EntryMetrics.cpp
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -78,6 +78,12 @@
                     .Name("bulrush_entry_job_seconds")
                     .Help("Time from a job's acceptance to its end on record")
                     .Register(registry);
+    prometheus::Histogram &tickDelaySeconds =
+            prometheus::BuildHistogram()
+                    .Name("bulrush_entry_tick_delay_seconds")
+                    .Help("How late the event loop ran its periodic work")
+                    .Register(registry)
+                    .Add({}, secondsBuckets);
     prometheus::Gauge &owner = prometheus::BuildGauge()
                                        .Name("bulrush_entry_owner")
                                        .Help("1 while this node orders the workers")
@@ -143,6 +149,11 @@
             .Observe(toSeconds(elapsed));
 }
 
+void EntryMetrics::recordTickDelay(Duration delay)
+{
+    this->families->tickDelaySeconds.Observe(toSeconds(delay));
+}
+
 void EntryMetrics::setOwner(bool owner)
 {
     this->families->owner.Set(owner ? 1.0 : 0.0);
--- a/modules/bulrush_entry/node/EntryMetrics.h
+++ b/modules/bulrush_entry/node/EntryMetrics.h
@@ -32,6 +32,9 @@
         @param elapsed time since the job was accepted */
     void recordJobEnd(JobState state, Duration elapsed);
 
+    /** Records by how much the periodic work of the event loop ran late. */
+    void recordTickDelay(Duration delay);
+
     void setOwner(bool owner);
     void setDroppedLines(std::uint64_t lines);
 
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -3,6 +3,7 @@
 #include "bulrush_core/errors/Error.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bulrush {
 
@@ -14,6 +15,9 @@
 /** Interval of tick() on any other node. */
 constexpr milliseconds idleTickInterval { 50 };
 
+/** Interval at which an owner logs its load. */
+constexpr milliseconds loadReportInterval { 1000 };
+
 /** How long the store holds a long poll for a newer configuration. */
 constexpr milliseconds configPollWait { 1000 };
 
@@ -90,6 +94,7 @@
     , operators(eventLoop, entrySettings.operators, *this)
 {
     this->startedAt = this->clock.now();
+    this->nextTickAt = this->startedAt;
     this->decisions.write(DecisionLine(Event::NodeStarted)
                                   .with("data_centre", this->settings.dataCentre.name())
                                   .with("callers", this->settings.callers.text())
@@ -99,6 +104,7 @@
 
 void EntryNode::tick()
 {
+    this->recordTickDelay();
     this->config.tick();
     this->ownership.tick();
     this->takeover.tick();
@@ -114,9 +120,43 @@
     if (this->drainingSince) {
         this->drainTick();
     }
+    this->reportOwnerLoad();
     this->decisions.flush();
     const bool busy = this->dispatcher.active() || this->takeover.running();
-    this->loop.schedule(busy ? tickInterval : idleTickInterval, [this] { this->tick(); });
+    const milliseconds interval = busy ? tickInterval : idleTickInterval;
+    this->nextTickAt = this->clock.now() + interval;
+    this->loop.schedule(interval, [this] { this->tick(); });
+}
+
+void EntryNode::recordTickDelay()
+{
+    const Duration delay = std::max(Duration::zero(), this->clock.now() - this->nextTickAt);
+    this->metrics.recordTickDelay(delay);
+    this->longestTickDelay = std::max(this->longestTickDelay, delay);
+}
+
+void EntryNode::reportOwnerLoad()
+{
+    const Instant now = this->clock.now();
+    if (!this->dispatcher.active() || now < this->nextLoadReport) {
+        return;
+    }
+    this->nextLoadReport = now + loadReportInterval;
+    const DispatchLoad load = this->dispatcher.load();
+    const DispatchLoad before = std::exchange(this->reportedLoad, load);
+    const Duration planned = load.planningTime - before.planningTime;
+    const auto lateMillis = duration_cast<milliseconds>(this->longestTickDelay).count();
+    this->longestTickDelay = Duration::zero();
+    this->decisions.write(
+            DecisionLine(Event::OwnerLoad)
+                    .with("late_ms", lateMillis)
+                    .with("starts_open", load.openStarts)
+                    .with("waiting_jobs", load.waitingJobs)
+                    .with("unplaced_steps", load.unplacedSteps)
+                    .with("runs", load.runs)
+                    .with("starts", load.starts - before.starts)
+                    .with("rounds", load.planningRounds - before.planningRounds)
+                    .with("planning_ms", duration_cast<milliseconds>(planned).count()));
 }
 
 void EntryNode::refreshStandbyView()
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -89,6 +89,8 @@
     void snapshotReadCompleted(LogStream /*stream*/) override { }
 
     void tick();
+    void recordTickDelay();
+    void reportOwnerLoad();
     void followJobs();
     void resign();
     void refreshStandbyView();
@@ -130,6 +132,13 @@
     std::optional<Resignation> pendingResignation;
     int resignationAttempts = 0;
     Instant startedAt {};
+    /** When the next tick is due. */
+    Instant nextTickAt {};
+    /** The longest delay of a tick since the owner's load was last logged. */
+    Duration longestTickDelay {};
+    Instant nextLoadReport {};
+    /** The load as last logged. */
+    DispatchLoad reportedLoad;
     Instant lastRequestAt {};
     std::optional<Instant> drainingSince;
 };
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -245,6 +245,10 @@
                                       .with("job", id.name())
                                       .with("queue", job->spec.queue)
                                       .with("state", text(job->visibleState()))
+                                      .with("tasks", job->taskCount())
+                                      .with("runs", job->startedRuns)
+                                      .with("start_wait_ms",
+                                            duration_cast<milliseconds>(job->startWait()).count())
                                       .with("age_ms", duration_cast<milliseconds>(age).count()));
     }
     if (withRoster) {
@@ -332,6 +336,7 @@
     bool counted = false;
     if (end.kind == EndKind::Succeeded) {
         counted = StepJobTable::countSuccess(*job, end.attempt.task);
+        job->recordStepEnd(end.attempt.task, this->clock.now());
         if (step.gang) {
             this->completeGang(*job, end.attempt);
         }
@@ -391,6 +396,17 @@
     this->requeueTask(run);
 }
 
+DispatchLoad Dispatcher::load() const
+{
+    DispatchLoad load = this->counters;
+    load.openStarts = this->workerManager.startsInFlight();
+    load.waitingJobs = this->waiting.size();
+    for (const auto &[id, worker] : this->workerManager.workers()) {
+        load.runs += worker.runs.size();
+    }
+    return load;
+}
+
 std::optional<JobState> Dispatcher::stateOf(const JobId &id) const
 {
     const JobEntry *job = this->jobTable.find(id);
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -25,6 +25,24 @@
     milliseconds resignedOwnerSettleTime { 6000 };
 };
 
+/** How much an owner has to do at one moment. */
+struct DispatchLoad
+{
+    /** Start requests without an answer. */
+    std::uint32_t openStarts = 0;
+    /** Jobs that may have tasks to start. */
+    std::size_t waitingJobs = 0;
+    /** Steps for which the last round of planning found no worker. */
+    std::size_t unplacedSteps = 0;
+    /** Runs that may be alive. */
+    std::size_t runs = 0;
+    /** Rounds of planning, their duration and the starts that they made, since the start of the
+        process. */
+    std::uint64_t planningRounds = 0;
+    Duration planningTime {};
+    std::uint64_t starts = 0;
+};
+
 /**
     The owner's side of the scheduler: starts tasks, tracks them, and persists their results.
 
@@ -88,6 +106,8 @@
         are not counted. */
     std::uint32_t waitingJobs(std::string_view queue) const;
 
+    DispatchLoad load() const;
+
     const StepJobTable &jobs() const { return this->jobTable; }
     const WorkerManager &runs() const { return this->workerManager; }
 
@@ -167,6 +187,8 @@
     bool previousOwnerSettled = false;
     Instant nextMaintenance {};
     Instant nextPlan {};
+    /** The counters of load(). */
+    DispatchLoad counters;
     /** The newest roster: the list of the workers that may hold tasks. */
     std::set<TargetId> newestRoster;
     /** The roster that was last passed to the writer for an append. */
--- a/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
@@ -160,6 +160,11 @@
 {
     StepTask &task = job.task(ref);
     const Run run = this->describeRun(job, { ref, attempt });
+    ++job.startedRuns;
+    ++this->counters.starts;
+    if (task.lastAttempt == 0) {
+        job.recordFirstStart(ref, this->clock.now());
+    }
     task.lastAttempt = attempt;
     ++task.openRuns;
     if (!job.started) {
@@ -269,6 +274,8 @@
     }
     this->planRound(now);
     const Instant done = this->clock.now();
+    ++this->counters.planningRounds;
+    this->counters.planningTime += done - now;
     this->nextPlan = done + (done - now) * (planningTimeDivisor - 1);
 }
 
@@ -276,6 +283,7 @@
 {
     // Steps that could not be placed in this round rule out steps that need as much or more.
     std::vector<UnplacedStep> unplaced;
+    this->counters.unplacedSteps = 0;
     for (const Candidate &candidate : this->candidates(now)) {
         const StepSpec &step = candidate.job->spec.steps[candidate.step];
         const bool ruledOut =
@@ -283,6 +291,7 @@
                     return each.rulesOut(step, candidate.riskAllowed);
                 });
         if (ruledOut) {
+            ++this->counters.unplacedSteps;
             continue;
         }
         if (!this->mayStartMore()) {
@@ -290,6 +299,7 @@
         }
         const bool placed =
                 step.gang ? this->planGang(candidate, now) : this->planStep(candidate, now);
+        this->counters.unplacedSteps += placed ? 0 : 1;
         const bool constrained = step.maxPerWorker > 0 || !step.requiredLabel.empty() || step.gang;
         if (!placed && !constrained) {
             unplaced.push_back({ &step, candidate.riskAllowed });
--- a/modules/bulrush_steps/model/StepJobTable.cpp
+++ b/modules/bulrush_steps/model/StepJobTable.cpp
@@ -39,6 +39,46 @@
             });
 }
 
+std::size_t JobEntry::taskCount() const
+{
+    std::size_t count = 0;
+    for (const StepSpec &step : this->spec.steps) {
+        count += step.taskCount;
+    }
+    return count * this->occurrences.size();
+}
+
+void JobEntry::recordFirstStart(const TaskRef &ref, Instant now)
+{
+    OccurrenceState &occurrence = this->occurrences.at(ref.occurrence);
+    Instant readyAt = this->acceptedAt;
+    for (const std::uint32_t earlier : this->step(ref).dependsOn) {
+        readyAt = std::max(readyAt, occurrence.steps.at(earlier).endedAt.value_or(readyAt));
+    }
+    occurrence.steps.at(ref.step).startWait = now - readyAt;
+}
+
+void JobEntry::recordStepEnd(const TaskRef &ref, Instant now)
+{
+    StepState &step = this->occurrences.at(ref.occurrence).steps.at(ref.step);
+    if (step.succeeded == step.tasks.size() && !step.endedAt) {
+        step.endedAt = now;
+    }
+}
+
+Duration JobEntry::startWait() const
+{
+    Duration longest {};
+    for (const OccurrenceState &occurrence : this->occurrences) {
+        Duration wait {};
+        for (const StepState &step : occurrence.steps) {
+            wait += step.startWait;
+        }
+        longest = std::max(longest, wait);
+    }
+    return longest;
+}
+
 JobEntry &StepJobTable::addJob(StepJob job)
 {
     JobEntry entry;
--- a/modules/bulrush_steps/model/StepJobTable.h
+++ b/modules/bulrush_steps/model/StepJobTable.h
@@ -38,6 +38,10 @@
     std::uint32_t succeeded = 0;
     /** Mean duration of the tasks that succeeded under this owner; 0 before the first. */
     milliseconds meanDuration { 0 };
+    /** When the last task succeeded under this owner. */
+    std::optional<Instant> endedAt;
+    /** How long the step could have started before the last of its tasks was first started. */
+    Duration startWait {};
 };
 
 struct OccurrenceState
@@ -64,6 +68,8 @@
     bool endStored = false;
     /** Whether any task has been started. */
     bool started = false;
+    /** The number of runs that this owner started. */
+    std::uint32_t startedRuns = 0;
 
     bool hasEnded() const { return this->cancelled || this->succeeded || this->failed; }
 
@@ -86,6 +92,19 @@
 
     /** Returns whether all steps that a step depends on have succeeded. */
     bool dependenciesMet(std::uint32_t occurrence, std::uint32_t step) const;
+
+    /** Returns the number of tasks of all steps and occurrences. */
+    std::size_t taskCount() const;
+
+    /** Records that the first attempt of a task was started. */
+    void recordFirstStart(const TaskRef &ref, Instant now);
+
+    /** Records the end of a task's step, if all tasks of the step have succeeded. */
+    void recordStepEnd(const TaskRef &ref, Instant now);
+
+    /** Returns how long the job's steps waited for their first starts, added up over the steps of
+        the occurrence that waited longest. */
+    Duration startWait() const;
 };
 
 /** The state of all jobs in the log. Applying records is idempotent. */
