Rank a job by the steps that it still has to run

Cause: a job's rank took the whole critical path as the time still to come, also when most steps had ended. After one or two steps its age plus the whole path was over its objective, so it fell into the band of late jobs, behind every waiting batch job that could still be in time. With a backlog of batch work that is for good.

The new test Planning::aJobThatIsInTimeKeepsItsPlaceAheadOfBatchWorkInItsLaterSteps failed before (steps 3 and 4 behind the batch job).

Change: the path counts the steps of the occurrence that have not ended; each occurrence has a rank of its own. The fixture of the dispatcher's tests moves to a header, so that the tests of planning share it.

--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -117,6 +117,7 @@
         JobEntry *job = nullptr;
         std::uint32_t occurrence = 0;
         std::uint32_t step = 0;
+        JobRank rank;
         /** For a filling step: the maximum expected number of serving tasks on the chosen worker
             that exceed their tail latency target. */
         double riskAllowed = 0.0;
@@ -149,8 +150,11 @@
     void planRound(Instant now);
     bool mayStartMore() const;
     std::vector<Candidate> candidates(Instant now);
-    void addCandidates(JobEntry &job, double riskAllowed, std::vector<Candidate> &list);
-    WaitingJob describeWaiting(const JobEntry &job, Instant since, Instant now) const;
+    /** Adds the steps of a job that have tasks to start.
+        @returns whether the job has such a step, or an occurrence that is not due yet */
+    bool addCandidates(JobEntry &job, Instant since, Instant now, std::vector<Candidate> &list);
+    WaitingJob describeWaiting(const JobEntry &job, std::uint32_t occurrence, Instant since,
+                               Instant now) const;
     bool planStep(const Candidate &candidate, Instant now);
     bool planGang(const Candidate &candidate, Instant now);
     void startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt);
--- a/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
@@ -57,7 +57,8 @@
     return this->clock.calendarMillis() >= due;
 }
 
-WaitingJob Dispatcher::describeWaiting(const JobEntry &job, Instant since, Instant now) const
+WaitingJob Dispatcher::describeWaiting(const JobEntry &job, std::uint32_t occurrence, Instant since,
+                                       Instant now) const
 {
     WaitingJob waitingJob;
     waitingJob.priority = job.spec.priority;
@@ -66,7 +67,7 @@
     waitingJob.waited = now - since;
     const milliseconds chain = this->durations.criticalPath(job.spec);
     const auto stretched = static_cast<double>(chain.count()) * job.spec.slackFactor;
-    waitingJob.remaining = chain;
+    waitingJob.remaining = this->durations.remainingPath(job, occurrence);
     waitingJob.objective =
             milliseconds(static_cast<std::int64_t>(stretched)) + job.spec.latencyTarget;
     return waitingJob;
@@ -74,58 +75,50 @@
 
 std::vector<Dispatcher::Candidate> Dispatcher::candidates(Instant now)
 {
-    struct Ranked
-    {
-        JobRank rank;
-        double riskAllowed;
-        JobEntry *job;
-    };
-    std::vector<Ranked> ranked;
+    std::vector<Candidate> list;
     for (auto at = this->waiting.begin(); at != this->waiting.end();) {
         JobEntry *job = this->jobTable.find(at->first);
-        if (job == nullptr || job->hasEnded()) {
-            at = this->waiting.erase(at);
-            continue;
-        }
-        if (this->previousRunsSettled(*job, now)) {
-            const WaitingJob described = this->describeWaiting(*job, at->second, now);
-            const double risk = isUrgent(described) ? maxRiskOfUrgentFill : maxRiskOfDeferrableFill;
-            ranked.push_back({ rankOf(described), risk, job });
-        }
-        ++at;
-    }
-    std::stable_sort(ranked.begin(), ranked.end(),
-                     [](const Ranked &a, const Ranked &b) { return a.rank < b.rank; });
-    std::vector<Candidate> list;
-    for (const Ranked &each : ranked) {
-        this->addCandidates(*each.job, each.riskAllowed, list);
+        const bool open = job != nullptr && !job->hasEnded()
+                && (!this->previousRunsSettled(*job, now)
+                    || this->addCandidates(*job, at->second, now, list));
+        at = open ? std::next(at) : this->waiting.erase(at);
     }
+    std::stable_sort(list.begin(), list.end(),
+                     [](const Candidate &a, const Candidate &b) { return a.rank < b.rank; });
     return list;
 }
 
-void Dispatcher::addCandidates(JobEntry &job, double riskAllowed, std::vector<Candidate> &list)
+bool Dispatcher::addCandidates(JobEntry &job, Instant since, Instant now,
+                               std::vector<Candidate> &list)
 {
-    bool anyWaiting = false;
+    const std::size_t before = list.size();
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
-        const OccurrenceState &state = job.occurrences[occurrence];
         if (!this->occurrenceDue(job, occurrence)) {
-            anyWaiting = true;
-            break;
+            return true;
         }
+        const std::size_t first = list.size();
+        const OccurrenceState &state = job.occurrences[occurrence];
         for (std::uint32_t step = 0; step < state.steps.size(); ++step) {
             const std::vector<StepTask> &tasks = state.steps[step].tasks;
             const bool open = std::any_of(tasks.begin(), tasks.end(), [](const StepTask &task) {
                 return !task.succeeded && task.openRuns == 0;
             });
             if (open && job.dependenciesMet(occurrence, step)) {
-                anyWaiting = true;
-                list.push_back({ &job, occurrence, step, riskAllowed });
+                list.push_back({ &job, occurrence, step, {}, 0.0 });
             }
         }
+        if (list.size() == first) {
+            continue;
+        }
+        const WaitingJob described = this->describeWaiting(job, occurrence, since, now);
+        const double risk = isUrgent(described) ? maxRiskOfUrgentFill : maxRiskOfDeferrableFill;
+        for (auto added = list.begin() + static_cast<std::ptrdiff_t>(first); added != list.end();
+             ++added) {
+            added->rank = rankOf(described);
+            added->riskAllowed = risk;
+        }
     }
-    if (!anyWaiting) {
-        this->waiting.erase(job.spec.id);
-    }
+    return list.size() > before;
 }
 
 TaskRequest Dispatcher::makeTaskRequest(const Candidate &candidate)
--- a/modules/bulrush_steps/policy/DurationEstimator.cpp
+++ b/modules/bulrush_steps/policy/DurationEstimator.cpp
@@ -40,6 +40,17 @@
 }
 
 milliseconds DurationEstimator::criticalPath(const StepJob &job) const
+{
+    return this->longestPath(job, nullptr);
+}
+
+milliseconds DurationEstimator::remainingPath(const JobEntry &job, std::uint32_t occurrence) const
+{
+    return this->longestPath(job.spec, &job.occurrences.at(occurrence));
+}
+
+milliseconds DurationEstimator::longestPath(const StepJob &job,
+                                            const OccurrenceState *progress) const
 {
     std::vector<milliseconds> ends(job.steps.size());
     milliseconds longest { 0 };
@@ -48,7 +59,11 @@
         for (const std::uint32_t earlier : job.steps[step].dependsOn) {
             start = std::max(start, ends.at(earlier));
         }
-        ends[step] = start + this->expectedDuration(job.queue, job.steps[step]);
+        const bool ended =
+                progress != nullptr && progress->steps[step].succeeded == job.steps[step].taskCount;
+        const milliseconds duration =
+                ended ? milliseconds(0) : this->expectedDuration(job.queue, job.steps[step]);
+        ends[step] = start + duration;
         longest = std::max(longest, ends[step]);
     }
     return longest;
--- a/modules/bulrush_steps/policy/DurationEstimator.h
+++ b/modules/bulrush_steps/policy/DurationEstimator.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "bulrush_steps/model/StepJob.h"
+#include "bulrush_steps/model/StepJobTable.h"
 
 #include <map>
 #include <string>
@@ -25,7 +25,13 @@
         steps. */
     milliseconds criticalPath(const StepJob &job) const;
 
+    /** Returns the expected duration of the critical path through those steps of an occurrence that
+        have not ended. */
+    milliseconds remainingPath(const JobEntry &job, std::uint32_t occurrence) const;
+
 private:
+    milliseconds longestPath(const StepJob &job, const OccurrenceState *progress) const;
+
     /** The moving average of actual over estimated duration. */
     struct Ratio
     {
--- /dev/null
+++ b/modules/bulrush_steps/tests/DispatcherFixture.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "FakeWorkers.h"
+
+#include <algorithm>
+
+namespace bulrush::test {
+
+inline constexpr milliseconds tickInterval { 10 };
+
+/** How long after a takeover orders of the former owner may have an effect. */
+inline constexpr milliseconds formerOrdersLifetime { 11'800 };
+
+inline StepJob makeJob(const char *id, std::uint32_t tasks)
+{
+    StepJob job;
+    job.id = JobId(id);
+    job.queue = "checks";
+    job.service = ServiceId("review");
+    job.maxAttempts = 2;
+    job.slackFactor = 2.0;
+    StepSpec step;
+    step.taskCount = tasks;
+    step.size = { 4000, 1000, 0 };
+    step.estimate = milliseconds(500);
+    job.steps = { step };
+    return job;
+}
+
+inline WorkerEntry makeWorkerEntry(const char *name)
+{
+    WorkerEntry entry;
+    entry.worker = TargetId(name);
+    entry.service = ServiceId("review");
+    entry.endpoint = { "127.0.0.1", 1 };
+    entry.capacity = { 64000, 256000, 0 };
+    entry.labels = { "a", "r1-1" };
+    return entry;
+}
+
+/** A Dispatcher with fake workers and a fake log, on a clock that only the test advances. */
+class DispatcherFixture : public Dispatcher::Listener
+{
+public:
+    DispatcherFixture()
+        : workers(clock)
+        , dispatcher(clock, workers, log, DispatchSettings(), decisions, *this)
+    {
+    }
+
+    void superseded(std::string_view /*by*/) override
+    {
+        this->ownershipLost = true;
+        this->dispatcher.end();
+    }
+    bool isOwner() const override { return this->owner; }
+    bool isSoleOwner() const override { return this->owner && this->soleOwner; }
+
+    void begin(StepJobTable table, std::uint64_t token = 3)
+    {
+        OwnershipTerm term;
+        term.fencingToken = token;
+        term.previousOwnerSettledAt = this->clock.now() + formerOrdersLifetime;
+        this->dispatcher.begin(term, std::move(table));
+    }
+
+    void listWorker(const char *name) { this->dispatcher.workerListed(makeWorkerEntry(name)); }
+
+    void accept(const StepJob &job)
+    {
+        this->dispatcher.applyJobRecord({ records::jobKey(job.id), records::encode(job), 9 });
+    }
+
+    void cancel(const char *id)
+    {
+        this->dispatcher.applyJobRecord(
+                { records::cancellationKey(JobId(id)), R"({"schema":1})", 10 });
+    }
+
+    void runFor(milliseconds span)
+    {
+        for (milliseconds passed { 0 }; passed < span; passed += tickInterval) {
+            this->clock.advance(tickInterval);
+            this->dispatcher.tick();
+            this->workers.deliver();
+            this->log.deliver();
+        }
+    }
+
+    FakeWorker &worker(const char *name) { return this->workers.workers[TargetId(name)]; }
+
+    std::size_t startsOn(const char *name) const
+    {
+        return static_cast<std::size_t>(std::count_if(this->workers.starts.begin(),
+                                                      this->workers.starts.end(),
+                                                      [name](const FakeWorkers::SentStart &each) {
+                                                          return each.worker == TargetId(name);
+                                                      }));
+    }
+
+    ManualClock clock;
+    NullDecisionLog decisions;
+    FakeWorkers workers;
+    FakeLog log;
+    bool owner = true;
+    bool soleOwner = true;
+    bool ownershipLost = false;
+    Dispatcher dispatcher;
+};
+
+} // namespace bulrush::test
--- /dev/null
+++ b/modules/bulrush_steps/tests/planning_test.cpp
@@ -0,0 +1,81 @@
+#include "DispatcherFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace bulrush;
+using namespace bulrush::test;
+
+namespace {
+
+constexpr milliseconds taskDuration { 500 };
+
+/** Makes a job of consecutive steps, each with a number of tasks. */
+StepJob makeSteps(const char *id, std::uint32_t steps, std::uint32_t tasks)
+{
+    StepJob job = makeJob(id, tasks);
+    job.slackFactor = 1.5;
+    job.latencyTarget = milliseconds(250);
+    for (std::uint32_t step = 1; step < steps; ++step) {
+        job.steps.push_back(job.steps.front());
+        job.steps.back().dependsOn = { step - 1 };
+    }
+    return job;
+}
+
+/** Submits a job that was accepted just now. */
+void submit(DispatcherFixture &fixture, StepJob job)
+{
+    job.acceptedAt = fixture.clock.calendarMillis();
+    fixture.accept(job);
+}
+
+/** Runs the dispatcher and ends each run after taskDuration. */
+void runWithEndingTasks(DispatcherFixture &fixture, milliseconds span)
+{
+    const Instant end = fixture.clock.now() + span;
+    std::size_t ended = 0;
+    std::vector<Instant> startedAt;
+    while (fixture.clock.now() < end) {
+        fixture.runFor(tickInterval);
+        startedAt.resize(fixture.workers.starts.size(), fixture.clock.now());
+        for (; ended < startedAt.size() && fixture.clock.now() - startedAt[ended] >= taskDuration;
+             ++ended) {
+            const FakeWorkers::SentStart &start = fixture.workers.starts[ended];
+            fixture.workers.endRun(start.worker, start.attempt, EndKind::Succeeded);
+        }
+    }
+}
+
+/** Returns the position of a job's first start of a step among all starts. */
+std::size_t positionOfStep(const DispatcherFixture &fixture, const char *job, std::uint32_t step)
+{
+    const std::vector<FakeWorkers::SentStart> &starts = fixture.workers.starts;
+    const auto found = std::find_if(
+            starts.begin(), starts.end(), [job, step](const FakeWorkers::SentStart &each) {
+                return each.attempt.task.job == JobId(job) && each.attempt.task.step == step;
+            });
+    return static_cast<std::size_t>(found - starts.begin());
+}
+
+} // namespace
+
+/* The last step of a job in time queued behind all batch work, because finished steps still counted
+   as work to come. */
+Test(Planning, aJobThatIsInTimeKeepsItsPlaceAheadOfBatchWorkInItsLaterSteps)
+{
+    DispatcherFixture fixture;
+    fixture.begin({});
+    WorkerEntry worker = makeWorkerEntry("w1");
+    worker.capacity = { 4000, 256000, 0 };
+    fixture.dispatcher.workerListed(worker);
+    fixture.runFor(milliseconds(100));
+    submit(fixture, makeSteps("check", 4, 1));
+    StepJob batch = makeJob("batch", 8);
+    batch.priority = 2;
+    batch.slackFactor = 100.0;
+    submit(fixture, batch);
+    runWithEndingTasks(fixture, seconds(3));
+    for (std::uint32_t step = 0; step < 4; ++step) {
+        cr_expect_eq(positionOfStep(fixture, "check", step), step);
+    }
+}
