Count the age of an occurrence from when it was due

WaitingJob::age says that it counts from when the occurrence was due; the code did not do so.

Planning::aLaterOccurrenceThatIsInTimeGoesAheadOfBatchWork failed before (1 of 2 occurrences started in 6 s) and passes now.

--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -153,6 +153,9 @@
     /** Adds the steps of a job that have tasks to start.
         @returns whether the job has such a step, or an occurrence that is not due yet */
     bool addCandidates(JobEntry &job, Instant since, Instant now, std::vector<Candidate> &list);
+    /** Returns the time since a job was accepted, or, for a job with a schedule, since an
+       occurrence was due; negative before that. */
+    Duration ageOf(const JobEntry &job, std::uint32_t occurrence, Instant now) const;
     WaitingJob describeWaiting(const JobEntry &job, std::uint32_t occurrence, Instant since,
                                Instant now) const;
     bool planStep(const Candidate &candidate, Instant now);
@@ -160,7 +163,6 @@
     void startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt);
     TaskRequest makeTaskRequest(const Candidate &candidate);
     std::uint64_t nextAttempt(const StepTask &task) const;
-    bool occurrenceDue(const JobEntry &job, std::uint32_t occurrence) const;
     bool previousRunsSettled(const JobEntry &job, Instant now);
     void markWaiting(const JobId &job);
     void stopRuns(const JobEntry &job, std::string_view reason);
--- a/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
@@ -48,13 +48,13 @@
     return true;
 }
 
-bool Dispatcher::occurrenceDue(const JobEntry &job, std::uint32_t occurrence) const
+Duration Dispatcher::ageOf(const JobEntry &job, std::uint32_t occurrence, Instant now) const
 {
     if (!job.spec.timed) {
-        return true;
+        return now - job.acceptedAt;
     }
     const UnixMillis due = job.spec.firstDue + job.spec.interval.count() * occurrence;
-    return this->clock.calendarMillis() >= due;
+    return milliseconds(this->clock.calendarMillis() - due);
 }
 
 WaitingJob Dispatcher::describeWaiting(const JobEntry &job, std::uint32_t occurrence, Instant since,
@@ -63,7 +63,7 @@
     WaitingJob waitingJob;
     waitingJob.priority = job.spec.priority;
     waitingJob.runsIndefinitely = job.spec.runsIndefinitely();
-    waitingJob.age = now - job.acceptedAt;
+    waitingJob.age = this->ageOf(job, occurrence, now);
     waitingJob.waited = now - since;
     const milliseconds chain = this->durations.criticalPath(job.spec);
     const auto stretched = static_cast<double>(chain.count()) * job.spec.slackFactor;
@@ -93,7 +93,7 @@
 {
     const std::size_t before = list.size();
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
-        if (!this->occurrenceDue(job, occurrence)) {
+        if (job.spec.timed && this->ageOf(job, occurrence, now) < Duration::zero()) {
             return true;
         }
         const std::size_t first = list.size();
--- a/modules/bulrush_steps/tests/planning_test.cpp
+++ b/modules/bulrush_steps/tests/planning_test.cpp
@@ -79,3 +79,30 @@
         cr_expect_eq(positionOfStep(fixture, "check", step), step);
     }
 }
+
+/* The later occurrences of a schedule queued behind all batch work, because their age counted from
+   the submission. */
+Test(Planning, aLaterOccurrenceThatIsInTimeGoesAheadOfBatchWork)
+{
+    DispatcherFixture fixture;
+    fixture.begin({});
+    WorkerEntry worker = makeWorkerEntry("w1");
+    worker.capacity = { 4000, 256000, 0 };
+    fixture.dispatcher.workerListed(worker);
+    fixture.runFor(milliseconds(100));
+    StepJob scheduled = makeSteps("scheduled", 1, 1);
+    scheduled.timed = true;
+    scheduled.occurrences = 2;
+    scheduled.firstDue = fixture.clock.calendarMillis();
+    scheduled.interval = milliseconds(3000);
+    submit(fixture, scheduled);
+    StepJob batch = makeJob("batch", 40);
+    batch.priority = 2;
+    batch.slackFactor = 100.0;
+    submit(fixture, batch);
+    runWithEndingTasks(fixture, seconds(6));
+    const auto started = std::count_if(
+            fixture.workers.starts.begin(), fixture.workers.starts.end(),
+            [](const auto &each) { return each.attempt.task.job == JobId("scheduled"); });
+    cr_assert_eq(started, 2);
+}
