Plan filling steps apart from those that reserve processors

Cause: one round of planning and one limit of 160 unanswered starts served all work. A backlog of filling tasks filled both: a round took 60 ms for 160 starts, planning may take a quarter of the time, so there were four rounds a second, whatever waited.

Planning.aBacklogOfFillingTasksDoesNotDelayTheStartsOfALatencyCriticalJob lets each start take 0.4 ms of the paused clock: failed before (its four steps waited longer than the queue's latency target of 250 ms together), passes now.

Change: two lanes with their own rounds and unanswered starts. Filling steps keep their order for 100 ms and a round continues where the last one stopped, so a backlog is not ranked anew for each round; their rounds end after 10 ms. The two kinds do not compete for processors of the workers, so no order between them is lost.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -23,6 +23,14 @@
 /** How long a worker receives no new tasks after a run on it was stalled or slow. */
 constexpr milliseconds unhealthyWorkerPause { 2500 };
 
+/** Limits of planning. Steps that reserve processors are ranked in each round, since their callers
+    wait. With more unanswered starts, requests would queue behind each other and time out. */
+constexpr PlanLimits reservingLimits { 160, 2, milliseconds(20), milliseconds(0) };
+
+/** The same for filling steps. Few unanswered starts at a time keep the way short for the starts of
+    steps that reserve processors. */
+constexpr PlanLimits fillingLimits { 48, 4, milliseconds(10), milliseconds(100) };
+
 } // namespace
 
 Dispatcher::Dispatcher(const Clock &systemClock, WorkerCommands &port, KeyedLog &log,
@@ -35,6 +43,9 @@
     , workerManager(systemClock, port, dispatchSettings, decisionLog, *this)
     , writer(systemClock, log, *this)
 {
+    this->lanes.front().limits = reservingLimits;
+    this->lanes.back().limits = fillingLimits;
+    this->lanes.back().fills = true;
 }
 
 void Dispatcher::begin(const OwnershipTerm &ownershipTerm, StepJobTable persistedJobs)
@@ -43,7 +54,7 @@
     this->jobTable = std::move(persistedJobs);
     this->isActive = true;
     this->previousOwnerSettled = false;
-    this->waiting.clear();
+    this->clearLanes();
     this->writer.begin(this->term.fencingToken);
     for (auto &[id, job] : this->jobTable.entries()) {
         job.knownToPreviousOwners = true;
@@ -86,8 +97,8 @@
     this->isActive = false;
     this->workerManager.end();
     this->writer.end();
+    this->clearLanes();
     this->jobTable.clear();
-    this->waiting.clear();
     this->fillControl.clearWorkers();
     this->newestRoster.clear();
     this->sentRoster.clear();
@@ -131,7 +142,16 @@
 
 void Dispatcher::markWaiting(const JobId &job)
 {
-    this->waiting.try_emplace(job, this->clock.now());
+    for (PlanLane &lane : this->lanes) {
+        lane.waiting.try_emplace(job, this->clock.now());
+    }
+}
+
+void Dispatcher::clearLanes()
+{
+    for (PlanLane &lane : this->lanes) {
+        lane.clear();
+    }
 }
 
 void Dispatcher::stopRuns(const JobEntry &job, std::string_view reason)
@@ -192,7 +212,9 @@
     if (maintenanceDue) {
         this->moveUnhealthyRuns(now);
     }
-    this->plan(now);
+    for (PlanLane &lane : this->lanes) {
+        this->plan(lane, now);
+    }
 }
 
 void Dispatcher::updateRoster()
@@ -399,8 +421,13 @@
 DispatchLoad Dispatcher::load() const
 {
     DispatchLoad load = this->counters;
-    load.openStarts = this->workerManager.startsInFlight();
-    load.waitingJobs = this->waiting.size();
+    load.openStarts =
+            this->workerManager.startsInFlight(false) + this->workerManager.startsInFlight(true);
+    load.waitingJobs = this->lanes.front().waiting.size();
+    for (const PlanLane &lane : this->lanes) {
+        load.unplacedSteps += lane.unplacedCount;
+    }
+    load.waitingFills = this->lanes.back().waiting.size();
     for (const auto &[id, worker] : this->workerManager.workers()) {
         load.runs += worker.runs.size();
     }
@@ -416,10 +443,14 @@
 std::uint32_t Dispatcher::waitingJobs(std::string_view queue) const
 {
     std::uint32_t count = 0;
-    for (const auto &[id, since] : this->waiting) {
-        const JobEntry *job = this->jobTable.find(id);
-        if (job != nullptr && job->isQueuedIn(queue)) {
-            ++count;
+    for (const PlanLane &lane : this->lanes) {
+        for (const auto &[id, since] : lane.waiting) {
+            const JobEntry *job = this->jobTable.find(id);
+            const bool counted =
+                    &lane != &this->lanes.front() && this->lanes.front().waiting.contains(id);
+            if (job != nullptr && job->isQueuedIn(queue) && !counted) {
+                ++count;
+            }
         }
     }
     return count;
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrush_steps/dispatch/DispatchSettings.h"
+#include "bulrush_steps/dispatch/PlanLane.h"
 #include "bulrush_steps/dispatch/ProgressWriter.h"
 #include "bulrush_steps/model/ServingConfig.h"
 #include "bulrush_steps/model/StepJobTable.h"
@@ -10,6 +11,7 @@
 #include "bulrush_steps/policy/Placement.h"
 #include "bulrush_steps/workers/WorkerManager.h"
 
+#include <array>
 #include <optional>
 #include <set>
 
@@ -30,8 +32,10 @@
 {
     /** Start requests without an answer. */
     std::uint32_t openStarts = 0;
-    /** Jobs that may have tasks to start. */
+    /** Jobs that may have tasks to start that reserve processors. */
     std::size_t waitingJobs = 0;
+    /** Jobs that may have filling tasks to start. */
+    std::size_t waitingFills = 0;
     /** Steps for which the last round of planning found no worker. */
     std::size_t unplacedSteps = 0;
     /** Runs that may be alive. */
@@ -112,17 +116,6 @@
     const WorkerManager &runs() const { return this->workerManager; }
 
 private:
-    struct Candidate
-    {
-        JobEntry *job = nullptr;
-        std::uint32_t occurrence = 0;
-        std::uint32_t step = 0;
-        JobRank rank;
-        /** For a filling step: the maximum expected number of serving tasks on the chosen worker
-            that exceed their tail latency target. */
-        double riskAllowed = 0.0;
-    };
-
     // WorkerManager::Listener
     Run adoptRun(const Worker &worker, const ListedRun &listed) override;
     std::uint64_t runEnded(const Worker &worker, const Run *run, const ListedEnd &end) override;
@@ -146,25 +139,27 @@
     void moveUnhealthyRuns(Instant now);
     milliseconds typicalDuration(const JobEntry &job, const TaskRef &task) const;
     void recordDuration(JobEntry &job, const Run &run);
-    void plan(Instant now);
-    void planRound(Instant now);
-    bool mayStartMore() const;
-    std::vector<Candidate> candidates(Instant now);
-    /** Adds the steps of a job that have tasks to start.
+    void plan(PlanLane &lane, Instant now);
+    void planRound(PlanLane &lane, Instant now);
+    void planCandidate(PlanLane &lane, const PlanCandidate &candidate, Instant now);
+    bool mayStartMore(const PlanLane &lane) const;
+    void rankWaiting(PlanLane &lane, Instant now);
+    /** Adds the steps of a job that have tasks to start to the queue of a lane.
         @returns whether the job has such a step, or an occurrence that is not due yet */
-    bool addCandidates(JobEntry &job, Instant since, Instant now, std::vector<Candidate> &list);
+    bool addCandidates(PlanLane &lane, JobEntry &job, Instant since, Instant now);
     /** Returns the time since a job was accepted, or, for a job with a schedule, since an
        occurrence was due; negative before that. */
     Duration ageOf(const JobEntry &job, std::uint32_t occurrence, Instant now) const;
     WaitingJob describeWaiting(const JobEntry &job, std::uint32_t occurrence, Instant since,
                                Instant now) const;
-    bool planStep(const Candidate &candidate, Instant now);
-    bool planGang(const Candidate &candidate, Instant now);
+    bool planStep(const PlanLane &lane, const PlanCandidate &candidate, Instant now);
+    bool planGang(const PlanCandidate &candidate, Instant now);
     void startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt);
-    TaskRequest makeTaskRequest(const Candidate &candidate);
+    TaskRequest makeTaskRequest(const PlanCandidate &candidate);
     std::uint64_t nextAttempt(const StepTask &task) const;
     bool previousRunsSettled(const JobEntry &job, Instant now);
     void markWaiting(const JobId &job);
+    void clearLanes();
     void stopRuns(const JobEntry &job, std::string_view reason);
     void stopRun(const Worker &worker, Run &run, std::string_view reason);
     Run describeRun(const JobEntry &job, const AttemptRef &attempt) const;
@@ -192,7 +187,6 @@
     bool isActive = false;
     bool previousOwnerSettled = false;
     Instant nextMaintenance {};
-    Instant nextPlan {};
     /** The counters of load(). */
     DispatchLoad counters;
     /** The newest roster: the list of the workers that may hold tasks. */
@@ -201,8 +195,8 @@
     std::set<TargetId> sentRoster;
     /** The roster that is persisted. */
     std::set<TargetId> recordedRoster;
-    /** Jobs that may have tasks to start, with the time since when. */
-    std::map<JobId, Instant> waiting;
+    /** The planning of the steps that reserve processors, then of those that fill. */
+    std::array<PlanLane, 2> lanes;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
@@ -23,13 +23,6 @@
 constexpr double maxRiskOfDeferrableFill = 0.5;
 constexpr double maxRiskOfUrgentFill = 0.9;
 
-/** Maximum number of unanswered start requests. With more, requests would queue behind each other
-    and time out. */
-constexpr std::uint32_t maxStartsInFlight = 160;
-
-/** Planning takes at most 1/planningTimeDivisor of the owner's time. */
-constexpr int planningTimeDivisor = 4;
-
 } // namespace
 
 bool Dispatcher::previousRunsSettled(const JobEntry &job, Instant now)
@@ -73,55 +66,58 @@
     return waitingJob;
 }
 
-std::vector<Dispatcher::Candidate> Dispatcher::candidates(Instant now)
+void Dispatcher::rankWaiting(PlanLane &lane, Instant now)
 {
-    std::vector<Candidate> list;
-    for (auto at = this->waiting.begin(); at != this->waiting.end();) {
+    lane.queue.clear();
+    lane.next = 0;
+    lane.unplaced.clear();
+    lane.unplacedCount = 0;
+    for (auto at = lane.waiting.begin(); at != lane.waiting.end();) {
         JobEntry *job = this->jobTable.find(at->first);
         const bool open = job != nullptr && !job->hasEnded()
                 && (!this->previousRunsSettled(*job, now)
-                    || this->addCandidates(*job, at->second, now, list));
-        at = open ? std::next(at) : this->waiting.erase(at);
+                    || this->addCandidates(lane, *job, at->second, now));
+        at = open ? std::next(at) : lane.waiting.erase(at);
     }
-    std::stable_sort(list.begin(), list.end(),
-                     [](const Candidate &a, const Candidate &b) { return a.rank < b.rank; });
-    return list;
+    std::stable_sort(
+            lane.queue.begin(), lane.queue.end(),
+            [](const PlanCandidate &a, const PlanCandidate &b) { return a.rank < b.rank; });
+    lane.nextRanking = now + lane.limits.rankInterval;
 }
 
-bool Dispatcher::addCandidates(JobEntry &job, Instant since, Instant now,
-                               std::vector<Candidate> &list)
+bool Dispatcher::addCandidates(PlanLane &lane, JobEntry &job, Instant since, Instant now)
 {
-    const std::size_t before = list.size();
+    const std::size_t before = lane.queue.size();
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
         if (job.spec.timed && this->ageOf(job, occurrence, now) < Duration::zero()) {
             return true;
         }
-        const std::size_t first = list.size();
+        const std::size_t first = lane.queue.size();
         const OccurrenceState &state = job.occurrences[occurrence];
         for (std::uint32_t step = 0; step < state.steps.size(); ++step) {
             const std::vector<StepTask> &tasks = state.steps[step].tasks;
-            const bool open = std::any_of(tasks.begin(), tasks.end(), [](const StepTask &task) {
-                return !task.succeeded && task.openRuns == 0;
-            });
+            const bool open = job.spec.steps[step].fills == lane.fills
+                    && std::any_of(tasks.begin(), tasks.end(), [](const StepTask &task) {
+                                  return !task.succeeded && task.openRuns == 0;
+                              });
             if (open && job.dependenciesMet(occurrence, step)) {
-                list.push_back({ &job, occurrence, step, {}, 0.0 });
+                lane.queue.push_back({ &job, occurrence, step, {}, 0.0 });
             }
         }
-        if (list.size() == first) {
+        if (lane.queue.size() == first) {
             continue;
         }
         const WaitingJob described = this->describeWaiting(job, occurrence, since, now);
         const double risk = isUrgent(described) ? maxRiskOfUrgentFill : maxRiskOfDeferrableFill;
-        for (auto added = list.begin() + static_cast<std::ptrdiff_t>(first); added != list.end();
-             ++added) {
-            added->rank = rankOf(described);
-            added->riskAllowed = risk;
+        for (std::size_t added = first; added < lane.queue.size(); ++added) {
+            lane.queue[added].rank = rankOf(described);
+            lane.queue[added].riskAllowed = risk;
         }
     }
-    return list.size() > before;
+    return lane.queue.size() > before;
 }
 
-TaskRequest Dispatcher::makeTaskRequest(const Candidate &candidate)
+TaskRequest Dispatcher::makeTaskRequest(const PlanCandidate &candidate)
 {
     TaskRequest request;
     request.step = &candidate.job->spec.steps[candidate.step];
@@ -175,7 +171,7 @@
     this->workerManager.start(worker, run, job.spec, task.checkpoint);
 }
 
-bool Dispatcher::planStep(const Candidate &candidate, Instant now)
+bool Dispatcher::planStep(const PlanLane &lane, const PlanCandidate &candidate, Instant now)
 {
     JobEntry &job = *candidate.job;
     TaskRequest request = this->makeTaskRequest(candidate);
@@ -188,7 +184,7 @@
         if (task.succeeded || task.openRuns > 0) {
             continue;
         }
-        if (!this->mayStartMore()) {
+        if (!this->mayStartMore(lane)) {
             return true;
         }
         request.failedOn = task.failedOn;
@@ -212,7 +208,7 @@
     return true;
 }
 
-bool Dispatcher::planGang(const Candidate &candidate, Instant now)
+bool Dispatcher::planGang(const PlanCandidate &candidate, Instant now)
 {
     JobEntry &job = *candidate.job;
     TaskRequest request = this->makeTaskRequest(candidate);
@@ -255,48 +251,60 @@
     return true;
 }
 
-bool Dispatcher::mayStartMore() const
+bool Dispatcher::mayStartMore(const PlanLane &lane) const
 {
-    return this->workerManager.startsInFlight() < maxStartsInFlight;
+    return this->workerManager.startsInFlight(lane.fills) < lane.limits.maxOpenStarts;
 }
 
-void Dispatcher::plan(Instant now)
+void Dispatcher::plan(PlanLane &lane, Instant now)
 {
-    if (now < this->nextPlan || !this->mayStartMore()) {
+    if (now < lane.nextRound || !this->mayStartMore(lane)) {
         return;
     }
-    this->planRound(now);
+    const Instant begin = this->clock.now();
+    this->planRound(lane, now);
     const Instant done = this->clock.now();
     ++this->counters.planningRounds;
-    this->counters.planningTime += done - now;
-    this->nextPlan = done + (done - now) * (planningTimeDivisor - 1);
+    this->counters.planningTime += done - begin;
+    lane.nextRound = done + (done - begin) * (lane.limits.timeDivisor - 1);
 }
 
-void Dispatcher::planRound(Instant now)
+void Dispatcher::planRound(PlanLane &lane, Instant now)
 {
-    // Steps that could not be placed in this round rule out steps that need as much or more.
-    std::vector<UnplacedStep> unplaced;
-    this->counters.unplacedSteps = 0;
-    for (const Candidate &candidate : this->candidates(now)) {
-        const StepSpec &step = candidate.job->spec.steps[candidate.step];
-        const bool ruledOut =
-                std::any_of(unplaced.begin(), unplaced.end(), [&](const UnplacedStep &each) {
-                    return each.rulesOut(step, candidate.riskAllowed);
-                });
-        if (ruledOut) {
-            ++this->counters.unplacedSteps;
-            continue;
-        }
-        if (!this->mayStartMore()) {
+    if (now >= lane.nextRanking) {
+        this->rankWaiting(lane, now);
+    }
+    const Instant end = this->clock.now() + lane.limits.maxRound;
+    while (lane.next < lane.queue.size() && this->clock.now() < end) {
+        this->planCandidate(lane, lane.queue[lane.next], now);
+        if (!this->mayStartMore(lane)) {
+            // The step may have tasks left, so the next round begins with it.
             return;
         }
-        const bool placed =
-                step.gang ? this->planGang(candidate, now) : this->planStep(candidate, now);
-        this->counters.unplacedSteps += placed ? 0 : 1;
-        const bool constrained = step.maxPerWorker > 0 || !step.requiredLabel.empty() || step.gang;
-        if (!placed && !constrained) {
-            unplaced.push_back({ &step, candidate.riskAllowed });
-        }
+        ++lane.next;
+    }
+}
+
+void Dispatcher::planCandidate(PlanLane &lane, const PlanCandidate &candidate, Instant now)
+{
+    const StepSpec &step = candidate.spec();
+    const bool ruledOut =
+            std::any_of(lane.unplaced.begin(), lane.unplaced.end(), [&](const UnplacedStep &each) {
+                return each.rulesOut(step, candidate.riskAllowed);
+            });
+    if (candidate.job->hasEnded()) {
+        return;
+    }
+    if (ruledOut) {
+        ++lane.unplacedCount;
+        return;
+    }
+    const bool placed =
+            step.gang ? this->planGang(candidate, now) : this->planStep(lane, candidate, now);
+    lane.unplacedCount += placed ? 0 : 1;
+    const bool constrained = step.maxPerWorker > 0 || !step.requiredLabel.empty() || step.gang;
+    if (!placed && !constrained) {
+        lane.unplaced.push_back({ &step, candidate.riskAllowed });
     }
 }
 
--- /dev/null
+++ b/modules/bulrush_steps/dispatch/PlanLane.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "bulrush_steps/model/StepJobTable.h"
+#include "bulrush_steps/policy/JobRank.h"
+#include "bulrush_steps/policy/StepPlacement.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace bulrush {
+
+/** A step of a job that has tasks to start. */
+struct PlanCandidate
+{
+    JobEntry *job = nullptr;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    JobRank rank;
+    /** For a filling step: the maximum expected number of serving tasks on the chosen worker that
+        exceed their tail latency target. */
+    double riskAllowed = 0.0;
+
+    const StepSpec &spec() const { return this->job->spec.steps[this->step]; }
+};
+
+/** The limits of a PlanLane. */
+struct PlanLimits
+{
+    /** Maximum number of unanswered start requests. */
+    std::uint32_t maxOpenStarts = 0;
+    /** Planning takes at most 1/timeDivisor of the owner's time. */
+    int timeDivisor = 1;
+    /** A round of planning ends when it has taken this long. */
+    milliseconds maxRound { 0 };
+    /** How long the steps keep their order before they are ranked anew. */
+    milliseconds rankInterval { 0 };
+};
+
+/**
+    The planning of one kind of steps: those that reserve processors, or those that fill.
+
+    The two kinds do not compete for processors of the workers, so neither waits for the other's
+   turn to be planned or for its unanswered start requests.
+*/
+struct PlanLane
+{
+    /** Whether the lane plans filling steps. */
+    bool fills = false;
+    PlanLimits limits;
+
+    /** Jobs that may have tasks to start, with the time since when. */
+    std::map<JobId, Instant> waiting;
+    /** The steps that have tasks to start, in the order of their ranks. */
+    std::vector<PlanCandidate> queue;
+    /** Position of the next step of the queue to plan. */
+    std::size_t next = 0;
+    /** Steps of the queue for which no worker was found. They rule out steps that need as much or
+        more. */
+    std::vector<UnplacedStep> unplaced;
+    /** The number of steps of the queue that found no worker or were ruled out. */
+    std::size_t unplacedCount = 0;
+    Instant nextRanking {};
+    Instant nextRound {};
+
+    /** Discards all jobs and steps. */
+    void clear()
+    {
+        this->waiting.clear();
+        this->queue.clear();
+        this->next = 0;
+        this->unplaced.clear();
+        this->unplacedCount = 0;
+        this->nextRanking = Instant();
+        this->nextRound = Instant();
+    }
+};
+
+} // namespace bulrush
--- a/modules/bulrush_steps/tests/FakeWorkers.h
+++ b/modules/bulrush_steps/tests/FakeWorkers.h
@@ -51,6 +51,9 @@
     {
         FakeWorker &fake = this->workers[worker.worker];
         this->starts.push_back({ worker.worker, order.attempt });
+        if (this->onStart) {
+            this->onStart();
+        }
         if (fake.silent) {
             this->enqueue([callback] { callback({ CommandOutcome::Unknown, {} }); });
             return;
@@ -140,6 +143,8 @@
 
     std::map<TargetId, FakeWorker> workers;
     std::vector<SentStart> starts;
+    /** Called for each start order, for example to let time pass that the order takes. */
+    std::function<void()> onStart;
     /** Whether a hold is evaluated when its answer is delivered instead of when it is sent, like a
         hold that waits at its worker before it is answered. */
     bool evaluatesHoldsOnDelivery = false;
--- a/modules/bulrush_steps/tests/planning_test.cpp
+++ b/modules/bulrush_steps/tests/planning_test.cpp
@@ -9,6 +9,9 @@
 
 constexpr milliseconds taskDuration { 500 };
 
+/** How long the owner is busy with one start request. */
+constexpr microseconds processorTimeOfAStart { 400 };
+
 /** Makes a job of consecutive steps, each with a number of tasks. */
 StepJob makeSteps(const char *id, std::uint32_t steps, std::uint32_t tasks)
 {
@@ -106,3 +109,33 @@
             [](const auto &each) { return each.attempt.task.job == JobId("scheduled"); });
     cr_assert_eq(started, 2);
 }
+
+/* A backlog of filling tasks took up the rounds of planning and the open start requests, so each
+   step of a latency-critical job waited for the next round. */
+Test(Planning, aBacklogOfFillingTasksDoesNotDelayTheStartsOfALatencyCriticalJob)
+{
+
+    DispatcherFixture fixture;
+    fixture.workers.onStart = [&fixture] { fixture.clock.advance(processorTimeOfAStart); };
+    fixture.begin({});
+    for (int number = 0; number < 100; ++number) {
+        fixture.listWorker(("w" + std::to_string(number)).c_str());
+    }
+    fixture.runFor(milliseconds(100));
+    for (int number = 0; number < 60; ++number) {
+        StepJob batch = makeJob(("batch" + std::to_string(number)).c_str(), 40);
+        batch.priority = 2;
+        batch.slackFactor = 100.0;
+        batch.steps[0].fills = true;
+        submit(fixture, batch);
+    }
+    runWithEndingTasks(fixture, milliseconds(500));
+    const StepJob check = makeSteps("check", 4, 20);
+    submit(fixture, check);
+    runWithEndingTasks(fixture, seconds(5));
+    const JobEntry &entry = *fixture.dispatcher.jobs().find(JobId("check"));
+    cr_assert(entry.succeeded);
+    const milliseconds waited = duration_cast<milliseconds>(entry.startWait());
+    cr_assert_leq(waited.count(), check.latencyTarget.count(), "its starts waited for %d ms",
+                  static_cast<int>(waited.count()));
+}
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -57,6 +57,7 @@
     this->alive = std::make_shared<bool>(true);
     this->workerTable.clear();
     this->unansweredStarts = 0;
+    this->unansweredFillStarts = 0;
 }
 
 Worker *WorkerManager::find(const TargetId &worker)
@@ -371,13 +372,15 @@
     run.commandInFlight = true;
     const AttemptRef attempt = run.attempt;
     ++worker.commandsInFlight;
-    ++this->unansweredStarts;
+    std::uint32_t &unanswered =
+            run.fillCpuMilli > 0 ? this->unansweredFillStarts : this->unansweredStarts;
+    ++unanswered;
     this->addRun(worker, std::move(run));
     this->port.start(worker.address, command, commandTimeout,
-                     [this, id = worker.entry.worker, attempt,
+                     [this, id = worker.entry.worker, attempt, &unanswered,
                       isAlive = this->alive](const CommandAnswer &answer) {
                          if (*isAlive) {
-                             --this->unansweredStarts;
+                             --unanswered;
                              this->handleStartAnswer(id, attempt, answer);
                          }
                      });
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -85,8 +85,11 @@
     /** Sets the share of processor time that a run may use. */
     void pace(Worker &worker, Run &run, std::uint32_t percent);
 
-    /** Returns the number of unanswered start requests. */
-    std::uint32_t startsInFlight() const { return this->unansweredStarts; }
+    /** Returns the number of unanswered start requests of filling tasks, or of all others. */
+    std::uint32_t startsInFlight(bool fills) const
+    {
+        return fills ? this->unansweredFillStarts : this->unansweredStarts;
+    }
 
     std::map<TargetId, Worker> &workers() { return this->workerTable; }
     const std::map<TargetId, Worker> &workers() const { return this->workerTable; }
@@ -123,6 +126,7 @@
     std::uint64_t fencingToken = 0;
     std::map<TargetId, Worker> workerTable;
     std::uint32_t unansweredStarts = 0;
+    std::uint32_t unansweredFillStarts = 0;
     /** Shared with the callbacks of requests; set to false by end() and on destruction, so that
         late answers are ignored. */
     std::shared_ptr<bool> alive;
