Keep the processors that filling runs of a worker demand as a sum

Worker now adds and removes runs itself and keeps the sum.

The bench now reports what filling tasks use; with a use of 0 it took all workers for full.

--- a/bench/dispatch/BenchWorkers.cpp
+++ b/bench/dispatch/BenchWorkers.cpp
@@ -12,6 +12,9 @@
 /** Tail latency that lasting tasks report, in milliseconds. */
 constexpr double lastingTaskTailMs = 18.0;
 
+/** Processors that any other task uses, in thousandths. */
+constexpr double taskLoadMilli = 7000.0;
+
 constexpr std::uint32_t fullPercent = 100;
 
 } // namespace
@@ -47,7 +50,7 @@
     running.listed.attempt = order.attempt;
     running.startedAt = this->clock.now();
     running.runTime = this->runTimeOf(order.attempt);
-    running.listed.load = running.runTime ? 0.0 : lastingTaskTailMs;
+    running.listed.load = running.runTime ? taskLoadMilli : lastingTaskTailMs;
     if (running.runTime) {
         this->schedule(*running.runTime, [this, name = worker.worker, attempt = order.attempt] {
             this->endRun(name, attempt, EndKind::Succeeded);
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -97,7 +97,7 @@
     if (remainingMemory < reservedMemoryShare * memory) {
         return std::nullopt;
     }
-    const double unused = worker.availableFillCpuMilli - static_cast<double>(worker.fillDemand());
+    const double unused = worker.availableFillCpuMilli - static_cast<double>(worker.fillDemandMilli);
     if (unused < minUnusedShare * static_cast<double>(step.size.cpuMilli)) {
         return std::nullopt;
     }
--- a/modules/bulrush_steps/tests/policy_test.cpp
+++ b/modules/bulrush_steps/tests/policy_test.cpp
@@ -54,8 +54,7 @@
     worker.onRoster = true;
     worker.availableFillCpuMilli = 64000;
     for (const Run &run : runs) {
-        worker.committed += run.size;
-        worker.runs.emplace(run.attempt, run);
+        worker.addRun(run);
     }
     return worker;
 }
@@ -276,7 +275,7 @@
     while (placed < tasks && placement.choose(workers, request) != nullptr) {
         Run run = makeFillingRun("large", "heavy", 0);
         run.attempt.task.index = ++placed;
-        worker.runs.emplace(run.attempt, run);
+        worker.addRun(run);
     }
     cr_assert_leq(placed, 2U, "%u were placed", placed);
 }
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace bulrush {
 
@@ -89,9 +90,12 @@
     std::uint64_t acknowledgedEnds = 0;
     std::uint32_t failedHolds = 0;
 
+    /** Changed through addRun(), removeRun() and clearRuns(), which keep the sums below. */
     std::map<AttemptRef, Run> runs;
-    /** Sum of the resources reserved by all runs. Backfill tasks reserve no processors. */
+    /** Sum of the resources reserved by all runs. Filling tasks reserve no processors. */
     ResourceVector committed;
+    /** Sum of the processors that filling tasks request, in thousandths. */
+    std::int64_t fillDemandMilli = 0;
     /** Estimate of the processors available to filling tasks, in thousandths. */
     double availableFillCpuMilli = 0.0;
     std::uint32_t commandsInFlight = 0;
@@ -106,14 +110,33 @@
     /** Failed runs since the last successful one. */
     std::uint32_t consecutiveFailures = 0;
 
-    /** Returns the sum of the processors that filling tasks request, in thousandths. */
-    std::int64_t fillDemand() const
+    /** Adds a run and counts its demands. */
+    void addRun(Run run)
     {
-        std::int64_t sum = 0;
-        for (const auto &[attempt, run] : this->runs) {
-            sum += run.fillCpuMilli;
+        this->committed += run.size;
+        this->fillDemandMilli += run.fillCpuMilli;
+        const AttemptRef attempt = run.attempt;
+        this->runs.emplace(attempt, std::move(run));
+    }
+
+    /** Removes a run, if there is one, and its demands. */
+    void removeRun(const AttemptRef &attempt)
+    {
+        const auto found = this->runs.find(attempt);
+        if (found == this->runs.end()) {
+            return;
         }
-        return sum;
+        this->committed -= found->second.size;
+        this->fillDemandMilli -= found->second.fillCpuMilli;
+        this->runs.erase(found);
+    }
+
+    /** Removes and returns all runs. */
+    std::map<AttemptRef, Run> clearRuns()
+    {
+        this->committed = ResourceVector();
+        this->fillDemandMilli = 0;
+        return std::exchange(this->runs, {});
     }
 
     /** Returns a number of processors, in thousandths, as a share of the worker's processors. */
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -274,7 +274,7 @@
     worker.acknowledgedEnds = 0;
     worker.clock.reset();
     for (const Run &run : lost) {
-        this->removeRun(worker, run.attempt);
+        worker.removeRun(run.attempt);
         this->listener.runLost(worker, run, "the worker's process restarted");
     }
 }
@@ -296,7 +296,7 @@
         }
         const std::uint64_t change = this->listener.runEnded(worker, run, end);
         worker.processedChange = std::max(worker.processedChange, change);
-        this->removeRun(worker, end.attempt);
+        worker.removeRun(end.attempt);
     }
 }
 
@@ -312,7 +312,7 @@
             adopted.phase = RunPhase::Running;
             adopted.confirmedAt = now;
             adopted.progressedAt = now;
-            this->addRun(worker, std::move(adopted));
+            worker.addRun(std::move(adopted));
             found = worker.runs.find(each.attempt);
         }
         Run &run = found->second;
@@ -335,7 +335,7 @@
         }
     }
     for (const Run &run : lost) {
-        this->removeRun(worker, run.attempt);
+        worker.removeRun(run.attempt);
         this->listener.runLost(worker, run, "not listed by the worker");
     }
 }
@@ -349,10 +349,7 @@
     if (!expiredAt || this->clock.now() < *expiredAt) {
         return;
     }
-    const std::map<AttemptRef, Run> lost = std::move(worker.runs);
-    worker.runs.clear();
-    worker.committed = ResourceVector();
-    for (const auto &[attempt, run] : lost) {
+    for (const auto &[attempt, run] : worker.clearRuns()) {
         this->listener.runLost(worker, run, "lease expired");
     }
 }
@@ -375,7 +372,7 @@
     std::uint32_t &unanswered =
             run.fillCpuMilli > 0 ? this->unansweredFillStarts : this->unansweredStarts;
     ++unanswered;
-    this->addRun(worker, std::move(run));
+    worker.addRun(std::move(run));
     this->port.start(worker.address, command, commandTimeout,
                      [this, id = worker.entry.worker, attempt, &unanswered,
                       isAlive = this->alive](const CommandAnswer &answer) {
@@ -427,7 +424,7 @@
         return;
     }
     const Run refused = run;
-    this->removeRun(*worker, attempt);
+    worker->removeRun(attempt);
     worker->avoidUntil = now + refusalPause;
     this->listener.startRefused(*worker, refused, answer.outcome);
 }
@@ -504,22 +501,6 @@
                     });
 }
 
-void WorkerManager::addRun(Worker &worker, Run run)
-{
-    worker.committed += run.size;
-    worker.runs.emplace(run.attempt, std::move(run));
-}
-
-void WorkerManager::removeRun(Worker &worker, const AttemptRef &attempt)
-{
-    const auto found = worker.runs.find(attempt);
-    if (found == worker.runs.end()) {
-        return;
-    }
-    worker.committed -= found->second.size;
-    worker.runs.erase(found);
-}
-
 void WorkerManager::forEachRun(const JobId &job, const std::function<void(Worker &, Run &)> &visit)
 {
     for (auto &[id, worker] : this->workerTable) {
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -112,8 +112,6 @@
                           const CommandAnswer &answer);
     void sendStop(Worker &worker, Run &run);
     void dropExpiredRuns(Worker &worker);
-    void addRun(Worker &worker, Run run);
-    void removeRun(Worker &worker, const AttemptRef &attempt);
     std::optional<WorkerMillis> leaseEnd(Worker &worker);
     milliseconds holdWait(const Worker &worker) const;
     bool holdIsDue(const Worker &worker, Instant now) const;
