Compute the impact on serving tasks only for workers that may be the best

What callers saw: batch jobs, the large ones first, were done late or not at all on the grown sites while workers had room; before the lanes were apart they held up the short checks with them (SHORT in the users' report).

Cause: to place a filling step, the owner computed the impact on the serving tasks of every worker: for each it read all runs and looked up images by name several times.

Change: a bound without that impact is computed for each worker; the impact only of those whose bound is the best, until the best score is exact, so the choice is the same. The expected pressure on a worker's serving runs is kept for 100 ms or until its runs or reports change, and images are addressed by number.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -463,6 +463,7 @@
             continue;
         }
         worker.observedAt = now;
+        worker.servingPressures.reset();
         worker.availableFillCpuMilli = FillController::unusedProcessors(worker, now);
         this->fillControl.observe(worker, now);
         if (FillController::exceedsTailTarget(worker)) {
--- a/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
@@ -189,7 +189,7 @@
         }
         request.failedOn = task.failedOn;
         Worker *worker = task.failedOn.empty()
-                ? stepPlacement.choose()
+                ? stepPlacement.choose(request)
                 : placement.choose(this->workerManager.workers(), request);
         if (worker == nullptr) {
             return false;
@@ -202,7 +202,7 @@
         if (rackChosen) {
             stepPlacement = StepPlacement(placement, this->workerManager.workers(), request);
         } else {
-            stepPlacement.updateScore(*worker, request);
+            stepPlacement.update(*worker, request);
         }
     }
     return true;
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -17,6 +17,9 @@
     worker. */
 constexpr milliseconds riskHorizon { 1000 };
 
+/** How long the expected pressure on a worker's serving tasks is used again. */
+constexpr milliseconds maxPressureAge { 100 };
+
 /** Penalty for each unit of pressure that is added to serving tasks. Workers whose serving tasks
     are sensitive to the task's image stay available to filling tasks of images that do not slow
     them. */
@@ -49,10 +52,19 @@
     return worker.shareOf(static_cast<double>(step.size.cpuMilli));
 }
 
-double Placement::fillRisk(const Worker &worker, const StepSpec &step) const
+double Placement::unusedFor(const Worker &worker)
+{
+    return worker.availableFillCpuMilli - static_cast<double>(worker.fillDemandMilli);
+}
+
+FillImpact Placement::fillImpact(Worker &worker, const StepSpec &step) const
 {
-    return this->pressures.expectedOverTarget(worker, step.image, shareOf(worker, step),
-                                              this->now + riskHorizon);
+    const bool stale = this->now - worker.servingPressuresAt > maxPressureAge;
+    if (!worker.servingPressures || stale) {
+        worker.servingPressures = this->pressures.servingPressures(worker, this->now + riskHorizon);
+        worker.servingPressuresAt = this->now;
+    }
+    return this->pressures.impactOf(*worker.servingPressures, step.image, shareOf(worker, step));
 }
 
 bool Placement::isEligible(const Worker &worker, const TaskRequest &request)
@@ -86,28 +98,12 @@
     return usable && hasCapacity(worker, request) && isEligible(worker, request);
 }
 
-std::optional<double> Placement::fillScore(const Worker &worker, const TaskRequest &request) const
+bool Placement::hasFillCapacity(const Worker &worker, const StepSpec &step) const
 {
-    const StepSpec &step = *request.step;
-    if (this->now < worker.fillsBlockedUntil) {
-        return std::nullopt;
-    }
     const auto memory = static_cast<double>(worker.entry.capacity.memoryMb);
     const auto remainingMemory = static_cast<double>(worker.free().memoryMb - step.size.memoryMb);
-    if (remainingMemory < reservedMemoryShare * memory) {
-        return std::nullopt;
-    }
-    const double unused = worker.availableFillCpuMilli - static_cast<double>(worker.fillDemandMilli);
-    if (unused < minUnusedShare * static_cast<double>(step.size.cpuMilli)) {
-        return std::nullopt;
-    }
-    const double risk = this->fillRisk(worker, step);
-    if (risk > request.riskAllowed) {
-        return std::nullopt;
-    }
-    const double pressure =
-            this->pressures.addedPressure(worker, step.image, shareOf(worker, step));
-    return worker.shareOf(unused) - riskWeight * risk - pressureWeight * pressure;
+    return this->now >= worker.fillsBlockedUntil && remainingMemory >= reservedMemoryShare * memory
+            && unusedFor(worker) >= minUnusedShare * static_cast<double>(step.size.cpuMilli);
 }
 
 double Placement::commonScore(const Worker &worker, const TaskRequest &request)
@@ -130,7 +126,7 @@
     return failedHere ? score - previousFailurePenalty : score;
 }
 
-std::optional<double> Placement::scoreOf(const Worker &worker, const TaskRequest &request) const
+std::optional<double> Placement::scoreBound(const Worker &worker, const TaskRequest &request) const
 {
     if (!this->canAcceptNow(worker, request)) {
         return std::nullopt;
@@ -141,8 +137,23 @@
         return commonScore(worker, request)
                 - worker.shareOf(static_cast<double>(worker.free().cpuMilli));
     }
-    const std::optional<double> score = this->fillScore(worker, request);
-    return score ? std::optional(*score + commonScore(worker, request)) : std::nullopt;
+    if (!this->hasFillCapacity(worker, *request.step)) {
+        return std::nullopt;
+    }
+    return commonScore(worker, request) + worker.shareOf(unusedFor(worker));
+}
+
+std::optional<double> Placement::scoreOf(Worker &worker, const TaskRequest &request) const
+{
+    const std::optional<double> bound = this->scoreBound(worker, request);
+    if (!bound || !request.step->fills) {
+        return bound;
+    }
+    const FillImpact impact = this->fillImpact(worker, *request.step);
+    if (impact.overTarget > request.riskAllowed) {
+        return std::nullopt;
+    }
+    return *bound - riskWeight * impact.overTarget - pressureWeight * impact.addedPressure;
 }
 
 Worker *Placement::choose(std::map<TargetId, Worker> &workers, const TaskRequest &request) const
--- a/modules/bulrush_steps/policy/Placement.h
+++ b/modules/bulrush_steps/policy/Placement.h
@@ -48,17 +48,23 @@
 
     /** Returns the score of a worker for a task, where higher is better; none when the worker
         cannot accept it now. */
-    std::optional<double> scoreOf(const Worker &worker, const TaskRequest &request) const;
+    std::optional<double> scoreOf(Worker &worker, const TaskRequest &request) const;
+
+    /** Returns a score that the worker's score does not exceed; none when the worker certainly
+        cannot accept the task now. It leaves out the impact on serving tasks, which takes longer to
+        compute than all else. */
+    std::optional<double> scoreBound(const Worker &worker, const TaskRequest &request) const;
 
     /** Returns whether the worker could run the task if it were otherwise empty. */
     static bool isEligible(const Worker &worker, const TaskRequest &request);
 
 private:
     static double shareOf(const Worker &worker, const StepSpec &step);
-    double fillRisk(const Worker &worker, const StepSpec &step) const;
+    FillImpact fillImpact(Worker &worker, const StepSpec &step) const;
+    static double unusedFor(const Worker &worker);
     static bool hasCapacity(const Worker &worker, const TaskRequest &request);
     bool canAcceptNow(const Worker &worker, const TaskRequest &request) const;
-    std::optional<double> fillScore(const Worker &worker, const TaskRequest &request) const;
+    bool hasFillCapacity(const Worker &worker, const StepSpec &step) const;
     static double commonScore(const Worker &worker, const TaskRequest &request);
 
     Instant now;
--- a/modules/bulrush_steps/policy/PressureModel.cpp
+++ b/modules/bulrush_steps/policy/PressureModel.cpp
@@ -47,35 +47,45 @@
     return worker.shareOf(static_cast<double>(fill.fillCpuMilli) * fill.pacePercent / 100.0);
 }
 
-double PressureModel::coefficient(const std::string &fillImage,
-                                  const std::string &servingImage) const
+const PressureModel::Serving *PressureModel::findImage(const std::string &image) const
+{
+    const auto found = this->imageNumbers.find(image);
+    return found == this->imageNumbers.end() ? nullptr : &this->images[found->second];
+}
+
+double PressureModel::coefficientOf(const Serving *serving, const std::string &fillImage)
 {
-    const auto serving = this->images.find(servingImage);
-    if (serving == this->images.end()) {
+    if (serving == nullptr) {
         return Coefficient().value;
     }
-    const auto found = serving->second.byFill.find(fillImage);
-    return found == serving->second.byFill.end() ? Coefficient().value : found->second.value;
+    const auto found = serving->byFill.find(fillImage);
+    return found == serving->byFill.end() ? Coefficient().value : found->second.value;
+}
+
+double PressureModel::coefficient(const std::string &fillImage,
+                                  const std::string &servingImage) const
+{
+    return coefficientOf(this->findImage(servingImage), fillImage);
 }
 
 double PressureModel::pressure(const Run &serving) const
 {
-    const auto found = this->images.find(serving.image);
-    if (serving.load <= 0.0 || found == this->images.end() || found->second.idleTail <= 0.0) {
+    const Serving *image = this->findImage(serving.image);
+    if (serving.load <= 0.0 || image == nullptr || image->idleTail <= 0.0) {
         return defaultPressure;
     }
-    const double idle = found->second.idleTail;
+    const double idle = image->idleTail;
     return 1.0 - idle / std::max(idle, serving.load);
 }
 
 double PressureModel::pressureAtTarget(const Run &serving) const
 {
-    const auto found = this->images.find(serving.image);
+    const Serving *image = this->findImage(serving.image);
     const auto target = static_cast<double>(serving.tailTarget.count());
-    if (found == this->images.end() || found->second.idleTail <= 0.0 || target <= 0.0) {
+    if (image == nullptr || image->idleTail <= 0.0 || target <= 0.0) {
         return 1.0;
     }
-    return std::max(0.0, 1.0 - found->second.idleTail / target);
+    return std::max(0.0, 1.0 - image->idleTail / target);
 }
 
 double PressureModel::expectedLoad(const Run &serving, Instant moment) const
@@ -96,41 +106,44 @@
     return expected;
 }
 
-double PressureModel::overTargetProbability(const Run &serving, double pressure,
-                                            Instant moment) const
-{
-    const auto image = this->images.find(serving.image);
-    const auto load = this->loads.find(serving.attempt.task.job);
-    double variance = image == this->images.end() ? Serving().variance : image->second.variance;
-    variance += (load == this->loads.end() ? LoadTrend() : load->second).varianceAt(moment);
-    const double deviations = (pressure - this->pressureAtTarget(serving)) / std::sqrt(variance);
-    return std::erfc(-deviations / std::numbers::sqrt2) / 2.0;
-}
-
-double PressureModel::expectedOverTarget(const Worker &worker, const std::string &fillImage,
-                                         double share, Instant moment) const
+std::vector<ServingPressure> PressureModel::servingPressures(const Worker &worker,
+                                                             Instant moment) const
 {
-    double expectedCount = 0.0;
+    std::vector<ServingPressure> list;
     for (const auto &[attempt, run] : worker.runs) {
-        const double added = this->coefficient(fillImage, run.image) * share;
-        if (run.tailTarget.count() > 0 && added > negligiblePressure) {
-            const double expected = this->expectedPressure(worker, run, moment);
-            expectedCount += this->overTargetProbability(run, expected + added, moment);
+        if (run.tailTarget.count() == 0) {
+            continue;
         }
+        const auto number = this->imageNumbers.find(run.image);
+        const bool known = number != this->imageNumbers.end();
+        const auto load = this->loads.find(run.attempt.task.job);
+        const double variance = (known ? this->images[number->second] : Serving()).variance
+                + (load == this->loads.end() ? LoadTrend() : load->second).varianceAt(moment);
+        ServingPressure serving;
+        serving.image = known ? std::optional(number->second) : std::nullopt;
+        serving.expected = this->expectedPressure(worker, run, moment);
+        serving.standardDeviation = std::sqrt(variance);
+        serving.atTarget = this->pressureAtTarget(run);
+        list.push_back(serving);
     }
-    return expectedCount;
+    return list;
 }
 
-double PressureModel::addedPressure(const Worker &worker, const std::string &fillImage,
-                                    double share) const
+FillImpact PressureModel::impactOf(std::span<const ServingPressure> serving,
+                                   const std::string &fillImage, double share) const
 {
-    double sum = 0.0;
-    for (const auto &[attempt, run] : worker.runs) {
-        if (run.tailTarget.count() > 0) {
-            sum += this->coefficient(fillImage, run.image) * share;
+    FillImpact impact;
+    for (const ServingPressure &each : serving) {
+        const Serving *image = each.image ? &this->images[*each.image] : nullptr;
+        const double added = coefficientOf(image, fillImage) * share;
+        impact.addedPressure += added;
+        if (added > negligiblePressure) {
+            const double deviations =
+                    (each.expected + added - each.atTarget) / each.standardDeviation;
+            impact.overTarget += std::erfc(-deviations / std::numbers::sqrt2) / 2.0;
         }
     }
-    return sum;
+    return impact;
 }
 
 void PressureModel::observe(const Worker &worker, Instant now)
@@ -152,7 +165,11 @@
 
 void PressureModel::learn(const Worker &worker, const Run &serving, Instant now)
 {
-    Serving &image = this->images[serving.image];
+    const auto [number, added] = this->imageNumbers.try_emplace(serving.image, this->images.size());
+    if (added) {
+        this->images.emplace_back();
+    }
+    Serving &image = this->images[number->second];
     if (image.idleTail <= 0.0 || serving.load < image.idleTail) {
         image.idleTail = serving.load;
     }
--- a/modules/bulrush_steps/policy/PressureModel.h
+++ b/modules/bulrush_steps/policy/PressureModel.h
@@ -4,10 +4,23 @@
 #include "bulrush_steps/workers/Worker.h"
 
 #include <map>
+#include <span>
 #include <string>
+#include <vector>
 
 namespace bulrush {
 
+/** The expected impact of one more filling task on the serving tasks of its worker. */
+struct FillImpact
+{
+    /** The number of serving tasks that exceed their tail latency target. Counts only those that
+       the filling task would slow. It is the total rather than the increase, so that nothing is
+       placed beside tasks that already exceed their target. */
+    double overTarget = 0.0;
+    /** The sum of the pressure that the filling task adds. */
+    double addedPressure = 0.0;
+};
+
 /**
     Learns how much each filling image slows each serving image.
 
@@ -45,16 +58,13 @@
         on the worker keep their pace. */
     double expectedPressure(const Worker &worker, const Run &serving, Instant moment) const;
 
-    /** Returns the expected number of serving tasks on a worker that exceed their tail latency
-        target at a moment, if one more filling task runs there. Counts only the serving tasks that
-        the filling task would slow. Returns the total rather than the increase, so that nothing is
-        placed beside tasks that already exceed their target. */
-    double expectedOverTarget(const Worker &worker, const std::string &fillImage, double share,
-                              Instant moment) const;
+    /** Returns the expected pressure on each serving run of a worker at a moment. */
+    std::vector<ServingPressure> servingPressures(const Worker &worker, Instant moment) const;
 
-    /** Returns the sum of the pressure that one more filling task adds to the serving tasks of a
-        worker. */
-    double addedPressure(const Worker &worker, const std::string &fillImage, double share) const;
+    /** Returns the impact of one more filling task on the serving runs of a worker.
+        @param share the share of the worker's processors that the filling task requests */
+    FillImpact impactOf(std::span<const ServingPressure> serving, const std::string &fillImage,
+                        double share) const;
 
 private:
     struct Coefficient
@@ -72,12 +82,16 @@
         std::map<std::string, Coefficient> byFill;
     };
 
-    double overTargetProbability(const Run &serving, double pressure, Instant moment) const;
+    /** Returns the state of a serving image; null when it is unknown. */
+    const Serving *findImage(const std::string &image) const;
+    static double coefficientOf(const Serving *serving, const std::string &fillImage);
     double expectedLoad(const Run &serving, Instant moment) const;
     void learn(const Worker &worker, const Run &serving, Instant now);
     void discardStaleLoads(Instant now);
 
-    std::map<std::string, Serving> images;
+    /** The position of each serving image in images. */
+    std::map<std::string, std::size_t> imageNumbers;
+    std::vector<Serving> images;
     /** The load that users cause in the tasks of each serving job. */
     std::map<JobId, LoadTrend> loads;
 };
--- a/modules/bulrush_steps/policy/StepPlacement.cpp
+++ b/modules/bulrush_steps/policy/StepPlacement.cpp
@@ -19,34 +19,46 @@
     : placement(&placementPolicy)
 {
     for (auto &[id, worker] : workers) {
-        if (const std::optional<double> score = this->placement->scoreOf(worker, request)) {
-            this->candidates.push_back({ &worker, *score });
-        }
+        this->add(worker, request);
     }
+    std::make_heap(this->candidates.begin(), this->candidates.end(), isWorse);
 }
 
-Worker *StepPlacement::choose() const
+bool StepPlacement::isWorse(const ScoredWorker &one, const ScoredWorker &other)
 {
-    const auto best = std::max_element(this->candidates.begin(), this->candidates.end(),
-                                       [](const ScoredWorker &one, const ScoredWorker &other) {
-                                           return one.score < other.score;
-                                       });
-    return best == this->candidates.end() ? nullptr : best->worker;
+    if (one.score != other.score) {
+        return one.score < other.score;
+    }
+    return other.worker->entry.worker < one.worker->entry.worker;
 }
 
-void StepPlacement::updateScore(Worker &worker, const TaskRequest &request)
+void StepPlacement::add(Worker &worker, const TaskRequest &request)
 {
-    const auto candidate =
-            std::find_if(this->candidates.begin(), this->candidates.end(),
-                         [&worker](const ScoredWorker &each) { return each.worker == &worker; });
-    if (candidate == this->candidates.end()) {
-        return;
+    if (const std::optional<double> bound = this->placement->scoreBound(worker, request)) {
+        this->candidates.push_back({ &worker, *bound, !request.step->fills });
     }
-    if (const std::optional<double> score = this->placement->scoreOf(worker, request)) {
-        candidate->score = *score;
-    } else {
-        this->candidates.erase(candidate);
+}
+
+Worker *StepPlacement::choose(const TaskRequest &request)
+{
+    while (!this->candidates.empty() && !this->candidates.front().exact) {
+        std::pop_heap(this->candidates.begin(), this->candidates.end(), isWorse);
+        Worker &worker = *this->candidates.back().worker;
+        this->candidates.pop_back();
+        if (const std::optional<double> score = this->placement->scoreOf(worker, request)) {
+            this->candidates.push_back({ &worker, *score, true });
+            std::push_heap(this->candidates.begin(), this->candidates.end(), isWorse);
+        }
     }
+    return this->candidates.empty() ? nullptr : this->candidates.front().worker;
+}
+
+void StepPlacement::update(Worker &worker, const TaskRequest &request)
+{
+    std::erase_if(this->candidates,
+                  [&worker](const ScoredWorker &each) { return each.worker == &worker; });
+    this->add(worker, request);
+    std::make_heap(this->candidates.begin(), this->candidates.end(), isWorse);
 }
 
 } // namespace bulrush
--- a/modules/bulrush_steps/policy/StepPlacement.h
+++ b/modules/bulrush_steps/policy/StepPlacement.h
@@ -21,8 +21,9 @@
 /**
     Chooses workers for the tasks of one step, one after the other.
 
-    Scores all workers once, and after each task only the worker that received it. With many tasks
-    on many workers, scoring all workers for each task takes most of the owner's processor time.
+    Computes a bound of the score of each worker, and the score itself only of those workers that
+   may be the best. With many tasks on many workers, scoring all workers takes most of the owner's
+    processor time.
 */
 class StepPlacement
 {
@@ -31,20 +32,25 @@
                   const TaskRequest &request);
 
     /** Returns the best worker for the next task, or null when none can accept it now. */
-    Worker *choose() const;
+    Worker *choose(const TaskRequest &request);
 
-    /** Updates the score of a worker that received a task, or removes the worker when it can accept
-        no further one. */
-    void updateScore(Worker &worker, const TaskRequest &request);
+    /** Updates a worker that received a task, or removes it when it can accept no further one. */
+    void update(Worker &worker, const TaskRequest &request);
 
 private:
     struct ScoredWorker
     {
         Worker *worker = nullptr;
         double score = 0.0;
+        /** Whether the score is exact, not a bound. */
+        bool exact = false;
     };
 
+    static bool isWorse(const ScoredWorker &one, const ScoredWorker &other);
+    void add(Worker &worker, const TaskRequest &request);
+
     const Placement *placement;
+    /** A heap with the highest score or bound in front. */
     std::vector<ScoredWorker> candidates;
 };
 
--- a/modules/bulrush_steps/tests/policy_test.cpp
+++ b/modules/bulrush_steps/tests/policy_test.cpp
@@ -339,7 +339,7 @@
     TaskRequest referenceRequest = request;
     StepPlacement stepPlacement(placement, incremental, request);
     for (int task = 0; task < 12; ++task) {
-        Worker *chosen = stepPlacement.choose();
+        Worker *chosen = stepPlacement.choose(request);
         Worker *expected = placement.choose(reference, referenceRequest);
         cr_assert_eq(chosen == nullptr, expected == nullptr);
         if (chosen == nullptr) {
@@ -351,10 +351,48 @@
         }
         ++request.siblings[chosen->entry.worker];
         ++referenceRequest.siblings[expected->entry.worker];
-        stepPlacement.updateScore(*chosen, request);
+        stepPlacement.update(*chosen, request);
     }
 }
 
+/* The impact on serving tasks is computed only for workers that may be the best. */
+Test(StepPlacement, choosesFillingTasksAsIfTheImpactOnAllWorkersWereKnown)
+{
+    const PressureModel model = makeTrainedModel();
+    const StepSpec step = makeFillingStep("heavy");
+    TaskRequest request;
+    request.step = &step;
+    request.service = ServiceId("review");
+    request.riskAllowed = 0.9;
+    const Placement placement(start, model);
+    std::map<TargetId, Worker> incremental;
+    for (int number = 0; number < 12; ++number) {
+        const std::string name = "w" + std::to_string(number);
+        const double tail = 15.0 + 2.0 * (number * 7 % 12);
+        incremental.emplace(TargetId(name),
+                            makeWorker(name.c_str(), { makeServingRun("s", "web", tail) }));
+        incremental.at(TargetId(name)).availableFillCpuMilli = 30000 + 2500 * (number * 5 % 12);
+    }
+    std::map<TargetId, Worker> reference = incremental;
+    StepPlacement stepPlacement(placement, incremental, request);
+    std::uint32_t placed = 0;
+    for (std::uint32_t task = 0; task < 60; ++task) {
+        Worker *chosen = stepPlacement.choose(request);
+        Worker *expected = placement.choose(reference, request);
+        cr_assert_eq(chosen == nullptr, expected == nullptr);
+        if (chosen == nullptr) {
+            break;
+        }
+        cr_assert(chosen->entry.worker == expected->entry.worker);
+        Run run = makeFillingRun("large", "heavy", 0);
+        run.attempt.task.index = ++placed;
+        chosen->addRun(run);
+        expected->addRun(run);
+        stepPlacement.update(*chosen, request);
+    }
+    cr_assert_geq(placed, 6U);
+}
+
 Test(WorkOrder, aJobIsUrgentWhenLittleOfItsObjectiveIsLeft)
 {
     WaitingJob job;
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace bulrush {
 
@@ -56,6 +57,17 @@
     milliseconds expected { 0 };
 };
 
+/** The expected pressure on a serving run. @see PressureModel::servingPressures */
+struct ServingPressure
+{
+    /** The run's image, as numbered by PressureModel; none when the model does not know it. */
+    std::optional<std::size_t> image;
+    double expected = 0.0;
+    double standardDeviation = 0.0;
+    /** The pressure at which the run's tail latency equals its target. */
+    double atTarget = 0.0;
+};
+
 /** A worker and its state as known to the owner. */
 struct Worker
 {
@@ -98,6 +110,11 @@
     std::int64_t fillDemandMilli = 0;
     /** Estimate of the processors available to filling tasks, in thousandths. */
     double availableFillCpuMilli = 0.0;
+    /** The pressure on its serving runs, kept between placements; empty when it must be computed.
+     */
+    std::optional<std::vector<ServingPressure>> servingPressures;
+    /** The moment for which servingPressures was computed. */
+    Instant servingPressuresAt {};
     std::uint32_t commandsInFlight = 0;
     /** Receives no new tasks before this moment, because it refused or did not answer a start, or
         because runs on it failed, stalled or were slow. */
@@ -115,6 +132,7 @@
     {
         this->committed += run.size;
         this->fillDemandMilli += run.fillCpuMilli;
+        this->servingPressures.reset();
         const AttemptRef attempt = run.attempt;
         this->runs.emplace(attempt, std::move(run));
     }
@@ -128,6 +146,7 @@
         }
         this->committed -= found->second.size;
         this->fillDemandMilli -= found->second.fillCpuMilli;
+        this->servingPressures.reset();
         this->runs.erase(found);
     }
 
@@ -136,6 +155,7 @@
     {
         this->committed = ResourceVector();
         this->fillDemandMilli = 0;
+        this->servingPressures.reset();
         return std::exchange(this->runs, {});
     }
 
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -482,6 +482,7 @@
 void WorkerManager::pace(Worker &worker, Run &run, std::uint32_t percent)
 {
     run.pacePercent = percent;
+    worker.servingPressures.reset();
     // The stall time-out starts again, because the run made no progress while it was paused or
     // makes none from now on.
     run.progressedAt = this->clock.now();
