--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -55,6 +55,12 @@
 /** Limit of open connections from callers; further connections are refused. */
 constexpr std::size_t maxCallerConnections = 3000;
 
+std::int64_t percentOf(std::int64_t part, std::int64_t whole)
+{
+    constexpr std::int64_t percent = 100;
+    return whole == 0 ? 0 : part * percent / whole;
+}
+
 HttpServer::Limits callerLimits(const CallerProtocol &protocol)
 {
     HttpServer::Limits limits;
@@ -155,6 +161,8 @@
                     .with("waiting_fills", load.waitingFills)
                     .with("unplaced_steps", load.unplacedSteps)
                     .with("runs", load.runs)
+                    .with("free_cpu", percentOf(load.free.cpuMilli, load.capacity.cpuMilli))
+                    .with("free_memory", percentOf(load.free.memoryMb, load.capacity.memoryMb))
                     .with("starts", load.starts - before.starts)
                     .with("rounds", load.planningRounds - before.planningRounds)
                     .with("planning_ms", duration_cast<milliseconds>(planned).count()));
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -430,6 +430,10 @@
     load.waitingFills = this->lanes.back().waiting.size();
     for (const auto &[id, worker] : this->workerManager.workers()) {
         load.runs += worker.runs.size();
+        if (worker.listed && !worker.entry.draining && worker.confirmed) {
+            load.capacity += worker.entry.capacity;
+            load.free += worker.free();
+        }
     }
     return load;
 }
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -40,6 +40,9 @@
     std::size_t unplacedSteps = 0;
     /** Runs that may be alive. */
     std::size_t runs = 0;
+    /** The capacity of all workers that take tasks, and the part of it that is not reserved. */
+    ResourceVector capacity;
+    ResourceVector free;
     /** Rounds of planning, their duration and the starts that they made, since the start of the
         process. */
     std::uint64_t planningRounds = 0;
