Spend less processor time on what an owner does for each run and command

What callers saw: as before; the owner's loop is shared by starts, ends and callers' questions.

Cause: in a profile of the owner's decisions, each tick read all runs of all workers for stops, each 50 ms looked up the job of each run to judge its health, and each answer of a worker built label maps for two metric series and cleared a 32 KB buffer.

Change: a worker counts its runs to be stopped; only runs that may be unhealthy are looked up; the series of a command are looked up once; a client keeps one buffer for reads; a step's best worker leaves the heap without building it anew.

--- a/modules/bulrush_entry/node/EntryMetrics.cpp
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -9,6 +9,7 @@
 #include <prometheus/text_serializer.h>
 
 #include <array>
+#include <map>
 #include <string>
 
 namespace bulrush {
@@ -23,6 +24,8 @@
                                                        "malformed", "unknown", "state",
                                                        "cancelled", "no_job",  "waiting" };
 
+constexpr std::size_t commandOutcomes = static_cast<std::size_t>(CommandOutcome::Unknown) + 1;
+
 /** Upper bounds of the histograms' buckets, in seconds. */
 const prometheus::Histogram::BucketBoundaries secondsBuckets { 0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
                                                                0.2,   0.5,   1.0,  2.0,  5.0 };
@@ -34,8 +37,28 @@
 
 } // namespace
 
+/** The series of one kind of order, looked up once. */
+struct EntryMetrics::OrderSeries
+{
+    prometheus::Histogram *seconds = nullptr;
+    /** By outcome; null until the outcome occurs. */
+    std::array<prometheus::Counter *, commandOutcomes> outcomes {};
+};
+
 struct EntryMetrics::Families
 {
+    OrderSeries &seriesOf(std::string_view order)
+    {
+        const auto found = this->orderSeries.find(order);
+        if (found != this->orderSeries.end()) {
+            return found->second;
+        }
+        OrderSeries &series = this->orderSeries[std::string(order)];
+        series.seconds =
+                &this->workerOrderSeconds.Add({ { "order", std::string(order) } }, secondsBuckets);
+        return series;
+    }
+
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter> &storeCalls =
             prometheus::BuildCounter()
@@ -84,6 +107,7 @@
                     .Help("How late the event loop ran its periodic work")
                     .Register(registry)
                     .Add({}, secondsBuckets);
+    std::map<std::string, OrderSeries, std::less<>> orderSeries;
     prometheus::Gauge &owner = prometheus::BuildGauge()
                                        .Name("bulrush_entry_owner")
                                        .Help("1 while this node orders the workers")
@@ -129,12 +153,15 @@
 void EntryMetrics::recordWorkerCommand(std::string_view order, CommandOutcome outcome,
                                        Duration elapsed)
 {
-    const std::string name(order);
-    this->families->workerOrders
-            .Add({ { "order", name }, { "outcome", std::string(bulrush::text(outcome)) } })
-            .Increment();
-    this->families->workerOrderSeconds.Add({ { "order", name } }, secondsBuckets)
-            .Observe(toSeconds(elapsed));
+    OrderSeries &series = this->families->seriesOf(order);
+    prometheus::Counter *&counter = series.outcomes.at(static_cast<std::size_t>(outcome));
+    if (counter == nullptr) {
+        counter = &this->families->workerOrders.Add(
+                { { "order", std::string(order) },
+                  { "outcome", std::string(bulrush::text(outcome)) } });
+    }
+    counter->Increment();
+    series.seconds->Observe(toSeconds(elapsed));
 }
 
 void EntryMetrics::recordJobStart(Duration waited)
--- a/modules/bulrush_entry/node/EntryMetrics.h
+++ b/modules/bulrush_entry/node/EntryMetrics.h
@@ -42,6 +42,7 @@
     std::string text() const;
 
 private:
+    struct OrderSeries;
     struct Families;
     std::unique_ptr<Families> families;
 };
--- a/modules/bulrush_net/http/HttpClient.cpp
+++ b/modules/bulrush_net/http/HttpClient.cpp
@@ -130,6 +130,7 @@
     , limits(clientLimits)
     , listener(exchangeListener)
     , protocols(std::make_shared<Protocols>())
+    , readBuffer(LWS_PRE + readBufferBytes)
 {
     this->loop.retain(this->protocols);
     this->protocols->owner = this;
@@ -288,8 +289,7 @@
 
 int HttpClient::readBody(Exchange &exchange, lws *wsi)
 {
-    std::array<char, LWS_PRE + readBufferBytes> buffer {};
-    char *start = buffer.data() + LWS_PRE;
+    char *start = this->readBuffer.data() + LWS_PRE;
     auto length = static_cast<int>(readBufferBytes);
     if (lws_http_client_read(wsi, &start, &length) < 0) {
         return -1;
--- a/modules/bulrush_net/http/HttpClient.h
+++ b/modules/bulrush_net/http/HttpClient.h
@@ -100,6 +100,8 @@
     Listener &listener;
     std::shared_ptr<Protocols> protocols;
     std::vector<lws_vhost *> vhosts;
+    /** Space for one read of a response's body. */
+    std::vector<char> readBuffer;
     std::map<ExchangeId, std::unique_ptr<Exchange>> exchanges;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -156,17 +156,17 @@
 
 void Dispatcher::stopRuns(const JobEntry &job, std::string_view reason)
 {
-    this->workerManager.forEachRun(job.spec.id, [this, reason](const Worker &worker, Run &run) {
+    this->workerManager.forEachRun(job.spec.id, [this, reason](Worker &worker, Run &run) {
         this->stopRun(worker, run, reason);
     });
 }
 
-void Dispatcher::stopRun(const Worker &worker, Run &run, std::string_view reason)
+void Dispatcher::stopRun(Worker &worker, Run &run, std::string_view reason)
 {
     if (run.stopRequested) {
         return;
     }
-    run.stopRequested = true;
+    worker.requestStop(run);
     this->decisions.write(DecisionLine(Event::TaskStopped)
                                   .with("task", text(run.attempt.task))
                                   .with("attempt", run.attempt.attempt)
@@ -509,7 +509,7 @@
 {
     for (auto &[id, worker] : this->workerManager.workers()) {
         for (auto &[attempt, run] : worker.runs) {
-            if (run.stopRequested || run.phase != RunPhase::Running) {
+            if (!mayBeUnhealthy(worker, run, now)) {
                 continue;
             }
             JobEntry *job = this->findJob(attempt.task);
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -164,7 +164,7 @@
     void markWaiting(const JobId &job);
     void clearLanes();
     void stopRuns(const JobEntry &job, std::string_view reason);
-    void stopRun(const Worker &worker, Run &run, std::string_view reason);
+    void stopRun(Worker &worker, Run &run, std::string_view reason);
     Run describeRun(const JobEntry &job, const AttemptRef &attempt) const;
     void completeGang(JobEntry &job, const AttemptRef &attempt);
     void closeRun(StepTask &task, std::string checkpoint);
--- a/modules/bulrush_steps/policy/RunHealth.cpp
+++ b/modules/bulrush_steps/policy/RunHealth.cpp
@@ -31,22 +31,41 @@
 
 } // namespace
 
-RunHealth assessRun(const Worker &worker, const Run &run, Instant now, milliseconds usual)
+namespace {
+
+bool isStalled(const Worker &worker, const Run &run)
+{
+    const milliseconds span = run.runsIndefinitely ? longRunningStallTimeout : stallTimeout;
+    return run.progressPercent < completePercent && worker.reportedAt - run.progressedAt >= span;
+}
+
+/** The speed of a filling task depends on the processor time that other tasks leave unused. */
+bool hasOwnSpeed(const Run &run)
+{
+    return !run.runsIndefinitely && run.fillCpuMilli == 0;
+}
+
+} // namespace
+
+bool mayBeUnhealthy(const Worker &worker, const Run &run, Instant now)
 {
     const bool isRunning =
             run.phase == RunPhase::Running && !run.stopRequested && run.pacePercent > 0;
     if (!isRunning || !worker.confirmed) {
+        return false;
+    }
+    return isStalled(worker, run)
+            || (hasOwnSpeed(run) && now - run.confirmedAt >= Duration(slowAllowance));
+}
+
+RunHealth assessRun(const Worker &worker, const Run &run, Instant now, milliseconds usual)
+{
+    if (!mayBeUnhealthy(worker, run, now)) {
         return RunHealth::Healthy;
     }
-    const milliseconds span = run.runsIndefinitely ? longRunningStallTimeout : stallTimeout;
-    const bool unfinished = run.progressPercent < completePercent;
-    if (unfinished && worker.reportedAt - run.progressedAt >= span) {
+    if (isStalled(worker, run)) {
         return RunHealth::Stalled;
     }
-    if (run.runsIndefinitely || run.fillCpuMilli > 0) {
-        // The speed of a filling task depends on the processor time that other tasks leave unused.
-        return RunHealth::Healthy;
-    }
     const std::chrono::duration<double> elapsed = now - run.confirmedAt;
     const std::chrono::duration<double> usualDuration = usual;
     if (elapsed < usualDuration * slowFactor + slowAllowance) {
--- a/modules/bulrush_steps/policy/RunHealth.h
+++ b/modules/bulrush_steps/policy/RunHealth.h
@@ -21,6 +21,10 @@
 */
 RunHealth assessRun(const Worker &worker, const Run &run, Instant now, milliseconds usual);
 
+/** Returns whether assessRun() may find a run other than healthy. It needs no duration, so it takes
+    less time. */
+bool mayBeUnhealthy(const Worker &worker, const Run &run, Instant now);
+
 /** Updates a worker's failure statistics with the end of a run.
     @returns how long the worker is to receive no new tasks; zero while it is considered healthy */
 milliseconds recordRunEnd(Worker &worker, bool failed);
--- a/modules/bulrush_steps/policy/StepPlacement.cpp
+++ b/modules/bulrush_steps/policy/StepPlacement.cpp
@@ -55,10 +55,20 @@
 
 void StepPlacement::update(Worker &worker, const TaskRequest &request)
 {
-    std::erase_if(this->candidates,
-                  [&worker](const ScoredWorker &each) { return each.worker == &worker; });
+    const bool chosen = !this->candidates.empty() && this->candidates.front().worker == &worker;
+    if (chosen) {
+        std::pop_heap(this->candidates.begin(), this->candidates.end(), isWorse);
+        this->candidates.pop_back();
+    } else {
+        std::erase_if(this->candidates,
+                      [&worker](const ScoredWorker &each) { return each.worker == &worker; });
+        std::make_heap(this->candidates.begin(), this->candidates.end(), isWorse);
+    }
+    const std::size_t before = this->candidates.size();
     this->add(worker, request);
-    std::make_heap(this->candidates.begin(), this->candidates.end(), isWorse);
+    if (this->candidates.size() > before) {
+        std::push_heap(this->candidates.begin(), this->candidates.end(), isWorse);
+    }
 }
 
 } // namespace bulrush
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -37,6 +37,7 @@
     bool runsIndefinitely = false;
     /** Whether a later run can resume from a checkpoint of this one. */
     bool resumable = false;
+    /** Set by Worker::requestStop() once the worker has the run. */
     bool stopRequested = false;
     bool commandInFlight = false;
     Instant startSentAt {};
@@ -102,12 +103,15 @@
     std::uint64_t acknowledgedEnds = 0;
     std::uint32_t failedHolds = 0;
 
-    /** Changed through addRun(), removeRun() and clearRuns(), which keep the sums below. */
+    /** Changed through addRun(), removeRun(), clearRuns() and requestStop(), which keep the sums
+        below. */
     std::map<AttemptRef, Run> runs;
     /** Sum of the resources reserved by all runs. Filling tasks reserve no processors. */
     ResourceVector committed;
     /** Sum of the processors that filling tasks request, in thousandths. */
     std::int64_t fillDemandMilli = 0;
+    /** The number of runs that are to be stopped. */
+    std::uint32_t stopRequests = 0;
     /** Estimate of the processors available to filling tasks, in thousandths. */
     double availableFillCpuMilli = 0.0;
     /** The pressure on its serving runs, kept between placements; empty when it must be computed.
@@ -132,6 +136,7 @@
     {
         this->committed += run.size;
         this->fillDemandMilli += run.fillCpuMilli;
+        this->stopRequests += run.stopRequested ? 1 : 0;
         this->servingPressures.reset();
         const AttemptRef attempt = run.attempt;
         this->runs.emplace(attempt, std::move(run));
@@ -146,6 +151,7 @@
         }
         this->committed -= found->second.size;
         this->fillDemandMilli -= found->second.fillCpuMilli;
+        this->stopRequests -= found->second.stopRequested ? 1 : 0;
         this->servingPressures.reset();
         this->runs.erase(found);
     }
@@ -155,10 +161,18 @@
     {
         this->committed = ResourceVector();
         this->fillDemandMilli = 0;
+        this->stopRequests = 0;
         this->servingPressures.reset();
         return std::exchange(this->runs, {});
     }
 
+    /** Marks a run of this worker to be stopped. */
+    void requestStop(Run &run)
+    {
+        this->stopRequests += run.stopRequested ? 0 : 1;
+        run.stopRequested = true;
+    }
+
     /** Returns a number of processors, in thousandths, as a share of the worker's processors. */
     double shareOf(double cpuMilli) const
     {
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -123,10 +123,8 @@
         if (this->holdIsDue(worker, now)) {
             this->sendHold(worker);
         }
-        for (auto &[attempt, run] : worker.runs) {
-            if (run.stopRequested && !run.commandInFlight && worker.adopted) {
-                this->sendStop(worker, run);
-            }
+        if (worker.stopRequests > 0 && worker.adopted) {
+            this->sendStops(worker);
         }
     }
     for (const TargetId &id : removed) {
@@ -134,6 +132,15 @@
     }
 }
 
+void WorkerManager::sendStops(Worker &worker)
+{
+    for (auto &[attempt, run] : worker.runs) {
+        if (run.stopRequested && !run.commandInFlight) {
+            this->sendStop(worker, run);
+        }
+    }
+}
+
 bool WorkerManager::holdIsDue(const Worker &worker, Instant now) const
 {
     if (worker.holdInFlight) {
@@ -415,7 +422,7 @@
     if (answer.outcome == CommandOutcome::Unknown
         || answer.outcome == CommandOutcome::OtherWorker) {
         run.phase = RunPhase::Unconfirmed;
-        run.stopRequested = true;
+        worker->requestStop(run);
         worker->avoidUntil = now + refusalPause;
         this->decisions.write(DecisionLine(Event::StartUnanswered)
                                       .with("task", text(attempt.task))
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -110,6 +110,7 @@
                            const CommandAnswer &answer);
     void handleStopAnswer(const TargetId &id, const AttemptRef &attempt,
                           const CommandAnswer &answer);
+    void sendStops(Worker &worker);
     void sendStop(Worker &worker, Run &run);
     void dropExpiredRuns(Worker &worker);
     std::optional<WorkerMillis> leaseEnd(Worker &worker);
