Split the planner from the dispatcher

Planner owns the lanes, the ranks and the placement and starts tasks through an interface; the dispatcher keeps ownership, runs and records. No decision changes; the tests of bulrush_steps and bulrush_entry pass.

--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -149,22 +149,22 @@
     }
     this->nextLoadReport = now + loadReportInterval;
     const DispatchLoad load = this->dispatcher.load();
-    const DispatchLoad before = std::exchange(this->reportedLoad, load);
-    const Duration planned = load.planningTime - before.planningTime;
+    const PlanLoad before = std::exchange(this->reportedPlan, load.plan);
+    const Duration planned = load.plan.time - before.time;
     const auto lateMillis = duration_cast<milliseconds>(this->longestTickDelay).count();
     this->longestTickDelay = Duration::zero();
     this->decisions.write(
             DecisionLine(Event::OwnerLoad)
                     .with("late_ms", lateMillis)
                     .with("starts_open", load.openStarts)
-                    .with("waiting_jobs", load.waitingJobs)
-                    .with("waiting_fills", load.waitingFills)
-                    .with("unplaced_steps", load.unplacedSteps)
+                    .with("waiting_jobs", load.plan.waitingJobs)
+                    .with("waiting_fills", load.plan.waitingFills)
+                    .with("unplaced_steps", load.plan.unplacedSteps)
                     .with("runs", load.runs)
                     .with("free_cpu", percentOf(load.free.cpuMilli, load.capacity.cpuMilli))
                     .with("free_memory", percentOf(load.free.memoryMb, load.capacity.memoryMb))
-                    .with("starts", load.starts - before.starts)
-                    .with("rounds", load.planningRounds - before.planningRounds)
+                    .with("starts", load.plan.starts - before.starts)
+                    .with("rounds", load.plan.rounds - before.rounds)
                     .with("planning_ms", duration_cast<milliseconds>(planned).count()));
 }
 
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -137,8 +137,8 @@
     /** The longest delay of a tick since the owner's load was last logged. */
     Duration longestTickDelay {};
     Instant nextLoadReport {};
-    /** The load as last logged. */
-    DispatchLoad reportedLoad;
+    /** The planner's load as last logged. */
+    PlanLoad reportedPlan;
     Instant lastRequestAt {};
     std::optional<Instant> drainingSince;
 };
--- a/modules/bulrush_steps/bulrush_steps.h
+++ b/modules/bulrush_steps/bulrush_steps.h
@@ -13,6 +13,8 @@
 
 #include "bulrush_steps/dispatch/DispatchSettings.h"
 #include "bulrush_steps/dispatch/Dispatcher.h"
+#include "bulrush_steps/dispatch/PlanLane.h"
+#include "bulrush_steps/dispatch/Planner.h"
 #include "bulrush_steps/dispatch/ProgressWriter.h"
 #include "bulrush_steps/follow/ConfigFollower.h"
 #include "bulrush_steps/follow/RecordsView.h"
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -23,13 +23,9 @@
 /** How long a worker receives no new tasks after a run on it was stalled or slow. */
 constexpr milliseconds unhealthyWorkerPause { 2500 };
 
-/** Limits of planning. Steps that reserve processors are ranked in each round, since their callers
-    wait. With more unanswered starts, requests would queue behind each other and time out. */
-constexpr PlanLimits reservingLimits { 160, 2, milliseconds(20), milliseconds(0) };
-
-/** The same for filling steps. Few unanswered starts at a time keep the way short for the starts of
-    steps that reserve processors. */
-constexpr PlanLimits fillingLimits { 48, 4, milliseconds(10), milliseconds(100) };
+/** Size of the attempt number range of one owner: the first attempt of an owner at a task is at
+    least its fencing token times this size, plus one. */
+constexpr std::uint64_t attemptsPerOwner = 1000;
 
 } // namespace
 
@@ -42,10 +38,9 @@
     , listener(ownershipListener)
     , workerManager(systemClock, port, dispatchSettings, decisionLog, *this)
     , writer(systemClock, log, *this)
+    , planner(systemClock, this->jobTable, this->workerManager, this->durations,
+              this->fillControl.pressures(), *this)
 {
-    this->lanes.front().limits = reservingLimits;
-    this->lanes.back().limits = fillingLimits;
-    this->lanes.back().fills = true;
 }
 
 void Dispatcher::begin(const OwnershipTerm &ownershipTerm, StepJobTable persistedJobs)
@@ -54,12 +49,12 @@
     this->jobTable = std::move(persistedJobs);
     this->isActive = true;
     this->previousOwnerSettled = false;
-    this->clearLanes();
+    this->planner.clear();
     this->writer.begin(this->term.fencingToken);
     for (auto &[id, job] : this->jobTable.entries()) {
         job.knownToPreviousOwners = true;
         if (!job.hasEnded()) {
-            this->markWaiting(id);
+            this->planner.markWaiting(id);
         } else if (!job.endStored && !job.cancelled) {
             this->markChanged(job);
         }
@@ -97,7 +92,7 @@
     this->isActive = false;
     this->workerManager.end();
     this->writer.end();
-    this->clearLanes();
+    this->planner.clear();
     this->jobTable.clear();
     this->fillControl.clearWorkers();
     this->newestRoster.clear();
@@ -107,7 +102,7 @@
 
 void Dispatcher::configure(const ServingConfig &serving)
 {
-    this->config = serving;
+    this->planner.configure(serving);
 }
 
 bool Dispatcher::mayCommand() const
@@ -137,21 +132,7 @@
         this->stopRuns(job, "cancelled");
         return;
     }
-    this->markWaiting(*id);
-}
-
-void Dispatcher::markWaiting(const JobId &job)
-{
-    for (PlanLane &lane : this->lanes) {
-        lane.waiting.try_emplace(job, this->clock.now());
-    }
-}
-
-void Dispatcher::clearLanes()
-{
-    for (PlanLane &lane : this->lanes) {
-        lane.clear();
-    }
+    this->planner.markWaiting(*id);
 }
 
 void Dispatcher::stopRuns(const JobEntry &job, std::string_view reason)
@@ -212,9 +193,7 @@
     if (maintenanceDue) {
         this->moveUnhealthyRuns(now);
     }
-    for (PlanLane &lane : this->lanes) {
-        this->plan(lane, now);
-    }
+    this->planner.tick(now);
 }
 
 void Dispatcher::updateRoster()
@@ -353,7 +332,7 @@
     if (end.kind == EndKind::Failed) {
         task.failedOn.push_back(worker.entry.worker);
     }
-    this->markWaiting(job->spec.id);
+    this->planner.markWaiting(job->spec.id);
     const bool hadEnded = job->hasEnded();
     bool counted = false;
     if (end.kind == EndKind::Succeeded) {
@@ -394,7 +373,7 @@
     JobEntry *job = this->findJob(run.attempt.task);
     if (job != nullptr) {
         this->closeRun(job->task(run.attempt.task), {});
-        this->markWaiting(job->spec.id);
+        this->planner.markWaiting(job->spec.id);
     }
 }
 
@@ -418,16 +397,58 @@
     this->requeueTask(run);
 }
 
+bool Dispatcher::mayStart(const JobEntry &job)
+{
+    if (this->previousOwnerSettled || !job.knownToPreviousOwners
+        || this->clock.now() >= this->term.previousOwnerSettledAt) {
+        return true;
+    }
+    for (const TargetId &id : this->jobTable.roster()) {
+        const Worker *worker = this->workerManager.find(id);
+        if (worker == nullptr || !worker->adopted) {
+            return false;
+        }
+    }
+    this->previousOwnerSettled = true;
+    return true;
+}
+
+std::uint64_t Dispatcher::nextAttempt(const StepTask &task) const
+{
+    return std::max(task.lastAttempt, this->term.fencingToken * attemptsPerOwner) + 1;
+}
+
+void Dispatcher::startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt)
+{
+    StepTask &task = job.task(ref);
+    const Run run = this->describeRun(job, { ref, attempt });
+    ++job.startedRuns;
+    if (task.lastAttempt == 0) {
+        job.recordFirstStart(ref, this->clock.now());
+    }
+    task.lastAttempt = attempt;
+    ++task.openRuns;
+    if (!job.started) {
+        this->listener.jobStarted(this->clock.now() - job.acceptedAt);
+    }
+    job.started = true;
+    this->decisions.write(
+            DecisionLine(Event::TaskStarted)
+                    .with("task", text(ref))
+                    .with("attempt", attempt)
+                    .with("worker", worker.entry.worker.name())
+                    .with("free_cpu", worker.free().cpuMilli)
+                    .with("fill_room", static_cast<std::int64_t>(worker.availableFillCpuMilli))
+                    .with("resumes", !task.checkpoint.empty()));
+    this->workerManager.start(worker, run, job.spec, task.checkpoint);
+}
+
 DispatchLoad Dispatcher::load() const
 {
-    DispatchLoad load = this->counters;
+    DispatchLoad load;
+    load.plan = this->planner.load();
     load.openStarts =
             this->workerManager.startsInFlight(false) + this->workerManager.startsInFlight(true);
-    load.waitingJobs = this->lanes.front().waiting.size();
-    for (const PlanLane &lane : this->lanes) {
-        load.unplacedSteps += lane.unplacedCount;
-    }
-    load.waitingFills = this->lanes.back().waiting.size();
     for (const auto &[id, worker] : this->workerManager.workers()) {
         load.runs += worker.runs.size();
         if (worker.listed && !worker.entry.draining && worker.confirmed) {
@@ -444,22 +465,6 @@
     return job == nullptr ? std::nullopt : std::optional(job->visibleState());
 }
 
-std::uint32_t Dispatcher::waitingJobs(std::string_view queue) const
-{
-    std::uint32_t count = 0;
-    for (const PlanLane &lane : this->lanes) {
-        for (const auto &[id, since] : lane.waiting) {
-            const JobEntry *job = this->jobTable.find(id);
-            const bool counted =
-                    &lane != &this->lanes.front() && this->lanes.front().waiting.contains(id);
-            if (job != nullptr && job->isQueuedIn(queue) && !counted) {
-                ++count;
-            }
-        }
-    }
-    return count;
-}
-
 void Dispatcher::controlFills(Instant now)
 {
     for (auto &[id, worker] : this->workerManager.workers()) {
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -1,17 +1,13 @@
 #pragma once
 
 #include "bulrush_steps/dispatch/DispatchSettings.h"
-#include "bulrush_steps/dispatch/PlanLane.h"
+#include "bulrush_steps/dispatch/Planner.h"
 #include "bulrush_steps/dispatch/ProgressWriter.h"
 #include "bulrush_steps/model/ServingConfig.h"
 #include "bulrush_steps/model/StepJobTable.h"
-#include "bulrush_steps/policy/DurationEstimator.h"
 #include "bulrush_steps/policy/FillController.h"
-#include "bulrush_steps/policy/JobRank.h"
-#include "bulrush_steps/policy/Placement.h"
 #include "bulrush_steps/workers/WorkerManager.h"
 
-#include <array>
 #include <optional>
 #include <set>
 
@@ -30,24 +26,14 @@
 /** How much an owner has to do at one moment. */
 struct DispatchLoad
 {
+    PlanLoad plan;
     /** Start requests without an answer. */
     std::uint32_t openStarts = 0;
-    /** Jobs that may have tasks to start that reserve processors. */
-    std::size_t waitingJobs = 0;
-    /** Jobs that may have filling tasks to start. */
-    std::size_t waitingFills = 0;
-    /** Steps for which the last round of planning found no worker. */
-    std::size_t unplacedSteps = 0;
     /** Runs that may be alive. */
     std::size_t runs = 0;
     /** The capacity of all workers that take tasks, and the part of it that is not reserved. */
     ResourceVector capacity;
     ResourceVector free;
-    /** Rounds of planning, their duration and the starts that they made, since the start of the
-        process. */
-    std::uint64_t planningRounds = 0;
-    Duration planningTime {};
-    std::uint64_t starts = 0;
 };
 
 /**
@@ -56,7 +42,9 @@
     Only one node at a time is the owner. Its commands carry a fencing token, so that workers reject
     commands of previous owners.
 */
-class Dispatcher : private WorkerManager::Listener, private ProgressWriter::Listener
+class Dispatcher : private WorkerManager::Listener,
+                   private ProgressWriter::Listener,
+                   private Planner::Listener
 {
 public:
     /** Provides the state of the ownership, and receives events of the ownership and of jobs. */
@@ -111,7 +99,10 @@
 
     /** Returns the number of accepted jobs of a queue that have not started. Jobs with a schedule
         are not counted. */
-    std::uint32_t waitingJobs(std::string_view queue) const;
+    std::uint32_t waitingJobs(std::string_view queue) const
+    {
+        return this->planner.waitingJobs(queue);
+    }
 
     DispatchLoad load() const;
 
@@ -135,6 +126,12 @@
     void stored(const std::vector<JobId> &jobs, bool withRoster) override;
     void writerFenced() override;
 
+    // Planner::Listener
+    bool mayStart(const JobEntry &job) override;
+    std::uint64_t nextAttempt(const StepTask &task) const override;
+    void startTask(JobEntry &job, const TaskRef &ref, Worker &worker,
+                   std::uint64_t attempt) override;
+
     void applyResignation();
     void updateRoster();
     void markRecordedWorkers();
@@ -142,27 +139,6 @@
     void moveUnhealthyRuns(Instant now);
     milliseconds typicalDuration(const JobEntry &job, const TaskRef &task) const;
     void recordDuration(JobEntry &job, const Run &run);
-    void plan(PlanLane &lane, Instant now);
-    void planRound(PlanLane &lane, Instant now);
-    void planCandidate(PlanLane &lane, const PlanCandidate &candidate, Instant now);
-    bool mayStartMore(const PlanLane &lane) const;
-    void rankWaiting(PlanLane &lane, Instant now);
-    /** Adds the steps of a job that have tasks to start to the queue of a lane.
-        @returns whether the job has such a step, or an occurrence that is not due yet */
-    bool addCandidates(PlanLane &lane, JobEntry &job, Instant since, Instant now);
-    /** Returns the time since a job was accepted, or, for a job with a schedule, since an
-       occurrence was due; negative before that. */
-    Duration ageOf(const JobEntry &job, std::uint32_t occurrence, Instant now) const;
-    WaitingJob describeWaiting(const JobEntry &job, std::uint32_t occurrence, Instant since,
-                               Instant now) const;
-    bool planStep(const PlanLane &lane, const PlanCandidate &candidate, Instant now);
-    bool planGang(const PlanCandidate &candidate, Instant now);
-    void startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt);
-    TaskRequest makeTaskRequest(const PlanCandidate &candidate);
-    std::uint64_t nextAttempt(const StepTask &task) const;
-    bool previousRunsSettled(const JobEntry &job, Instant now);
-    void markWaiting(const JobId &job);
-    void clearLanes();
     void stopRuns(const JobEntry &job, std::string_view reason);
     void stopRun(Worker &worker, Run &run, std::string_view reason);
     Run describeRun(const JobEntry &job, const AttemptRef &attempt) const;
@@ -183,23 +159,19 @@
     WorkerManager workerManager;
     ProgressWriter writer;
     StepJobTable jobTable;
-    ServingConfig config;
     OwnershipTerm term;
     DurationEstimator durations;
     FillController fillControl;
+    Planner planner;
     bool isActive = false;
     bool previousOwnerSettled = false;
     Instant nextMaintenance {};
-    /** The counters of load(). */
-    DispatchLoad counters;
     /** The newest roster: the list of the workers that may hold tasks. */
     std::set<TargetId> newestRoster;
     /** The roster that was last passed to the writer for an append. */
     std::set<TargetId> sentRoster;
     /** The roster that is persisted. */
     std::set<TargetId> recordedRoster;
-    /** The planning of the steps that reserve processors, then of those that fill. */
-    std::array<PlanLane, 2> lanes;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/dispatch/DispatcherPlan.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -1,11 +1,4 @@
-// The planning part of Dispatcher: selects the tasks to start and their workers.
-
-#include "bulrush_steps/dispatch/Dispatcher.h"
-
-#include "bulrush_core/events/DecisionLog.h"
-#include "bulrush_steps/model/TaskText.h"
-#include "bulrush_steps/policy/JobRank.h"
-#include "bulrush_steps/policy/StepPlacement.h"
+#include "bulrush_steps/dispatch/Planner.h"
 
 #include <algorithm>
 
@@ -13,35 +6,86 @@
 
 namespace {
 
-/** Size of the attempt number range of one owner: the first attempt of an owner at a task is at
-    least its fencing token times this size, plus one. */
-constexpr std::uint64_t attemptsPerOwner = 1000;
-
 /** Limits on the expected number of serving tasks that exceed their tail latency target on the
     worker of a filling task. The first applies while the filling task can wait, the second when it
     would otherwise be late. */
 constexpr double maxRiskOfDeferrableFill = 0.5;
 constexpr double maxRiskOfUrgentFill = 0.9;
 
+/** Limits of planning. Steps that reserve processors are ranked in each round, since their callers
+    wait. With more unanswered starts, requests would queue behind each other and time out. */
+constexpr PlanLimits reservingLimits { 160, 2, milliseconds(20), milliseconds(0) };
+
+/** The same for filling steps. Few unanswered starts at a time keep the way short for the starts of
+    steps that reserve processors. */
+constexpr PlanLimits fillingLimits { 48, 4, milliseconds(10), milliseconds(100) };
+
 } // namespace
 
-bool Dispatcher::previousRunsSettled(const JobEntry &job, Instant now)
+Planner::Planner(const Clock &systemClock, StepJobTable &jobTable, WorkerManager &workerManager,
+                 const DurationEstimator &durationEstimator, const PressureModel &pressureModel,
+                 Listener &startListener)
+    : clock(systemClock)
+    , jobs(jobTable)
+    , workers(workerManager)
+    , durations(durationEstimator)
+    , pressures(pressureModel)
+    , listener(startListener)
 {
-    if (this->previousOwnerSettled || !job.knownToPreviousOwners
-        || now >= this->term.previousOwnerSettledAt) {
-        return true;
+    this->lanes.front().limits = reservingLimits;
+    this->lanes.back().limits = fillingLimits;
+    this->lanes.back().fills = true;
+}
+
+void Planner::markWaiting(const JobId &job)
+{
+    for (PlanLane &lane : this->lanes) {
+        lane.waiting.try_emplace(job, this->clock.now());
     }
-    for (const TargetId &id : this->jobTable.roster()) {
-        const Worker *worker = this->workerManager.find(id);
-        if (worker == nullptr || !worker->adopted) {
-            return false;
+}
+
+void Planner::clear()
+{
+    for (PlanLane &lane : this->lanes) {
+        lane.clear();
+    }
+}
+
+void Planner::tick(Instant now)
+{
+    for (PlanLane &lane : this->lanes) {
+        this->plan(lane, now);
+    }
+}
+
+std::uint32_t Planner::waitingJobs(std::string_view queue) const
+{
+    const std::map<JobId, Instant> &reserving = this->lanes.front().waiting;
+    std::uint32_t count = 0;
+    for (const PlanLane &lane : this->lanes) {
+        for (const auto &[id, since] : lane.waiting) {
+            const bool counted = lane.fills && reserving.contains(id);
+            const JobEntry *job = this->jobs.find(id);
+            if (job != nullptr && job->isQueuedIn(queue) && !counted) {
+                ++count;
+            }
         }
     }
-    this->previousOwnerSettled = true;
-    return true;
+    return count;
+}
+
+PlanLoad Planner::load() const
+{
+    PlanLoad load = this->counters;
+    load.waitingJobs = this->lanes.front().waiting.size();
+    load.waitingFills = this->lanes.back().waiting.size();
+    for (const PlanLane &lane : this->lanes) {
+        load.unplacedSteps += lane.unplacedCount;
+    }
+    return load;
 }
 
-Duration Dispatcher::ageOf(const JobEntry &job, std::uint32_t occurrence, Instant now) const
+Duration Planner::ageOf(const JobEntry &job, std::uint32_t occurrence, Instant now) const
 {
     if (!job.spec.timed) {
         return now - job.acceptedAt;
@@ -50,8 +94,8 @@
     return milliseconds(this->clock.calendarMillis() - due);
 }
 
-WaitingJob Dispatcher::describeWaiting(const JobEntry &job, std::uint32_t occurrence, Instant since,
-                                       Instant now) const
+WaitingJob Planner::describeWaiting(const JobEntry &job, std::uint32_t occurrence, Instant since,
+                                    Instant now) const
 {
     WaitingJob waitingJob;
     waitingJob.priority = job.spec.priority;
@@ -66,16 +110,16 @@
     return waitingJob;
 }
 
-void Dispatcher::rankWaiting(PlanLane &lane, Instant now)
+void Planner::rankWaiting(PlanLane &lane, Instant now)
 {
     lane.queue.clear();
     lane.next = 0;
     lane.unplaced.clear();
     lane.unplacedCount = 0;
     for (auto at = lane.waiting.begin(); at != lane.waiting.end();) {
-        JobEntry *job = this->jobTable.find(at->first);
+        JobEntry *job = this->jobs.find(at->first);
         const bool open = job != nullptr && !job->hasEnded()
-                && (!this->previousRunsSettled(*job, now)
+                && (!this->listener.mayStart(*job)
                     || this->addCandidates(lane, *job, at->second, now));
         at = open ? std::next(at) : lane.waiting.erase(at);
     }
@@ -85,7 +129,7 @@
     lane.nextRanking = now + lane.limits.rankInterval;
 }
 
-bool Dispatcher::addCandidates(PlanLane &lane, JobEntry &job, Instant since, Instant now)
+bool Planner::addCandidates(PlanLane &lane, JobEntry &job, Instant since, Instant now)
 {
     const std::size_t before = lane.queue.size();
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
@@ -117,7 +161,13 @@
     return lane.queue.size() > before;
 }
 
-TaskRequest Dispatcher::makeTaskRequest(const PlanCandidate &candidate)
+void Planner::start(JobEntry &job, const TaskRef &task, Worker &worker, std::uint64_t attempt)
+{
+    ++this->counters.starts;
+    this->listener.startTask(job, task, worker, attempt);
+}
+
+TaskRequest Planner::makeTaskRequest(const PlanCandidate &candidate)
 {
     TaskRequest request;
     request.step = &candidate.job->spec.steps[candidate.step];
@@ -130,7 +180,7 @@
     if (request.step->maxPerWorker == 0 && !request.step->prefersSingleRack) {
         return request;
     }
-    this->workerManager.forEachRun(candidate.job->spec.id, [&](Worker &worker, Run &run) {
+    this->workers.forEachRun(candidate.job->spec.id, [&](Worker &worker, Run &run) {
         const TaskRef &task = run.attempt.task;
         if (task.occurrence == candidate.occurrence && task.step == candidate.step) {
             ++request.siblings[worker.entry.worker];
@@ -140,43 +190,12 @@
     return request;
 }
 
-std::uint64_t Dispatcher::nextAttempt(const StepTask &task) const
-{
-    return std::max(task.lastAttempt, this->term.fencingToken * attemptsPerOwner) + 1;
-}
-
-void Dispatcher::startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt)
-{
-    StepTask &task = job.task(ref);
-    const Run run = this->describeRun(job, { ref, attempt });
-    ++job.startedRuns;
-    ++this->counters.starts;
-    if (task.lastAttempt == 0) {
-        job.recordFirstStart(ref, this->clock.now());
-    }
-    task.lastAttempt = attempt;
-    ++task.openRuns;
-    if (!job.started) {
-        this->listener.jobStarted(this->clock.now() - job.acceptedAt);
-    }
-    job.started = true;
-    this->decisions.write(
-            DecisionLine(Event::TaskStarted)
-                    .with("task", text(ref))
-                    .with("attempt", attempt)
-                    .with("worker", worker.entry.worker.name())
-                    .with("free_cpu", worker.free().cpuMilli)
-                    .with("fill_room", static_cast<std::int64_t>(worker.availableFillCpuMilli))
-                    .with("resumes", !task.checkpoint.empty()));
-    this->workerManager.start(worker, run, job.spec, task.checkpoint);
-}
-
-bool Dispatcher::planStep(const PlanLane &lane, const PlanCandidate &candidate, Instant now)
+bool Planner::planStep(const PlanLane &lane, const PlanCandidate &candidate, Instant now)
 {
     JobEntry &job = *candidate.job;
     TaskRequest request = this->makeTaskRequest(candidate);
-    const Placement placement(now, this->fillControl.pressures());
-    StepPlacement stepPlacement(placement, this->workerManager.workers(), request);
+    const Placement placement(now, this->pressures);
+    StepPlacement stepPlacement(placement, this->workers.workers(), request);
     TaskRef ref { job.spec.id, candidate.occurrence, candidate.step, 0 };
     const StepSpec &step = *request.step;
     for (ref.index = 0; ref.index < step.taskCount; ++ref.index) {
@@ -188,19 +207,18 @@
             return true;
         }
         request.failedOn = task.failedOn;
-        Worker *worker = task.failedOn.empty()
-                ? stepPlacement.choose(request)
-                : placement.choose(this->workerManager.workers(), request);
+        Worker *worker = task.failedOn.empty() ? stepPlacement.choose(request)
+                                               : placement.choose(this->workers.workers(), request);
         if (worker == nullptr) {
             return false;
         }
-        this->startTask(job, ref, *worker, this->nextAttempt(task));
+        this->start(job, ref, *worker, this->listener.nextAttempt(task));
         ++request.siblings[worker->entry.worker];
         const bool rackChosen = step.prefersSingleRack && request.rack != worker->rack;
         request.rack = worker->rack;
         request.failedOn.clear();
         if (rackChosen) {
-            stepPlacement = StepPlacement(placement, this->workerManager.workers(), request);
+            stepPlacement = StepPlacement(placement, this->workers.workers(), request);
         } else {
             stepPlacement.update(*worker, request);
         }
@@ -208,11 +226,11 @@
     return true;
 }
 
-bool Dispatcher::planGang(const PlanCandidate &candidate, Instant now)
+bool Planner::planGang(const PlanCandidate &candidate, Instant now)
 {
     JobEntry &job = *candidate.job;
     TaskRequest request = this->makeTaskRequest(candidate);
-    const Placement placement(now, this->fillControl.pressures());
+    const Placement placement(now, this->pressures);
     const StepSpec &step = *request.step;
     TaskRef ref { job.spec.id, candidate.occurrence, candidate.step, 0 };
     std::uint64_t attempt = 0;
@@ -222,12 +240,12 @@
         if (task.openRuns > 0) {
             return true;
         }
-        attempt = std::max(attempt, this->nextAttempt(task));
+        attempt = std::max(attempt, this->listener.nextAttempt(task));
         checkpoint = std::max(checkpoint, task.checkpoint);
     }
     std::vector<Worker *> chosen;
     for (std::uint32_t index = 0; index < step.taskCount; ++index) {
-        Worker *worker = placement.choose(this->workerManager.workers(), request);
+        Worker *worker = placement.choose(this->workers.workers(), request);
         if (worker == nullptr) {
             break;
         }
@@ -246,17 +264,17 @@
     }
     for (ref.index = 0; ref.index < step.taskCount; ++ref.index) {
         job.task(ref).checkpoint = checkpoint;
-        this->startTask(job, ref, *chosen[ref.index], attempt);
+        this->start(job, ref, *chosen[ref.index], attempt);
     }
     return true;
 }
 
-bool Dispatcher::mayStartMore(const PlanLane &lane) const
+bool Planner::mayStartMore(const PlanLane &lane) const
 {
-    return this->workerManager.startsInFlight(lane.fills) < lane.limits.maxOpenStarts;
+    return this->workers.startsInFlight(lane.fills) < lane.limits.maxOpenStarts;
 }
 
-void Dispatcher::plan(PlanLane &lane, Instant now)
+void Planner::plan(PlanLane &lane, Instant now)
 {
     if (now < lane.nextRound || !this->mayStartMore(lane)) {
         return;
@@ -264,12 +282,12 @@
     const Instant begin = this->clock.now();
     this->planRound(lane, now);
     const Instant done = this->clock.now();
-    ++this->counters.planningRounds;
-    this->counters.planningTime += done - begin;
+    ++this->counters.rounds;
+    this->counters.time += done - begin;
     lane.nextRound = done + (done - begin) * (lane.limits.timeDivisor - 1);
 }
 
-void Dispatcher::planRound(PlanLane &lane, Instant now)
+void Planner::planRound(PlanLane &lane, Instant now)
 {
     if (now >= lane.nextRanking) {
         this->rankWaiting(lane, now);
@@ -285,7 +303,7 @@
     }
 }
 
-void Dispatcher::planCandidate(PlanLane &lane, const PlanCandidate &candidate, Instant now)
+void Planner::planCandidate(PlanLane &lane, const PlanCandidate &candidate, Instant now)
 {
     const StepSpec &step = candidate.spec();
     const bool ruledOut =
--- /dev/null
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "bulrush_steps/dispatch/PlanLane.h"
+#include "bulrush_steps/model/ServingConfig.h"
+#include "bulrush_steps/model/StepJobTable.h"
+#include "bulrush_steps/policy/DurationEstimator.h"
+#include "bulrush_steps/policy/PressureModel.h"
+#include "bulrush_steps/workers/WorkerManager.h"
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace bulrush {
+
+/** How much there is to plan, and how much was planned. */
+struct PlanLoad
+{
+    /** Jobs that may have tasks to start that reserve processors. */
+    std::size_t waitingJobs = 0;
+    /** Jobs that may have filling tasks to start. */
+    std::size_t waitingFills = 0;
+    /** Steps for which the last round of planning found no worker. */
+    std::size_t unplacedSteps = 0;
+    /** Rounds of planning, their duration and the starts that they made, since the start of the
+        process. */
+    std::uint64_t rounds = 0;
+    Duration time {};
+    std::uint64_t starts = 0;
+};
+
+/**
+    Selects the tasks to start and their workers.
+
+    Plans the steps that reserve processors and those that fill apart from each other.
+    @see PlanLane, JobRank, Placement
+*/
+class Planner
+{
+public:
+    /** Starts the tasks that are selected. */
+    struct Listener
+    {
+        virtual ~Listener() = default;
+
+        /** Returns whether tasks of a job may start: no run of a previous owner can be alive
+         * unseen. */
+        virtual bool mayStart(const JobEntry &job) = 0;
+
+        /** Returns the number of a task's next attempt. */
+        virtual std::uint64_t nextAttempt(const StepTask &task) const = 0;
+
+        virtual void startTask(JobEntry &job, const TaskRef &task, Worker &worker,
+                               std::uint64_t attempt) = 0;
+    };
+
+    Planner(const Clock &clock, StepJobTable &jobs, WorkerManager &workers,
+            const DurationEstimator &durations, const PressureModel &pressures, Listener &listener);
+
+    void configure(const ServingConfig &serving) { this->config = serving; }
+
+    /** Considers a job, which may have tasks to start, from now on. */
+    void markWaiting(const JobId &job);
+
+    /** Discards all jobs. */
+    void clear();
+
+    /** Starts waiting tasks, as far as the limits of planning allow. */
+    void tick(Instant now);
+
+    /** Returns the number of accepted jobs of a queue that have not started. Jobs with a schedule
+        are not counted. */
+    std::uint32_t waitingJobs(std::string_view queue) const;
+
+    PlanLoad load() const;
+
+private:
+    void plan(PlanLane &lane, Instant now);
+    void planRound(PlanLane &lane, Instant now);
+    void planCandidate(PlanLane &lane, const PlanCandidate &candidate, Instant now);
+    bool planStep(const PlanLane &lane, const PlanCandidate &candidate, Instant now);
+    bool planGang(const PlanCandidate &candidate, Instant now);
+    bool mayStartMore(const PlanLane &lane) const;
+    void rankWaiting(PlanLane &lane, Instant now);
+
+    /** Adds the steps of a job that have tasks to start to the queue of a lane.
+        @returns whether the job has such a step, or an occurrence that is not due yet */
+    bool addCandidates(PlanLane &lane, JobEntry &job, Instant since, Instant now);
+
+    /** Returns the time since a job was accepted, or, for a job with a schedule, since an
+        occurrence was due; negative before that. */
+    Duration ageOf(const JobEntry &job, std::uint32_t occurrence, Instant now) const;
+    WaitingJob describeWaiting(const JobEntry &job, std::uint32_t occurrence, Instant since,
+                               Instant now) const;
+    TaskRequest makeTaskRequest(const PlanCandidate &candidate);
+    void start(JobEntry &job, const TaskRef &task, Worker &worker, std::uint64_t attempt);
+
+    const Clock &clock;
+    StepJobTable &jobs;
+    WorkerManager &workers;
+    const DurationEstimator &durations;
+    const PressureModel &pressures;
+    Listener &listener;
+    ServingConfig config;
+    /** The planning of the steps that reserve processors, then of those that fill. */
+    std::array<PlanLane, 2> lanes;
+    /** Of load(): rounds, time and starts. */
+    PlanLoad counters;
+};
+
+} // namespace bulrush
