Split the roster, reports and interventions from large files of bulrush_steps

The roster of workers is a class of its own; what a worker's report changes, and what the dispatcher does to running tasks, have files of their own; the tests of placement stand apart from those of the other policies. The comments of the tests of planning have one line each.

--- a/modules/bulrush_steps/bulrush_steps.h
+++ b/modules/bulrush_steps/bulrush_steps.h
@@ -43,3 +43,4 @@
 #include "bulrush_steps/workers/LeaseClock.h"
 #include "bulrush_steps/workers/Worker.h"
 #include "bulrush_steps/workers/WorkerManager.h"
+#include "bulrush_steps/workers/WorkerRoster.h"
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -2,7 +2,6 @@
 
 #include "bulrush_core/events/DecisionLog.h"
 #include "bulrush_steps/model/TaskText.h"
-#include "bulrush_steps/policy/RunHealth.h"
 
 #include <algorithm>
 
@@ -10,19 +9,9 @@
 
 namespace {
 
-/** How long a worker receives no filling tasks after one of its serving tasks exceeded its
-    tail latency target. */
-constexpr milliseconds fillBlockDuration { 800 };
-
 /** Interval of the periodic check of all runs and of the roster. */
 constexpr milliseconds maintenanceInterval { 50 };
 
-/** Maximum number of times that a task is moved because its run is stalled or slow. */
-constexpr std::uint32_t maxMoves = 3;
-
-/** How long a worker receives no new tasks after a run on it was stalled or slow. */
-constexpr milliseconds unhealthyWorkerPause { 2500 };
-
 /** Size of the attempt number range of one owner: the first attempt of an owner at a task is at
     least its fencing token times this size, plus one. */
 constexpr std::uint64_t attemptsPerOwner = 1000;
@@ -95,9 +84,7 @@
     this->planner.clear();
     this->jobTable.clear();
     this->fillControl.clearWorkers();
-    this->newestRoster.clear();
-    this->sentRoster.clear();
-    this->recordedRoster.clear();
+    this->roster.clear();
 }
 
 void Dispatcher::configure(const ServingConfig &serving)
@@ -198,32 +185,14 @@
 
 void Dispatcher::updateRoster()
 {
-    std::set<TargetId> roster;
-    for (auto &[id, worker] : this->workerManager.workers()) {
-        roster.insert(id);
-    }
-    if (!this->previousOwnerSettled && this->clock.now() < this->term.previousOwnerSettledAt) {
-        // Workers of the previous owner may still run its tasks.
-        roster.insert(this->jobTable.roster().begin(), this->jobTable.roster().end());
-    }
-    if (roster != this->newestRoster) {
-        this->newestRoster = std::move(roster);
+    // Workers of the previous owner may still run its tasks.
+    const bool settled =
+            this->previousOwnerSettled || this->clock.now() >= this->term.previousOwnerSettledAt;
+    const std::span<const TargetId> previous =
+            settled ? std::span<const TargetId>() : std::span(this->jobTable.roster());
+    if (this->roster.update(this->workerManager.workers(), previous)) {
         this->writer.markRosterChanged();
     }
-    this->markRecordedWorkers();
-}
-
-void Dispatcher::markRecordedWorkers()
-{
-    for (auto &[id, worker] : this->workerManager.workers()) {
-        worker.onRoster = this->recordedRoster.contains(id);
-    }
-}
-
-std::string Dispatcher::rosterRecord()
-{
-    this->sentRoster = this->newestRoster;
-    return records::encodeRoster({ this->sentRoster.begin(), this->sentRoster.end() });
 }
 
 std::string Dispatcher::progressRecord(const JobId &id)
@@ -253,8 +222,7 @@
                                       .with("age_ms", duration_cast<milliseconds>(age).count()));
     }
     if (withRoster) {
-        this->recordedRoster = this->sentRoster;
-        this->markRecordedWorkers();
+        this->roster.sentRecordStored(this->workerManager.workers());
     }
 }
 
@@ -465,78 +433,4 @@
     return job == nullptr ? std::nullopt : std::optional(job->visibleState());
 }
 
-void Dispatcher::controlFills(Instant now)
-{
-    for (auto &[id, worker] : this->workerManager.workers()) {
-        if (worker.reportedAt <= worker.observedAt) {
-            continue;
-        }
-        worker.observedAt = now;
-        worker.servingPressures.reset();
-        worker.availableFillCpuMilli = FillController::unusedProcessors(worker, now);
-        this->fillControl.observe(worker, now);
-        if (FillController::exceedsTailTarget(worker)) {
-            worker.fillsBlockedUntil = now + fillBlockDuration;
-        }
-        for (const FillChange &change : this->fillControl.decide(worker, now, this->settings)) {
-            Run &run = worker.runs.at(change.attempt);
-            if (change.move) {
-                this->stopRun(worker, run, "slows down a serving task");
-                continue;
-            }
-            this->decisions.write(DecisionLine(Event::TaskPaced)
-                                          .with("task", text(change.attempt.task))
-                                          .with("worker", id.name())
-                                          .with("percent", change.pacePercent));
-            this->workerManager.pace(worker, run, change.pacePercent);
-        }
-    }
-}
-
-milliseconds Dispatcher::typicalDuration(const JobEntry &job, const TaskRef &task) const
-{
-    const milliseconds mean = job.occurrences[task.occurrence].steps[task.step].meanDuration;
-    return mean.count() > 0 ? mean
-                            : this->durations.expectedDuration(job.spec.queue, job.step(task));
-}
-
-void Dispatcher::recordDuration(JobEntry &job, const Run &run)
-{
-    const Duration took = this->clock.now() - run.startSentAt;
-    const TaskRef &task = run.attempt.task;
-    this->durations.recordDuration(job.spec.queue, job.step(task), took);
-    StepState &step = job.occurrences[task.occurrence].steps[task.step];
-    const auto newest = duration_cast<milliseconds>(took);
-    step.meanDuration = step.meanDuration.count() == 0 ? newest : (step.meanDuration + newest) / 2;
-}
-
-void Dispatcher::moveUnhealthyRuns(Instant now)
-{
-    for (auto &[id, worker] : this->workerManager.workers()) {
-        for (auto &[attempt, run] : worker.runs) {
-            if (!mayBeUnhealthy(worker, run, now)) {
-                continue;
-            }
-            JobEntry *job = this->findJob(attempt.task);
-            if (job == nullptr) {
-                continue;
-            }
-            StepTask &task = job->task(attempt.task);
-            const RunHealth health =
-                    assessRun(worker, run, now, this->typicalDuration(*job, attempt.task));
-            const bool gang = job->step(attempt.task).gang;
-            if (health == RunHealth::Healthy || gang || task.relocations >= maxMoves) {
-                continue;
-            }
-            ++task.relocations;
-            task.failedOn.push_back(id);
-            const bool stalled = health == RunHealth::Stalled;
-            const std::string_view reason =
-                    stalled ? "run makes no progress" : "run is slower than expected";
-            this->workerManager.suspendPlacement(worker, unhealthyWorkerPause, reason);
-            this->stopRun(worker, run, reason);
-        }
-    }
-}
-
 } // namespace bulrush
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -7,9 +7,9 @@
 #include "bulrush_steps/model/StepJobTable.h"
 #include "bulrush_steps/policy/FillController.h"
 #include "bulrush_steps/workers/WorkerManager.h"
+#include "bulrush_steps/workers/WorkerRoster.h"
 
 #include <optional>
-#include <set>
 
 namespace bulrush {
 
@@ -122,7 +122,7 @@
 
     // ProgressWriter::Listener
     std::string progressRecord(const JobId &job) override;
-    std::string rosterRecord() override;
+    std::string rosterRecord() override { return this->roster.recordToSend(); }
     void stored(const std::vector<JobId> &jobs, bool withRoster) override;
     void writerFenced() override;
 
@@ -134,7 +134,6 @@
 
     void applyResignation();
     void updateRoster();
-    void markRecordedWorkers();
     void controlFills(Instant now);
     void moveUnhealthyRuns(Instant now);
     milliseconds typicalDuration(const JobEntry &job, const TaskRef &task) const;
@@ -166,12 +165,7 @@
     bool isActive = false;
     bool previousOwnerSettled = false;
     Instant nextMaintenance {};
-    /** The newest roster: the list of the workers that may hold tasks. */
-    std::set<TargetId> newestRoster;
-    /** The roster that was last passed to the writer for an append. */
-    std::set<TargetId> sentRoster;
-    /** The roster that is persisted. */
-    std::set<TargetId> recordedRoster;
+    WorkerRoster roster;
 };
 
 } // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
@@ -0,0 +1,100 @@
+// The part of Dispatcher that intervenes in running tasks: changes their pace, moves and stops
+// them.
+
+#include "bulrush_steps/dispatch/Dispatcher.h"
+
+#include "bulrush_core/events/DecisionLog.h"
+#include "bulrush_steps/model/TaskText.h"
+#include "bulrush_steps/policy/RunHealth.h"
+
+namespace bulrush {
+
+namespace {
+
+/** How long a worker receives no filling tasks after one of its serving tasks exceeded its
+    tail latency target. */
+constexpr milliseconds fillBlockDuration { 800 };
+
+/** Maximum number of times that a task is moved because its run is stalled or slow. */
+constexpr std::uint32_t maxMoves = 3;
+
+/** How long a worker receives no new tasks after a run on it was stalled or slow. */
+constexpr milliseconds unhealthyWorkerPause { 2500 };
+
+} // namespace
+
+void Dispatcher::controlFills(Instant now)
+{
+    for (auto &[id, worker] : this->workerManager.workers()) {
+        if (worker.reportedAt <= worker.observedAt) {
+            continue;
+        }
+        worker.observedAt = now;
+        worker.servingPressures.reset();
+        worker.availableFillCpuMilli = FillController::unusedProcessors(worker, now);
+        this->fillControl.observe(worker, now);
+        if (FillController::exceedsTailTarget(worker)) {
+            worker.fillsBlockedUntil = now + fillBlockDuration;
+        }
+        for (const FillChange &change : this->fillControl.decide(worker, now, this->settings)) {
+            Run &run = worker.runs.at(change.attempt);
+            if (change.move) {
+                this->stopRun(worker, run, "slows down a serving task");
+                continue;
+            }
+            this->decisions.write(DecisionLine(Event::TaskPaced)
+                                          .with("task", text(change.attempt.task))
+                                          .with("worker", id.name())
+                                          .with("percent", change.pacePercent));
+            this->workerManager.pace(worker, run, change.pacePercent);
+        }
+    }
+}
+
+milliseconds Dispatcher::typicalDuration(const JobEntry &job, const TaskRef &task) const
+{
+    const milliseconds mean = job.occurrences[task.occurrence].steps[task.step].meanDuration;
+    return mean.count() > 0 ? mean
+                            : this->durations.expectedDuration(job.spec.queue, job.step(task));
+}
+
+void Dispatcher::recordDuration(JobEntry &job, const Run &run)
+{
+    const Duration took = this->clock.now() - run.startSentAt;
+    const TaskRef &task = run.attempt.task;
+    this->durations.recordDuration(job.spec.queue, job.step(task), took);
+    StepState &step = job.occurrences[task.occurrence].steps[task.step];
+    const auto newest = duration_cast<milliseconds>(took);
+    step.meanDuration = step.meanDuration.count() == 0 ? newest : (step.meanDuration + newest) / 2;
+}
+
+void Dispatcher::moveUnhealthyRuns(Instant now)
+{
+    for (auto &[id, worker] : this->workerManager.workers()) {
+        for (auto &[attempt, run] : worker.runs) {
+            if (!mayBeUnhealthy(worker, run, now)) {
+                continue;
+            }
+            JobEntry *job = this->findJob(attempt.task);
+            if (job == nullptr) {
+                continue;
+            }
+            StepTask &task = job->task(attempt.task);
+            const RunHealth health =
+                    assessRun(worker, run, now, this->typicalDuration(*job, attempt.task));
+            const bool gang = job->step(attempt.task).gang;
+            if (health == RunHealth::Healthy || gang || task.relocations >= maxMoves) {
+                continue;
+            }
+            ++task.relocations;
+            task.failedOn.push_back(id);
+            const bool stalled = health == RunHealth::Stalled;
+            const std::string_view reason =
+                    stalled ? "run makes no progress" : "run is slower than expected";
+            this->workerManager.suspendPlacement(worker, unhealthyWorkerPause, reason);
+            this->stopRun(worker, run, reason);
+        }
+    }
+}
+
+} // namespace bulrush
--- a/modules/bulrush_steps/tests/planning_test.cpp
+++ b/modules/bulrush_steps/tests/planning_test.cpp
@@ -62,8 +62,7 @@
 
 } // namespace
 
-/* The last step of a job in time queued behind all batch work, because finished steps still counted
-   as work to come. */
+/* Finished steps counted as work to come, so the last steps queued behind all batch work. */
 Test(Planning, aJobThatIsInTimeKeepsItsPlaceAheadOfBatchWorkInItsLaterSteps)
 {
     DispatcherFixture fixture;
--- a/modules/bulrush_steps/tests/policy_test.cpp
+++ b/modules/bulrush_steps/tests/policy_test.cpp
@@ -1,5 +1,4 @@
-#include "bulrush_core/bulrush_core.h"
-#include "bulrush_steps/bulrush_steps.h"
+#include "PolicyFixture.h"
 
 #include <criterion/criterion.h>
 
@@ -8,89 +7,7 @@
 #include <random>
 
 using namespace bulrush;
-
-namespace {
-
-const Instant start { hours(1) };
-
-Run makeRun(const char *job, std::int64_t cpu, const char *image)
-{
-    Run run;
-    run.attempt = { { JobId(job), 0, 0, 0 }, 1 };
-    run.size = { cpu, 1000, 0 };
-    run.image = image;
-    run.phase = RunPhase::Running;
-    run.confirmedAt = start;
-    run.progressedAt = start;
-    return run;
-}
-
-Run makeServingRun(const char *job, const char *image, double tail)
-{
-    Run run = makeRun(job, 10000, image);
-    run.runsIndefinitely = true;
-    run.progressPercent = 100;
-    run.tailTarget = milliseconds(50);
-    run.load = tail;
-    return run;
-}
-
-Run makeFillingRun(const char *job, const char *image, double used)
-{
-    Run run = makeRun(job, 0, image);
-    run.fillCpuMilli = 6400;
-    run.load = used;
-    run.resumable = true;
-    return run;
-}
-
-Worker makeWorker(const char *name, const std::vector<Run> &runs)
-{
-    Worker worker;
-    worker.entry.worker = TargetId(name);
-    worker.entry.service = ServiceId("review");
-    worker.entry.capacity = { 64000, 256000, 0 };
-    worker.confirmed = true;
-    worker.onRoster = true;
-    worker.availableFillCpuMilli = 64000;
-    for (const Run &run : runs) {
-        worker.addRun(run);
-    }
-    return worker;
-}
-
-/** How long a model is trained with reports before `start`. */
-constexpr seconds trainingTime { 30 };
-
-/** Returns a model trained with reports of a serving image alone, beside a heavy and beside a light
-    filling image. */
-PressureModel makeTrainedModel()
-{
-    PressureModel model;
-    const Worker alone = makeWorker("w", { makeServingRun("s", "web", 15) });
-    const Worker besideHeavy =
-            makeWorker("w", { makeServingRun("s", "web", 45), makeFillingRun("f", "heavy", 6400) });
-    const Worker besideLight =
-            makeWorker("w", { makeServingRun("s", "web", 15), makeFillingRun("f", "light", 6400) });
-    model.observe(makeWorker("w", { makeServingRun("s", "web", 10) }), start - trainingTime);
-    for (Instant now = start - trainingTime; now < start; now += milliseconds(100)) {
-        model.observe(alone, now);
-        model.observe(besideHeavy, now);
-        model.observe(besideLight, now);
-    }
-    return model;
-}
-
-StepSpec makeFillingStep(const char *image)
-{
-    StepSpec step;
-    step.size = { 6400, 1000, 0 };
-    step.fills = true;
-    step.image = image;
-    return step;
-}
-
-} // namespace
+using namespace bulrush::test;
 
 Test(LeaseClock, aLeaseOutlastsItsLengthOnASlowClock)
 {
@@ -232,167 +149,15 @@
     cr_assert_gt(model.expectedPressure(other, sibling, start + seconds(3)), before + 0.2);
 }
 
-Test(Placement, aFillingTaskAvoidsTheServingTaskThatItSlows)
-{
-    const PressureModel model = makeTrainedModel();
-    std::map<TargetId, Worker> workers;
-    workers.emplace(TargetId("a"), makeWorker("a", { makeServingRun("s", "web", 35) }));
-    workers.emplace(TargetId("b"), makeWorker("b", {}));
-    workers.at(TargetId("b")).availableFillCpuMilli = 20000;
-    const StepSpec step = makeFillingStep("heavy");
-    TaskRequest request;
-    request.step = &step;
-    request.service = ServiceId("review");
-    request.riskAllowed = 1.0;
-    const Placement placement(start, model);
-    cr_assert(placement.choose(workers, request)->entry.worker == TargetId("b"));
-    workers.erase(TargetId("b"));
-    request.riskAllowed = 0.1;
-    cr_assert_null(placement.choose(workers, request),
-                   "the task was placed beside a serving task that it slows");
-    const StepSpec light = makeFillingStep("light");
-    request.step = &light;
-    cr_assert_not_null(placement.choose(workers, request));
-}
-
 /* The filling tasks of a large job are placed one after the other before any of them appears in a
    report. Another one must not count as harmless just because the serving task is already expected
    to exceed its tail target. */
-Test(Placement, fewTasksOfALargeJobArePlacedBesideOneServingTask)
-{
-    const PressureModel model = makeTrainedModel();
-    std::map<TargetId, Worker> workers;
-    workers.emplace(TargetId("a"), makeWorker("a", { makeServingRun("s", "web", 15) }));
-    Worker &worker = workers.at(TargetId("a"));
-    const StepSpec step = makeFillingStep("heavy");
-    TaskRequest request;
-    request.step = &step;
-    request.service = ServiceId("review");
-    request.riskAllowed = 0.8;
-    const Placement placement(start, model);
-    constexpr std::uint32_t tasks = 8;
-    std::uint32_t placed = 0;
-    while (placed < tasks && placement.choose(workers, request) != nullptr) {
-        Run run = makeFillingRun("large", "heavy", 0);
-        run.attempt.task.index = ++placed;
-        worker.addRun(run);
-    }
-    cr_assert_leq(placed, 2U, "%u were placed", placed);
-}
-
 /* Neither worker's serving task is near its tail target. The lower added pressure outweighs
    slightly less unused processor time. */
-Test(Placement, aFillingTaskGoesWhereItAddsLessPressure)
-{
-    PressureModel model = makeTrainedModel();
-    model.observe(makeWorker("w", { makeServingRun("d", "db", 10) }), start);
-    std::map<TargetId, Worker> workers;
-    workers.emplace(TargetId("a"), makeWorker("a", { makeServingRun("d", "db", 12) }));
-    workers.emplace(TargetId("b"), makeWorker("b", { makeServingRun("s", "web", 12) }));
-    workers.at(TargetId("b")).availableFillCpuMilli = 61000;
-    const StepSpec step = makeFillingStep("light");
-    TaskRequest request;
-    request.step = &step;
-    request.service = ServiceId("review");
-    request.riskAllowed = 1.0;
-    const Placement placement(start, model);
-    cr_assert(placement.choose(workers, request)->entry.worker == TargetId("b"));
-}
-
 /* In a backlog of filling tasks, an image that no worker can take must not block one that adds less
    pressure. */
-Test(UnplacedStep, rulesOutOnlyStepsThatAskForAsMuchOrMore)
-{
-    const StepSpec heavy = makeFillingStep("heavy");
-    const StepSpec light = makeFillingStep("light");
-    const UnplacedStep unplaced { &heavy, 0.5 };
-    cr_assert(unplaced.rulesOut(heavy, 0.5));
-    cr_assert_not(unplaced.rulesOut(light, 0.5));
-    cr_assert_not(unplaced.rulesOut(heavy, 0.9), "more risk is allowed");
-    StepSpec reserving = heavy;
-    reserving.fills = false;
-    cr_assert_not(unplaced.rulesOut(reserving, 0.5));
-    StepSpec smaller = heavy;
-    smaller.size.memoryMb /= 2;
-    cr_assert_not(unplaced.rulesOut(smaller, 0.5));
-    const UnplacedStep noRoom { &reserving, 0.0 };
-    reserving.image = "other";
-    cr_assert(noRoom.rulesOut(reserving, 0.0));
-}
-
 /* Each start of a step with many tasks changes the scores for the next choice. */
-Test(StepPlacement, choosesAsIfAllWorkersWereScoredForEachTask)
-{
-    const PressureModel model;
-    StepSpec step;
-    step.size = { 9000, 30000, 0 };
-    step.maxPerWorker = 3;
-    TaskRequest request;
-    request.step = &step;
-    request.service = ServiceId("review");
-    const Placement placement(start, model);
-    std::map<TargetId, Worker> incremental;
-    for (const char *name : { "a", "b", "c" }) {
-        incremental.emplace(TargetId(name), makeWorker(name, { makeRun("x", 20000, "") }));
-    }
-    std::map<TargetId, Worker> reference = incremental;
-    TaskRequest referenceRequest = request;
-    StepPlacement stepPlacement(placement, incremental, request);
-    for (int task = 0; task < 12; ++task) {
-        Worker *chosen = stepPlacement.choose(request);
-        Worker *expected = placement.choose(reference, referenceRequest);
-        cr_assert_eq(chosen == nullptr, expected == nullptr);
-        if (chosen == nullptr) {
-            continue;
-        }
-        cr_assert(chosen->entry.worker == expected->entry.worker);
-        for (Worker *worker : { chosen, expected }) {
-            worker->committed += step.size;
-        }
-        ++request.siblings[chosen->entry.worker];
-        ++referenceRequest.siblings[expected->entry.worker];
-        stepPlacement.update(*chosen, request);
-    }
-}
-
 /* The impact on serving tasks is computed only for workers that may be the best. */
-Test(StepPlacement, choosesFillingTasksAsIfTheImpactOnAllWorkersWereKnown)
-{
-    const PressureModel model = makeTrainedModel();
-    const StepSpec step = makeFillingStep("heavy");
-    TaskRequest request;
-    request.step = &step;
-    request.service = ServiceId("review");
-    request.riskAllowed = 0.9;
-    const Placement placement(start, model);
-    std::map<TargetId, Worker> incremental;
-    for (int number = 0; number < 12; ++number) {
-        const std::string name = "w" + std::to_string(number);
-        const double tail = 15.0 + 2.0 * (number * 7 % 12);
-        incremental.emplace(TargetId(name),
-                            makeWorker(name.c_str(), { makeServingRun("s", "web", tail) }));
-        incremental.at(TargetId(name)).availableFillCpuMilli = 30000 + 2500 * (number * 5 % 12);
-    }
-    std::map<TargetId, Worker> reference = incremental;
-    StepPlacement stepPlacement(placement, incremental, request);
-    std::uint32_t placed = 0;
-    for (std::uint32_t task = 0; task < 60; ++task) {
-        Worker *chosen = stepPlacement.choose(request);
-        Worker *expected = placement.choose(reference, request);
-        cr_assert_eq(chosen == nullptr, expected == nullptr);
-        if (chosen == nullptr) {
-            break;
-        }
-        cr_assert(chosen->entry.worker == expected->entry.worker);
-        Run run = makeFillingRun("large", "heavy", 0);
-        run.attempt.task.index = ++placed;
-        chosen->addRun(run);
-        expected->addRun(run);
-        stepPlacement.update(*chosen, request);
-    }
-    cr_assert_geq(placed, 6U);
-}
-
 Test(WorkOrder, aJobIsUrgentWhenLittleOfItsObjectiveIsLeft)
 {
     WaitingJob job;
@@ -422,76 +187,7 @@
 
 /* Filling is blocked on the worker because its serving task exceeds its tail target; a new filling
    task would slow it further. */
-Test(Placement, aWorkerWhereFillingIsBlockedGetsNoFillingTask)
-{
-    const PressureModel model = makeTrainedModel();
-    std::map<TargetId, Worker> workers;
-    workers.emplace(TargetId("a"), makeWorker("a", { makeServingRun("s", "web", 80) }));
-    cr_assert(FillController::exceedsTailTarget(workers.at(TargetId("a"))));
-    const StepSpec step = makeFillingStep("light");
-    TaskRequest request;
-    request.step = &step;
-    request.service = ServiceId("review");
-    request.riskAllowed = 10.0;
-    const Placement placement(start, model);
-    cr_assert_not_null(placement.choose(workers, request));
-    workers.at(TargetId("a")).fillsBlockedUntil = start + milliseconds(1);
-    cr_assert_null(placement.choose(workers, request));
-}
-
 /* Packing small tasks densely leaves free capacity in pieces that large tasks fit into. */
-Test(Placement, aReservingTaskGoesToTheFullestWorkerWithRoomForIt)
-{
-    const PressureModel model;
-    std::map<TargetId, Worker> workers;
-    workers.emplace(TargetId("a"), makeWorker("a", {}));
-    workers.emplace(TargetId("b"), makeWorker("b", { makeRun("x", 40000, "") }));
-    StepSpec step;
-    step.size = { 8000, 1000, 0 };
-    TaskRequest request;
-    request.step = &step;
-    request.service = ServiceId("review");
-    const Placement placement(start, model);
-    cr_assert(placement.choose(workers, request)->entry.worker == TargetId("b"));
-    step.size.cpuMilli = 30000;
-    cr_assert(placement.choose(workers, request)->entry.worker == TargetId("a"));
-}
-
-Test(Placement, hardConstraintsAreRespected)
-{
-    const PressureModel model;
-    std::map<TargetId, Worker> workers;
-    workers.emplace(TargetId("a"), makeWorker("a", {}));
-    Worker &worker = workers.at(TargetId("a"));
-    worker.entry.labels = { "small" };
-    StepSpec step;
-    step.size = { 1000, 1000, 0 };
-    TaskRequest request;
-    request.step = &step;
-    request.service = ServiceId("review");
-    const Placement placement(start, model);
-    const auto chosen = [&] { return placement.choose(workers, request) != nullptr; };
-    cr_assert(chosen());
-    step.requiredLabel = "big";
-    cr_assert_not(chosen(), "label");
-    step.requiredLabel = "";
-    step.maxPerWorker = 1;
-    request.siblings[TargetId("a")] = 1;
-    cr_assert_not(chosen(), "siblings");
-    request.siblings.clear();
-    request.service = ServiceId("other");
-    cr_assert_not(chosen(), "service");
-    request.service = ServiceId("review");
-    worker.entry.draining = true;
-    cr_assert_not(chosen(), "draining");
-    worker.entry.draining = false;
-    worker.confirmed = false;
-    cr_assert_not(chosen(), "not confirmed");
-    worker.confirmed = true;
-    worker.committed.memoryMb = 256000;
-    cr_assert_not(chosen(), "memory");
-}
-
 Test(FillController, onlyTheFillingRunWithTheMostPressureMoves)
 {
     FillController control;
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -2,10 +2,8 @@
 
 #include "bulrush_core/events/DecisionLog.h"
 #include "bulrush_steps/model/TaskText.h"
-#include "bulrush_steps/policy/RunHealth.h"
 
 #include <algorithm>
-#include <set>
 
 namespace bulrush {
 
@@ -17,13 +15,6 @@
 /** Time-out of a hold request, in addition to the time that the worker may delay its answer. */
 constexpr milliseconds holdTimeout { 700 };
 
-/** Delay before the next hold request to a worker after one failed. */
-constexpr milliseconds holdRetryDelay { 100 };
-
-/** Maximum delay of the next hold request, which renews the lease, while the results of ended runs
-    are not stored yet. */
-constexpr milliseconds maxUnstoredHoldDelay { 300 };
-
 /** How long a worker receives no new tasks after it refused a start or did not answer it. */
 constexpr milliseconds refusalPause { 400 };
 
@@ -200,153 +191,6 @@
                     });
 }
 
-void WorkerManager::handleHoldAnswer(const TargetId &id, std::uint64_t number, Instant sentAt,
-                                     std::uint64_t acknowledged, const HoldAnswer &answer)
-{
-    Worker *worker = this->find(id);
-    if (worker == nullptr || worker->holdNumber != number) {
-        return;
-    }
-    worker->holdInFlight = false;
-    if (answer.outcome == CommandOutcome::Fenced) {
-        this->listener.superseded(*worker);
-        return;
-    }
-    if (answer.outcome != CommandOutcome::Done) {
-        this->handleHoldFailure(*worker, answer.outcome);
-        return;
-    }
-    const Instant now = this->clock.now();
-    if (worker->processStartedAt != 0 && answer.processStartedAt != worker->processStartedAt) {
-        this->handleWorkerRestart(*worker, answer.processStartedAt);
-        // The hold request acknowledged ended runs of the previous process.
-        acknowledged = 0;
-    }
-    if (worker->failedHolds > 0 || !worker->adopted) {
-        this->decisions.write(
-                DecisionLine(Event::WorkerResponding)
-                        .with("worker", id.name())
-                        .with("born_ms", answer.processStartedAt)
-                        .with("running", static_cast<std::int64_t>(answer.running.size()))
-                        .with("failed_holds", worker->failedHolds));
-    }
-    worker->processStartedAt = answer.processStartedAt;
-    worker->failedHolds = 0;
-    worker->clock.recordReading(answer.clock, now);
-    worker->reportedAt = now;
-    worker->acknowledgedEnds = std::max(worker->acknowledgedEnds, acknowledged);
-    this->processEndedRuns(*worker, answer);
-    this->processRuns(*worker, answer, sentAt);
-    worker->adopted = true;
-    const bool firstAnswer = !worker->confirmed;
-    worker->confirmed = true;
-    const bool hasUnacknowledgedEnds = worker->processedEnds > worker->acknowledgedEnds;
-    const bool awaitsStorage =
-            hasUnacknowledgedEnds && worker->processedChange > this->listener.storedChange();
-    worker->nextHoldAt = awaitsStorage && !firstAnswer ? now + maxUnstoredHoldDelay : now;
-}
-
-void WorkerManager::handleHoldFailure(Worker &worker, CommandOutcome outcome)
-{
-    if (worker.failedHolds++ == 0) {
-        this->decisions.write(DecisionLine(Event::WorkerSilent)
-                                      .with("worker", worker.entry.worker.name())
-                                      .with("outcome", text(outcome))
-                                      .with("runs", static_cast<std::int64_t>(worker.runs.size())));
-    }
-    worker.confirmed = false;
-    worker.nextHoldAt = this->clock.now() + holdRetryDelay;
-}
-
-void WorkerManager::handleWorkerRestart(Worker &worker, UnixMillis processStartedAt)
-{
-    std::vector<Run> lost;
-    for (auto &[attempt, run] : worker.runs) {
-        const bool ofPreviousProcess =
-                run.phase == RunPhase::Running && run.confirmedAt <= worker.reportedAt;
-        if (ofPreviousProcess) {
-            lost.push_back(run);
-        } else if (run.phase == RunPhase::Running) {
-            // Confirmed after the last report, so possibly by the new process. The next report
-            // shows whether the run is alive.
-            run.confirmedAt = this->clock.now();
-        }
-    }
-    this->decisions.write(DecisionLine(Event::WorkerRestarted)
-                                  .with("worker", worker.entry.worker.name())
-                                  .with("born_ms", processStartedAt)
-                                  .with("runs_lost", static_cast<std::int64_t>(lost.size())));
-    worker.processedEnds = 0;
-    worker.processedChange = 0;
-    worker.acknowledgedEnds = 0;
-    worker.clock.reset();
-    for (const Run &run : lost) {
-        worker.removeRun(run.attempt);
-        this->listener.runLost(worker, run, "the worker's process restarted");
-    }
-}
-
-void WorkerManager::processEndedRuns(Worker &worker, const HoldAnswer &answer)
-{
-    for (const ListedEnd &end : answer.ended) {
-        if (end.number <= worker.processedEnds) {
-            continue;
-        }
-        worker.processedEnds = end.number;
-        const auto found = worker.runs.find(end.attempt);
-        const Run *run = found == worker.runs.end() ? nullptr : &found->second;
-        if (end.kind == EndKind::Succeeded || end.kind == EndKind::Failed) {
-            const milliseconds pause = recordRunEnd(worker, end.kind == EndKind::Failed);
-            if (pause.count() > 0) {
-                this->suspendPlacement(worker, pause, "repeated run failures");
-            }
-        }
-        const std::uint64_t change = this->listener.runEnded(worker, run, end);
-        worker.processedChange = std::max(worker.processedChange, change);
-        worker.removeRun(end.attempt);
-    }
-}
-
-void WorkerManager::processRuns(Worker &worker, const HoldAnswer &answer, Instant sentAt)
-{
-    const Instant now = this->clock.now();
-    std::set<AttemptRef> listed;
-    for (const ListedRun &each : answer.running) {
-        listed.insert(each.attempt);
-        auto found = worker.runs.find(each.attempt);
-        if (found == worker.runs.end()) {
-            Run adopted = this->listener.adoptRun(worker, each);
-            adopted.phase = RunPhase::Running;
-            adopted.confirmedAt = now;
-            adopted.progressedAt = now;
-            worker.addRun(std::move(adopted));
-            found = worker.runs.find(each.attempt);
-        }
-        Run &run = found->second;
-        if (run.phase != RunPhase::Running) {
-            run.phase = RunPhase::Running;
-            run.confirmedAt = now;
-            run.progressedAt = now;
-        }
-        if (each.percent != run.progressPercent) {
-            run.progressedAt = now;
-        }
-        run.progressPercent = each.percent;
-        run.load = each.load;
-    }
-    std::vector<Run> lost;
-    for (const auto &[attempt, run] : worker.runs) {
-        const bool confirmedBefore = run.phase == RunPhase::Running && run.confirmedAt < sentAt;
-        if (confirmedBefore && !listed.contains(attempt)) {
-            lost.push_back(run);
-        }
-    }
-    for (const Run &run : lost) {
-        worker.removeRun(run.attempt);
-        this->listener.runLost(worker, run, "not listed by the worker");
-    }
-}
-
 void WorkerManager::dropExpiredRuns(Worker &worker)
 {
     if (worker.runs.empty() || worker.confirmed || !this->listener.isSoleOwner()) {
--- /dev/null
+++ b/modules/bulrush_steps/workers/WorkerRoster.cpp
@@ -0,0 +1,48 @@
+#include "bulrush_steps/workers/WorkerRoster.h"
+
+#include "bulrush_steps/model/JobRecords.h"
+
+#include <utility>
+
+namespace bulrush {
+
+bool WorkerRoster::update(std::map<TargetId, Worker> &workers,
+                          std::span<const TargetId> ofPreviousOwner)
+{
+    std::set<TargetId> roster(ofPreviousOwner.begin(), ofPreviousOwner.end());
+    for (const auto &[id, worker] : workers) {
+        roster.insert(id);
+    }
+    const bool changed = roster != this->newest;
+    this->newest = std::move(roster);
+    this->markRecorded(workers);
+    return changed;
+}
+
+std::string WorkerRoster::recordToSend()
+{
+    this->sent = this->newest;
+    return records::encodeRoster({ this->sent.begin(), this->sent.end() });
+}
+
+void WorkerRoster::sentRecordStored(std::map<TargetId, Worker> &workers)
+{
+    this->recorded = this->sent;
+    this->markRecorded(workers);
+}
+
+void WorkerRoster::markRecorded(std::map<TargetId, Worker> &workers) const
+{
+    for (auto &[id, worker] : workers) {
+        worker.onRoster = this->recorded.contains(id);
+    }
+}
+
+void WorkerRoster::clear()
+{
+    this->newest.clear();
+    this->sent.clear();
+    this->recorded.clear();
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/workers/WorkerRoster.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "bulrush_steps/workers/Worker.h"
+
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+
+namespace bulrush {
+
+/**
+    The list of the workers that may hold tasks, and how much of it is persisted.
+
+    A worker receives its first task only after a persisted roster lists it, so that a new owner
+   knows which workers to ask.
+*/
+class WorkerRoster
+{
+public:
+    /** Updates the roster to the present workers and those of a previous owner, and marks the
+       workers that the persisted roster lists.
+        @returns whether the roster changed and is to be persisted */
+    bool update(std::map<TargetId, Worker> &workers, std::span<const TargetId> ofPreviousOwner);
+
+    /** Returns the record of the roster, to be appended to the log now. */
+    std::string recordToSend();
+
+    /** Notes that the record which was returned last is persisted. */
+    void sentRecordStored(std::map<TargetId, Worker> &workers);
+
+    void clear();
+
+private:
+    void markRecorded(std::map<TargetId, Worker> &workers) const;
+
+    std::set<TargetId> newest;
+    /** The roster that was last returned for an append. */
+    std::set<TargetId> sent;
+    /** The roster that is persisted. */
+    std::set<TargetId> recorded;
+};
+
+} // namespace bulrush
