Place filling tasks at half the risk for the serving tasks beside them

Cause: the limits on the expected number of serving tasks over their target, 0.5 and 0.9, were chosen while too few filling tasks were started to reach them.

--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -9,8 +9,8 @@
 /** Limits on the expected number of serving tasks that exceed their tail latency target on the
     worker of a filling task. The first applies while the filling task can wait, the second when it
     would otherwise be late. */
-constexpr double maxRiskOfDeferrableFill = 0.5;
-constexpr double maxRiskOfUrgentFill = 0.9;
+constexpr double maxRiskOfDeferrableFill = 0.25;
+constexpr double maxRiskOfUrgentFill = 0.5;
 
 /** Limits of planning. Steps that reserve processors are ranked in each round, since their callers
     wait. With more unanswered starts, requests would queue behind each other and time out. */
