Log the size of an accepted job and the objective of an ended one

Served shares by size could not be told from the logs: E1601 now holds the queue, the tasks and the work by the job's own estimates, E1606 the age that the job should not exceed. The objective moves from the planner to DurationEstimator, so that both use one; taskCount moves to StepJob. No decision changes; tests of bulrush_steps, bulrush_entry, bulrush_core and bulrush_cli pass.

--- a/modules/bulrush_entry/front/CallerRequestHandler.cpp
+++ b/modules/bulrush_entry/front/CallerRequestHandler.cpp
@@ -139,6 +139,9 @@
     pending.job = id;
     pending.record = { records::jobKey(id), records::encode(job), 0 };
     pending.success = CallerOutcome::Accepted;
+    pending.queue = queue.name;
+    pending.tasks = job.taskCount();
+    pending.coreMillis = job.estimatedCoreMillis();
     pending.deadline = this->appendDeadline(request, queue);
     pending.callback = callback;
     this->append(std::move(pending));
@@ -168,9 +171,14 @@
 {
     if (result.outcome == StoreOutcome::Done) {
         const bool accepted = pending->success == CallerOutcome::Accepted;
-        this->decisions.write(DecisionLine(accepted ? Event::JobAccepted : Event::JobCancelled)
-                                      .with("job", pending->job.name())
-                                      .with("offset", result.offset));
+        DecisionLine line(accepted ? Event::JobAccepted : Event::JobCancelled);
+        line.with("job", pending->job.name()).with("offset", result.offset);
+        if (accepted) {
+            line.with("queue", pending->queue)
+                    .with("tasks", pending->tasks)
+                    .with("core_ms", pending->coreMillis);
+        }
+        this->decisions.write(line);
         CallerAnswer answer;
         answer.outcome = pending->success;
         const Callback callback = std::exchange(pending->callback, nullptr);
--- a/modules/bulrush_entry/front/CallerRequestHandler.h
+++ b/modules/bulrush_entry/front/CallerRequestHandler.h
@@ -49,6 +49,10 @@
     struct Pending
     {
         JobId job;
+        /** Of a submission: its queue and its size. */
+        std::string queue;
+        std::size_t tasks = 0;
+        std::int64_t coreMillis = 0;
         KeyedRecord record;
         CallerOutcome success = CallerOutcome::Accepted;
         Instant deadline {};
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -211,15 +211,17 @@
         job->endStored = true;
         const Duration age = this->clock.now() - job->acceptedAt;
         this->listener.jobEnded(job->visibleState(), age);
-        this->decisions.write(DecisionLine(Event::JobEnded)
-                                      .with("job", id.name())
-                                      .with("queue", job->spec.queue)
-                                      .with("state", text(job->visibleState()))
-                                      .with("tasks", job->taskCount())
-                                      .with("runs", job->startedRuns)
-                                      .with("start_wait_ms",
-                                            duration_cast<milliseconds>(job->startWait()).count())
-                                      .with("age_ms", duration_cast<milliseconds>(age).count()));
+        this->decisions.write(
+                DecisionLine(Event::JobEnded)
+                        .with("job", id.name())
+                        .with("queue", job->spec.queue)
+                        .with("state", text(job->visibleState()))
+                        .with("tasks", job->spec.taskCount())
+                        .with("runs", job->startedRuns)
+                        .with("objective_ms", this->durations.objective(job->spec).count())
+                        .with("start_wait_ms",
+                              duration_cast<milliseconds>(job->startWait()).count())
+                        .with("age_ms", duration_cast<milliseconds>(age).count()));
     }
     if (withRoster) {
         this->roster.sentRecordStored(this->workerManager.workers());
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -102,11 +102,8 @@
     waitingJob.runsIndefinitely = job.spec.runsIndefinitely();
     waitingJob.age = this->ageOf(job, occurrence, now);
     waitingJob.waited = now - since;
-    const milliseconds chain = this->durations.criticalPath(job.spec);
-    const auto stretched = static_cast<double>(chain.count()) * job.spec.slackFactor;
     waitingJob.remaining = this->durations.remainingPath(job, occurrence);
-    waitingJob.objective =
-            milliseconds(static_cast<std::int64_t>(stretched)) + job.spec.latencyTarget;
+    waitingJob.objective = this->durations.objective(job.spec);
     return waitingJob;
 }
 
--- a/modules/bulrush_steps/model/StepJob.h
+++ b/modules/bulrush_steps/model/StepJob.h
@@ -123,6 +123,12 @@
 
     /** Returns whether any step is long-running. */
     bool runsIndefinitely() const;
+
+    /** Returns the number of tasks of all steps and occurrences. */
+    std::size_t taskCount() const;
+
+    /** Returns the work of all tasks by their estimates, in milliseconds of one processor. */
+    std::int64_t estimatedCoreMillis() const;
 };
 
 /** Identifies one task of a job. */
--- a/modules/bulrush_steps/model/StepJobTable.cpp
+++ b/modules/bulrush_steps/model/StepJobTable.cpp
@@ -39,15 +39,6 @@
             });
 }
 
-std::size_t JobEntry::taskCount() const
-{
-    std::size_t count = 0;
-    for (const StepSpec &step : this->spec.steps) {
-        count += step.taskCount;
-    }
-    return count * this->occurrences.size();
-}
-
 void JobEntry::recordFirstStart(const TaskRef &ref, Instant now)
 {
     OccurrenceState &occurrence = this->occurrences.at(ref.occurrence);
--- a/modules/bulrush_steps/model/StepJobTable.h
+++ b/modules/bulrush_steps/model/StepJobTable.h
@@ -93,9 +93,6 @@
     /** Returns whether all steps that a step depends on have succeeded. */
     bool dependenciesMet(std::uint32_t occurrence, std::uint32_t step) const;
 
-    /** Returns the number of tasks of all steps and occurrences. */
-    std::size_t taskCount() const;
-
     /** Records that the first attempt of a task was started. */
     void recordFirstStart(const TaskRef &ref, Instant now);
 
--- a/modules/bulrush_steps/policy/DurationEstimator.cpp
+++ b/modules/bulrush_steps/policy/DurationEstimator.cpp
@@ -44,6 +44,12 @@
     return this->longestPath(job, nullptr);
 }
 
+milliseconds DurationEstimator::objective(const StepJob &job) const
+{
+    const auto path = static_cast<double>(this->criticalPath(job).count());
+    return milliseconds(static_cast<std::int64_t>(path * job.slackFactor)) + job.latencyTarget;
+}
+
 milliseconds DurationEstimator::remainingPath(const JobEntry &job, std::uint32_t occurrence) const
 {
     return this->longestPath(job.spec, &job.occurrences.at(occurrence));
--- a/modules/bulrush_steps/policy/DurationEstimator.h
+++ b/modules/bulrush_steps/policy/DurationEstimator.h
@@ -25,6 +25,9 @@
         steps. */
     milliseconds criticalPath(const StepJob &job) const;
 
+    /** Returns the age up to which a finished job has its full value. */
+    milliseconds objective(const StepJob &job) const;
+
     /** Returns the expected duration of the critical path through those steps of an occurrence that
         have not ended. */
     milliseconds remainingPath(const JobEntry &job, std::uint32_t occurrence) const;
