--- a/soak/NodeProcess.cpp
+++ b/soak/NodeProcess.cpp
@@ -112,6 +112,13 @@
     }
 }
 
+void NodeProcess::requestReload()
+{
+    if (this->process > 0) {
+        ::kill(this->process, SIGHUP);
+    }
+}
+
 void NodeProcess::stopGracefully()
 {
     this->requestStop();
--- a/soak/NodeProcess.h
+++ b/soak/NodeProcess.h
@@ -26,6 +26,9 @@
 
     void requestStop();
 
+    /** Sends SIGHUP, as after a change of the settings file. */
+    void requestReload();
+
     /** Sends SIGTERM and waits for the exit; kills the process after the grace period. */
     void stopGracefully();
 
--- a/soak/SoakCallers.cpp
+++ b/soak/SoakCallers.cpp
@@ -33,13 +33,23 @@
     return client;
 }
 
-std::string jobBody(const std::vector<JobStep> &steps)
+/** Whether the tasks of a job fill; about a third of the jobs do. */
+bool fills(const std::string &job)
+{
+    return job.back() <= '4';
+}
+
+std::string jobBody(const std::string &job, const std::vector<JobStep> &steps)
 {
     json phases = json::array();
     for (const JobStep &step : steps) {
         json phase = {
             { "count", step.tasks }, { "cpu", 1000 }, { "memMb", 500 }, { "estimateMs", 400 }
         };
+        if (fills(job)) {
+            phase["fills"] = true;
+            phase["image"] = "soak";
+        }
         if (!step.dependsOn.empty()) {
             phase["dependsOn"] = step.dependsOn;
         }
@@ -71,6 +81,16 @@
     return this->addresses.at(this->random() % this->addresses.size());
 }
 
+httplib::Client &SoakCallers::openConnection(const std::string &address)
+{
+    std::unique_ptr<httplib::Client> &client = this->connections[address];
+    if (client == nullptr) {
+        client = std::make_unique<httplib::Client>(makeClient(address, this->port));
+        client->set_keep_alive(true);
+    }
+    return *client;
+}
+
 void SoakCallers::run()
 {
     while (this->submitting) {
@@ -90,12 +110,12 @@
         steps.push_back({ 2, { 0 } });
     }
     this->checker.recordJobSubmitted(job, steps);
-    const std::string requestBody = jobBody(steps);
+    const std::string requestBody = jobBody(job, steps);
     bool accepted = false;
     bool resubmit = this->random() % resubmitOneIn == 0;
     for (int attempt = 0; attempt < maxAttempts && (!accepted || resubmit); ++attempt) {
         resubmit = resubmit && !accepted;
-        httplib::Client client = makeClient(this->randomNode(), this->port);
+        httplib::Client &client = this->openConnection(this->randomNode());
         const auto answer = client.Post("/q/" + job, requestBody, "application/json");
         if (answer && answer->status == statusOk) {
             this->checker.recordJobAccepted(job);
@@ -112,8 +132,7 @@
 void SoakCallers::cancel(const std::string &job)
 {
     this->checker.recordJobCancelled(job);
-    httplib::Client client = makeClient(this->randomNode(), this->port);
-    client.Delete("/q/" + job);
+    this->openConnection(this->randomNode()).Delete("/q/" + job);
 }
 
 void SoakCallers::queryState(const std::string &job)
--- a/soak/SoakCallers.h
+++ b/soak/SoakCallers.h
@@ -2,7 +2,11 @@
 
 #include "soak/InvariantChecker.h"
 
+#include <httplib.h>
+
 #include <atomic>
+#include <map>
+#include <memory>
 #include <random>
 #include <string>
 #include <thread>
@@ -34,11 +38,16 @@
     void queryState(const std::string &job);
     const std::string &randomNode();
 
+    /** Returns the client that keeps its connection to a node open until the node's process is
+       gone; for the thread that submits. */
+    httplib::Client &openConnection(const std::string &address);
+
     const std::vector<std::string> addresses;
     const int port;
     InvariantChecker &checker;
     std::mt19937_64 random;
     std::atomic<bool> submitting = true;
+    std::map<std::string, std::unique_ptr<httplib::Client>> connections;
     std::thread thread;
 };
 
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -22,19 +22,33 @@
 constexpr int storeDelayMs = 250;
 constexpr int storeLossPercent = 30;
 
-constexpr const char *configuration = R"({"version":1,"limits":{},
+/** Interval between two changes of the configuration or the settings, which come beside the faults.
+ */
+constexpr int minChangeIntervalMs = 300;
+constexpr int maxChangeIntervalMs = 1200;
+
+/** Returns the configuration as text. Versions differ in the route's timeout. */
+std::string configuration(int version)
+{
+    constexpr int shortestTimeoutMs = 1500;
+    constexpr int timeouts = 5;
+    return R"({"version":)" + std::to_string(version) + R"(,"limits":{},
 "services":[{"name":"review","admissionCheck":true}],
-"routes":[{"name":"q","host":"soak.example","pathPrefix":"/q/","service":"review","maxAttempts":3}]})";
+"routes":[{"name":"q","host":"soak.example","pathPrefix":"/q/","service":"review","maxAttempts":3,
+"timeoutMs":)"
+            + std::to_string(shortestTimeoutMs + 100 * (version % timeouts)) + "}]}";
+}
 
 } // namespace
 
 SoakRun::SoakRun(const SoakSettings &soakSettings)
     : settings(soakSettings)
     , random(soakSettings.seed)
+    , changeRandom(soakSettings.seed + 1)
     , store(soakSettings.seed)
 {
     const int storePort = this->store.start();
-    this->store.put("keyed.op", "config", configuration);
+    this->store.put("keyed.op", "config", configuration(this->configVersion));
     for (int number = 1; number <= this->settings.workers; ++number) {
         this->workers.push_back(
                 std::make_unique<WorkerServer>("w" + std::to_string(number), this->checker));
@@ -153,6 +167,14 @@
     this->recoveries.push_back({ end, (this->*kind.inject)() });
 }
 
+void SoakRun::changeConfiguration()
+{
+    // Versions rise in uneven steps.
+    this->configVersion += 1 + static_cast<int>(this->changeRandom() % 3);
+    this->store.put("keyed.op", "config", configuration(this->configVersion));
+    this->nodes.at(this->changeRandom() % this->nodes.size())->requestReload();
+}
+
 void SoakRun::recoverDueFaults(bool all)
 {
     const TimePoint now = std::chrono::steady_clock::now();
@@ -177,12 +199,19 @@
                         this->settings.seed);
     std::uniform_int_distribution<int> interval(minFaultIntervalMs, maxFaultIntervalMs);
     const TimePoint faultsEnd = std::chrono::steady_clock::now() + this->settings.faultDuration;
+    std::uniform_int_distribution<int> changeInterval(minChangeIntervalMs, maxChangeIntervalMs);
     TimePoint nextFault = std::chrono::steady_clock::now();
+    TimePoint nextChange = nextFault;
     while (std::chrono::steady_clock::now() < faultsEnd) {
         if (std::chrono::steady_clock::now() >= nextFault) {
             this->injectFault();
             nextFault = std::chrono::steady_clock::now() + milliseconds(interval(this->random));
         }
+        if (std::chrono::steady_clock::now() >= nextChange) {
+            this->changeConfiguration();
+            nextChange = std::chrono::steady_clock::now()
+                    + milliseconds(changeInterval(this->changeRandom));
+        }
         this->recoverDueFaults(false);
         std::this_thread::sleep_for(pollInterval);
     }
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -79,6 +79,9 @@
     std::function<void()> crashWorker();
 
     void injectFault();
+
+    /** Publishes a new version of the configuration and lets a node read its settings again. */
+    void changeConfiguration();
     void recoverDueFaults(bool all);
     void publishWorkers();
     NodeProcess &randomNode();
@@ -86,6 +89,9 @@
 
     const SoakSettings settings;
     std::mt19937 random;
+    /** For the changes of the configuration, so that they do not alter a seed's faults. */
+    std::mt19937 changeRandom;
+    int configVersion = 1;
     InvariantChecker checker;
     StoreServer store;
     std::vector<std::unique_ptr<WorkerServer>> workers;
