Count a job as waiting until a worker has begun one of its tasks

Cause: a job counted as started when its first start was sent. An owner short of processor time sent starts that no worker answered in time (547 of 677 from second 9 to 15), so nearly all jobs counted as started and none had begun.

Dispatcher.aJobWhoseStartsAreNotAnsweredStillCountsAsWaiting failed before (0 waiting, state running).

Change: a job has started once a worker has confirmed or ended one of its runs. Jobs that have not started are kept apart, so that the count does not depend on what is left to plan. The same for the state that is shown: it stays queued until then.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -43,7 +43,7 @@
     for (auto &[id, job] : this->jobTable.entries()) {
         job.knownToPreviousOwners = true;
         if (!job.hasEnded()) {
-            this->planner.markWaiting(id);
+            this->addWaiting(job);
         } else if (!job.endStored && !job.cancelled) {
             this->markChanged(job);
         }
@@ -82,6 +82,7 @@
     this->workerManager.end();
     this->writer.end();
     this->planner.clear();
+    this->unstarted.clear();
     this->jobTable.clear();
     this->fillControl.clearWorkers();
     this->roster.clear();
@@ -116,10 +117,19 @@
     }
     JobEntry &job = *this->jobTable.find(*id);
     if (job.cancelled) {
+        this->unstarted.erase(*id);
         this->stopRuns(job, "cancelled");
         return;
     }
-    this->planner.markWaiting(*id);
+    this->addWaiting(job);
+}
+
+void Dispatcher::addWaiting(const JobEntry &job)
+{
+    if (!job.started) {
+        this->unstarted.insert(job.spec.id);
+    }
+    this->planner.markWaiting(job.spec.id);
 }
 
 void Dispatcher::stopRuns(const JobEntry &job, std::string_view reason)
@@ -254,6 +264,7 @@
     } else {
         StepTask &task = job->task(listed.attempt.task);
         run = this->describeRun(*job, listed.attempt);
+        this->unstarted.erase(job->spec.id);
         run.startSentAt = this->clock.now();
         run.stopRequested = job->hasEnded() || task.succeeded;
         ++task.openRuns;
@@ -268,6 +279,22 @@
     return run;
 }
 
+void Dispatcher::markStarted(JobEntry &job)
+{
+    if (!job.started) {
+        this->listener.jobStarted(this->clock.now() - job.acceptedAt);
+    }
+    job.started = true;
+    this->unstarted.erase(job.spec.id);
+}
+
+void Dispatcher::runConfirmed(const Run &run)
+{
+    if (JobEntry *job = this->findJob(run.attempt.task)) {
+        this->markStarted(*job);
+    }
+}
+
 void Dispatcher::closeRun(StepTask &task, std::string checkpoint)
 {
     if (task.openRuns > 0) {
@@ -290,6 +317,7 @@
     if (job == nullptr) {
         return this->writer.newestChange();
     }
+    this->markStarted(*job);
     const StepSpec &step = job->step(end.attempt.task);
     StepTask &task = job->task(end.attempt.task);
     task.lastAttempt = std::max(task.lastAttempt, end.attempt.attempt);
@@ -398,10 +426,6 @@
     }
     task.lastAttempt = attempt;
     ++task.openRuns;
-    if (!job.started) {
-        this->listener.jobStarted(this->clock.now() - job.acceptedAt);
-    }
-    job.started = true;
     this->decisions.write(
             DecisionLine(Event::TaskStarted)
                     .with("task", text(ref))
@@ -413,6 +437,15 @@
     this->workerManager.start(worker, run, job.spec, task.checkpoint);
 }
 
+std::uint32_t Dispatcher::waitingJobs(std::string_view queue) const
+{
+    return static_cast<std::uint32_t>(
+            std::count_if(this->unstarted.begin(), this->unstarted.end(), [&](const JobId &id) {
+                const JobEntry *job = this->jobTable.find(id);
+                return job != nullptr && job->isQueuedIn(queue);
+            }));
+}
+
 DispatchLoad Dispatcher::load() const
 {
     DispatchLoad load;
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -10,6 +10,7 @@
 #include "bulrush_steps/workers/WorkerRoster.h"
 
 #include <optional>
+#include <set>
 
 namespace bulrush {
 
@@ -99,10 +100,7 @@
 
     /** Returns the number of accepted jobs of a queue that have not started. Jobs with a schedule
         are not counted. */
-    std::uint32_t waitingJobs(std::string_view queue) const
-    {
-        return this->planner.waitingJobs(queue);
-    }
+    std::uint32_t waitingJobs(std::string_view queue) const;
 
     DispatchLoad load() const;
 
@@ -112,6 +110,7 @@
 private:
     // WorkerManager::Listener
     Run adoptRun(const Worker &worker, const ListedRun &listed) override;
+    void runConfirmed(const Run &run) override;
     std::uint64_t runEnded(const Worker &worker, const Run *run, const ListedEnd &end) override;
     void runLost(const Worker &worker, const Run &run, std::string_view reason) override;
     void startRefused(const Worker &worker, const Run &run, CommandOutcome outcome) override;
@@ -132,6 +131,7 @@
     void startTask(JobEntry &job, const TaskRef &ref, Worker &worker,
                    std::uint64_t attempt) override;
 
+    void addWaiting(const JobEntry &job);
     void applyResignation();
     void updateRoster();
     void controlFills(Instant now);
@@ -144,6 +144,9 @@
     void completeGang(JobEntry &job, const AttemptRef &attempt);
     void closeRun(StepTask &task, std::string checkpoint);
 
+    /** Notes that a worker has begun a task of a job. */
+    void markStarted(JobEntry &job);
+
     /** Returns the job of a task; null when the job is unknown or has no such task. */
     JobEntry *findJob(const TaskRef &task);
 
@@ -165,6 +168,8 @@
     bool isActive = false;
     bool previousOwnerSettled = false;
     Instant nextMaintenance {};
+    /** Accepted jobs of which no worker has begun a task. */
+    std::set<JobId> unstarted;
     WorkerRoster roster;
 };
 
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -58,22 +58,6 @@
     }
 }
 
-std::uint32_t Planner::waitingJobs(std::string_view queue) const
-{
-    const std::map<JobId, Instant> &reserving = this->lanes.front().waiting;
-    std::uint32_t count = 0;
-    for (const PlanLane &lane : this->lanes) {
-        for (const auto &[id, since] : lane.waiting) {
-            const bool counted = lane.fills && reserving.contains(id);
-            const JobEntry *job = this->jobs.find(id);
-            if (job != nullptr && job->isQueuedIn(queue) && !counted) {
-                ++count;
-            }
-        }
-    }
-    return count;
-}
-
 PlanLoad Planner::load() const
 {
     PlanLoad load = this->counters;
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -9,7 +9,6 @@
 
 #include <array>
 #include <cstdint>
-#include <string_view>
 
 namespace bulrush {
 
@@ -68,10 +67,6 @@
     /** Starts waiting tasks, as far as the limits of planning allow. */
     void tick(Instant now);
 
-    /** Returns the number of accepted jobs of a queue that have not started. Jobs with a schedule
-        are not counted. */
-    std::uint32_t waitingJobs(std::string_view queue) const;
-
     PlanLoad load() const;
 
 private:
--- a/modules/bulrush_steps/model/StepJobTable.h
+++ b/modules/bulrush_steps/model/StepJobTable.h
@@ -66,7 +66,7 @@
     bool failed = false;
     /** Whether the end of the job, as given by succeeded or failed, is stored in the log. */
     bool endStored = false;
-    /** Whether any task has been started. */
+    /** Whether a worker has begun any task. */
     bool started = false;
     /** The number of runs that this owner started. */
     std::uint32_t startedRuns = 0;
--- a/modules/bulrush_steps/tests/dispatcher_test.cpp
+++ b/modules/bulrush_steps/tests/dispatcher_test.cpp
@@ -241,6 +241,25 @@
     cr_assert_eq(fixture.workers.starts.size(), 2U);
 }
 
+/* A start that was sent counted as begun, so callers were told that no job waits. */
+Test(Dispatcher, aJobWhoseStartsAreNotAnsweredStillCountsAsWaiting)
+{
+    DispatcherFixture fixture;
+    fixture.begin({});
+    fixture.listWorker("w1");
+    fixture.runFor(milliseconds(100));
+    fixture.worker("w1").silent = true;
+    fixture.accept(makeJob("a", 1));
+    fixture.runFor(milliseconds(500));
+    cr_assert_eq(fixture.workers.starts.size(), 1U);
+    cr_expect_eq(fixture.dispatcher.waitingJobs("checks"), 1U);
+    cr_expect(fixture.dispatcher.stateOf(JobId("a")) == JobState::Queued);
+    fixture.worker("w1").silent = false;
+    fixture.runFor(seconds(8));
+    cr_expect_eq(fixture.dispatcher.waitingJobs("checks"), 0U);
+    cr_expect(fixture.dispatcher.stateOf(JobId("a")) == JobState::Running);
+}
+
 Test(Dispatcher, aRestartedWorkersTasksStartAgain)
 {
     DispatcherFixture fixture;
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -260,6 +260,7 @@
             run.phase = RunPhase::Running;
             run.confirmedAt = now;
             run.progressedAt = now;
+            this->listener.runConfirmed(run);
         }
         return;
     }
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -28,6 +28,9 @@
             @returns the run to track, marked to be stopped if necessary */
         virtual Run adoptRun(const Worker &worker, const ListedRun &listed) = 0;
 
+        /** Called when a worker has confirmed a run that this manager started. */
+        virtual void runConfirmed(const Run &run) = 0;
+
         /** Called once for each ended run that a worker lists.
             @param run null if it was not tracked
             @returns the number of the change that persists the result */
--- a/modules/bulrush_steps/workers/WorkerManagerReports.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerReports.cpp
@@ -148,6 +148,7 @@
             run.phase = RunPhase::Running;
             run.confirmedAt = now;
             run.progressedAt = now;
+            this->listener.runConfirmed(run);
         }
         if (each.percent != run.progressPercent) {
             run.progressedAt = now;
