Limit unanswered starts to what workers answer in time

Cause: the limits of unanswered starts were fixed. An owner that cannot send 208 starts within their timeout sends them all the same, so that most go unanswered (547 of 677), must be stopped and sent again, and the holds wait behind them.

--- a/modules/bulrush_steps/bulrush_steps.h
+++ b/modules/bulrush_steps/bulrush_steps.h
@@ -41,6 +41,7 @@
 #include "bulrush_steps/ports/WorkerCommands.h"
 #include "bulrush_steps/ports/WorkerEntry.h"
 #include "bulrush_steps/workers/LeaseClock.h"
+#include "bulrush_steps/workers/StartWindow.h"
 #include "bulrush_steps/workers/Worker.h"
 #include "bulrush_steps/workers/WorkerManager.h"
 #include "bulrush_steps/workers/WorkerRoster.h"
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -450,8 +450,8 @@
 {
     DispatchLoad load;
     load.plan = this->planner.load();
-    load.openStarts =
-            this->workerManager.startsInFlight(false) + this->workerManager.startsInFlight(true);
+    load.openStarts = this->workerManager.startWindow(false).open()
+            + this->workerManager.startWindow(true).open();
     for (const auto &[id, worker] : this->workerManager.workers()) {
         load.runs += worker.runs.size();
         if (worker.listed && !worker.entry.draining && worker.confirmed) {
--- a/modules/bulrush_steps/dispatch/PlanLane.h
+++ b/modules/bulrush_steps/dispatch/PlanLane.h
@@ -27,8 +27,6 @@
 /** The limits of a PlanLane. */
 struct PlanLimits
 {
-    /** Maximum number of unanswered start requests. */
-    std::uint32_t maxOpenStarts = 0;
     /** Planning takes at most 1/timeDivisor of the owner's time. */
     int timeDivisor = 1;
     /** A round of planning ends when it has taken this long. */
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -13,12 +13,9 @@
 constexpr double maxRiskOfUrgentFill = 0.5;
 
 /** Limits of planning. Steps that reserve processors are ranked in each round, since their callers
-    wait. With more unanswered starts, requests would queue behind each other and time out. */
-constexpr PlanLimits reservingLimits { 160, 2, milliseconds(20), milliseconds(0) };
-
-/** The same for filling steps. Few unanswered starts at a time keep the way short for the starts of
-    steps that reserve processors. */
-constexpr PlanLimits fillingLimits { 48, 4, milliseconds(10), milliseconds(100) };
+    wait. */
+constexpr PlanLimits reservingLimits { 2, milliseconds(20), milliseconds(0) };
+constexpr PlanLimits fillingLimits { 4, milliseconds(10), milliseconds(100) };
 
 } // namespace
 
@@ -252,7 +249,7 @@
 
 bool Planner::mayStartMore(const PlanLane &lane) const
 {
-    return this->workers.startsInFlight(lane.fills) < lane.limits.maxOpenStarts;
+    return this->workers.startWindow(lane.fills).isOpen();
 }
 
 void Planner::plan(PlanLane &lane, Instant now)
--- a/modules/bulrush_steps/tests/planning_test.cpp
+++ b/modules/bulrush_steps/tests/planning_test.cpp
@@ -138,3 +138,30 @@
     cr_assert_leq(waited.count(), check.latencyTarget.count(), "its starts waited for %d ms",
                   static_cast<int>(waited.count()));
 }
+
+/* The limit of unanswered starts was fixed, so an overloaded owner kept on sending starts in vain.
+ */
+Test(StartWindow, startsThatGoUnansweredDoNotKeepUpTheNumberOfOpenStarts)
+{
+    constexpr std::uint32_t most = 160;
+    StartWindow window(most);
+    const auto fill = [&window] {
+        while (window.isOpen()) {
+            window.started();
+        }
+        return window.open();
+    };
+    const auto finishAll = [&window](bool inTime) {
+        while (window.open() > 0) {
+            window.finished(inTime);
+        }
+    };
+    cr_assert_eq(fill(), most);
+    finishAll(false);
+    cr_assert_leq(fill(), most / 8);
+    for (int round = 0; round < 100; ++round) {
+        finishAll(true);
+        fill();
+    }
+    cr_assert_eq(window.open(), most);
+}
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -15,6 +15,11 @@
 /** Time-out of a hold request, in addition to the time that the worker may delay its answer. */
 constexpr milliseconds holdTimeout { 700 };
 
+/** Maximum number of unanswered starts. With more, requests would queue behind each other and time
+    out. Those of filling tasks are few, to keep the way short for all others. */
+constexpr std::uint32_t maxReservingStarts = 160;
+constexpr std::uint32_t maxFillStarts = 48;
+
 /** How long a worker receives no new tasks after it refused a start or did not answer it. */
 constexpr milliseconds refusalPause { 400 };
 
@@ -28,6 +33,8 @@
     , settings(dispatchSettings)
     , decisions(decisionLog)
     , listener(runListener)
+    , reservingStarts(maxReservingStarts)
+    , fillStarts(maxFillStarts)
     , alive(std::make_shared<bool>(true))
 {
 }
@@ -47,8 +54,8 @@
     *this->alive = false;
     this->alive = std::make_shared<bool>(true);
     this->workerTable.clear();
-    this->unansweredStarts = 0;
-    this->unansweredFillStarts = 0;
+    this->reservingStarts.reset();
+    this->fillStarts.reset();
 }
 
 Worker *WorkerManager::find(const TargetId &worker)
@@ -220,15 +227,14 @@
     run.commandInFlight = true;
     const AttemptRef attempt = run.attempt;
     ++worker.commandsInFlight;
-    std::uint32_t &unanswered =
-            run.fillCpuMilli > 0 ? this->unansweredFillStarts : this->unansweredStarts;
-    ++unanswered;
+    StartWindow &window = run.fillCpuMilli > 0 ? this->fillStarts : this->reservingStarts;
+    window.started();
     worker.addRun(std::move(run));
     this->port.start(worker.address, command, commandTimeout,
-                     [this, id = worker.entry.worker, attempt, &unanswered,
+                     [this, id = worker.entry.worker, attempt, &window,
                       isAlive = this->alive](const CommandAnswer &answer) {
                          if (*isAlive) {
-                             --unanswered;
+                             window.finished(answer.outcome != CommandOutcome::Unknown);
                              this->handleStartAnswer(id, attempt, answer);
                          }
                      });
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrush_steps/dispatch/DispatchSettings.h"
+#include "bulrush_steps/workers/StartWindow.h"
 #include "bulrush_steps/workers/Worker.h"
 
 #include <functional>
@@ -88,10 +89,10 @@
     /** Sets the share of processor time that a run may use. */
     void pace(Worker &worker, Run &run, std::uint32_t percent);
 
-    /** Returns the number of unanswered start requests of filling tasks, or of all others. */
-    std::uint32_t startsInFlight(bool fills) const
+    /** Returns the window of the start requests of filling tasks, or of all others. */
+    const StartWindow &startWindow(bool fills) const
     {
-        return fills ? this->unansweredFillStarts : this->unansweredStarts;
+        return fills ? this->fillStarts : this->reservingStarts;
     }
 
     std::map<TargetId, Worker> &workers() { return this->workerTable; }
@@ -127,8 +128,8 @@
     Listener &listener;
     std::uint64_t fencingToken = 0;
     std::map<TargetId, Worker> workerTable;
-    std::uint32_t unansweredStarts = 0;
-    std::uint32_t unansweredFillStarts = 0;
+    StartWindow reservingStarts;
+    StartWindow fillStarts;
     /** Shared with the callbacks of requests; set to false by end() and on destruction, so that
         late answers are ignored. */
     std::shared_ptr<bool> alive;
