Look up an image's coefficients once a step, and copy no image state

Cause: with the lower risk most workers are refused for a filling step only after the impact on their serving tasks is known.

--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -64,7 +64,12 @@
         worker.servingPressures = this->pressures.servingPressures(worker, this->now + riskHorizon);
         worker.servingPressuresAt = this->now;
     }
-    return this->pressures.impactOf(*worker.servingPressures, step.image, shareOf(worker, step));
+    if (this->coefficients.empty() || this->coefficientsImage != step.image) {
+        this->coefficients = this->pressures.coefficientsOf(step.image);
+        this->coefficientsImage = step.image;
+    }
+    return PressureModel::impactOf(*worker.servingPressures, this->coefficients,
+                                   shareOf(worker, step));
 }
 
 bool Placement::isEligible(const Worker &worker, const TaskRequest &request)
--- a/modules/bulrush_steps/policy/Placement.h
+++ b/modules/bulrush_steps/policy/Placement.h
@@ -69,6 +69,9 @@
 
     Instant now;
     const PressureModel &pressures;
+    /** The coefficients of the filling image that was placed last, kept for its other tasks. */
+    mutable std::string coefficientsImage;
+    mutable std::vector<double> coefficients;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/policy/PressureModel.cpp
+++ b/modules/bulrush_steps/policy/PressureModel.cpp
@@ -117,25 +117,37 @@
         const auto number = this->imageNumbers.find(run.image);
         const bool known = number != this->imageNumbers.end();
         const auto load = this->loads.find(run.attempt.task.job);
-        const double variance = (known ? this->images[number->second] : Serving()).variance
-                + (load == this->loads.end() ? LoadTrend() : load->second).varianceAt(moment);
+        const double imageVariance =
+                known ? this->images[number->second].variance : Serving().variance;
+        const double loadVariance = load == this->loads.end() ? LoadTrend().varianceAt(moment)
+                                                              : load->second.varianceAt(moment);
         ServingPressure serving;
         serving.image = known ? std::optional(number->second) : std::nullopt;
         serving.expected = this->expectedPressure(worker, run, moment);
-        serving.standardDeviation = std::sqrt(variance);
+        serving.standardDeviation = std::sqrt(imageVariance + loadVariance);
         serving.atTarget = this->pressureAtTarget(run);
         list.push_back(serving);
     }
     return list;
 }
 
+std::vector<double> PressureModel::coefficientsOf(const std::string &fillImage) const
+{
+    std::vector<double> coefficients;
+    coefficients.reserve(this->images.size());
+    for (const Serving &serving : this->images) {
+        coefficients.push_back(coefficientOf(&serving, fillImage));
+    }
+    return coefficients;
+}
+
 FillImpact PressureModel::impactOf(std::span<const ServingPressure> serving,
-                                   const std::string &fillImage, double share) const
+                                   std::span<const double> coefficients, double share)
 {
     FillImpact impact;
     for (const ServingPressure &each : serving) {
-        const Serving *image = each.image ? &this->images[*each.image] : nullptr;
-        const double added = coefficientOf(image, fillImage) * share;
+        const double coefficient = each.image ? coefficients[*each.image] : Coefficient().value;
+        const double added = coefficient * share;
         impact.addedPressure += added;
         if (added > negligiblePressure) {
             const double deviations =
--- a/modules/bulrush_steps/policy/PressureModel.h
+++ b/modules/bulrush_steps/policy/PressureModel.h
@@ -62,9 +62,13 @@
     std::vector<ServingPressure> servingPressures(const Worker &worker, Instant moment) const;
 
     /** Returns the impact of one more filling task on the serving runs of a worker.
+        @param coefficients those of the filling task's image, see coefficientsOf()
         @param share the share of the worker's processors that the filling task requests */
-    FillImpact impactOf(std::span<const ServingPressure> serving, const std::string &fillImage,
-                        double share) const;
+    static FillImpact impactOf(std::span<const ServingPressure> serving,
+                               std::span<const double> coefficients, double share);
+
+    /** Returns the coefficients of a filling image, by the number of the serving image. */
+    std::vector<double> coefficientsOf(const std::string &fillImage) const;
 
 private:
     struct Coefficient
