--- a/modules/bulrush_steps/dispatch/PlanLane.h
+++ b/modules/bulrush_steps/dispatch/PlanLane.h
@@ -39,7 +39,7 @@
     The planning of one kind of steps: those that reserve processors, or those that fill.
 
     The two kinds do not compete for processors of the workers, so neither waits for the other's
-   turn to be planned or for its unanswered start requests.
+    turn to be planned or for its unanswered start requests.
 */
 struct PlanLane
 {
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -109,34 +109,42 @@
 
 bool Planner::addCandidates(PlanLane &lane, JobEntry &job, Instant since, Instant now)
 {
-    const std::size_t before = lane.queue.size();
+    bool found = false;
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
         if (job.spec.timed && this->ageOf(job, occurrence, now) < Duration::zero()) {
             return true;
         }
-        const std::size_t first = lane.queue.size();
-        const OccurrenceState &state = job.occurrences[occurrence];
-        for (std::uint32_t step = 0; step < state.steps.size(); ++step) {
-            const std::vector<StepTask> &tasks = state.steps[step].tasks;
-            const bool open = job.spec.steps[step].fills == lane.fills
-                    && std::any_of(tasks.begin(), tasks.end(), [](const StepTask &task) {
-                                  return !task.succeeded && task.openRuns == 0;
-                              });
-            if (open && job.dependenciesMet(occurrence, step)) {
-                lane.queue.push_back({ &job, occurrence, step, {}, 0.0 });
-            }
-        }
-        if (lane.queue.size() == first) {
+        const std::vector<std::uint32_t> steps = openSteps(lane, job, occurrence);
+        if (steps.empty()) {
             continue;
         }
+        found = true;
         const WaitingJob described = this->describeWaiting(job, occurrence, since, now);
+        const JobRank rank = rankOf(described);
         const double risk = isUrgent(described) ? maxRiskOfUrgentFill : maxRiskOfDeferrableFill;
-        for (std::size_t added = first; added < lane.queue.size(); ++added) {
-            lane.queue[added].rank = rankOf(described);
-            lane.queue[added].riskAllowed = risk;
+        for (const std::uint32_t step : steps) {
+            lane.queue.push_back({ &job, occurrence, step, rank, risk });
+        }
+    }
+    return found;
+}
+
+std::vector<std::uint32_t> Planner::openSteps(const PlanLane &lane, const JobEntry &job,
+                                              std::uint32_t occurrence)
+{
+    std::vector<std::uint32_t> open;
+    const OccurrenceState &state = job.occurrences[occurrence];
+    for (std::uint32_t step = 0; step < state.steps.size(); ++step) {
+        const std::vector<StepTask> &tasks = state.steps[step].tasks;
+        const bool hasOpenTask = job.spec.steps[step].fills == lane.fills
+                && std::any_of(tasks.begin(), tasks.end(), [](const StepTask &task) {
+                                     return !task.succeeded && task.openRuns == 0;
+                                 });
+        if (hasOpenTask && job.dependenciesMet(occurrence, step)) {
+            open.push_back(step);
         }
     }
-    return lane.queue.size() > before;
+    return open;
 }
 
 void Planner::start(JobEntry &job, const TaskRef &task, Worker &worker, std::uint64_t attempt)
@@ -283,14 +291,14 @@
 
 void Planner::planCandidate(PlanLane &lane, const PlanCandidate &candidate, Instant now)
 {
+    if (candidate.job->hasEnded()) {
+        return;
+    }
     const StepSpec &step = candidate.spec();
     const bool ruledOut =
             std::any_of(lane.unplaced.begin(), lane.unplaced.end(), [&](const UnplacedStep &each) {
                 return each.rulesOut(step, candidate.riskAllowed);
             });
-    if (candidate.job->hasEnded()) {
-        return;
-    }
     if (ruledOut) {
         ++lane.unplacedCount;
         return;
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -82,6 +82,11 @@
         @returns whether the job has such a step, or an occurrence that is not due yet */
     bool addCandidates(PlanLane &lane, JobEntry &job, Instant since, Instant now);
 
+    /** Returns the steps of an occurrence that a lane plans, that may start and that have tasks to
+        start. */
+    static std::vector<std::uint32_t> openSteps(const PlanLane &lane, const JobEntry &job,
+                                                std::uint32_t occurrence);
+
     /** Returns the time since a job was accepted, or, for a job with a schedule, since an
         occurrence was due; negative before that. */
     Duration ageOf(const JobEntry &job, std::uint32_t occurrence, Instant now) const;
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -52,7 +52,7 @@
     return worker.shareOf(static_cast<double>(step.size.cpuMilli));
 }
 
-double Placement::unusedFor(const Worker &worker)
+double Placement::unusedFillCpu(const Worker &worker)
 {
     return worker.availableFillCpuMilli - static_cast<double>(worker.fillDemandMilli);
 }
@@ -108,7 +108,7 @@
     const auto memory = static_cast<double>(worker.entry.capacity.memoryMb);
     const auto remainingMemory = static_cast<double>(worker.free().memoryMb - step.size.memoryMb);
     return this->now >= worker.fillsBlockedUntil && remainingMemory >= reservedMemoryShare * memory
-            && unusedFor(worker) >= minUnusedShare * static_cast<double>(step.size.cpuMilli);
+            && unusedFillCpu(worker) >= minUnusedShare * static_cast<double>(step.size.cpuMilli);
 }
 
 double Placement::commonScore(const Worker &worker, const TaskRequest &request)
@@ -145,7 +145,7 @@
     if (!this->hasFillCapacity(worker, *request.step)) {
         return std::nullopt;
     }
-    return commonScore(worker, request) + worker.shareOf(unusedFor(worker));
+    return commonScore(worker, request) + worker.shareOf(unusedFillCpu(worker));
 }
 
 std::optional<double> Placement::scoreOf(Worker &worker, const TaskRequest &request) const
--- a/modules/bulrush_steps/policy/Placement.h
+++ b/modules/bulrush_steps/policy/Placement.h
@@ -61,7 +61,8 @@
 private:
     static double shareOf(const Worker &worker, const StepSpec &step);
     FillImpact fillImpact(Worker &worker, const StepSpec &step) const;
-    static double unusedFor(const Worker &worker);
+    /** Returns the processors that no filling task requests yet, in thousandths. */
+    static double unusedFillCpu(const Worker &worker);
     static bool hasCapacity(const Worker &worker, const TaskRequest &request);
     bool canAcceptNow(const Worker &worker, const TaskRequest &request) const;
     bool hasFillCapacity(const Worker &worker, const StepSpec &step) const;
--- a/modules/bulrush_steps/tests/planning_test.cpp
+++ b/modules/bulrush_steps/tests/planning_test.cpp
@@ -25,6 +25,16 @@
     return job;
 }
 
+/** Begins with a worker that can run one task at a time. */
+void beginWithRoomForOneTask(DispatcherFixture &fixture)
+{
+    fixture.begin({});
+    WorkerEntry worker = makeWorkerEntry("w1");
+    worker.capacity = { 4000, 256000, 0 };
+    fixture.dispatcher.workerListed(worker);
+    fixture.runFor(milliseconds(100));
+}
+
 /** Submits a job that was accepted just now. */
 void submit(DispatcherFixture &fixture, StepJob job)
 {
@@ -66,11 +76,7 @@
 Test(Planning, aJobThatIsInTimeKeepsItsPlaceAheadOfBatchWorkInItsLaterSteps)
 {
     DispatcherFixture fixture;
-    fixture.begin({});
-    WorkerEntry worker = makeWorkerEntry("w1");
-    worker.capacity = { 4000, 256000, 0 };
-    fixture.dispatcher.workerListed(worker);
-    fixture.runFor(milliseconds(100));
+    beginWithRoomForOneTask(fixture);
     submit(fixture, makeSteps("check", 4, 1));
     StepJob batch = makeJob("batch", 8);
     batch.priority = 2;
@@ -87,11 +93,7 @@
 Test(Planning, aLaterOccurrenceThatIsInTimeGoesAheadOfBatchWork)
 {
     DispatcherFixture fixture;
-    fixture.begin({});
-    WorkerEntry worker = makeWorkerEntry("w1");
-    worker.capacity = { 4000, 256000, 0 };
-    fixture.dispatcher.workerListed(worker);
-    fixture.runFor(milliseconds(100));
+    beginWithRoomForOneTask(fixture);
     StepJob scheduled = makeSteps("scheduled", 1, 1);
     scheduled.timed = true;
     scheduled.occurrences = 2;
