Speak HTTP on libwebsockets' sockets, so that an exchange costs the same however many connections are open

Cause: with 890 workers the owner spends 46 % of its samples in libwebsockets: it searches all connections for one to the same host, keeps one sorted list of timeouts, and, with a limit of descriptors of its own, searches a list of sockets for each event. Change: HttpClient opens raw connections and writes the requests itself, Boost.Beast reads the responses; HttpCaller keeps its peers by hash; the limit is gone. A call may carry a condition that is checked before its first byte, for orders whose time is over after a pause; a call that timed out before its first byte counts as not sent.

--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 	@tools/bench-path $(BUILD) --output $(RESULTS)/path.json
 	@$(BUILD)/bench/policy/bench_policy $(RESULTS)/policy.json
 	@$(BUILD)/bench/dispatch/bench_dispatch
+	@$(BUILD)/bench/exchanges/bench_exchanges
 
 # Measures the slopes of docs/CAPACITY.md and draws its plots. COMPARE=FILE prints an earlier result
 # next to this one.
--- a/bench/path/main.cpp
+++ b/bench/path/main.cpp
@@ -38,7 +38,7 @@
         : endpoint(std::move(targetEndpoint))
         , path(std::move(requestPath))
         , query(std::move(requestQuery))
-        , client(owningLoop, maxParallel, HttpClient::Limits(), *this)
+        , client(owningLoop, HttpClient::Limits(), *this)
     {
     }
 
@@ -88,7 +88,7 @@
         this->client.send(id, this->endpoint, connection, std::move(request));
     }
 
-    void requestStarting(HttpClient::ExchangeId /*id*/) override { }
+    bool requestStarting(HttpClient::ExchangeId /*id*/) override { return true; }
 
     void responseArrived(HttpClient::ExchangeId id, HttpResponse response) override
     {
--- a/modules/bulrush_core/addresses/Endpoint.h
+++ b/modules/bulrush_core/addresses/Endpoint.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,3 +32,14 @@
 };
 
 } // namespace bulrush
+
+/** Allows endpoints as keys of unordered containers. */
+template<>
+struct std::hash<bulrush::Endpoint>
+{
+    std::size_t operator()(const bulrush::Endpoint &endpoint) const noexcept
+    {
+        constexpr std::size_t multiplier = 65599;
+        return std::hash<std::string>()(endpoint.address) * multiplier + endpoint.port;
+    }
+};
--- a/modules/bulrush_net/http/HttpCaller.cpp
+++ b/modules/bulrush_net/http/HttpCaller.cpp
@@ -5,64 +5,56 @@
 HttpCaller::HttpCaller(EventLoop &owningLoop, std::size_t connectionCount)
     : loop(owningLoop)
     , connections(connectionCount)
-    , client(owningLoop, connectionCount, HttpClient::Limits(), *this)
+    , client(owningLoop, HttpClient::Limits(), *this)
 {
 }
 
 void HttpCaller::call(const Endpoint &endpoint, HttpRequest request, Duration timeout,
-                      Callback callback)
+                      Callback callback, Condition maySend)
 {
     const HttpClient::ExchangeId id = this->nextCall++;
     Call &call = this->calls[id];
     call.endpoint = endpoint;
     call.request = std::move(request);
     call.callback = std::move(callback);
+    call.maySend = std::move(maySend);
     call.timer = this->loop.schedule(timeout, [this, id] { this->timedOut(id); });
-    this->queuedCalls[endpoint].push_back(id);
-    this->sendNext(endpoint);
+    Peer &peer = this->peers[endpoint];
+    peer.queue.push_back(id);
+    this->sendNext(peer);
 }
 
-void HttpCaller::sendNext(const Endpoint &endpoint)
+void HttpCaller::sendNext(Peer &peer)
 {
-    const auto queue = this->queuedCalls.find(endpoint);
-    if (queue == this->queuedCalls.end()) {
+    const std::optional<std::size_t> connection = this->freeConnection(peer);
+    if (peer.queue.empty() || !connection) {
         return;
     }
-    const std::optional<std::size_t> connection = this->freeConnection(endpoint);
-    if (!connection) {
-        return;
-    }
-    const HttpClient::ExchangeId id = queue->second.front();
-    queue->second.pop_front();
-    if (queue->second.empty()) {
-        this->queuedCalls.erase(queue);
-    }
-    this->calls.at(id).connection = *connection;
-    this->connectionsInUse[endpoint].insert(*connection);
-    this->loop.schedule(Duration::zero(), [this, id] { this->send(id); });
-}
-
-void HttpCaller::send(HttpClient::ExchangeId id)
-{
-    const auto found = this->calls.find(id);
-    if (found != this->calls.end()) {
-        const Endpoint peer = found->second.endpoint;
-        HttpRequest request = std::move(found->second.request);
-        this->client.send(id, peer, *found->second.connection, std::move(request));
-    }
+    const HttpClient::ExchangeId id = peer.queue.front();
+    peer.queue.pop_front();
+    peer.connectionsInUse.insert(*connection);
+    Call &call = this->calls.at(id);
+    call.connection = connection;
+    this->client.send(id, call.endpoint, *connection, call.request);
+    call.request = HttpRequest();
 }
 
-std::optional<std::size_t> HttpCaller::freeConnection(const Endpoint &endpoint) const
+std::optional<std::size_t> HttpCaller::freeConnection(const Peer &peer) const
 {
-    const auto found = this->connectionsInUse.find(endpoint);
     for (std::size_t index = 0; index < this->connections; ++index) {
-        if (found == this->connectionsInUse.end() || !found->second.contains(index)) {
+        if (!peer.connectionsInUse.contains(index)) {
             return index;
         }
     }
     return std::nullopt;
 }
 
+bool HttpCaller::requestStarting(HttpClient::ExchangeId id)
+{
+    const auto found = this->calls.find(id);
+    return found != this->calls.end() && (!found->second.maySend || found->second.maySend());
+}
+
 void HttpCaller::responseArrived(HttpClient::ExchangeId id, HttpResponse response)
 {
     this->finish(id, { std::move(response), ExchangeFailure::Lost, {} });
@@ -78,16 +70,12 @@
 {
     const Call &call = this->calls.at(id);
     if (!call.connection) {
-        std::deque<HttpClient::ExchangeId> &queue = this->queuedCalls.at(call.endpoint);
-        std::erase(queue, id);
-        if (queue.empty()) {
-            this->queuedCalls.erase(call.endpoint);
-        }
+        std::erase(this->peers.at(call.endpoint).queue, id);
         this->finish(id, { {}, ExchangeFailure::NotSent, "no connection became free" });
         return;
     }
-    this->client.abandon(id);
-    this->finish(id, { {}, ExchangeFailure::Lost, "timeout" });
+    const bool sent = this->client.abandon(id);
+    this->finish(id, { {}, sent ? ExchangeFailure::Lost : ExchangeFailure::NotSent, "timeout" });
 }
 
 void HttpCaller::finish(HttpClient::ExchangeId id, CallResult result)
@@ -99,9 +87,13 @@
     const Call call = std::move(found->second);
     this->calls.erase(found);
     this->loop.cancel(call.timer);
+    const auto peer = this->peers.find(call.endpoint);
     if (call.connection) {
-        this->connectionsInUse[call.endpoint].erase(*call.connection);
-        this->sendNext(call.endpoint);
+        peer->second.connectionsInUse.erase(*call.connection);
+        this->sendNext(peer->second);
+    }
+    if (peer->second.connectionsInUse.empty() && peer->second.queue.empty()) {
+        this->peers.erase(peer);
     }
     call.callback(std::move(result));
 }
--- a/modules/bulrush_net/http/HttpCaller.h
+++ b/modules/bulrush_net/http/HttpCaller.h
@@ -4,10 +4,10 @@
 
 #include <deque>
 #include <functional>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 
 namespace bulrush {
 
@@ -39,8 +39,15 @@
     /** @param connections the maximum number of concurrent calls to one endpoint */
     HttpCaller(EventLoop &loop, std::size_t connections);
 
-    /** Sends a request. The callback is called once, after this function has returned. */
-    void call(const Endpoint &endpoint, HttpRequest request, Duration timeout, Callback callback);
+    /** Decides whether a request may still be sent. */
+    using Condition = std::function<bool()>;
+
+    /** Sends a request. The callback is called once, after this function has returned.
+        @param maySend called immediately before the first byte is sent; if it returns false, the
+                       call fails unsent. A request may be delayed by more than its timeout when the
+                       process is paused. */
+    void call(const Endpoint &endpoint, HttpRequest request, Duration timeout, Callback callback,
+              Condition maySend = {});
 
 private:
     struct Call
@@ -51,25 +58,33 @@
         HttpRequest request;
         EventLoop::TimerId timer = 0;
         Callback callback;
+        Condition maySend;
+    };
+
+    /** The calls to one endpoint. */
+    struct Peer
+    {
+        /** Indexes of the connections that carry a call. */
+        std::set<std::size_t> connectionsInUse;
+        /** Calls that wait for a connection. */
+        std::deque<HttpClient::ExchangeId> queue;
     };
 
-    void requestStarting(HttpClient::ExchangeId /*id*/) override { }
+    bool requestStarting(HttpClient::ExchangeId id) override;
     void responseArrived(HttpClient::ExchangeId id, HttpResponse response) override;
     void exchangeFailed(HttpClient::ExchangeId id, ExchangeFailure failure,
                         std::string_view reason) override;
 
-    std::optional<std::size_t> freeConnection(const Endpoint &endpoint) const;
-    void send(HttpClient::ExchangeId id);
-    void sendNext(const Endpoint &endpoint);
+    std::optional<std::size_t> freeConnection(const Peer &peer) const;
+    void sendNext(Peer &peer);
     void timedOut(HttpClient::ExchangeId id);
     void finish(HttpClient::ExchangeId id, CallResult result);
 
     EventLoop &loop;
     const std::size_t connections;
     HttpClient client;
-    std::map<HttpClient::ExchangeId, Call> calls;
-    std::map<Endpoint, std::set<std::size_t>> connectionsInUse;
-    std::map<Endpoint, std::deque<HttpClient::ExchangeId>> queuedCalls;
+    std::unordered_map<HttpClient::ExchangeId, Call> calls;
+    std::unordered_map<Endpoint, Peer> peers;
     HttpClient::ExchangeId nextCall = 1;
 };
 
--- a/modules/bulrush_net/http/HttpClient.cpp
+++ b/modules/bulrush_net/http/HttpClient.cpp
@@ -1,68 +1,81 @@
 #include "bulrush_net/http/HttpClient.h"
 
 #include "bulrush_core/errors/Error.h"
+#include "bulrush_net/http/HttpResponseReader.h"
 
 #include <libwebsockets.h>
 
 #include <algorithm>
 #include <array>
-#include <deque>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace bulrush {
 
 namespace {
 
-constexpr std::size_t readBufferBytes = 32768;
+constexpr std::size_t writeChunkBytes = 32768;
 
-/** Non-standard response headers that are delivered to the listener. */
-constexpr std::array<const char *, 6> customResponseHeaders {
-    "bulrush-not-started", "bulrush-load",     "bulrush-leaving",
-    "bulrush-outcome",     "bulrush-attempts", "bulrush-node",
-};
-
-std::string copyStandardHeader(lws *wsi, lws_token_indexes token)
+void *asOpaquePointer(std::uint64_t id)
 {
-    std::array<char, 256> text {};
-    const int length = lws_hdr_copy(wsi, text.data(), text.size(), token);
-    return length <= 0 ? std::string() : std::string(text.data(), static_cast<std::size_t>(length));
+    return reinterpret_cast<void *>(id);
 }
 
-void copyCustomHeader(lws *wsi, const char *name, std::vector<HttpHeader> &headers)
+std::string encode(const HttpRequest &request, const Endpoint &endpoint)
 {
-    const std::string nameWithColon = std::string(name) + ":";
-    const auto nameLength = static_cast<int>(nameWithColon.size());
-    const int length = lws_hdr_custom_length(wsi, nameWithColon.c_str(), nameLength);
-    std::array<char, 256> text {};
-    if (length <= 0 || length >= static_cast<int>(text.size())) {
-        return;
+    std::string text = request.method + " " + percentEncoded(request.path);
+    if (!request.query.empty()) {
+        text += "?" + percentEncoded(request.query);
+    }
+    text += " HTTP/1.1\r\n";
+    if (headerValue(request.headers, "host").empty()) {
+        text += "host: " + endpoint.text() + "\r\n";
+    }
+    for (const HttpHeader &header : request.headers) {
+        text += header.name + ": " + header.value + "\r\n";
     }
-    lws_hdr_custom_copy(wsi, text.data(), text.size(), nameWithColon.c_str(), nameLength);
-    headers.push_back({ name, std::string(text.data(), static_cast<std::size_t>(length)) });
+    const std::string &method = request.method;
+    if (!request.body.empty() || method == "POST" || method == "PUT" || method == "PATCH") {
+        text += "content-length: " + std::to_string(request.body.size()) + "\r\n";
+    }
+    return text + "\r\n" + request.body;
 }
 
 } // namespace
 
+/** An exchange on its connection. */
 struct HttpClient::Exchange
 {
     ExchangeId id = 0;
-    lws *wsi = nullptr;
-    HttpRequest request;
-    HttpResponse response;
-    std::string target;
+    /** The request, and how much of it is written. */
+    std::string outgoing;
+    std::size_t writtenBytes = 0;
     bool sendStarted = false;
     bool tooLarge = false;
-    bool complete = false;
-    /** Whether the peer announced "connection: close" for this response. */
-    bool peerCloses = false;
-    std::size_t sentBytes = 0;
+};
+
+struct HttpClient::Connection
+{
+    explicit Connection(std::size_t maxResponseBytes)
+        : reader(maxResponseBytes)
+    {
+    }
+
+    ConnectionId id = 0;
+    Slot slot;
+    /** Null until libwebsockets has begun to connect. */
+    lws *wsi = nullptr;
+    bool open = false;
+    /** Empty while the connection is idle. */
+    std::optional<Exchange> exchange;
+    Instant idleSince {};
+    HttpResponseReader reader;
 };
 
 struct HttpClient::Protocols
 {
     std::array<lws_protocols, 2> entries {};
-    /** Holds the vhost names, because libwebsockets stores pointers to them and no copies. */
-    std::deque<std::string> vhostNames;
     HttpClient *owner = nullptr;
 };
 
@@ -80,43 +93,25 @@
         if (owner == nullptr) {
             return 0;
         }
-        HttpClient &client = *owner;
-        const auto id = reinterpret_cast<HttpClient::ExchangeId>(lws_get_opaque_user_data(wsi));
-        HttpClient::Exchange *exchange = client.find(id);
-        if (exchange == nullptr) {
+        const auto id = reinterpret_cast<HttpClient::ConnectionId>(lws_get_opaque_user_data(wsi));
+        HttpClient::Connection *connection = owner->find(id);
+        if (connection == nullptr) {
             return 0;
         }
-        return dispatch(client, *exchange, wsi, reason, in, length);
-    }
-
-private:
-    static int dispatch(HttpClient &client, HttpClient::Exchange &exchange, lws *wsi,
-                        lws_callback_reasons reason, void *in, std::size_t length)
-    {
         const std::string_view text(static_cast<const char *>(in), in == nullptr ? 0 : length);
         switch (reason) {
-        case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER: {
-            auto **position = static_cast<unsigned char **>(in);
-            return client.appendHeaders(exchange, wsi, position, *position + length);
-        }
-        case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-            return client.writeBody(exchange, wsi);
-        case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-            client.readHead(exchange, wsi);
+        case LWS_CALLBACK_RAW_CONNECTED:
+            owner->opened(*connection, wsi);
             return 0;
-        case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-            return client.readBody(exchange, wsi);
-        case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-            return client.appendBody(exchange, text);
-        case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-            // A connection that the peer is about to close must not be reused for another request.
-            client.complete(exchange.id);
-            return exchange.peerCloses ? -1 : 0;
+        case LWS_CALLBACK_RAW_WRITEABLE:
+            return owner->writable(*connection);
+        case LWS_CALLBACK_RAW_RX:
+            return owner->received(*connection, text);
         case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-            client.fail(exchange.id, text.empty() ? "no connection" : text);
+            owner->closed(*connection, text.empty() ? "no connection" : text);
             return 0;
-        case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
-            client.fail(exchange.id, "connection closed before the complete response");
+        case LWS_CALLBACK_RAW_CLOSE:
+            owner->ended(*connection);
             return 0;
         default:
             return 0;
@@ -124,235 +119,262 @@
     }
 };
 
-HttpClient::HttpClient(EventLoop &owningLoop, std::size_t connections, Limits clientLimits,
-                       Listener &exchangeListener)
+HttpClient::HttpClient(EventLoop &owningLoop, Limits clientLimits, Listener &exchangeListener)
     : loop(owningLoop)
     , limits(clientLimits)
     , listener(exchangeListener)
     , protocols(std::make_shared<Protocols>())
-    , readBuffer(LWS_PRE + readBufferBytes)
 {
     this->loop.retain(this->protocols);
     this->protocols->owner = this;
-    this->protocols->entries[0] = {
-        "http-client", &HttpClientCallbacks::handle, 0, 0, 0, this->protocols.get(), 0
-    };
-    for (std::size_t index = 0; index < connections; ++index) {
-        const std::string &name =
-                this->protocols->vhostNames.emplace_back("http-client-" + std::to_string(index));
-        lws_context_creation_info info = {};
-        info.port = CONTEXT_PORT_NO_LISTEN;
-        info.protocols = this->protocols->entries.data();
-        info.vhost_name = name.c_str();
-        info.connect_timeout_secs = this->limits.connectTimeoutSeconds;
-        // The libwebsockets timeout for a response; the request's deadline is shorter.
-        info.timeout_secs = 60;
-        lws_vhost *vhost = lws_create_vhost(this->loop.context(), &info);
-        if (vhost == nullptr) {
-            throw Error("create client connections", name,
-                        "libwebsockets could not create the vhost");
-        }
-        this->vhosts.push_back(vhost);
+    this->protocols->entries[0] = { "http-client",
+                                    &HttpClientCallbacks::handle,
+                                    0,
+                                    EventLoop::readBufferBytes,
+                                    0,
+                                    this->protocols.get(),
+                                    0 };
+    lws_context_creation_info info = {};
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.protocols = this->protocols->entries.data();
+    info.vhost_name = "http-client";
+    info.connect_timeout_secs = this->limits.connectTimeoutSeconds;
+    this->vhost = lws_create_vhost(this->loop.context(), &info);
+    if (this->vhost == nullptr) {
+        throw Error("create HTTP client", "", "libwebsockets could not create the vhost");
     }
+    this->idleTimer = this->loop.scheduleEvery(this->limits.keepWarm / 2,
+                                               [this] { this->closeIdleConnections(); });
 }
 
 HttpClient::~HttpClient()
 {
+    this->loop.cancel(this->idleTimer);
     this->protocols->owner = nullptr;
     *this->alive = false;
 }
 
-void HttpClient::send(ExchangeId id, const Endpoint &endpoint, std::size_t connection,
-                      HttpRequest request)
+void HttpClient::send(ExchangeId id, const Endpoint &endpoint, std::size_t index,
+                      const HttpRequest &request)
 {
-    auto owned = std::make_unique<Exchange>();
-    Exchange &exchange = *owned;
+    const Slot slot { endpoint, index };
+    const auto found = this->slots.find(slot);
+    Connection &connection = found == this->slots.end() ? this->addConnection(slot)
+                                                        : *this->connections.at(found->second);
+    Exchange &exchange = connection.exchange.emplace();
     exchange.id = id;
-    exchange.request = std::move(request);
-    exchange.target = percentEncoded(exchange.request.path);
-    if (!exchange.request.query.empty()) {
-        exchange.target += "?" + percentEncoded(exchange.request.query);
+    exchange.outgoing = encode(request, endpoint);
+    connection.reader.begin(request.method != "HEAD");
+    this->exchanges[id] = { connection.id };
+    if (connection.open) {
+        lws_callback_on_writable(connection.wsi);
+    } else {
+        this->connect(connection.id, endpoint);
     }
-    this->exchanges.emplace(id, std::move(owned));
+}
 
+HttpClient::Connection &HttpClient::addConnection(const Slot &slot)
+{
+    const ConnectionId id = this->nextConnection++;
+    auto owned = std::make_unique<Connection>(this->limits.maxResponseBytes);
+    owned->id = id;
+    owned->slot = slot;
+    this->slots[slot] = id;
+    return *this->connections.emplace(id, std::move(owned)).first->second;
+}
+
+void HttpClient::connect(ConnectionId id, const Endpoint &endpoint)
+{
+    lws *wsi = nullptr;
     lws_client_connect_info info = {};
     info.context = this->loop.context();
-    info.vhost = this->vhosts.at(connection);
+    info.vhost = this->vhost;
     info.address = endpoint.address.c_str();
     info.port = endpoint.port;
-    info.path = exchange.target.c_str();
-    // libwebsockets reuses an idle connection only if host and address are the same string.
     info.host = endpoint.address.c_str();
-    info.method = exchange.request.method.c_str();
-    info.protocol = "http-client";
+    info.path = "";
+    info.method = "RAW";
     info.local_protocol_name = "http-client";
-    info.alpn = "http/1.1";
-    info.ssl_connection = LCCSCF_PIPELINE;
-    info.keep_warm_secs = this->limits.keepWarmSeconds;
-    info.opaque_user_data = reinterpret_cast<void *>(id);
-    info.pwsi = &exchange.wsi;
-    if (lws_client_connect_via_info(&info) == nullptr) {
-        this->fail(id, "the connection could not be opened");
+    info.opaque_user_data = asOpaquePointer(id);
+    info.pwsi = &wsi;
+    lws *const connecting = lws_client_connect_via_info(&info);
+    // Callbacks during the call may already have removed the connection.
+    Connection *connection = this->find(id);
+    if (connection == nullptr) {
+        return;
     }
+    if (connecting == nullptr) {
+        this->closed(*connection, "the connection could not be opened");
+        return;
+    }
+    connection->wsi = connecting;
 }
 
-void HttpClient::abandon(ExchangeId id)
+bool HttpClient::abandon(ExchangeId id)
 {
     const auto found = this->exchanges.find(id);
     if (found == this->exchanges.end()) {
-        return;
+        return false;
     }
-    lws *wsi = found->second->wsi;
+    const OpenExchange open = found->second;
     this->exchanges.erase(found);
-    if (wsi != nullptr) {
-        lws_set_opaque_user_data(wsi, nullptr);
-        // Closes synchronously, so that the next request on this index opens a new connection.
-        lws_set_timeout(wsi, PENDING_TIMEOUT_KILLED_BY_PARENT, LWS_TO_KILL_SYNC);
+    Connection *connection = this->find(open.connection);
+    if (connection == nullptr) {
+        return open.failure != ExchangeFailure::NotSent;
     }
+    const bool sendStarted = connection->exchange->sendStarted;
+    this->close(*connection);
+    return sendStarted;
 }
 
-int HttpClient::appendHeaders(Exchange &exchange, lws *wsi, unsigned char **position,
-                              const unsigned char *end)
+void HttpClient::close(Connection &connection)
 {
-    exchange.sendStarted = true;
-    this->listener.requestStarting(exchange.id);
-    std::string lines;
-    for (const HttpHeader &header : exchange.request.headers) {
-        lines += header.name + ": " + header.value + "\r\n";
+    lws *wsi = connection.wsi;
+    this->remove(connection);
+    if (wsi != nullptr) {
+        lws_set_timeout(wsi, PENDING_TIMEOUT_KILLED_BY_PARENT, LWS_TO_KILL_ASYNC);
     }
-    const std::string &method = exchange.request.method;
-    const bool hasBody = !exchange.request.body.empty();
-    if (hasBody || method == "POST" || method == "PUT" || method == "PATCH") {
-        lines += "content-length: " + std::to_string(exchange.request.body.size()) + "\r\n";
+}
+
+void HttpClient::remove(Connection &connection)
+{
+    if (connection.wsi != nullptr) {
+        lws_set_opaque_user_data(connection.wsi, nullptr);
     }
-    if (static_cast<std::size_t>(end - *position) <= lines.size()) {
-        return -1;
+    this->slots.erase(connection.slot);
+    this->connections.erase(connection.id);
+}
+
+void HttpClient::closeIdleConnections()
+{
+    const Instant now = this->loop.now();
+    std::vector<ConnectionId> idle;
+    for (const auto &[id, connection] : this->connections) {
+        if (!connection->exchange && now - connection->idleSince >= this->limits.keepWarm) {
+            idle.push_back(id);
+        }
     }
-    *position = std::copy(lines.begin(), lines.end(), *position);
-    if (hasBody) {
-        lws_client_http_body_pending(wsi, 1);
-        lws_callback_on_writable(wsi);
+    for (const ConnectionId id : idle) {
+        this->close(*this->connections.at(id));
     }
-    return 0;
 }
 
-int HttpClient::writeBody(Exchange &exchange, lws *wsi)
+void HttpClient::opened(Connection &connection, lws *wsi)
+{
+    connection.wsi = wsi;
+    connection.open = true;
+    lws_callback_on_writable(wsi);
+}
+
+int HttpClient::writable(Connection &connection)
 {
-    const std::string &body = exchange.request.body;
-    const std::size_t chunk = std::min(readBufferBytes, body.size() - exchange.sentBytes);
+    if (!connection.exchange) {
+        return 0;
+    }
+    Exchange &exchange = *connection.exchange;
+    const std::size_t left = exchange.outgoing.size() - exchange.writtenBytes;
+    const std::size_t chunk = std::min(writeChunkBytes, left);
     if (chunk == 0) {
         return 0;
     }
-    const bool last = exchange.sentBytes + chunk == body.size();
-    std::vector<unsigned char> buffer(LWS_PRE + chunk);
-    std::copy_n(body.data() + exchange.sentBytes, chunk, buffer.data() + LWS_PRE);
-    if (last) {
-        lws_client_http_body_pending(wsi, 0);
+    if (!exchange.sendStarted) {
+        if (!this->listener.requestStarting(exchange.id)) {
+            return -1;
+        }
+        exchange.sendStarted = true;
     }
-    const auto kind = last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP;
-    if (lws_write(wsi, buffer.data() + LWS_PRE, chunk, kind) < static_cast<int>(chunk)) {
+    std::vector<unsigned char> buffer(LWS_PRE + chunk);
+    std::copy_n(exchange.outgoing.data() + exchange.writtenBytes, chunk, buffer.data() + LWS_PRE);
+    if (lws_write(connection.wsi, buffer.data() + LWS_PRE, chunk, LWS_WRITE_RAW) < 0) {
         return -1;
     }
-    exchange.sentBytes += chunk;
-    if (last) {
-        this->scheduleTimeoutRemoval(exchange.id);
+    exchange.writtenBytes += chunk;
+    if (exchange.writtenBytes < exchange.outgoing.size()) {
+        lws_callback_on_writable(connection.wsi);
     } else {
-        lws_callback_on_writable(wsi);
+        exchange.outgoing = std::string();
+        exchange.writtenBytes = 0;
     }
     return 0;
 }
 
-void HttpClient::scheduleTimeoutRemoval(ExchangeId id)
+int HttpClient::received(Connection &connection, std::string_view bytes)
 {
-    // Deferred, because libwebsockets sets its timeout after this callback returns.
-    this->loop.schedule(Duration::zero(), [this, id, aliveFlag = this->alive] {
-        Exchange *exchange = *aliveFlag ? this->find(id) : nullptr;
-        if (exchange != nullptr && exchange->wsi != nullptr) {
-            lws_set_timeout(exchange->wsi, NO_PENDING_TIMEOUT, 0);
-        }
-    });
-}
-
-void HttpClient::readHead(Exchange &exchange, lws *wsi)
-{
-    exchange.response.status = static_cast<int>(lws_http_client_http_response(wsi));
-    exchange.response.contentType = copyStandardHeader(wsi, WSI_TOKEN_HTTP_CONTENT_TYPE);
-    exchange.peerCloses = copyStandardHeader(wsi, WSI_TOKEN_CONNECTION) == "close";
-    const std::string retryAfter = copyStandardHeader(wsi, WSI_TOKEN_HTTP_RETRY_AFTER);
-    if (!retryAfter.empty()) {
-        exchange.response.headers.push_back({ "retry-after", retryAfter });
+    if (!connection.exchange || !connection.exchange->sendStarted) {
+        // No request was sent, so the bytes answer nothing.
+        return -1;
     }
-    for (const char *name : customResponseHeaders) {
-        copyCustomHeader(wsi, name, exchange.response.headers);
+    switch (connection.reader.append(bytes)) {
+    case HttpResponseReader::Status::Incomplete:
+        return 0;
+    case HttpResponseReader::Status::Complete:
+        return this->complete(connection) ? 0 : -1;
+    case HttpResponseReader::Status::TooLarge:
+        connection.exchange->tooLarge = true;
+        return -1;
+    case HttpResponseReader::Status::Malformed:
+        return -1;
     }
+    return -1;
 }
 
-int HttpClient::readBody(Exchange &exchange, lws *wsi)
+bool HttpClient::complete(Connection &connection)
 {
-    char *start = this->readBuffer.data() + LWS_PRE;
-    auto length = static_cast<int>(readBufferBytes);
-    if (lws_http_client_read(wsi, &start, &length) < 0) {
-        return -1;
+    const ExchangeId id = connection.exchange->id;
+    const bool reusable = connection.open && connection.exchange->outgoing.empty()
+            && connection.reader.connectionReusable();
+    HttpResponse response = connection.reader.takeResponse();
+    connection.exchange.reset();
+    connection.idleSince = this->loop.now();
+    this->exchanges.erase(id);
+    if (!reusable) {
+        this->remove(connection);
     }
-    return exchange.tooLarge ? -1 : 0;
+    // The listener may use the connection again or destroy this client.
+    this->listener.responseArrived(id, std::move(response));
+    return reusable;
 }
 
-int HttpClient::appendBody(Exchange &exchange, std::string_view bytes)
+void HttpClient::ended(Connection &connection)
 {
-    if (exchange.response.body.size() + bytes.size() > this->limits.maxResponseBytes) {
-        exchange.tooLarge = true;
-        return -1;
+    connection.open = false;
+    if (connection.exchange && !connection.exchange->tooLarge
+        && connection.reader.appendEnd() == HttpResponseReader::Status::Complete) {
+        this->complete(connection);
+        return;
     }
-    exchange.response.body.append(bytes);
-    return 0;
+    this->closed(connection, "the connection closed before the complete response");
 }
 
-void HttpClient::complete(ExchangeId id)
+void HttpClient::closed(Connection &connection, std::string_view reason)
 {
-    const auto found = this->exchanges.find(id);
-    // Delivers the response after this callback returns. Only then is the connection idle or
-    // closed, so that a request sent on the same index is not queued behind this exchange.
-    found->second->wsi = nullptr;
-    found->second->complete = true;
-    this->loop.schedule(Duration::zero(), [this, id, aliveFlag = this->alive] {
-        if (*aliveFlag) {
-            this->deliverResponse(id);
+    if (connection.exchange) {
+        ExchangeFailure failure = ExchangeFailure::NotSent;
+        if (connection.exchange->tooLarge) {
+            failure = ExchangeFailure::TooLarge;
+        } else if (connection.exchange->sendStarted) {
+            failure = ExchangeFailure::Lost;
         }
-    });
-}
-
-void HttpClient::deliverResponse(ExchangeId id)
-{
-    const auto found = this->exchanges.find(id);
-    if (found == this->exchanges.end()) {
-        return;
+        this->failLater(connection.exchange->id, failure, std::string(reason));
     }
-    HttpResponse response = std::move(found->second->response);
-    this->exchanges.erase(found);
-    this->listener.responseArrived(id, std::move(response));
+    this->remove(connection);
 }
 
-void HttpClient::fail(ExchangeId id, std::string_view reason)
+void HttpClient::failLater(ExchangeId id, ExchangeFailure failure, std::string reason)
 {
-    const auto found = this->exchanges.find(id);
-    if (found == this->exchanges.end() || found->second->complete) {
-        return;
-    }
-    ExchangeFailure failure = ExchangeFailure::NotSent;
-    if (found->second->tooLarge) {
-        failure = ExchangeFailure::TooLarge;
-    } else if (found->second->sendStarted) {
-        failure = ExchangeFailure::Lost;
-    }
-    const std::string ownedReason(reason);
-    this->exchanges.erase(found);
-    this->listener.exchangeFailed(id, failure, ownedReason);
+    this->exchanges[id] = { 0, failure };
+    this->loop.schedule(Duration::zero(),
+                        [this, id, failure, reason = std::move(reason), aliveFlag = this->alive] {
+                            if (*aliveFlag && this->exchanges.erase(id) > 0) {
+                                this->listener.exchangeFailed(id, failure, reason);
+                            }
+                        });
 }
 
-HttpClient::Exchange *HttpClient::find(ExchangeId id)
+HttpClient::Connection *HttpClient::find(ConnectionId id)
 {
-    const auto found = this->exchanges.find(id);
-    return found == this->exchanges.end() ? nullptr : found->second.get();
+    const auto found = this->connections.find(id);
+    return found == this->connections.end() ? nullptr : found->second.get();
 }
 
 } // namespace bulrush
--- a/modules/bulrush_net/http/HttpClient.h
+++ b/modules/bulrush_net/http/HttpClient.h
@@ -5,13 +5,15 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 struct lws;
+struct lws_vhost;
 
 namespace bulrush {
 
@@ -26,8 +28,11 @@
 };
 
 /**
-    Sends HTTP requests. The caller selects the connection of each request by index; a connection
-    carries one request at a time and is reused while it is idle.
+    Sends HTTP requests. The caller selects the connection of each request by endpoint and index; a
+    connection carries one request at a time and is reused while it is idle.
+
+    Uses libwebsockets for the sockets only, because the cost of a request of its own HTTP client
+    grows with the number of open connections.
 */
 class HttpClient
 {
@@ -40,8 +45,9 @@
     {
         virtual ~Listener() = default;
 
-        /** Called once, immediately before the first byte of the request is sent. */
-        virtual void requestStarting(ExchangeId id) = 0;
+        /** Called once, immediately before the first byte of the request is sent.
+            @returns false to have the exchange fail unsent, because it is too late for it */
+        virtual bool requestStarting(ExchangeId id) = 0;
 
         /** Called with the complete response; ends the exchange. */
         virtual void responseArrived(ExchangeId id, HttpResponse response) = 0;
@@ -55,54 +61,91 @@
     struct Limits
     {
         std::size_t maxResponseBytes = 16U << 20U;
-        std::uint16_t keepWarmSeconds = 30;
+        /** How long an idle connection stays open. */
+        Duration keepWarm = seconds(30);
         unsigned connectTimeoutSeconds = 2;
     };
 
-    /** @param connections the number of connection indexes, starting from 0 */
-    HttpClient(EventLoop &loop, std::size_t connections, Limits limits, Listener &listener);
+    HttpClient(EventLoop &loop, Limits limits, Listener &listener);
     ~HttpClient();
 
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    /** Sends a request over the connection with the given index. The listener may be called before
-        this function returns. */
-    void send(ExchangeId id, const Endpoint &endpoint, std::size_t connection, HttpRequest request);
+    /** Sends a request over the endpoint's connection with the given index, which must be idle. The
+        listener is called after this function has returned. */
+    void send(ExchangeId id, const Endpoint &endpoint, std::size_t index,
+              const HttpRequest &request);
 
-    /** Closes the exchange's connection; the listener is not called for the exchange again. */
-    void abandon(ExchangeId id);
+    /** Closes the exchange's connection; the listener is not called for the exchange again.
+        @returns whether a part of the request was sent */
+    bool abandon(ExchangeId id);
 
     /** Returns the number of open exchanges. */
     std::size_t openExchanges() const { return this->exchanges.size(); }
 
 private:
     struct Exchange;
+    struct Connection;
     struct Protocols;
     friend struct HttpClientCallbacks;
 
-    int appendHeaders(Exchange &exchange, lws *wsi, unsigned char **position,
-                      const unsigned char *end);
-    /** Schedules the removal of a sent request's libwebsockets timeout. The cost of libwebsockets'
-        sorted timeout list grows with its length, and callers set their own request timeouts. */
-    void scheduleTimeoutRemoval(ExchangeId id);
-    int writeBody(Exchange &exchange, lws *wsi);
-    void readHead(Exchange &exchange, lws *wsi);
-    int readBody(Exchange &exchange, lws *wsi);
-    int appendBody(Exchange &exchange, std::string_view bytes);
-    void complete(ExchangeId id);
-    void deliverResponse(ExchangeId id);
-    void fail(ExchangeId id, std::string_view reason);
-    Exchange *find(ExchangeId id);
+    using ConnectionId = std::uint64_t;
+    /** The endpoint and index of a connection. */
+    using Slot = std::pair<Endpoint, std::size_t>;
+
+    struct SlotHash
+    {
+        std::size_t operator()(const Slot &slot) const noexcept
+        {
+            return std::hash<Endpoint>()(slot.first) + slot.second;
+        }
+    };
+
+    /** Where an exchange is, until its end has been reported. */
+    struct OpenExchange
+    {
+        /** 0 once the exchange has failed. */
+        ConnectionId connection = 0;
+        /** The failure to report; meaningful once the exchange has failed. */
+        ExchangeFailure failure = ExchangeFailure::NotSent;
+    };
+
+    Connection &addConnection(const Slot &slot);
+    void connect(ConnectionId id, const Endpoint &endpoint);
+
+    /** Closes a connection without informing the listener. */
+    void close(Connection &connection);
+
+    /** Forgets a connection; its slot becomes free. */
+    void remove(Connection &connection);
+    void closeIdleConnections();
+
+    void opened(Connection &connection, lws *wsi);
+    int writable(Connection &connection);
+    int received(Connection &connection, std::string_view bytes);
+
+    /** Delivers the complete response. @returns whether the connection stays open */
+    bool complete(Connection &connection);
+
+    /** Handles the end of an open connection. */
+    void ended(Connection &connection);
+
+    /** Handles the end of a connection whose exchange, if it has one, has failed. */
+    void closed(Connection &connection, std::string_view reason);
+    void failLater(ExchangeId id, ExchangeFailure failure, std::string reason);
+    Connection *find(ConnectionId id);
 
     EventLoop &loop;
     const Limits limits;
     Listener &listener;
     std::shared_ptr<Protocols> protocols;
-    std::vector<lws_vhost *> vhosts;
-    /** Space for one read of a response's body. */
-    std::vector<char> readBuffer;
-    std::map<ExchangeId, std::unique_ptr<Exchange>> exchanges;
+    lws_vhost *vhost = nullptr;
+    EventLoop::TimerId idleTimer = 0;
+    ConnectionId nextConnection = 1;
+    std::unordered_map<ConnectionId, std::unique_ptr<Connection>> connections;
+    std::unordered_map<Slot, ConnectionId, SlotHash> slots;
+    std::unordered_map<ExchangeId, OpenExchange> exchanges;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/modules/bulrush_net/loop/EventLoop.cpp
+++ b/modules/bulrush_net/loop/EventLoop.cpp
@@ -10,11 +10,10 @@
 
 namespace {
 
-/** Limits libwebsockets' tables, whose size otherwise follows the system's open-file limit. */
-constexpr int maxOpenSockets = 4096;
 constexpr int maxHeaderBytes = 8192;
-/** One per socket, because an open connection may hold a header table even while it is idle. */
-constexpr int maxHeaderTables = maxOpenSockets;
+/** One per connection from a client, because an open connection may hold a header table even while
+    it is idle. */
+constexpr int maxHeaderTables = 4096;
 
 int wakeCallback(lws *wsi, lws_callback_reasons reason, void * /*user*/, void * /*in*/,
                  std::size_t /*length*/)
@@ -46,7 +45,9 @@
     lws_context_creation_info info = {};
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
-    info.fd_limit_per_thread = maxOpenSockets;
+    // info.fd_limit_per_thread stays 0: with a limit of its own, libwebsockets searches a list of
+    // all sockets for each event, without one it indexes a table.
+    info.pt_serv_buf_size = readBufferBytes;
     info.max_http_header_data = maxHeaderBytes;
     info.max_http_header_pool = maxHeaderTables;
     info.user = this;
@@ -102,6 +103,11 @@
     }
 }
 
+Instant EventLoop::now() const
+{
+    return Instant(microseconds(lws_now_usecs()));
+}
+
 EventLoop::TimerId EventLoop::schedule(Duration after, std::function<void()> action)
 {
     const TimerId id = this->nextTimer++;
--- a/modules/bulrush_net/loop/EventLoop.h
+++ b/modules/bulrush_net/loop/EventLoop.h
@@ -4,6 +4,7 @@
 #include "bulrush_core/time/Clock.h"
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -29,6 +30,9 @@
 public:
     using TimerId = std::uint64_t;
 
+    /** Maximum number of bytes that are read from a socket at once. */
+    static constexpr std::size_t readBufferBytes = 32768;
+
     EventLoop();
     ~EventLoop();
 
@@ -50,6 +54,9 @@
     /** Adds a function that is called on the loop's thread after wake(). */
     void addWakeListener(std::function<void()> listener);
 
+    /** Returns the time of the clock that the timers use. */
+    Instant now() const;
+
     /** Calls a function once after a delay. */
     TimerId schedule(Duration after, std::function<void()> action);
 
--- /dev/null
+++ b/modules/bulrush_net/tests/ScriptedServer.cpp
@@ -0,0 +1,58 @@
+#include "ScriptedServer.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <stdexcept>
+#include <utility>
+
+ScriptedServer::ScriptedServer(std::uint16_t port, std::string bytes, std::string greetingBytes)
+    : listener(socket(AF_INET, SOCK_STREAM, 0))
+    , response(std::move(bytes))
+    , greeting(std::move(greetingBytes))
+{
+    const int enable = 1;
+    setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &enable, sizeof(enable));
+    sockaddr_in address = {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const auto *generic = reinterpret_cast<const sockaddr *>(&address);
+    if (bind(this->listener, generic, sizeof(address)) != 0 || listen(this->listener, 1) != 0) {
+        throw std::runtime_error("the test's port cannot be bound");
+    }
+    this->thread = std::thread([this] { this->serve(); });
+}
+
+ScriptedServer::~ScriptedServer()
+{
+    // Ends an accept() that no client will satisfy any more.
+    shutdown(this->listener, SHUT_RDWR);
+    this->thread.join();
+    close(this->listener);
+}
+
+void ScriptedServer::serve() const
+{
+    const int connection = accept(this->listener, nullptr, nullptr);
+    if (connection < 0) {
+        return;
+    }
+    send(connection, this->greeting.data(), this->greeting.size(), MSG_NOSIGNAL);
+    std::string received;
+    std::array<char, 4096> buffer {};
+    while (received.find("\r\n\r\n") == std::string::npos) {
+        const ssize_t count = recv(connection, buffer.data(), buffer.size(), 0);
+        if (count <= 0) {
+            break;
+        }
+        received.append(buffer.data(), static_cast<std::size_t>(count));
+    }
+    send(connection, this->response.data(), this->response.size(), MSG_NOSIGNAL);
+    shutdown(connection, SHUT_WR);
+    while (recv(connection, buffer.data(), buffer.size(), 0) > 0) { }
+    close(connection);
+}
--- /dev/null
+++ b/modules/bulrush_net/tests/ScriptedServer.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <thread>
+
+/**
+    A TCP server for tests that answers the first request of its only connection with given bytes
+   and closes the connection.
+*/
+class ScriptedServer
+{
+public:
+    /** Listens on a port of 127.0.0.1.
+        @param bytes   what to send once a request's headers have arrived
+        @param greeting what to send at once when a client connects */
+    ScriptedServer(std::uint16_t port, std::string bytes, std::string greeting = {});
+
+    /** Waits until the connection was served. */
+    ~ScriptedServer();
+
+    ScriptedServer(const ScriptedServer &) = delete;
+    ScriptedServer &operator=(const ScriptedServer &) = delete;
+
+private:
+    void serve() const;
+
+    int listener = -1;
+    const std::string response;
+    const std::string greeting;
+    std::thread thread;
+};
--- a/modules/bulrush_net/tests/net_test.cpp
+++ b/modules/bulrush_net/tests/net_test.cpp
@@ -1,10 +1,13 @@
+#include "ScriptedServer.h"
 #include "bulrush_core/bulrush_core.h"
 #include "bulrush_net/bulrush_net.h"
 
 #include <criterion/criterion.h>
 
 #include <map>
+#include <optional>
 #include <set>
+#include <utility>
 
 using namespace bulrush;
 
@@ -47,11 +50,15 @@
 struct RecordingClient : HttpClient::Listener
 {
     explicit RecordingClient(EventLoop &loop)
-        : client(loop, 4, { 400'000, 30, 2 }, *this)
+        : client(loop, { 400'000, seconds(30), 2 }, *this)
     {
     }
 
-    void requestStarting(HttpClient::ExchangeId id) override { this->started.insert(id); }
+    bool requestStarting(HttpClient::ExchangeId id) override
+    {
+        this->started.insert(id);
+        return true;
+    }
 
     void responseArrived(HttpClient::ExchangeId id, HttpResponse response) override
     {
@@ -175,6 +182,113 @@
     cr_assert_eq(client.responses.count(2), 1U);
 }
 
+/* Peers that end a response by closing the connection, or send it in chunks, are answered like any
+   other; the client reads the bytes itself, so each form needs its test. */
+Test(Http, responsesOfAllLengthsAreRead)
+{
+    const std::vector<std::pair<std::string, std::string>> cases {
+        { "HTTP/1.1 200 OK\r\n\r\nuntil the end", "until the end" },
+        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+          "abcde" },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour", "four" },
+        { "HTTP/1.1 204 No Content\r\n\r\n", "" },
+    };
+    std::uint16_t port = 18120;
+    for (const auto &[bytes, body] : cases) {
+        // Waits for the client's sockets to be closed, so it must be destroyed after the loop.
+        const ScriptedServer server(++port, bytes);
+        EventLoop loop;
+        RecordingClient client(loop);
+        client.client.send(1, { "127.0.0.1", port }, 0, post("/x", "y"));
+        runUntil(loop, [&] { return client.ended() == 1; });
+        cr_assert_eq(client.responses.count(1), 1U, "%s", bytes.c_str());
+        cr_assert_eq(client.responses[1].body, body);
+    }
+}
+
+/* A malformed or cut response must not be taken for an answer, nor end the process: the request may
+   have had an effect. */
+Test(Http, malformedAndCutResponsesCountAsLost)
+{
+    const std::vector<std::string> cases {
+        "",
+        "no HTTP at all",
+        "HTTP/1.1 abc\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfour",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        std::string(100'000, 'x'),
+    };
+    std::uint16_t port = 18130;
+    for (const std::string &bytes : cases) {
+        // Waits for the client's sockets to be closed, so it must be destroyed after the loop.
+        const ScriptedServer server(++port, bytes);
+        EventLoop loop;
+        RecordingClient client(loop);
+        client.client.send(1, { "127.0.0.1", port }, 0, post("/x", "y"));
+        runUntil(loop, [&] { return client.ended() == 1; });
+        cr_assert_eq(client.failures.count(1), 1U, "%s", bytes.substr(0, 80).c_str());
+        cr_assert(client.failures[1] == ExchangeFailure::Lost);
+    }
+}
+
+/* Bytes that arrive before a request was sent answer nothing. Were they taken for the response, the
+   caller would be told of an effect that the request cannot have had. */
+Test(Http, bytesBeforeTheRequestAreNotItsResponse)
+{
+    const ScriptedServer server(18140, "", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    EventLoop loop;
+    RecordingClient client(loop);
+    client.client.send(1, { "127.0.0.1", 18140 }, 0, post("/x", std::string(1'000'000, 'y')));
+    runUntil(loop, [&] { return client.ended() == 1; });
+    const bool answered = client.responses.contains(1);
+    cr_assert(!answered || client.started.contains(1));
+    client.client.send(2, { "127.0.0.1", 18199 }, 0, post("/x", "y"));
+    runUntil(loop, [&] { return client.ended() == 2; });
+}
+
+/* A call that waited for its connection until the time-out has sent nothing. If it counted as lost,
+   its sender would have to find out first whether it took effect. */
+Test(Http, callThatNeverWasSentIsNotLost)
+{
+    EventLoop loop;
+    EchoServer server(loop, 18141);
+    HttpCaller caller(loop, 1);
+    std::optional<ExchangeFailure> sent;
+    std::optional<ExchangeFailure> waiting;
+    const Endpoint endpoint { "127.0.0.1", 18141 };
+    caller.call(endpoint, post("/silent", "x"), milliseconds(300),
+                [&sent](const CallResult &result) { sent = result.failure; });
+    caller.call(endpoint, post("/echo", "x"), milliseconds(100),
+                [&waiting](const CallResult &result) { waiting = result.failure; });
+    runUntil(loop, [&] { return sent && waiting; });
+    cr_assert(*waiting == ExchangeFailure::NotSent);
+    cr_assert(*sent == ExchangeFailure::Lost);
+}
+
+/* A process is paused after it has queued an order, and goes on when the order's validity is over.
+   The order must not go out any more, and its sender must learn that it was not sent. */
+Test(Http, callWhoseTimeIsOverBeforeItIsSentStaysUnsent)
+{
+    EventLoop loop;
+    EchoServer server(loop, 18142);
+    HttpCaller caller(loop, 1);
+    bool valid = true;
+    std::vector<CallResult> results;
+    const auto record = [&results](const CallResult &result) { results.push_back(result); };
+    const auto stillValid = [&valid] { return valid; };
+    const Endpoint endpoint { "127.0.0.1", 18142 };
+    caller.call(endpoint, post("/echo", "1"), seconds(5), record, stillValid);
+    runUntil(loop, [&] { return results.size() == 1; });
+    cr_assert(results[0].succeeded());
+    caller.call(endpoint, post("/echo", "2"), seconds(5), record, stillValid);
+    valid = false;
+    runUntil(loop, [&] { return results.size() == 2; });
+    cr_assert_not(results[1].succeeded());
+    cr_assert(results[1].failure == ExchangeFailure::NotSent);
+    cr_assert_eq(server.arrivals, 1);
+}
+
 namespace {
 
 struct FramePeer : FrameTransport::Listener
--- a/modules/bulrush_node/front/FrontTask.cpp
+++ b/modules/bulrush_node/front/FrontTask.cpp
@@ -7,11 +7,8 @@
 
 namespace {
 
-/** Maximum number of a target's connections that one node may use. */
-constexpr std::size_t maxConnectionsPerTarget = 65;
-
 /** Shorter than ConnectionPool::maxIdleTime, after which the router no longer uses a connection. */
-constexpr std::uint16_t idleConnectionTimeoutSeconds = 4;
+constexpr seconds idleConnectionTimeout { 4 };
 
 /** Maximum time until the load balancer notices that the node is no longer ready. */
 constexpr Duration readinessPropagationDelay = seconds(2);
@@ -61,8 +58,7 @@
     , events(eventLog)
     , report(std::move(reportFunction))
     , server(owningLoop, frontSettings.callers, frontSettings.serverLimits, *this)
-    , client(owningLoop, maxConnectionsPerTarget,
-             { frontSettings.answerBytes, idleConnectionTimeoutSeconds, 1 }, *this)
+    , client(owningLoop, { frontSettings.answerBytes, idleConnectionTimeout, 1 }, *this)
 {
     this->loop.scheduleEvery(targetStateCheckPeriod, [this] { this->logTargetStates(); });
 }
@@ -222,11 +218,12 @@
 }
 
 //==============================================================================
-void FrontTask::requestStarting(HttpClient::ExchangeId id)
+bool FrontTask::requestStarting(HttpClient::ExchangeId id)
 {
     if (ServiceRoutes *routes = this->routesOf(id)) {
         routes->router().sendStarted(ServiceRoutes::attemptOf(id));
     }
+    return true;
 }
 
 ServiceRoutes *FrontTask::routesOf(HttpClient::ExchangeId id)
@@ -426,7 +423,7 @@
     HttpRequest request = arrival.request;
     request.path = arrival.head.targetPath;
     this->client.send(routes.exchangeId(action.attempt), routes.endpointOf(action.target),
-                      action.connection, std::move(request));
+                      action.connection, request);
 }
 
 void FrontTask::finish(const routing::Answer &action)
--- a/modules/bulrush_node/front/FrontTask.h
+++ b/modules/bulrush_node/front/FrontTask.h
@@ -65,7 +65,7 @@
     void route(ArrivalId id);
 
     // Targets.
-    void requestStarting(HttpClient::ExchangeId id) override;
+    bool requestStarting(HttpClient::ExchangeId id) override;
     void responseArrived(HttpClient::ExchangeId id, HttpResponse response) override;
     void exchangeFailed(HttpClient::ExchangeId id, ExchangeFailure failure,
                         std::string_view reason) override;
