--- a/modules/bulrush_core/ids/Id.h
+++ b/modules/bulrush_core/ids/Id.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <ostream>
@@ -20,7 +21,8 @@
 public:
     NameId() = default;
     explicit NameId(std::string_view name)
-        : text(name)
+        : prefix(prefixOf(name))
+        , text(name)
     {
     }
 
@@ -29,10 +31,16 @@
     /** Returns whether the name is empty. */
     bool isEmpty() const { return this->text.empty(); }
 
-    bool operator==(const NameId &other) const { return this->text == other.text; }
+    bool operator==(const NameId &other) const
+    {
+        return this->prefix == other.prefix && this->text == other.text;
+    }
+
+    /** Orders by name. */
     std::strong_ordering operator<=>(const NameId &other) const
     {
-        return this->text <=> other.text;
+        const std::strong_ordering order = this->prefix <=> other.prefix;
+        return order == 0 ? this->text <=> other.text : order;
     }
 
     friend std::ostream &operator<<(std::ostream &stream, const NameId &id)
@@ -41,6 +49,19 @@
     }
 
 private:
+    /** Returns the first bytes of a name as a number that is ordered like them. */
+    static std::uint64_t prefixOf(std::string_view name)
+    {
+        std::uint64_t number = 0;
+        for (std::size_t index = 0; index < sizeof(number); ++index) {
+            const char byte = index < name.size() ? name[index] : '\0';
+            number = number << 8U | static_cast<unsigned char>(byte);
+        }
+        return number;
+    }
+
+    /** Decides most comparisons without reading the text. */
+    std::uint64_t prefix = 0;
     std::string text;
 };
 
