Do only for workers that reported what was done for all; count every former owner's resignation; stop orders after a pause

Cause: each 10 ms a pass over all workers, each 50 ms a new roster and a pass over all runs, at each report a search for stale loads, and names looked up for each pair of a serving and a filling run. Change: workers for which something has happened are checked at the next tick, all of them each 50 ms; the roster when a worker came or went; runs each 200 ms; loads once a second; shares by image once a worker.

FormerOwners keeps a wait for each; each resignation has a key of its own, and the newest one also that of earlier versions. Test: aResignationCountsFromEveryOwnerThatIsWaitedFor.

A step of the time of day changed the age of jobs that an owner read live: it counts from their reading (test).

--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -238,10 +238,11 @@
     if (!this->pendingResignation || this->resignationAttempts++ == maxResignationAttempts) {
         return;
     }
-    const KeyedRecord record { records::resignationKey(),
-                               records::encodeResignation(*this->pendingResignation), 0 };
+    const std::string value = records::encodeResignation(*this->pendingResignation);
     const std::uint64_t token = this->pendingResignation->fencingToken;
-    this->store.append(LogStream::Jobs, { record }, std::nullopt, resignationTimeout,
+    const std::vector<KeyedRecord> resignation { { records::resignationKey(token), value, 0 },
+                                                 { records::newestResignationKey(), value, 0 } };
+    this->store.append(LogStream::Jobs, resignation, std::nullopt, resignationTimeout,
                        [this, token](const AppendAnswer &answer) {
                            const bool current = this->pendingResignation
                                    && this->pendingResignation->fencingToken == token;
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/** Interval of the periodic check of all runs and of the roster. */
-constexpr milliseconds maintenanceInterval { 50 };
+/** Interval at which all runs are checked for stalled and slow ones. */
+constexpr milliseconds healthCheckInterval { 200 };
 
 /** Size of the attempt number range of one owner: the first attempt of an owner at a task is at
     least its fencing token times this size, plus one. */
@@ -37,7 +37,7 @@
     this->term = ownershipTerm;
     this->jobTable = std::move(persistedJobs);
     this->isActive = true;
-    this->previousOwnerSettled = false;
+    this->rosterAnswered = false;
     this->planner.clear();
     this->writer.begin(this->term.fencingToken);
     for (auto &[id, job] : this->jobTable.entries()) {
@@ -49,20 +49,23 @@
         }
     }
     this->workerManager.begin(this->term.fencingToken);
-    this->applyResignation();
+    this->formerOwners.begin(this->jobTable.previousOwnerToken(this->term.fencingToken),
+                             this->term.previousOwnerSettledAt);
+    this->applyResignations();
 }
 
-void Dispatcher::applyResignation()
+void Dispatcher::applyResignations()
 {
-    const Resignation &resignation = this->jobTable.resignation();
-    const std::uint64_t previousToken = this->jobTable.previousOwnerToken(this->term.fencingToken);
-    if (previousToken == 0 || resignation.fencingToken != previousToken) {
-        return;
+    const std::map<std::uint64_t, Resignation> &resignations = this->jobTable.resignations();
+    for (auto at = resignations.rbegin(); at != resignations.rend(); ++at) {
+        this->formerOwners.resigned(at->second, this->clock.now(),
+                                    this->term.resignedOwnerSettleTime);
     }
-    const milliseconds wait =
-            std::max(this->term.resignedOwnerSettleTime, resignation.unsettledFor);
-    const Instant settledAt = this->clock.now() + wait;
-    this->term.previousOwnerSettledAt = std::min(this->term.previousOwnerSettledAt, settledAt);
+}
+
+bool Dispatcher::formerOwnersSettled() const
+{
+    return this->rosterAnswered || this->clock.now() >= this->formerOwners.settledAt();
 }
 
 std::optional<Resignation> Dispatcher::resignation() const
@@ -70,10 +73,12 @@
     if (!this->isActive) {
         return std::nullopt;
     }
-    const Duration left = this->term.previousOwnerSettledAt - this->clock.now();
-    const bool settled = this->previousOwnerSettled || left <= Duration::zero();
-    return Resignation { this->term.fencingToken,
-                         settled ? milliseconds(0) : std::chrono::ceil<milliseconds>(left) };
+    Resignation resignation;
+    resignation.fencingToken = this->term.fencingToken;
+    if (!this->rosterAnswered) {
+        resignation.unsettled = this->formerOwners.unsettled(this->clock.now());
+    }
+    return resignation;
 }
 
 void Dispatcher::end()
@@ -86,6 +91,7 @@
     this->jobTable.clear();
     this->fillControl.clearWorkers();
     this->roster.clear();
+    this->rosterState.reset();
 }
 
 void Dispatcher::configure(const ServingConfig &serving)
@@ -101,7 +107,8 @@
 void Dispatcher::applyJobRecord(const KeyedRecord &record)
 {
     const records::ParsedKey key = records::parseKey(record.key);
-    if (key.kind == records::KeyKind::Job && this->jobTable.find(key.job) != nullptr) {
+    const bool known = this->jobTable.find(key.job) != nullptr;
+    if (key.kind == records::KeyKind::Job && known) {
         this->decisions.write(DecisionLine(Event::JobRepeated)
                                       .with("job", key.job.name())
                                       .with("offset", record.offset));
@@ -112,10 +119,15 @@
         return;
     }
     if (!id) {
-        this->applyResignation();
+        this->applyResignations();
         return;
     }
     JobEntry &job = *this->jobTable.find(*id);
+    if (!known) {
+        // The record is read as soon as it is stored. Its calendar time is another node's, and this
+        // node's may have stepped since.
+        job.acceptedAt = this->clock.now();
+    }
     if (job.cancelled) {
         this->unstarted.erase(*id);
         this->stopRuns(job, "cancelled");
@@ -144,7 +156,7 @@
     if (run.stopRequested) {
         return;
     }
-    worker.requestStop(run);
+    this->workerManager.requestStop(worker, run);
     this->decisions.write(DecisionLine(Event::TaskStopped)
                                   .with("task", text(run.attempt.task))
                                   .with("attempt", run.attempt.attempt)
@@ -178,16 +190,13 @@
         return;
     }
     this->workerManager.tick();
-    const bool maintenanceDue = now >= this->nextMaintenance;
-    if (maintenanceDue) {
-        this->nextMaintenance = now + maintenanceInterval;
-        this->updateRoster();
-    }
+    this->updateRoster();
     if (!this->mayCommand()) {
         return;
     }
     this->controlFills(now);
-    if (maintenanceDue) {
+    if (now >= this->nextHealthCheck) {
+        this->nextHealthCheck = now + healthCheckInterval;
         this->moveUnhealthyRuns(now);
     }
     this->planner.tick(now);
@@ -196,8 +205,12 @@
 void Dispatcher::updateRoster()
 {
     // Workers of the previous owner may still run its tasks.
-    const bool settled =
-            this->previousOwnerSettled || this->clock.now() >= this->term.previousOwnerSettledAt;
+    const bool settled = this->formerOwnersSettled();
+    const std::pair state(this->workerManager.membershipVersion(), settled);
+    if (this->rosterState == state) {
+        return;
+    }
+    this->rosterState = state;
     const std::span<const TargetId> previous =
             settled ? std::span<const TargetId>() : std::span(this->jobTable.roster());
     if (this->roster.update(this->workerManager.workers(), previous)) {
@@ -397,8 +410,7 @@
 
 bool Dispatcher::mayStart(const JobEntry &job)
 {
-    if (this->previousOwnerSettled || !job.knownToPreviousOwners
-        || this->clock.now() >= this->term.previousOwnerSettledAt) {
+    if (!job.knownToPreviousOwners || this->formerOwnersSettled()) {
         return true;
     }
     for (const TargetId &id : this->jobTable.roster()) {
@@ -407,7 +419,7 @@
             return false;
         }
     }
-    this->previousOwnerSettled = true;
+    this->rosterAnswered = true;
     return true;
 }
 
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -5,12 +5,14 @@
 #include "bulrush_steps/dispatch/ProgressWriter.h"
 #include "bulrush_steps/model/ServingConfig.h"
 #include "bulrush_steps/model/StepJobTable.h"
+#include "bulrush_steps/ownership/FormerOwners.h"
 #include "bulrush_steps/policy/FillController.h"
 #include "bulrush_steps/workers/WorkerManager.h"
 #include "bulrush_steps/workers/WorkerRoster.h"
 
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace bulrush {
 
@@ -132,7 +134,11 @@
                    std::uint64_t attempt) override;
 
     void addWaiting(const JobEntry &job);
-    void applyResignation();
+    /** Takes the resignations on record into account, the newest owner's first. */
+    void applyResignations();
+
+    /** Returns whether no command of a former owner can take effect any more. */
+    bool formerOwnersSettled() const;
     void updateRoster();
     void controlFills(Instant now);
     void moveUnhealthyRuns(Instant now);
@@ -166,11 +172,16 @@
     FillController fillControl;
     Planner planner;
     bool isActive = false;
-    bool previousOwnerSettled = false;
-    Instant nextMaintenance {};
+    FormerOwners formerOwners;
+    /** Whether all workers that may hold tasks of former owners have answered. */
+    bool rosterAnswered = false;
+    Instant nextHealthCheck {};
     /** Accepted jobs of which no worker has begun a task. */
     std::set<JobId> unstarted;
     WorkerRoster roster;
+    /** The membership version of the workers, and whether previous owners were settled, when the
+        roster was last updated. */
+    std::optional<std::pair<std::uint64_t, bool>> rosterState;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
@@ -25,11 +25,12 @@
 
 void Dispatcher::controlFills(Instant now)
 {
-    for (auto &[id, worker] : this->workerManager.workers()) {
-        if (worker.reportedAt <= worker.observedAt) {
+    for (const TargetId &id : this->workerManager.takeReported()) {
+        Worker *found = this->workerManager.find(id);
+        if (found == nullptr) {
             continue;
         }
-        worker.observedAt = now;
+        Worker &worker = *found;
         worker.servingPressures.reset();
         worker.availableFillCpuMilli = FillController::unusedProcessors(worker, now);
         this->fillControl.observe(worker, now);
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -15,7 +15,7 @@
 /** Limits of planning. Steps that reserve processors are ranked in each round, since their callers
     wait. */
 constexpr PlanLimits reservingLimits { 2, milliseconds(20), milliseconds(0) };
-constexpr PlanLimits fillingLimits { 4, milliseconds(10), milliseconds(100) };
+constexpr PlanLimits fillingLimits { 2, milliseconds(10), milliseconds(100) };
 
 } // namespace
 
@@ -257,7 +257,8 @@
 
 bool Planner::mayStartMore(const PlanLane &lane) const
 {
-    return this->workers.startWindow(lane.fills).isOpen();
+    // The process may have been paused since the round began.
+    return this->workers.startWindow(lane.fills).isOpen() && this->listener.mayCommand();
 }
 
 void Planner::plan(PlanLane &lane, Instant now)
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -42,6 +42,9 @@
     {
         virtual ~Listener() = default;
 
+        /** Returns whether commands may currently be sent. */
+        virtual bool mayCommand() const = 0;
+
         /** Returns whether tasks of a job may start: no run of a previous owner can be alive
          * unseen. */
         virtual bool mayStart(const JobEntry &job) = 0;
--- a/modules/bulrush_steps/model/JobRecords.cpp
+++ b/modules/bulrush_steps/model/JobRecords.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace bulrush::records {
 
 namespace {
@@ -15,6 +17,7 @@
 constexpr std::string_view cancellationPrefix = "cancelled/";
 constexpr std::string_view ownerName = "owner";
 constexpr std::string_view resignationName = "resignation";
+constexpr std::string_view resignationPrefix = "resignation/";
 constexpr std::string_view rosterName = "roster";
 
 template<class Decode>
@@ -100,7 +103,12 @@
     return std::string(ownerName);
 }
 
-std::string resignationKey()
+std::string resignationKey(std::uint64_t fencingToken)
+{
+    return std::string(resignationPrefix) + std::to_string(fencingToken);
+}
+
+std::string newestResignationKey()
 {
     return std::string(resignationName);
 }
@@ -121,7 +129,7 @@
     if (key == ownerName) {
         return { KeyKind::Owner, {} };
     }
-    if (key == resignationName) {
+    if (key == resignationName || key.starts_with(resignationPrefix)) {
         return { KeyKind::Resignation, {} };
     }
     if (key == rosterName) {
@@ -241,18 +249,36 @@
 
 std::string encodeResignation(const Resignation &resignation)
 {
+    json unsettled = json::array();
+    milliseconds longest { 0 };
+    for (const UnsettledOwner &former : resignation.unsettled) {
+        unsettled.push_back({ former.fencingToken, former.left.count() });
+        longest = std::max(longest, former.left);
+    }
+    // Earlier versions read unsettledMs only.
     return json {
         { "schema", schemaVersion },
         { "fencingToken", resignation.fencingToken },
-        { "unsettledMs", resignation.unsettledFor.count() }
+        { "unsettledMs", longest.count() },
+        { "unsettled", std::move(unsettled) }
     }.dump();
 }
 
 Resignation decodeResignation(std::string_view value)
 {
     return decodeRecord("resignation", value, [](const json &record) {
-        return Resignation { record.at("fencingToken").get<std::uint64_t>(),
-                             milliseconds(record.at("unsettledMs").get<std::int64_t>()) };
+        Resignation resignation;
+        resignation.fencingToken = record.at("fencingToken").get<std::uint64_t>();
+        if (!record.contains("unsettled")) {
+            const milliseconds left(record.at("unsettledMs").get<std::int64_t>());
+            resignation.unsettled.push_back({ 0, left });
+            return resignation;
+        }
+        for (const json &former : record.at("unsettled")) {
+            const milliseconds left(former.at(1).get<std::int64_t>());
+            resignation.unsettled.push_back({ former.at(0).get<std::uint64_t>(), left });
+        }
+        return resignation;
     });
 }
 
--- a/modules/bulrush_steps/model/JobRecords.h
+++ b/modules/bulrush_steps/model/JobRecords.h
@@ -31,13 +31,22 @@
     std::vector<TaskProgress> tasks;
 };
 
+/** A former owner whose commands may still take effect, and for how long. */
+struct UnsettledOwner
+{
+    /** 0 when the owner is unknown. */
+    std::uint64_t fencingToken = 0;
+    milliseconds left { 0 };
+
+    bool operator==(const UnsettledOwner &) const = default;
+};
+
 /** An owner's declaration that it sends no more commands. */
 struct Resignation
 {
     std::uint64_t fencingToken = 0;
-    /** How long commands of this owner's own predecessors may still take effect; 0 when it had
-        accounted for all of them. */
-    milliseconds unsettledFor { 0 };
+    /** This owner's own predecessors that it had not accounted for. */
+    std::vector<UnsettledOwner> unsettled;
 };
 
 /** Encodes and decodes the keys and values of the scheduler's own records. Values are JSON with a
@@ -53,8 +62,11 @@
 /** Returns the key of the owner record, in which a new owner announces its fencing token. */
 std::string ownerKey();
 
-/** Returns the key of the resignation record. */
-std::string resignationKey();
+/** Returns the key of an owner's resignation record. */
+std::string resignationKey(std::uint64_t fencingToken);
+
+/** Returns the key under which earlier versions look for the newest resignation. */
+std::string newestResignationKey();
 
 /** Returns the key of the roster: the list of workers that may run tasks. */
 std::string rosterKey();
--- a/modules/bulrush_steps/model/StepJobTable.cpp
+++ b/modules/bulrush_steps/model/StepJobTable.cpp
@@ -99,7 +99,9 @@
         return std::nullopt;
     }
     if (key.kind == records::KeyKind::Resignation) {
-        this->newestResignation = records::decodeResignation(record.value);
+        Resignation resignation = records::decodeResignation(record.value);
+        const std::uint64_t token = resignation.fencingToken;
+        this->ownerResignations.insert_or_assign(token, std::move(resignation));
         return std::nullopt;
     }
     if (key.kind == records::KeyKind::Cancellation) {
--- a/modules/bulrush_steps/model/StepJobTable.h
+++ b/modules/bulrush_steps/model/StepJobTable.h
@@ -6,6 +6,7 @@
 #include "bulrush_steps/ports/KeyedLog.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -131,8 +132,11 @@
     /** Returns the highest recorded fencing token below a given one; 0 when there is none. */
     std::uint64_t previousOwnerToken(std::uint64_t token) const;
 
-    /** Returns the newest resignation of an owner. */
-    const Resignation &resignation() const { return this->newestResignation; }
+    /** Returns the resignations of owners, by fencing token. */
+    const std::map<std::uint64_t, Resignation> &resignations() const
+    {
+        return this->ownerResignations;
+    }
 
     /** Counts the success of a task. @returns false when the task is long-running, or was counted
         before */
@@ -157,7 +161,7 @@
     std::vector<TargetId> rosterEntries;
     std::uint64_t ownerToken = 0;
     std::set<std::uint64_t> ownerTokens;
-    Resignation newestResignation;
+    std::map<std::uint64_t, Resignation> ownerResignations;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/policy/PressureModel.cpp
+++ b/modules/bulrush_steps/policy/PressureModel.cpp
@@ -31,6 +31,9 @@
 /** The load of a job is discarded when no task of it has reported for this long. */
 constexpr milliseconds loadRetention { 30'000 };
 
+/** Interval at which loads are checked for being discarded. */
+constexpr milliseconds discardInterval { 1000 };
+
 /** A report in which a filling image uses a smaller share does not change the image's coefficient,
     because it carries no information about it. */
 constexpr double minShare = 0.01;
@@ -80,52 +83,85 @@
 
 double PressureModel::pressureAtTarget(const Run &serving) const
 {
-    const Serving *image = this->findImage(serving.image);
-    const auto target = static_cast<double>(serving.tailTarget.count());
+    return pressureAtTarget(this->findImage(serving.image), serving.tailTarget);
+}
+
+double PressureModel::pressureAtTarget(const Serving *image, milliseconds tailTarget)
+{
+    const auto target = static_cast<double>(tailTarget.count());
     if (image == nullptr || image->idleTail <= 0.0 || target <= 0.0) {
         return 1.0;
     }
     return std::max(0.0, 1.0 - image->idleTail / target);
 }
 
-double PressureModel::expectedLoad(const Run &serving, Instant moment) const
+std::vector<PressureModel::FillShare> PressureModel::fillShares(const Worker &worker,
+                                                                ShareOfRun shareOf)
+{
+    std::vector<FillShare> shares;
+    for (const auto &[attempt, run] : worker.runs) {
+        if (run.fillCpuMilli == 0) {
+            continue;
+        }
+        const auto found =
+                std::find_if(shares.begin(), shares.end(),
+                             [&run](const FillShare &each) { return *each.image == run.image; });
+        if (found == shares.end()) {
+            shares.push_back({ &run.image, shareOf(worker, run) });
+        } else {
+            found->share += shareOf(worker, run);
+        }
+    }
+    return shares;
+}
+
+double PressureModel::pressureOf(const Serving *serving, std::span<const FillShare> fills)
+{
+    double pressure = 0.0;
+    for (const FillShare &fill : fills) {
+        pressure += coefficientOf(serving, *fill.image) * fill.share;
+    }
+    return pressure;
+}
+
+const LoadTrend *PressureModel::loadOf(const Run &serving) const
 {
     const auto found = this->loads.find(serving.attempt.task.job);
-    return found == this->loads.end() ? defaultPressure : found->second.loadAt(moment);
+    return found == this->loads.end() ? nullptr : &found->second;
+}
+
+double PressureModel::expectedLoad(const LoadTrend *load, Instant moment)
+{
+    return load == nullptr ? defaultPressure : load->loadAt(moment);
 }
 
 double PressureModel::expectedPressure(const Worker &worker, const Run &serving,
                                        Instant moment) const
 {
-    double expected = this->expectedLoad(serving, moment);
-    for (const auto &[attempt, run] : worker.runs) {
-        if (run.fillCpuMilli > 0) {
-            expected += this->coefficient(run.image, serving.image) * fullShare(worker, run);
-        }
-    }
-    return expected;
+    return expectedLoad(this->loadOf(serving), moment)
+            + pressureOf(this->findImage(serving.image), fillShares(worker, &fullShare));
 }
 
 std::vector<ServingPressure> PressureModel::servingPressures(const Worker &worker,
                                                              Instant moment) const
 {
     std::vector<ServingPressure> list;
+    const std::vector<FillShare> fills = fillShares(worker, &fullShare);
     for (const auto &[attempt, run] : worker.runs) {
         if (run.tailTarget.count() == 0) {
             continue;
         }
         const auto number = this->imageNumbers.find(run.image);
         const bool known = number != this->imageNumbers.end();
-        const auto load = this->loads.find(run.attempt.task.job);
-        const double imageVariance =
-                known ? this->images[number->second].variance : Serving().variance;
-        const double loadVariance = load == this->loads.end() ? LoadTrend().varianceAt(moment)
-                                                              : load->second.varianceAt(moment);
+        const Serving *image = known ? &this->images[number->second] : nullptr;
+        const LoadTrend *load = this->loadOf(run);
+        const double imageVariance = known ? image->variance : Serving().variance;
+        const double loadVariance = (load == nullptr ? LoadTrend() : *load).varianceAt(moment);
         ServingPressure serving;
         serving.image = known ? std::optional(number->second) : std::nullopt;
-        serving.expected = this->expectedPressure(worker, run, moment);
+        serving.expected = expectedLoad(load, moment) + pressureOf(image, fills);
         serving.standardDeviation = std::sqrt(imageVariance + loadVariance);
-        serving.atTarget = this->pressureAtTarget(run);
+        serving.atTarget = pressureAtTarget(image, run.tailTarget);
         list.push_back(serving);
     }
     return list;
@@ -160,12 +196,16 @@
 
 void PressureModel::observe(const Worker &worker, Instant now)
 {
+    const std::vector<FillShare> fills = fillShares(worker, &usedShare);
     for (const auto &[attempt, run] : worker.runs) {
         if (run.tailTarget.count() > 0 && run.load > 0.0) {
-            this->learn(worker, run, now);
+            this->learn(run, fills, now);
         }
     }
-    this->discardStaleLoads(now);
+    if (now >= this->nextDiscard) {
+        this->nextDiscard = now + discardInterval;
+        this->discardStaleLoads(now);
+    }
 }
 
 void PressureModel::discardStaleLoads(Instant now)
@@ -175,7 +215,7 @@
     });
 }
 
-void PressureModel::learn(const Worker &worker, const Run &serving, Instant now)
+void PressureModel::learn(const Run &serving, std::span<const FillShare> fills, Instant now)
 {
     const auto [number, added] = this->imageNumbers.try_emplace(serving.image, this->images.size());
     if (added) {
@@ -185,16 +225,10 @@
     if (image.idleTail <= 0.0 || serving.load < image.idleTail) {
         image.idleTail = serving.load;
     }
-    std::map<std::string, double> shares;
-    for (const auto &[attempt, run] : worker.runs) {
-        if (run.fillCpuMilli > 0) {
-            shares[run.image] += usedShare(worker, run);
-        }
-    }
     double fillPressure = 0.0;
     double fillVariance = 0.0;
-    for (const auto &[fill, share] : shares) {
-        Coefficient &estimate = image.byFill[fill];
+    for (const auto &[fill, share] : fills) {
+        Coefficient &estimate = image.byFill[*fill];
         estimate.variance += coefficientProcessNoise;
         fillPressure += estimate.value * share;
         fillVariance += estimate.variance * share * share;
@@ -206,11 +240,11 @@
     image.variance += varianceWeight * (error * error - image.variance);
     image.variance = std::max(image.variance, minVariance);
     load.observe(pressure - fillPressure, reportVariance + fillVariance, now);
-    for (const auto &[fill, share] : shares) {
+    for (const auto &[fill, share] : fills) {
         if (share < minShare) {
             continue;
         }
-        Coefficient &estimate = image.byFill[fill];
+        Coefficient &estimate = image.byFill[*fill];
         const double gain = estimate.variance * share / variance;
         estimate.value = std::clamp(estimate.value + gain * error, 0.0, maxCoefficient);
         estimate.variance *= 1.0 - gain * share;
--- a/modules/bulrush_steps/policy/PressureModel.h
+++ b/modules/bulrush_steps/policy/PressureModel.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <span>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace bulrush {
@@ -86,18 +87,38 @@
         std::map<std::string, Coefficient> byFill;
     };
 
+    /** The share of a worker's processors that a filling image uses there. */
+    struct FillShare
+    {
+        const std::string *image = nullptr;
+        double share = 0.0;
+    };
+
+    using ShareOfRun = double (*)(const Worker &, const Run &);
+
+    /** Returns the shares of the filling images on a worker, each image once. */
+    static std::vector<FillShare> fillShares(const Worker &worker, ShareOfRun shareOf);
+
+    /** Returns the pressure on a serving image from filling images. */
+    static double pressureOf(const Serving *serving, std::span<const FillShare> fills);
+
     /** Returns the state of a serving image; null when it is unknown. */
     const Serving *findImage(const std::string &image) const;
     static double coefficientOf(const Serving *serving, const std::string &fillImage);
-    double expectedLoad(const Run &serving, Instant moment) const;
-    void learn(const Worker &worker, const Run &serving, Instant now);
+    static double pressureAtTarget(const Serving *image, milliseconds tailTarget);
+
+    /** Returns the load of the job of a serving run; null when no task of it has reported. */
+    const LoadTrend *loadOf(const Run &serving) const;
+    static double expectedLoad(const LoadTrend *load, Instant moment);
+    void learn(const Run &serving, std::span<const FillShare> fills, Instant now);
     void discardStaleLoads(Instant now);
 
     /** The position of each serving image in images. */
     std::map<std::string, std::size_t> imageNumbers;
     std::vector<Serving> images;
     /** The load that users cause in the tasks of each serving job. */
-    std::map<JobId, LoadTrend> loads;
+    std::unordered_map<JobId, LoadTrend> loads;
+    Instant nextDiscard {};
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/tests/dispatcher_test.cpp
+++ b/modules/bulrush_steps/tests/dispatcher_test.cpp
@@ -102,7 +102,7 @@
     fixture.listWorker("w1");
     fixture.runFor(seconds(1));
     fixture.dispatcher.applyJobRecord(
-            { records::resignationKey(), records::encodeResignation(resignation), 5 });
+            { records::newestResignationKey(), records::encodeResignation(resignation), 5 });
     fixture.runFor(OwnershipTerm().resignedOwnerSettleTime - seconds(1));
     cr_assert(fixture.workers.starts.empty(),
               "a task was started while a lease of the former owner may last");
@@ -118,14 +118,44 @@
    bench: a lasting task did not run for 14 s. */
 Test(Dispatcher, afterAResignationANewOwnerWaitsOnlyForTheLastLeases)
 {
-    cr_assert_eq(startsAfterResignation({ 2, milliseconds(0) }), 1U);
-    cr_assert_eq(startsAfterResignation({ 2, seconds(3) }), 1U);
+    cr_assert_eq(startsAfterResignation({ 2, {} }), 1U);
+    cr_assert_eq(startsAfterResignation({ 2, { { 1, seconds(3) } } }), 1U);
 }
 
 Test(Dispatcher, aResignationCountsOnlyFromThePreviousOwnerAndWithItsUnsettledTime)
 {
-    cr_assert_eq(startsAfterResignation({ 2, seconds(9) }), 0U);
-    cr_assert_eq(startsAfterResignation({ 1, milliseconds(0) }), 0U);
+    cr_assert_eq(startsAfterResignation({ 2, { { 1, seconds(9) } } }), 0U);
+    cr_assert_eq(startsAfterResignation({ 1, {} }), 0U);
+}
+
+/* Owner 1 is cut off, owner 2 takes over and resigns while it still waits for owner 1. When the cut
+   ends, owner 1 learns of its successors and resigns too. Known jobs must then wait for the last
+   leases only; they waited for owner 1 as if it were still silent. Found by the users' test bench:
+   a job with free workers did not run for more than 15 s. */
+Test(Dispatcher, aResignationCountsFromEveryOwnerThatIsWaitedFor)
+{
+    DispatcherFixture fixture;
+    fixture.worker("w2").silent = true;
+    StepJobTable table =
+            makeJobTable(makeJob("a", 1), { TargetId("w1"), TargetId("w2") }, fixture.clock);
+    for (const std::uint64_t owner : { 1U, 2U, 3U }) {
+        table.applyJobRecord({ records::ownerKey(), records::encodeOwner(owner, "m"), 1 },
+                             fixture.clock);
+    }
+    const milliseconds left = formerOrdersLifetime - seconds(1);
+    table.applyJobRecord(
+            { records::resignationKey(2), records::encodeResignation({ 2, { { 1, left } } }), 2 },
+            fixture.clock);
+    fixture.begin(std::move(table));
+    fixture.listWorker("w1");
+    fixture.runFor(seconds(1));
+    fixture.dispatcher.applyJobRecord(
+            { records::resignationKey(1), records::encodeResignation({ 1, {} }), 5 });
+    fixture.runFor(OwnershipTerm().resignedOwnerSettleTime - milliseconds(100));
+    cr_assert(fixture.workers.starts.empty(),
+              "a task was started while a lease of a former owner may last");
+    fixture.runFor(milliseconds(300));
+    cr_assert_eq(fixture.workers.starts.size(), 1U);
 }
 
 /* Owners restart one after the other. Each resignation must state how long orders of even earlier
@@ -137,10 +167,11 @@
     fixture.begin(makeJobTable(makeJob("a", 1), { TargetId("w1"), TargetId("w2") }, fixture.clock));
     fixture.listWorker("w1");
     fixture.runFor(seconds(2));
-    cr_assert_eq(fixture.dispatcher.resignation()->unsettledFor.count(),
-                 (formerOrdersLifetime - seconds(2)).count());
+    const std::vector<UnsettledOwner> unsettled = fixture.dispatcher.resignation()->unsettled;
+    cr_assert_eq(unsettled.size(), 1U);
+    cr_assert_eq(unsettled.front().left.count(), (formerOrdersLifetime - seconds(2)).count());
     fixture.runFor(formerOrdersLifetime);
-    cr_assert_eq(fixture.dispatcher.resignation()->unsettledFor.count(), 0);
+    cr_assert(fixture.dispatcher.resignation()->unsettled.empty());
 }
 
 /* The caller repeats its submission, and the repeat becomes the job's newest record. The job must
@@ -472,3 +503,42 @@
     fixture.runFor(seconds(3));
     cr_assert_eq(fixture.workers.starts.size(), 2U);
 }
+
+/* The owner's time of day steps forward by seconds and back. Jobs that are accepted in between must
+   not count as older than they are, or they are ranked behind those that can still be in time, and
+   those accepted after the step back as if they were new. */
+Test(Dispatcher, aStepOfTheTimeOfDayDoesNotChangeTheAgeOfJobs)
+{
+    DispatcherFixture fixture;
+    fixture.begin(StepJobTable());
+    StepJob job = makeJob("before", 1);
+    job.acceptedAt = fixture.clock.calendarMillis();
+    fixture.accept(job);
+    for (const int step : { 5, -10, 4 }) {
+        const std::int64_t accepted = fixture.clock.calendarMillis();
+        fixture.clock.stepCalendar(seconds(step));
+        StepJob other = makeJob(("after" + std::to_string(step)).c_str(), 1);
+        other.acceptedAt = accepted;
+        fixture.accept(other);
+        const JobEntry *entry = fixture.dispatcher.jobs().find(other.id);
+        cr_assert_eq((fixture.clock.now() - entry->acceptedAt).count(), 0);
+        fixture.runFor(seconds(1));
+    }
+    const JobEntry *first = fixture.dispatcher.jobs().find(job.id);
+    cr_assert_eq(duration_cast<milliseconds>(fixture.clock.now() - first->acceptedAt).count(),
+                 3000);
+}
+
+/* The process is paused in the middle of a round of planning, until its ownership has expired. The
+   tasks of the round that are left must not start: another owner may have started them. */
+Test(Dispatcher, anOwnerPausedWhileItPlansStartsNothingMore)
+{
+    DispatcherFixture fixture;
+    fixture.begin(StepJobTable());
+    fixture.listWorker("w1");
+    fixture.runFor(seconds(1));
+    fixture.workers.onStart = [&fixture] { fixture.owner = false; };
+    fixture.accept(makeJob("a", 4));
+    fixture.runFor(seconds(1));
+    cr_assert_eq(fixture.workers.starts.size(), 1U);
+}
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -44,6 +44,8 @@
     /** When the worker confirmed the run, by its answer to the start or by listing it. Set anew
         when a later report must tell whether the run is alive. */
     Instant confirmedAt {};
+    /** The number of the last report that listed the run. */
+    std::uint64_t listedInReport = 0;
     std::uint32_t progressPercent = 0;
     /** When the run was confirmed, its percentage last changed or a pace was last requested,
         whichever is the latest. */
@@ -92,8 +94,6 @@
     Instant nextHoldAt {};
     /** When it last reported its runs. */
     Instant reportedAt {};
-    /** When the fill controller last evaluated a report. */
-    Instant observedAt {};
 
     /** Number of the last ended run that was processed. */
     std::uint64_t processedEnds = 0;
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -4,6 +4,7 @@
 #include "bulrush_steps/model/TaskText.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bulrush {
 
@@ -20,6 +21,10 @@
 constexpr std::uint32_t maxReservingStarts = 160;
 constexpr std::uint32_t maxFillStarts = 48;
 
+/** Interval at which all workers are checked. Those for which something has happened are checked at
+    the next tick. */
+constexpr milliseconds checkOfAllInterval { 50 };
+
 /** How long a worker receives no new tasks after it refused a start or did not answer it. */
 constexpr milliseconds refusalPause { 400 };
 
@@ -54,6 +59,10 @@
     *this->alive = false;
     this->alive = std::make_shared<bool>(true);
     this->workerTable.clear();
+    ++this->membership;
+    this->toCheck.clear();
+    this->reported.clear();
+    this->nextCheckOfAll = Instant();
     this->reservingStarts.reset();
     this->fillStarts.reset();
 }
@@ -83,6 +92,7 @@
         }
     }
     if (added) {
+        ++this->membership;
         this->decisions.write(DecisionLine(Event::WorkerSeen)
                                       .with("worker", entry.worker.name())
                                       .with("address", entry.endpoint.text()));
@@ -91,6 +101,7 @@
         worker.confirmed = false;
         worker.nextHoldAt = this->clock.now();
     }
+    this->checkSoon(worker);
 }
 
 void WorkerManager::workerUnlisted(const TargetId &id)
@@ -107,29 +118,59 @@
 
 void WorkerManager::tick()
 {
-    const Instant now = this->clock.now();
+    if (this->clock.now() >= this->nextCheckOfAll) {
+        this->nextCheckOfAll = this->clock.now() + checkOfAllInterval;
+        this->checkAll();
+        return;
+    }
+    for (const TargetId &id : std::exchange(this->toCheck, {})) {
+        if (Worker *worker = this->find(id)) {
+            this->check(*worker);
+        }
+    }
+}
+
+void WorkerManager::checkAll()
+{
+    this->toCheck.clear();
     std::vector<TargetId> removed;
     for (auto &[id, worker] : this->workerTable) {
         this->dropExpiredRuns(worker);
         if (!worker.listed && worker.runs.empty()) {
             removed.push_back(id);
-            continue;
-        }
-        if (!this->listener.mayCommand()) {
-            continue;
-        }
-        if (this->holdIsDue(worker, now)) {
-            this->sendHold(worker);
-        }
-        if (worker.stopRequests > 0 && worker.adopted) {
-            this->sendStops(worker);
+        } else {
+            this->check(worker);
         }
     }
     for (const TargetId &id : removed) {
         this->workerTable.erase(id);
+        ++this->membership;
     }
 }
 
+void WorkerManager::check(Worker &worker)
+{
+    if (!this->listener.mayCommand()) {
+        return;
+    }
+    if (this->holdIsDue(worker, this->clock.now())) {
+        this->sendHold(worker);
+    }
+    if (worker.stopRequests > 0 && worker.adopted) {
+        this->sendStops(worker);
+    }
+    const bool awaitsStorage = worker.processedEnds > worker.acknowledgedEnds;
+    if (awaitsStorage && !worker.holdInFlight) {
+        this->checkSoon(worker);
+    }
+}
+
+void WorkerManager::requestStop(Worker &worker, Run &run)
+{
+    worker.requestStop(run);
+    this->checkSoon(worker);
+}
+
 void WorkerManager::sendStops(Worker &worker)
 {
     for (auto &[attempt, run] : worker.runs) {
@@ -273,7 +314,7 @@
     if (answer.outcome == CommandOutcome::Unknown
         || answer.outcome == CommandOutcome::OtherWorker) {
         run.phase = RunPhase::Unconfirmed;
-        worker->requestStop(run);
+        this->requestStop(*worker, run);
         worker->avoidUntil = now + refusalPause;
         this->decisions.write(DecisionLine(Event::StartUnanswered)
                                       .with("task", text(attempt.task))
@@ -324,6 +365,7 @@
         run.phase = RunPhase::Running;
         run.confirmedAt = this->clock.now();
         worker->nextHoldAt = this->clock.now();
+        this->checkSoon(*worker);
     }
 }
 
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -7,6 +7,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace bulrush {
@@ -83,6 +85,15 @@
     /** Sends a start request. The run counts as alive from this call on. */
     void start(Worker &worker, Run run, const StepJob &job, std::string checkpoint);
 
+    /** Marks a run to be stopped and sends the stop request as soon as the worker has the run. */
+    void requestStop(Worker &worker, Run &run);
+
+    /** Returns the workers that have reported their runs since the last call. */
+    std::set<TargetId> takeReported() { return std::exchange(this->reported, {}); }
+
+    /** Returns a number that changes whenever a worker is added or removed. */
+    std::uint64_t membershipVersion() const { return this->membership; }
+
     /** Excludes a worker from the placement of new tasks for a time. */
     void suspendPlacement(Worker &worker, milliseconds span, std::string_view reason);
 
@@ -103,6 +114,14 @@
     void forEachRun(const JobId &job, const std::function<void(Worker &, Run &)> &visit);
 
 private:
+    /** Checks all workers, and removes those that are unlisted and have no runs. */
+    void checkAll();
+
+    /** Sends the hold and stop requests to a worker that are due. */
+    void check(Worker &worker);
+
+    /** Has the next tick check a worker, before the next check of all workers. */
+    void checkSoon(const Worker &worker) { this->toCheck.push_back(worker.entry.worker); }
     void sendHold(Worker &worker);
     void handleHoldAnswer(const TargetId &id, std::uint64_t number, Instant sentAt,
                           std::uint64_t acknowledged, const HoldAnswer &answer);
@@ -128,6 +147,10 @@
     Listener &listener;
     std::uint64_t fencingToken = 0;
     std::map<TargetId, Worker> workerTable;
+    std::uint64_t membership = 0;
+    std::vector<TargetId> toCheck;
+    Instant nextCheckOfAll {};
+    std::set<TargetId> reported;
     StartWindow reservingStarts;
     StartWindow fillStarts;
     /** Shared with the callbacks of requests; set to false by end() and on destruction, so that
--- a/modules/bulrush_steps/workers/WorkerManagerReports.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerReports.cpp
@@ -6,7 +6,7 @@
 #include "bulrush_steps/model/TaskText.h"
 #include "bulrush_steps/policy/RunHealth.h"
 
-#include <set>
+#include <vector>
 
 namespace bulrush {
 
@@ -65,6 +65,8 @@
     const bool awaitsStorage =
             hasUnacknowledgedEnds && worker->processedChange > this->listener.storedChange();
     worker->nextHoldAt = awaitsStorage && !firstAnswer ? now + maxUnstoredHoldDelay : now;
+    this->reported.insert(id);
+    this->checkSoon(*worker);
 }
 
 void WorkerManager::handleHoldFailure(Worker &worker, CommandOutcome outcome)
@@ -131,9 +133,8 @@
 void WorkerManager::processRuns(Worker &worker, const HoldAnswer &answer, Instant sentAt)
 {
     const Instant now = this->clock.now();
-    std::set<AttemptRef> listed;
+    const std::uint64_t report = worker.holdNumber;
     for (const ListedRun &each : answer.running) {
-        listed.insert(each.attempt);
         auto found = worker.runs.find(each.attempt);
         if (found == worker.runs.end()) {
             Run adopted = this->listener.adoptRun(worker, each);
@@ -153,13 +154,14 @@
         if (each.percent != run.progressPercent) {
             run.progressedAt = now;
         }
+        run.listedInReport = report;
         run.progressPercent = each.percent;
         run.load = each.load;
     }
     std::vector<Run> lost;
     for (const auto &[attempt, run] : worker.runs) {
         const bool confirmedBefore = run.phase == RunPhase::Running && run.confirmedAt < sentAt;
-        if (confirmedBefore && !listed.contains(attempt)) {
+        if (confirmedBefore && run.listedInReport != report) {
             lost.push_back(run);
         }
     }
