Write the new code as the linter wants it

Cause: clang-tidy rejected: a comparison of an ordering with 0, a lambda that captures a structured binding, an unused constant and a move into a const reference. Ruled out: suppressing the findings; each has a form that says the same. Change: std::is_neq, a named reference to the image, the constant and the move removed.

--- a/bench/path/main.cpp
+++ b/bench/path/main.cpp
@@ -65,8 +65,6 @@
     }
 
 private:
-    static constexpr std::size_t maxParallel = 64;
-
     struct PendingRequest
     {
         std::size_t connection = 0;
@@ -85,7 +83,7 @@
         request.method = "GET";
         request.path = this->path;
         request.query = this->query;
-        this->client.send(id, this->endpoint, connection, std::move(request));
+        this->client.send(id, this->endpoint, connection, request);
     }
 
     bool requestStarting(HttpClient::ExchangeId /*id*/) override { return true; }
--- a/modules/bulrush_core/ids/Id.h
+++ b/modules/bulrush_core/ids/Id.h
@@ -40,7 +40,7 @@
     std::strong_ordering operator<=>(const NameId &other) const
     {
         const std::strong_ordering order = this->prefix <=> other.prefix;
-        return order == 0 ? this->text <=> other.text : order;
+        return std::is_neq(order) ? order : this->text <=> other.text;
     }
 
     friend std::ostream &operator<<(std::ostream &stream, const NameId &id)
--- a/modules/bulrush_steps/policy/PressureModel.cpp
+++ b/modules/bulrush_steps/policy/PressureModel.cpp
@@ -103,11 +103,12 @@
         if (run.fillCpuMilli == 0) {
             continue;
         }
+        const std::string &image = run.image;
         const auto found =
                 std::find_if(shares.begin(), shares.end(),
-                             [&run](const FillShare &each) { return *each.image == run.image; });
+                             [&image](const FillShare &each) { return *each.image == image; });
         if (found == shares.end()) {
-            shares.push_back({ &run.image, shareOf(worker, run) });
+            shares.push_back({ &image, shareOf(worker, run) });
         } else {
             found->share += shareOf(worker, run);
         }
