--- a/modules/bulrush_steps/tests/DispatcherFixture.h
+++ b/modules/bulrush_steps/tests/DispatcherFixture.h
@@ -3,6 +3,7 @@
 #include "FakeWorkers.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace bulrush::test {
 
@@ -38,6 +39,17 @@
     return entry;
 }
 
+/** Returns the job table that a new owner reads: one job, and a roster of the workers that may run
+    its task. */
+inline StepJobTable makeJobTable(const StepJob &job, const std::vector<TargetId> &roster,
+                                 const Clock &clock)
+{
+    StepJobTable table;
+    table.applyJobRecord({ records::jobKey(job.id), records::encode(job), 1 }, clock);
+    table.applyProgress({ records::rosterKey(), records::encodeRoster(roster), 1 });
+    return table;
+}
+
 /** A Dispatcher with fake workers and a fake log, on a clock that only the test advances. */
 class DispatcherFixture : public Dispatcher::Listener
 {
--- /dev/null
+++ b/modules/bulrush_steps/tests/follow_test.cpp
@@ -0,0 +1,154 @@
+#include "FakeWorkers.h"
+
+#include "bulrush_core/errors/Error.h"
+#include "bulrush_steps/follow/ConfigFollower.h"
+#include "bulrush_steps/follow/WorkerFollower.h"
+
+#include <criterion/criterion.h>
+
+#include <set>
+#include <string>
+
+using namespace bulrush;
+using namespace bulrush::test;
+
+namespace {
+
+/** Reads entries whose value is "ready", and configurations whose value is a version number. */
+class PlainDecoder : public RecordDecoder
+{
+public:
+    bool isServingConfig(std::string_view key) const override { return key == "config"; }
+
+    ServingConfig servingConfig(std::string_view value) const override
+    {
+        ServingConfig config;
+        config.version = std::stoull(std::string(value));
+        return config;
+    }
+
+    WorkerEntry workerEntry(std::string_view key, std::string_view value) const override
+    {
+        if (value != "ready") {
+            throw Error("decode entry", std::string(key), "malformed");
+        }
+        WorkerEntry entry;
+        entry.worker = TargetId(key);
+        return entry;
+    }
+
+    StepJob submission(std::string_view /*body*/) const override { return {}; }
+};
+
+/** A log with a follower of its list of workers. Each follower stands for one run of a process. */
+class WorkerList : public WorkerFollower::Listener
+{
+public:
+    explicit WorkerList(FakeLog &listedLog)
+        : log(listedLog)
+        , follower(clock, listedLog, decoder, decisions, *this)
+    {
+    }
+
+    void workerListed(const WorkerEntry &entry) override { this->listed.insert(entry.worker); }
+    void workerUnlisted(const TargetId &worker) override { this->listed.erase(worker); }
+
+    void read()
+    {
+        constexpr int ticks = 100;
+        for (int tick = 0; tick < ticks; ++tick) {
+            this->clock.advance(milliseconds(10));
+            this->follower.tick();
+            this->log.deliver();
+        }
+    }
+
+    std::set<TargetId> listed;
+    ManualClock clock;
+    FakeLog &log;
+    NullDecisionLog decisions;
+    PlainDecoder decoder;
+    WorkerFollower follower;
+};
+
+void write(FakeLog &log, LogStream stream, const std::string &key, const std::string &value)
+{
+    log.streams[stream].push_back({ key, value, 0 });
+}
+
+} // namespace
+
+/* A server leaves while the node that orders it is down. Its old entry is still in the log's
+   history; the restarted node must not use the server again. */
+Test(WorkerFollower, aServerThatLeftIsNotUsedAfterARestart)
+{
+    FakeLog log;
+    for (const char *name : { "w1", "w2", "w3" }) {
+        write(log, LogStream::Workers, name, "ready");
+    }
+    {
+        WorkerList before(log);
+        before.read();
+        cr_assert_eq(before.listed.size(), 3U);
+    }
+    write(log, LogStream::Workers, "w2", "");
+    WorkerList after(log);
+    after.read();
+    cr_assert(after.listed == std::set<TargetId>({ TargetId("w1"), TargetId("w3") }));
+}
+
+/* A server leaves while the history is trimmed, so no record says so: the node reads the newest
+   records again, and the server is not among them. */
+Test(WorkerFollower, aServerThatLeftWhileTheHistoryWasTrimmedIsUnlisted)
+{
+    FakeLog log;
+    write(log, LogStream::Workers, "w1", "ready");
+    write(log, LogStream::Workers, "w2", "ready");
+    WorkerList list(log);
+    list.read();
+    cr_assert_eq(list.listed.size(), 2U);
+    write(log, LogStream::Workers, "w1", "");
+    log.firstRetained = log.streams[LogStream::Workers].size();
+    write(log, LogStream::Workers, "w3", "ready");
+    list.read();
+    cr_assert(list.listed == std::set<TargetId>({ TargetId("w2"), TargetId("w3") }));
+}
+
+/* One writer's malformed entry must not end the process or hide the entries after it. */
+Test(WorkerFollower, aMalformedEntryHidesNoOther)
+{
+    FakeLog log;
+    write(log, LogStream::Workers, "w1", "{{{");
+    write(log, LogStream::Workers, "w2", "ready");
+    WorkerList list(log);
+    list.read();
+    cr_assert(list.listed == std::set<TargetId>({ TargetId("w2") }));
+}
+
+/* A queue was withdrawn by a newer configuration. Neither a restart nor a late copy of the older
+   record may bring the older one back. */
+Test(ConfigFollower, aWithdrawnConfigurationIsNotInForceAgain)
+{
+    FakeLog log;
+    write(log, LogStream::Configuration, "config", "4");
+    write(log, LogStream::Configuration, "config", "9");
+    for (int run = 0; run < 2; ++run) {
+        ManualClock clock;
+        NullDecisionLog decisions;
+        PlainDecoder decoder;
+        ConfigFollower follower(clock, log, decoder, decisions, milliseconds(10), [] {});
+        const auto read = [&] {
+            for (int tick = 0; tick < 20; ++tick) {
+                clock.advance(milliseconds(10));
+                follower.tick();
+                log.deliver();
+            }
+        };
+        read();
+        cr_assert_eq(follower.config()->version, 9U);
+        write(log, LogStream::Configuration, "config", "4");
+        read();
+        cr_assert_eq(follower.config()->version, 9U);
+        log.streams[LogStream::Configuration].pop_back();
+    }
+}
