Compile the new tests

Change: the expected lists are named. Before: former_owners_test.cpp did not compile; after: 96 of 96 tests of the module pass.

--- a/modules/bulrush_steps/tests/former_owners_test.cpp
+++ b/modules/bulrush_steps/tests/former_owners_test.cpp
@@ -70,7 +70,8 @@
     const Resignation old =
             records::decodeResignation(R"({"schema":1,"fencingToken":4,"unsettledMs":700})");
     cr_assert_eq(old.fencingToken, 4U);
-    cr_assert(old.unsettled == std::vector<UnsettledOwner> { { 0, milliseconds(700) } });
+    const std::vector<UnsettledOwner> unknownOwner { { 0, milliseconds(700) } };
+    cr_assert(old.unsettled == unknownOwner);
     const Resignation sent { 7, { { 5, milliseconds(300) }, { 6, milliseconds(900) } } };
     const std::string record = records::encodeResignation(sent);
     cr_assert(record.find(R"("unsettledMs":900)") != std::string::npos);
--- a/modules/bulrush_steps/tests/owner_change_test.cpp
+++ b/modules/bulrush_steps/tests/owner_change_test.cpp
@@ -132,8 +132,8 @@
     fixture.listWorker("w1");
     fixture.runFor(seconds(2));
     const std::vector<UnsettledOwner> unsettled = fixture.dispatcher.resignation()->unsettled;
-    const UnsettledOwner expected { 0, formerOrdersLifetime - seconds(2) };
-    cr_assert(unsettled == std::vector<UnsettledOwner> { expected });
+    const std::vector<UnsettledOwner> expected { { 0, formerOrdersLifetime - seconds(2) } };
+    cr_assert(unsettled == expected);
     fixture.runFor(formerOrdersLifetime);
     cr_assert(fixture.dispatcher.resignation()->unsettled.empty());
 }
