--- a/modules/bulrush_net/http/HttpClient.cpp
+++ b/modules/bulrush_net/http/HttpClient.cpp
@@ -63,7 +63,7 @@
     }
 
     ConnectionId id = 0;
-    Slot slot;
+    ConnectionKey key;
     /** Null until libwebsockets has begun to connect. */
     lws *wsi = nullptr;
     bool open = false;
@@ -101,17 +101,17 @@
         const std::string_view text(static_cast<const char *>(in), in == nullptr ? 0 : length);
         switch (reason) {
         case LWS_CALLBACK_RAW_CONNECTED:
-            owner->opened(*connection, wsi);
+            owner->connected(*connection, wsi);
             return 0;
         case LWS_CALLBACK_RAW_WRITEABLE:
-            return owner->writable(*connection);
+            return owner->writeRequest(*connection);
         case LWS_CALLBACK_RAW_RX:
-            return owner->received(*connection, text);
+            return owner->readResponse(*connection, text);
         case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-            owner->closed(*connection, text.empty() ? "no connection" : text);
+            owner->failConnection(*connection, text.empty() ? "no connection" : text);
             return 0;
         case LWS_CALLBACK_RAW_CLOSE:
-            owner->ended(*connection);
+            owner->connectionClosed(*connection);
             return 0;
         default:
             return 0;
@@ -157,10 +157,11 @@
 void HttpClient::send(ExchangeId id, const Endpoint &endpoint, std::size_t index,
                       const HttpRequest &request)
 {
-    const Slot slot { endpoint, index };
-    const auto found = this->slots.find(slot);
-    Connection &connection = found == this->slots.end() ? this->addConnection(slot)
-                                                        : *this->connections.at(found->second);
+    const ConnectionKey key { endpoint, index };
+    const auto found = this->connectionIds.find(key);
+    Connection &connection = found == this->connectionIds.end()
+            ? this->addConnection(key)
+            : *this->connections.at(found->second);
     Exchange &exchange = connection.exchange.emplace();
     exchange.id = id;
     exchange.outgoing = encode(request, endpoint);
@@ -173,13 +174,13 @@
     }
 }
 
-HttpClient::Connection &HttpClient::addConnection(const Slot &slot)
+HttpClient::Connection &HttpClient::addConnection(const ConnectionKey &key)
 {
     const ConnectionId id = this->nextConnection++;
     auto owned = std::make_unique<Connection>(this->limits.maxResponseBytes);
     owned->id = id;
-    owned->slot = slot;
-    this->slots[slot] = id;
+    owned->key = key;
+    this->connectionIds[key] = id;
     return *this->connections.emplace(id, std::move(owned)).first->second;
 }
 
@@ -204,7 +205,7 @@
         return;
     }
     if (connecting == nullptr) {
-        this->closed(*connection, "the connection could not be opened");
+        this->failConnection(*connection, "the connection could not be opened");
         return;
     }
     connection->wsi = connecting;
@@ -241,7 +242,7 @@
     if (connection.wsi != nullptr) {
         lws_set_opaque_user_data(connection.wsi, nullptr);
     }
-    this->slots.erase(connection.slot);
+    this->connectionIds.erase(connection.key);
     this->connections.erase(connection.id);
 }
 
@@ -259,14 +260,14 @@
     }
 }
 
-void HttpClient::opened(Connection &connection, lws *wsi)
+void HttpClient::connected(Connection &connection, lws *wsi)
 {
     connection.wsi = wsi;
     connection.open = true;
     lws_callback_on_writable(wsi);
 }
 
-int HttpClient::writable(Connection &connection)
+int HttpClient::writeRequest(Connection &connection)
 {
     if (!connection.exchange) {
         return 0;
@@ -298,7 +299,7 @@
     return 0;
 }
 
-int HttpClient::received(Connection &connection, std::string_view bytes)
+int HttpClient::readResponse(Connection &connection, std::string_view bytes)
 {
     if (!connection.exchange || !connection.exchange->sendStarted) {
         // No request was sent, so the bytes answer nothing.
@@ -308,7 +309,7 @@
     case HttpResponseReader::Status::Incomplete:
         return 0;
     case HttpResponseReader::Status::Complete:
-        return this->complete(connection) ? 0 : -1;
+        return this->deliverResponse(connection) ? 0 : -1;
     case HttpResponseReader::Status::TooLarge:
         connection.exchange->tooLarge = true;
         return -1;
@@ -318,7 +319,7 @@
     return -1;
 }
 
-bool HttpClient::complete(Connection &connection)
+bool HttpClient::deliverResponse(Connection &connection)
 {
     const ExchangeId id = connection.exchange->id;
     const bool reusable = connection.open && connection.exchange->outgoing.empty()
@@ -335,18 +336,18 @@
     return reusable;
 }
 
-void HttpClient::ended(Connection &connection)
+void HttpClient::connectionClosed(Connection &connection)
 {
     connection.open = false;
     if (connection.exchange && !connection.exchange->tooLarge
         && connection.reader.appendEnd() == HttpResponseReader::Status::Complete) {
-        this->complete(connection);
+        this->deliverResponse(connection);
         return;
     }
-    this->closed(connection, "the connection closed before the complete response");
+    this->failConnection(connection, "the connection closed before the complete response");
 }
 
-void HttpClient::closed(Connection &connection, std::string_view reason)
+void HttpClient::failConnection(Connection &connection, std::string_view reason)
 {
     if (connection.exchange) {
         ExchangeFailure failure = ExchangeFailure::NotSent;
--- a/modules/bulrush_net/http/HttpClient.h
+++ b/modules/bulrush_net/http/HttpClient.h
@@ -9,7 +9,6 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 struct lws;
@@ -91,14 +90,21 @@
     friend struct HttpClientCallbacks;
 
     using ConnectionId = std::uint64_t;
-    /** The endpoint and index of a connection. */
-    using Slot = std::pair<Endpoint, std::size_t>;
 
-    struct SlotHash
+    /** How a caller selects a connection. */
+    struct ConnectionKey
     {
-        std::size_t operator()(const Slot &slot) const noexcept
+        Endpoint endpoint;
+        std::size_t index = 0;
+
+        bool operator==(const ConnectionKey &) const = default;
+    };
+
+    struct ConnectionKeyHash
+    {
+        std::size_t operator()(const ConnectionKey &key) const noexcept
         {
-            return std::hash<Endpoint>()(slot.first) + slot.second;
+            return std::hash<Endpoint>()(key.endpoint) + key.index;
         }
     };
 
@@ -111,28 +117,28 @@
         ExchangeFailure failure = ExchangeFailure::NotSent;
     };
 
-    Connection &addConnection(const Slot &slot);
+    Connection &addConnection(const ConnectionKey &key);
     void connect(ConnectionId id, const Endpoint &endpoint);
 
     /** Closes a connection without informing the listener. */
     void close(Connection &connection);
 
-    /** Forgets a connection; its slot becomes free. */
+    /** Removes a connection, so that the next request with its key opens a new one. */
     void remove(Connection &connection);
     void closeIdleConnections();
 
-    void opened(Connection &connection, lws *wsi);
-    int writable(Connection &connection);
-    int received(Connection &connection, std::string_view bytes);
+    // Called for events of a connection. Those that return an int return -1 to have libwebsockets
+    // close it.
+    void connected(Connection &connection, lws *wsi);
+    int writeRequest(Connection &connection);
+    int readResponse(Connection &connection, std::string_view bytes);
+    void connectionClosed(Connection &connection);
 
     /** Delivers the complete response. @returns whether the connection stays open */
-    bool complete(Connection &connection);
-
-    /** Handles the end of an open connection. */
-    void ended(Connection &connection);
+    bool deliverResponse(Connection &connection);
 
-    /** Handles the end of a connection whose exchange, if it has one, has failed. */
-    void closed(Connection &connection, std::string_view reason);
+    /** Removes a connection and reports its exchange, if it has one, as failed. */
+    void failConnection(Connection &connection, std::string_view reason);
     void failLater(ExchangeId id, ExchangeFailure failure, std::string reason);
     Connection *find(ConnectionId id);
 
@@ -144,7 +150,7 @@
     EventLoop::TimerId idleTimer = 0;
     ConnectionId nextConnection = 1;
     std::unordered_map<ConnectionId, std::unique_ptr<Connection>> connections;
-    std::unordered_map<Slot, ConnectionId, SlotHash> slots;
+    std::unordered_map<ConnectionKey, ConnectionId, ConnectionKeyHash> connectionIds;
     std::unordered_map<ExchangeId, OpenExchange> exchanges;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/modules/bulrush_net/tests/ScriptedServer.cpp
+++ b/modules/bulrush_net/tests/ScriptedServer.cpp
@@ -9,10 +9,9 @@
 #include <stdexcept>
 #include <utility>
 
-ScriptedServer::ScriptedServer(std::uint16_t port, std::string bytes, std::string greetingBytes)
+ScriptedServer::ScriptedServer(std::uint16_t port, std::string bytes)
     : listener(socket(AF_INET, SOCK_STREAM, 0))
     , response(std::move(bytes))
-    , greeting(std::move(greetingBytes))
 {
     const int enable = 1;
     setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &enable, sizeof(enable));
@@ -41,7 +40,6 @@
     if (connection < 0) {
         return;
     }
-    send(connection, this->greeting.data(), this->greeting.size(), MSG_NOSIGNAL);
     std::string received;
     std::array<char, 4096> buffer {};
     while (received.find("\r\n\r\n") == std::string::npos) {
--- a/modules/bulrush_net/tests/ScriptedServer.h
+++ b/modules/bulrush_net/tests/ScriptedServer.h
@@ -12,9 +12,8 @@
 {
 public:
     /** Listens on a port of 127.0.0.1.
-        @param bytes   what to send once a request's headers have arrived
-        @param greeting what to send at once when a client connects */
-    ScriptedServer(std::uint16_t port, std::string bytes, std::string greeting = {});
+        @param bytes what to send once a request's headers have arrived */
+    ScriptedServer(std::uint16_t port, std::string bytes);
 
     /** Waits until the connection was served. */
     ~ScriptedServer();
@@ -27,6 +26,5 @@
 
     int listener = -1;
     const std::string response;
-    const std::string greeting;
     std::thread thread;
 };
--- a/modules/bulrush_net/tests/net_test.cpp
+++ b/modules/bulrush_net/tests/net_test.cpp
@@ -1,4 +1,5 @@
 #include "ScriptedServer.h"
+#include "UnacceptingPort.h"
 #include "bulrush_core/bulrush_core.h"
 #include "bulrush_net/bulrush_net.h"
 
@@ -232,19 +233,25 @@
     }
 }
 
-/* Bytes that arrive before a request was sent answer nothing. Were they taken for the response, the
-   caller would be told of an effect that the request cannot have had. */
-Test(Http, bytesBeforeTheRequestAreNotItsResponse)
+/* A peer sends more than the response. The rest answers nothing: were it taken for the response to
+   the next request on the connection, the caller would be told of an effect that the request did
+   not have. */
+Test(Http, bytesAfterAResponseAreNotTheNextOne)
 {
-    const ScriptedServer server(18140, "", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
+    const ScriptedServer server(18140, response + "a" + response + "b");
     EventLoop loop;
     RecordingClient client(loop);
-    client.client.send(1, { "127.0.0.1", 18140 }, 0, post("/x", std::string(1'000'000, 'y')));
+    const Endpoint endpoint { "127.0.0.1", 18140 };
+    client.client.send(1, endpoint, 0, post("/x", "y"));
     runUntil(loop, [&] { return client.ended() == 1; });
-    const bool answered = client.responses.contains(1);
-    cr_assert(!answered || client.started.contains(1));
-    client.client.send(2, { "127.0.0.1", 18199 }, 0, post("/x", "y"));
-    runUntil(loop, [&] { return client.ended() == 2; });
+    cr_assert_eq(client.responses[1].body, "a");
+    client.client.send(2, endpoint, 0, post("/x", "y"));
+    bool waited = false;
+    loop.schedule(milliseconds(200), [&waited] { waited = true; });
+    runUntil(loop, [&] { return waited; });
+    cr_assert_not(client.responses.contains(2), "the rest was taken for a response");
+    client.client.abandon(2);
 }
 
 /* A call that waited for its connection until the time-out has sent nothing. If it counted as lost,
@@ -266,6 +273,20 @@
     cr_assert(*sent == ExchangeFailure::Lost);
 }
 
+/* A machine that is gone does not answer the connection's first packet. A call to it that times out
+   has sent nothing, so it must not be treated as one that may have had an effect. */
+Test(Http, callWhoseConnectionNeverOpenedIsNotLost)
+{
+    const UnacceptingPort port(18143);
+    EventLoop loop;
+    HttpCaller caller(loop, 1);
+    std::optional<CallResult> result;
+    caller.call({ "127.0.0.1", 18143 }, post("/echo", "x"), milliseconds(300),
+                [&result](const CallResult &each) { result = each; });
+    runUntil(loop, [&] { return result.has_value(); });
+    cr_assert(result->failure == ExchangeFailure::NotSent);
+}
+
 /* A process is paused after it has queued an order, and goes on when the order's validity is over.
    The order must not go out any more, and its sender must learn that it was not sent. */
 Test(Http, callWhoseTimeIsOverBeforeItIsSentStaysUnsent)
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -91,7 +91,7 @@
     this->jobTable.clear();
     this->fillControl.clearWorkers();
     this->roster.clear();
-    this->rosterState.reset();
+    this->rosterBasis.reset();
 }
 
 void Dispatcher::configure(const ServingConfig &serving)
@@ -206,11 +206,11 @@
 {
     // Workers of the previous owner may still run its tasks.
     const bool settled = this->formerOwnersSettled();
-    const std::pair state(this->workerManager.membershipVersion(), settled);
-    if (this->rosterState == state) {
+    const RosterBasis basis { this->workerManager.membershipVersion(), settled };
+    if (this->rosterBasis == basis) {
         return;
     }
-    this->rosterState = state;
+    this->rosterBasis = basis;
     const std::span<const TargetId> previous =
             settled ? std::span<const TargetId>() : std::span(this->jobTable.roster());
     if (this->roster.update(this->workerManager.workers(), previous)) {
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -12,7 +12,6 @@
 
 #include <optional>
 #include <set>
-#include <utility>
 
 namespace bulrush {
 
@@ -133,6 +132,15 @@
     void startTask(JobEntry &job, const TaskRef &ref, Worker &worker,
                    std::uint64_t attempt) override;
 
+    /** What the roster depends on. */
+    struct RosterBasis
+    {
+        std::uint64_t membershipVersion = 0;
+        bool formerOwnersSettled = false;
+
+        bool operator==(const RosterBasis &) const = default;
+    };
+
     void addWaiting(const JobEntry &job);
     /** Takes the resignations on record into account, the newest owner's first. */
     void applyResignations();
@@ -179,9 +187,8 @@
     /** Accepted jobs of which no worker has begun a task. */
     std::set<JobId> unstarted;
     WorkerRoster roster;
-    /** The membership version of the workers, and whether previous owners were settled, when the
-        roster was last updated. */
-    std::optional<std::pair<std::uint64_t, bool>> rosterState;
+    /** From what the roster was last updated; none before the first time. */
+    std::optional<RosterBasis> rosterBasis;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -59,8 +59,8 @@
     *this->alive = false;
     this->alive = std::make_shared<bool>(true);
     this->workerTable.clear();
-    ++this->membership;
-    this->toCheck.clear();
+    ++this->membershipChanges;
+    this->workersToCheck.clear();
     this->reported.clear();
     this->nextCheckOfAll = Instant();
     this->reservingStarts.reset();
@@ -92,7 +92,7 @@
         }
     }
     if (added) {
-        ++this->membership;
+        ++this->membershipChanges;
         this->decisions.write(DecisionLine(Event::WorkerSeen)
                                       .with("worker", entry.worker.name())
                                       .with("address", entry.endpoint.text()));
@@ -123,7 +123,7 @@
         this->checkAll();
         return;
     }
-    for (const TargetId &id : std::exchange(this->toCheck, {})) {
+    for (const TargetId &id : std::exchange(this->workersToCheck, {})) {
         if (Worker *worker = this->find(id)) {
             this->check(*worker);
         }
@@ -132,7 +132,7 @@
 
 void WorkerManager::checkAll()
 {
-    this->toCheck.clear();
+    this->workersToCheck.clear();
     std::vector<TargetId> removed;
     for (auto &[id, worker] : this->workerTable) {
         this->dropExpiredRuns(worker);
@@ -144,7 +144,7 @@
     }
     for (const TargetId &id : removed) {
         this->workerTable.erase(id);
-        ++this->membership;
+        ++this->membershipChanges;
     }
 }
 
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -92,7 +92,7 @@
     std::set<TargetId> takeReported() { return std::exchange(this->reported, {}); }
 
     /** Returns a number that changes whenever a worker is added or removed. */
-    std::uint64_t membershipVersion() const { return this->membership; }
+    std::uint64_t membershipVersion() const { return this->membershipChanges; }
 
     /** Excludes a worker from the placement of new tasks for a time. */
     void suspendPlacement(Worker &worker, milliseconds span, std::string_view reason);
@@ -121,7 +121,7 @@
     void check(Worker &worker);
 
     /** Has the next tick check a worker, before the next check of all workers. */
-    void checkSoon(const Worker &worker) { this->toCheck.push_back(worker.entry.worker); }
+    void checkSoon(const Worker &worker) { this->workersToCheck.push_back(worker.entry.worker); }
     void sendHold(Worker &worker);
     void handleHoldAnswer(const TargetId &id, std::uint64_t number, Instant sentAt,
                           std::uint64_t acknowledged, const HoldAnswer &answer);
@@ -147,9 +147,12 @@
     Listener &listener;
     std::uint64_t fencingToken = 0;
     std::map<TargetId, Worker> workerTable;
-    std::uint64_t membership = 0;
-    std::vector<TargetId> toCheck;
+    /** The number of times that a worker was added or removed. */
+    std::uint64_t membershipChanges = 0;
+    /** The workers that the next tick checks. */
+    std::vector<TargetId> workersToCheck;
     Instant nextCheckOfAll {};
+    /** The workers that have reported since takeReported() was last called. */
     std::set<TargetId> reported;
     StartWindow reservingStarts;
     StartWindow fillStarts;
