Log what a new owner waits for before it starts the tasks of known jobs

E1636 says so each second, E1637 once when the wait ends and by what. No decision changes; the part of Dispatcher that waits has a file of its own.

--- a/modules/bulrush_core/events/EventCatalogue.cpp
+++ b/modules/bulrush_core/events/EventCatalogue.cpp
@@ -57,6 +57,8 @@
     EventInfo { Event::OwnerReady, Severity::Info, "owner ready" },
     EventInfo { Event::OwnershipHandedOver, Severity::Info, "ownership handed over" },
     EventInfo { Event::OwnerLoad, Severity::Info, "owner load" },
+    EventInfo { Event::FormerOwnersAwaited, Severity::Info, "former owners awaited" },
+    EventInfo { Event::FormerOwnersSettled, Severity::Info, "former owners settled" },
     EventInfo { Event::ConfigApplied, Severity::Info, "config in force" },
     EventInfo { Event::SettingsRead, Severity::Info, "settings read" },
     EventInfo { Event::StoreLost, Severity::Warning, "store lost" },
--- a/modules/bulrush_core/events/EventCatalogue.h
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -60,6 +60,8 @@
     OwnerReady = 1633,
     OwnershipHandedOver = 1634,
     OwnerLoad = 1635,
+    FormerOwnersAwaited = 1636,
+    FormerOwnersSettled = 1637,
     ConfigApplied = 1641,
     SettingsRead = 1642,
     StoreLost = 1651,
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -38,6 +38,9 @@
     this->jobTable = std::move(persistedJobs);
     this->isActive = true;
     this->rosterAnswered = false;
+    this->beganAt = this->clock.now();
+    this->nextFormerOwnersReport = this->beganAt;
+    this->formerOwnersReported = false;
     this->planner.clear();
     this->writer.begin(this->term.fencingToken);
     for (auto &[id, job] : this->jobTable.entries()) {
@@ -54,33 +57,6 @@
     this->applyResignations();
 }
 
-void Dispatcher::applyResignations()
-{
-    const std::map<std::uint64_t, Resignation> &resignations = this->jobTable.resignations();
-    for (auto at = resignations.rbegin(); at != resignations.rend(); ++at) {
-        this->formerOwners.resigned(at->second, this->clock.now(),
-                                    this->term.resignedOwnerSettleTime);
-    }
-}
-
-bool Dispatcher::formerOwnersSettled() const
-{
-    return this->rosterAnswered || this->clock.now() >= this->formerOwners.settledAt();
-}
-
-std::optional<Resignation> Dispatcher::resignation() const
-{
-    if (!this->isActive) {
-        return std::nullopt;
-    }
-    Resignation resignation;
-    resignation.fencingToken = this->term.fencingToken;
-    if (!this->rosterAnswered) {
-        resignation.unsettled = this->formerOwners.unsettled(this->clock.now());
-    }
-    return resignation;
-}
-
 void Dispatcher::end()
 {
     this->isActive = false;
@@ -191,6 +167,7 @@
     }
     this->workerManager.tick();
     this->updateRoster();
+    this->reportFormerOwners(now);
     if (!this->mayCommand()) {
         return;
     }
@@ -408,21 +385,6 @@
     this->requeueTask(run);
 }
 
-bool Dispatcher::mayStart(const JobEntry &job)
-{
-    if (!job.knownToPreviousOwners || this->formerOwnersSettled()) {
-        return true;
-    }
-    for (const TargetId &id : this->jobTable.roster()) {
-        const Worker *worker = this->workerManager.find(id);
-        if (worker == nullptr || !worker->adopted) {
-            return false;
-        }
-    }
-    this->rosterAnswered = true;
-    return true;
-}
-
 std::uint64_t Dispatcher::nextAttempt(const StepTask &task) const
 {
     return std::max(task.lastAttempt, this->term.fencingToken * attemptsPerOwner) + 1;
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -147,6 +147,15 @@
 
     /** Returns whether no command of a former owner can take effect any more. */
     bool formerOwnersSettled() const;
+
+    /** Returns whether a worker has answered this owner. */
+    bool hasAnswered(const TargetId &worker);
+
+    /** Returns the first workers of the roster that have not answered this owner. */
+    std::string namesOfSilentWorkers();
+
+    /** Logs what this owner waits for, and once when it no longer waits. */
+    void reportFormerOwners(Instant now);
     void updateRoster();
     void controlFills(Instant now);
     void moveUnhealthyRuns(Instant now);
@@ -183,6 +192,11 @@
     FormerOwners formerOwners;
     /** Whether all workers that may hold tasks of former owners have answered. */
     bool rosterAnswered = false;
+    /** When this ownership began to dispatch. */
+    Instant beganAt {};
+    Instant nextFormerOwnersReport {};
+    /** Whether the end of the wait for former owners is logged. */
+    bool formerOwnersReported = false;
     Instant nextHealthCheck {};
     /** Accepted jobs of which no worker has begun a task. */
     std::set<JobId> unstarted;
