Have the task of the departure tests last, so that it is not moved as slow

The task was also moved to the second worker for being slow, so the tests could have failed for that reason.

--- a/modules/bulrush_steps/tests/worker_departure_test.cpp
+++ b/modules/bulrush_steps/tests/worker_departure_test.cpp
@@ -100,7 +100,8 @@
     {
         this->takeOver();
         this->runFor(seconds(1), { "w1" });
-        const StepJob job = makeJob("a", 1);
+        StepJob job = makeJob("a", 1);
+        job.steps.front().runsIndefinitely = true;
         const KeyedRecord record { records::jobKey(job.id), records::encode(job), 9 };
         this->log.streams[LogStream::Jobs].push_back(record);
         this->dispatcher->applyJobRecord(record);
@@ -144,7 +145,7 @@
     owners.startOnFirstWorker();
     owners.firstWorkerLeaves();
     owners.runFor(seconds(1), { "w2" });
-    cr_assert_eq(owners.startsOnSecondWorker(), 1U);
+    cr_assert_eq(owners.startsOnSecondWorker(), 1U, "%zu starts", owners.startsOnSecondWorker());
 }
 
 Test(WorkerDeparture, aNewOwnerDoesNotWaitForAWorkerThatHadLeft)
@@ -155,5 +156,5 @@
     owners.runFor(seconds(2), { "w2" });
     owners.takeOver();
     owners.runFor(seconds(2), { "w2" });
-    cr_assert_eq(owners.startsOnSecondWorker(), 1U);
+    cr_assert_eq(owners.startsOnSecondWorker(), 1U, "%zu starts", owners.startsOnSecondWorker());
 }
