Give up the tasks of a worker that has left at once, and do not wait for it as a new owner

Cause: an entry that its worker withdrew was treated like one that lapsed by silence. Ruled out: room (placed at once after the wait), the lease itself (it is needed where a worker is only cut off).

Change: the follower of the list says why an entry is gone. The platform removes a silent entry after three heartbeats, so one that goes within two of its last was withdrawn. Counted from before the entry can have been written, so a late read, a pause or an outage makes it Unknown, never Deregistered. Together with the announced shutdown and a failed hold that is proof that nothing runs there: its runs are lost at once, and it leaves the roster. A new owner strikes a worker from those that it waits for when it answers or has left; before, a worker that answered and left was waited for again.

Before: WorkerDeparture/tasksOfAWorkerThatLeftDoNotWaitForTheirLease and aNewOwnerDoesNotWaitForAWorkerThatHadLeft failed with 0 starts. After: passed, with tests that keep the wait for a worker that is cut off, still answers, or whose removal was read late.

--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -85,7 +85,8 @@
     , config(systemClock, this->store, entryPorts.decoder, decisionLog, configPollWait,
              [this] { this->configChanged(); })
     , view(systemClock, this->store, decisionLog)
-    , workers(systemClock, this->store, entryPorts.decoder, decisionLog, *this)
+    , workers(systemClock, this->store, entryPorts.decoder, entrySettings.workerHeartbeat,
+              decisionLog, *this)
     , dispatcher(systemClock, this->orders, this->store, entrySettings.dispatch, decisionLog, *this)
     , ownership(systemClock, this->store,
                 OwnerLink::memberName(entrySettings.peers,
@@ -269,10 +270,10 @@
     }
 }
 
-void EntryNode::workerUnlisted(const TargetId &worker)
+void EntryNode::workerUnlisted(const TargetId &worker, RemovalCause cause)
 {
     if (this->dispatcher.active()) {
-        this->dispatcher.workerUnlisted(worker);
+        this->dispatcher.workerUnlisted(worker, cause);
     }
 }
 
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -81,7 +81,7 @@
 
     // WorkerFollower::Listener
     void workerListed(const WorkerEntry &entry) override;
-    void workerUnlisted(const TargetId &worker) override;
+    void workerUnlisted(const TargetId &worker, RemovalCause cause) override;
 
     // StreamReader::Listener
     void snapshotReadStarted(LogStream /*stream*/) override { }
--- a/modules/bulrush_entry/settings/EntrySettings.h
+++ b/modules/bulrush_entry/settings/EntrySettings.h
@@ -35,6 +35,8 @@
     milliseconds visibilityLimit { 3000 };
     /** Minimum time to live that the store grants a member. */
     milliseconds minTimeToLive { 1000 };
+    /** Interval at which workers write their entries; 0 when it is not known. */
+    milliseconds workerHeartbeat { 0 };
     std::size_t memoryMb = 0;
     /** The processor time that is available to this machine, in cores. */
     double processors = 1.0;
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -37,7 +37,8 @@
     this->term = ownershipTerm;
     this->jobTable = std::move(persistedJobs);
     this->isActive = true;
-    this->rosterAnswered = false;
+    const std::vector<TargetId> &formerRoster = this->jobTable.roster();
+    this->unsettledWorkers = { formerRoster.begin(), formerRoster.end() };
     this->beganAt = this->clock.now();
     this->nextFormerOwnersReport = this->beganAt;
     this->formerOwnersReported = false;
@@ -181,16 +182,16 @@
 
 void Dispatcher::updateRoster()
 {
-    // Workers of the previous owner may still run its tasks.
     const bool settled = this->formerOwnersSettled();
     const RosterBasis basis { this->workerManager.membershipVersion(), settled };
     if (this->rosterBasis == basis) {
         return;
     }
     this->rosterBasis = basis;
-    const std::span<const TargetId> previous =
-            settled ? std::span<const TargetId>() : std::span(this->jobTable.roster());
-    if (this->roster.update(this->workerManager.workers(), previous)) {
+    if (settled) {
+        this->unsettledWorkers.clear();
+    }
+    if (this->roster.update(this->workerManager.workers(), this->unsettledWorkers)) {
         this->writer.markRosterChanged();
     }
 }
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -91,7 +91,10 @@
 
     void configure(const ServingConfig &config);
     void workerListed(const WorkerEntry &entry) { this->workerManager.workerListed(entry); }
-    void workerUnlisted(const TargetId &worker) { this->workerManager.workerUnlisted(worker); }
+    void workerUnlisted(const TargetId &worker, RemovalCause cause)
+    {
+        this->workerManager.workerUnlisted(worker, cause);
+    }
 
     /** Performs the work that is due: renews leases, starts waiting tasks, writes progress. */
     void tick();
@@ -115,6 +118,7 @@
     std::uint64_t runEnded(const Worker &worker, const Run *run, const ListedEnd &end) override;
     void runLost(const Worker &worker, const Run &run, std::string_view reason) override;
     void startRefused(const Worker &worker, const Run &run, CommandOutcome outcome) override;
+    void workerSettled(const TargetId &worker) override;
     void superseded(const Worker &worker) override;
     std::uint64_t storedChange() const override { return this->writer.storedChange(); }
     bool mayCommand() const override;
@@ -148,11 +152,8 @@
     /** Returns whether no command of a former owner can take effect any more. */
     bool formerOwnersSettled() const;
 
-    /** Returns whether a worker has answered this owner. */
-    bool hasAnswered(const TargetId &worker);
-
-    /** Returns the first workers of the roster that have not answered this owner. */
-    std::string namesOfSilentWorkers();
+    /** Returns the first of the workers that may hold unknown runs of former owners. */
+    std::string namesOfUnsettledWorkers() const;
 
     /** Logs what this owner waits for, and once when it no longer waits. */
     void reportFormerOwners(Instant now);
@@ -190,8 +191,8 @@
     Planner planner;
     bool isActive = false;
     FormerOwners formerOwners;
-    /** Whether all workers that may hold tasks of former owners have answered. */
-    bool rosterAnswered = false;
+    /** The workers that may hold runs of former owners that this owner does not know. */
+    std::set<TargetId> unsettledWorkers;
     /** When this ownership began to dispatch. */
     Instant beganAt {};
     Instant nextFormerOwnersReport {};
--- a/modules/bulrush_steps/dispatch/DispatcherOwners.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherOwners.cpp
@@ -4,8 +4,6 @@
 
 #include "bulrush_core/events/DecisionLog.h"
 
-#include <algorithm>
-
 namespace bulrush {
 
 namespace {
@@ -29,7 +27,7 @@
 
 bool Dispatcher::formerOwnersSettled() const
 {
-    return this->rosterAnswered || this->clock.now() >= this->formerOwners.settledAt();
+    return this->unsettledWorkers.empty() || this->clock.now() >= this->formerOwners.settledAt();
 }
 
 std::optional<Resignation> Dispatcher::resignation() const
@@ -39,7 +37,7 @@
     }
     Resignation resignation;
     resignation.fencingToken = this->term.fencingToken;
-    if (!this->rosterAnswered) {
+    if (!this->unsettledWorkers.empty()) {
         resignation.unsettled = this->formerOwners.unsettled(this->clock.now());
     }
     return resignation;
@@ -47,33 +45,23 @@
 
 bool Dispatcher::mayStart(const JobEntry &job)
 {
-    if (!job.knownToPreviousOwners || this->formerOwnersSettled()) {
-        return true;
-    }
-    const std::vector<TargetId> &roster = this->jobTable.roster();
-    const bool answered = std::all_of(roster.begin(), roster.end(),
-                                      [this](const TargetId &id) { return this->hasAnswered(id); });
-    if (!answered) {
-        return false;
-    }
-    this->rosterAnswered = true;
-    return true;
+    return !job.knownToPreviousOwners || this->formerOwnersSettled();
 }
 
-bool Dispatcher::hasAnswered(const TargetId &id)
+void Dispatcher::workerSettled(const TargetId &worker)
 {
-    const Worker *worker = this->workerManager.find(id);
-    return worker != nullptr && worker->adopted;
+    this->unsettledWorkers.erase(worker);
 }
 
-std::string Dispatcher::namesOfSilentWorkers()
+std::string Dispatcher::namesOfUnsettledWorkers() const
 {
     std::string names;
     std::uint32_t named = 0;
-    for (const TargetId &id : this->jobTable.roster()) {
-        if (!this->hasAnswered(id) && named++ < maxNamedWorkers) {
-            names += names.empty() ? id.name() : " " + id.name();
+    for (const TargetId &id : this->unsettledWorkers) {
+        if (named++ == maxNamedWorkers) {
+            break;
         }
+        names += names.empty() ? id.name() : " " + id.name();
     }
     return names;
 }
@@ -87,9 +75,10 @@
     const auto waited = duration_cast<milliseconds>(now - this->beganAt).count();
     if (this->formerOwnersSettled()) {
         this->formerOwnersReported = true;
-        this->decisions.write(DecisionLine(Event::FormerOwnersSettled)
-                                      .with("waited_ms", waited)
-                                      .with("by", this->rosterAnswered ? "workers" : "time"));
+        this->decisions.write(
+                DecisionLine(Event::FormerOwnersSettled)
+                        .with("waited_ms", waited)
+                        .with("by", now < this->formerOwners.settledAt() ? "workers" : "time"));
         return;
     }
     const auto left = this->formerOwners.settledAt() - now;
@@ -97,7 +86,7 @@
                                   .with("waited_ms", waited)
                                   .with("left_ms", duration_cast<milliseconds>(left).count())
                                   .with("owners", this->formerOwners.unsettled(now).size())
-                                  .with("silent_workers", this->namesOfSilentWorkers()));
+                                  .with("unsettled_workers", this->namesOfUnsettledWorkers()));
 }
 
 } // namespace bulrush
--- a/modules/bulrush_steps/follow/WorkerFollower.cpp
+++ b/modules/bulrush_steps/follow/WorkerFollower.cpp
@@ -10,18 +10,23 @@
 /** Workers write often, so the list is read at this interval rather than on every change. */
 constexpr milliseconds readInterval { 250 };
 
+/** An entry that was removed this many heartbeats after it was written, or earlier, was removed by
+    its worker. */
+constexpr int maxHeartbeatsOfDeregistration = 2;
+
 /** The maximum number of keys that are remembered as malformed. */
 constexpr std::size_t maxMalformedKeys = 1000;
 
 } // namespace
 
 WorkerFollower::WorkerFollower(const Clock &systemClock, KeyedLog &log,
-                               const RecordDecoder &recordDecoder, DecisionLog &decisionLog,
-                               Listener &listListener)
+                               const RecordDecoder &recordDecoder, milliseconds heartbeatInterval,
+                               DecisionLog &decisionLog, Listener &listListener)
     : clock(systemClock)
     , decoder(recordDecoder)
     , decisions(decisionLog)
     , listener(listListener)
+    , heartbeat(heartbeatInterval)
     , reader(log, LogStream::Workers, *this)
 {
 }
@@ -33,43 +38,67 @@
         return;
     }
     this->nextReadAt = now + readInterval;
-    this->reader.advance(milliseconds(0), [](StoreOutcome /*outcome*/) {});
+    this->reader.advance(milliseconds(0), [this, now](StoreOutcome outcome) {
+        if (outcome == StoreOutcome::Done && this->reader.caughtUp()) {
+            this->readUpTo = now;
+        }
+    });
 }
 
 void WorkerFollower::restart()
 {
     this->reader.restart();
     this->listed.clear();
+    this->readUpTo.reset();
     this->nextReadAt = Instant();
 }
 
 void WorkerFollower::snapshotReadStarted(LogStream /*stream*/)
 {
-    this->unseen = this->listed;
+    // The records in between are not read, so it is not known when an entry was written.
+    this->readUpTo.reset();
+    this->unseen.clear();
+    for (auto &[worker, writtenAfter] : this->listed) {
+        writtenAfter.reset();
+        this->unseen.insert(worker);
+    }
 }
 
 void WorkerFollower::snapshotReadCompleted(LogStream /*stream*/)
 {
     for (const TargetId &worker : this->unseen) {
         this->listed.erase(worker);
-        this->listener.workerUnlisted(worker);
+        this->listener.workerUnlisted(worker, RemovalCause::Unknown);
     }
     this->unseen.clear();
 }
 
+RemovalCause WorkerFollower::causeOfRemoval(const TargetId &worker) const
+{
+    const auto found = this->listed.find(worker);
+    if (found == this->listed.end() || !found->second) {
+        return RemovalCause::Unknown;
+    }
+    const Duration sinceHeartbeat = this->clock.now() - *found->second;
+    return sinceHeartbeat <= this->heartbeat * maxHeartbeatsOfDeregistration
+            ? RemovalCause::Deregistered
+            : RemovalCause::Unknown;
+}
+
 void WorkerFollower::recordRead(LogStream /*stream*/, const KeyedRecord &record)
 {
     const TargetId worker(record.key);
     this->unseen.erase(worker);
     if (record.value.empty()) {
+        const RemovalCause cause = this->causeOfRemoval(worker);
         if (this->listed.erase(worker) > 0) {
-            this->listener.workerUnlisted(worker);
+            this->listener.workerUnlisted(worker, cause);
         }
         return;
     }
     try {
         const WorkerEntry entry = this->decoder.workerEntry(record.key, record.value);
-        this->listed.insert(worker);
+        this->listed.insert_or_assign(worker, this->readUpTo);
         this->listener.workerListed(entry);
     } catch (const Error &error) {
         if (this->malformedKeys.size() < maxMalformedKeys
--- a/modules/bulrush_steps/follow/WorkerFollower.h
+++ b/modules/bulrush_steps/follow/WorkerFollower.h
@@ -4,6 +4,7 @@
 #include "bulrush_steps/ports/RecordDecoder.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -20,11 +21,13 @@
     {
         virtual ~Listener() = default;
         virtual void workerListed(const WorkerEntry &entry) = 0;
-        virtual void workerUnlisted(const TargetId &worker) = 0;
+        virtual void workerUnlisted(const TargetId &worker, RemovalCause cause) = 0;
     };
 
+    /** @param heartbeat interval at which workers write their entries, of which the platform
+            removes an entry after three without one; 0 when it is not known */
     WorkerFollower(const Clock &clock, KeyedLog &log, const RecordDecoder &decoder,
-                   DecisionLog &decisions, Listener &listener);
+                   milliseconds heartbeat, DecisionLog &decisions, Listener &listener);
 
     /** Starts the next read when it is due and none is in flight. */
     void tick();
@@ -37,13 +40,22 @@
     void recordRead(LogStream stream, const KeyedRecord &record) override;
     void snapshotReadCompleted(LogStream stream) override;
 
+    /** Returns why an entry that was just read to be removed is gone. */
+    RemovalCause causeOfRemoval(const TargetId &worker) const;
+
     const Clock &clock;
     const RecordDecoder &decoder;
     DecisionLog &decisions;
     Listener &listener;
+    const milliseconds heartbeat;
     StreamReader reader;
     Instant nextReadAt {};
-    std::set<TargetId> listed;
+    /** A moment before which nothing was written of what is yet to be read: when the last read that
+        reached the end of the stream was sent. None before the first one. */
+    std::optional<Instant> readUpTo;
+    /** The listed workers, each with a moment before which its newest entry was not written, where
+        one is known. */
+    std::map<TargetId, std::optional<Instant>> listed;
     /** Listed workers that have not appeared yet among the newest records. */
     std::set<TargetId> unseen;
     /** Keys whose malformed record has been logged already. */
--- a/modules/bulrush_steps/ports/WorkerEntry.h
+++ b/modules/bulrush_steps/ports/WorkerEntry.h
@@ -3,6 +3,7 @@
 #include "bulrush_core/addresses/Endpoint.h"
 #include "bulrush_steps/model/StepJob.h"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -22,4 +23,13 @@
     UnixMillis processStartedAt = 0;
 };
 
+/** Why an entry is no longer in the platform's worker list. */
+enum class RemovalCause : std::uint8_t {
+    /** The worker was silent for several heartbeats, or the cause cannot be told. It may still run
+        tasks. */
+    Unknown,
+    /** The entry was removed sooner than silence could have removed it: the worker has left. */
+    Deregistered,
+};
+
 } // namespace bulrush
--- a/modules/bulrush_steps/tests/follow_test.cpp
+++ b/modules/bulrush_steps/tests/follow_test.cpp
@@ -40,23 +40,29 @@
     StepJob submission(std::string_view /*body*/) const override { return {}; }
 };
 
+/** Interval at which workers write their entries. */
+constexpr milliseconds heartbeat { 1100 };
+
 /** A log with a follower of its list of workers. Each follower stands for one run of a process. */
 class WorkerList : public WorkerFollower::Listener
 {
 public:
     explicit WorkerList(FakeLog &listedLog)
         : log(listedLog)
-        , follower(clock, listedLog, decoder, decisions, *this)
+        , follower(clock, listedLog, decoder, heartbeat, decisions, *this)
     {
     }
 
     void workerListed(const WorkerEntry &entry) override { this->listed.insert(entry.worker); }
-    void workerUnlisted(const TargetId &worker) override { this->listed.erase(worker); }
+    void workerUnlisted(const TargetId &worker, RemovalCause cause) override
+    {
+        this->listed.erase(worker);
+        this->causes[worker] = cause;
+    }
 
-    void read()
+    void read(milliseconds span = seconds(1))
     {
-        constexpr int ticks = 100;
-        for (int tick = 0; tick < ticks; ++tick) {
+        for (milliseconds passed { 0 }; passed < span; passed += milliseconds(10)) {
             this->clock.advance(milliseconds(10));
             this->follower.tick();
             this->log.deliver();
@@ -64,6 +70,7 @@
     }
 
     std::set<TargetId> listed;
+    std::map<TargetId, RemovalCause> causes;
     ManualClock clock;
     FakeLog &log;
     NullDecisionLog decisions;
@@ -114,6 +121,62 @@
     cr_assert(list.listed == std::set<TargetId>({ TargetId("w2"), TargetId("w3") }));
 }
 
+namespace {
+
+/** Has a worker write an entry, and returns why the entry counts as removed when it goes after a
+    time, during which the log is read or cannot be read. */
+RemovalCause causeOfRemovalAfter(milliseconds sinceHeartbeat, bool logUp)
+{
+    FakeLog log;
+    write(log, LogStream::Workers, "w1", "ready");
+    WorkerList list(log);
+    list.read();
+    write(log, LogStream::Workers, "w1", "ready");
+    list.read(milliseconds(500));
+    log.up = logUp;
+    list.read(sinceHeartbeat - milliseconds(500));
+    write(log, LogStream::Workers, "w1", "");
+    log.up = true;
+    list.read();
+    return list.causes.at(TargetId("w1"));
+}
+
+} // namespace
+
+Test(WorkerFollower, onlyARemovalSoonAfterAHeartbeatIsTheWorkersOwn)
+{
+    cr_assert(causeOfRemovalAfter(milliseconds(1000), true) == RemovalCause::Deregistered);
+    cr_assert(causeOfRemovalAfter(heartbeat * 3, true) == RemovalCause::Unknown);
+}
+
+/* The last heartbeat and the removal by silence are read together. */
+Test(WorkerFollower, aRemovalThatMayHaveWaitedToBeReadIsNotTheWorkersOwn)
+{
+    FakeLog log;
+    write(log, LogStream::Workers, "w1", "ready");
+    WorkerList list(log);
+    list.read();
+    log.up = false;
+    write(log, LogStream::Workers, "w1", "ready");
+    list.read(heartbeat * 3);
+    write(log, LogStream::Workers, "w1", "");
+    log.up = true;
+    list.read();
+    cr_assert(list.causes.at(TargetId("w1")) == RemovalCause::Unknown);
+}
+
+/* The newest records do not tell when an entry was written. */
+Test(WorkerFollower, aRemovalAfterTheNewestRecordsWereReadIsNotTheWorkersOwn)
+{
+    FakeLog log;
+    write(log, LogStream::Workers, "w1", "ready");
+    WorkerList list(log);
+    list.read(milliseconds(300));
+    write(log, LogStream::Workers, "w1", "");
+    list.read();
+    cr_assert(list.causes.at(TargetId("w1")) == RemovalCause::Unknown);
+}
+
 /* One writer's malformed entry must not end the process or hide the entries after it. */
 Test(WorkerFollower, aMalformedEntryHidesNoOther)
 {
--- a/modules/bulrush_steps/tests/worker_departure_test.cpp
+++ b/modules/bulrush_steps/tests/worker_departure_test.cpp
@@ -44,9 +44,9 @@
     bool isOwner() const override { return true; }
     bool isSoleOwner() const override { return true; }
     void workerListed(const WorkerEntry &entry) override { this->dispatcher->workerListed(entry); }
-    void workerUnlisted(const TargetId &worker) override
+    void workerUnlisted(const TargetId &worker, RemovalCause cause) override
     {
-        this->dispatcher->workerUnlisted(worker);
+        this->dispatcher->workerUnlisted(worker, cause);
     }
 
     /** Has a new owner take over. The former one stops without a resignation, as if killed. */
@@ -64,7 +64,7 @@
         this->dispatcher = std::make_unique<Dispatcher>(this->clock, this->workers, this->log,
                                                         DispatchSettings(), this->decisions, *this);
         this->follower = std::make_unique<WorkerFollower>(this->clock, this->log, this->decoder,
-                                                          this->decisions, *this);
+                                                          heartbeat, this->decisions, *this);
         OwnershipTerm term;
         term.fencingToken = this->token;
         term.previousOwnerSettledAt = this->clock.now() + formerOrdersLifetime;
@@ -158,3 +158,41 @@
     owners.runFor(seconds(2), { "w2" });
     cr_assert_eq(owners.startsOnSecondWorker(), 1U, "%zu starts", owners.startsOnSecondWorker());
 }
+
+/* A cut takes the worker's path to the list and to the owner, not its tasks. */
+Test(WorkerDeparture, tasksOfAWorkerThatWasCutOffWhileItDrainedWaitForTheirLease)
+{
+    Owners owners;
+    owners.startOnFirstWorker();
+    owners.runFor(milliseconds(2500), { "w1", "w2" }, "draining");
+    owners.workers.workers[TargetId("w1")].silent = true;
+    owners.runFor(heartbeat * 3, { "w2" });
+    owners.write("w1", "");
+    owners.runFor(milliseconds(500), { "w2" });
+    cr_assert_eq(owners.startsOnSecondWorker(), 0U);
+}
+
+/* A worker withdraws its entry and still answers: it runs on until its last task has ended. */
+Test(WorkerDeparture, tasksOfAWorkerThatStillAnswersStayThere)
+{
+    Owners owners;
+    owners.startOnFirstWorker();
+    owners.runFor(milliseconds(2500), { "w1", "w2" }, "draining");
+    owners.write("w1", "");
+    owners.runFor(seconds(3), { "w2" });
+    cr_assert_eq(owners.startsOnSecondWorker(), 0U);
+}
+
+/* The worker answers the new owner before it leaves, while the new owner waits for another one. */
+Test(WorkerDeparture, aNewOwnerDoesNotWaitForAWorkerThatAnsweredItAndLeft)
+{
+    Owners owners;
+    owners.startOnFirstWorker();
+    owners.takeOver();
+    owners.workers.workers[TargetId("w2")].silent = true;
+    owners.runFor(seconds(1));
+    owners.firstWorkerLeaves();
+    owners.workers.workers[TargetId("w2")].silent = false;
+    owners.runFor(seconds(2), { "w2" });
+    cr_assert_eq(owners.startsOnSecondWorker(), 1U);
+}
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -79,6 +79,8 @@
     std::string rack;
     /** Whether the platform's worker list contains it. */
     bool listed = true;
+    /** Whether it has removed its entry from that list itself. */
+    bool deregistered = false;
     /** Whether it has answered a hold under this owner's fencing token since its last failed hold,
         restart or change of address. */
     bool confirmed = false;
@@ -173,6 +175,14 @@
         run.stopRequested = true;
     }
 
+    /** Returns whether its process has ended as announced: it reported that it was shutting down,
+        withdrew its entry, and does not answer. */
+    bool hasLeft() const
+    {
+        return this->deregistered && this->entry.draining && !this->confirmed
+                && this->failedHolds > 0;
+    }
+
     /** Returns a number of processors, in thousandths, as a share of the worker's processors. */
     double shareOf(double cpuMilli) const
     {
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -85,6 +85,7 @@
     }
     worker.entry = entry;
     worker.listed = true;
+    worker.deregistered = false;
     worker.address = { entry.worker, entry.endpoint };
     for (const std::string &label : entry.labels) {
         if (label.starts_with("r")) {
@@ -104,15 +105,17 @@
     this->checkSoon(worker);
 }
 
-void WorkerManager::workerUnlisted(const TargetId &id)
+void WorkerManager::workerUnlisted(const TargetId &id, RemovalCause cause)
 {
     Worker *worker = this->find(id);
     if (worker == nullptr || !worker->listed) {
         return;
     }
     worker->listed = false;
+    worker->deregistered = cause == RemovalCause::Deregistered;
     this->decisions.write(DecisionLine(Event::WorkerGone)
                                   .with("worker", id.name())
+                                  .with("deregistered", worker->deregistered)
                                   .with("runs", static_cast<std::int64_t>(worker->runs.size())));
 }
 
@@ -135,6 +138,7 @@
     this->workersToCheck.clear();
     std::vector<TargetId> removed;
     for (auto &[id, worker] : this->workerTable) {
+        this->handleDeparture(worker);
         this->dropExpiredRuns(worker);
         if (!worker.listed && worker.runs.empty()) {
             removed.push_back(id);
@@ -248,8 +252,22 @@
     if (!expiredAt || this->clock.now() < *expiredAt) {
         return;
     }
+    this->dropRuns(worker, "lease expired");
+}
+
+void WorkerManager::handleDeparture(Worker &worker)
+{
+    if (worker.listed || !worker.hasLeft()) {
+        return;
+    }
+    this->dropRuns(worker, "the worker has left");
+    this->listener.workerSettled(worker.entry.worker);
+}
+
+void WorkerManager::dropRuns(Worker &worker, std::string_view reason)
+{
     for (const auto &[attempt, run] : worker.clearRuns()) {
-        this->listener.runLost(worker, run, "lease expired");
+        this->listener.runLost(worker, run, reason);
     }
 }
 
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -46,6 +46,10 @@
         /** Called when a worker refused to start a run. The run is not alive. */
         virtual void startRefused(const Worker &worker, const Run &run, CommandOutcome outcome) = 0;
 
+        /** Called when all runs that a worker may have of former owners are known: it has answered
+            for the first time, or it has left. */
+        virtual void workerSettled(const TargetId &worker) = 0;
+
         /** Called when a worker rejected a command because it has seen a higher fencing token. */
         virtual void superseded(const Worker &worker) = 0;
 
@@ -76,10 +80,10 @@
     void workerListed(const WorkerEntry &entry);
 
     /** Marks a worker as removed from the platform's worker list. */
-    void workerUnlisted(const TargetId &worker);
+    void workerUnlisted(const TargetId &worker, RemovalCause cause);
 
-    /** Sends the hold and stop requests that are due, drops runs whose lease has expired, and
-        removes unlisted workers that have no runs. */
+    /** Sends the hold and stop requests that are due, drops runs of workers that have left or whose
+        lease has expired, and removes unlisted workers that have no runs. */
     void tick();
 
     /** Sends a start request. The run counts as alive from this call on. */
@@ -136,6 +140,8 @@
     void sendStops(Worker &worker);
     void sendStop(Worker &worker, Run &run);
     void dropExpiredRuns(Worker &worker);
+    void dropRuns(Worker &worker, std::string_view reason);
+    void handleDeparture(Worker &worker);
     std::optional<WorkerMillis> leaseEnd(Worker &worker);
     milliseconds holdWait(const Worker &worker) const;
     bool holdIsDue(const Worker &worker, Instant now) const;
--- a/modules/bulrush_steps/workers/WorkerManagerReports.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerReports.cpp
@@ -58,7 +58,10 @@
     worker->acknowledgedEnds = std::max(worker->acknowledgedEnds, acknowledged);
     this->processEndedRuns(*worker, answer);
     this->processRuns(*worker, answer, sentAt);
-    worker->adopted = true;
+    if (!worker->adopted) {
+        worker->adopted = true;
+        this->listener.workerSettled(id);
+    }
     const bool firstAnswer = !worker->confirmed;
     worker->confirmed = true;
     const bool hasUnacknowledgedEnds = worker->processedEnds > worker->acknowledgedEnds;
--- a/modules/bulrush_steps/workers/WorkerRoster.cpp
+++ b/modules/bulrush_steps/workers/WorkerRoster.cpp
@@ -7,9 +7,9 @@
 namespace bulrush {
 
 bool WorkerRoster::update(std::map<TargetId, Worker> &workers,
-                          std::span<const TargetId> ofPreviousOwner)
+                          const std::set<TargetId> &ofFormerOwners)
 {
-    std::set<TargetId> roster(ofPreviousOwner.begin(), ofPreviousOwner.end());
+    std::set<TargetId> roster = ofFormerOwners;
     for (const auto &[id, worker] : workers) {
         roster.insert(id);
     }
--- a/modules/bulrush_steps/workers/WorkerRoster.h
+++ b/modules/bulrush_steps/workers/WorkerRoster.h
@@ -4,7 +4,6 @@
 
 #include <map>
 #include <set>
-#include <span>
 #include <string>
 
 namespace bulrush {
@@ -18,10 +17,11 @@
 class WorkerRoster
 {
 public:
-    /** Updates the roster to the present workers and those of a previous owner, and marks the
+    /** Updates the roster to the present workers and those that may still run tasks of former
+       owners, and marks the
        workers that the persisted roster lists.
         @returns whether the roster changed and is to be persisted */
-    bool update(std::map<TargetId, Worker> &workers, std::span<const TargetId> ofPreviousOwner);
+    bool update(std::map<TargetId, Worker> &workers, const std::set<TargetId> &ofFormerOwners);
 
     /** Returns the record of the roster, to be appended to the log now. */
     std::string recordToSend();
