Ask the processes of former owners whether they have ended, instead of waiting as for silent ones

Cause: only a resignation shortens the wait for a former owner, and a killed process writes none. Nobody looked at the process that starts in its place. What its predecessors still had was lost with it, too.

Change: each owner's record stays, with the name of its process, until no command of it can take effect any more. A new owner asks the process at each such address. A process with a later name answers that the earlier one has ended; the same process ends its ownership first, and takes none with a lower token later. The end is put on record for later owners, with what the ended owner's predecessors have left: each is counted from when this process first saw its successor, not from the newest take-over. An owner that has settled all removes the records. Old and new nodes side by side: an old one closes the connection on the new question, which counts as no answer.

Guards, each with a test that fails without it: FormerOwnerInquiry/nothingButAnAnswerCountsAsAnEnd, OwnershipManager/anOwnerThatSaidItHasEndedIsNotOwnerAgainWithThatToken, FormerOwners/*, Dispatcher/afterTheEndOfAFormerOwnersProcessOnlyItsLastLeasesAreWaitedFor.

--- a/modules/bulrush_core/events/EventCatalogue.cpp
+++ b/modules/bulrush_core/events/EventCatalogue.cpp
@@ -59,6 +59,7 @@
     EventInfo { Event::OwnerLoad, Severity::Info, "owner load" },
     EventInfo { Event::FormerOwnersAwaited, Severity::Info, "former owners awaited" },
     EventInfo { Event::FormerOwnersSettled, Severity::Info, "former owners settled" },
+    EventInfo { Event::FormerOwnerEnded, Severity::Info, "former owner ended" },
     EventInfo { Event::ConfigApplied, Severity::Info, "config in force" },
     EventInfo { Event::SettingsRead, Severity::Info, "settings read" },
     EventInfo { Event::StoreLost, Severity::Warning, "store lost" },
--- a/modules/bulrush_core/events/EventCatalogue.h
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -62,6 +62,7 @@
     OwnerLoad = 1635,
     FormerOwnersAwaited = 1636,
     FormerOwnersSettled = 1637,
+    FormerOwnerEnded = 1638,
     ConfigApplied = 1641,
     SettingsRead = 1642,
     StoreLost = 1651,
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -1,6 +1,7 @@
 #include "bulrush_entry/node/EntryNode.h"
 
 #include "bulrush_core/errors/Error.h"
+#include "bulrush_entry/owner/MemberName.h"
 
 #include <algorithm>
 #include <utility>
@@ -89,11 +90,11 @@
               decisionLog, *this)
     , dispatcher(systemClock, this->orders, this->store, entrySettings.dispatch, decisionLog, *this)
     , ownership(systemClock, this->store,
-                OwnerLink::memberName(entrySettings.peers,
-                                      static_cast<std::uint64_t>(systemClock.calendarMillis())),
+                memberName(entrySettings.peers,
+                           static_cast<std::uint64_t>(systemClock.calendarMillis())),
                 entrySettings.ownershipTimes(), decisionLog, *this)
     , takeover(systemClock, this->store, this->view)
-    , owner(eventLoop, systemClock, this->store, this->dispatcher, entrySettings.peers)
+    , owner(eventLoop, systemClock, this->store, this->dispatcher, entrySettings.peers, *this)
     , requestHandler(systemClock, this->store, entryPorts.decoder, this->owner, this->view,
                      this->health, decisionLog)
     , callers(eventLoop, entrySettings.callers, callerLimits(entryPorts.callers), *this)
@@ -123,6 +124,8 @@
         this->followJobs();
         this->dispatcher.tick();
     }
+    this->owner.askFormerOwners(this->dispatcher.unaccountedOwners(),
+                                this->ownership.fencingToken());
     this->refreshStandbyView();
     if (this->drainingSince) {
         this->drainTick();
@@ -191,7 +194,7 @@
     this->metrics.setOwner(true);
     const Instant gainedAt = this->clock.now();
     this->takeover.begin(
-            fencingToken, this->settings.peers.text(),
+            fencingToken, this->ownership.memberName(),
             [this, gainedAt](LogOffset markOffset) { this->takeoverDone(gainedAt, markOffset); },
             [this] { this->ownership.superseded("the store reports a newer owner"); });
 }
@@ -202,6 +205,7 @@
     term.fencingToken = this->ownership.fencingToken();
     term.previousOwnerSettledAt =
             gainedAt + this->settings.ownershipTimes().previousOwnerSettleTime();
+    term.formerOwnerWait = this->settings.ownershipTimes().previousOwnerSettleTime();
     term.resignedOwnerSettleTime = this->settings.ownershipTimes().resignedOwnerSettleTime();
     this->dispatcher.begin(term, this->view.jobTable());
     if (this->config.config()) {
@@ -258,6 +262,33 @@
                        });
 }
 
+bool EntryNode::endsFormerOwnership(std::string_view member, std::uint64_t askedToken,
+                                    std::uint64_t askerToken)
+{
+    // Another name is that of an earlier process at this address, which has ended.
+    return member != this->ownership.memberName()
+            || this->ownership.endBefore(askedToken, askerToken);
+}
+
+void EntryNode::formerOwnerEnded(std::uint64_t fencingToken)
+{
+    if (!this->dispatcher.active()) {
+        return;
+    }
+    const Resignation resignation = this->dispatcher.formerOwnerEnded(fencingToken);
+    this->decisions.write(DecisionLine(Event::FormerOwnerEnded).with("owner", fencingToken));
+    const KeyedRecord record { records::resignationKey(fencingToken),
+                               records::encodeResignation(resignation), 0 };
+    this->store.append(LogStream::Jobs, { record }, std::nullopt, resignationTimeout,
+                       [](const AppendAnswer & /*answer*/) {});
+}
+
+void EntryNode::recordsObsolete(const std::vector<KeyedRecord> &removals)
+{
+    this->store.append(LogStream::Jobs, removals, std::nullopt, resignationTimeout,
+                       [](const AppendAnswer & /*answer*/) {});
+}
+
 void EntryNode::superseded(std::string_view by)
 {
     this->ownership.superseded(by);
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -27,6 +27,7 @@
                   private OwnershipManager::Listener,
                   private Dispatcher::Listener,
                   private WorkerFollower::Listener,
+                  private OwnerLink::Listener,
                   private StreamReader::Listener
 {
 public:
@@ -78,11 +79,17 @@
         this->metrics.recordJobEnd(state, elapsed);
     }
     bool isSoleOwner() const override { return this->ownership.isSoleOwner(); }
+    void recordsObsolete(const std::vector<KeyedRecord> &removals) override;
 
     // WorkerFollower::Listener
     void workerListed(const WorkerEntry &entry) override;
     void workerUnlisted(const TargetId &worker, RemovalCause cause) override;
 
+    // OwnerLink::Listener
+    bool endsFormerOwnership(std::string_view member, std::uint64_t askedToken,
+                             std::uint64_t askerToken) override;
+    void formerOwnerEnded(std::uint64_t fencingToken) override;
+
     // StreamReader::Listener
     void snapshotReadStarted(LogStream /*stream*/) override { }
     void recordRead(LogStream stream, const KeyedRecord &record) override;
--- a/modules/bulrush_entry/owner/OwnerLink.cpp
+++ b/modules/bulrush_entry/owner/OwnerLink.cpp
@@ -1,6 +1,7 @@
 #include "bulrush_entry/owner/OwnerLink.h"
 
 #include "bulrush_core/errors/Error.h"
+#include "bulrush_entry/owner/MemberName.h"
 #include "bulrush_steps/dispatch/Dispatcher.h"
 #include "bulrush_wire/frames/OwnerFrames.h"
 
@@ -17,28 +18,21 @@
 
 constexpr milliseconds searchTimeout { 400 };
 
-std::optional<Endpoint> endpointOf(std::string_view member)
-{
-    return Endpoint::parse(member.substr(0, member.find('#')));
-}
-
 } // namespace
 
 OwnerLink::OwnerLink(EventLoop &eventLoop, const Clock &systemClock, MemberGroup &memberGroup,
-                     const Dispatcher &localDispatcher, const Endpoint &endpoint)
+                     const Dispatcher &localDispatcher, const Endpoint &endpoint,
+                     Listener &linkListener)
     : loop(eventLoop)
     , clock(systemClock)
     , group(memberGroup)
     , dispatcher(localDispatcher)
+    , listener(linkListener)
     , transport(eventLoop, endpoint, FrameTransport::Limits(), *this)
+    , inquiry(systemClock, this->transport, endpoint, linkListener)
 {
 }
 
-std::string OwnerLink::memberName(const Endpoint &endpoint, std::uint64_t incarnation)
-{
-    return endpoint.text() + "#" + std::to_string(incarnation);
-}
-
 void OwnerLink::askState(const JobId &job, Callback callback)
 {
     this->ask(Kind::State, job.name(), std::move(callback));
@@ -125,7 +119,7 @@
     if (found.outcome != StoreOutcome::Done) {
         return;
     }
-    this->holder = endpointOf(found.member);
+    this->holder = endpointOfMember(found.member);
     if (this->holder) {
         this->sendPendingQuestions();
     }
@@ -179,6 +173,10 @@
 
 void OwnerLink::linkOpened(LinkId opened, bool accepted)
 {
+    if (this->inquiry.owns(opened)) {
+        this->inquiry.linkOpened(opened);
+        return;
+    }
     if (!accepted && opened == this->link) {
         this->linkOpen = true;
         this->sendPendingQuestions();
@@ -187,6 +185,10 @@
 
 void OwnerLink::linkClosed(LinkId closed, std::string_view /*reason*/)
 {
+    if (this->inquiry.owns(closed)) {
+        this->inquiry.linkClosed(closed);
+        return;
+    }
     if (closed == this->link) {
         this->link = 0;
         this->resetHolder();
@@ -196,45 +198,75 @@
 void OwnerLink::frameArrived(LinkId from, std::span<const std::uint8_t> bytes)
 {
     try {
-        const wire::OwnerFrame &frame = wire::readOwnerFrame(bytes, "entry VM");
-        if (const wire::OwnerQuestion *question = frame.message_as_OwnerQuestion()) {
-            wire::OwnerAnswerT reply;
-            reply.number = question->number();
-            reply.reply = wire::OwnerReply::NotOwner;
-            if (this->dispatcher.active() && question->text() != nullptr) {
-                const Kind kind = question->kind() == wire::OwnerQuestionKind::JobState
-                        ? Kind::State
-                        : Kind::Waiting;
-                const OwnerAnswer answer = this->answerLocally(kind, question->text()->str());
-                reply.reply = answer.kind == OwnerAnswer::Kind::Known ? wire::OwnerReply::Known
-                                                                      : wire::OwnerReply::NotKnown;
-                reply.state = static_cast<std::uint8_t>(answer.state);
-                reply.waiting = answer.waiting;
-            }
-            this->transport.send(from, wire::encodeOwnerFrame(reply));
-            return;
-        }
-        const wire::OwnerAnswer *reply = frame.message_as_OwnerAnswer();
-        if (reply->reply() == wire::OwnerReply::NotOwner) {
-            this->resetHolder();
-            this->sendPendingQuestions();
-            return;
-        }
-        OwnerAnswer answer;
-        answer.kind = reply->reply() == wire::OwnerReply::Known ? OwnerAnswer::Kind::Known
-                                                                : OwnerAnswer::Kind::NotKnown;
-        answer.state = static_cast<JobState>(std::min<std::uint8_t>(
-                reply->state(), static_cast<std::uint8_t>(JobState::Cancelled)));
-        answer.waiting = reply->waiting();
-        this->complete(reply->number(), answer);
+        this->handleFrame(from, wire::readOwnerFrame(bytes, "entry VM"));
     } catch (const Error &) {
         // The peer sent a malformed frame, so nothing else that it sends can be trusted.
         this->transport.close(from);
-        if (from == this->link) {
+        if (this->inquiry.owns(from)) {
+            this->inquiry.linkClosed(from);
+        } else if (from == this->link) {
             this->link = 0;
             this->resetHolder();
         }
     }
 }
 
+void OwnerLink::handleFrame(LinkId from, const wire::OwnerFrame &frame)
+{
+    if (const wire::OwnerQuestion *question = frame.message_as_OwnerQuestion()) {
+        this->answerQuestion(from, *question);
+    } else if (const auto *asked = frame.message_as_FormerOwnerQuestion()) {
+        this->answerFormerOwnerQuestion(from, *asked);
+    } else if (const auto *ended = frame.message_as_FormerOwnerAnswer()) {
+        this->inquiry.answered(from, *ended);
+    } else if (const wire::OwnerAnswer *reply = frame.message_as_OwnerAnswer()) {
+        this->handleAnswer(*reply);
+    }
+}
+
+void OwnerLink::answerQuestion(LinkId from, const wire::OwnerQuestion &question)
+{
+    wire::OwnerAnswerT reply;
+    reply.number = question.number();
+    reply.reply = wire::OwnerReply::NotOwner;
+    if (this->dispatcher.active() && question.text() != nullptr) {
+        const Kind kind =
+                question.kind() == wire::OwnerQuestionKind::JobState ? Kind::State : Kind::Waiting;
+        const OwnerAnswer answer = this->answerLocally(kind, question.text()->str());
+        reply.reply = answer.kind == OwnerAnswer::Kind::Known ? wire::OwnerReply::Known
+                                                              : wire::OwnerReply::NotKnown;
+        reply.state = static_cast<std::uint8_t>(answer.state);
+        reply.waiting = answer.waiting;
+    }
+    this->transport.send(from, wire::encodeOwnerFrame(reply));
+}
+
+void OwnerLink::answerFormerOwnerQuestion(LinkId from, const wire::FormerOwnerQuestion &question)
+{
+    if (question.member() == nullptr) {
+        throw Error("answer a question about a former owner", "entry VM", "it names no member");
+    }
+    wire::FormerOwnerAnswerT answer;
+    answer.fencing_token = question.fencing_token();
+    answer.ended = this->listener.endsFormerOwnership(
+            question.member()->string_view(), question.fencing_token(), question.asker_token());
+    this->transport.send(from, wire::encodeOwnerFrame(answer));
+}
+
+void OwnerLink::handleAnswer(const wire::OwnerAnswer &reply)
+{
+    if (reply.reply() == wire::OwnerReply::NotOwner) {
+        this->resetHolder();
+        this->sendPendingQuestions();
+        return;
+    }
+    OwnerAnswer answer;
+    answer.kind = reply.reply() == wire::OwnerReply::Known ? OwnerAnswer::Kind::Known
+                                                           : OwnerAnswer::Kind::NotKnown;
+    answer.state = static_cast<JobState>(
+            std::min<std::uint8_t>(reply.state(), static_cast<std::uint8_t>(JobState::Cancelled)));
+    answer.waiting = reply.waiting();
+    this->complete(reply.number(), answer);
+}
+
 } // namespace bulrush
--- a/modules/bulrush_entry/owner/OwnerLink.h
+++ b/modules/bulrush_entry/owner/OwnerLink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrush_entry/front/OwnerQuestions.h"
+#include "bulrush_entry/owner/FormerOwnerInquiry.h"
 #include "bulrush_net/frames/FrameTransport.h"
 #include "bulrush_net/loop/EventLoop.h"
 #include "bulrush_steps/ports/MemberGroup.h"
@@ -15,18 +16,31 @@
 
 class Dispatcher;
 
-/** Sends questions to the owner, which may be this node, and answers the questions of other nodes
-    while this node is the owner. */
+/** Sends questions to the owner, which may be this node, and to former owners, and answers the
+    questions of other nodes. */
 class OwnerLink : public OwnerQuestions, private FrameTransport::Listener
 {
 public:
+    /** Receives what other nodes ask and answer about former owners. */
+    struct Listener : public FormerOwnerInquiry::Listener
+    {
+        /** Called when a newer owner asks about an earlier ownership of a process at this address.
+            @param member     the name in the group of the process that was the owner
+            @param askedToken the fencing token of that ownership
+            @param askerToken the fencing token of the newer owner
+            @returns whether no more commands are sent with the asked token, now or later */
+        virtual bool endsFormerOwnership(std::string_view member, std::uint64_t askedToken,
+                                         std::uint64_t askerToken) = 0;
+    };
+
     OwnerLink(EventLoop &loop, const Clock &clock, MemberGroup &group, const Dispatcher &dispatcher,
-              const Endpoint &endpoint);
+              const Endpoint &endpoint, Listener &listener);
 
-    /** Returns the name under which a node joins the group.
-        @param endpoint    where the node listens for other nodes
-        @param incarnation distinguishes this run of the process from earlier ones */
-    static std::string memberName(const Endpoint &endpoint, std::uint64_t incarnation);
+    /** Asks former owners that are waited for. @see FormerOwnerInquiry::update */
+    void askFormerOwners(std::span<const OwnerRecord> owners, std::uint64_t askToken)
+    {
+        this->inquiry.update(owners, askToken);
+    }
 
     void askState(const JobId &job, Callback callback) override;
     void askWaitingCount(const std::string &queue, Callback callback) override;
@@ -60,12 +74,18 @@
     void resetHolder();
     void sendPendingQuestions();
     void complete(std::uint64_t number, const OwnerAnswer &answer);
+    void handleFrame(LinkId from, const wire::OwnerFrame &frame);
+    void answerQuestion(LinkId from, const wire::OwnerQuestion &question);
+    void answerFormerOwnerQuestion(LinkId from, const wire::FormerOwnerQuestion &question);
+    void handleAnswer(const wire::OwnerAnswer &reply);
 
     EventLoop &loop;
     const Clock &clock;
     MemberGroup &group;
     const Dispatcher &dispatcher;
+    Listener &listener;
     FrameTransport transport;
+    FormerOwnerInquiry inquiry;
     std::optional<Endpoint> holder;
     bool searching = false;
     Instant nextSearchAt {};
--- /dev/null
+++ b/modules/bulrush_entry/tests/former_owner_inquiry_test.cpp
@@ -0,0 +1,124 @@
+#include "bulrush_core/time/ManualClock.h"
+#include "bulrush_entry/owner/FormerOwnerInquiry.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace bulrush;
+
+namespace {
+
+const Endpoint ownEndpoint { "10.0.0.1", 7000 };
+const OwnerRecord former { 4, "10.0.0.2:7000#17" };
+
+/** Records what is sent; the test plays the peer. */
+class FakeLinks : public FrameLinks
+{
+public:
+    LinkId connect(const Endpoint &endpoint) override
+    {
+        this->connected.push_back(endpoint.text());
+        return ++this->newest;
+    }
+    bool send(LinkId /*link*/, std::span<const std::uint8_t> frame) override
+    {
+        this->sent.emplace_back(frame.begin(), frame.end());
+        return true;
+    }
+    void close(LinkId /*link*/) override { ++this->closed; }
+
+    LinkId newest = 0;
+    std::vector<std::string> connected;
+    std::vector<std::vector<std::uint8_t>> sent;
+    int closed = 0;
+};
+
+class InquiryFixture : public FormerOwnerInquiry::Listener
+{
+public:
+    InquiryFixture()
+        : inquiry(clock, links, ownEndpoint, *this)
+    {
+    }
+
+    void formerOwnerEnded(std::uint64_t fencingToken) override
+    {
+        this->ended.push_back(fencingToken);
+    }
+
+    void update(const std::vector<OwnerRecord> &owners = { former })
+    {
+        this->inquiry.update(owners, 9);
+    }
+
+    void answer(std::uint64_t fencingToken, bool hasEnded)
+    {
+        wire::FormerOwnerAnswerT reply;
+        reply.fencing_token = fencingToken;
+        reply.ended = hasEnded;
+        const std::vector<std::uint8_t> frame = wire::encodeOwnerFrame(reply);
+        this->inquiry.answered(this->links.newest,
+                               *wire::readOwnerFrame(frame, "peer").message_as_FormerOwnerAnswer());
+    }
+
+    ManualClock clock;
+    FakeLinks links;
+    std::vector<std::uint64_t> ended;
+    FormerOwnerInquiry inquiry;
+};
+
+} // namespace
+
+Test(FormerOwnerInquiry, asksTheProcessOfAFormerOwnerAndReportsItsAnswer)
+{
+    InquiryFixture fixture;
+    fixture.update();
+    cr_assert_eq(fixture.links.connected, std::vector<std::string> { "10.0.0.2:7000" });
+    fixture.inquiry.linkOpened(fixture.links.newest);
+    const auto &frame = wire::readOwnerFrame(fixture.links.sent.at(0), "peer");
+    const wire::FormerOwnerQuestion &question = *frame.message_as_FormerOwnerQuestion();
+    cr_assert_eq(question.member()->str(), former.member);
+    cr_assert_eq(question.fencing_token(), former.fencingToken);
+    cr_assert_eq(question.asker_token(), 9U);
+    fixture.answer(former.fencingToken, true);
+    cr_assert_eq(fixture.ended, std::vector<std::uint64_t> { former.fencingToken });
+}
+
+/* A cut may refuse connections to a process that runs on, and a paused process accepts them. */
+Test(FormerOwnerInquiry, nothingButAnAnswerCountsAsAnEnd)
+{
+    InquiryFixture fixture;
+    fixture.update();
+    fixture.inquiry.linkClosed(fixture.links.newest);
+    fixture.clock.advance(seconds(1));
+    fixture.update();
+    fixture.inquiry.linkOpened(fixture.links.newest);
+    fixture.clock.advance(seconds(1));
+    fixture.update();
+    fixture.clock.advance(seconds(1));
+    fixture.update();
+    fixture.answer(former.fencingToken, false);
+    fixture.answer(former.fencingToken + 1, true);
+    cr_assert(fixture.ended.empty());
+    cr_assert_eq(fixture.links.connected.size(), 3U);
+}
+
+Test(FormerOwnerInquiry, anOwnerThatIsNotWaitedForIsNotAsked)
+{
+    InquiryFixture fixture;
+    fixture.update();
+    fixture.update({});
+    cr_assert_eq(fixture.links.closed, 1);
+    cr_assert_not(fixture.inquiry.owns(fixture.links.newest));
+}
+
+Test(FormerOwnerInquiry, anEarlierOwnershipOfThisMachineHasEnded)
+{
+    InquiryFixture fixture;
+    fixture.update({ { 5, "10.0.0.1:7000#3" } });
+    cr_assert(fixture.links.connected.empty());
+    cr_assert_eq(fixture.ended, std::vector<std::uint64_t> { 5 });
+}
--- a/modules/bulrush_net/frames/FrameTransport.h
+++ b/modules/bulrush_net/frames/FrameTransport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrush_net/frames/FrameLinks.h"
 #include "bulrush_net/loop/EventLoop.h"
 
 #include <cstddef>
@@ -17,12 +18,9 @@
     Sends and receives frames over TCP. Each frame is preceded by its length in bytes as a
     four-byte little-endian integer.
 */
-class FrameTransport
+class FrameTransport : public FrameLinks
 {
 public:
-    /** Identifies a connection while it is open. */
-    using LinkId = std::uint64_t;
-
     /** Receives the events of all connections. */
     struct Listener
     {
@@ -47,20 +45,17 @@
 
     /** Starts listening. @throws Error when the endpoint cannot be bound */
     FrameTransport(EventLoop &loop, const Endpoint &endpoint, Limits limits, Listener &listener);
-    ~FrameTransport();
-
-    FrameTransport(const FrameTransport &) = delete;
-    FrameTransport &operator=(const FrameTransport &) = delete;
+    ~FrameTransport() override;
 
     /** Opens a connection asynchronously; the listener is notified when it opens or fails. */
-    LinkId connect(const Endpoint &endpoint);
+    LinkId connect(const Endpoint &endpoint) override;
 
     /** Queues a frame. Returns false when the link is not open, the frame is larger than
         maxFrameBytes, or the queue would exceed maxQueuedBytes. */
-    bool send(LinkId link, std::span<const std::uint8_t> frame);
+    bool send(LinkId link, std::span<const std::uint8_t> frame) override;
 
     /** Closes a connection; the listener receives no further events for it. */
-    void close(LinkId link);
+    void close(LinkId link) override;
 
 private:
     struct Link;
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -53,8 +53,8 @@
         }
     }
     this->workerManager.begin(this->term.fencingToken);
-    this->formerOwners.begin(this->jobTable.previousOwnerToken(this->term.fencingToken),
-                             this->term.previousOwnerSettledAt);
+    this->formerOwners.begin(this->jobTable.owners(), this->term.fencingToken,
+                             this->term.previousOwnerSettledAt, this->term.formerOwnerWait);
     this->applyResignations();
 }
 
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -21,6 +21,8 @@
     std::uint64_t fencingToken = 0;
     /** From this moment on, no command of a previous owner can take effect on any worker. */
     Instant previousOwnerSettledAt {};
+    /** How long after the takeover by its successor an owner's commands may still take effect. */
+    milliseconds formerOwnerWait { 12'600 };
     /** How long after an owner's resignation its commands may still take effect. */
     milliseconds resignedOwnerSettleTime { 6000 };
 };
@@ -63,6 +65,10 @@
         /** Returns whether currently no other node can be the owner. */
         virtual bool isSoleOwner() const = 0;
 
+        /** Called when records of former owners are no longer needed.
+            @param removals the records that remove them from the jobs stream */
+        virtual void recordsObsolete(const std::vector<KeyedRecord> & /*removals*/) { }
+
         /** Called when the first task of a job is started. @param waited time since acceptance */
         virtual void jobStarted(Duration /*waited*/) { }
 
@@ -86,6 +92,14 @@
     /** Returns the resignation to persist when this ownership ends; nullopt while inactive. */
     std::optional<Resignation> resignation() const;
 
+    /** Returns the former owners whose commands may still take effect and that did not say
+        otherwise; none while inactive. */
+    std::vector<OwnerRecord> unaccountedOwners() const;
+
+    /** Notes that a former owner sends no more commands, for example because its process ended.
+        @returns the resignation to persist on its behalf */
+    Resignation formerOwnerEnded(std::uint64_t fencingToken);
+
     /** Applies a record of the jobs stream that was read after begin(). */
     void applyJobRecord(const KeyedRecord &record);
 
@@ -157,6 +171,7 @@
 
     /** Logs what this owner waits for, and once when it no longer waits. */
     void reportFormerOwners(Instant now);
+    void removeRecordsOfFormerOwners();
     void updateRoster();
     void controlFills(Instant now);
     void moveUnhealthyRuns(Instant now);
--- a/modules/bulrush_steps/dispatch/DispatcherOwners.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherOwners.cpp
@@ -53,6 +53,38 @@
     this->unsettledWorkers.erase(worker);
 }
 
+std::vector<OwnerRecord> Dispatcher::unaccountedOwners() const
+{
+    if (!this->isActive || this->formerOwnersSettled()) {
+        return {};
+    }
+    return this->formerOwners.unaccounted(this->clock.now());
+}
+
+Resignation Dispatcher::formerOwnerEnded(std::uint64_t fencingToken)
+{
+    return this->formerOwners.ended(fencingToken, this->clock.now(),
+                                    this->term.resignedOwnerSettleTime);
+}
+
+void Dispatcher::removeRecordsOfFormerOwners()
+{
+    std::vector<KeyedRecord> removals;
+    for (const auto &[token, owner] : this->jobTable.owners()) {
+        if (token < this->term.fencingToken) {
+            removals.push_back({ records::ownerKey(token), {}, 0 });
+        }
+    }
+    for (const auto &[token, resignation] : this->jobTable.resignations()) {
+        if (token < this->term.fencingToken) {
+            removals.push_back({ records::resignationKey(token), {}, 0 });
+        }
+    }
+    if (!removals.empty()) {
+        this->listener.recordsObsolete(removals);
+    }
+}
+
 std::string Dispatcher::namesOfUnsettledWorkers() const
 {
     std::string names;
@@ -68,19 +100,23 @@
 
 void Dispatcher::reportFormerOwners(Instant now)
 {
-    if (this->formerOwnersReported || now < this->nextFormerOwnersReport) {
+    if (this->formerOwnersReported) {
         return;
     }
-    this->nextFormerOwnersReport = now + reportInterval;
     const auto waited = duration_cast<milliseconds>(now - this->beganAt).count();
     if (this->formerOwnersSettled()) {
         this->formerOwnersReported = true;
+        this->removeRecordsOfFormerOwners();
         this->decisions.write(
                 DecisionLine(Event::FormerOwnersSettled)
                         .with("waited_ms", waited)
                         .with("by", now < this->formerOwners.settledAt() ? "workers" : "time"));
         return;
     }
+    if (now < this->nextFormerOwnersReport) {
+        return;
+    }
+    this->nextFormerOwnersReport = now + reportInterval;
     const auto left = this->formerOwners.settledAt() - now;
     this->decisions.write(DecisionLine(Event::FormerOwnersAwaited)
                                   .with("waited_ms", waited)
--- a/modules/bulrush_steps/model/JobRecords.cpp
+++ b/modules/bulrush_steps/model/JobRecords.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <charconv>
 
 namespace bulrush::records {
 
@@ -16,10 +17,19 @@
 constexpr std::string_view jobPrefix = "job/";
 constexpr std::string_view cancellationPrefix = "cancelled/";
 constexpr std::string_view ownerName = "owner";
+constexpr std::string_view ownerPrefix = "owner/";
 constexpr std::string_view resignationName = "resignation";
 constexpr std::string_view resignationPrefix = "resignation/";
 constexpr std::string_view rosterName = "roster";
 
+/** Returns the number that a key ends with; 0 when it is malformed. */
+std::uint64_t parseToken(std::string_view text)
+{
+    std::uint64_t token = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), token);
+    return error == std::errc() && end == text.data() + text.size() ? token : 0;
+}
+
 template<class Decode>
 auto decodeRecord(std::string_view what, std::string_view value, Decode decode)
 {
@@ -98,11 +108,16 @@
     return std::string(cancellationPrefix) + job.name();
 }
 
-std::string ownerKey()
+std::string newestOwnerKey()
 {
     return std::string(ownerName);
 }
 
+std::string ownerKey(std::uint64_t fencingToken)
+{
+    return std::string(ownerPrefix) + std::to_string(fencingToken);
+}
+
 std::string resignationKey(std::uint64_t fencingToken)
 {
     return std::string(resignationPrefix) + std::to_string(fencingToken);
@@ -129,9 +144,15 @@
     if (key == ownerName) {
         return { KeyKind::Owner, {} };
     }
-    if (key == resignationName || key.starts_with(resignationPrefix)) {
+    if (key.starts_with(ownerPrefix)) {
+        return { KeyKind::Owner, {}, parseToken(key.substr(ownerPrefix.size())) };
+    }
+    if (key == resignationName) {
         return { KeyKind::Resignation, {} };
     }
+    if (key.starts_with(resignationPrefix)) {
+        return { KeyKind::Resignation, {}, parseToken(key.substr(resignationPrefix.size())) };
+    }
     if (key == rosterName) {
         return { KeyKind::Roster, {} };
     }
@@ -240,10 +261,12 @@
     });
 }
 
-std::string encodeOwner(std::uint64_t fencingToken, std::string_view member)
+std::string encode(const OwnerRecord &owner)
 {
     return json {
-        { "schema", schemaVersion }, { "fencingToken", fencingToken }, { "member", member }
+        { "schema", schemaVersion },
+        { "fencingToken", owner.fencingToken },
+        { "member", owner.member }
     }.dump();
 }
 
@@ -282,10 +305,11 @@
     });
 }
 
-std::uint64_t decodeOwner(std::string_view value)
+OwnerRecord decodeOwner(std::string_view value)
 {
     return decodeRecord("owner", value, [](const json &record) {
-        return record.at("fencingToken").get<std::uint64_t>();
+        return OwnerRecord { record.at("fencingToken").get<std::uint64_t>(),
+                             record.value("member", std::string()) };
     });
 }
 
--- a/modules/bulrush_steps/model/JobRecords.h
+++ b/modules/bulrush_steps/model/JobRecords.h
@@ -31,6 +31,14 @@
     std::vector<TaskProgress> tasks;
 };
 
+/** An owner's announcement that it sends commands. */
+struct OwnerRecord
+{
+    std::uint64_t fencingToken = 0;
+    /** The owner's name in the group, which identifies its process. */
+    std::string member;
+};
+
 /** A former owner whose commands may still take effect, and for how long. */
 struct UnsettledOwner
 {
@@ -59,8 +67,12 @@
 /** Returns the key of the record of a cancelled job. */
 std::string cancellationKey(const JobId &job);
 
-/** Returns the key of the owner record, in which a new owner announces its fencing token. */
-std::string ownerKey();
+/** Returns the key of the newest owner's record, in which it announces its fencing token. */
+std::string newestOwnerKey();
+
+/** Returns the key of the record of one owner, which stays until no command of it can take effect
+    any more. */
+std::string ownerKey(std::uint64_t fencingToken);
 
 /** Returns the key of an owner's resignation record. */
 std::string resignationKey(std::uint64_t fencingToken);
@@ -78,6 +90,8 @@
 {
     KeyKind kind = KeyKind::Unknown;
     JobId job;
+    /** Of the record of one owner or of one resignation; 0 otherwise. */
+    std::uint64_t fencingToken = 0;
 };
 
 /** Returns the kind of a key, Unknown where it matches none, and the job that it names, if any. */
@@ -86,14 +100,14 @@
 std::string encode(const StepJob &job);
 std::string encode(const JobProgress &progress);
 std::string encodeRoster(const std::vector<TargetId> &workers);
-std::string encodeOwner(std::uint64_t fencingToken, std::string_view member);
+std::string encode(const OwnerRecord &owner);
 std::string encodeResignation(const Resignation &resignation);
 
 /** @throws Error naming the field when the record is malformed */
 StepJob decodeJob(std::string_view value);
 JobProgress decodeProgress(std::string_view key, std::string_view value);
 std::vector<TargetId> decodeRoster(std::string_view value);
-std::uint64_t decodeOwner(std::string_view value);
+OwnerRecord decodeOwner(std::string_view value);
 Resignation decodeResignation(std::string_view value);
 
 } // namespace records
--- a/modules/bulrush_steps/model/StepJobTable.cpp
+++ b/modules/bulrush_steps/model/StepJobTable.cpp
@@ -90,12 +90,13 @@
 {
     const records::ParsedKey key = records::parseKey(record.key);
     if (key.kind == records::KeyKind::Owner) {
-        const std::uint64_t owner = records::decodeOwner(record.value);
-        this->ownerToken = std::max(this->ownerToken, owner);
-        this->ownerTokens.insert(owner);
+        this->applyOwnerRecord(record, key.fencingToken, clock);
         return std::nullopt;
     }
     if (record.value.empty()) {
+        if (key.kind == records::KeyKind::Resignation) {
+            this->ownerResignations.erase(key.fencingToken);
+        }
         return std::nullopt;
     }
     if (key.kind == records::KeyKind::Resignation) {
@@ -129,6 +130,19 @@
     return key.job;
 }
 
+void StepJobTable::applyOwnerRecord(const KeyedRecord &record, std::uint64_t fencingToken,
+                                    const Clock &clock)
+{
+    if (record.value.empty()) {
+        this->knownOwners.erase(fencingToken);
+        return;
+    }
+    OwnerRecord owner = records::decodeOwner(record.value);
+    this->ownerToken = std::max(this->ownerToken, owner.fencingToken);
+    this->knownOwners.try_emplace(owner.fencingToken,
+                                  KnownOwner { std::move(owner.member), clock.now() });
+}
+
 void StepJobTable::applyProgress(const KeyedRecord &record)
 {
     const records::ParsedKey key = records::parseKey(record.key);
@@ -166,12 +180,6 @@
     job->endStored = progress.succeeded || progress.failed;
 }
 
-std::uint64_t StepJobTable::previousOwnerToken(std::uint64_t token) const
-{
-    const auto next = this->ownerTokens.lower_bound(token);
-    return next == this->ownerTokens.begin() ? 0 : *std::prev(next);
-}
-
 JobEntry *StepJobTable::find(const JobId &job)
 {
     const auto found = this->jobs.find(job);
--- a/modules/bulrush_steps/model/StepJobTable.h
+++ b/modules/bulrush_steps/model/StepJobTable.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -105,6 +104,15 @@
     Duration startWait() const;
 };
 
+/** An owner on record. */
+struct KnownOwner
+{
+    /** Its name in the group. */
+    std::string member;
+    /** When this process first read its record. */
+    Instant seenAt {};
+};
+
 /** The state of all jobs in the log. Applying records is idempotent. */
 class StepJobTable
 {
@@ -129,8 +137,8 @@
     /** Returns the highest fencing token that an owner has recorded. */
     std::uint64_t newestOwnerToken() const { return this->ownerToken; }
 
-    /** Returns the highest recorded fencing token below a given one; 0 when there is none. */
-    std::uint64_t previousOwnerToken(std::uint64_t token) const;
+    /** Returns the owners on record, by fencing token. */
+    const std::map<std::uint64_t, KnownOwner> &owners() const { return this->knownOwners; }
 
     /** Returns the resignations of owners, by fencing token. */
     const std::map<std::uint64_t, Resignation> &resignations() const
@@ -153,6 +161,8 @@
 
 private:
     JobEntry &addJob(StepJob job);
+    void applyOwnerRecord(const KeyedRecord &record, std::uint64_t fencingToken,
+                          const Clock &clock);
 
     std::unordered_map<JobId, JobEntry> jobs;
     /** Progress and cancellations that were read before the record of their job. */
@@ -160,7 +170,7 @@
     std::unordered_set<JobId> pendingCancellations;
     std::vector<TargetId> rosterEntries;
     std::uint64_t ownerToken = 0;
-    std::set<std::uint64_t> ownerTokens;
+    std::map<std::uint64_t, KnownOwner> knownOwners;
     std::map<std::uint64_t, Resignation> ownerResignations;
 };
 
--- a/modules/bulrush_steps/ownership/FormerOwners.cpp
+++ b/modules/bulrush_steps/ownership/FormerOwners.cpp
@@ -4,32 +4,65 @@
 
 namespace bulrush {
 
-void FormerOwners::begin(std::uint64_t fencingToken, Instant settledAt)
+void FormerOwners::begin(const std::map<std::uint64_t, KnownOwner> &owners, std::uint64_t token,
+                         Instant settledAt, milliseconds waitTime)
 {
-    this->waits = { { fencingToken, settledAt } };
-    this->resignedOwners.clear();
+    this->waits.clear();
+    const auto end = owners.lower_bound(token);
+    for (auto at = owners.begin(); at != end; ++at) {
+        Wait wait { at->second.member, settledAt };
+        const auto successor = std::next(at);
+        if (successor != end) {
+            wait.until = std::min(settledAt, successor->second.seenAt + waitTime);
+        }
+        this->waits.emplace(at->first, std::move(wait));
+    }
+    if (this->waits.empty()) {
+        this->waits[0].until = settledAt;
+    }
 }
 
 void FormerOwners::resigned(const Resignation &resignation, Instant now, milliseconds settleTime)
 {
     const auto found = this->waits.find(resignation.fencingToken);
-    if (found == this->waits.end()
-        || !this->resignedOwners.insert(resignation.fencingToken).second) {
+    if (found == this->waits.end() || found->second.accounted) {
         return;
     }
-    const Instant limit = found->second;
-    found->second = std::min(limit, now + settleTime);
+    const Instant limit = found->second.until;
+    found->second.until = std::min(limit, now + settleTime);
+    found->second.accounted = true;
+    std::map<std::uint64_t, milliseconds> left;
     for (const UnsettledOwner &former : resignation.unsettled) {
-        Instant &wait = this->waits[former.fencingToken];
-        wait = std::max(wait, std::min(limit, now + former.left));
+        left[former.fencingToken] = former.left;
+        this->waits.try_emplace(former.fencingToken, Wait { {}, limit });
+    }
+    // An earlier version states one time for all.
+    const milliseconds leftOfOthers = left.contains(0) ? left[0] : milliseconds(0);
+    for (auto at = this->waits.begin(); at != found; ++at) {
+        const auto stated = left.find(at->first);
+        const milliseconds remaining = stated == left.end() ? leftOfOthers : stated->second;
+        at->second.until = std::min(at->second.until, now + remaining);
+    }
+}
+
+Resignation FormerOwners::ended(std::uint64_t fencingToken, Instant now, milliseconds settleTime)
+{
+    Resignation resignation;
+    resignation.fencingToken = fencingToken;
+    for (const UnsettledOwner &former : this->unsettled(now)) {
+        if (former.fencingToken < fencingToken) {
+            resignation.unsettled.push_back(former);
+        }
     }
+    this->resigned(resignation, now, settleTime);
+    return resignation;
 }
 
 Instant FormerOwners::settledAt() const
 {
     Instant latest {};
     for (const auto &[token, wait] : this->waits) {
-        latest = std::max(latest, wait);
+        latest = std::max(latest, wait.until);
     }
     return latest;
 }
@@ -38,8 +71,19 @@
 {
     std::vector<UnsettledOwner> owners;
     for (const auto &[token, wait] : this->waits) {
-        if (wait > now) {
-            owners.push_back({ token, std::chrono::ceil<milliseconds>(wait - now) });
+        if (wait.until > now) {
+            owners.push_back({ token, std::chrono::ceil<milliseconds>(wait.until - now) });
+        }
+    }
+    return owners;
+}
+
+std::vector<OwnerRecord> FormerOwners::unaccounted(Instant now) const
+{
+    std::vector<OwnerRecord> owners;
+    for (const auto &[token, wait] : this->waits) {
+        if (wait.until > now && !wait.accounted && !wait.member.empty()) {
+            owners.push_back({ token, wait.member });
         }
     }
     return owners;
--- a/modules/bulrush_steps/ownership/FormerOwners.h
+++ b/modules/bulrush_steps/ownership/FormerOwners.h
@@ -2,10 +2,10 @@
 
 #include "bulrush_core/time/Clock.h"
 #include "bulrush_steps/model/JobRecords.h"
+#include "bulrush_steps/model/StepJobTable.h"
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <vector>
 
 namespace bulrush {
@@ -13,34 +13,49 @@
 /**
     Determines until when commands of former owners may still take effect.
 
-    An owner first waits for its direct predecessor. The resignation of an owner that is waited for
-    shortens the wait for it, and replaces it by shorter waits for the owners that it was itself
-    waiting for. Those may resign later, for example one that was cut off from the store and has
-    only now learned of its successors.
+    Each former owner on record is waited for. The wait is shortened by its resignation, by proof
+    that its process has ended, and by the resignation of a later owner, which states what that
+    owner still waited for.
 */
 class FormerOwners
 {
 public:
-    /** Starts to wait for one owner and all that came before it.
-        @param fencingToken the owner's; 0 when it is unknown
-        @param settledAt    when none of their commands can take effect any more */
-    void begin(std::uint64_t fencingToken, Instant settledAt);
+    /** Starts to wait.
+        @param owners    the owners on record, of which those with lower tokens are former ones
+        @param token     the fencing token of the present owner
+        @param settledAt when none of their commands can take effect any more
+        @param waitTime  how long commands of an owner may take effect after its successor began */
+    void begin(const std::map<std::uint64_t, KnownOwner> &owners, std::uint64_t token,
+               Instant settledAt, milliseconds waitTime);
 
     /** Takes a resignation into account. Ignored unless its owner is waited for.
         @param settleTime how long commands of an owner may take effect after its resignation */
     void resigned(const Resignation &resignation, Instant now, milliseconds settleTime);
 
+    /** Takes into account that an owner's process has ended or sends no more commands.
+        @returns the resignation that this amounts to */
+    Resignation ended(std::uint64_t fencingToken, Instant now, milliseconds settleTime);
+
     /** Returns when no command of any former owner can take effect any more. */
     Instant settledAt() const;
 
     /** Returns the owners that are waited for, with the remaining times. */
     std::vector<UnsettledOwner> unsettled(Instant now) const;
 
+    /** Returns the owners that are waited for and that neither resigned nor ended. */
+    std::vector<OwnerRecord> unaccounted(Instant now) const;
+
 private:
-    /** The owners that are waited for, with the end of the wait, by fencing token. */
-    std::map<std::uint64_t, Instant> waits;
-    /** The owners whose resignations were taken into account. */
-    std::set<std::uint64_t> resignedOwners;
+    struct Wait
+    {
+        std::string member;
+        Instant until {};
+        /** Whether the owner resigned or its process ended. */
+        bool accounted = false;
+    };
+
+    /** The owners that are waited for, by fencing token; token 0 stands for an unknown owner. */
+    std::map<std::uint64_t, Wait> waits;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/ownership/OwnershipManager.cpp
+++ b/modules/bulrush_steps/ownership/OwnershipManager.cpp
@@ -173,6 +173,17 @@
     }
 }
 
+bool OwnershipManager::endBefore(std::uint64_t askedToken, std::uint64_t newerToken)
+{
+    if (this->owner && this->token < newerToken) {
+        this->loseOwnership("a newer owner asks");
+    }
+    if (newerToken > 0) {
+        this->supersededGeneration = std::max(this->supersededGeneration, newerToken - 1);
+    }
+    return !this->owner || this->token != askedToken;
+}
+
 void OwnershipManager::loseOwnership(std::string_view reason)
 {
     this->owner = false;
--- a/modules/bulrush_steps/ownership/OwnershipManager.h
+++ b/modules/bulrush_steps/ownership/OwnershipManager.h
@@ -82,6 +82,13 @@
         @param by where this was found */
     void superseded(std::string_view by);
 
+    /** Ends the ownership if its fencing token is lower than that of another owner, and accepts
+       none with a lower one later.
+        @returns whether this node sends no more commands with the asked token */
+    bool endBefore(std::uint64_t askedToken, std::uint64_t newerToken);
+
+    const std::string &memberName() const { return this->name; }
+
     /** Leaves the group permanently. An owner continues to send commands until its successor takes
         over or the ownership expires. */
     void leave();
--- a/modules/bulrush_steps/ownership/Takeover.cpp
+++ b/modules/bulrush_steps/ownership/Takeover.cpp
@@ -82,7 +82,7 @@
     }
     if (!this->ownerRecordDone) {
         ++this->pendingCalls;
-        this->appendOwnerRecord();
+        this->appendOwnerRecords();
     }
 }
 
@@ -116,11 +116,12 @@
                      });
 }
 
-void Takeover::appendOwnerRecord()
+void Takeover::appendOwnerRecords()
 {
-    const KeyedRecord ownerRecord { records::ownerKey(),
-                                    records::encodeOwner(this->token, this->member), 0 };
-    this->log.append(LogStream::Jobs, { ownerRecord }, std::nullopt, callTimeout,
+    const std::string value = records::encode(OwnerRecord { this->token, this->member });
+    const std::vector<KeyedRecord> ownerRecords { { records::ownerKey(this->token), value, 0 },
+                                                  { records::newestOwnerKey(), value, 0 } };
+    this->log.append(LogStream::Jobs, ownerRecords, std::nullopt, callTimeout,
                      [this, isAlive = this->alive](const AppendAnswer &result) {
                          if (!*isAlive) {
                              return;
--- a/modules/bulrush_steps/ownership/Takeover.h
+++ b/modules/bulrush_steps/ownership/Takeover.h
@@ -39,7 +39,7 @@
     enum class Step : std::uint8_t { Idle, Announce, Read };
 
     void fencePreviousOwner();
-    void appendOwnerRecord();
+    void appendOwnerRecords();
     void readRecords();
     void announce();
     void handleAnnounceAnswer();
--- a/modules/bulrush_steps/tests/DispatcherFixture.h
+++ b/modules/bulrush_steps/tests/DispatcherFixture.h
@@ -65,6 +65,10 @@
         this->ownershipLost = true;
         this->dispatcher.end();
     }
+    void recordsObsolete(const std::vector<KeyedRecord> &removals) override
+    {
+        this->obsoleteRecords = removals;
+    }
     bool isOwner() const override { return this->owner; }
     bool isSoleOwner() const override { return this->owner && this->soleOwner; }
 
@@ -117,6 +121,7 @@
     bool owner = true;
     bool soleOwner = true;
     bool ownershipLost = false;
+    std::vector<KeyedRecord> obsoleteRecords;
     Dispatcher dispatcher;
 };
 
--- a/modules/bulrush_steps/tests/former_owners_test.cpp
+++ b/modules/bulrush_steps/tests/former_owners_test.cpp
@@ -13,7 +13,7 @@
 FormerOwners waitingFor(std::uint64_t token)
 {
     FormerOwners owners;
-    owners.begin(token, start + fullWait);
+    owners.begin({ { token, KnownOwner { "m", start } } }, token + 1, start + fullWait, fullWait);
     return owners;
 }
 
@@ -80,3 +80,40 @@
     cr_assert(records::parseKey(records::newestResignationKey()).kind
               == records::KeyKind::Resignation);
 }
+
+Test(FormerOwners, withoutAnOwnerOnRecordAnUnknownOneIsWaitedForInFull)
+{
+    FormerOwners owners;
+    owners.begin({}, 3, start + fullWait, fullWait);
+    cr_assert(owners.settledAt() == start + fullWait);
+    cr_assert(owners.unaccounted(start).empty());
+}
+
+/* Owner 2 is killed while it still waits for owner 1, whose machine never answers again. */
+Test(FormerOwners, anOwnerIsWaitedForSinceItsSuccessorWasSeen)
+{
+    FormerOwners owners;
+    const std::map<std::uint64_t, KnownOwner> known {
+        { 1, { "m1", start - seconds(20) } },
+        { 2, { "m2", start - seconds(6) } },
+        { 3, { "m3", start } },
+    };
+    owners.begin(known, 3, start + fullWait, fullWait);
+    const Resignation ended = owners.ended(2, start, settleTime);
+    cr_assert(owners.settledAt() == start + fullWait - seconds(6));
+    const std::vector<UnsettledOwner> left { { 1, fullWait - seconds(6) } };
+    cr_assert(ended.unsettled == left);
+    cr_assert_eq(owners.unaccounted(start).size(), 1U);
+    cr_assert_eq(owners.unaccounted(start).front().fencingToken, 1U);
+}
+
+/* Owner 2 saw that owner 1 had settled, and says so by not naming it. */
+Test(FormerOwners, aResignationSettlesTheEarlierOwnersThatItDoesNotName)
+{
+    FormerOwners owners;
+    const std::map<std::uint64_t, KnownOwner> known { { 1, { "m1", start } },
+                                                      { 2, { "m2", start } } };
+    owners.begin(known, 3, start + fullWait, fullWait);
+    owners.resigned({ 2, {} }, start, settleTime);
+    cr_assert(owners.settledAt() == start + settleTime);
+}
--- a/modules/bulrush_steps/tests/owner_change_test.cpp
+++ b/modules/bulrush_steps/tests/owner_change_test.cpp
@@ -59,8 +59,9 @@
     StepJobTable table =
             makeJobTable(makeJob("a", 1), { TargetId("w1"), TargetId("w2") }, fixture.clock);
     for (const std::uint64_t owner : { 2U, 3U }) {
-        table.applyJobRecord({ records::ownerKey(), records::encodeOwner(owner, "m"), 1 },
-                             fixture.clock);
+        table.applyJobRecord(
+                { records::ownerKey(owner), records::encode(OwnerRecord { owner, "m" }), 1 },
+                fixture.clock);
     }
     fixture.begin(std::move(table));
     fixture.listWorker("w1");
@@ -103,8 +104,9 @@
     StepJobTable table =
             makeJobTable(makeJob("a", 1), { TargetId("w1"), TargetId("w2") }, fixture.clock);
     for (const std::uint64_t owner : { 1U, 2U, 3U }) {
-        table.applyJobRecord({ records::ownerKey(), records::encodeOwner(owner, "m"), 1 },
-                             fixture.clock);
+        table.applyJobRecord(
+                { records::ownerKey(owner), records::encode(OwnerRecord { owner, "m" }), 1 },
+                fixture.clock);
     }
     const milliseconds left = formerOrdersLifetime - seconds(1);
     table.applyJobRecord(
@@ -122,6 +124,30 @@
     cr_assert_eq(fixture.workers.starts.size(), 1U);
 }
 
+/* The former owner's process was killed, so it wrote no resignation; its next process says so. */
+Test(Dispatcher, afterTheEndOfAFormerOwnersProcessOnlyItsLastLeasesAreWaitedFor)
+{
+    DispatcherFixture fixture;
+    fixture.worker("w2").silent = true;
+    StepJobTable table =
+            makeJobTable(makeJob("a", 1), { TargetId("w1"), TargetId("w2") }, fixture.clock);
+    table.applyJobRecord({ records::ownerKey(2), records::encode(OwnerRecord { 2, "m#1" }), 1 },
+                         fixture.clock);
+    fixture.begin(std::move(table));
+    fixture.listWorker("w1");
+    fixture.runFor(seconds(1));
+    cr_assert_eq(fixture.dispatcher.unaccountedOwners().size(), 1U);
+    fixture.dispatcher.formerOwnerEnded(2);
+    cr_assert(fixture.dispatcher.unaccountedOwners().empty());
+    fixture.runFor(OwnershipTerm().resignedOwnerSettleTime - milliseconds(100));
+    cr_assert(fixture.workers.starts.empty(),
+              "a task was started while a lease of the former owner may last");
+    fixture.runFor(milliseconds(300));
+    cr_assert_eq(fixture.workers.starts.size(), 1U);
+    cr_assert_eq(fixture.obsoleteRecords.size(), 1U);
+    cr_assert_eq(fixture.obsoleteRecords.front().key, records::ownerKey(2));
+}
+
 /* Owners restart one after the other. Each resignation must state how long orders of even earlier
    owners may still have an effect, so that the successor waits for the rest of that time. */
 Test(Dispatcher, aResignationHoldsTheRemainingUnsettledTime)
--- a/modules/bulrush_steps/tests/ownership_test.cpp
+++ b/modules/bulrush_steps/tests/ownership_test.cpp
@@ -172,6 +172,24 @@
     cr_assert_eq(fixture.manager.fencingToken(), 6U);
 }
 
+/* The node was cut off from the store, and a late answer of the store confirms its ownership again
+   after it has said that it ended. */
+Test(OwnershipManager, anOwnerThatSaidItHasEndedIsNotOwnerAgainWithThatToken)
+{
+    OwnershipFixture fixture;
+    fixture.runFor(seconds(2));
+    cr_assert_not(fixture.manager.endBefore(5, 4), "an earlier owner must not end a later one");
+    cr_assert(fixture.manager.isOwner());
+    cr_assert(fixture.manager.endBefore(5, 8));
+    cr_assert_eq(fixture.losses, 1);
+    fixture.group.generation = 7;
+    fixture.runFor(seconds(2));
+    cr_assert_not(fixture.manager.isOwner());
+    fixture.group.generation = 9;
+    fixture.runFor(seconds(1));
+    cr_assert(fixture.manager.isOwner());
+}
+
 /* Nodes restart one after the other. If the old owner ended at once, no node would send orders
    while its successor reads the records. */
 Test(OwnershipManager, aStoppingOwnerLeavesTheGroupAndRemainsOwnerUntilItIsSuperseded)
--- a/modules/bulrush_steps/tests/worker_departure_test.cpp
+++ b/modules/bulrush_steps/tests/worker_departure_test.cpp
@@ -53,7 +53,8 @@
     void takeOver()
     {
         ++this->token;
-        const KeyedRecord record { records::ownerKey(), records::encodeOwner(this->token, "m"), 0 };
+        const KeyedRecord record { records::ownerKey(this->token),
+                                   records::encode(OwnerRecord { this->token, "m" }), 0 };
         this->log.append(LogStream::Jobs, { record }, std::nullopt, {},
                          [](const AppendAnswer &) {});
         RecordsView view(this->clock, this->log, this->decisions);
