Learn from the list of VMs which silent workers have ended

Cause: silence was the only thing known of a worker, and a worker that is cut off is as silent as one that has ended. The platform's list of VMs tells them apart (trials on a scratch copy, seven kinds of loss): a crashed worker's row is gone, or without an id, or with another id within 0.25 s; one that is cut off is shown with its id all the while. Ruled out as proof: a refused connection (cuts refuse, too), the list of workers (a cut worker lapses there as well).

Change: while a worker does not answer and may run tasks, the owner reads the list, at most a quarter of the accepted calls, seldom while it shows all of them. Two readings in a row without the worker, both sent after it had fallen silent, end its runs, and a new owner no longer waits for it. A list that cannot be read, or a malformed page, proves nothing.

--- a/bench/dispatch/main.cpp
+++ b/bench/dispatch/main.cpp
@@ -120,8 +120,8 @@
 Bench::Bench(std::uint32_t count)
     : workerCount(count)
     , workers(this->clock, [this](const AttemptRef &attempt) { return this->runTime(attempt); })
-    , dispatcher(this->clock, this->workers, this->log, DispatchSettings(), this->decisions,
-                 this->owner)
+    , dispatcher(this->clock, this->workers, nullptr, this->log, DispatchSettings(),
+                 this->decisions, this->owner)
 {
     this->dispatcher.begin({ 1, {} }, StepJobTable());
     for (std::uint32_t number = 0; number < count; ++number) {
--- a/modules/bulrush_core/events/EventCatalogue.cpp
+++ b/modules/bulrush_core/events/EventCatalogue.cpp
@@ -52,6 +52,7 @@
     EventInfo { Event::WorkerResponding, Severity::Info, "worker answers" },
     EventInfo { Event::WorkerSetAside, Severity::Warning, "worker set aside" },
     EventInfo { Event::WorkerRestarted, Severity::Warning, "worker reborn" },
+    EventInfo { Event::WorkerEnded, Severity::Warning, "worker ended" },
     EventInfo { Event::OwnershipGained, Severity::Info, "ownership gained" },
     EventInfo { Event::OwnershipLost, Severity::Warning, "ownership lost" },
     EventInfo { Event::OwnerReady, Severity::Info, "owner ready" },
--- a/modules/bulrush_core/events/EventCatalogue.h
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -55,6 +55,7 @@
     WorkerResponding = 1624,
     WorkerSetAside = 1626,
     WorkerRestarted = 1627,
+    WorkerEnded = 1628,
     OwnershipGained = 1631,
     OwnershipLost = 1632,
     OwnerReady = 1633,
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -88,7 +88,8 @@
     , view(systemClock, this->store, decisionLog)
     , workers(systemClock, this->store, entryPorts.decoder, entrySettings.workerHeartbeat,
               decisionLog, *this)
-    , dispatcher(systemClock, this->orders, this->store, entrySettings.dispatch, decisionLog, *this)
+    , dispatcher(systemClock, this->orders, entryPorts.processes, this->store,
+                 entrySettings.dispatch, decisionLog, *this)
     , ownership(systemClock, this->store,
                 memberName(entrySettings.peers,
                            static_cast<std::uint64_t>(systemClock.calendarMillis())),
--- a/modules/bulrush_entry/node/EntryPorts.h
+++ b/modules/bulrush_entry/node/EntryPorts.h
@@ -6,6 +6,7 @@
 #include "bulrush_steps/ports/MemberGroup.h"
 #include "bulrush_steps/ports/RecordDecoder.h"
 #include "bulrush_steps/ports/WorkerCommands.h"
+#include "bulrush_steps/ports/WorkerProcessList.h"
 
 namespace bulrush {
 
@@ -15,6 +16,8 @@
     KeyedLog &log;
     MemberGroup &group;
     WorkerCommands &workers;
+    /** Null when the platform offers no list of VMs. */
+    WorkerProcessList *processes;
     const RecordDecoder &decoder;
     const CallerProtocol &callers;
 };
--- a/modules/bulrush_entry/settings/EntrySettings.h
+++ b/modules/bulrush_entry/settings/EntrySettings.h
@@ -27,6 +27,8 @@
     Endpoint store;
     /** Endpoint of the service that decides which workers may run a step, if there is one. */
     std::optional<Endpoint> advice;
+    /** Endpoint of the platform's list of VMs, if there is one. */
+    std::optional<Endpoint> vmList;
     /** Time that a stop may take before the process is killed. */
     milliseconds gracePeriod { 6000 };
     /** Time without a disturbance after which a machine counts as undisturbed. */
--- a/modules/bulrush_steps/dispatch/DispatchSettings.h
+++ b/modules/bulrush_steps/dispatch/DispatchSettings.h
@@ -31,6 +31,10 @@
     /** Same as holdWait, for workers that run both serving and filling tasks. */
     milliseconds holdWaitBesideFills { 400 };
 
+    /** How many calls a second the platform's list of VMs accepts from all nodes together; 0 when
+        it is not known. */
+    double vmListCallsPerSecond = 0.0;
+
     /** Returns the lease duration to request: two thirds of the maximum. */
     milliseconds lease() const { return this->maxLease * 2 / 3; }
 
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -18,14 +18,15 @@
 
 } // namespace
 
-Dispatcher::Dispatcher(const Clock &systemClock, WorkerCommands &port, KeyedLog &log,
-                       const DispatchSettings &dispatchSettings, DecisionLog &decisionLog,
-                       Listener &ownershipListener)
+Dispatcher::Dispatcher(const Clock &systemClock, WorkerCommands &port, WorkerProcessList *processes,
+                       KeyedLog &log, const DispatchSettings &dispatchSettings,
+                       DecisionLog &decisionLog, Listener &ownershipListener)
     : clock(systemClock)
     , settings(dispatchSettings)
     , decisions(decisionLog)
     , listener(ownershipListener)
     , workerManager(systemClock, port, dispatchSettings, decisionLog, *this)
+    , endedWorkers(systemClock, processes, dispatchSettings.vmListCallsPerSecond, *this)
     , writer(systemClock, log, *this)
     , planner(systemClock, this->jobTable, this->workerManager, this->durations,
               this->fillControl.pressures(), *this)
@@ -62,6 +63,7 @@
 {
     this->isActive = false;
     this->workerManager.end();
+    this->endedWorkers.clear();
     this->writer.end();
     this->planner.clear();
     this->unstarted.clear();
@@ -167,6 +169,7 @@
         return;
     }
     this->workerManager.tick();
+    this->findEndedWorkers();
     this->updateRoster();
     this->reportFormerOwners(now);
     if (!this->mayCommand()) {
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -7,6 +7,7 @@
 #include "bulrush_steps/model/StepJobTable.h"
 #include "bulrush_steps/ownership/FormerOwners.h"
 #include "bulrush_steps/policy/FillController.h"
+#include "bulrush_steps/workers/EndedWorkerFinder.h"
 #include "bulrush_steps/workers/WorkerManager.h"
 #include "bulrush_steps/workers/WorkerRoster.h"
 
@@ -48,7 +49,8 @@
 */
 class Dispatcher : private WorkerManager::Listener,
                    private ProgressWriter::Listener,
-                   private Planner::Listener
+                   private Planner::Listener,
+                   private EndedWorkerFinder::Listener
 {
 public:
     /** Provides the state of the ownership, and receives events of the ownership and of jobs. */
@@ -77,8 +79,10 @@
         virtual void jobEnded(JobState /*state*/, Duration /*took*/) { }
     };
 
-    Dispatcher(const Clock &clock, WorkerCommands &port, KeyedLog &log,
-               const DispatchSettings &settings, DecisionLog &decisions, Listener &listener);
+    /** @param processes null when the platform offers no list of VMs */
+    Dispatcher(const Clock &clock, WorkerCommands &port, WorkerProcessList *processes,
+               KeyedLog &log, const DispatchSettings &settings, DecisionLog &decisions,
+               Listener &listener);
 
     /** Starts dispatching with the state read from the log. The store must already have accepted
         the term's fencing token as the epoch of the progress stream. */
@@ -138,6 +142,9 @@
     bool mayCommand() const override;
     bool isSoleOwner() const override { return this->listener.isSoleOwner(); }
 
+    // EndedWorkerFinder::Listener
+    void workerEnded(const TargetId &worker) override;
+
     // ProgressWriter::Listener
     std::string progressRecord(const JobId &job) override;
     std::string rosterRecord() override { return this->roster.recordToSend(); }
@@ -172,6 +179,7 @@
     /** Logs what this owner waits for, and once when it no longer waits. */
     void reportFormerOwners(Instant now);
     void removeRecordsOfFormerOwners();
+    void findEndedWorkers();
     void updateRoster();
     void controlFills(Instant now);
     void moveUnhealthyRuns(Instant now);
@@ -198,6 +206,7 @@
     DecisionLog &decisions;
     Listener &listener;
     WorkerManager workerManager;
+    EndedWorkerFinder endedWorkers;
     ProgressWriter writer;
     StepJobTable jobTable;
     OwnershipTerm term;
--- a/modules/bulrush_steps/dispatch/DispatcherOwners.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherOwners.cpp
@@ -1,4 +1,4 @@
-// The part of Dispatcher that waits until commands of former owners can no longer take effect.
+// The part of Dispatcher that finds out what is left of former owners and of silent workers.
 
 #include "bulrush_steps/dispatch/Dispatcher.h"
 
@@ -67,6 +67,24 @@
                                     this->term.resignedOwnerSettleTime);
 }
 
+void Dispatcher::findEndedWorkers()
+{
+    std::set<TargetId> silent = this->unsettledWorkers;
+    for (const TargetId &id : this->workerManager.silentWorkers()) {
+        const Worker *worker = this->workerManager.find(id);
+        if (worker != nullptr && !worker->runs.empty()) {
+            silent.insert(id);
+        }
+    }
+    this->endedWorkers.tick(silent);
+}
+
+void Dispatcher::workerEnded(const TargetId &worker)
+{
+    this->decisions.write(DecisionLine(Event::WorkerEnded).with("worker", worker.name()));
+    this->workerManager.workerEnded(worker);
+}
+
 void Dispatcher::removeRecordsOfFormerOwners()
 {
     std::vector<KeyedRecord> removals;
--- a/modules/bulrush_steps/tests/DispatcherFixture.h
+++ b/modules/bulrush_steps/tests/DispatcherFixture.h
@@ -56,7 +56,7 @@
 public:
     DispatcherFixture()
         : workers(clock)
-        , dispatcher(clock, workers, log, DispatchSettings(), decisions, *this)
+        , dispatcher(clock, workers, &processes, log, settings(), decisions, *this)
     {
     }
 
@@ -99,6 +99,7 @@
             this->clock.advance(tickInterval);
             this->dispatcher.tick();
             this->workers.deliver();
+            this->processes.deliver();
             this->log.deliver();
         }
     }
@@ -114,9 +115,17 @@
                                                       }));
     }
 
+    static DispatchSettings settings()
+    {
+        DispatchSettings settings;
+        settings.vmListCallsPerSecond = 60.0;
+        return settings;
+    }
+
     ManualClock clock;
     NullDecisionLog decisions;
     FakeWorkers workers;
+    FakeProcesses processes;
     FakeLog log;
     bool owner = true;
     bool soleOwner = true;
--- a/modules/bulrush_steps/tests/FakeWorkers.h
+++ b/modules/bulrush_steps/tests/FakeWorkers.h
@@ -204,6 +204,31 @@
     std::deque<std::function<void()>> pending;
 };
 
+/** A list of the workers whose processes run. Callbacks are called by deliver(). */
+class FakeProcesses : public WorkerProcessList
+{
+public:
+    void read(Duration /*timeout*/, Callback callback) override
+    {
+        ++this->reads;
+        this->pending.push_back(std::move(callback));
+    }
+
+    void deliver()
+    {
+        for (const Callback &callback : std::exchange(this->pending, {})) {
+            callback(this->list);
+        }
+    }
+
+    /** Nullopt while the list cannot be read. */
+    std::optional<WorkerProcesses> list;
+    int reads = 0;
+
+private:
+    std::vector<Callback> pending;
+};
+
 /** A log in memory. Calls succeed while it is up; callbacks are called by deliver(). */
 class FakeLog : public KeyedLog
 {
--- /dev/null
+++ b/modules/bulrush_steps/tests/ended_worker_test.cpp
@@ -0,0 +1,99 @@
+#include "DispatcherFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace bulrush;
+using namespace bulrush::test;
+
+namespace {
+
+WorkerProcesses running(const std::set<TargetId> &workers)
+{
+    return { workers, 1 };
+}
+
+const TargetId first("w1");
+const TargetId second("w2");
+
+/** Begins as an owner that finds a task on the first worker, which then answers no more. */
+void loseFirstWorker(DispatcherFixture &fixture)
+{
+    fixture.begin({});
+    fixture.processes.list = running({ first, second });
+    fixture.listWorker("w1");
+    fixture.runFor(milliseconds(200));
+    fixture.accept(makeJob("a", 1));
+    fixture.runFor(milliseconds(200));
+    cr_assert_eq(fixture.startsOn("w1"), 1U);
+    fixture.listWorker("w2");
+    fixture.runFor(milliseconds(200));
+    fixture.worker("w1").silent = true;
+}
+
+} // namespace
+
+Test(EndedWorker, tasksOfAWorkerWhoseProcessHasEndedDoNotWaitForTheirLease)
+{
+    DispatcherFixture fixture;
+    loseFirstWorker(fixture);
+    fixture.processes.list = running({ second });
+    fixture.runFor(seconds(1));
+    cr_assert_eq(fixture.startsOn("w2"), 1U);
+}
+
+/* The worker is cut off from the nodes and runs on. */
+Test(EndedWorker, tasksOfASilentWorkerWhoseProcessRunsWaitForTheirLease)
+{
+    DispatcherFixture fixture;
+    loseFirstWorker(fixture);
+    fixture.runFor(seconds(3));
+    cr_assert_eq(fixture.startsOn("w2"), 0U);
+    cr_assert_gt(fixture.processes.reads, 0);
+}
+
+/* An entry is missed once, because others were removed while the pages were read. */
+Test(EndedWorker, oneReadingWithoutAWorkerIsNoProof)
+{
+    DispatcherFixture fixture;
+    loseFirstWorker(fixture);
+    const int before = fixture.processes.reads;
+    fixture.processes.list = running({ second });
+    while (fixture.processes.reads < before + 1) {
+        fixture.runFor(milliseconds(10));
+    }
+    fixture.processes.list = running({ first, second });
+    fixture.runFor(seconds(2));
+    cr_assert_eq(fixture.startsOn("w2"), 0U);
+}
+
+Test(EndedWorker, aListThatCannotBeReadProvesNothing)
+{
+    DispatcherFixture fixture;
+    loseFirstWorker(fixture);
+    fixture.processes.list.reset();
+    fixture.runFor(seconds(3));
+    cr_assert_eq(fixture.startsOn("w2"), 0U);
+}
+
+/* A worker is lost with its owner. Found by the users' test bench: lasting tasks did not run for
+   more than 12 s. */
+Test(EndedWorker, aNewOwnerDoesNotWaitForAWorkerWhoseProcessHasEnded)
+{
+    DispatcherFixture fixture;
+    fixture.worker("w1").silent = true;
+    fixture.processes.list = running({ second });
+    fixture.begin(makeJobTable(makeJob("a", 1), { first, second }, fixture.clock));
+    fixture.listWorker("w2");
+    fixture.runFor(seconds(1));
+    cr_assert_eq(fixture.startsOn("w2"), 1U);
+}
+
+Test(EndedWorker, theListIsNotReadWhileAllWorkersAnswer)
+{
+    DispatcherFixture fixture;
+    fixture.begin(makeJobTable(makeJob("a", 1), { first, second }, fixture.clock));
+    fixture.listWorker("w1");
+    fixture.listWorker("w2");
+    fixture.runFor(seconds(2));
+    cr_assert_eq(fixture.processes.reads, 0);
+}
--- a/modules/bulrush_steps/tests/worker_departure_test.cpp
+++ b/modules/bulrush_steps/tests/worker_departure_test.cpp
@@ -62,8 +62,9 @@
         for (int delivery = 0; delivery < 8; ++delivery) {
             this->log.deliver();
         }
-        this->dispatcher = std::make_unique<Dispatcher>(this->clock, this->workers, this->log,
-                                                        DispatchSettings(), this->decisions, *this);
+        this->dispatcher =
+                std::make_unique<Dispatcher>(this->clock, this->workers, nullptr, this->log,
+                                             DispatchSettings(), this->decisions, *this);
         this->follower = std::make_unique<WorkerFollower>(this->clock, this->log, this->decoder,
                                                           heartbeat, this->decisions, *this);
         OwnershipTerm term;
--- /dev/null
+++ b/modules/bulrush_steps/workers/EndedWorkerFinder.cpp
@@ -0,0 +1,123 @@
+#include "bulrush_steps/workers/EndedWorkerFinder.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace bulrush {
+
+namespace {
+
+/** How long a worker must have been silent before the list is read for it. */
+constexpr milliseconds minSilence { 100 };
+
+/** Limits of the time between two readings. */
+constexpr milliseconds minInterval { 250 };
+constexpr milliseconds maxInterval { 2000 };
+
+/** The share of the calls accepted from all nodes that the readings may use. */
+constexpr double maxShareOfCalls = 0.25;
+
+constexpr milliseconds readTimeout { 800 };
+
+} // namespace
+
+EndedWorkerFinder::EndedWorkerFinder(const Clock &systemClock, WorkerProcessList *processes,
+                                     double acceptedCallsPerSecond, Listener &endListener)
+    : clock(systemClock)
+    , list(processes)
+    , callsPerSecond(acceptedCallsPerSecond)
+    , listener(endListener)
+    , interval(minInterval)
+{
+}
+
+EndedWorkerFinder::~EndedWorkerFinder()
+{
+    *this->alive = false;
+}
+
+void EndedWorkerFinder::clear()
+{
+    *this->alive = false;
+    this->alive = std::make_shared<bool>(true);
+    this->suspects.clear();
+    this->reading = false;
+}
+
+void EndedWorkerFinder::tick(const std::set<TargetId> &silent)
+{
+    if (this->list == nullptr || this->callsPerSecond <= 0.0) {
+        return;
+    }
+    const Instant now = this->clock.now();
+    this->updateSuspects(silent, now);
+    if (!this->reading && now >= this->nextReadAt) {
+        this->readList(now);
+    }
+}
+
+void EndedWorkerFinder::updateSuspects(const std::set<TargetId> &silent, Instant now)
+{
+    std::erase_if(this->suspects,
+                  [&silent](const auto &entry) { return !silent.contains(entry.first); });
+    if (this->suspects.size() == silent.size()) {
+        return;
+    }
+    for (const TargetId &worker : silent) {
+        this->suspects.try_emplace(worker, Suspect { now });
+    }
+    this->interval = minInterval;
+    this->nextReadAt = std::min(this->nextReadAt, now + minInterval);
+}
+
+void EndedWorkerFinder::readList(Instant now)
+{
+    const bool due =
+            std::any_of(this->suspects.begin(), this->suspects.end(), [now](const auto &entry) {
+                return now - entry.second.silentSince >= minSilence;
+            });
+    if (!due) {
+        return;
+    }
+    this->reading = true;
+    this->nextReadAt = now + this->interval;
+    this->list->read(readTimeout,
+                     [this, now, isAlive = this->alive](std::optional<WorkerProcesses> processes) {
+                         if (!*isAlive) {
+                             return;
+                         }
+                         this->reading = false;
+                         if (processes) {
+                             this->handleList(now, *processes);
+                         }
+                     });
+}
+
+void EndedWorkerFinder::handleList(Instant sentAt, const WorkerProcesses &processes)
+{
+    const std::chrono::duration<double> fairInterval(processes.calls
+                                                     / (this->callsPerSecond * maxShareOfCalls));
+    this->nextReadAt =
+            std::max(this->nextReadAt, sentAt + std::chrono::duration_cast<Duration>(fairInterval));
+    std::vector<TargetId> ended;
+    bool anyMissing = false;
+    for (auto &[worker, suspect] : this->suspects) {
+        if (suspect.silentSince > sentAt) {
+            continue;
+        }
+        const bool missing = !processes.running.contains(worker);
+        if (missing && suspect.missing) {
+            ended.push_back(worker);
+        }
+        suspect.missing = missing;
+        anyMissing = anyMissing || missing;
+    }
+    this->interval = anyMissing ? Duration(minInterval)
+                                : std::min<Duration>(this->interval * 2, maxInterval);
+    for (const TargetId &worker : ended) {
+        this->suspects.erase(worker);
+        this->listener.workerEnded(worker);
+    }
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/workers/EndedWorkerFinder.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "bulrush_steps/ports/WorkerProcessList.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace bulrush {
+
+/**
+    Finds out which of the workers that do not answer have ended.
+
+    A worker that is only cut off runs on, so its silence says nothing about its tasks. The list of
+    VMs tells the two apart. A worker has ended when two readings of the list in a row do not show
+    it: pages of one reading may miss an entry while others are removed.
+*/
+class EndedWorkerFinder
+{
+public:
+    /** Receives the workers that have ended. */
+    struct Listener
+    {
+        virtual ~Listener() = default;
+        virtual void workerEnded(const TargetId &worker) = 0;
+    };
+
+    /** @param processes null when the platform offers no list
+        @param callsPerSecond how many calls the platform accepts from all nodes together */
+    EndedWorkerFinder(const Clock &clock, WorkerProcessList *processes, double callsPerSecond,
+                      Listener &listener);
+    ~EndedWorkerFinder();
+
+    EndedWorkerFinder(const EndedWorkerFinder &) = delete;
+    EndedWorkerFinder &operator=(const EndedWorkerFinder &) = delete;
+
+    /** Reads the list if that is due.
+        @param silent the workers that do not answer and may run tasks */
+    void tick(const std::set<TargetId> &silent);
+
+    /** Forgets all workers. An answer that arrives later is ignored. */
+    void clear();
+
+private:
+    /** What is known of a worker that does not answer. */
+    struct Suspect
+    {
+        Instant silentSince {};
+        /** Whether the last reading did not show it. */
+        bool missing = false;
+    };
+
+    void updateSuspects(const std::set<TargetId> &silent, Instant now);
+    void readList(Instant now);
+    void handleList(Instant sentAt, const WorkerProcesses &processes);
+
+    const Clock &clock;
+    WorkerProcessList *const list;
+    const double callsPerSecond;
+    Listener &listener;
+    std::map<TargetId, Suspect> suspects;
+    bool reading = false;
+    Instant nextReadAt {};
+    /** Grows while the readings show all suspects, which are cut off then. */
+    Duration interval {};
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace bulrush
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -61,6 +61,7 @@
     this->workerTable.clear();
     ++this->membershipChanges;
     this->workersToCheck.clear();
+    this->silent.clear();
     this->reported.clear();
     this->nextCheckOfAll = Instant();
     this->reservingStarts.reset();
@@ -148,6 +149,7 @@
     }
     for (const TargetId &id : removed) {
         this->workerTable.erase(id);
+        this->silent.erase(id);
         ++this->membershipChanges;
     }
 }
@@ -264,6 +266,14 @@
     this->listener.workerSettled(worker.entry.worker);
 }
 
+void WorkerManager::workerEnded(const TargetId &id)
+{
+    if (Worker *worker = this->find(id)) {
+        this->dropRuns(*worker, "the worker's process has ended");
+    }
+    this->listener.workerSettled(id);
+}
+
 void WorkerManager::dropRuns(Worker &worker, std::string_view reason)
 {
     for (const auto &[attempt, run] : worker.clearRuns()) {
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -95,6 +95,12 @@
     /** Returns the workers that have reported their runs since the last call. */
     std::set<TargetId> takeReported() { return std::exchange(this->reported, {}); }
 
+    /** Returns the workers that did not answer their last hold request. */
+    const std::set<TargetId> &silentWorkers() const { return this->silent; }
+
+    /** Gives up the runs of a worker whose process has ended. */
+    void workerEnded(const TargetId &worker);
+
     /** Returns a number that changes whenever a worker is added or removed. */
     std::uint64_t membershipVersion() const { return this->membershipChanges; }
 
@@ -158,6 +164,8 @@
     /** The workers that the next tick checks. */
     std::vector<TargetId> workersToCheck;
     Instant nextCheckOfAll {};
+    /** The workers whose last hold request failed. */
+    std::set<TargetId> silent;
     /** The workers that have reported since takeReported() was last called. */
     std::set<TargetId> reported;
     StartWindow reservingStarts;
--- a/modules/bulrush_steps/workers/WorkerManagerReports.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerReports.cpp
@@ -53,6 +53,7 @@
     }
     worker->processStartedAt = answer.processStartedAt;
     worker->failedHolds = 0;
+    this->silent.erase(id);
     worker->clock.recordReading(answer.clock, now);
     worker->reportedAt = now;
     worker->acknowledgedEnds = std::max(worker->acknowledgedEnds, acknowledged);
@@ -81,6 +82,7 @@
                                       .with("runs", static_cast<std::int64_t>(worker.runs.size())));
     }
     worker.confirmed = false;
+    this->silent.insert(worker.entry.worker);
     worker.nextHoldAt = this->clock.now() + holdRetryDelay;
 }
 
