Keep unanswered starts of a worker that has ended until their lease is over

From the review of the departure: a start whose answer is lost may still reach the next process that uses the worker's identifier, which has seen no fence and whose clock begins anew. handleWorkerRestart kept such starts, the new ways to give up runs did not. Also: an entry of another writer tells nothing of when a worker wrote its own; tests for guards that could be removed unnoticed (no announced shutdown, a heartbeat read again after a trim, a departure without an answer).

Before: WorkerDeparture/aStartWithoutAnAnswerIsNotGivenUpWithItsWorker fails with all runs dropped.

--- a/modules/bulrush_steps/follow/WorkerFollower.cpp
+++ b/modules/bulrush_steps/follow/WorkerFollower.cpp
@@ -58,8 +58,7 @@
     // The records in between are not read, so it is not known when an entry was written.
     this->readUpTo.reset();
     this->unseen.clear();
-    for (auto &[worker, writtenAfter] : this->listed) {
-        writtenAfter.reset();
+    for (const auto &[worker, writtenAfter] : this->listed) {
         this->unseen.insert(worker);
     }
 }
@@ -101,6 +100,10 @@
         this->listed.insert_or_assign(worker, this->readUpTo);
         this->listener.workerListed(entry);
     } catch (const Error &error) {
+        // Another writer's record says nothing of when the worker wrote its own.
+        if (const auto entry = this->listed.find(worker); entry != this->listed.end()) {
+            entry->second.reset();
+        }
         if (this->malformedKeys.size() < maxMalformedKeys
             && this->malformedKeys.insert(record.key).second) {
             this->decisions.write(DecisionLine(Event::RecordIgnored)
--- a/modules/bulrush_steps/tests/follow_test.cpp
+++ b/modules/bulrush_steps/tests/follow_test.cpp
@@ -165,6 +165,24 @@
     cr_assert(list.causes.at(TargetId("w1")) == RemovalCause::Unknown);
 }
 
+/* The history is trimmed, so the last heartbeat is read again, long after it was written. */
+Test(WorkerFollower, aRemovalAfterAHeartbeatWasReadAgainIsNotTheWorkersOwn)
+{
+    FakeLog log;
+    write(log, LogStream::Workers, "w1", "ready");
+    WorkerList list(log);
+    list.read();
+    list.read(heartbeat * 3);
+    log.firstRetained = log.streams[LogStream::Workers].size() + 1;
+    write(log, LogStream::Workers, "w2", "ready");
+    write(log, LogStream::Workers, "w2", "ready");
+    list.read(milliseconds(300));
+    log.firstRetained = 0;
+    write(log, LogStream::Workers, "w1", "");
+    list.read(milliseconds(500));
+    cr_assert(list.causes.at(TargetId("w1")) == RemovalCause::Unknown);
+}
+
 /* The newest records do not tell when an entry was written. */
 Test(WorkerFollower, aRemovalAfterTheNewestRecordsWereReadIsNotTheWorkersOwn)
 {
--- a/modules/bulrush_steps/tests/worker_departure_test.cpp
+++ b/modules/bulrush_steps/tests/worker_departure_test.cpp
@@ -97,8 +97,9 @@
         }
     }
 
-    /** Begins as the only owner, and starts a job on w1 before w2 is listed. */
-    void startOnFirstWorker()
+    /** Begins as the only owner, and starts a job on w1 before w2 is listed.
+        @param runTime how long it runs on with both */
+    void startOnFirstWorker(milliseconds runTime = seconds(2))
     {
         this->takeOver();
         this->runFor(seconds(1), { "w1" });
@@ -107,9 +108,9 @@
         const KeyedRecord record { records::jobKey(job.id), records::encode(job), 9 };
         this->log.streams[LogStream::Jobs].push_back(record);
         this->dispatcher->applyJobRecord(record);
-        this->runFor(seconds(1), { "w1" });
+        this->runFor(milliseconds(200), { "w1" });
         cr_assert_eq(this->workers.starts.size(), 1U);
-        this->runFor(seconds(2));
+        this->runFor(runTime);
     }
 
     /** Has w1 drain and leave: it ends what it runs, answers no more and is taken off the list. */
@@ -198,3 +199,39 @@
     owners.runFor(seconds(2), { "w2" });
     cr_assert_eq(owners.startsOnSecondWorker(), 1U);
 }
+
+/* Without an announced shutdown, a withdrawn entry may be a fault of the list. */
+Test(WorkerDeparture, tasksOfAWorkerThatDidNotDrainWaitForTheirLease)
+{
+    Owners owners;
+    owners.startOnFirstWorker();
+    owners.workers.workers[TargetId("w1")].silent = true;
+    owners.runFor(milliseconds(100), { "w2" });
+    owners.write("w1", "");
+    owners.runFor(seconds(2), { "w2" });
+    cr_assert_eq(owners.startsOnSecondWorker(), 0U);
+}
+
+/* The worker is cut off from the new owner, drains, and leaves without having answered it. */
+Test(WorkerDeparture, aNewOwnerDoesNotWaitForAWorkerThatLeavesWithoutAnAnswer)
+{
+    Owners owners;
+    owners.startOnFirstWorker();
+    owners.workers.workers[TargetId("w1")].silent = true;
+    owners.takeOver();
+    owners.runFor(seconds(1));
+    owners.firstWorkerLeaves();
+    owners.runFor(seconds(1), { "w2" });
+    cr_assert_eq(owners.startsOnSecondWorker(), 1U);
+}
+
+/* The start may still be on its way, to the next process that uses the worker's identifier. */
+Test(WorkerDeparture, aStartWithoutAnAnswerIsNotGivenUpWithItsWorker)
+{
+    Owners owners;
+    owners.workers.onStart = [&owners] { owners.workers.workers[TargetId("w1")].silent = true; };
+    owners.startOnFirstWorker(milliseconds(0));
+    owners.firstWorkerLeaves();
+    owners.runFor(milliseconds(400), { "w2" });
+    cr_assert_eq(owners.startsOnSecondWorker(), 0U);
+}
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -254,29 +254,38 @@
     if (!expiredAt || this->clock.now() < *expiredAt) {
         return;
     }
-    this->dropRuns(worker, "lease expired");
+    for (const auto &[attempt, run] : worker.clearRuns()) {
+        this->listener.runLost(worker, run, "lease expired");
+    }
 }
 
 void WorkerManager::handleDeparture(Worker &worker)
 {
-    if (worker.listed || !worker.hasLeft()) {
+    if (!worker.hasLeft()) {
         return;
     }
-    this->dropRuns(worker, "the worker has left");
+    this->dropRunsOfEndedProcess(worker, "the worker has left");
     this->listener.workerSettled(worker.entry.worker);
 }
 
 void WorkerManager::workerEnded(const TargetId &id)
 {
     if (Worker *worker = this->find(id)) {
-        this->dropRuns(*worker, "the worker's process has ended");
+        this->dropRunsOfEndedProcess(*worker, "the worker's process has ended");
     }
     this->listener.workerSettled(id);
 }
 
-void WorkerManager::dropRuns(Worker &worker, std::string_view reason)
+void WorkerManager::dropRunsOfEndedProcess(Worker &worker, std::string_view reason)
 {
-    for (const auto &[attempt, run] : worker.clearRuns()) {
+    std::vector<Run> lost;
+    for (const auto &[attempt, run] : worker.runs) {
+        if (run.phase == RunPhase::Running) {
+            lost.push_back(run);
+        }
+    }
+    for (const Run &run : lost) {
+        worker.removeRun(run.attempt);
         this->listener.runLost(worker, run, reason);
     }
 }
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -146,7 +146,9 @@
     void sendStops(Worker &worker);
     void sendStop(Worker &worker, Run &run);
     void dropExpiredRuns(Worker &worker);
-    void dropRuns(Worker &worker, std::string_view reason);
+    /** Gives up the runs that a worker had before its process ended. Starts without an answer are
+        kept until their lease is over: a later process of the worker may still carry them out. */
+    void dropRunsOfEndedProcess(Worker &worker, std::string_view reason);
     void handleDeparture(Worker &worker);
     std::optional<WorkerMillis> leaseEnd(Worker &worker);
     milliseconds holdWait(const Worker &worker) const;
