--- a/modules/bulrush_cli/tests/entry_test.cpp
+++ b/modules/bulrush_cli/tests/entry_test.cpp
@@ -15,7 +15,7 @@
 public:
     EntryOwner()
         : workers(clock)
-        , dispatcher(clock, workers, log, DispatchSettings(), decisions, *this)
+        , dispatcher(clock, workers, nullptr, log, DispatchSettings(), decisions, *this)
     {
         StepJob job;
         job.id = JobId("0123456789abcdef");
