Wait for former owners that only an earlier version or a killed owner knew of

The question is now a kind of the old one with appended fields; an earlier version answers without "ended", which proves nothing. - An owner of that version leaves no record of its own. The roster, which each owner writes before its first start, now names its writer and the owners that it waited for. A writer that is not known is waited for in full, and what a killed owner waited for is not forgotten. The bound by when a successor was seen is gone: an owner may keep its token through a quick change of members.

Guards: FormerOwners/anUnknownWriterOfTheRosterIsWaitedForInFull, theOwnersThatTheRosterNamesAreWaitedFor, Dispatcher/theRosterOfAWaitingOwnerNamesWhatItWaitsFor, anOwnerThatReadANewerOwnersRecordDoesNotBegin, MemberName/*, FormerOwnerInquiry/anAnswerWithoutAQuestionCountsForNothing.

--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -78,6 +78,8 @@
     : loop(eventLoop)
     , clock(systemClock)
     , settings(entrySettings)
+    , name { entrySettings.peers, static_cast<std::uint64_t>(systemClock.calendarMillis()),
+             entrySettings.node.name() }
     , ports(entryPorts)
     , decisions(decisionLog)
     , health(systemClock, decisionLog)
@@ -90,12 +92,10 @@
               decisionLog, *this)
     , dispatcher(systemClock, this->orders, entryPorts.processes, this->store,
                  entrySettings.dispatch, decisionLog, *this)
-    , ownership(systemClock, this->store,
-                memberName(entrySettings.peers,
-                           static_cast<std::uint64_t>(systemClock.calendarMillis())),
-                entrySettings.ownershipTimes(), decisionLog, *this)
+    , ownership(systemClock, this->store, this->name.text(), entrySettings.ownershipTimes(),
+                decisionLog, *this)
     , takeover(systemClock, this->store, this->view)
-    , owner(eventLoop, systemClock, this->store, this->dispatcher, entrySettings.peers, *this)
+    , owner(eventLoop, systemClock, this->store, this->dispatcher, this->name, *this)
     , requestHandler(systemClock, this->store, entryPorts.decoder, this->owner, this->view,
                      this->health, decisionLog)
     , callers(eventLoop, entrySettings.callers, callerLimits(entryPorts.callers), *this)
@@ -206,7 +206,6 @@
     term.fencingToken = this->ownership.fencingToken();
     term.previousOwnerSettledAt =
             gainedAt + this->settings.ownershipTimes().previousOwnerSettleTime();
-    term.formerOwnerWait = this->settings.ownershipTimes().previousOwnerSettleTime();
     term.resignedOwnerSettleTime = this->settings.ownershipTimes().resignedOwnerSettleTime();
     this->dispatcher.begin(term, this->view.jobTable());
     if (this->config.config()) {
@@ -266,9 +265,11 @@
 bool EntryNode::endsFormerOwnership(std::string_view member, std::uint64_t askedToken,
                                     std::uint64_t askerToken)
 {
-    // Another name is that of an earlier process at this address, which has ended.
-    return member != this->ownership.memberName()
-            || this->ownership.endBefore(askedToken, askerToken);
+    if (member == this->ownership.memberName()) {
+        return this->ownership.yieldTo(askerToken, askedToken);
+    }
+    const std::optional<MemberName> earlier = MemberName::parse(member);
+    return earlier && this->name.replaces(*earlier);
 }
 
 void EntryNode::formerOwnerEnded(std::uint64_t fencingToken)
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -112,6 +112,7 @@
     EventLoop &loop;
     const Clock &clock;
     const EntrySettings settings;
+    const MemberName name;
     EntryPorts ports;
     JsonDecisionLog &decisions;
     EntryMetrics metrics;
--- a/modules/bulrush_entry/owner/FormerOwnerInquiry.cpp
+++ b/modules/bulrush_entry/owner/FormerOwnerInquiry.cpp
@@ -1,9 +1,9 @@
 #include "bulrush_entry/owner/FormerOwnerInquiry.h"
 
 #include "bulrush_core/time/Clock.h"
-#include "bulrush_entry/owner/MemberName.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bulrush {
 
@@ -18,10 +18,10 @@
 } // namespace
 
 FormerOwnerInquiry::FormerOwnerInquiry(const Clock &systemClock, FrameLinks &frameLinks,
-                                       const Endpoint &ownEndpoint, Listener &inquiryListener)
+                                       MemberName ownName, Listener &inquiryListener)
     : clock(systemClock)
     , links(frameLinks)
-    , endpoint(ownEndpoint)
+    , name(std::move(ownName))
     , listener(inquiryListener)
 {
 }
@@ -31,17 +31,18 @@
     this->token = askToken;
     this->closeOthers(owners);
     for (const OwnerRecord &owner : owners) {
-        const std::optional<Endpoint> peer = endpointOfMember(owner.member);
-        if (!peer) {
+        const std::optional<MemberName> former = MemberName::parse(owner.member);
+        if (!former) {
             continue;
         }
-        if (*peer == this->endpoint) {
-            // Only one process can listen there, and this one sends with its present token.
+        if (owner.member == this->name.text() || this->name.replaces(*former)) {
+            // An earlier ownership of this process, or an earlier process of this node.
             this->listener.formerOwnerEnded(owner.fencingToken);
             continue;
         }
         Exchange &exchange = this->exchanges[owner.fencingToken];
         exchange.owner = owner;
+        exchange.peer = former->endpoint;
         this->advance(exchange);
     }
 }
@@ -73,7 +74,7 @@
         return;
     }
     exchange.nextStepAt = now + attemptTimeout;
-    exchange.link = this->links.connect(*endpointOfMember(exchange.owner.member));
+    exchange.link = this->links.connect(exchange.peer);
 }
 
 bool FormerOwnerInquiry::owns(LinkId link) const
@@ -94,9 +95,11 @@
 void FormerOwnerInquiry::linkOpened(LinkId link)
 {
     const Exchange &exchange = this->exchanges.at(this->tokenOf(link));
-    wire::FormerOwnerQuestionT question;
-    question.member = exchange.owner.member;
-    question.fencing_token = exchange.owner.fencingToken;
+    wire::OwnerQuestionT question;
+    question.number = exchange.owner.fencingToken;
+    question.kind = wire::OwnerQuestionKind::FormerOwner;
+    question.text = exchange.owner.member;
+    question.asked_token = exchange.owner.fencingToken;
     question.asker_token = this->token;
     this->links.send(link, wire::encodeOwnerFrame(question));
 }
@@ -108,10 +111,12 @@
     exchange.nextStepAt = this->clock.now() + retryDelay;
 }
 
-void FormerOwnerInquiry::answered(LinkId link, const wire::FormerOwnerAnswer &answer)
+void FormerOwnerInquiry::answered(LinkId link, const wire::OwnerAnswer &answer)
 {
+    // A process of an earlier version takes the question for another one, and never answers
+    // "ended".
     const std::uint64_t asked = this->tokenOf(link);
-    if (answer.ended() && answer.fencing_token() == asked) {
+    if (asked != 0 && answer.ended() && answer.number() == asked) {
         this->listener.formerOwnerEnded(asked);
     }
 }
--- a/modules/bulrush_entry/owner/FormerOwnerInquiry.h
+++ b/modules/bulrush_entry/owner/FormerOwnerInquiry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrush_entry/owner/MemberName.h"
 #include "bulrush_net/frames/FrameLinks.h"
 #include "bulrush_steps/model/JobRecords.h"
 #include "bulrush_wire/frames/OwnerFrames.h"
@@ -32,8 +33,7 @@
         virtual void formerOwnerEnded(std::uint64_t fencingToken) = 0;
     };
 
-    /** @param ownEndpoint where this process listens for other nodes */
-    FormerOwnerInquiry(const Clock &clock, FrameLinks &links, const Endpoint &ownEndpoint,
+    FormerOwnerInquiry(const Clock &clock, FrameLinks &links, MemberName ownName,
                        Listener &listener);
 
     /** Asks those that are due. Call it regularly.
@@ -46,13 +46,14 @@
 
     void linkOpened(LinkId link);
     void linkClosed(LinkId link);
-    void answered(LinkId link, const wire::FormerOwnerAnswer &answer);
+    void answered(LinkId link, const wire::OwnerAnswer &answer);
 
 private:
     /** The exchange with one former owner. */
     struct Exchange
     {
         OwnerRecord owner;
+        Endpoint peer;
         LinkId link = 0;
         /** When the attempt ends without an answer, or the next one begins. */
         Instant nextStepAt {};
@@ -64,7 +65,7 @@
 
     const Clock &clock;
     FrameLinks &links;
-    const Endpoint endpoint;
+    const MemberName name;
     Listener &listener;
     std::uint64_t token = 0;
     /** By the former owner's fencing token. */
--- a/modules/bulrush_entry/owner/MemberName.h
+++ b/modules/bulrush_entry/owner/MemberName.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrush_core/addresses/Endpoint.h"
+#include "bulrush_core/ids/Id.h"
 
 #include <cstdint>
 #include <optional>
@@ -9,12 +10,26 @@
 
 namespace bulrush {
 
-/** Returns the name under which a process joins the group.
-    @param endpoint    where it listens for other nodes
-    @param incarnation distinguishes this run of the process from earlier ones */
-std::string memberName(const Endpoint &endpoint, std::uint64_t incarnation);
+/** The parts of the name under which a process joins the group. */
+struct MemberName
+{
+    /** Where the process listens for other nodes. */
+    Endpoint endpoint;
+    /** Distinguishes this run of the process from others. */
+    std::uint64_t incarnation = 0;
+    /** Empty in the names of earlier versions. */
+    std::string node;
 
-/** Returns where a member listens for other nodes; nullopt when the name is malformed. */
-std::optional<Endpoint> endpointOfMember(std::string_view member);
+    /** Returns the name as text. */
+    std::string text() const;
+
+    /** Returns the parts of a name; nullopt when it is malformed. */
+    static std::optional<MemberName> parse(std::string_view text);
+
+    /** Returns whether a process with this name can exist only after another one has ended: both
+        are runs of the same node at the same address. The node is compared because another machine
+        may have been given the address of one that still runs behind a cut. */
+    bool replaces(const MemberName &earlier) const;
+};
 
 } // namespace bulrush
--- a/modules/bulrush_entry/owner/OwnerLink.cpp
+++ b/modules/bulrush_entry/owner/OwnerLink.cpp
@@ -21,15 +21,15 @@
 } // namespace
 
 OwnerLink::OwnerLink(EventLoop &eventLoop, const Clock &systemClock, MemberGroup &memberGroup,
-                     const Dispatcher &localDispatcher, const Endpoint &endpoint,
+                     const Dispatcher &localDispatcher, const MemberName &ownName,
                      Listener &linkListener)
     : loop(eventLoop)
     , clock(systemClock)
     , group(memberGroup)
     , dispatcher(localDispatcher)
     , listener(linkListener)
-    , transport(eventLoop, endpoint, FrameTransport::Limits(), *this)
-    , inquiry(systemClock, this->transport, endpoint, linkListener)
+    , transport(eventLoop, ownName.endpoint, FrameTransport::Limits(), *this)
+    , inquiry(systemClock, this->transport, ownName, linkListener)
 {
 }
 
@@ -119,8 +119,9 @@
     if (found.outcome != StoreOutcome::Done) {
         return;
     }
-    this->holder = endpointOfMember(found.member);
-    if (this->holder) {
+    const std::optional<MemberName> name = MemberName::parse(found.member);
+    if (name) {
+        this->holder = name->endpoint;
         this->sendPendingQuestions();
     }
 }
@@ -213,13 +214,15 @@
 
 void OwnerLink::handleFrame(LinkId from, const wire::OwnerFrame &frame)
 {
+    // A message of a later version is of neither type.
     if (const wire::OwnerQuestion *question = frame.message_as_OwnerQuestion()) {
         this->answerQuestion(from, *question);
-    } else if (const auto *asked = frame.message_as_FormerOwnerQuestion()) {
-        this->answerFormerOwnerQuestion(from, *asked);
-    } else if (const auto *ended = frame.message_as_FormerOwnerAnswer()) {
-        this->inquiry.answered(from, *ended);
-    } else if (const wire::OwnerAnswer *reply = frame.message_as_OwnerAnswer()) {
+        return;
+    }
+    const wire::OwnerAnswer *reply = frame.message_as_OwnerAnswer();
+    if (reply != nullptr && this->inquiry.owns(from)) {
+        this->inquiry.answered(from, *reply);
+    } else if (reply != nullptr) {
         this->handleAnswer(*reply);
     }
 }
@@ -227,30 +230,35 @@
 void OwnerLink::answerQuestion(LinkId from, const wire::OwnerQuestion &question)
 {
     wire::OwnerAnswerT reply;
-    reply.number = question.number();
     reply.reply = wire::OwnerReply::NotOwner;
-    if (this->dispatcher.active() && question.text() != nullptr) {
-        const Kind kind =
-                question.kind() == wire::OwnerQuestionKind::JobState ? Kind::State : Kind::Waiting;
-        const OwnerAnswer answer = this->answerLocally(kind, question.text()->str());
-        reply.reply = answer.kind == OwnerAnswer::Kind::Known ? wire::OwnerReply::Known
-                                                              : wire::OwnerReply::NotKnown;
-        reply.state = static_cast<std::uint8_t>(answer.state);
-        reply.waiting = answer.waiting;
+    if (question.text() != nullptr) {
+        reply = this->replyTo(question);
     }
+    reply.number = question.number();
     this->transport.send(from, wire::encodeOwnerFrame(reply));
 }
 
-void OwnerLink::answerFormerOwnerQuestion(LinkId from, const wire::FormerOwnerQuestion &question)
+wire::OwnerAnswerT OwnerLink::replyTo(const wire::OwnerQuestion &question)
 {
-    if (question.member() == nullptr) {
-        throw Error("answer a question about a former owner", "entry VM", "it names no member");
+    wire::OwnerAnswerT reply;
+    reply.reply = wire::OwnerReply::NotOwner;
+    const std::string text = question.text()->str();
+    if (question.kind() == wire::OwnerQuestionKind::FormerOwner) {
+        reply.ended = this->listener.endsFormerOwnership(text, question.asked_token(),
+                                                         question.asker_token());
+        return reply;
+    }
+    if (!this->dispatcher.active()) {
+        return reply;
     }
-    wire::FormerOwnerAnswerT answer;
-    answer.fencing_token = question.fencing_token();
-    answer.ended = this->listener.endsFormerOwnership(
-            question.member()->string_view(), question.fencing_token(), question.asker_token());
-    this->transport.send(from, wire::encodeOwnerFrame(answer));
+    const Kind kind =
+            question.kind() == wire::OwnerQuestionKind::JobState ? Kind::State : Kind::Waiting;
+    const OwnerAnswer answer = this->answerLocally(kind, text);
+    reply.reply = answer.kind == OwnerAnswer::Kind::Known ? wire::OwnerReply::Known
+                                                          : wire::OwnerReply::NotKnown;
+    reply.state = static_cast<std::uint8_t>(answer.state);
+    reply.waiting = answer.waiting;
+    return reply;
 }
 
 void OwnerLink::handleAnswer(const wire::OwnerAnswer &reply)
--- a/modules/bulrush_entry/owner/OwnerLink.h
+++ b/modules/bulrush_entry/owner/OwnerLink.h
@@ -34,7 +34,7 @@
     };
 
     OwnerLink(EventLoop &loop, const Clock &clock, MemberGroup &group, const Dispatcher &dispatcher,
-              const Endpoint &endpoint, Listener &listener);
+              const MemberName &ownName, Listener &listener);
 
     /** Asks former owners that are waited for. @see FormerOwnerInquiry::update */
     void askFormerOwners(std::span<const OwnerRecord> owners, std::uint64_t askToken)
@@ -76,7 +76,7 @@
     void complete(std::uint64_t number, const OwnerAnswer &answer);
     void handleFrame(LinkId from, const wire::OwnerFrame &frame);
     void answerQuestion(LinkId from, const wire::OwnerQuestion &question);
-    void answerFormerOwnerQuestion(LinkId from, const wire::FormerOwnerQuestion &question);
+    wire::OwnerAnswerT replyTo(const wire::OwnerQuestion &question);
     void handleAnswer(const wire::OwnerAnswer &reply);
 
     EventLoop &loop;
--- a/modules/bulrush_entry/tests/former_owner_inquiry_test.cpp
+++ b/modules/bulrush_entry/tests/former_owner_inquiry_test.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-const Endpoint ownEndpoint { "10.0.0.1", 7000 };
-const OwnerRecord former { 4, "10.0.0.2:7000#17" };
+const MemberName ownName { { "10.0.0.1", 7000 }, 30, "n1" };
+const OwnerRecord former { 4, "10.0.0.2:7000#17@n2" };
 
 /** Records what is sent; the test plays the peer. */
 class FakeLinks : public FrameLinks
@@ -40,7 +40,7 @@
 {
 public:
     InquiryFixture()
-        : inquiry(clock, links, ownEndpoint, *this)
+        : inquiry(clock, links, ownName, *this)
     {
     }
 
@@ -56,12 +56,12 @@
 
     void answer(std::uint64_t fencingToken, bool hasEnded)
     {
-        wire::FormerOwnerAnswerT reply;
-        reply.fencing_token = fencingToken;
+        wire::OwnerAnswerT reply;
+        reply.number = fencingToken;
         reply.ended = hasEnded;
         const std::vector<std::uint8_t> frame = wire::encodeOwnerFrame(reply);
         this->inquiry.answered(this->links.newest,
-                               *wire::readOwnerFrame(frame, "peer").message_as_FormerOwnerAnswer());
+                               *wire::readOwnerFrame(frame, "peer").message_as_OwnerAnswer());
     }
 
     ManualClock clock;
@@ -79,9 +79,10 @@
     cr_assert_eq(fixture.links.connected, std::vector<std::string> { "10.0.0.2:7000" });
     fixture.inquiry.linkOpened(fixture.links.newest);
     const auto &frame = wire::readOwnerFrame(fixture.links.sent.at(0), "peer");
-    const wire::FormerOwnerQuestion &question = *frame.message_as_FormerOwnerQuestion();
-    cr_assert_eq(question.member()->str(), former.member);
-    cr_assert_eq(question.fencing_token(), former.fencingToken);
+    const wire::OwnerQuestion &question = *frame.message_as_OwnerQuestion();
+    cr_assert(question.kind() == wire::OwnerQuestionKind::FormerOwner);
+    cr_assert_eq(question.text()->str(), former.member);
+    cr_assert_eq(question.asked_token(), former.fencingToken);
     cr_assert_eq(question.asker_token(), 9U);
     fixture.answer(former.fencingToken, true);
     cr_assert_eq(fixture.ended, std::vector<std::uint64_t> { former.fencingToken });
@@ -115,10 +116,32 @@
     cr_assert_not(fixture.inquiry.owns(fixture.links.newest));
 }
 
-Test(FormerOwnerInquiry, anEarlierOwnershipOfThisMachineHasEnded)
+Test(FormerOwnerInquiry, earlierOwnershipsOfThisNodeHaveEnded)
 {
     InquiryFixture fixture;
-    fixture.update({ { 5, "10.0.0.1:7000#3" } });
+    fixture.update({ { 5, "10.0.0.1:7000#3@n1" }, { 6, ownName.text() } });
     cr_assert(fixture.links.connected.empty());
-    cr_assert_eq(fixture.ended, std::vector<std::uint64_t> { 5 });
+    cr_assert_eq(fixture.ended, (std::vector<std::uint64_t> { 5, 6 }));
+}
+
+Test(FormerOwnerInquiry, anAnswerWithoutAQuestionCountsForNothing)
+{
+    InquiryFixture fixture;
+    fixture.answer(0, true);
+    cr_assert(fixture.ended.empty());
+}
+
+/* Another machine was given the address of one that is cut off and runs on. */
+Test(MemberName, onlyAnotherProcessOfTheSameNodeAtTheSameAddressProvesAnEnd)
+{
+    const MemberName earlier = MemberName::parse("10.0.0.1:7000#3@n1").value();
+    cr_assert(ownName.replaces(earlier));
+    cr_assert_not(ownName.replaces(ownName));
+    cr_assert_not(ownName.replaces(MemberName::parse("10.0.0.1:7000#3@n9").value()));
+    cr_assert_not(ownName.replaces(MemberName::parse("10.0.0.1:7001#3@n1").value()));
+    cr_assert_not(ownName.replaces(MemberName::parse("10.0.0.1:7000#3").value()));
+    cr_assert_eq(MemberName::parse(ownName.text())->text(), ownName.text());
+    for (const char *wrong : { "", "10.0.0.1:7000", "10.0.0.1#3@n1", "10.0.0.1:7000#x@n1" }) {
+        cr_assert_not(MemberName::parse(wrong).has_value(), "%s", wrong);
+    }
 }
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -38,8 +38,8 @@
     this->term = ownershipTerm;
     this->jobTable = std::move(persistedJobs);
     this->isActive = true;
-    const std::vector<TargetId> &formerRoster = this->jobTable.roster();
-    this->unsettledWorkers = { formerRoster.begin(), formerRoster.end() };
+    const std::vector<TargetId> &formerWorkers = this->jobTable.roster().workers;
+    this->unsettledWorkers = { formerWorkers.begin(), formerWorkers.end() };
     this->beganAt = this->clock.now();
     this->nextFormerOwnersReport = this->beganAt;
     this->formerOwnersReported = false;
@@ -54,9 +54,12 @@
         }
     }
     this->workerManager.begin(this->term.fencingToken);
-    this->formerOwners.begin(this->jobTable.owners(), this->term.fencingToken,
-                             this->term.previousOwnerSettledAt, this->term.formerOwnerWait);
+    this->formerOwners.begin(this->jobTable.owners(), this->jobTable.roster(),
+                             this->term.fencingToken, this->term.previousOwnerSettledAt);
     this->applyResignations();
+    if (this->jobTable.newestOwnerToken() > this->term.fencingToken) {
+        this->listener.superseded("the jobs stream has a newer owner's record");
+    }
 }
 
 void Dispatcher::end()
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -22,8 +22,6 @@
     std::uint64_t fencingToken = 0;
     /** From this moment on, no command of a previous owner can take effect on any worker. */
     Instant previousOwnerSettledAt {};
-    /** How long after the takeover by its successor an owner's commands may still take effect. */
-    milliseconds formerOwnerWait { 12'600 };
     /** How long after an owner's resignation its commands may still take effect. */
     milliseconds resignedOwnerSettleTime { 6000 };
 };
@@ -147,7 +145,7 @@
 
     // ProgressWriter::Listener
     std::string progressRecord(const JobId &job) override;
-    std::string rosterRecord() override { return this->roster.recordToSend(); }
+    std::string rosterRecord() override;
     void stored(const std::vector<JobId> &jobs, bool withRoster) override;
     void writerFenced() override;
 
--- a/modules/bulrush_steps/dispatch/DispatcherOwners.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherOwners.cpp
@@ -67,6 +67,17 @@
                                     this->term.resignedOwnerSettleTime);
 }
 
+std::string Dispatcher::rosterRecord()
+{
+    Roster record;
+    record.workers = this->roster.workersToSend();
+    record.fencingToken = this->term.fencingToken;
+    if (!this->formerOwnersSettled()) {
+        record.formerOwners = this->formerOwners.awaited(this->clock.now());
+    }
+    return records::encode(record);
+}
+
 void Dispatcher::findEndedWorkers()
 {
     std::set<TargetId> silent = this->unsettledWorkers;
--- a/modules/bulrush_steps/model/JobRecords.cpp
+++ b/modules/bulrush_steps/model/JobRecords.cpp
@@ -241,23 +241,37 @@
     });
 }
 
-std::string encodeRoster(const std::vector<TargetId> &workers)
+std::string encode(const Roster &roster)
 {
-    json names = json::array();
-    for (const TargetId &worker : workers) {
-        names.push_back(worker.name());
+    json workers = json::array();
+    for (const TargetId &worker : roster.workers) {
+        workers.push_back(worker.name());
     }
-    return json { { "schema", schemaVersion }, { "workers", std::move(names) } }.dump();
+    json owners = json::array();
+    for (const OwnerRecord &owner : roster.formerOwners) {
+        owners.push_back({ owner.fencingToken, owner.member });
+    }
+    return json {
+        { "schema", schemaVersion },
+        { "workers", std::move(workers) },
+        { "fencingToken", roster.fencingToken },
+        { "formerOwners", std::move(owners) }
+    }.dump();
 }
 
-std::vector<TargetId> decodeRoster(std::string_view value)
+Roster decodeRoster(std::string_view value)
 {
     return decodeRecord("roster", value, [](const json &record) {
-        std::vector<TargetId> workers;
+        Roster roster;
         for (const json &name : record.at("workers")) {
-            workers.emplace_back(name.get<std::string>());
+            roster.workers.emplace_back(name.get<std::string>());
+        }
+        roster.fencingToken = record.value("fencingToken", std::uint64_t { 0 });
+        for (const json &owner : record.value("formerOwners", json::array())) {
+            roster.formerOwners.push_back(
+                    { owner.at(0).get<std::uint64_t>(), owner.at(1).get<std::string>() });
         }
-        return workers;
+        return roster;
     });
 }
 
--- a/modules/bulrush_steps/model/JobRecords.h
+++ b/modules/bulrush_steps/model/JobRecords.h
@@ -39,6 +39,16 @@
     std::string member;
 };
 
+/** The workers that may run tasks, as recorded by an owner. */
+struct Roster
+{
+    std::vector<TargetId> workers;
+    /** The owner that wrote it; 0 when an earlier version wrote it. */
+    std::uint64_t fencingToken = 0;
+    /** The former owners that this owner waited for. */
+    std::vector<OwnerRecord> formerOwners;
+};
+
 /** A former owner whose commands may still take effect, and for how long. */
 struct UnsettledOwner
 {
@@ -99,14 +109,14 @@
 
 std::string encode(const StepJob &job);
 std::string encode(const JobProgress &progress);
-std::string encodeRoster(const std::vector<TargetId> &workers);
+std::string encode(const Roster &roster);
 std::string encode(const OwnerRecord &owner);
 std::string encodeResignation(const Resignation &resignation);
 
 /** @throws Error naming the field when the record is malformed */
 StepJob decodeJob(std::string_view value);
 JobProgress decodeProgress(std::string_view key, std::string_view value);
-std::vector<TargetId> decodeRoster(std::string_view value);
+Roster decodeRoster(std::string_view value);
 OwnerRecord decodeOwner(std::string_view value);
 Resignation decodeResignation(std::string_view value);
 
--- a/modules/bulrush_steps/model/StepJobTable.cpp
+++ b/modules/bulrush_steps/model/StepJobTable.cpp
@@ -90,7 +90,7 @@
 {
     const records::ParsedKey key = records::parseKey(record.key);
     if (key.kind == records::KeyKind::Owner) {
-        this->applyOwnerRecord(record, key.fencingToken, clock);
+        this->applyOwnerRecord(record, key.fencingToken);
         return std::nullopt;
     }
     if (record.value.empty()) {
@@ -130,8 +130,7 @@
     return key.job;
 }
 
-void StepJobTable::applyOwnerRecord(const KeyedRecord &record, std::uint64_t fencingToken,
-                                    const Clock &clock)
+void StepJobTable::applyOwnerRecord(const KeyedRecord &record, std::uint64_t fencingToken)
 {
     if (record.value.empty()) {
         this->knownOwners.erase(fencingToken);
@@ -139,8 +138,7 @@
     }
     OwnerRecord owner = records::decodeOwner(record.value);
     this->ownerToken = std::max(this->ownerToken, owner.fencingToken);
-    this->knownOwners.try_emplace(owner.fencingToken,
-                                  KnownOwner { std::move(owner.member), clock.now() });
+    this->knownOwners.insert_or_assign(owner.fencingToken, std::move(owner.member));
 }
 
 void StepJobTable::applyProgress(const KeyedRecord &record)
@@ -150,7 +148,7 @@
         return;
     }
     if (key.kind == records::KeyKind::Roster) {
-        this->rosterEntries = records::decodeRoster(record.value);
+        this->newestRoster = records::decodeRoster(record.value);
         return;
     }
     if (key.kind != records::KeyKind::Job) {
--- a/modules/bulrush_steps/model/StepJobTable.h
+++ b/modules/bulrush_steps/model/StepJobTable.h
@@ -104,15 +104,6 @@
     Duration startWait() const;
 };
 
-/** An owner on record. */
-struct KnownOwner
-{
-    /** Its name in the group. */
-    std::string member;
-    /** When this process first read its record. */
-    Instant seenAt {};
-};
-
 /** The state of all jobs in the log. Applying records is idempotent. */
 class StepJobTable
 {
@@ -131,14 +122,14 @@
     std::unordered_map<JobId, JobEntry> &entries() { return this->jobs; }
     const std::unordered_map<JobId, JobEntry> &entries() const { return this->jobs; }
 
-    /** Returns the workers on which a previous owner may have started tasks. */
-    const std::vector<TargetId> &roster() const { return this->rosterEntries; }
+    /** Returns the newest roster. */
+    const Roster &roster() const { return this->newestRoster; }
 
     /** Returns the highest fencing token that an owner has recorded. */
     std::uint64_t newestOwnerToken() const { return this->ownerToken; }
 
-    /** Returns the owners on record, by fencing token. */
-    const std::map<std::uint64_t, KnownOwner> &owners() const { return this->knownOwners; }
+    /** Returns the names in the group of the owners on record, by fencing token. */
+    const std::map<std::uint64_t, std::string> &owners() const { return this->knownOwners; }
 
     /** Returns the resignations of owners, by fencing token. */
     const std::map<std::uint64_t, Resignation> &resignations() const
@@ -161,16 +152,15 @@
 
 private:
     JobEntry &addJob(StepJob job);
-    void applyOwnerRecord(const KeyedRecord &record, std::uint64_t fencingToken,
-                          const Clock &clock);
+    void applyOwnerRecord(const KeyedRecord &record, std::uint64_t fencingToken);
 
     std::unordered_map<JobId, JobEntry> jobs;
     /** Progress and cancellations that were read before the record of their job. */
     std::unordered_map<JobId, JobProgress> pendingProgress;
     std::unordered_set<JobId> pendingCancellations;
-    std::vector<TargetId> rosterEntries;
+    Roster newestRoster;
     std::uint64_t ownerToken = 0;
-    std::map<std::uint64_t, KnownOwner> knownOwners;
+    std::map<std::uint64_t, std::string> knownOwners;
     std::map<std::uint64_t, Resignation> ownerResignations;
 };
 
--- a/modules/bulrush_steps/ownership/FormerOwners.cpp
+++ b/modules/bulrush_steps/ownership/FormerOwners.cpp
@@ -4,20 +4,21 @@
 
 namespace bulrush {
 
-void FormerOwners::begin(const std::map<std::uint64_t, KnownOwner> &owners, std::uint64_t token,
-                         Instant settledAt, milliseconds waitTime)
+void FormerOwners::begin(const std::map<std::uint64_t, std::string> &owners, const Roster &roster,
+                         std::uint64_t token, Instant settledAt)
 {
     this->waits.clear();
-    const auto end = owners.lower_bound(token);
-    for (auto at = owners.begin(); at != end; ++at) {
-        Wait wait { at->second.member, settledAt };
-        const auto successor = std::next(at);
-        if (successor != end) {
-            wait.until = std::min(settledAt, successor->second.seenAt + waitTime);
+    for (const auto &[former, member] : owners) {
+        if (former < token) {
+            this->waits.emplace(former, Wait { member, settledAt });
         }
-        this->waits.emplace(at->first, std::move(wait));
     }
-    if (this->waits.empty()) {
+    for (const OwnerRecord &former : roster.formerOwners) {
+        if (former.fencingToken < token) {
+            this->waits.try_emplace(former.fencingToken, Wait { former.member, settledAt });
+        }
+    }
+    if (!this->waits.contains(roster.fencingToken)) {
         this->waits[0].until = settledAt;
     }
 }
@@ -25,7 +26,8 @@
 void FormerOwners::resigned(const Resignation &resignation, Instant now, milliseconds settleTime)
 {
     const auto found = this->waits.find(resignation.fencingToken);
-    if (found == this->waits.end() || found->second.accounted) {
+    const bool unknown = resignation.fencingToken == 0;
+    if (unknown || found == this->waits.end() || found->second.accounted) {
         return;
     }
     const Instant limit = found->second.until;
@@ -34,11 +36,12 @@
     std::map<std::uint64_t, milliseconds> left;
     for (const UnsettledOwner &former : resignation.unsettled) {
         left[former.fencingToken] = former.left;
-        this->waits.try_emplace(former.fencingToken, Wait { {}, limit });
+        this->waits.try_emplace(former.fencingToken,
+                                Wait { {}, std::min(limit, now + former.left) });
     }
-    // An earlier version states one time for all.
+    // An earlier version states one time for all. The unknown owner may have come after this one.
     const milliseconds leftOfOthers = left.contains(0) ? left[0] : milliseconds(0);
-    for (auto at = this->waits.begin(); at != found; ++at) {
+    for (auto at = this->waits.upper_bound(0); at != found; ++at) {
         const auto stated = left.find(at->first);
         const milliseconds remaining = stated == left.end() ? leftOfOthers : stated->second;
         at->second.until = std::min(at->second.until, now + remaining);
@@ -78,6 +81,17 @@
     return owners;
 }
 
+std::vector<OwnerRecord> FormerOwners::awaited(Instant now) const
+{
+    std::vector<OwnerRecord> owners;
+    for (const auto &[token, wait] : this->waits) {
+        if (wait.until > now) {
+            owners.push_back({ token, wait.member });
+        }
+    }
+    return owners;
+}
+
 std::vector<OwnerRecord> FormerOwners::unaccounted(Instant now) const
 {
     std::vector<OwnerRecord> owners;
--- a/modules/bulrush_steps/ownership/FormerOwners.h
+++ b/modules/bulrush_steps/ownership/FormerOwners.h
@@ -2,10 +2,10 @@
 
 #include "bulrush_core/time/Clock.h"
 #include "bulrush_steps/model/JobRecords.h"
-#include "bulrush_steps/model/StepJobTable.h"
 
 #include <cstdint>
 #include <map>
+#include <string>
 #include <vector>
 
 namespace bulrush {
@@ -20,13 +20,14 @@
 class FormerOwners
 {
 public:
-    /** Starts to wait.
-        @param owners    the owners on record, of which those with lower tokens are former ones
+    /** Starts to wait. An owner that is neither on record nor named by the roster is possible when
+        the roster's writer is not among those known, and is then waited for in full.
+        @param owners    the owners on record, by fencing token; lower ones are former owners
+        @param roster    the newest roster
         @param token     the fencing token of the present owner
-        @param settledAt when none of their commands can take effect any more
-        @param waitTime  how long commands of an owner may take effect after its successor began */
-    void begin(const std::map<std::uint64_t, KnownOwner> &owners, std::uint64_t token,
-               Instant settledAt, milliseconds waitTime);
+        @param settledAt when no command of a former owner can take effect any more */
+    void begin(const std::map<std::uint64_t, std::string> &owners, const Roster &roster,
+               std::uint64_t token, Instant settledAt);
 
     /** Takes a resignation into account. Ignored unless its owner is waited for.
         @param settleTime how long commands of an owner may take effect after its resignation */
@@ -42,6 +43,9 @@
     /** Returns the owners that are waited for, with the remaining times. */
     std::vector<UnsettledOwner> unsettled(Instant now) const;
 
+    /** Returns the owners that are waited for, with their names in the group. */
+    std::vector<OwnerRecord> awaited(Instant now) const;
+
     /** Returns the owners that are waited for and that neither resigned nor ended. */
     std::vector<OwnerRecord> unaccounted(Instant now) const;
 
--- a/modules/bulrush_steps/ownership/OwnershipManager.cpp
+++ b/modules/bulrush_steps/ownership/OwnershipManager.cpp
@@ -173,14 +173,15 @@
     }
 }
 
-bool OwnershipManager::endBefore(std::uint64_t askedToken, std::uint64_t newerToken)
+bool OwnershipManager::yieldTo(std::uint64_t newerToken, std::uint64_t askedToken)
 {
+    if (newerToken <= askedToken) {
+        return false;
+    }
     if (this->owner && this->token < newerToken) {
         this->loseOwnership("a newer owner asks");
     }
-    if (newerToken > 0) {
-        this->supersededGeneration = std::max(this->supersededGeneration, newerToken - 1);
-    }
+    this->supersededGeneration = std::max(this->supersededGeneration, newerToken - 1);
     return !this->owner || this->token != askedToken;
 }
 
--- a/modules/bulrush_steps/ownership/OwnershipManager.h
+++ b/modules/bulrush_steps/ownership/OwnershipManager.h
@@ -85,7 +85,7 @@
     /** Ends the ownership if its fencing token is lower than that of another owner, and accepts
        none with a lower one later.
         @returns whether this node sends no more commands with the asked token */
-    bool endBefore(std::uint64_t askedToken, std::uint64_t newerToken);
+    bool yieldTo(std::uint64_t newerToken, std::uint64_t askedToken);
 
     const std::string &memberName() const { return this->name; }
 
--- a/modules/bulrush_steps/tests/DispatcherFixture.h
+++ b/modules/bulrush_steps/tests/DispatcherFixture.h
@@ -40,13 +40,15 @@
 }
 
 /** Returns the job table that a new owner reads: one job, and a roster of the workers that may run
-    its task. */
+    its task.
+    @param writer the fencing token of the owner that wrote the roster */
 inline StepJobTable makeJobTable(const StepJob &job, const std::vector<TargetId> &roster,
-                                 const Clock &clock)
+                                 const Clock &clock, std::uint64_t writer = 2)
 {
     StepJobTable table;
     table.applyJobRecord({ records::jobKey(job.id), records::encode(job), 1 }, clock);
-    table.applyProgress({ records::rosterKey(), records::encodeRoster(roster), 1 });
+    table.applyProgress(
+            { records::rosterKey(), records::encode(Roster { roster, writer, {} }), 1 });
     return table;
 }
 
--- a/modules/bulrush_steps/tests/former_owners_test.cpp
+++ b/modules/bulrush_steps/tests/former_owners_test.cpp
@@ -13,7 +13,7 @@
 FormerOwners waitingFor(std::uint64_t token)
 {
     FormerOwners owners;
-    owners.begin({ { token, KnownOwner { "m", start } } }, token + 1, start + fullWait, fullWait);
+    owners.begin({ { token, "m" } }, Roster { {}, token, {} }, token + 1, start + fullWait);
     return owners;
 }
 
@@ -84,36 +84,50 @@
 Test(FormerOwners, withoutAnOwnerOnRecordAnUnknownOneIsWaitedForInFull)
 {
     FormerOwners owners;
-    owners.begin({}, 3, start + fullWait, fullWait);
+    owners.begin({}, {}, 3, start + fullWait);
     cr_assert(owners.settledAt() == start + fullWait);
     cr_assert(owners.unaccounted(start).empty());
 }
 
-/* Owner 2 is killed while it still waits for owner 1, whose machine never answers again. */
-Test(FormerOwners, anOwnerIsWaitedForSinceItsSuccessorWasSeen)
+/* An owner of an earlier version leaves no record of its own, only a roster that does not name it.
+ */
+Test(FormerOwners, anUnknownWriterOfTheRosterIsWaitedForInFull)
 {
     FormerOwners owners;
-    const std::map<std::uint64_t, KnownOwner> known {
-        { 1, { "m1", start - seconds(20) } },
-        { 2, { "m2", start - seconds(6) } },
-        { 3, { "m3", start } },
-    };
-    owners.begin(known, 3, start + fullWait, fullWait);
+    owners.begin({ { 1, "m1" } }, {}, 3, start + fullWait);
+    owners.resigned({ 1, {} }, start, settleTime);
+    cr_assert(owners.settledAt() == start + fullWait);
+}
+
+/* Owner 2 is killed while it still waits for owner 1, which only the roster names. */
+Test(FormerOwners, theOwnersThatTheRosterNamesAreWaitedFor)
+{
+    FormerOwners owners;
+    owners.begin({ { 2, "m2" } }, Roster { {}, 2, { { 1, "m1" } } }, 3, start + fullWait);
     const Resignation ended = owners.ended(2, start, settleTime);
-    cr_assert(owners.settledAt() == start + fullWait - seconds(6));
-    const std::vector<UnsettledOwner> left { { 1, fullWait - seconds(6) } };
+    cr_assert(owners.settledAt() == start + fullWait);
+    const std::vector<UnsettledOwner> left { { 1, fullWait } };
     cr_assert(ended.unsettled == left);
     cr_assert_eq(owners.unaccounted(start).size(), 1U);
-    cr_assert_eq(owners.unaccounted(start).front().fencingToken, 1U);
+    cr_assert_eq(owners.unaccounted(start).front().member, "m1");
 }
 
 /* Owner 2 saw that owner 1 had settled, and says so by not naming it. */
 Test(FormerOwners, aResignationSettlesTheEarlierOwnersThatItDoesNotName)
 {
     FormerOwners owners;
-    const std::map<std::uint64_t, KnownOwner> known { { 1, { "m1", start } },
-                                                      { 2, { "m2", start } } };
-    owners.begin(known, 3, start + fullWait, fullWait);
+    owners.begin({ { 1, "m1" }, { 2, "m2" } }, Roster { {}, 2, {} }, 3, start + fullWait);
     owners.resigned({ 2, {} }, start, settleTime);
     cr_assert(owners.settledAt() == start + settleTime);
 }
+
+Test(FormerOwners, aRosterReadsAsItWasWritten)
+{
+    const Roster roster { { TargetId("w1") }, 7, { { 5, "m" } } };
+    const Roster read = records::decodeRoster(records::encode(roster));
+    cr_assert(read.workers == roster.workers);
+    cr_assert_eq(read.fencingToken, 7U);
+    cr_assert_eq(read.formerOwners.at(0).fencingToken, 5U);
+    cr_assert_eq(read.formerOwners.at(0).member, "m");
+    cr_assert_eq(records::decodeRoster(R"({"schema":1,"workers":["w1"]})").fencingToken, 0U);
+}
--- a/modules/bulrush_steps/tests/owner_change_test.cpp
+++ b/modules/bulrush_steps/tests/owner_change_test.cpp
@@ -148,6 +148,39 @@
     cr_assert_eq(fixture.obsoleteRecords.front().key, records::ownerKey(2));
 }
 
+/* The new owner is killed while it waits: its successor must wait for the same workers and owners.
+ */
+Test(Dispatcher, theRosterOfAWaitingOwnerNamesWhatItWaitsFor)
+{
+    DispatcherFixture fixture;
+    fixture.worker("w2").silent = true;
+    StepJobTable table =
+            makeJobTable(makeJob("a", 1), { TargetId("w1"), TargetId("w2") }, fixture.clock);
+    table.applyJobRecord({ records::ownerKey(2), records::encode(OwnerRecord { 2, "m#1" }), 1 },
+                         fixture.clock);
+    fixture.begin(std::move(table));
+    fixture.listWorker("w1");
+    fixture.runFor(seconds(1));
+    const Roster roster = records::decodeRoster(
+            fixture.log.newestValue(LogStream::Progress, records::rosterKey()));
+    cr_assert(roster.workers == std::vector<TargetId>({ TargetId("w1"), TargetId("w2") }));
+    cr_assert_eq(roster.fencingToken, 3U);
+    cr_assert_eq(roster.formerOwners.size(), 1U);
+    cr_assert_eq(roster.formerOwners.front().member, "m#1");
+}
+
+/* The owner's own records were appended late, after a newer owner had read the stream. */
+Test(Dispatcher, anOwnerThatReadANewerOwnersRecordDoesNotBegin)
+{
+    DispatcherFixture fixture;
+    StepJobTable table = makeJobTable(makeJob("a", 1), { TargetId("w1") }, fixture.clock);
+    table.applyJobRecord({ records::ownerKey(6), records::encode(OwnerRecord { 6, "m#1" }), 1 },
+                         fixture.clock);
+    fixture.begin(std::move(table));
+    cr_assert(fixture.ownershipLost);
+    cr_assert_not(fixture.dispatcher.active());
+}
+
 /* Owners restart one after the other. Each resignation must state how long orders of even earlier
    owners may still have an effect, so that the successor waits for the rest of that time. */
 Test(Dispatcher, aResignationHoldsTheRemainingUnsettledTime)
--- a/modules/bulrush_steps/tests/ownership_test.cpp
+++ b/modules/bulrush_steps/tests/ownership_test.cpp
@@ -178,9 +178,10 @@
 {
     OwnershipFixture fixture;
     fixture.runFor(seconds(2));
-    cr_assert_not(fixture.manager.endBefore(5, 4), "an earlier owner must not end a later one");
+    cr_assert_not(fixture.manager.yieldTo(4, 5), "an earlier owner must not end a later one");
+    cr_assert_not(fixture.manager.yieldTo(900, 900));
     cr_assert(fixture.manager.isOwner());
-    cr_assert(fixture.manager.endBefore(5, 8));
+    cr_assert(fixture.manager.yieldTo(8, 5));
     cr_assert_eq(fixture.losses, 1);
     fixture.group.generation = 7;
     fixture.runFor(seconds(2));
@@ -359,6 +360,9 @@
     }
     cr_assert_eq(mark.value(), 2U);
     cr_assert_eq(view.jobTable().newestOwnerToken(), 7U);
+    const std::string &record = log.newestValue(LogStream::Jobs, records::ownerKey(7));
+    cr_assert_eq(records::decodeOwner(record).member, "m");
+    cr_assert_eq(log.newestValue(LogStream::Jobs, records::newestOwnerKey()), record);
 }
 
 Test(Takeover, retriesUntilAnOutageIsOver)
--- a/modules/bulrush_steps/workers/WorkerRoster.cpp
+++ b/modules/bulrush_steps/workers/WorkerRoster.cpp
@@ -1,7 +1,5 @@
 #include "bulrush_steps/workers/WorkerRoster.h"
 
-#include "bulrush_steps/model/JobRecords.h"
-
 #include <utility>
 
 namespace bulrush {
@@ -19,10 +17,10 @@
     return changed;
 }
 
-std::string WorkerRoster::recordToSend()
+std::vector<TargetId> WorkerRoster::workersToSend()
 {
     this->sent = this->newest;
-    return records::encodeRoster({ this->sent.begin(), this->sent.end() });
+    return { this->sent.begin(), this->sent.end() };
 }
 
 void WorkerRoster::sentRecordStored(std::map<TargetId, Worker> &workers)
--- a/modules/bulrush_steps/workers/WorkerRoster.h
+++ b/modules/bulrush_steps/workers/WorkerRoster.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace bulrush {
 
@@ -23,8 +24,8 @@
         @returns whether the roster changed and is to be persisted */
     bool update(std::map<TargetId, Worker> &workers, const std::set<TargetId> &ofFormerOwners);
 
-    /** Returns the record of the roster, to be appended to the log now. */
-    std::string recordToSend();
+    /** Returns the roster, to be appended to the log now. */
+    std::vector<TargetId> workersToSend();
 
     /** Notes that the record which was returned last is persisted. */
     void sentRecordStored(std::map<TargetId, Worker> &workers);
