Log which tasks a worker had when its process crashed

The log could not tell a task that crashes its workers from one whose worker was silent: E1613 gives neither the age of the run nor whether the process has ended. E1619 does: the process answered with another start time, or its entry is gone without notice while its machine refuses connections or another worker answers at its address. A worker that only leaves requests unanswered may be cut off, and gives no such line. No decision depends on it.

--- a/modules/bulrush_core/events/EventCatalogue.h
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -49,6 +49,7 @@
     StartRefused = 1616,
     StartUnanswered = 1617,
     RunFound = 1618,
+    TaskCrashed = 1619,
     WorkerSeen = 1621,
     WorkerGone = 1622,
     WorkerDraining = 1623,
--- a/modules/bulrush_steps/bulrush_steps.h
+++ b/modules/bulrush_steps/bulrush_steps.h
@@ -27,6 +27,7 @@
 #include "bulrush_steps/model/TaskText.h"
 #include "bulrush_steps/ownership/OwnershipManager.h"
 #include "bulrush_steps/ownership/Takeover.h"
+#include "bulrush_steps/policy/CrashSuspects.h"
 #include "bulrush_steps/policy/DurationEstimator.h"
 #include "bulrush_steps/policy/FillController.h"
 #include "bulrush_steps/policy/JobRank.h"
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -133,6 +133,7 @@
     void runConfirmed(const Run &run) override;
     std::uint64_t runEnded(const Worker &worker, const Run *run, const ListedEnd &end) override;
     void runLost(const Worker &worker, const Run &run, std::string_view reason) override;
+    void runCrashed(const Worker &worker, const Run &run, std::string_view evidence) override;
     void startRefused(const Worker &worker, const Run &run, CommandOutcome outcome) override;
     void workerSettled(const TargetId &worker) override;
     void superseded(const Worker &worker) override;
--- a/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
@@ -5,6 +5,7 @@
 
 #include "bulrush_core/events/DecisionLog.h"
 #include "bulrush_steps/model/TaskText.h"
+#include "bulrush_steps/policy/CrashSuspects.h"
 #include "bulrush_steps/policy/RunHealth.h"
 
 namespace bulrush {
@@ -52,6 +53,16 @@
     }
 }
 
+void Dispatcher::runCrashed(const Worker &worker, const Run &run, std::string_view evidence)
+{
+    this->decisions.write(DecisionLine(Event::TaskCrashed)
+                                  .with("task", text(run.attempt.task))
+                                  .with("attempt", run.attempt.attempt)
+                                  .with("worker", worker.entry.worker.name())
+                                  .with("age_ms", lastKnownAge(worker, run).count())
+                                  .with("evidence", evidence));
+}
+
 milliseconds Dispatcher::typicalDuration(const JobEntry &job, const TaskRef &task) const
 {
     const milliseconds mean = job.occurrences[task.occurrence].steps[task.step].meanDuration;
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -118,6 +118,7 @@
                                   .with("worker", id.name())
                                   .with("deregistered", worker->deregistered)
                                   .with("runs", static_cast<std::int64_t>(worker->runs.size())));
+    this->reportDeparture(*worker);
 }
 
 void WorkerManager::tick()
@@ -254,6 +255,10 @@
     if (!expiredAt || this->clock.now() < *expiredAt) {
         return;
     }
+    for (const auto &[attempt, run] : worker.runs) {
+        worker.unexplainedRuns.push_back(run);
+    }
+    this->reportDeparture(worker);
     for (const auto &[attempt, run] : worker.clearRuns()) {
         this->listener.runLost(worker, run, "lease expired");
     }
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -43,6 +43,11 @@
         /** Called when a run is known to be no longer alive without being listed as ended. */
         virtual void runLost(const Worker &worker, const Run &run, std::string_view reason) = 0;
 
+        /** Called for each run that was on a worker whose process crashed, before runLost() if that
+            was not called earlier. */
+        virtual void runCrashed(const Worker &worker, const Run &run,
+                                std::string_view evidence) = 0;
+
         /** Called when a worker refused to start a run. The run is not alive. */
         virtual void startRefused(const Worker &worker, const Run &run, CommandOutcome outcome) = 0;
 
@@ -150,6 +155,14 @@
         kept until their lease is over: a later process of the worker may still carry them out. */
     void dropRunsOfEndedProcess(Worker &worker, std::string_view reason);
     void handleDeparture(Worker &worker);
+
+    /** Reports the runs of a worker that is gone without having announced it, if its process is
+        known to have ended. */
+    void reportDeparture(Worker &worker);
+
+    /** Reports the runs that a worker's previous process had. @param answer of the new process */
+    void reportRestart(Worker &worker, const HoldAnswer &answer);
+    void reportCrash(Worker &worker, const std::vector<Run> &runs, std::string_view evidence);
     std::optional<WorkerMillis> leaseEnd(Worker &worker);
     milliseconds holdWait(const Worker &worker) const;
     bool holdIsDue(const Worker &worker, Instant now) const;
--- a/modules/bulrush_steps/workers/WorkerManagerReports.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerReports.cpp
@@ -39,6 +39,7 @@
     }
     const Instant now = this->clock.now();
     if (worker->processStartedAt != 0 && answer.processStartedAt != worker->processStartedAt) {
+        this->reportRestart(*worker, answer);
         this->handleWorkerRestart(*worker, answer.processStartedAt);
         // The hold request acknowledged ended runs of the previous process.
         acknowledged = 0;
@@ -54,6 +55,8 @@
     worker->processStartedAt = answer.processStartedAt;
     worker->failedHolds = 0;
     this->silent.erase(id);
+    worker->holdFailure = CommandOutcome::Done;
+    worker->unexplainedRuns.clear();
     worker->clock.recordReading(answer.clock, now);
     worker->reportedAt = now;
     worker->acknowledgedEnds = std::max(worker->acknowledgedEnds, acknowledged);
@@ -83,6 +86,7 @@
     }
     worker.confirmed = false;
     this->silent.insert(worker.entry.worker);
+    worker.holdFailure = outcome;
     worker.nextHoldAt = this->clock.now() + holdRetryDelay;
 }
 
