Give up a task under which two workers crashed just after its start

Cause: only an end that a worker lists counts as an attempt, and a crashed worker lists none.

The fix: a crash under a run that was younger than 0.5 s when its worker last reported makes the task a suspect. A suspect is started apart: on a worker without other young runs, which takes no other task for 0.5 s; so the next crash points at one task, and after two such crashes in a row the job fails. A suspect that found no such worker for 2 s, and the members of a gang, need three. A run that ends on a worker takes the suspicion back, as does a crash of its worker later on. Five crashes of any kind also end a task, unless it is long-running. The crashes are in the job's progress record, in two more columns that earlier versions do not read. A worker that is only silent, or was unlisted while requests to it went unanswered, counts for nothing.

--- a/modules/bulrush_core/events/EventCatalogue.cpp
+++ b/modules/bulrush_core/events/EventCatalogue.cpp
@@ -47,6 +47,7 @@
     EventInfo { Event::StartUnanswered, Severity::Warning, "start unanswered" },
     EventInfo { Event::RunFound, Severity::Info, "run found" },
     EventInfo { Event::TaskCrashed, Severity::Warning, "worker crashed under task" },
+    EventInfo { Event::TaskGivenUp, Severity::Warning, "task given up" },
     EventInfo { Event::WorkerSeen, Severity::Info, "worker seen" },
     EventInfo { Event::WorkerGone, Severity::Warning, "worker gone" },
     EventInfo { Event::WorkerDraining, Severity::Info, "worker draining" },
--- a/modules/bulrush_core/events/EventCatalogue.h
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -50,6 +50,7 @@
     StartUnanswered = 1617,
     RunFound = 1618,
     TaskCrashed = 1619,
+    TaskGivenUp = 1620,
     WorkerSeen = 1621,
     WorkerGone = 1622,
     WorkerDraining = 1623,
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "bulrush_core/events/DecisionLog.h"
 #include "bulrush_steps/model/TaskText.h"
+#include "bulrush_steps/policy/CrashSuspects.h"
 
 #include <algorithm>
 
@@ -327,6 +328,10 @@
     if (end.kind == EndKind::Failed) {
         task.failedOn.push_back(worker.entry.worker);
     }
+    const bool ranToItsEnd = end.kind == EndKind::Succeeded || end.kind == EndKind::Failed;
+    if (ranToItsEnd && CrashSuspects::clear(task)) {
+        this->markChanged(*job);
+    }
     this->planner.markWaiting(job->spec.id);
     const bool hadEnded = job->hasEnded();
     bool counted = false;
@@ -407,6 +412,10 @@
     }
     task.lastAttempt = attempt;
     ++task.openRuns;
+    task.apartSince.reset();
+    if (task.startedApart) {
+        CrashSuspects::setApart(worker, this->clock.now());
+    }
     this->decisions.write(
             DecisionLine(Event::TaskStarted)
                     .with("task", text(ref))
--- a/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
@@ -55,12 +55,32 @@
 
 void Dispatcher::runCrashed(const Worker &worker, const Run &run, std::string_view evidence)
 {
+    const milliseconds age = CrashSuspects::lastKnownAge(worker, run);
     this->decisions.write(DecisionLine(Event::TaskCrashed)
                                   .with("task", text(run.attempt.task))
                                   .with("attempt", run.attempt.attempt)
                                   .with("worker", worker.entry.worker.name())
-                                  .with("age_ms", lastKnownAge(worker, run).count())
+                                  .with("age_ms", age.count())
                                   .with("evidence", evidence));
+    JobEntry *job = this->findJob(run.attempt.task);
+    if (job == nullptr || job->hasEnded() || job->task(run.attempt.task).succeeded) {
+        return;
+    }
+    StepTask &task = job->task(run.attempt.task);
+    const StepSpec &step = job->step(run.attempt.task);
+    if (!CrashSuspects::countCrash(step, task, run.attempt.attempt, age)) {
+        return;
+    }
+    if (CrashSuspects::isToBlame(step, task)) {
+        job->failed = true;
+        this->decisions.write(
+                DecisionLine(Event::TaskGivenUp)
+                        .with("task", text(run.attempt.task))
+                        .with("crashes", static_cast<std::int64_t>(task.crashedAttempts.size()))
+                        .with("early", static_cast<std::int64_t>(task.earlyCrashes.size())));
+        this->stopRuns(*job, "a task of the job crashes its workers");
+    }
+    this->markChanged(*job);
 }
 
 milliseconds Dispatcher::typicalDuration(const JobEntry &job, const TaskRef &task) const
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -1,5 +1,7 @@
 #include "bulrush_steps/dispatch/Planner.h"
 
+#include "bulrush_steps/policy/CrashSuspects.h"
+
 #include <algorithm>
 
 namespace bulrush {
@@ -184,6 +186,7 @@
     StepPlacement stepPlacement(placement, this->workers.workers(), request);
     TaskRef ref { job.spec.id, candidate.occurrence, candidate.step, 0 };
     const StepSpec &step = *request.step;
+    bool noneApart = false;
     for (ref.index = 0; ref.index < step.taskCount; ++ref.index) {
         StepTask &task = job.task(ref);
         if (task.succeeded || task.openRuns > 0) {
@@ -193,16 +196,27 @@
             return true;
         }
         request.failedOn = task.failedOn;
-        Worker *worker = task.failedOn.empty() ? stepPlacement.choose(request)
-                                               : placement.choose(this->workers.workers(), request);
+        request.apart = CrashSuspects::mustStartApart(task, now);
+        if (request.apart && noneApart) {
+            continue;
+        }
+        Worker *worker = task.failedOn.empty() && !request.apart
+                ? stepPlacement.choose(request)
+                : placement.choose(this->workers.workers(), request);
+        if (worker == nullptr && request.apart) {
+            noneApart = true;
+            continue;
+        }
         if (worker == nullptr) {
             return false;
         }
+        task.startedApart = request.apart;
         this->start(job, ref, *worker, this->listener.nextAttempt(task));
         ++request.siblings[worker->entry.worker];
         const bool rackChosen = step.prefersSingleRack && request.rack != worker->rack;
         request.rack = worker->rack;
         request.failedOn.clear();
+        request.apart = false;
         if (rackChosen) {
             stepPlacement = StepPlacement(placement, this->workers.workers(), request);
         } else {
--- a/modules/bulrush_steps/model/JobRecords.cpp
+++ b/modules/bulrush_steps/model/JobRecords.cpp
@@ -211,8 +211,13 @@
 {
     json tasks = json::array();
     for (const TaskProgress &task : progress.tasks) {
-        tasks.push_back(
-                { task.occurrence, task.step, task.index, task.succeeded, task.failedAttempts });
+        json row = { task.occurrence, task.step, task.index, task.succeeded, task.failedAttempts };
+        // Earlier versions read the first five columns only, and write no others.
+        if (!task.crashedAttempts.empty() || !task.earlyCrashes.empty()) {
+            row.push_back(task.crashedAttempts);
+            row.push_back(task.earlyCrashes);
+        }
+        tasks.push_back(std::move(row));
     }
     const json record = { { "schema", schemaVersion },
                           { "succeeded", progress.succeeded },
@@ -235,6 +240,11 @@
             task.index = row.at(2).get<std::uint32_t>();
             task.succeeded = row.at(3).get<bool>();
             task.failedAttempts = row.at(4).get<std::vector<std::uint64_t>>();
+            constexpr std::size_t crashColumns = 5;
+            if (row.size() > crashColumns + 1) {
+                task.crashedAttempts = row.at(crashColumns).get<std::vector<std::uint64_t>>();
+                task.earlyCrashes = row.at(crashColumns + 1).get<std::vector<std::uint64_t>>();
+            }
             progress.tasks.push_back(std::move(task));
         }
         return progress;
--- a/modules/bulrush_steps/model/JobRecords.h
+++ b/modules/bulrush_steps/model/JobRecords.h
@@ -18,6 +18,9 @@
     bool succeeded = false;
     /** Attempts that were counted as failed. */
     std::vector<std::uint64_t> failedAttempts;
+    /** As in StepTask. */
+    std::vector<std::uint64_t> crashedAttempts;
+    std::vector<std::uint64_t> earlyCrashes;
 };
 
 /** The recorded progress of a job. */
--- a/modules/bulrush_steps/model/StepJobTable.cpp
+++ b/modules/bulrush_steps/model/StepJobTable.cpp
@@ -166,6 +166,8 @@
             continue;
         }
         job->started = true;
+        job->task(ref).crashedAttempts = task.crashedAttempts;
+        job->task(ref).earlyCrashes = task.earlyCrashes;
         for (const std::uint64_t attempt : task.failedAttempts) {
             countFailure(*job, { ref, attempt });
         }
@@ -242,9 +244,11 @@
             const std::vector<StepTask> &tasks = state.steps[step].tasks;
             for (std::uint32_t index = 0; index < tasks.size(); ++index) {
                 const StepTask &task = tasks[index];
-                if (task.succeeded || !task.failedAttempts.empty()) {
-                    progress.tasks.push_back(
-                            { occurrence, step, index, task.succeeded, task.failedAttempts });
+                const bool crashed = !task.crashedAttempts.empty() || !task.earlyCrashes.empty();
+                if (task.succeeded || crashed || !task.failedAttempts.empty()) {
+                    progress.tasks.push_back({ occurrence, step, index, task.succeeded,
+                                               task.failedAttempts, task.crashedAttempts,
+                                               task.earlyCrashes });
                 }
             }
         }
--- a/modules/bulrush_steps/model/StepJobTable.h
+++ b/modules/bulrush_steps/model/StepJobTable.h
@@ -28,6 +28,14 @@
     std::uint32_t relocations = 0;
     /** The newest checkpoint that a worker reported. */
     std::string checkpoint;
+    /** Attempts during which a worker crashed; not kept for a long-running task. */
+    std::vector<std::uint64_t> crashedAttempts;
+    /** The newest attempts in a row during which a worker crashed just after the start. */
+    std::vector<std::uint64_t> earlyCrashes;
+    /** Whether the newest attempt was started apart. @see CrashSuspects */
+    bool startedApart = false;
+    /** Since when this owner has looked for a worker to start the task apart. */
+    std::optional<Instant> apartSince;
     /** The number of runs that may be alive. */
     std::uint32_t openRuns = 0;
 };
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -1,5 +1,7 @@
 #include "bulrush_steps/policy/Placement.h"
 
+#include "bulrush_steps/policy/CrashSuspects.h"
+
 #include <algorithm>
 
 namespace bulrush {
@@ -100,7 +102,8 @@
     const bool usable = worker.listed && !worker.entry.draining && worker.confirmed
             && worker.onRoster && this->now >= worker.avoidUntil
             && worker.commandsInFlight < maxStartsInFlightPerWorker;
-    return usable && hasCapacity(worker, request) && isEligible(worker, request);
+    return usable && hasCapacity(worker, request) && isEligible(worker, request)
+            && !(request.apart && CrashSuspects::hasYoungRun(worker));
 }
 
 bool Placement::hasFillCapacity(const Worker &worker, const StepSpec &step) const
@@ -138,9 +141,10 @@
     }
     if (!request.step->fills) {
         // Best fit: prefers the worker with the fewest free processors, which keeps contiguous free
-        // capacity on other workers for large tasks.
-        return commonScore(worker, request)
-                - worker.shareOf(static_cast<double>(worker.free().cpuMilli));
+        // capacity on other workers for large tasks. A task that may crash its worker goes to the
+        // one with the fewest to lose.
+        const double freeShare = worker.shareOf(static_cast<double>(worker.free().cpuMilli));
+        return commonScore(worker, request) + (request.apart ? freeShare : -freeShare);
     }
     if (!this->hasFillCapacity(worker, *request.step)) {
         return std::nullopt;
--- a/modules/bulrush_steps/policy/Placement.h
+++ b/modules/bulrush_steps/policy/Placement.h
@@ -18,6 +18,8 @@
     std::map<TargetId, std::uint32_t> siblings;
     /** Workers on which earlier attempts of the task failed. */
     std::vector<TargetId> failedOn;
+    /** Whether the task must be started apart. @see CrashSuspects */
+    bool apart = false;
     /** For a filling task: the maximum expected number of serving tasks on its worker that exceed
         their tail latency target. */
     double riskAllowed = 0.0;
