Count no run for a worker's crash that its new process may have

A run that was confirmed after the request was sent which the new process answered may run there, though the answer does not list it. It counted as a crash just after its start, so that the task was later started apart for no reason. Found by reading; the same comparison as for runs that a report does not list.

--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -160,8 +160,9 @@
         known to have ended. */
     void reportDeparture(Worker &worker);
 
-    /** Reports the runs that a worker's previous process had. @param answer of the new process */
-    void reportRestart(Worker &worker, const HoldAnswer &answer);
+    /** Reports the runs that a worker's previous process had.
+        @param sentAt when the request was sent that the new process answered */
+    void reportRestart(Worker &worker, Instant sentAt, const HoldAnswer &answer);
     void reportCrash(Worker &worker, const std::vector<Run> &runs, std::string_view evidence);
     std::optional<WorkerMillis> leaseEnd(Worker &worker);
     milliseconds holdWait(const Worker &worker) const;
--- a/modules/bulrush_steps/workers/WorkerManagerCrashes.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerCrashes.cpp
@@ -29,12 +29,14 @@
     }
 }
 
-void WorkerManager::reportRestart(Worker &worker, const HoldAnswer &answer)
+void WorkerManager::reportRestart(Worker &worker, Instant sentAt, const HoldAnswer &answer)
 {
     std::vector<Run> runs = std::exchange(worker.unexplainedRuns, {});
     for (const auto &[attempt, run] : worker.runs) {
-        // A start that is not answered yet may still be carried out, by the new process.
-        if (run.phase != RunPhase::Starting && !lists(answer, attempt)) {
+        // The new process may have begun a run since it made the answer, or may still do so.
+        const bool mayBeOfNewProcess = run.phase == RunPhase::Starting
+                || (run.phase == RunPhase::Running && run.confirmedAt >= sentAt);
+        if (!mayBeOfNewProcess && !lists(answer, attempt)) {
             runs.push_back(run);
         }
     }
--- a/modules/bulrush_steps/workers/WorkerManagerReports.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerReports.cpp
@@ -39,7 +39,7 @@
     }
     const Instant now = this->clock.now();
     if (worker->processStartedAt != 0 && answer.processStartedAt != worker->processStartedAt) {
-        this->reportRestart(*worker, answer);
+        this->reportRestart(*worker, sentAt, answer);
         this->handleWorkerRestart(*worker, answer.processStartedAt);
         // The hold request acknowledged ended runs of the previous process.
         acknowledged = 0;
