--- a/modules/bulrush_steps/dispatch/DispatcherOwners.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherOwners.cpp
@@ -83,7 +83,9 @@
     std::set<TargetId> silent = this->unsettledWorkers;
     for (const TargetId &id : this->workerManager.silentWorkers()) {
         const Worker *worker = this->workerManager.find(id);
-        if (worker != nullptr && !worker->runs.empty()) {
+        const bool hasRuns =
+                worker != nullptr && (!worker->runs.empty() || !worker->unexplainedRuns.empty());
+        if (hasRuns) {
             silent.insert(id);
         }
     }
--- a/modules/bulrush_steps/tests/FakeWorkers.h
+++ b/modules/bulrush_steps/tests/FakeWorkers.h
@@ -19,8 +19,6 @@
     Instant startedAt {};
     /** Whether starts, stops and holds have no effect and end as Unknown. */
     bool silent = false;
-    /** Whether no process listens: starts, stops and holds have no effect and end as Refused. */
-    bool refuses = false;
     /** Whether starts are carried out but end as Unknown, as if their answers were lost. */
     bool losesStartAnswers = false;
     std::uint64_t fencingToken = 0;
@@ -56,10 +54,6 @@
         if (this->onStart) {
             this->onStart();
         }
-        if (fake.refuses) {
-            this->enqueue([callback] { callback({ CommandOutcome::Refused, {} }); });
-            return;
-        }
         if (fake.silent) {
             this->enqueue([callback] { callback({ CommandOutcome::Unknown, {} }); });
             return;
@@ -159,8 +153,7 @@
     HoldAnswer holdAnswer(FakeWorker &fake, const WorkerHold &order)
     {
         HoldAnswer answer;
-        if (fake.silent || fake.refuses) {
-            answer.outcome = fake.refuses ? CommandOutcome::Refused : CommandOutcome::Unknown;
+        if (fake.silent) {
             return answer;
         }
         answer.outcome = CommandOutcome::Done;
--- a/modules/bulrush_steps/tests/worker_crash_test.cpp
+++ b/modules/bulrush_steps/tests/worker_crash_test.cpp
@@ -18,9 +18,11 @@
     explicit CrashFixture(std::size_t workerCount, StepJobTable table = {}, std::uint64_t token = 3)
     {
         this->begin(std::move(table), token);
+        this->processes.list = WorkerProcesses();
         for (std::size_t at = 0; at < workerCount; ++at) {
             this->names.push_back("w" + std::to_string(at));
             this->listWorker(this->names.back().c_str());
+            this->processes.list->running.insert(TargetId(this->names.back()));
         }
         this->runFor(milliseconds(200));
     }
@@ -62,8 +64,10 @@
     /** Ends a worker's process without notice. */
     void crash(const std::string &name)
     {
-        this->worker(name.c_str()).refuses = this->crashedWorkersLeave;
-        this->worker(name.c_str()).silent = !this->crashedWorkersLeave;
+        this->worker(name.c_str()).silent = true;
+        if (this->crashedWorkersLeave) {
+            this->processes.list->running.erase(TargetId(name.c_str()));
+        }
         this->backAt[name] = this->clock.now() + seconds(3);
         ++this->crashes;
     }
@@ -83,7 +87,7 @@
                 std::any_of(fake.running.begin(), fake.running.end(), [](const auto &each) {
                     return each.first.task.job == JobId("deadly");
                 });
-        if (deadly && !fake.silent && !fake.refuses) {
+        if (deadly && !fake.silent) {
             this->crash(name);
         }
         if (this->backAt.contains(name) && this->clock.now() >= this->backAt[name]) {
@@ -92,7 +96,7 @@
         }
         const std::map<AttemptRef, Instant> since = fake.listedSince;
         for (const auto &[attempt, listedAt] : since) {
-            const bool runs = fake.running.contains(attempt) && !fake.silent && !fake.refuses;
+            const bool runs = fake.running.contains(attempt) && !fake.silent;
             if (runs && this->clock.now() - listedAt >= this->taskDuration) {
                 this->workers.endRun(TargetId(name.c_str()), attempt, EndKind::Succeeded);
             }
@@ -102,7 +106,7 @@
     void bringBack(const std::string &name)
     {
         if (this->crashedWorkersLeave) {
-            this->dispatcher.workerUnlisted(TargetId(name.c_str()));
+            this->dispatcher.workerUnlisted(TargetId(name.c_str()), RemovalCause::Unknown);
             return;
         }
         this->workers.restart(TargetId(name.c_str()));
@@ -189,7 +193,7 @@
         cr_assert_eq(fixture.workers.starts.size(), cut, "the task does not run");
         const TargetId name = fixture.workers.starts.back().worker;
         fixture.workers.workers[name].silent = true;
-        fixture.dispatcher.workerUnlisted(name);
+        fixture.dispatcher.workerUnlisted(name, RemovalCause::Unknown);
     }
     fixture.runFor(seconds(6));
     cr_expect(fixture.dispatcher.stateOf(JobId("a")) != JobState::Failed);
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -104,8 +104,6 @@
     /** Number of the last ended run whose acknowledgement the worker has received. */
     std::uint64_t acknowledgedEnds = 0;
     std::uint32_t failedHolds = 0;
-    /** The outcome of the last hold that failed since the worker last answered. */
-    CommandOutcome holdFailure = CommandOutcome::Done;
     /** Runs whose lease has expired while the worker was silent, until it is known whether the
         worker crashed. */
     std::vector<Run> unexplainedRuns;
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -118,7 +118,6 @@
                                   .with("worker", id.name())
                                   .with("deregistered", worker->deregistered)
                                   .with("runs", static_cast<std::int64_t>(worker->runs.size())));
-    this->reportDeparture(*worker);
 }
 
 void WorkerManager::tick()
@@ -258,7 +257,6 @@
     for (const auto &[attempt, run] : worker.runs) {
         worker.unexplainedRuns.push_back(run);
     }
-    this->reportDeparture(worker);
     for (const auto &[attempt, run] : worker.clearRuns()) {
         this->listener.runLost(worker, run, "lease expired");
     }
@@ -273,14 +271,6 @@
     this->listener.workerSettled(worker.entry.worker);
 }
 
-void WorkerManager::workerEnded(const TargetId &id)
-{
-    if (Worker *worker = this->find(id)) {
-        this->dropRunsOfEndedProcess(*worker, "the worker's process has ended");
-    }
-    this->listener.workerSettled(id);
-}
-
 void WorkerManager::dropRunsOfEndedProcess(Worker &worker, std::string_view reason)
 {
     std::vector<Run> lost;
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -156,10 +156,6 @@
     void dropRunsOfEndedProcess(Worker &worker, std::string_view reason);
     void handleDeparture(Worker &worker);
 
-    /** Reports the runs of a worker that is gone without having announced it, if its process is
-        known to have ended. */
-    void reportDeparture(Worker &worker);
-
     /** Reports the runs that a worker's previous process had.
         @param sentAt when the request was sent that the new process answered */
     void reportRestart(Worker &worker, Instant sentAt, const HoldAnswer &answer);
--- a/modules/bulrush_steps/workers/WorkerManagerCrashes.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerCrashes.cpp
@@ -18,15 +18,17 @@
 
 } // namespace
 
-void WorkerManager::reportDeparture(Worker &worker)
+void WorkerManager::workerEnded(const TargetId &id)
 {
-    // A worker that is cut off leaves the list as well, but then requests to it go unanswered.
-    const bool processEnded = worker.holdFailure == CommandOutcome::Refused
-            || worker.holdFailure == CommandOutcome::OtherWorker;
-    if (!worker.listed && processEnded) {
-        this->reportCrash(worker, std::exchange(worker.unexplainedRuns, {}),
-                          "the worker's process is gone");
+    if (Worker *worker = this->find(id)) {
+        std::vector<Run> runs = std::exchange(worker->unexplainedRuns, {});
+        for (const auto &[attempt, run] : worker->runs) {
+            runs.push_back(run);
+        }
+        this->reportCrash(*worker, runs, "the worker's process has ended");
+        this->dropRunsOfEndedProcess(*worker, "the worker's process has ended");
     }
+    this->listener.workerSettled(id);
 }
 
 void WorkerManager::reportRestart(Worker &worker, Instant sentAt, const HoldAnswer &answer)
--- a/modules/bulrush_steps/workers/WorkerManagerReports.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerReports.cpp
@@ -55,7 +55,6 @@
     worker->processStartedAt = answer.processStartedAt;
     worker->failedHolds = 0;
     this->silent.erase(id);
-    worker->holdFailure = CommandOutcome::Done;
     worker->unexplainedRuns.clear();
     worker->clock.recordReading(answer.clock, now);
     worker->reportedAt = now;
@@ -86,7 +85,6 @@
     }
     worker.confirmed = false;
     this->silent.insert(worker.entry.worker);
-    worker.holdFailure = outcome;
     worker.nextHoldAt = this->clock.now() + holdRetryDelay;
 }
 
