Keep a worker set apart until its report shows that the suspect has lasted

Cause: a worker took other tasks again 0.5 s after the start of a suspect, but the suspect counts as young until a report shows otherwise, which takes up to a second more. The next task to crash that worker was put down to the suspect. Besides, a crash that points at a suspect still counted for the tasks beside it, and three crashes just after the start were enough for tasks that had found no worker to start apart.

Now the worker stays set apart until such a report; a crash in that time counts for the suspect only; and a task that was not started apart is given up after four. That leaves one crash that a change of owner may lose before the bound of the rule.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -414,7 +414,7 @@
     ++task.openRuns;
     task.apartSince.reset();
     if (task.startedApart) {
-        CrashSuspects::setApart(worker, this->clock.now());
+        CrashSuspects::setApart(worker, run.attempt, this->clock.now());
     }
     this->decisions.write(
             DecisionLine(Event::TaskStarted)
--- a/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
@@ -63,7 +63,8 @@
                                   .with("age_ms", age.count())
                                   .with("evidence", evidence));
     JobEntry *job = this->findJob(run.attempt.task);
-    if (job == nullptr || job->hasEnded() || job->task(run.attempt.task).succeeded) {
+    if (job == nullptr || job->hasEnded() || job->task(run.attempt.task).succeeded
+        || CrashSuspects::pointsAtOther(worker, run.attempt)) {
         return;
     }
     StepTask &task = job->task(run.attempt.task);
--- a/modules/bulrush_steps/policy/CrashSuspects.cpp
+++ b/modules/bulrush_steps/policy/CrashSuspects.cpp
@@ -15,7 +15,7 @@
 /** The number of crashes in a row, each just after the start, at which a task is given up: if it
     was started apart the last time, and if not, as the members of a gang. */
 constexpr std::size_t maxEarlyCrashesApart = 2;
-constexpr std::size_t maxEarlyCrashes = 3;
+constexpr std::size_t maxEarlyCrashes = 4;
 
 /** The number of crashes of any kind at which a task is given up that is not long-running. */
 constexpr std::size_t maxCrashes = 5;
@@ -78,9 +78,20 @@
     });
 }
 
-void CrashSuspects::setApart(Worker &worker, Instant now)
+void CrashSuspects::setApart(Worker &worker, const AttemptRef &attempt, Instant now)
 {
-    worker.avoidUntil = std::max(worker.avoidUntil, now + youngAge);
+    worker.apartRun = attempt;
+    worker.apartRunSentAt = now;
+}
+
+bool CrashSuspects::isSetApart(const Worker &worker)
+{
+    return worker.apartRun && worker.reportedAt - worker.apartRunSentAt < youngAge;
+}
+
+bool CrashSuspects::pointsAtOther(const Worker &worker, const AttemptRef &attempt)
+{
+    return isSetApart(worker) && worker.apartRun != attempt;
 }
 
 milliseconds CrashSuspects::lastKnownAge(const Worker &worker, const Run &run)
--- a/modules/bulrush_steps/policy/CrashSuspects.h
+++ b/modules/bulrush_steps/policy/CrashSuspects.h
@@ -34,8 +34,14 @@
     /** Returns whether a worker has a run that its crash would make a suspect. */
     static bool hasYoungRun(const Worker &worker);
 
-    /** Has a worker that was given a suspected task take no other for a time. */
-    static void setApart(Worker &worker, Instant now);
+    /** Has a worker that was given a suspected task take no other while the run is young. */
+    static void setApart(Worker &worker, const AttemptRef &attempt, Instant now);
+
+    /** Returns whether a worker has a young run that was started apart. */
+    static bool isSetApart(const Worker &worker);
+
+    /** Returns whether the crash of a worker points at another of its runs. */
+    static bool pointsAtOther(const Worker &worker, const AttemptRef &attempt);
 
     /** Returns how long a run had been on its worker when the worker last reported; zero when the
         worker has not reported since the start. */
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -101,7 +101,8 @@
 {
     const bool usable = worker.listed && !worker.entry.draining && worker.confirmed
             && worker.onRoster && this->now >= worker.avoidUntil
-            && worker.commandsInFlight < maxStartsInFlightPerWorker;
+            && worker.commandsInFlight < maxStartsInFlightPerWorker
+            && !CrashSuspects::isSetApart(worker);
     return usable && hasCapacity(worker, request) && isEligible(worker, request)
             && !(request.apart && CrashSuspects::hasYoungRun(worker));
 }
--- /dev/null
+++ b/modules/bulrush_steps/tests/crash_suspects_test.cpp
@@ -0,0 +1,54 @@
+#include "PolicyFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace bulrush;
+using namespace bulrush::test;
+
+namespace {
+
+AttemptRef makeAttempt(const char *job)
+{
+    return { { JobId(job), 0, 0, 0 }, 1 };
+}
+
+} // namespace
+
+Test(CrashSuspects, aWorkerStaysSetApartUntilAReportShowsThatTheSuspectHasLasted)
+{
+    const Instant start = Instant() + seconds(100);
+    Worker worker;
+    worker.reportedAt = start;
+    CrashSuspects::setApart(worker, makeAttempt("a"), start);
+    cr_expect(CrashSuspects::isSetApart(worker));
+    worker.reportedAt = start + milliseconds(400);
+    cr_expect(CrashSuspects::isSetApart(worker));
+    worker.reportedAt = start + milliseconds(600);
+    cr_expect(!CrashSuspects::isSetApart(worker));
+}
+
+Test(CrashSuspects, aCrashUnderASuspectIsNotCountedForTheTasksBesideIt)
+{
+    const Instant start = Instant() + seconds(100);
+    Worker worker;
+    worker.reportedAt = start;
+    cr_expect(!CrashSuspects::pointsAtOther(worker, makeAttempt("b")));
+    CrashSuspects::setApart(worker, makeAttempt("a"), start);
+    cr_expect(CrashSuspects::pointsAtOther(worker, makeAttempt("b")));
+    cr_expect(!CrashSuspects::pointsAtOther(worker, makeAttempt("a")));
+    worker.reportedAt = start + seconds(1);
+    cr_expect(!CrashSuspects::pointsAtOther(worker, makeAttempt("b")));
+}
+
+Test(CrashSuspects, crashesUnderATaskThatWasNotStartedApartPointAtItOnlyAfterFour)
+{
+    const StepSpec step;
+    StepTask task;
+    for (std::uint64_t attempt = 1; attempt < 4; ++attempt) {
+        cr_expect(CrashSuspects::countCrash(step, task, attempt, milliseconds(100)));
+        cr_expect(!CrashSuspects::countCrash(step, task, attempt, milliseconds(100)));
+        cr_expect(!CrashSuspects::isToBlame(step, task));
+    }
+    CrashSuspects::countCrash(step, task, 4, milliseconds(100));
+    cr_expect(CrashSuspects::isToBlame(step, task));
+}
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -128,6 +128,9 @@
     /** Receives no new tasks before this moment, because it refused or did not answer a start, or
         because runs on it failed, stalled or were slow. */
     Instant avoidUntil {};
+    /** The newest run of a suspected task that was started apart here. @see CrashSuspects */
+    std::optional<AttemptRef> apartRun;
+    Instant apartRunSentAt {};
     /** Receives no filling tasks before this moment, because a serving task exceeded its
         tail latency target. */
     Instant fillsBlockedUntil {};
