Judge a crash by whether the attempt that it ended was started apart

A suspect waits 1.5 s instead of 2 s for a worker without young runs: with a lease that expires 4.2 s after the crash, a long-running task then starts again within the 6 s that its callers are promised.

--- a/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
@@ -72,7 +72,7 @@
     if (!CrashSuspects::countCrash(step, task, run.attempt.attempt, age)) {
         return;
     }
-    if (CrashSuspects::isToBlame(step, task)) {
+    if (CrashSuspects::isToBlame(step, task, worker.apartRun == run.attempt)) {
         job->failed = true;
         this->decisions.write(
                 DecisionLine(Event::TaskGivenUp)
--- a/modules/bulrush_steps/policy/CrashSuspects.cpp
+++ b/modules/bulrush_steps/policy/CrashSuspects.cpp
@@ -10,7 +10,7 @@
 constexpr milliseconds youngAge { 500 };
 
 /** How long a suspected task waits for a worker without young runs. */
-constexpr milliseconds maxApartWait { 2000 };
+constexpr milliseconds maxApartWait { 1500 };
 
 /** The number of crashes in a row, each just after the start, at which a task is given up: if it
     was started apart the last time, and if not, as the members of a gang. */
@@ -53,9 +53,9 @@
     return suspected;
 }
 
-bool CrashSuspects::isToBlame(const StepSpec &step, const StepTask &task)
+bool CrashSuspects::isToBlame(const StepSpec &step, const StepTask &task, bool startedApart)
 {
-    const std::size_t limit = task.startedApart ? maxEarlyCrashesApart : maxEarlyCrashes;
+    const std::size_t limit = startedApart ? maxEarlyCrashesApart : maxEarlyCrashes;
     return task.earlyCrashes.size() >= limit
             || (!step.runsIndefinitely && task.crashedAttempts.size() >= maxCrashes);
 }
--- a/modules/bulrush_steps/policy/CrashSuspects.h
+++ b/modules/bulrush_steps/policy/CrashSuspects.h
@@ -25,8 +25,9 @@
         @returns whether the task was suspected */
     static bool clear(StepTask &task);
 
-    /** Returns whether the crashes point at the task, so that it must not be started again. */
-    static bool isToBlame(const StepSpec &step, const StepTask &task);
+    /** Returns whether the crashes point at the task, so that it must not be started again.
+        @param startedApart whether the attempt was that the last crash was counted for */
+    static bool isToBlame(const StepSpec &step, const StepTask &task, bool startedApart);
 
     /** Returns whether a task must be started apart, which it waits for for a limited time. */
     static bool mustStartApart(StepTask &task, Instant now);
--- a/modules/bulrush_steps/tests/crash_suspects_test.cpp
+++ b/modules/bulrush_steps/tests/crash_suspects_test.cpp
@@ -47,8 +47,20 @@
     for (std::uint64_t attempt = 1; attempt < 4; ++attempt) {
         cr_expect(CrashSuspects::countCrash(step, task, attempt, milliseconds(100)));
         cr_expect(!CrashSuspects::countCrash(step, task, attempt, milliseconds(100)));
-        cr_expect(!CrashSuspects::isToBlame(step, task));
+        cr_expect(!CrashSuspects::isToBlame(step, task, false));
     }
     CrashSuspects::countCrash(step, task, 4, milliseconds(100));
-    cr_expect(CrashSuspects::isToBlame(step, task));
+    cr_expect(CrashSuspects::isToBlame(step, task, false));
+}
+
+Test(CrashSuspects, aTaskIsGivenUpAfterTwoOnlyIfTheAttemptThatCrashedWasStartedApart)
+{
+    const StepSpec step;
+    StepTask task;
+    CrashSuspects::countCrash(step, task, 1, milliseconds(100));
+    CrashSuspects::countCrash(step, task, 2, milliseconds(100));
+    // A third attempt was started apart before the crash under the second became known.
+    task.startedApart = true;
+    cr_expect(!CrashSuspects::isToBlame(step, task, false));
+    cr_expect(CrashSuspects::isToBlame(step, task, true));
 }
