--- a/modules/bulrush_net/bulrush_net.h
+++ b/modules/bulrush_net/bulrush_net.h
@@ -10,6 +10,7 @@
     Needs: bulrush_core, libwebsockets, Boost.Beast (headers).
 */
 
+#include "bulrush_net/frames/FrameLinks.h"
 #include "bulrush_net/frames/FrameTransport.h"
 #include "bulrush_net/http/HttpCaller.h"
 #include "bulrush_net/http/HttpClient.h"
--- a/modules/bulrush_steps/workers/WorkerRoster.h
+++ b/modules/bulrush_steps/workers/WorkerRoster.h
@@ -13,14 +13,13 @@
     The list of the workers that may hold tasks, and how much of it is persisted.
 
     A worker receives its first task only after a persisted roster lists it, so that a new owner
-   knows which workers to ask.
+    knows which workers to ask.
 */
 class WorkerRoster
 {
 public:
     /** Updates the roster to the present workers and those that may still run tasks of former
-       owners, and marks the
-       workers that the persisted roster lists.
+        owners, and marks the workers that the persisted roster lists.
         @returns whether the roster changed and is to be persisted */
     bool update(std::map<TargetId, Worker> &workers, const std::set<TargetId> &ofFormerOwners);
 
