Keep the readings of the list of VMs within their share of calls, and ask once for a worker that has ended

Cause: each worker that newly fell silent set the next reading to 0.25 s from then, past the bound that the share of the accepted calls sets; and a worker that had ended stayed among the silent ones while an unanswered start of it was kept, so it became a suspect anew, was asked for each 0.25 s and reported again and again (its line in the log as well). Ruled out: the interval that grows, which was not in play.

Before: EndedWorker/readingsStayWithinTheirShareOfTheAcceptedCalls counts 74 readings in 20 s at 2 accepted calls a second, where 10 are its share; aWorkerThatHasEndedIsReportedAndAskedForOnce fails. After: both pass.

--- a/modules/bulrush_steps/tests/ended_worker_test.cpp
+++ b/modules/bulrush_steps/tests/ended_worker_test.cpp
@@ -97,3 +97,45 @@
     fixture.runFor(seconds(2));
     cr_assert_eq(fixture.processes.reads, 0);
 }
+
+/* The start that is kept for its lease keeps the worker among the silent ones. */
+Test(EndedWorker, aWorkerThatHasEndedIsReportedAndAskedForOnce)
+{
+    DispatcherFixture fixture;
+    fixture.workers.onStart = [&fixture] { fixture.worker("w1").silent = true; };
+    fixture.begin({});
+    fixture.processes.list = running({ first });
+    fixture.listWorker("w1");
+    fixture.runFor(milliseconds(200));
+    fixture.accept(makeJob("a", 1));
+    fixture.runFor(milliseconds(100));
+    fixture.processes.list = running({ second });
+    fixture.runFor(milliseconds(1500));
+    const int reads = fixture.processes.reads;
+    fixture.runFor(milliseconds(1500));
+    cr_assert_eq(fixture.processes.reads, reads);
+}
+
+/* Workers fall silent one after the other, each of which asks for a reading soon. */
+Test(EndedWorker, readingsStayWithinTheirShareOfTheAcceptedCalls)
+{
+    ManualClock clock;
+    FakeProcesses processes;
+    processes.list = running({});
+    struct Listener : EndedWorkerFinder::Listener
+    {
+        void workerEnded(const TargetId & /*worker*/) override { }
+    } listener;
+    constexpr double callsPerSecond = 2.0;
+    EndedWorkerFinder finder(clock, &processes, callsPerSecond, listener);
+    std::set<TargetId> silent;
+    for (int second = 0; second < 20; ++second) {
+        silent.insert(TargetId("w" + std::to_string(second)));
+        for (int tick = 0; tick < 100; ++tick) {
+            clock.advance(milliseconds(10));
+            finder.tick(silent);
+            processes.deliver();
+        }
+    }
+    cr_assert_leq(processes.reads, 11, "%d readings", processes.reads);
+}
--- a/modules/bulrush_steps/workers/EndedWorkerFinder.cpp
+++ b/modules/bulrush_steps/workers/EndedWorkerFinder.cpp
@@ -51,7 +51,7 @@
     }
     const Instant now = this->clock.now();
     this->updateSuspects(silent, now);
-    if (!this->reading && now >= this->nextReadAt) {
+    if (this->readIsDue(now)) {
         this->readList(now);
     }
 }
@@ -70,17 +70,24 @@
     this->nextReadAt = std::min(this->nextReadAt, now + minInterval);
 }
 
-void EndedWorkerFinder::readList(Instant now)
+bool EndedWorkerFinder::readIsDue(Instant now) const
 {
-    const bool due =
-            std::any_of(this->suspects.begin(), this->suspects.end(), [now](const auto &entry) {
-                return now - entry.second.silentSince >= minSilence;
-            });
-    if (!due) {
-        return;
+    if (this->reading || now < this->nextReadAt || now < this->nextAllowedAt) {
+        return false;
     }
+    return std::any_of(this->suspects.begin(), this->suspects.end(), [now](const auto &entry) {
+        const Suspect &suspect = entry.second;
+        return !suspect.ended && now - suspect.silentSince >= minSilence;
+    });
+}
+
+void EndedWorkerFinder::readList(Instant now)
+{
+    const std::chrono::duration<double> fairInterval(this->callsPerReading
+                                                     / (this->callsPerSecond * maxShareOfCalls));
     this->reading = true;
     this->nextReadAt = now + this->interval;
+    this->nextAllowedAt = now + std::chrono::duration_cast<Duration>(fairInterval);
     this->list->read(readTimeout,
                      [this, now, isAlive = this->alive](std::optional<WorkerProcesses> processes) {
                          if (!*isAlive) {
@@ -95,27 +102,24 @@
 
 void EndedWorkerFinder::handleList(Instant sentAt, const WorkerProcesses &processes)
 {
-    const std::chrono::duration<double> fairInterval(processes.calls
-                                                     / (this->callsPerSecond * maxShareOfCalls));
-    this->nextReadAt =
-            std::max(this->nextReadAt, sentAt + std::chrono::duration_cast<Duration>(fairInterval));
+    this->callsPerReading = std::max(1U, processes.calls);
     std::vector<TargetId> ended;
     bool anyMissing = false;
     for (auto &[worker, suspect] : this->suspects) {
-        if (suspect.silentSince > sentAt) {
+        if (suspect.ended || suspect.silentSince > sentAt) {
             continue;
         }
         const bool missing = !processes.running.contains(worker);
-        if (missing && suspect.missing) {
+        suspect.ended = missing && suspect.missing;
+        suspect.missing = missing;
+        if (suspect.ended) {
             ended.push_back(worker);
         }
-        suspect.missing = missing;
         anyMissing = anyMissing || missing;
     }
     this->interval = anyMissing ? Duration(minInterval)
                                 : std::min<Duration>(this->interval * 2, maxInterval);
     for (const TargetId &worker : ended) {
-        this->suspects.erase(worker);
         this->listener.workerEnded(worker);
     }
 }
--- a/modules/bulrush_steps/workers/EndedWorkerFinder.h
+++ b/modules/bulrush_steps/workers/EndedWorkerFinder.h
@@ -48,9 +48,12 @@
         Instant silentSince {};
         /** Whether the last reading did not show it. */
         bool missing = false;
+        /** Whether it was reported as ended. */
+        bool ended = false;
     };
 
     void updateSuspects(const std::set<TargetId> &silent, Instant now);
+    bool readIsDue(Instant now) const;
     void readList(Instant now);
     void handleList(Instant sentAt, const WorkerProcesses &processes);
 
@@ -61,6 +64,10 @@
     std::map<TargetId, Suspect> suspects;
     bool reading = false;
     Instant nextReadAt {};
+    /** When another reading keeps within the share of the accepted calls. */
+    Instant nextAllowedAt {};
+    /** The number of calls that the last complete reading took. */
+    std::uint32_t callsPerReading = 1;
     /** Grows while the readings show all suspects, which are cut off then. */
     Duration interval {};
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
