Test the guards of the departure and of the question to a former owner that could be removed unnoticed

Five mutations were tried: a read in several pages taken for one to the end, the time of the answer in place of that of the question, a trimmed history, a worker that was not asked since it moved, and an answer that a former owner has ended whatever was asked. The decision of the answer moves out of EntryNode into endFormerOwnership, which a test can call; no behaviour changes.

--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -1,7 +1,7 @@
 #include "bulrush_entry/node/EntryNode.h"
 
 #include "bulrush_core/errors/Error.h"
-#include "bulrush_entry/owner/MemberName.h"
+#include "bulrush_entry/owner/FormerOwnership.h"
 
 #include <algorithm>
 #include <utility>
@@ -265,11 +265,7 @@
 bool EntryNode::endsFormerOwnership(std::string_view member, std::uint64_t askedToken,
                                     std::uint64_t askerToken)
 {
-    if (member == this->ownership.memberName()) {
-        return this->ownership.yieldTo(askerToken, askedToken);
-    }
-    const std::optional<MemberName> earlier = MemberName::parse(member);
-    return earlier && this->name.replaces(*earlier);
+    return endFormerOwnership(this->ownership, this->name, member, askedToken, askerToken);
 }
 
 void EntryNode::formerOwnerEnded(std::uint64_t fencingToken)
--- a/modules/bulrush_steps/tests/FakeWorkers.h
+++ b/modules/bulrush_steps/tests/FakeWorkers.h
@@ -265,8 +265,8 @@
             result.outcome =
                     from < this->firstRetained ? StoreOutcome::Trimmed : StoreOutcome::Done;
             result.end = records.size();
-            result.next = records.size();
-            for (std::size_t at = from; at < records.size(); ++at) {
+            result.next = std::min<std::size_t>(records.size(), from + this->recordsPerRead);
+            for (std::size_t at = from; at < result.next; ++at) {
                 result.records.push_back(records[at]);
                 result.records.back().offset = at;
             }
@@ -330,6 +330,8 @@
     bool losesAppendAnswers = false;
     std::uint64_t epoch = 0;
     std::size_t pageSize = 2;
+    /** The maximum number of records that one read returns. */
+    std::size_t recordsPerRead = 1000;
     /** Reads from an offset below this one end as Trimmed. */
     LogOffset firstRetained = 0;
     std::map<LogStream, std::vector<KeyedRecord>> streams;
--- a/modules/bulrush_steps/tests/follow_test.cpp
+++ b/modules/bulrush_steps/tests/follow_test.cpp
@@ -165,6 +165,42 @@
     cr_assert(list.causes.at(TargetId("w1")) == RemovalCause::Unknown);
 }
 
+/* Reads have fallen behind, so each returns what was written long before it was sent. */
+Test(WorkerFollower, aRemovalThatIsReadLongAfterItWasWrittenIsNotTheWorkersOwn)
+{
+    FakeLog log;
+    write(log, LogStream::Workers, "w1", "ready");
+    WorkerList list(log);
+    list.read();
+    log.recordsPerRead = 1;
+    log.up = false;
+    write(log, LogStream::Workers, "w2", "ready");
+    write(log, LogStream::Workers, "w1", "ready");
+    list.read(heartbeat * 3);
+    write(log, LogStream::Workers, "w1", "");
+    log.up = true;
+    list.read();
+    cr_assert(list.causes.at(TargetId("w1")) == RemovalCause::Unknown);
+}
+
+/* The process is paused between a read and its answer, and the last heartbeat was written just
+   after that read. */
+Test(WorkerFollower, aHeartbeatMayBeAsOldAsTheReadBeforeTheOneThatBroughtIt)
+{
+    FakeLog log;
+    write(log, LogStream::Workers, "w1", "ready");
+    WorkerList list(log);
+    list.read();
+    list.clock.advance(seconds(1));
+    list.follower.tick();
+    write(log, LogStream::Workers, "w1", "ready");
+    list.clock.advance(heartbeat * 3);
+    write(log, LogStream::Workers, "w1", "");
+    log.deliver();
+    list.read();
+    cr_assert(list.causes.at(TargetId("w1")) == RemovalCause::Unknown);
+}
+
 /* The history is trimmed, so the last heartbeat is read again, long after it was written. */
 Test(WorkerFollower, aRemovalAfterAHeartbeatWasReadAgainIsNotTheWorkersOwn)
 {
--- a/modules/bulrush_steps/tests/worker_departure_test.cpp
+++ b/modules/bulrush_steps/tests/worker_departure_test.cpp
@@ -162,6 +162,19 @@
     cr_assert_eq(owners.startsOnSecondWorker(), 1U, "%zu starts", owners.startsOnSecondWorker());
 }
 
+/* The worker moved to another address and has not been asked there yet. */
+Test(WorkerDeparture, aWorkerThatWasNotAskedSinceItMovedHasNotLeft)
+{
+    Worker worker;
+    worker.entry.draining = true;
+    worker.deregistered = true;
+    cr_assert_not(worker.hasLeft());
+    worker.failedHolds = 1;
+    cr_assert(worker.hasLeft());
+    worker.confirmed = true;
+    cr_assert_not(worker.hasLeft());
+}
+
 /* A cut takes the worker's path to the list and to the owner, not its tasks. */
 Test(WorkerDeparture, tasksOfAWorkerThatWasCutOffWhileItDrainedWaitForTheirLease)
 {
