Give the wait of a new owner a class of its own, and rename what stopped a newcomer

The wait for former owners was spread over two files of Dispatcher and eleven members, a method named for reporting also removed records, "settled" meant two things, and "accounted" and "unsettled" were in no glossary. Now TakeoverWait decides when known jobs may start, FormerOwners says remainingWaits, awaitedOwners and ownersToAsk, workers are known or unheard, and queries that act are named as commands (stopCommandsOf, yieldTo). The wait is updated before the roster, so that the roster of that tick is the final one. Otherwise no behaviour changes; texts and fields of events stay.

--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -125,7 +125,7 @@
         this->followJobs();
         this->dispatcher.tick();
     }
-    this->owner.askFormerOwners(this->dispatcher.unaccountedOwners(),
+    this->owner.askFormerOwners(this->dispatcher.formerOwnersToAsk(),
                                 this->ownership.fencingToken());
     this->refreshStandbyView();
     if (this->drainingSince) {
@@ -262,18 +262,18 @@
                        });
 }
 
-bool EntryNode::endsFormerOwnership(std::string_view member, std::uint64_t askedToken,
-                                    std::uint64_t askerToken)
+bool EntryNode::stopCommandsOf(std::string_view member, std::uint64_t askedToken,
+                               std::uint64_t askerToken)
 {
     return endFormerOwnership(this->ownership, this->name, member, askedToken, askerToken);
 }
 
-void EntryNode::formerOwnerEnded(std::uint64_t fencingToken)
+void EntryNode::formerOwnerStopped(std::uint64_t fencingToken)
 {
     if (!this->dispatcher.active()) {
         return;
     }
-    const Resignation resignation = this->dispatcher.formerOwnerEnded(fencingToken);
+    const Resignation resignation = this->dispatcher.formerOwnerStopped(fencingToken);
     this->decisions.write(DecisionLine(Event::FormerOwnerEnded).with("owner", fencingToken));
     const KeyedRecord record { records::resignationKey(fencingToken),
                                records::encodeResignation(resignation), 0 };
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -86,9 +86,9 @@
     void workerUnlisted(const TargetId &worker, RemovalCause cause) override;
 
     // OwnerLink::Listener
-    bool endsFormerOwnership(std::string_view member, std::uint64_t askedToken,
-                             std::uint64_t askerToken) override;
-    void formerOwnerEnded(std::uint64_t fencingToken) override;
+    bool stopCommandsOf(std::string_view member, std::uint64_t askedToken,
+                        std::uint64_t askerToken) override;
+    void formerOwnerStopped(std::uint64_t fencingToken) override;
 
     // StreamReader::Listener
     void snapshotReadStarted(LogStream /*stream*/) override { }
--- a/modules/bulrush_entry/owner/FormerOwnerInquiry.cpp
+++ b/modules/bulrush_entry/owner/FormerOwnerInquiry.cpp
@@ -26,18 +26,18 @@
 {
 }
 
-void FormerOwnerInquiry::update(std::span<const OwnerRecord> owners, std::uint64_t askToken)
+void FormerOwnerInquiry::update(std::span<const OwnerRecord> owners, std::uint64_t ownToken)
 {
-    this->token = askToken;
+    this->ownFencingToken = ownToken;
     this->closeOthers(owners);
     for (const OwnerRecord &owner : owners) {
         const std::optional<MemberName> former = MemberName::parse(owner.member);
         if (!former) {
             continue;
         }
-        if (owner.member == this->name.text() || this->name.replaces(*former)) {
+        if (owner.member == this->name.text() || this->name.provesEndOf(*former)) {
             // An earlier ownership of this process, or an earlier process of this node.
-            this->listener.formerOwnerEnded(owner.fencingToken);
+            this->listener.formerOwnerStopped(owner.fencingToken);
             continue;
         }
         Exchange &exchange = this->exchanges[owner.fencingToken];
@@ -79,10 +79,10 @@
 
 bool FormerOwnerInquiry::owns(LinkId link) const
 {
-    return this->tokenOf(link) != 0;
+    return this->askedTokenOf(link) != 0;
 }
 
-std::uint64_t FormerOwnerInquiry::tokenOf(LinkId link) const
+std::uint64_t FormerOwnerInquiry::askedTokenOf(LinkId link) const
 {
     for (const auto &[asked, exchange] : this->exchanges) {
         if (exchange.link == link) {
@@ -94,19 +94,19 @@
 
 void FormerOwnerInquiry::linkOpened(LinkId link)
 {
-    const Exchange &exchange = this->exchanges.at(this->tokenOf(link));
+    const Exchange &exchange = this->exchanges.at(this->askedTokenOf(link));
     wire::OwnerQuestionT question;
     question.number = exchange.owner.fencingToken;
     question.kind = wire::OwnerQuestionKind::FormerOwner;
     question.text = exchange.owner.member;
     question.asked_token = exchange.owner.fencingToken;
-    question.asker_token = this->token;
+    question.asker_token = this->ownFencingToken;
     this->links.send(link, wire::encodeOwnerFrame(question));
 }
 
 void FormerOwnerInquiry::linkClosed(LinkId link)
 {
-    Exchange &exchange = this->exchanges.at(this->tokenOf(link));
+    Exchange &exchange = this->exchanges.at(this->askedTokenOf(link));
     exchange.link = 0;
     exchange.nextStepAt = this->clock.now() + retryDelay;
 }
@@ -115,9 +115,9 @@
 {
     // A process of an earlier version takes the question for another one, and never answers
     // "ended".
-    const std::uint64_t asked = this->tokenOf(link);
+    const std::uint64_t asked = this->askedTokenOf(link);
     if (asked != 0 && answer.ended() && answer.number() == asked) {
-        this->listener.formerOwnerEnded(asked);
+        this->listener.formerOwnerStopped(asked);
     }
 }
 
--- a/modules/bulrush_entry/owner/FormerOwnerInquiry.h
+++ b/modules/bulrush_entry/owner/FormerOwnerInquiry.h
@@ -30,7 +30,7 @@
         virtual ~Listener() = default;
 
         /** Called when a former owner is known to send no more commands. */
-        virtual void formerOwnerEnded(std::uint64_t fencingToken) = 0;
+        virtual void formerOwnerStopped(std::uint64_t fencingToken) = 0;
     };
 
     FormerOwnerInquiry(const Clock &clock, FrameLinks &links, MemberName ownName,
@@ -38,14 +38,20 @@
 
     /** Asks those that are due. Call it regularly.
         @param owners   the former owners that are waited for; others are no longer asked
-        @param askToken the fencing token of the present owner, which is this node */
-    void update(std::span<const OwnerRecord> owners, std::uint64_t askToken);
+        @param ownToken the fencing token of this node, the present owner */
+    void update(std::span<const OwnerRecord> owners, std::uint64_t ownToken);
 
     /** Returns whether a connection belongs to this inquiry. */
     bool owns(LinkId link) const;
 
+    /** Sends the question. The connection must belong to this inquiry. */
     void linkOpened(LinkId link);
+
+    /** Notes that a connection closed or failed; the next attempt follows after a delay. The
+        connection must belong to this inquiry. */
     void linkClosed(LinkId link);
+
+    /** Takes an answer into account; ignored unless it answers the question of this connection. */
     void answered(LinkId link, const wire::OwnerAnswer &answer);
 
 private:
@@ -61,13 +67,15 @@
 
     void closeOthers(std::span<const OwnerRecord> owners);
     void advance(Exchange &exchange);
-    std::uint64_t tokenOf(LinkId link) const;
+    /** Returns the token that is asked about over a connection; 0 when it does not belong to this
+        inquiry. */
+    std::uint64_t askedTokenOf(LinkId link) const;
 
     const Clock &clock;
     FrameLinks &links;
     const MemberName name;
     Listener &listener;
-    std::uint64_t token = 0;
+    std::uint64_t ownFencingToken = 0;
     /** By the former owner's fencing token. */
     std::map<std::uint64_t, Exchange> exchanges;
 };
--- a/modules/bulrush_entry/owner/FormerOwnership.cpp
+++ b/modules/bulrush_entry/owner/FormerOwnership.cpp
@@ -11,7 +11,7 @@
         return ownership.yieldTo(askerToken, askedToken);
     }
     const std::optional<MemberName> earlier = MemberName::parse(member);
-    return earlier && ownName.replaces(*earlier);
+    return earlier && ownName.provesEndOf(*earlier);
 }
 
 } // namespace bulrush
--- a/modules/bulrush_entry/owner/MemberName.cpp
+++ b/modules/bulrush_entry/owner/MemberName.cpp
@@ -40,10 +40,10 @@
     return name;
 }
 
-bool MemberName::replaces(const MemberName &earlier) const
+bool MemberName::provesEndOf(const MemberName &other) const
 {
-    return !this->node.empty() && this->node == earlier.node && this->endpoint == earlier.endpoint
-            && this->incarnation != earlier.incarnation;
+    return !this->node.empty() && this->node == other.node && this->endpoint == other.endpoint
+            && this->incarnation != other.incarnation;
 }
 
 } // namespace bulrush
--- a/modules/bulrush_entry/owner/MemberName.h
+++ b/modules/bulrush_entry/owner/MemberName.h
@@ -15,7 +15,7 @@
 {
     /** Where the process listens for other nodes. */
     Endpoint endpoint;
-    /** Distinguishes this run of the process from others. */
+    /** Distinguishes this run of the process from others: its start, in milliseconds since 1970. */
     std::uint64_t incarnation = 0;
     /** Empty in the names of earlier versions. */
     std::string node;
@@ -28,8 +28,9 @@
 
     /** Returns whether a process with this name can exist only after another one has ended: both
         are runs of the same node at the same address. The node is compared because another machine
-        may have been given the address of one that still runs behind a cut. */
-    bool replaces(const MemberName &earlier) const;
+        may have been given the address of one that still runs behind a cut. Incarnations are only
+        compared for difference, as the time of day may have stepped back. */
+    bool provesEndOf(const MemberName &other) const;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_entry/owner/OwnerLink.cpp
+++ b/modules/bulrush_entry/owner/OwnerLink.cpp
@@ -244,8 +244,8 @@
     reply.reply = wire::OwnerReply::NotOwner;
     const std::string text = question.text()->str();
     if (question.kind() == wire::OwnerQuestionKind::FormerOwner) {
-        reply.ended = this->listener.endsFormerOwnership(text, question.asked_token(),
-                                                         question.asker_token());
+        reply.ended =
+                this->listener.stopCommandsOf(text, question.asked_token(), question.asker_token());
         return reply;
     }
     if (!this->dispatcher.active()) {
--- a/modules/bulrush_entry/owner/OwnerLink.h
+++ b/modules/bulrush_entry/owner/OwnerLink.h
@@ -24,22 +24,23 @@
     /** Receives what other nodes ask and answer about former owners. */
     struct Listener : public FormerOwnerInquiry::Listener
     {
-        /** Called when a newer owner asks about an earlier ownership of a process at this address.
+        /** Called when a newer owner asks about an ownership of a process at this address. Gives up
+            this node's ownership if it is older than the asker's.
             @param member     the name in the group of the process that was the owner
             @param askedToken the fencing token of that ownership
             @param askerToken the fencing token of the newer owner
             @returns whether no more commands are sent with the asked token, now or later */
-        virtual bool endsFormerOwnership(std::string_view member, std::uint64_t askedToken,
-                                         std::uint64_t askerToken) = 0;
+        virtual bool stopCommandsOf(std::string_view member, std::uint64_t askedToken,
+                                    std::uint64_t askerToken) = 0;
     };
 
     OwnerLink(EventLoop &loop, const Clock &clock, MemberGroup &group, const Dispatcher &dispatcher,
               const MemberName &ownName, Listener &listener);
 
     /** Asks former owners that are waited for. @see FormerOwnerInquiry::update */
-    void askFormerOwners(std::span<const OwnerRecord> owners, std::uint64_t askToken)
+    void askFormerOwners(std::span<const OwnerRecord> owners, std::uint64_t ownToken)
     {
-        this->inquiry.update(owners, askToken);
+        this->inquiry.update(owners, ownToken);
     }
 
     void askState(const JobId &job, Callback callback) override;
--- a/modules/bulrush_entry/tests/former_owner_inquiry_test.cpp
+++ b/modules/bulrush_entry/tests/former_owner_inquiry_test.cpp
@@ -44,7 +44,7 @@
     {
     }
 
-    void formerOwnerEnded(std::uint64_t fencingToken) override
+    void formerOwnerStopped(std::uint64_t fencingToken) override
     {
         this->ended.push_back(fencingToken);
     }
@@ -135,11 +135,11 @@
 Test(MemberName, onlyAnotherProcessOfTheSameNodeAtTheSameAddressProvesAnEnd)
 {
     const MemberName earlier = MemberName::parse("10.0.0.1:7000#3@n1").value();
-    cr_assert(ownName.replaces(earlier));
-    cr_assert_not(ownName.replaces(ownName));
-    cr_assert_not(ownName.replaces(MemberName::parse("10.0.0.1:7000#3@n9").value()));
-    cr_assert_not(ownName.replaces(MemberName::parse("10.0.0.1:7001#3@n1").value()));
-    cr_assert_not(ownName.replaces(MemberName::parse("10.0.0.1:7000#3").value()));
+    cr_assert(ownName.provesEndOf(earlier));
+    cr_assert_not(ownName.provesEndOf(ownName));
+    cr_assert_not(ownName.provesEndOf(MemberName::parse("10.0.0.1:7000#3@n9").value()));
+    cr_assert_not(ownName.provesEndOf(MemberName::parse("10.0.0.1:7001#3@n1").value()));
+    cr_assert_not(ownName.provesEndOf(MemberName::parse("10.0.0.1:7000#3").value()));
     cr_assert_eq(MemberName::parse(ownName.text())->text(), ownName.text());
     for (const char *wrong : { "", "10.0.0.1:7000", "10.0.0.1#3@n1", "10.0.0.1:7000#x@n1" }) {
         cr_assert_not(MemberName::parse(wrong).has_value(), "%s", wrong);
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -29,6 +29,7 @@
     , workerManager(systemClock, port, dispatchSettings, decisionLog, *this)
     , endedWorkers(systemClock, processes, dispatchSettings.vmListCallsPerSecond, *this)
     , writer(systemClock, log, *this)
+    , takeoverWait(systemClock, decisionLog)
     , planner(systemClock, this->jobTable, this->workerManager, this->durations,
               this->fillControl.pressures(), *this)
 {
@@ -39,11 +40,6 @@
     this->term = ownershipTerm;
     this->jobTable = std::move(persistedJobs);
     this->isActive = true;
-    const std::vector<TargetId> &formerWorkers = this->jobTable.roster().workers;
-    this->unsettledWorkers = { formerWorkers.begin(), formerWorkers.end() };
-    this->beganAt = this->clock.now();
-    this->nextFormerOwnersReport = this->beganAt;
-    this->formerOwnersReported = false;
     this->planner.clear();
     this->writer.begin(this->term.fencingToken);
     for (auto &[id, job] : this->jobTable.entries()) {
@@ -55,9 +51,7 @@
         }
     }
     this->workerManager.begin(this->term.fencingToken);
-    this->formerOwners.begin(this->jobTable.owners(), this->jobTable.roster(),
-                             this->term.fencingToken, this->term.previousOwnerSettledAt);
-    this->applyResignations();
+    this->takeoverWait.begin(this->jobTable, this->term);
     if (this->jobTable.newestOwnerToken() > this->term.fencingToken) {
         this->listener.superseded("the jobs stream has a newer owner's record");
     }
@@ -102,7 +96,7 @@
         return;
     }
     if (!id) {
-        this->applyResignations();
+        this->takeoverWait.applyResignations(this->jobTable);
         return;
     }
     JobEntry &job = *this->jobTable.find(*id);
@@ -174,8 +168,10 @@
     }
     this->workerManager.tick();
     this->findEndedWorkers();
+    if (this->takeoverWait.update()) {
+        this->removeRecordsOfFormerOwners();
+    }
     this->updateRoster();
-    this->reportFormerOwners(now);
     if (!this->mayCommand()) {
         return;
     }
@@ -189,16 +185,14 @@
 
 void Dispatcher::updateRoster()
 {
-    const bool settled = this->formerOwnersSettled();
-    const RosterBasis basis { this->workerManager.membershipVersion(), settled };
+    const RosterBasis basis { this->workerManager.membershipVersion(),
+                              this->takeoverWait.isOver() };
     if (this->rosterBasis == basis) {
         return;
     }
     this->rosterBasis = basis;
-    if (settled) {
-        this->unsettledWorkers.clear();
-    }
-    if (this->roster.update(this->workerManager.workers(), this->unsettledWorkers)) {
+    if (this->roster.update(this->workerManager.workers(),
+                            this->takeoverWait.workersToHearFrom())) {
         this->writer.markRosterChanged();
     }
 }
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -5,7 +5,8 @@
 #include "bulrush_steps/dispatch/ProgressWriter.h"
 #include "bulrush_steps/model/ServingConfig.h"
 #include "bulrush_steps/model/StepJobTable.h"
-#include "bulrush_steps/ownership/FormerOwners.h"
+#include "bulrush_steps/ownership/OwnershipTerm.h"
+#include "bulrush_steps/ownership/TakeoverWait.h"
 #include "bulrush_steps/policy/FillController.h"
 #include "bulrush_steps/workers/EndedWorkerFinder.h"
 #include "bulrush_steps/workers/WorkerManager.h"
@@ -16,16 +17,6 @@
 
 namespace bulrush {
 
-/** The fencing token of an ownership, and when commands of previous owners stop taking effect. */
-struct OwnershipTerm
-{
-    std::uint64_t fencingToken = 0;
-    /** From this moment on, no command of a previous owner can take effect on any worker. */
-    Instant previousOwnerSettledAt {};
-    /** How long after an owner's resignation its commands may still take effect. */
-    milliseconds resignedOwnerSettleTime { 6000 };
-};
-
 /** How much an owner has to do at one moment. */
 struct DispatchLoad
 {
@@ -94,13 +85,12 @@
     /** Returns the resignation to persist when this ownership ends; nullopt while inactive. */
     std::optional<Resignation> resignation() const;
 
-    /** Returns the former owners whose commands may still take effect and that did not say
-        otherwise; none while inactive. */
-    std::vector<OwnerRecord> unaccountedOwners() const;
+    /** Returns the former owners whose processes are to be asked whether they have stopped. */
+    std::vector<OwnerRecord> formerOwnersToAsk() const;
 
     /** Notes that a former owner sends no more commands, for example because its process ended.
         @returns the resignation to persist on its behalf */
-    Resignation formerOwnerEnded(std::uint64_t fencingToken);
+    Resignation formerOwnerStopped(std::uint64_t fencingToken);
 
     /** Applies a record of the jobs stream that was read after begin(). */
     void applyJobRecord(const KeyedRecord &record);
@@ -135,7 +125,7 @@
     void runLost(const Worker &worker, const Run &run, std::string_view reason) override;
     void runCrashed(const Worker &worker, const Run &run, std::string_view evidence) override;
     void startRefused(const Worker &worker, const Run &run, CommandOutcome outcome) override;
-    void workerSettled(const TargetId &worker) override;
+    void workerKnown(const TargetId &worker) override;
     void superseded(const Worker &worker) override;
     std::uint64_t storedChange() const override { return this->writer.storedChange(); }
     bool mayCommand() const override;
@@ -160,24 +150,16 @@
     struct RosterBasis
     {
         std::uint64_t membershipVersion = 0;
-        bool formerOwnersSettled = false;
+        bool takeoverWaitIsOver = false;
 
         bool operator==(const RosterBasis &) const = default;
     };
 
     void addWaiting(const JobEntry &job);
-    /** Takes the resignations on record into account, the newest owner's first. */
-    void applyResignations();
-
-    /** Returns whether no command of a former owner can take effect any more. */
-    bool formerOwnersSettled() const;
-
-    /** Returns the first of the workers that may hold unknown runs of former owners. */
-    std::string namesOfUnsettledWorkers() const;
-
-    /** Logs what this owner waits for, and once when it no longer waits. */
-    void reportFormerOwners(Instant now);
+    /** Removes the records of former owners, once none of their commands matters any more. */
     void removeRecordsOfFormerOwners();
+
+    /** Has the list of VMs read for workers that may have ended. */
     void findEndedWorkers();
     void updateRoster();
     void controlFills(Instant now);
@@ -209,18 +191,11 @@
     ProgressWriter writer;
     StepJobTable jobTable;
     OwnershipTerm term;
+    TakeoverWait takeoverWait;
     DurationEstimator durations;
     FillController fillControl;
     Planner planner;
     bool isActive = false;
-    FormerOwners formerOwners;
-    /** The workers that may hold runs of former owners that this owner does not know. */
-    std::set<TargetId> unsettledWorkers;
-    /** When this ownership began to dispatch. */
-    Instant beganAt {};
-    Instant nextFormerOwnersReport {};
-    /** Whether the end of the wait for former owners is logged. */
-    bool formerOwnersReported = false;
     Instant nextHealthCheck {};
     /** Accepted jobs of which no worker has begun a task. */
     std::set<JobId> unstarted;
--- /dev/null
+++ b/modules/bulrush_steps/dispatch/DispatcherTakeover.cpp
@@ -0,0 +1,83 @@
+// The part of Dispatcher that deals with what former owners have left, and with workers that may
+// have ended.
+
+#include "bulrush_steps/dispatch/Dispatcher.h"
+
+#include "bulrush_core/events/DecisionLog.h"
+
+namespace bulrush {
+
+std::optional<Resignation> Dispatcher::resignation() const
+{
+    if (!this->isActive) {
+        return std::nullopt;
+    }
+    return Resignation { this->term.fencingToken, this->takeoverWait.remainingWaits() };
+}
+
+bool Dispatcher::mayStart(const JobEntry &job)
+{
+    return !job.knownToPreviousOwners || this->takeoverWait.isOver();
+}
+
+void Dispatcher::workerKnown(const TargetId &worker)
+{
+    this->takeoverWait.workerKnown(worker);
+}
+
+std::vector<OwnerRecord> Dispatcher::formerOwnersToAsk() const
+{
+    return this->isActive ? this->takeoverWait.ownersToAsk() : std::vector<OwnerRecord>();
+}
+
+Resignation Dispatcher::formerOwnerStopped(std::uint64_t fencingToken)
+{
+    return this->takeoverWait.formerOwnerStopped(fencingToken);
+}
+
+std::string Dispatcher::rosterRecord()
+{
+    return records::encode(Roster { this->roster.workersToSend(), this->term.fencingToken,
+                                    this->takeoverWait.awaitedOwners() });
+}
+
+void Dispatcher::findEndedWorkers()
+{
+    // Workers that have not answered this owner yet, and silent ones that have runs.
+    std::set<TargetId> silent = this->takeoverWait.workersToHearFrom();
+    for (const TargetId &id : this->workerManager.silentWorkers()) {
+        const Worker *worker = this->workerManager.find(id);
+        const bool hasRuns = worker != nullptr
+                && (!worker->runs.empty() || !worker->runsExpiredInSilence.empty());
+        if (hasRuns) {
+            silent.insert(id);
+        }
+    }
+    this->endedWorkers.tick(silent);
+}
+
+void Dispatcher::workerEnded(const TargetId &worker)
+{
+    this->decisions.write(DecisionLine(Event::WorkerEnded).with("worker", worker.name()));
+    this->workerManager.workerEnded(worker);
+}
+
+void Dispatcher::removeRecordsOfFormerOwners()
+{
+    std::vector<KeyedRecord> removals;
+    for (const auto &[token, owner] : this->jobTable.owners()) {
+        if (token < this->term.fencingToken) {
+            removals.push_back({ records::ownerKey(token), {}, 0 });
+        }
+    }
+    for (const auto &[token, resignation] : this->jobTable.resignations()) {
+        if (token < this->term.fencingToken) {
+            removals.push_back({ records::resignationKey(token), {}, 0 });
+        }
+    }
+    if (!removals.empty()) {
+        this->listener.recordsObsolete(removals);
+    }
+}
+
+} // namespace bulrush
--- a/modules/bulrush_steps/follow/WorkerFollower.cpp
+++ b/modules/bulrush_steps/follow/WorkerFollower.cpp
@@ -10,8 +10,8 @@
 /** Workers write often, so the list is read at this interval rather than on every change. */
 constexpr milliseconds readInterval { 250 };
 
-/** An entry that was removed this many heartbeats after it was written, or earlier, was removed by
-    its worker. */
+/** An entry that is gone within this many heartbeats of being written was removed by its worker:
+   the platform waits for three. */
 constexpr int maxHeartbeatsOfDeregistration = 2;
 
 /** The maximum number of keys that are remembered as malformed. */
@@ -40,7 +40,7 @@
     this->nextReadAt = now + readInterval;
     this->reader.advance(milliseconds(0), [this, now](StoreOutcome outcome) {
         if (outcome == StoreOutcome::Done && this->reader.caughtUp()) {
-            this->readUpTo = now;
+            this->unreadSince = now;
         }
     });
 }
@@ -49,14 +49,14 @@
 {
     this->reader.restart();
     this->listed.clear();
-    this->readUpTo.reset();
+    this->unreadSince.reset();
     this->nextReadAt = Instant();
 }
 
 void WorkerFollower::snapshotReadStarted(LogStream /*stream*/)
 {
     // The records in between are not read, so it is not known when an entry was written.
-    this->readUpTo.reset();
+    this->unreadSince.reset();
     this->unseen.clear();
     for (const auto &[worker, writtenAfter] : this->listed) {
         this->unseen.insert(worker);
@@ -97,7 +97,7 @@
     }
     try {
         const WorkerEntry entry = this->decoder.workerEntry(record.key, record.value);
-        this->listed.insert_or_assign(worker, this->readUpTo);
+        this->listed.insert_or_assign(worker, this->unreadSince);
         this->listener.workerListed(entry);
     } catch (const Error &error) {
         // Another writer's record says nothing of when the worker wrote its own.
--- a/modules/bulrush_steps/follow/WorkerFollower.h
+++ b/modules/bulrush_steps/follow/WorkerFollower.h
@@ -24,8 +24,9 @@
         virtual void workerUnlisted(const TargetId &worker, RemovalCause cause) = 0;
     };
 
-    /** @param heartbeat interval at which workers write their entries, of which the platform
-            removes an entry after three without one; 0 when it is not known */
+    /** @param heartbeat interval at which workers write their entries; the platform removes an
+                         entry after three intervals without a write. 0 when it is not known: then
+                         no removal is taken for the worker's own */
     WorkerFollower(const Clock &clock, KeyedLog &log, const RecordDecoder &decoder,
                    milliseconds heartbeat, DecisionLog &decisions, Listener &listener);
 
@@ -50,11 +51,11 @@
     const milliseconds heartbeat;
     StreamReader reader;
     Instant nextReadAt {};
-    /** A moment before which nothing was written of what is yet to be read: when the last read that
-        reached the end of the stream was sent. None before the first one. */
-    std::optional<Instant> readUpTo;
-    /** The listed workers, each with a moment before which its newest entry was not written, where
-        one is known. */
+    /** All that is still unread was written after this moment, at which the last read that reached
+        the end of the stream was sent. */
+    std::optional<Instant> unreadSince;
+    /** The listed workers, each with the earliest moment at which its newest entry can have been
+        written, if that is known. */
     std::map<TargetId, std::optional<Instant>> listed;
     /** Listed workers that have not appeared yet among the newest records. */
     std::set<TargetId> unseen;
--- a/modules/bulrush_steps/model/JobRecords.h
+++ b/modules/bulrush_steps/model/JobRecords.h
@@ -42,7 +42,8 @@
     std::string member;
 };
 
-/** The workers that may run tasks, as recorded by an owner. */
+/** An owner's record of the workers that may run its tasks, and of the former owners that it waits
+    for. */
 struct Roster
 {
     std::vector<TargetId> workers;
--- a/modules/bulrush_steps/ownership/FormerOwners.cpp
+++ b/modules/bulrush_steps/ownership/FormerOwners.cpp
@@ -5,21 +5,21 @@
 namespace bulrush {
 
 void FormerOwners::begin(const std::map<std::uint64_t, std::string> &owners, const Roster &roster,
-                         std::uint64_t token, Instant settledAt)
+                         std::uint64_t token, Instant fullWaitUntil)
 {
     this->waits.clear();
     for (const auto &[former, member] : owners) {
         if (former < token) {
-            this->waits.emplace(former, Wait { member, settledAt });
+            this->waits.emplace(former, Wait { member, fullWaitUntil });
         }
     }
     for (const OwnerRecord &former : roster.formerOwners) {
         if (former.fencingToken < token) {
-            this->waits.try_emplace(former.fencingToken, Wait { former.member, settledAt });
+            this->waits.try_emplace(former.fencingToken, Wait { former.member, fullWaitUntil });
         }
     }
     if (!this->waits.contains(roster.fencingToken)) {
-        this->waits[0].until = settledAt;
+        this->waits[0].until = fullWaitUntil;
     }
 }
 
@@ -27,19 +27,20 @@
 {
     const auto found = this->waits.find(resignation.fencingToken);
     const bool unknown = resignation.fencingToken == 0;
-    if (unknown || found == this->waits.end() || found->second.accounted) {
+    if (unknown || found == this->waits.end() || found->second.hasStopped) {
         return;
     }
     const Instant limit = found->second.until;
     found->second.until = std::min(limit, now + settleTime);
-    found->second.accounted = true;
+    found->second.hasStopped = true;
     std::map<std::uint64_t, milliseconds> left;
     for (const UnsettledOwner &former : resignation.unsettled) {
         left[former.fencingToken] = former.left;
         this->waits.try_emplace(former.fencingToken,
                                 Wait { {}, std::min(limit, now + former.left) });
     }
-    // An earlier version states one time for all. The unknown owner may have come after this one.
+    // An earlier version states one time for all its predecessors, under token 0. The wait for an
+    // unknown owner is kept, as that may have come after the one that resigned.
     const milliseconds leftOfOthers = left.contains(0) ? left[0] : milliseconds(0);
     for (auto at = this->waits.upper_bound(0); at != found; ++at) {
         const auto stated = left.find(at->first);
@@ -48,11 +49,11 @@
     }
 }
 
-Resignation FormerOwners::ended(std::uint64_t fencingToken, Instant now, milliseconds settleTime)
+Resignation FormerOwners::stopped(std::uint64_t fencingToken, Instant now, milliseconds settleTime)
 {
     Resignation resignation;
     resignation.fencingToken = fencingToken;
-    for (const UnsettledOwner &former : this->unsettled(now)) {
+    for (const UnsettledOwner &former : this->remainingWaits(now)) {
         if (former.fencingToken < fencingToken) {
             resignation.unsettled.push_back(former);
         }
@@ -70,7 +71,7 @@
     return latest;
 }
 
-std::vector<UnsettledOwner> FormerOwners::unsettled(Instant now) const
+std::vector<UnsettledOwner> FormerOwners::remainingWaits(Instant now) const
 {
     std::vector<UnsettledOwner> owners;
     for (const auto &[token, wait] : this->waits) {
@@ -81,7 +82,7 @@
     return owners;
 }
 
-std::vector<OwnerRecord> FormerOwners::awaited(Instant now) const
+std::vector<OwnerRecord> FormerOwners::awaitedOwners(Instant now) const
 {
     std::vector<OwnerRecord> owners;
     for (const auto &[token, wait] : this->waits) {
@@ -92,11 +93,11 @@
     return owners;
 }
 
-std::vector<OwnerRecord> FormerOwners::unaccounted(Instant now) const
+std::vector<OwnerRecord> FormerOwners::ownersToAsk(Instant now) const
 {
     std::vector<OwnerRecord> owners;
     for (const auto &[token, wait] : this->waits) {
-        if (wait.until > now && !wait.accounted && !wait.member.empty()) {
+        if (wait.until > now && !wait.hasStopped && !wait.member.empty()) {
             owners.push_back({ token, wait.member });
         }
     }
--- a/modules/bulrush_steps/ownership/OwnershipManager.cpp
+++ b/modules/bulrush_steps/ownership/OwnershipManager.cpp
@@ -181,6 +181,7 @@
     if (this->owner && this->token < newerToken) {
         this->loseOwnership("a newer owner asks");
     }
+    // All tokens below that of the asking owner are superseded.
     this->supersededGeneration = std::max(this->supersededGeneration, newerToken - 1);
     return !this->owner || this->token != askedToken;
 }
--- a/modules/bulrush_steps/ownership/OwnershipManager.h
+++ b/modules/bulrush_steps/ownership/OwnershipManager.h
@@ -82,9 +82,11 @@
         @param by where this was found */
     void superseded(std::string_view by);
 
-    /** Ends the ownership if its fencing token is lower than that of another owner, and accepts
-       none with a lower one later.
-        @returns whether this node sends no more commands with the asked token */
+    /** Ends the ownership if its token is lower than that of a newer owner, and accepts none with
+        such a token again. Does nothing unless newerToken is higher than askedToken.
+        @param newerToken the fencing token of the owner that asks
+        @param askedToken the fencing token of the ownership that it asks about
+        @returns whether this node sends no commands with the asked token, now or later */
     bool yieldTo(std::uint64_t newerToken, std::uint64_t askedToken);
 
     const std::string &memberName() const { return this->name; }
--- /dev/null
+++ b/modules/bulrush_steps/ownership/TakeoverWait.cpp
@@ -0,0 +1,121 @@
+#include "bulrush_steps/ownership/TakeoverWait.h"
+
+#include "bulrush_core/events/DecisionLog.h"
+
+namespace bulrush {
+
+namespace {
+
+/** Interval at which a waiting owner logs what it waits for. */
+constexpr milliseconds reportInterval { 1000 };
+
+/** Maximum number of workers that a log line names. */
+constexpr std::uint32_t maxNamedWorkers = 8;
+
+} // namespace
+
+TakeoverWait::TakeoverWait(const Clock &systemClock, DecisionLog &decisionLog)
+    : clock(systemClock)
+    , decisions(decisionLog)
+{
+}
+
+void TakeoverWait::begin(const StepJobTable &table, const OwnershipTerm &ownershipTerm)
+{
+    this->term = ownershipTerm;
+    const std::vector<TargetId> &workers = table.roster().workers;
+    this->unheardWorkers = { workers.begin(), workers.end() };
+    this->beganAt = this->clock.now();
+    this->nextReportAt = this->beganAt;
+    this->ended = false;
+    this->owners.begin(table.owners(), table.roster(), this->term.fencingToken,
+                       this->term.previousOwnerSettledAt);
+    this->applyResignations(table);
+}
+
+void TakeoverWait::applyResignations(const StepJobTable &table)
+{
+    // Newest first: a resignation tells what was left of the waits for earlier owners.
+    const std::map<std::uint64_t, Resignation> &resignations = table.resignations();
+    for (auto at = resignations.rbegin(); at != resignations.rend(); ++at) {
+        this->owners.resigned(at->second, this->clock.now(), this->term.resignedOwnerSettleTime);
+    }
+}
+
+Resignation TakeoverWait::formerOwnerStopped(std::uint64_t fencingToken)
+{
+    return this->owners.stopped(fencingToken, this->clock.now(),
+                                this->term.resignedOwnerSettleTime);
+}
+
+bool TakeoverWait::isOver() const
+{
+    return this->unheardWorkers.empty() || this->clock.now() >= this->owners.settledAt();
+}
+
+bool TakeoverWait::update()
+{
+    if (this->ended) {
+        return false;
+    }
+    const Instant now = this->clock.now();
+    if (!this->isOver()) {
+        this->report(now);
+        return false;
+    }
+    this->ended = true;
+    const auto waited = duration_cast<milliseconds>(now - this->beganAt).count();
+    this->decisions.write(DecisionLine(Event::FormerOwnersSettled)
+                                  .with("waited_ms", waited)
+                                  .with("by", this->unheardWorkers.empty() ? "workers" : "time"));
+    this->unheardWorkers.clear();
+    return true;
+}
+
+void TakeoverWait::report(Instant now)
+{
+    if (now < this->nextReportAt) {
+        return;
+    }
+    this->nextReportAt = now + reportInterval;
+    const auto waited = duration_cast<milliseconds>(now - this->beganAt).count();
+    const auto left = duration_cast<milliseconds>(this->owners.settledAt() - now).count();
+    this->decisions.write(DecisionLine(Event::FormerOwnersAwaited)
+                                  .with("waited_ms", waited)
+                                  .with("left_ms", left)
+                                  .with("owners", this->remainingWaits().size())
+                                  .with("unsettled_workers", this->namesOfUnheardWorkers()));
+}
+
+std::vector<UnsettledOwner> TakeoverWait::remainingWaits() const
+{
+    return this->isOver() ? std::vector<UnsettledOwner>()
+                          : this->owners.remainingWaits(this->clock.now());
+}
+
+std::vector<OwnerRecord> TakeoverWait::awaitedOwners() const
+{
+    return this->isOver() ? std::vector<OwnerRecord>()
+                          : this->owners.awaitedOwners(this->clock.now());
+}
+
+std::vector<OwnerRecord> TakeoverWait::ownersToAsk() const
+{
+    return this->isOver() ? std::vector<OwnerRecord>()
+                          : this->owners.ownersToAsk(this->clock.now());
+}
+
+std::string TakeoverWait::namesOfUnheardWorkers() const
+{
+    std::string names;
+    std::uint32_t named = 0;
+    for (const TargetId &id : this->unheardWorkers) {
+        if (named++ == maxNamedWorkers) {
+            break;
+        }
+        names += names.empty() ? id.name() : " " + id.name();
+    }
+    return names;
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/ownership/TakeoverWait.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "bulrush_steps/model/StepJobTable.h"
+#include "bulrush_steps/ownership/FormerOwners.h"
+#include "bulrush_steps/ownership/OwnershipTerm.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bulrush {
+
+class DecisionLog;
+
+/**
+    Determines from when on a new owner may start the tasks of jobs that former owners knew.
+
+    Such a task may run on a worker, or be about to start there, although no worker has listed it.
+    The wait ends when each worker of the former owners' roster has answered or ended, which shows
+    all that runs, or when no command of a former owner can take effect any more.
+*/
+class TakeoverWait
+{
+public:
+    TakeoverWait(const Clock &clock, DecisionLog &decisions);
+
+    /** Starts to wait for the owners and workers on record. */
+    void begin(const StepJobTable &table, const OwnershipTerm &term);
+
+    /** Takes the resignations on record into account. */
+    void applyResignations(const StepJobTable &table);
+
+    /** Notes that all that a worker may run is known: it has answered this owner, or it has ended.
+     */
+    void workerKnown(const TargetId &worker) { this->unheardWorkers.erase(worker); }
+
+    /** Notes that a former owner sends no more commands.
+        @returns the resignation to persist on its behalf */
+    Resignation formerOwnerStopped(std::uint64_t fencingToken);
+
+    /** Returns whether tasks of jobs that former owners knew may start. */
+    bool isOver() const;
+
+    /** Logs what is waited for, each second, and once that the wait is over.
+        @returns whether the wait has ended since the last call */
+    bool update();
+
+    /** Returns the workers of the former owners' roster that have neither answered nor ended; none
+        once the wait is over. */
+    const std::set<TargetId> &workersToHearFrom() const { return this->unheardWorkers; }
+
+    /** Returns the former owners that are waited for, with the remaining times. */
+    std::vector<UnsettledOwner> remainingWaits() const;
+
+    /** Returns the former owners that are waited for. */
+    std::vector<OwnerRecord> awaitedOwners() const;
+
+    /** Returns those of them whose processes are to be asked whether they have stopped. */
+    std::vector<OwnerRecord> ownersToAsk() const;
+
+private:
+    void report(Instant now);
+    std::string namesOfUnheardWorkers() const;
+
+    const Clock &clock;
+    DecisionLog &decisions;
+    OwnershipTerm term;
+    FormerOwners owners;
+    /** The workers that may run tasks of former owners that this owner does not know. */
+    std::set<TargetId> unheardWorkers;
+    Instant beganAt {};
+    Instant nextReportAt {};
+    /** Whether the end of the wait is logged. */
+    bool ended = false;
+};
+
+} // namespace bulrush
--- a/modules/bulrush_steps/ports/WorkerEntry.h
+++ b/modules/bulrush_steps/ports/WorkerEntry.h
@@ -25,10 +25,11 @@
 
 /** Why an entry is no longer in the platform's worker list. */
 enum class RemovalCause : std::uint8_t {
-    /** The worker was silent for several heartbeats, or the cause cannot be told. It may still run
+    /** The entry was removed after silence, or the cause cannot be told. The worker may still run
         tasks. */
     Unknown,
-    /** The entry was removed sooner than silence could have removed it: the worker has left. */
+    /** The worker removed the entry itself, sooner than silence could have. It may still run
+        tasks. */
     Deregistered,
 };
 
--- a/modules/bulrush_steps/ports/WorkerProcessList.h
+++ b/modules/bulrush_steps/ports/WorkerProcessList.h
@@ -30,7 +30,8 @@
     WorkerProcessList &operator=(const WorkerProcessList &) = delete;
 
     /** Reads the whole list. The callback is called once, after this function has returned, with
-        nullopt when a part of the list could not be read. */
+        nullopt when a part of the list could not be read.
+        @param timeout for each call, of which a reading may take several */
     virtual void read(Duration timeout, Callback callback) = 0;
 };
 
--- a/modules/bulrush_steps/tests/former_owners_test.cpp
+++ b/modules/bulrush_steps/tests/former_owners_test.cpp
@@ -86,7 +86,7 @@
     FormerOwners owners;
     owners.begin({}, {}, 3, start + fullWait);
     cr_assert(owners.settledAt() == start + fullWait);
-    cr_assert(owners.unaccounted(start).empty());
+    cr_assert(owners.ownersToAsk(start).empty());
 }
 
 /* An owner of an earlier version leaves no record of its own, only a roster that does not name it.
@@ -104,12 +104,12 @@
 {
     FormerOwners owners;
     owners.begin({ { 2, "m2" } }, Roster { {}, 2, { { 1, "m1" } } }, 3, start + fullWait);
-    const Resignation ended = owners.ended(2, start, settleTime);
+    const Resignation ended = owners.stopped(2, start, settleTime);
     cr_assert(owners.settledAt() == start + fullWait);
     const std::vector<UnsettledOwner> left { { 1, fullWait } };
     cr_assert(ended.unsettled == left);
-    cr_assert_eq(owners.unaccounted(start).size(), 1U);
-    cr_assert_eq(owners.unaccounted(start).front().member, "m1");
+    cr_assert_eq(owners.ownersToAsk(start).size(), 1U);
+    cr_assert_eq(owners.ownersToAsk(start).front().member, "m1");
 }
 
 /* Owner 2 saw that owner 1 had settled, and says so by not naming it. */
--- a/modules/bulrush_steps/tests/owner_change_test.cpp
+++ b/modules/bulrush_steps/tests/owner_change_test.cpp
@@ -136,9 +136,9 @@
     fixture.begin(std::move(table));
     fixture.listWorker("w1");
     fixture.runFor(seconds(1));
-    cr_assert_eq(fixture.dispatcher.unaccountedOwners().size(), 1U);
-    fixture.dispatcher.formerOwnerEnded(2);
-    cr_assert(fixture.dispatcher.unaccountedOwners().empty());
+    cr_assert_eq(fixture.dispatcher.formerOwnersToAsk().size(), 1U);
+    fixture.dispatcher.formerOwnerStopped(2);
+    cr_assert(fixture.dispatcher.formerOwnersToAsk().empty());
     fixture.runFor(OwnershipTerm().resignedOwnerSettleTime - milliseconds(100));
     cr_assert(fixture.workers.starts.empty(),
               "a task was started while a lease of the former owner may last");
--- a/modules/bulrush_steps/workers/EndedWorkerFinder.cpp
+++ b/modules/bulrush_steps/workers/EndedWorkerFinder.cpp
@@ -40,7 +40,7 @@
 {
     *this->alive = false;
     this->alive = std::make_shared<bool>(true);
-    this->suspects.clear();
+    this->silentWorkers.clear();
     this->reading = false;
 }
 
@@ -50,21 +50,21 @@
         return;
     }
     const Instant now = this->clock.now();
-    this->updateSuspects(silent, now);
+    this->updateSilentWorkers(silent, now);
     if (this->readIsDue(now)) {
         this->readList(now);
     }
 }
 
-void EndedWorkerFinder::updateSuspects(const std::set<TargetId> &silent, Instant now)
+void EndedWorkerFinder::updateSilentWorkers(const std::set<TargetId> &silent, Instant now)
 {
-    std::erase_if(this->suspects,
+    std::erase_if(this->silentWorkers,
                   [&silent](const auto &entry) { return !silent.contains(entry.first); });
-    if (this->suspects.size() == silent.size()) {
+    if (this->silentWorkers.size() == silent.size()) {
         return;
     }
     for (const TargetId &worker : silent) {
-        this->suspects.try_emplace(worker, Suspect { now });
+        this->silentWorkers.try_emplace(worker, SilentWorker { now });
     }
     this->interval = minInterval;
     this->nextReadAt = std::min(this->nextReadAt, now + minInterval);
@@ -75,10 +75,11 @@
     if (this->reading || now < this->nextReadAt || now < this->nextAllowedAt) {
         return false;
     }
-    return std::any_of(this->suspects.begin(), this->suspects.end(), [now](const auto &entry) {
-        const Suspect &suspect = entry.second;
-        return !suspect.ended && now - suspect.silentSince >= minSilence;
-    });
+    return std::any_of(this->silentWorkers.begin(), this->silentWorkers.end(),
+                       [now](const auto &entry) {
+                           const SilentWorker &worker = entry.second;
+                           return !worker.ended && now - worker.silentSince >= minSilence;
+                       });
 }
 
 void EndedWorkerFinder::readList(Instant now)
@@ -105,15 +106,15 @@
     this->callsPerReading = std::max(1U, processes.calls);
     std::vector<TargetId> ended;
     bool anyMissing = false;
-    for (auto &[worker, suspect] : this->suspects) {
-        if (suspect.ended || suspect.silentSince > sentAt) {
+    for (auto &[id, worker] : this->silentWorkers) {
+        if (worker.ended || worker.silentSince > sentAt) {
             continue;
         }
-        const bool missing = !processes.running.contains(worker);
-        suspect.ended = missing && suspect.missing;
-        suspect.missing = missing;
-        if (suspect.ended) {
-            ended.push_back(worker);
+        const bool missing = !processes.running.contains(id);
+        worker.ended = missing && worker.missing;
+        worker.missing = missing;
+        if (worker.ended) {
+            ended.push_back(id);
         }
         anyMissing = anyMissing || missing;
     }
--- a/modules/bulrush_steps/workers/EndedWorkerFinder.h
+++ b/modules/bulrush_steps/workers/EndedWorkerFinder.h
@@ -43,7 +43,7 @@
 
 private:
     /** What is known of a worker that does not answer. */
-    struct Suspect
+    struct SilentWorker
     {
         Instant silentSince {};
         /** Whether the last reading did not show it. */
@@ -52,7 +52,7 @@
         bool ended = false;
     };
 
-    void updateSuspects(const std::set<TargetId> &silent, Instant now);
+    void updateSilentWorkers(const std::set<TargetId> &silent, Instant now);
     bool readIsDue(Instant now) const;
     void readList(Instant now);
     void handleList(Instant sentAt, const WorkerProcesses &processes);
@@ -61,14 +61,14 @@
     WorkerProcessList *const list;
     const double callsPerSecond;
     Listener &listener;
-    std::map<TargetId, Suspect> suspects;
+    std::map<TargetId, SilentWorker> silentWorkers;
     bool reading = false;
     Instant nextReadAt {};
     /** When another reading keeps within the share of the accepted calls. */
     Instant nextAllowedAt {};
     /** The number of calls that the last complete reading took. */
     std::uint32_t callsPerReading = 1;
-    /** Grows while the readings show all suspects, which are cut off then. */
+    /** Grows while the readings show all silentWorkers, which are cut off then. */
     Duration interval {};
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -106,7 +106,7 @@
     std::uint32_t failedHolds = 0;
     /** Runs whose lease has expired while the worker was silent, until it is known whether the
         worker crashed. */
-    std::vector<Run> unexplainedRuns;
+    std::vector<Run> runsExpiredInSilence;
 
     /** Changed through addRun(), removeRun(), clearRuns() and requestStop(), which keep the sums
         below. */
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -255,7 +255,7 @@
         return;
     }
     for (const auto &[attempt, run] : worker.runs) {
-        worker.unexplainedRuns.push_back(run);
+        worker.runsExpiredInSilence.push_back(run);
     }
     for (const auto &[attempt, run] : worker.clearRuns()) {
         this->listener.runLost(worker, run, "lease expired");
@@ -268,7 +268,7 @@
         return;
     }
     this->dropRunsOfEndedProcess(worker, "the worker has left");
-    this->listener.workerSettled(worker.entry.worker);
+    this->listener.workerKnown(worker.entry.worker);
 }
 
 void WorkerManager::dropRunsOfEndedProcess(Worker &worker, std::string_view reason)
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -44,16 +44,17 @@
         virtual void runLost(const Worker &worker, const Run &run, std::string_view reason) = 0;
 
         /** Called for each run that was on a worker whose process crashed, before runLost() if that
-            was not called earlier. */
+            was not called earlier.
+            @param evidence what shows the crash */
         virtual void runCrashed(const Worker &worker, const Run &run,
                                 std::string_view evidence) = 0;
 
         /** Called when a worker refused to start a run. The run is not alive. */
         virtual void startRefused(const Worker &worker, const Run &run, CommandOutcome outcome) = 0;
 
-        /** Called when all runs that a worker may have of former owners are known: it has answered
-            for the first time, or it has left. */
-        virtual void workerSettled(const TargetId &worker) = 0;
+        /** Called when all that a worker may run of former owners is known: it has answered for the
+            first time, it has left, or its process has ended. */
+        virtual void workerKnown(const TargetId &worker) = 0;
 
         /** Called when a worker rejected a command because it has seen a higher fencing token. */
         virtual void superseded(const Worker &worker) = 0;
@@ -84,7 +85,8 @@
     /** Adds or updates a worker from its entry in the platform's worker list. */
     void workerListed(const WorkerEntry &entry);
 
-    /** Marks a worker as removed from the platform's worker list. */
+    /** Marks a worker as removed from the platform's worker list.
+        @param cause what the removal tells of the worker */
     void workerUnlisted(const TargetId &worker, RemovalCause cause);
 
     /** Sends the hold and stop requests that are due, drops runs of workers that have left or whose
@@ -103,7 +105,8 @@
     /** Returns the workers that did not answer their last hold request. */
     const std::set<TargetId> &silentWorkers() const { return this->silent; }
 
-    /** Gives up the runs of a worker whose process has ended. */
+    /** Reports the runs of a worker whose process has ended as crashed, unless it was shutting
+       down, and gives them up, except for starts without an answer. */
     void workerEnded(const TargetId &worker);
 
     /** Returns a number that changes whenever a worker is added or removed. */
--- a/modules/bulrush_steps/workers/WorkerManagerCrashes.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerCrashes.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr std::string_view processEnded = "the worker's process has ended";
+
 bool lists(const HoldAnswer &answer, const AttemptRef &attempt)
 {
     const auto isAttempt = [&attempt](const auto &each) { return each.attempt == attempt; };
@@ -21,19 +23,19 @@
 void WorkerManager::workerEnded(const TargetId &id)
 {
     if (Worker *worker = this->find(id)) {
-        std::vector<Run> runs = std::exchange(worker->unexplainedRuns, {});
+        std::vector<Run> runs = std::exchange(worker->runsExpiredInSilence, {});
         for (const auto &[attempt, run] : worker->runs) {
             runs.push_back(run);
         }
-        this->reportCrash(*worker, runs, "the worker's process has ended");
-        this->dropRunsOfEndedProcess(*worker, "the worker's process has ended");
+        this->reportCrash(*worker, runs, processEnded);
+        this->dropRunsOfEndedProcess(*worker, processEnded);
     }
-    this->listener.workerSettled(id);
+    this->listener.workerKnown(id);
 }
 
 void WorkerManager::reportRestart(Worker &worker, Instant sentAt, const HoldAnswer &answer)
 {
-    std::vector<Run> runs = std::exchange(worker.unexplainedRuns, {});
+    std::vector<Run> runs = std::exchange(worker.runsExpiredInSilence, {});
     for (const auto &[attempt, run] : worker.runs) {
         // The new process may have begun a run since it made the answer, or may still do so.
         const bool mayBeOfNewProcess = run.phase == RunPhase::Starting
@@ -49,6 +51,7 @@
                                 std::string_view evidence)
 {
     if (worker.entry.draining) {
+        // A process that announced its shutdown has not crashed.
         return;
     }
     for (const Run &run : runs) {
--- a/modules/bulrush_steps/workers/WorkerManagerReports.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerReports.cpp
@@ -55,7 +55,7 @@
     worker->processStartedAt = answer.processStartedAt;
     worker->failedHolds = 0;
     this->silent.erase(id);
-    worker->unexplainedRuns.clear();
+    worker->runsExpiredInSilence.clear();
     worker->clock.recordReading(answer.clock, now);
     worker->reportedAt = now;
     worker->acknowledgedEnds = std::max(worker->acknowledgedEnds, acknowledged);
@@ -63,7 +63,7 @@
     this->processRuns(*worker, answer, sentAt);
     if (!worker->adopted) {
         worker->adopted = true;
-        this->listener.workerSettled(id);
+        this->listener.workerKnown(id);
     }
     const bool firstAnswer = !worker->confirmed;
     worker->confirmed = true;
--- a/modules/bulrush_steps/workers/WorkerRoster.h
+++ b/modules/bulrush_steps/workers/WorkerRoster.h
@@ -23,7 +23,7 @@
         @returns whether the roster changed and is to be persisted */
     bool update(std::map<TargetId, Worker> &workers, const std::set<TargetId> &ofFormerOwners);
 
-    /** Returns the roster, to be appended to the log now. */
+    /** Returns the roster to append to the log now, and notes it as sent. */
     std::vector<TargetId> workersToSend();
 
     /** Notes that the record which was returned last is persisted. */
