--- /dev/null
+++ b/modules/bulrush_steps/tests/crash_evidence_test.cpp
@@ -0,0 +1,186 @@
+#include "DispatcherFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace bulrush;
+using namespace bulrush::test;
+
+namespace {
+
+/** An owner with four workers, which the list of VMs shows. */
+class EvidenceFixture : public DispatcherFixture
+{
+public:
+    EvidenceFixture()
+    {
+        this->begin({});
+        this->processes.list = WorkerProcesses();
+        for (const char *name : { "w1", "w2", "w3", "w4" }) {
+            this->listWorker(name);
+            this->processes.list->running.insert(TargetId(name));
+        }
+        this->runFor(milliseconds(500));
+    }
+
+    /** Passes time until so many starts were sent.
+        @returns the worker of the last one */
+    TargetId awaitStart(std::size_t count)
+    {
+        constexpr int maxTicks = 1500;
+        for (int tick = 0; tick < maxTicks && this->workers.starts.size() < count; ++tick) {
+            this->runFor(tickInterval);
+        }
+        cr_assert_eq(this->workers.starts.size(), count, "%zu starts", this->workers.starts.size());
+        return this->workers.starts.back().worker;
+    }
+
+    /** Ends the process of a worker without notice, and starts another one 2 s later. */
+    void crash(const TargetId &name)
+    {
+        this->workers.workers[name].silent = true;
+        this->runFor(seconds(2));
+        this->workers.restart(name);
+        this->runFor(milliseconds(500));
+    }
+
+    /** Returns the stored progress of the only task of a job. */
+    TaskProgress progressOf(const char *job)
+    {
+        const std::string key = records::jobKey(JobId(job));
+        const std::string value = this->log.newestValue(LogStream::Progress, key);
+        const JobProgress progress =
+                value.empty() ? JobProgress() : records::decodeProgress(key, value);
+        return progress.tasks.empty() ? TaskProgress() : progress.tasks.front();
+    }
+};
+
+StepJob makeLongRunningJob(const char *id)
+{
+    StepJob job = makeJob(id, 1);
+    job.steps[0].runsIndefinitely = true;
+    return job;
+}
+
+} // namespace
+
+/* A start is lost on its way, twice, each time to a worker that crashes for another reason. */
+Test(CrashEvidence, aTaskThatNoWorkerIsKnownToHaveStartedIsNotGivenUpAfterTwo)
+{
+    EvidenceFixture fixture;
+    fixture.workers.onStart = [&fixture] {
+        fixture.workers.workers[fixture.workers.starts.back().worker].silent = true;
+    };
+    fixture.accept(makeJob("a", 1));
+    for (std::size_t loss = 1; loss <= 2; ++loss) {
+        const TargetId worker = fixture.awaitStart(loss);
+        fixture.runFor(seconds(3));
+        fixture.workers.restart(worker);
+    }
+    fixture.runFor(milliseconds(500));
+    cr_assert(fixture.dispatcher.stateOf(JobId("a")) != JobState::Failed);
+}
+
+/* Once, a worker crashed just after it had started the task. The next run lasted, until its worker
+   left. */
+Test(CrashEvidence, aRunThatLastedTakesTheSuspicionOfALongRunningTaskBack)
+{
+    EvidenceFixture fixture;
+    fixture.accept(makeLongRunningJob("a"));
+    const TargetId first = fixture.awaitStart(1);
+    fixture.runFor(milliseconds(50));
+    fixture.crash(first);
+    const TargetId second = fixture.awaitStart(2);
+    fixture.runFor(seconds(5));
+    WorkerEntry entry = makeWorkerEntry(second.name().c_str());
+    entry.draining = true;
+    fixture.dispatcher.workerListed(entry);
+    fixture.runFor(milliseconds(200));
+    fixture.workers.workers[second].silent = true;
+    fixture.dispatcher.workerUnlisted(second, RemovalCause::Deregistered);
+    const TargetId third = fixture.awaitStart(3);
+    fixture.runFor(milliseconds(50));
+    fixture.crash(third);
+    cr_assert(fixture.dispatcher.stateOf(JobId("a")) != JobState::Failed);
+}
+
+/* The worker starts again under its identifier, and its new entry is read before it answers. */
+Test(CrashEvidence, anAnnouncedShutdownIsNotCountedAsACrash)
+{
+    EvidenceFixture fixture;
+    StepJob job = makeJob("a", 1);
+    job.steps[0].estimate = seconds(1000);
+    fixture.accept(job);
+    const TargetId worker = fixture.awaitStart(1);
+    fixture.runFor(seconds(2));
+    WorkerEntry entry = makeWorkerEntry(worker.name().c_str());
+    entry.draining = true;
+    fixture.dispatcher.workerListed(entry);
+    fixture.runFor(seconds(1));
+    fixture.workers.workers[worker].silent = true;
+    fixture.runFor(milliseconds(200));
+    fixture.workers.restart(worker);
+    WorkerEntry next = makeWorkerEntry(worker.name().c_str());
+    next.processStartedAt = fixture.workers.workers[worker].processStartedAt;
+    fixture.dispatcher.workerListed(next);
+    fixture.runFor(milliseconds(500));
+    cr_assert(fixture.progressOf("a").crashedAttempts.empty());
+}
+
+/* The new owner does not know since when the run has been there. */
+Test(CrashEvidence, aRunThatANewOwnerFoundIsNotTakenForOneThatHasJustStarted)
+{
+    DispatcherFixture fixture;
+    const AttemptRef former { { JobId("a"), 0, 0, 0 }, 2001 };
+    fixture.worker("w1").running[former] = { former, "", 100, 0.0 };
+    fixture.begin(makeJobTable(makeLongRunningJob("a"), { TargetId("w1") }, fixture.clock));
+    fixture.listWorker("w1");
+    fixture.runFor(milliseconds(200));
+    fixture.worker("w1").silent = true;
+    fixture.runFor(milliseconds(200));
+    fixture.workers.restart(TargetId("w1"));
+    fixture.runFor(milliseconds(500));
+    const std::string key = records::jobKey(JobId("a"));
+    const std::string value = fixture.log.newestValue(LogStream::Progress, key);
+    cr_assert(value.empty()
+              || records::decodeProgress(key, value).tasks.front().earlyCrashes.empty());
+}
+
+Test(CrashEvidence, aLongRunningTaskThatCrashesItsWorkersAfterAWhileIsGivenUpAfterFive)
+{
+    EvidenceFixture fixture;
+    fixture.accept(makeLongRunningJob("a"));
+    constexpr std::size_t maxCrashes = 5;
+    for (std::size_t round = 1; round <= maxCrashes; ++round) {
+        const TargetId worker = fixture.awaitStart(round);
+        fixture.runFor(milliseconds(800));
+        fixture.crash(worker);
+    }
+    cr_assert(fixture.dispatcher.stateOf(JobId("a")) == JobState::Failed);
+}
+
+/* A faulty list shows no worker at all. */
+Test(CrashEvidence, aListThatLacksWorkersWhichAnswerProvesNothing)
+{
+    EvidenceFixture fixture;
+    fixture.accept(makeLongRunningJob("a"));
+    const TargetId first = fixture.awaitStart(1);
+    fixture.runFor(seconds(2));
+    fixture.processes.list->running.clear();
+    fixture.workers.workers[first].silent = true;
+    fixture.runFor(seconds(2));
+    cr_assert_eq(fixture.workers.starts.size(), 1U);
+}
+
+/* The worker was cut off, which ended its runs with their lease, and restarts a minute later. */
+Test(CrashEvidence, aRunWhoseLeaseEndedLongBeforeItsWorkerRestartedIsNotCounted)
+{
+    EvidenceFixture fixture;
+    fixture.accept(makeLongRunningJob("a"));
+    const TargetId first = fixture.awaitStart(1);
+    fixture.runFor(milliseconds(50));
+    fixture.workers.workers[first].silent = true;
+    fixture.runFor(seconds(60));
+    fixture.workers.restart(first);
+    fixture.runFor(seconds(1));
+    cr_assert(fixture.progressOf("a").earlyCrashes.empty());
+}
