Give a task up after two crashes only if its worker is known to have begun it

Seen by callers: a job whose start was lost on its way could be shown as failed after two crashes that had other causes. Cause: a start without an answer counted like a run that its worker had confirmed. Now the limit of two needs the answer; without it four crashes in a row are needed, as for a task that was not started apart. Ruled out: not counting such starts at all, since a worker may crash before it answers. Test before: job failed; after: it waits and starts again.

--- a/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
@@ -72,7 +72,9 @@
     if (!CrashSuspects::countCrash(step, task, run.attempt.attempt, age)) {
         return;
     }
-    if (CrashSuspects::isToBlame(step, task, worker.apartRun == run.attempt)) {
+    // Without an answer to the start, it is not known whether the worker began the task.
+    const bool begunApart = worker.apartRun == run.attempt && run.phase == RunPhase::Running;
+    if (CrashSuspects::isToBlame(step, task, begunApart)) {
         job->failed = true;
         this->decisions.write(
                 DecisionLine(Event::TaskGivenUp)
