Take the suspicion of a task back when one of its runs has lasted, however it ended

Seen by callers: a watcher that was on a crashing worker once, just after its start, could be shown as failed at the next such crash, hours later. Cause: only an end that the task itself reaches took the suspicion back, and a long-running task never ends by itself. Now a run that its worker reported when it was no longer young does so, whether it is stopped, lost or ended. Ruled out: taking it back at each report, which would look at every run. Test before: the job failed after 5 s at work between two crashes; after: it starts again.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -323,8 +323,8 @@
         task.failedOn.push_back(worker.entry.worker);
     }
     const bool ranToItsEnd = end.kind == EndKind::Succeeded || end.kind == EndKind::Failed;
-    if (ranToItsEnd && CrashSuspects::clear(task)) {
-        this->markChanged(*job);
+    if (ranToItsEnd || (run != nullptr && CrashSuspects::hasLasted(worker, *run))) {
+        this->clearSuspicion(*job, task);
     }
     this->planner.markWaiting(job->spec.id);
     const bool hadEnded = job->hasEnded();
@@ -378,9 +378,20 @@
                                   .with("attempt", run.attempt.attempt)
                                   .with("worker", worker.entry.worker.name())
                                   .with("reason", reason));
+    JobEntry *job = this->findJob(run.attempt.task);
+    if (job != nullptr && CrashSuspects::hasLasted(worker, run)) {
+        this->clearSuspicion(*job, job->task(run.attempt.task));
+    }
     this->requeueTask(run);
 }
 
+void Dispatcher::clearSuspicion(const JobEntry &job, StepTask &task)
+{
+    if (CrashSuspects::clear(task)) {
+        this->markChanged(job);
+    }
+}
+
 void Dispatcher::startRefused(const Worker &worker, const Run &run, CommandOutcome outcome)
 {
     this->decisions.write(DecisionLine(Event::StartRefused)
--- a/modules/bulrush_steps/policy/CrashSuspects.cpp
+++ b/modules/bulrush_steps/policy/CrashSuspects.cpp
@@ -94,6 +94,11 @@
     return isSetApart(worker) && worker.apartRun != attempt;
 }
 
+bool CrashSuspects::hasLasted(const Worker &worker, const Run &run)
+{
+    return run.phase == RunPhase::Running && lastKnownAge(worker, run) >= youngAge;
+}
+
 milliseconds CrashSuspects::lastKnownAge(const Worker &worker, const Run &run)
 {
     return std::max(duration_cast<milliseconds>(worker.reportedAt - run.startSentAt),
--- a/modules/bulrush_steps/policy/CrashSuspects.h
+++ b/modules/bulrush_steps/policy/CrashSuspects.h
@@ -44,6 +44,9 @@
     /** Returns whether the crash of a worker points at another of its runs. */
     static bool pointsAtOther(const Worker &worker, const AttemptRef &attempt);
 
+    /** Returns whether a run has lasted: its worker has reported it when it was no longer young. */
+    static bool hasLasted(const Worker &worker, const Run &run);
+
     /** Returns how long a run had been on its worker when the worker last reported; zero when the
         worker has not reported since the start. */
     static milliseconds lastKnownAge(const Worker &worker, const Run &run);
