Remember that a worker's process announced its shutdown until the next process has answered

Seen by callers: none known; a task on a worker that was shut down as announced and returned under its identifier counted as crashed. Cause: whether the shutdown was announced was read from the entry, which by then was that of the next process. Now only an entry of the same process takes the announcement back. Ruled out: not counting any restart of a worker that ever drained. Test before: one crash on record; after: none.

--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -79,6 +79,8 @@
     std::string rack;
     /** Whether the platform's worker list contains it. */
     bool listed = true;
+    /** Whether the process that last answered has announced its shutdown. */
+    bool shutdownAnnounced = false;
     /** Whether it has removed its entry from that list itself. */
     bool deregistered = false;
     /** Whether it has answered a hold under this owner's fencing token since its last failed hold,
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -86,6 +86,9 @@
     }
     worker.entry = entry;
     worker.listed = true;
+    if (entry.draining || entry.processStartedAt == worker.processStartedAt) {
+        worker.shutdownAnnounced = entry.draining;
+    }
     worker.deregistered = false;
     worker.address = { entry.worker, entry.endpoint };
     for (const std::string &label : entry.labels) {
--- a/modules/bulrush_steps/workers/WorkerManagerCrashes.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerCrashes.cpp
@@ -50,7 +50,7 @@
 void WorkerManager::reportCrash(Worker &worker, const std::vector<Run> &runs,
                                 std::string_view evidence)
 {
-    if (worker.entry.draining) {
+    if (worker.shutdownAnnounced) {
         // A process that announced its shutdown has not crashed.
         return;
     }
--- a/modules/bulrush_steps/workers/WorkerManagerReports.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerReports.cpp
@@ -106,6 +106,7 @@
                                   .with("worker", worker.entry.worker.name())
                                   .with("born_ms", processStartedAt)
                                   .with("runs_lost", static_cast<std::int64_t>(lost.size())));
+    worker.shutdownAnnounced = worker.entry.draining;
     worker.processedEnds = 0;
     worker.processedChange = 0;
     worker.acknowledgedEnds = 0;
