Do not take a run that a new owner found for one that has just started

Seen by callers: none known; after a take-over, a crash within half a second put all tasks of that worker under suspicion. Cause: the age of a run was counted from when the owner found it. Now a run's age is young, lasted or unknown; an unknown one neither adds to the suspicion nor takes it back, and counts only towards the limit for crashes of any kind. An unanswered start that later reports do not list is unknown, too. Ruled out: taking found runs for old, which would take back the suspicion of one that crashes at once.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -323,7 +323,7 @@
         task.failedOn.push_back(worker.entry.worker);
     }
     const bool ranToItsEnd = end.kind == EndKind::Succeeded || end.kind == EndKind::Failed;
-    if (ranToItsEnd || (run != nullptr && CrashSuspects::hasLasted(worker, *run))) {
+    if (ranToItsEnd || (run != nullptr && CrashSuspects::ageOf(worker, *run) == RunAge::Lasted)) {
         this->clearSuspicion(*job, task);
     }
     this->planner.markWaiting(job->spec.id);
@@ -379,7 +379,7 @@
                                   .with("worker", worker.entry.worker.name())
                                   .with("reason", reason));
     JobEntry *job = this->findJob(run.attempt.task);
-    if (job != nullptr && CrashSuspects::hasLasted(worker, run)) {
+    if (job != nullptr && CrashSuspects::ageOf(worker, run) == RunAge::Lasted) {
         this->clearSuspicion(*job, job->task(run.attempt.task));
     }
     this->requeueTask(run);
@@ -387,7 +387,7 @@
 
 void Dispatcher::clearSuspicion(const JobEntry &job, StepTask &task)
 {
-    if (CrashSuspects::clear(task)) {
+    if (CrashSuspects::clearSuspicion(task)) {
         this->markChanged(job);
     }
 }
@@ -417,7 +417,7 @@
     }
     task.lastAttempt = attempt;
     ++task.openRuns;
-    task.apartSince.reset();
+    task.apartWaitSince.reset();
     if (task.startedApart) {
         CrashSuspects::setApart(worker, run.attempt, this->clock.now());
     }
--- a/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
@@ -64,23 +64,24 @@
                                   .with("evidence", evidence));
     JobEntry *job = this->findJob(run.attempt.task);
     if (job == nullptr || job->hasEnded() || job->task(run.attempt.task).succeeded
-        || CrashSuspects::pointsAtOther(worker, run.attempt)) {
+        || CrashSuspects::crashPointsAtOther(worker, run.attempt)) {
         return;
     }
     StepTask &task = job->task(run.attempt.task);
     const StepSpec &step = job->step(run.attempt.task);
-    if (!CrashSuspects::countCrash(step, task, run.attempt.attempt, age)) {
+    const RunAge kind = CrashSuspects::ageOf(worker, run);
+    if (!CrashSuspects::countCrash(step, task, run.attempt.attempt, kind)) {
         return;
     }
     // Without an answer to the start, it is not known whether the worker began the task.
     const bool begunApart = worker.apartRun == run.attempt && run.phase == RunPhase::Running;
-    if (CrashSuspects::isToBlame(step, task, begunApart)) {
+    if (CrashSuspects::mustGiveUp(step, task, begunApart)) {
         job->failed = true;
         this->decisions.write(
                 DecisionLine(Event::TaskGivenUp)
                         .with("task", text(run.attempt.task))
                         .with("crashes", static_cast<std::int64_t>(task.crashedAttempts.size()))
-                        .with("early", static_cast<std::int64_t>(task.earlyCrashes.size())));
+                        .with("early", static_cast<std::int64_t>(task.youngCrashes.size())));
         this->stopRuns(*job, "a task of the job crashes its workers");
     }
     this->markChanged(*job);
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -196,7 +196,7 @@
             return true;
         }
         request.failedOn = task.failedOn;
-        request.apart = CrashSuspects::mustStartApart(task, now);
+        request.apart = CrashSuspects::requireApart(task, now);
         if (request.apart && noneApart) {
             continue;
         }
--- a/modules/bulrush_steps/model/JobRecords.cpp
+++ b/modules/bulrush_steps/model/JobRecords.cpp
@@ -213,9 +213,9 @@
     for (const TaskProgress &task : progress.tasks) {
         json row = { task.occurrence, task.step, task.index, task.succeeded, task.failedAttempts };
         // Earlier versions read the first five columns only, and write no others.
-        if (!task.crashedAttempts.empty() || !task.earlyCrashes.empty()) {
+        if (!task.crashedAttempts.empty() || !task.youngCrashes.empty()) {
             row.push_back(task.crashedAttempts);
-            row.push_back(task.earlyCrashes);
+            row.push_back(task.youngCrashes);
         }
         tasks.push_back(std::move(row));
     }
@@ -243,7 +243,7 @@
             constexpr std::size_t crashColumns = 5;
             if (row.size() > crashColumns + 1) {
                 task.crashedAttempts = row.at(crashColumns).get<std::vector<std::uint64_t>>();
-                task.earlyCrashes = row.at(crashColumns + 1).get<std::vector<std::uint64_t>>();
+                task.youngCrashes = row.at(crashColumns + 1).get<std::vector<std::uint64_t>>();
             }
             progress.tasks.push_back(std::move(task));
         }
--- a/modules/bulrush_steps/model/JobRecords.h
+++ b/modules/bulrush_steps/model/JobRecords.h
@@ -20,7 +20,7 @@
     std::vector<std::uint64_t> failedAttempts;
     /** As in StepTask. */
     std::vector<std::uint64_t> crashedAttempts;
-    std::vector<std::uint64_t> earlyCrashes;
+    std::vector<std::uint64_t> youngCrashes;
 };
 
 /** The recorded progress of a job. */
--- a/modules/bulrush_steps/model/StepJobTable.cpp
+++ b/modules/bulrush_steps/model/StepJobTable.cpp
@@ -167,7 +167,7 @@
         }
         job->started = true;
         job->task(ref).crashedAttempts = task.crashedAttempts;
-        job->task(ref).earlyCrashes = task.earlyCrashes;
+        job->task(ref).youngCrashes = task.youngCrashes;
         for (const std::uint64_t attempt : task.failedAttempts) {
             countFailure(*job, { ref, attempt });
         }
@@ -244,11 +244,11 @@
             const std::vector<StepTask> &tasks = state.steps[step].tasks;
             for (std::uint32_t index = 0; index < tasks.size(); ++index) {
                 const StepTask &task = tasks[index];
-                const bool crashed = !task.crashedAttempts.empty() || !task.earlyCrashes.empty();
+                const bool crashed = !task.crashedAttempts.empty() || !task.youngCrashes.empty();
                 if (task.succeeded || crashed || !task.failedAttempts.empty()) {
                     progress.tasks.push_back({ occurrence, step, index, task.succeeded,
                                                task.failedAttempts, task.crashedAttempts,
-                                               task.earlyCrashes });
+                                               task.youngCrashes });
                 }
             }
         }
--- a/modules/bulrush_steps/model/StepJobTable.h
+++ b/modules/bulrush_steps/model/StepJobTable.h
@@ -31,11 +31,11 @@
     /** Attempts during which a worker crashed; not kept for a long-running task. */
     std::vector<std::uint64_t> crashedAttempts;
     /** The newest attempts in a row during which a worker crashed just after the start. */
-    std::vector<std::uint64_t> earlyCrashes;
+    std::vector<std::uint64_t> youngCrashes;
     /** Whether the newest attempt was started apart. @see CrashSuspects */
     bool startedApart = false;
     /** Since when this owner has looked for a worker to start the task apart. */
-    std::optional<Instant> apartSince;
+    std::optional<Instant> apartWaitSince;
     /** The number of runs that may be alive. */
     std::uint32_t openRuns = 0;
 };
--- a/modules/bulrush_steps/policy/CrashSuspects.cpp
+++ b/modules/bulrush_steps/policy/CrashSuspects.cpp
@@ -12,12 +12,14 @@
 /** How long a suspected task waits for a worker without young runs. */
 constexpr milliseconds maxApartWait { 1500 };
 
-/** The number of crashes in a row, each just after the start, at which a task is given up: if it
-    was started apart the last time, and if not, as the members of a gang. */
-constexpr std::size_t maxEarlyCrashesApart = 2;
-constexpr std::size_t maxEarlyCrashes = 4;
+/** Crashes in a row under a young run at which a task is given up whose last attempt was started
+    apart. */
+constexpr std::size_t maxYoungCrashesApart = 2;
 
-/** The number of crashes of any kind at which a task is given up that is not long-running. */
+/** The same if it was started beside others, for example as a member of a gang. */
+constexpr std::size_t maxYoungCrashes = 4;
+
+/** Crashes of any age at which a task is given up that is not long-running. */
 constexpr std::size_t maxCrashes = 5;
 
 bool contains(const std::vector<std::uint64_t> &attempts, std::uint64_t attempt)
@@ -28,53 +30,54 @@
 } // namespace
 
 bool CrashSuspects::countCrash(const StepSpec &step, StepTask &task, std::uint64_t attempt,
-                               milliseconds age)
+                               RunAge age)
 {
-    if (contains(task.crashedAttempts, attempt) || contains(task.earlyCrashes, attempt)) {
+    if (contains(task.crashedAttempts, attempt) || contains(task.youngCrashes, attempt)) {
         return false;
     }
-    const bool early = age < youngAge;
-    const bool changed = early || !step.runsIndefinitely || !task.earlyCrashes.empty();
-    if (early) {
-        task.earlyCrashes.push_back(attempt);
-    } else {
-        task.earlyCrashes.clear();
+    bool changed = false;
+    if (age == RunAge::Young) {
+        task.youngCrashes.push_back(attempt);
+        changed = true;
+    } else if (age == RunAge::Lasted) {
+        changed = clearSuspicion(task);
     }
     if (!step.runsIndefinitely) {
         task.crashedAttempts.push_back(attempt);
+        changed = true;
     }
     return changed;
 }
 
-bool CrashSuspects::clear(StepTask &task)
+bool CrashSuspects::clearSuspicion(StepTask &task)
 {
-    const bool suspected = !task.earlyCrashes.empty();
-    task.earlyCrashes.clear();
+    const bool suspected = !task.youngCrashes.empty();
+    task.youngCrashes.clear();
     return suspected;
 }
 
-bool CrashSuspects::isToBlame(const StepSpec &step, const StepTask &task, bool startedApart)
+bool CrashSuspects::mustGiveUp(const StepSpec &step, const StepTask &task, bool startedApart)
 {
-    const std::size_t limit = startedApart ? maxEarlyCrashesApart : maxEarlyCrashes;
-    return task.earlyCrashes.size() >= limit
+    const std::size_t limit = startedApart ? maxYoungCrashesApart : maxYoungCrashes;
+    return task.youngCrashes.size() >= limit
             || (!step.runsIndefinitely && task.crashedAttempts.size() >= maxCrashes);
 }
 
-bool CrashSuspects::mustStartApart(StepTask &task, Instant now)
+bool CrashSuspects::requireApart(StepTask &task, Instant now)
 {
-    if (task.earlyCrashes.empty()) {
+    if (task.youngCrashes.empty()) {
         return false;
     }
-    if (!task.apartSince) {
-        task.apartSince = now;
+    if (!task.apartWaitSince) {
+        task.apartWaitSince = now;
     }
-    return now - *task.apartSince < maxApartWait;
+    return now - *task.apartWaitSince < maxApartWait;
 }
 
 bool CrashSuspects::hasYoungRun(const Worker &worker)
 {
     return std::any_of(worker.runs.begin(), worker.runs.end(), [&worker](const auto &each) {
-        return lastKnownAge(worker, each.second) < youngAge;
+        return ageOf(worker, each.second) == RunAge::Young;
     });
 }
 
@@ -89,14 +92,18 @@
     return worker.apartRun && worker.reportedAt - worker.apartRunSentAt < youngAge;
 }
 
-bool CrashSuspects::pointsAtOther(const Worker &worker, const AttemptRef &attempt)
+bool CrashSuspects::crashPointsAtOther(const Worker &worker, const AttemptRef &attempt)
 {
     return isSetApart(worker) && worker.apartRun != attempt;
 }
 
-bool CrashSuspects::hasLasted(const Worker &worker, const Run &run)
+RunAge CrashSuspects::ageOf(const Worker &worker, const Run &run)
 {
-    return run.phase == RunPhase::Running && lastKnownAge(worker, run) >= youngAge;
+    const bool reportedLater = lastKnownAge(worker, run) >= youngAge;
+    if (reportedLater && run.phase == RunPhase::Running) {
+        return RunAge::Lasted;
+    }
+    return reportedLater || run.found ? RunAge::Unknown : RunAge::Young;
 }
 
 milliseconds CrashSuspects::lastKnownAge(const Worker &worker, const Run &run)
--- a/modules/bulrush_steps/policy/CrashSuspects.h
+++ b/modules/bulrush_steps/policy/CrashSuspects.h
@@ -3,34 +3,46 @@
 #include "bulrush_steps/model/StepJobTable.h"
 #include "bulrush_steps/workers/Worker.h"
 
+#include <cstdint>
+
 namespace bulrush {
 
+/** How long a worker had a run when it last reported. */
+enum class RunAge : std::uint8_t {
+    /** For so short a time that a crash of the worker makes the run's task a suspect. */
+    Young,
+    /** It is not known since when the run has been there, or whether the worker began it. */
+    Unknown,
+    Lasted,
+};
+
 /**
-    Finds the tasks that crash their workers.
+    Decides which tasks are given up because they crash their workers.
 
-    A crash ends all runs of a worker, most of them without fault. Suspected are the tasks that had
-    only just started. A suspected task is started apart from all others that have only just
-    started, so that the next crash points at one task.
+    A crash ends all runs of a worker, most of them without fault. Suspected are the tasks of its
+    young runs. A suspected task is started apart: on a worker without young runs, which takes no
+    other task until it has reported that the run is no longer young. The next crash then points at
+    one task. Changes only the task and the worker that it is given; the caller stores the counts.
 */
 class CrashSuspects
 {
 public:
     /** Counts the crash of a worker during an attempt.
-        @param age how long the run had been there when the worker last reported
         @returns whether the task's counts changed */
-    static bool countCrash(const StepSpec &step, StepTask &task, std::uint64_t attempt,
-                           milliseconds age);
+    static bool countCrash(const StepSpec &step, StepTask &task, std::uint64_t attempt, RunAge age);
 
-    /** Takes back the suspicion of a task of which a run ended on a worker that still answers.
-        @returns whether the task was suspected */
-    static bool clear(StepTask &task);
+    /** Takes back the suspicion of a task of which a run reached its end or has lasted.
+        @returns whether the task's counts changed */
+    static bool clearSuspicion(StepTask &task);
 
     /** Returns whether the crashes point at the task, so that it must not be started again.
-        @param startedApart whether the attempt was that the last crash was counted for */
-    static bool isToBlame(const StepSpec &step, const StepTask &task, bool startedApart);
+        @param startedApart whether the attempt that the last crash ended was started apart, and the
+                            worker is known to have begun it */
+    static bool mustGiveUp(const StepSpec &step, const StepTask &task, bool startedApart);
 
-    /** Returns whether a task must be started apart, which it waits for for a limited time. */
-    static bool mustStartApart(StepTask &task, Instant now);
+    /** Returns whether a task must be started apart. The first call for an attempt starts a limited
+        wait, after which the task may start beside others. */
+    static bool requireApart(StepTask &task, Instant now);
 
     /** Returns whether a worker has a run that its crash would make a suspect. */
     static bool hasYoungRun(const Worker &worker);
@@ -38,14 +50,14 @@
     /** Has a worker that was given a suspected task take no other while the run is young. */
     static void setApart(Worker &worker, const AttemptRef &attempt, Instant now);
 
-    /** Returns whether a worker has a young run that was started apart. */
+    /** Returns whether a worker takes no other task: it was given a suspected task, and has not
+        reported since that run would no longer be young. */
     static bool isSetApart(const Worker &worker);
 
     /** Returns whether the crash of a worker points at another of its runs. */
-    static bool pointsAtOther(const Worker &worker, const AttemptRef &attempt);
+    static bool crashPointsAtOther(const Worker &worker, const AttemptRef &attempt);
 
-    /** Returns whether a run has lasted: its worker has reported it when it was no longer young. */
-    static bool hasLasted(const Worker &worker, const Run &run);
+    static RunAge ageOf(const Worker &worker, const Run &run);
 
     /** Returns how long a run had been on its worker when the worker last reported; zero when the
         worker has not reported since the start. */
--- a/modules/bulrush_steps/tests/crash_evidence_test.cpp
+++ b/modules/bulrush_steps/tests/crash_evidence_test.cpp
@@ -142,7 +142,7 @@
     const std::string key = records::jobKey(JobId("a"));
     const std::string value = fixture.log.newestValue(LogStream::Progress, key);
     cr_assert(value.empty()
-              || records::decodeProgress(key, value).tasks.front().earlyCrashes.empty());
+              || records::decodeProgress(key, value).tasks.front().youngCrashes.empty());
 }
 
 Test(CrashEvidence, aLongRunningTaskThatCrashesItsWorkersAfterAWhileIsGivenUpAfterFive)
@@ -182,5 +182,5 @@
     fixture.runFor(seconds(60));
     fixture.workers.restart(first);
     fixture.runFor(seconds(1));
-    cr_assert(fixture.progressOf("a").earlyCrashes.empty());
+    cr_assert(fixture.progressOf("a").youngCrashes.empty());
 }
--- a/modules/bulrush_steps/tests/worker_crash_test.cpp
+++ b/modules/bulrush_steps/tests/worker_crash_test.cpp
@@ -253,5 +253,5 @@
             "job/a", R"({"schema":1,"succeeded":false,"failed":false,"tasks":[[0,0,0,true,[4]]]})");
     cr_assert_eq(progress.tasks.size(), 1U);
     cr_expect(progress.tasks[0].crashedAttempts.empty());
-    cr_expect(progress.tasks[0].earlyCrashes.empty());
+    cr_expect(progress.tasks[0].youngCrashes.empty());
 }
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -35,6 +35,8 @@
         for other tasks. */
     std::int64_t fillCpuMilli = 0;
     bool runsIndefinitely = false;
+    /** Whether an earlier owner started it, so that startSentAt is when this owner found it. */
+    bool found = false;
     /** Whether a later run can resume from a checkpoint of this one. */
     bool resumable = false;
     /** Set by Worker::requestStop() once the worker has the run. */
--- a/modules/bulrush_steps/workers/WorkerManagerReports.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerReports.cpp
@@ -147,6 +147,7 @@
         if (found == worker.runs.end()) {
             Run adopted = this->listener.adoptRun(worker, each);
             adopted.phase = RunPhase::Running;
+            adopted.found = true;
             adopted.confirmedAt = now;
             adopted.progressedAt = now;
             worker.addRun(std::move(adopted));
