Give up a long-running task whose workers crash soon after its starts, and any task after four crashes

Cause: crashes of a long-running task were counted only when they came within half a second; the count for crashes of any age was not kept for it, since its workers may crash for other reasons over a long life. Now it is kept, and cleared by a run of 3 s or more. The limit falls from five to four, so that a crash that a change of owner loses does not break the rule: three more starts after three crashes are its bound. Ruled out: a longer window for young runs, which would suspect more tasks without fault.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -323,8 +323,11 @@
         task.failedOn.push_back(worker.entry.worker);
     }
     const bool ranToItsEnd = end.kind == EndKind::Succeeded || end.kind == EndKind::Failed;
-    if (ranToItsEnd || (run != nullptr && CrashSuspects::ageOf(worker, *run) == RunAge::Lasted)) {
-        this->clearSuspicion(*job, task);
+    const bool lasted = run != nullptr && CrashSuspects::ageOf(worker, *run) == RunAge::Lasted;
+    if (ranToItsEnd || lasted) {
+        const milliseconds age =
+                lasted ? CrashSuspects::lastKnownAge(worker, *run) : milliseconds(0);
+        this->clearSuspicion(*job, end.attempt.task, age);
     }
     this->planner.markWaiting(job->spec.id);
     const bool hadEnded = job->hasEnded();
@@ -380,14 +383,14 @@
                                   .with("reason", reason));
     JobEntry *job = this->findJob(run.attempt.task);
     if (job != nullptr && CrashSuspects::ageOf(worker, run) == RunAge::Lasted) {
-        this->clearSuspicion(*job, job->task(run.attempt.task));
+        this->clearSuspicion(*job, run.attempt.task, CrashSuspects::lastKnownAge(worker, run));
     }
     this->requeueTask(run);
 }
 
-void Dispatcher::clearSuspicion(const JobEntry &job, StepTask &task)
+void Dispatcher::clearSuspicion(JobEntry &job, const TaskRef &task, milliseconds age)
 {
-    if (CrashSuspects::clearSuspicion(task)) {
+    if (CrashSuspects::clearSuspicion(job.step(task), job.task(task), age)) {
         this->markChanged(job);
     }
 }
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -172,8 +172,9 @@
     void completeGang(JobEntry &job, const AttemptRef &attempt);
     void closeRun(StepTask &task, std::string checkpoint);
 
-    /** Takes back the suspicion that a task crashes its workers. */
-    void clearSuspicion(const JobEntry &job, StepTask &task);
+    /** Takes back the suspicion that a task crashes its workers.
+        @param age of the run that shows it */
+    void clearSuspicion(JobEntry &job, const TaskRef &task, milliseconds age);
 
     /** Notes that a worker has begun a task of a job. */
     void markStarted(JobEntry &job);
--- a/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
@@ -68,14 +68,16 @@
         return;
     }
     StepTask &task = job->task(run.attempt.task);
-    const StepSpec &step = job->step(run.attempt.task);
     const RunAge kind = CrashSuspects::ageOf(worker, run);
-    if (!CrashSuspects::countCrash(step, task, run.attempt.attempt, kind)) {
+    if (kind == RunAge::Lasted) {
+        this->clearSuspicion(*job, run.attempt.task, age);
+    }
+    if (!CrashSuspects::countCrash(task, run.attempt.attempt, kind)) {
         return;
     }
     // Without an answer to the start, it is not known whether the worker began the task.
     const bool begunApart = worker.apartRun == run.attempt && run.phase == RunPhase::Running;
-    if (CrashSuspects::mustGiveUp(step, task, begunApart)) {
+    if (CrashSuspects::mustGiveUp(task, begunApart)) {
         job->failed = true;
         this->decisions.write(
                 DecisionLine(Event::TaskGivenUp)
--- a/modules/bulrush_steps/model/StepJobTable.h
+++ b/modules/bulrush_steps/model/StepJobTable.h
@@ -28,7 +28,8 @@
     std::uint32_t relocations = 0;
     /** The newest checkpoint that a worker reported. */
     std::string checkpoint;
-    /** Attempts during which a worker crashed; not kept for a long-running task. */
+    /** Attempts during which a worker crashed; of a long-running task those since its last long
+        run. */
     std::vector<std::uint64_t> crashedAttempts;
     /** The newest attempts in a row during which a worker crashed just after the start. */
     std::vector<std::uint64_t> youngCrashes;
--- a/modules/bulrush_steps/policy/CrashSuspects.cpp
+++ b/modules/bulrush_steps/policy/CrashSuspects.cpp
@@ -19,8 +19,11 @@
 /** The same if it was started beside others, for example as a member of a gang. */
 constexpr std::size_t maxYoungCrashes = 4;
 
-/** Crashes of any age at which a task is given up that is not long-running. */
-constexpr std::size_t maxCrashes = 5;
+/** Crashes of any age at which a task is given up. */
+constexpr std::size_t maxCrashes = 4;
+
+/** After a run of this length, crashes under earlier runs of a long-running task count no more. */
+constexpr milliseconds longRun { 3000 };
 
 bool contains(const std::vector<std::uint64_t> &attempts, std::uint64_t attempt)
 {
@@ -29,38 +32,33 @@
 
 } // namespace
 
-bool CrashSuspects::countCrash(const StepSpec &step, StepTask &task, std::uint64_t attempt,
-                               RunAge age)
+bool CrashSuspects::countCrash(StepTask &task, std::uint64_t attempt, RunAge age)
 {
     if (contains(task.crashedAttempts, attempt) || contains(task.youngCrashes, attempt)) {
         return false;
     }
-    bool changed = false;
     if (age == RunAge::Young) {
         task.youngCrashes.push_back(attempt);
-        changed = true;
-    } else if (age == RunAge::Lasted) {
-        changed = clearSuspicion(task);
-    }
-    if (!step.runsIndefinitely) {
-        task.crashedAttempts.push_back(attempt);
-        changed = true;
     }
-    return changed;
+    task.crashedAttempts.push_back(attempt);
+    return true;
 }
 
-bool CrashSuspects::clearSuspicion(StepTask &task)
+bool CrashSuspects::clearSuspicion(const StepSpec &step, StepTask &task, milliseconds age)
 {
-    const bool suspected = !task.youngCrashes.empty();
+    bool changed = !task.youngCrashes.empty();
     task.youngCrashes.clear();
-    return suspected;
+    if (step.runsIndefinitely && age >= longRun) {
+        changed = changed || !task.crashedAttempts.empty();
+        task.crashedAttempts.clear();
+    }
+    return changed;
 }
 
-bool CrashSuspects::mustGiveUp(const StepSpec &step, const StepTask &task, bool startedApart)
+bool CrashSuspects::mustGiveUp(const StepTask &task, bool startedApart)
 {
     const std::size_t limit = startedApart ? maxYoungCrashesApart : maxYoungCrashes;
-    return task.youngCrashes.size() >= limit
-            || (!step.runsIndefinitely && task.crashedAttempts.size() >= maxCrashes);
+    return task.youngCrashes.size() >= limit || task.crashedAttempts.size() >= maxCrashes;
 }
 
 bool CrashSuspects::requireApart(StepTask &task, Instant now)
--- a/modules/bulrush_steps/policy/CrashSuspects.h
+++ b/modules/bulrush_steps/policy/CrashSuspects.h
@@ -28,17 +28,19 @@
 {
 public:
     /** Counts the crash of a worker during an attempt.
-        @returns whether the task's counts changed */
-    static bool countCrash(const StepSpec &step, StepTask &task, std::uint64_t attempt, RunAge age);
+        @returns false when it was counted before */
+    static bool countCrash(StepTask &task, std::uint64_t attempt, RunAge age);
 
     /** Takes back the suspicion of a task of which a run reached its end or has lasted.
+        @param age how long the run has lasted, as far as it is known; a long run of a long-running
+                   task also clears the crashes before it
         @returns whether the task's counts changed */
-    static bool clearSuspicion(StepTask &task);
+    static bool clearSuspicion(const StepSpec &step, StepTask &task, milliseconds age);
 
     /** Returns whether the crashes point at the task, so that it must not be started again.
         @param startedApart whether the attempt that the last crash ended was started apart, and the
                             worker is known to have begun it */
-    static bool mustGiveUp(const StepSpec &step, const StepTask &task, bool startedApart);
+    static bool mustGiveUp(const StepTask &task, bool startedApart);
 
     /** Returns whether a task must be started apart. The first call for an attempt starts a limited
         wait, after which the task may start beside others. */
--- a/modules/bulrush_steps/tests/crash_evidence_test.cpp
+++ b/modules/bulrush_steps/tests/crash_evidence_test.cpp
@@ -145,11 +145,11 @@
               || records::decodeProgress(key, value).tasks.front().youngCrashes.empty());
 }
 
-Test(CrashEvidence, aLongRunningTaskThatCrashesItsWorkersAfterAWhileIsGivenUpAfterFive)
+Test(CrashEvidence, aLongRunningTaskThatCrashesItsWorkersAfterAWhileIsGivenUpAfterFour)
 {
     EvidenceFixture fixture;
     fixture.accept(makeLongRunningJob("a"));
-    constexpr std::size_t maxCrashes = 5;
+    constexpr std::size_t maxCrashes = 4;
     for (std::size_t round = 1; round <= maxCrashes; ++round) {
         const TargetId worker = fixture.awaitStart(round);
         fixture.runFor(milliseconds(800));
--- a/modules/bulrush_steps/tests/crash_suspects_test.cpp
+++ b/modules/bulrush_steps/tests/crash_suspects_test.cpp
@@ -42,36 +42,44 @@
 
 Test(CrashSuspects, crashesUnderATaskThatWasNotStartedApartPointAtItOnlyAfterFour)
 {
-    const StepSpec step;
     StepTask task;
     for (std::uint64_t attempt = 1; attempt < 4; ++attempt) {
-        cr_expect(CrashSuspects::countCrash(step, task, attempt, RunAge::Young));
-        cr_expect(!CrashSuspects::countCrash(step, task, attempt, RunAge::Young));
-        cr_expect(!CrashSuspects::mustGiveUp(step, task, false));
+        cr_expect(CrashSuspects::countCrash(task, attempt, RunAge::Young));
+        cr_expect(!CrashSuspects::countCrash(task, attempt, RunAge::Young));
+        cr_expect(!CrashSuspects::mustGiveUp(task, false));
     }
-    CrashSuspects::countCrash(step, task, 4, RunAge::Young);
-    cr_expect(CrashSuspects::mustGiveUp(step, task, false));
+    CrashSuspects::countCrash(task, 4, RunAge::Young);
+    cr_expect(CrashSuspects::mustGiveUp(task, false));
 }
 
 Test(CrashSuspects, twoCrashesAreEnoughOnlyForATaskThatWasStartedApart)
 {
-    const StepSpec step;
     StepTask task;
-    CrashSuspects::countCrash(step, task, 1, RunAge::Young);
-    CrashSuspects::countCrash(step, task, 2, RunAge::Young);
-    cr_expect(!CrashSuspects::mustGiveUp(step, task, false));
-    cr_expect(CrashSuspects::mustGiveUp(step, task, true));
+    CrashSuspects::countCrash(task, 1, RunAge::Young);
+    CrashSuspects::countCrash(task, 2, RunAge::Young);
+    cr_expect(!CrashSuspects::mustGiveUp(task, false));
+    cr_expect(CrashSuspects::mustGiveUp(task, true));
 }
 
 /* A new owner finds a run, and its worker crashes at once. */
 Test(CrashSuspects, aCrashUnderARunOfUnknownAgeNeitherAddsToTheSuspicionNorTakesItBack)
 {
-    const StepSpec step;
     StepTask task;
-    CrashSuspects::countCrash(step, task, 1, RunAge::Young);
-    CrashSuspects::countCrash(step, task, 2, RunAge::Unknown);
+    CrashSuspects::countCrash(task, 1, RunAge::Young);
+    CrashSuspects::countCrash(task, 2, RunAge::Unknown);
     cr_expect_eq(task.youngCrashes.size(), 1U);
-    CrashSuspects::countCrash(step, task, 3, RunAge::Lasted);
+    cr_expect_eq(task.crashedAttempts.size(), 2U);
+}
+
+Test(CrashSuspects, aLongRunOfALongRunningTaskClearsTheCrashesBeforeIt)
+{
+    StepSpec step;
+    step.runsIndefinitely = true;
+    StepTask task;
+    CrashSuspects::countCrash(task, 1, RunAge::Young);
+    CrashSuspects::clearSuspicion(step, task, seconds(2));
     cr_expect(task.youngCrashes.empty());
-    cr_expect_eq(task.crashedAttempts.size(), 3U);
+    cr_expect_eq(task.crashedAttempts.size(), 1U);
+    CrashSuspects::clearSuspicion(step, task, seconds(4));
+    cr_expect(task.crashedAttempts.empty());
 }
--- a/modules/bulrush_steps/tests/worker_crash_test.cpp
+++ b/modules/bulrush_steps/tests/worker_crash_test.cpp
@@ -209,12 +209,12 @@
     cr_expect(fixture.dispatcher.stateOf(JobId("a")) == JobState::Running);
 }
 
-Test(WorkerCrash, aTaskThatCrashesItsWorkersLateIsGivenUpAfterFive)
+Test(WorkerCrash, aTaskThatCrashesItsWorkersLateIsGivenUpAfterFour)
 {
     CrashFixture fixture(6);
     fixture.taskDuration = seconds(1000);
     fixture.accept(makeJob("a", 1));
-    crashUnder(fixture, "a", 5, seconds(5));
+    crashUnder(fixture, "a", 4, seconds(5));
     cr_expect(fixture.dispatcher.stateOf(JobId("a")) == JobState::Failed);
 }
 
