Take a list of VMs that lacks most of the workers that answer for faulty

Seen by callers: none known; a list that shows no worker, twice within half a second, would have ended every worker that was only cut off, and their tasks would have run twice. Cause: a well-formed list was believed whatever it showed. Now a reading counts only if it shows at least as many of the workers that answer as it lacks, and is not empty. Ruled out: demanding all of them, since one that has just joined is in the list up to a quarter of a second later.

--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -133,6 +133,7 @@
 
     // EndedWorkerFinder::Listener
     void workerEnded(const TargetId &worker) override;
+    bool isCredible(const WorkerProcesses &processes) const override;
 
     // ProgressWriter::Listener
     std::string progressRecord(const JobId &job) override;
--- a/modules/bulrush_steps/dispatch/DispatcherTakeover.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherTakeover.cpp
@@ -62,6 +62,19 @@
     this->workerManager.workerEnded(worker);
 }
 
+bool Dispatcher::isCredible(const WorkerProcesses &processes) const
+{
+    // A worker that has just joined may not be in the list yet.
+    std::size_t shown = 0;
+    std::size_t missing = 0;
+    for (const auto &[id, worker] : this->workerManager.workers()) {
+        if (worker.confirmed) {
+            ++(processes.running.contains(id) ? shown : missing);
+        }
+    }
+    return !processes.running.empty() && shown >= missing;
+}
+
 void Dispatcher::removeRecordsOfFormerOwners()
 {
     std::vector<KeyedRecord> removals;
--- a/modules/bulrush_steps/tests/ended_worker_test.cpp
+++ b/modules/bulrush_steps/tests/ended_worker_test.cpp
@@ -125,6 +125,7 @@
     struct Listener : EndedWorkerFinder::Listener
     {
         void workerEnded(const TargetId & /*worker*/) override { }
+        bool isCredible(const WorkerProcesses & /*processes*/) const override { return true; }
     } listener;
     constexpr double callsPerSecond = 2.0;
     EndedWorkerFinder finder(clock, &processes, callsPerSecond, listener);
--- a/modules/bulrush_steps/workers/EndedWorkerFinder.cpp
+++ b/modules/bulrush_steps/workers/EndedWorkerFinder.cpp
@@ -104,6 +104,9 @@
 void EndedWorkerFinder::handleList(Instant sentAt, const WorkerProcesses &processes)
 {
     this->callsPerReading = std::max(1U, processes.calls);
+    if (!this->listener.isCredible(processes)) {
+        return;
+    }
     std::vector<TargetId> ended;
     bool anyMissing = false;
     for (auto &[id, worker] : this->silentWorkers) {
--- a/modules/bulrush_steps/workers/EndedWorkerFinder.h
+++ b/modules/bulrush_steps/workers/EndedWorkerFinder.h
@@ -23,6 +23,10 @@
     {
         virtual ~Listener() = default;
         virtual void workerEnded(const TargetId &worker) = 0;
+
+        /** Returns whether a list can be right: whether it shows most of the workers that answer.
+         */
+        virtual bool isCredible(const WorkerProcesses &processes) const = 0;
     };
 
     /** @param processes null when the platform offers no list
