Put no crash down to runs whose lease ended long before

Seen by callers: none known; a worker that was cut off for a minute and then restarted counted as crashed under tasks that had ended there with their lease. Cause: runs that expired while their worker was silent were kept for its crash without a limit of time. Now they count for 10 s. Ruled out: not keeping them, since a crash may be proved only after the lease where the list of VMs cannot be read.

--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -111,6 +111,8 @@
     /** Runs whose lease has expired while the worker was silent, until it is known whether the
         worker crashed. */
     std::vector<Run> runsExpiredInSilence;
+    /** When the last of them expired. */
+    Instant runsExpiredAt {};
 
     /** Changed through addRun(), removeRun(), clearRuns() and requestStop(), which keep the sums
         below. */
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -260,6 +260,7 @@
     for (const auto &[attempt, run] : worker.runs) {
         worker.runsExpiredInSilence.push_back(run);
     }
+    worker.runsExpiredAt = this->clock.now();
     for (const auto &[attempt, run] : worker.clearRuns()) {
         this->listener.runLost(worker, run, "lease expired");
     }
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -159,6 +159,10 @@
     void dropRunsOfEndedProcess(Worker &worker, std::string_view reason);
     void handleDeparture(Worker &worker);
 
+    /** Returns the runs of a silent worker that its crash may have ended although their lease has
+        expired since, and forgets them. */
+    std::vector<Run> takeRunsExpiredOfLate(Worker &worker) const;
+
     /** Reports the runs that a worker's previous process had.
         @param sentAt when the request was sent that the new process answered */
     void reportRestart(Worker &worker, Instant sentAt, const HoldAnswer &answer);
--- a/modules/bulrush_steps/workers/WorkerManagerCrashes.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerCrashes.cpp
@@ -11,6 +11,9 @@
 
 constexpr std::string_view processEnded = "the worker's process has ended";
 
+/** How long after their lease the runs of a silent worker may be put down to its crash. */
+constexpr milliseconds maxCrashDiscovery { 10'000 };
+
 bool lists(const HoldAnswer &answer, const AttemptRef &attempt)
 {
     const auto isAttempt = [&attempt](const auto &each) { return each.attempt == attempt; };
@@ -23,7 +26,7 @@
 void WorkerManager::workerEnded(const TargetId &id)
 {
     if (Worker *worker = this->find(id)) {
-        std::vector<Run> runs = std::exchange(worker->runsExpiredInSilence, {});
+        std::vector<Run> runs = this->takeRunsExpiredOfLate(*worker);
         for (const auto &[attempt, run] : worker->runs) {
             runs.push_back(run);
         }
@@ -33,9 +36,19 @@
     this->listener.workerKnown(id);
 }
 
-void WorkerManager::reportRestart(Worker &worker, Instant sentAt, const HoldAnswer &answer)
+std::vector<Run> WorkerManager::takeRunsExpiredOfLate(Worker &worker) const
 {
     std::vector<Run> runs = std::exchange(worker.runsExpiredInSilence, {});
+    if (this->clock.now() - worker.runsExpiredAt > maxCrashDiscovery) {
+        // They ended with their lease; the worker has run on and crashed later.
+        runs.clear();
+    }
+    return runs;
+}
+
+void WorkerManager::reportRestart(Worker &worker, Instant sentAt, const HoldAnswer &answer)
+{
+    std::vector<Run> runs = this->takeRunsExpiredOfLate(worker);
     for (const auto &[attempt, run] : worker.runs) {
         // The new process may have begun a run since it made the answer, or may still do so.
         const bool mayBeOfNewProcess = run.phase == RunPhase::Starting
