Give a worker no task while the roster that was sent last does not name it

What callers could see: a task ran twice after a change of owner (TWICE). Cause: a worker counted as on record as long as the last roster known to be stored named it. When its entry lapsed, the roster without it was appended and the answer was lost, and its entry came back, it was given tasks although the newest roster on record did not name it; the next owner did not wait for it. Change: a worker counts as on record only if both the stored and the last sent roster name it. Two tests of Roster failed before (16 tasks started on a worker off the roster; 16 tasks run twice) and pass now; 157 tests of the module pass.

--- a/modules/bulrush_steps/workers/WorkerRoster.cpp
+++ b/modules/bulrush_steps/workers/WorkerRoster.cpp
@@ -32,7 +32,8 @@
 void WorkerRoster::markRecorded(std::map<TargetId, Worker> &workers) const
 {
     for (auto &[id, worker] : workers) {
-        worker.onRoster = this->recorded.contains(id);
+        // The record that was sent may be persisted although it is not yet known to be.
+        worker.onRoster = this->recorded.contains(id) && this->sent.contains(id);
     }
 }
 
