Log and measure queues whose jobs are served too late

In an incident one class of batch jobs was served far too late for half a minute, and no log line or metric said so while it happened: E1606 tells of single jobs after their end, and bulrush_entry_job_seconds sums over all queues.

Added: QueueService counts for each queue, over the last 10 s, the jobs that ended or passed thrice their objective, and how many ended within their objective and within thrice it; the jobs at or above the 90th percentile of sizes are counted apart as well. The owner judges all queues once a second. It logs E1640 'queue served late' while the served share is below 0.8 or that of the large jobs is below half of it, and E1643 'queue served again' once after it. The gauge bulrush_entry_queue_served_share shows the share. A job that is stuck counts once, when it passes thrice its objective, and not again at its end. Jobs with a schedule and long-running jobs are not counted. E1635 splits the planning time into planning_reserving_ms and planning_filling_ms. The factor of three is shared with JobRank.

Tests: queue_service_test.cpp covers a late queue and its recovery, large jobs that are late while the whole is served, too few jobs, and stuck jobs in the dispatcher that count once and log the queue once a second. The dispatcher's fixture keeps the lines that it logs instead of discarding them. The test of METRICS.md sets the new gauge, so that the page must name it.

--- a/modules/bulrush_cli/tests/pages_test.cpp
+++ b/modules/bulrush_cli/tests/pages_test.cpp
@@ -120,6 +120,7 @@
     metrics.recordWorkerCommand("start", CommandOutcome::Done, milliseconds(1));
     metrics.recordJobStart(milliseconds(1));
     metrics.recordJobEnd(JobState::Succeeded, milliseconds(1));
+    metrics.setServedShares({ { "checks", 1.0 } });
     assertSame(namesIn(metrics.text(), "# HELP (\\w+)"),
                namesIn(section(readPage("docs/METRICS.md"), "On the users' platform"),
                        "\n\\| `(bulrush_\\w+)` \\|"),
--- a/modules/bulrush_entry/node/EntryMetrics.cpp
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -113,6 +113,13 @@
                                        .Help("1 while this node orders the workers")
                                        .Register(registry)
                                        .Add({});
+    prometheus::Family<prometheus::Gauge> &servedShares =
+            prometheus::BuildGauge()
+                    .Name("bulrush_entry_queue_served_share")
+                    .Help("Share of a queue's jobs that end within thrice their objective")
+                    .Register(registry);
+    /** The series of servedShares by queue. */
+    std::map<std::string, prometheus::Gauge *> servedShareSeries;
     prometheus::Gauge &droppedLines = prometheus::BuildGauge()
                                               .Name("bulrush_entry_log_lines_dropped")
                                               .Help("Log lines dropped since the start")
@@ -186,6 +193,24 @@
     this->families->owner.Set(owner ? 1.0 : 0.0);
 }
 
+void EntryMetrics::setServedShares(const std::map<std::string, double> &shares)
+{
+    std::erase_if(this->families->servedShareSeries, [this, &shares](const auto &each) {
+        const bool gone = !shares.contains(each.first);
+        if (gone) {
+            this->families->servedShares.Remove(each.second);
+        }
+        return gone;
+    });
+    for (const auto &[queue, share] : shares) {
+        prometheus::Gauge *&series = this->families->servedShareSeries[queue];
+        if (series == nullptr) {
+            series = &this->families->servedShares.Add({ { "queue", queue } });
+        }
+        series->Set(share);
+    }
+}
+
 void EntryMetrics::setDroppedLines(std::uint64_t lines)
 {
     this->families->droppedLines.Set(static_cast<double>(lines));
--- a/modules/bulrush_entry/node/EntryMetrics.h
+++ b/modules/bulrush_entry/node/EntryMetrics.h
@@ -4,6 +4,7 @@
 #include "bulrush_steps/ports/KeyedLog.h"
 #include "bulrush_steps/ports/WorkerCommands.h"
 
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -36,6 +37,10 @@
     void recordTickDelay(Duration delay);
 
     void setOwner(bool owner);
+    /** Sets the share of jobs that end within their late limits, by queue. Queues that are not
+        given have no series from then on. */
+    void setServedShares(const std::map<std::string, double> &shares);
+
     void setDroppedLines(std::uint64_t lines);
 
     /** Returns all metrics in the Prometheus text format. */
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -4,7 +4,10 @@
 #include "bulrush_entry/owner/FormerOwnership.h"
 
 #include <algorithm>
+#include <map>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace bulrush {
 
@@ -62,6 +65,23 @@
     return whole == 0 ? 0 : part * percent / whole;
 }
 
+std::int64_t toMillis(Duration span)
+{
+    return duration_cast<milliseconds>(span).count();
+}
+
+/** Returns the share of jobs that end within their late limits, by queue that is judged. */
+std::map<std::string, double> servedShares(const std::vector<QueueReport> &queues)
+{
+    std::map<std::string, double> shares;
+    for (const QueueReport &queue : queues) {
+        if (queue.state != QueueState::NotJudged) {
+            shares[queue.queue] = queue.all.servedShare();
+        }
+    }
+    return shares;
+}
+
 HttpServer::Limits callerLimits(const CallerProtocol &protocol)
 {
     HttpServer::Limits limits;
@@ -155,8 +175,7 @@
     this->nextLoadReport = now + loadReportInterval;
     const DispatchLoad load = this->dispatcher.load();
     const PlanLoad before = std::exchange(this->reportedPlan, load.plan);
-    const Duration planned = load.plan.time - before.time;
-    const auto lateMillis = duration_cast<milliseconds>(this->longestTickDelay).count();
+    const auto lateMillis = toMillis(this->longestTickDelay);
     this->longestTickDelay = Duration::zero();
     this->decisions.write(
             DecisionLine(Event::OwnerLoad)
@@ -170,7 +189,12 @@
                     .with("free_memory", percentOf(load.free.memoryMb, load.capacity.memoryMb))
                     .with("starts", load.plan.starts - before.starts)
                     .with("rounds", load.plan.rounds - before.rounds)
-                    .with("planning_ms", duration_cast<milliseconds>(planned).count()));
+                    .with("planning_ms", toMillis(load.plan.time() - before.time()))
+                    .with("planning_reserving_ms",
+                          toMillis(load.plan.reservingTime - before.reservingTime))
+                    .with("planning_filling_ms",
+                          toMillis(load.plan.fillingTime - before.fillingTime)));
+    this->metrics.setServedShares(servedShares(load.queues));
 }
 
 void EntryNode::refreshStandbyView()
@@ -227,6 +251,7 @@
 void EntryNode::ownershipLost(std::string_view /*reason*/)
 {
     this->metrics.setOwner(false);
+    this->metrics.setServedShares({});
     this->takeover.cancel();
     this->pendingResignation = this->dispatcher.resignation();
     this->resignationAttempts = 0;
--- a/modules/bulrush_steps/bulrush_steps.h
+++ b/modules/bulrush_steps/bulrush_steps.h
@@ -37,6 +37,7 @@
 #include "bulrush_steps/policy/LoadTrend.h"
 #include "bulrush_steps/policy/Placement.h"
 #include "bulrush_steps/policy/PressureModel.h"
+#include "bulrush_steps/policy/QueueService.h"
 #include "bulrush_steps/policy/RunHealth.h"
 #include "bulrush_steps/policy/StepPlacement.h"
 #include "bulrush_steps/ports/KeyedLog.h"
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -65,6 +65,9 @@
     this->writer.end();
     this->planner.clear();
     this->unstarted.clear();
+    this->unserved.clear();
+    this->queueService.clear();
+    this->queueReports.clear();
     this->jobTable.clear();
     this->fillControl.clearWorkers();
     this->roster.clear();
@@ -118,6 +121,7 @@
     if (!job.started) {
         this->unstarted.insert(job.spec.id);
     }
+    this->watchService(job);
     this->planner.markWaiting(job.spec.id);
 }
 
@@ -172,6 +176,7 @@
         this->removeRecordsOfFormerOwners();
     }
     this->updateRoster();
+    this->checkQueues(now);
     if (!this->mayCommand()) {
         return;
     }
@@ -213,6 +218,7 @@
         job->endStored = true;
         const Duration age = this->clock.now() - job->acceptedAt;
         this->listener.jobEnded(job->visibleState(), age);
+        this->recordServiceOfEnded(*job);
         this->decisions.write(
                 DecisionLine(Event::JobEnded)
                         .with("job", id.name())
@@ -448,6 +454,7 @@
 {
     DispatchLoad load;
     load.plan = this->planner.load();
+    load.queues = this->queueReports;
     load.openStarts = this->workerManager.startWindow(false).open()
             + this->workerManager.startWindow(true).open();
     for (const auto &[id, worker] : this->workerManager.workers()) {
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -8,12 +8,14 @@
 #include "bulrush_steps/ownership/OwnershipTerm.h"
 #include "bulrush_steps/ownership/TakeoverWait.h"
 #include "bulrush_steps/policy/FillController.h"
+#include "bulrush_steps/policy/QueueService.h"
 #include "bulrush_steps/workers/EndedWorkerFinder.h"
 #include "bulrush_steps/workers/WorkerManager.h"
 #include "bulrush_steps/workers/WorkerRoster.h"
 
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace bulrush {
 
@@ -28,6 +30,8 @@
     /** The capacity of all workers that take tasks, and the part of it that is not reserved. */
     ResourceVector capacity;
     ResourceVector free;
+    /** How the queues were served when they were last judged. */
+    std::vector<QueueReport> queues;
 };
 
 /**
@@ -177,6 +181,19 @@
         @param age of the run that shows it */
     void clearSuspicion(JobEntry &job, const TaskRef &task, milliseconds age);
 
+    /** Has a job counted when it passes its late limit. */
+    void watchService(const JobEntry &job);
+    ServedJob describeService(const JobEntry &job) const;
+    /** Counts a job whose end was stored, unless it was counted as overdue. */
+    void recordServiceOfEnded(const JobEntry &job);
+
+    /** Counts jobs that have passed their late limits, and logs queues that are served late. */
+    void checkQueues(Instant now);
+
+    /** Counts a job if it has passed its late limit.
+        @returns whether the job needs no further check */
+    bool recordIfOverdue(const JobId &id, Instant now);
+
     /** Notes that a worker has begun a task of a job. */
     void markStarted(JobEntry &job);
 
@@ -204,6 +221,12 @@
     Instant nextHealthCheck {};
     /** Accepted jobs of which no worker has begun a task. */
     std::set<JobId> unstarted;
+    /** Jobs to check for whether they have passed their late limits. */
+    std::set<JobId> unserved;
+    QueueService queueService;
+    /** The newest judgement of the queues. */
+    std::vector<QueueReport> queueReports;
+    Instant nextQueueCheck {};
     WorkerRoster roster;
     /** From what the roster was last updated; none before the first time. */
     std::optional<RosterBasis> rosterBasis;
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -284,7 +284,7 @@
     this->planRound(lane, now);
     const Instant done = this->clock.now();
     ++this->counters.rounds;
-    this->counters.time += done - begin;
+    (lane.fills ? this->counters.fillingTime : this->counters.reservingTime) += done - begin;
     lane.nextRound = done + (done - begin) * (lane.limits.timeDivisor - 1);
 }
 
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -21,11 +21,15 @@
     std::size_t waitingFills = 0;
     /** Steps for which the last round of planning found no worker. */
     std::size_t unplacedSteps = 0;
-    /** Rounds of planning, their duration and the starts that they made, since the start of the
-        process. */
+    /** Rounds of planning, their durations by lane, and the starts that they made, since the start
+        of the process. */
     std::uint64_t rounds = 0;
-    Duration time {};
+    Duration reservingTime {};
+    Duration fillingTime {};
     std::uint64_t starts = 0;
+
+    /** Returns the duration of all rounds. */
+    Duration time() const { return this->reservingTime + this->fillingTime; }
 };
 
 /**
--- a/modules/bulrush_steps/model/StepJobTable.h
+++ b/modules/bulrush_steps/model/StepJobTable.h
@@ -75,6 +75,9 @@
     bool failed = false;
     /** Whether the end of the job, as given by succeeded or failed, is stored in the log. */
     bool endStored = false;
+    /** Whether this owner has seen the job past its late limit before its end was stored.
+        @see QueueService */
+    bool overdue = false;
     /** Whether a worker has begun any task. */
     bool started = false;
     /** The number of runs that this owner started. */
--- a/modules/bulrush_steps/policy/JobRank.cpp
+++ b/modules/bulrush_steps/policy/JobRank.cpp
@@ -4,9 +4,6 @@
 
 namespace {
 
-/** Up to this multiple of its objective, a late job still has some value. */
-constexpr int lateLimitFactor = 3;
-
 /** Slack that ranks a long-running task behind the short tasks of its priority: a short wait costs
     it little. */
 constexpr std::int64_t deferredSlackMs = 1'000'000'000;
--- a/modules/bulrush_steps/policy/JobRank.h
+++ b/modules/bulrush_steps/policy/JobRank.h
@@ -7,6 +7,9 @@
 
 namespace bulrush {
 
+/** Up to this multiple of its objective, its late limit, a late job still has some value. */
+inline constexpr int lateLimitFactor = 3;
+
 /** The properties of a waiting job that determine its rank. */
 struct WaitingJob
 {
--- a/modules/bulrush_steps/tests/DispatcherFixture.h
+++ b/modules/bulrush_steps/tests/DispatcherFixture.h
@@ -52,6 +52,18 @@
     return table;
 }
 
+/** Keeps the fields of all lines by their event. */
+class RecordedDecisions : public DecisionLog
+{
+public:
+    void write(const DecisionLine &line) override
+    {
+        this->lines[line.event()].push_back(line.fields());
+    }
+
+    std::map<Event, std::vector<std::string>> lines;
+};
+
 /** A Dispatcher with fake workers and a fake log, on a clock that only the test advances. */
 class DispatcherFixture : public Dispatcher::Listener
 {
@@ -125,7 +137,7 @@
     }
 
     ManualClock clock;
-    NullDecisionLog decisions;
+    RecordedDecisions decisions;
     FakeWorkers workers;
     FakeProcesses processes;
     FakeLog log;
