Complete begun jobs first and begin those that still have time when not all can be started

What callers saw: on a large installation too little of one kind of batch jobs was served (SHORT). Cause: jobs in time were ranked by the least slack. While all can be started that is right; when the owner can start a tenth less than is handed in, each job is begun when its time has almost run out, all jobs end at about thrice their objective, and the last tasks of a job that is late wait behind all new jobs. Change: within a band and priority, jobs rank by the share of their tasks that is left to start, against the chance of ending in time; a late job that is almost started ranks one band higher. The share does not depend on the size of a job.

--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -87,9 +87,24 @@
     waitingJob.waited = now - since;
     waitingJob.remaining = this->durations.remainingPath(job, occurrence);
     waitingJob.objective = this->durations.objective(job.spec);
+    waitingJob.unstartedShare = unstartedShare(job, occurrence);
     return waitingJob;
 }
 
+double Planner::unstartedShare(const JobEntry &job, std::uint32_t occurrence)
+{
+    std::size_t unstarted = 0;
+    std::size_t all = 0;
+    for (const StepState &step : job.occurrences[occurrence].steps) {
+        all += step.tasks.size();
+        unstarted += static_cast<std::size_t>(
+                std::count_if(step.tasks.begin(), step.tasks.end(), [](const StepTask &task) {
+                    return !task.succeeded && task.openRuns == 0;
+                }));
+    }
+    return all == 0 ? 0.0 : static_cast<double>(unstarted) / static_cast<double>(all);
+}
+
 void Planner::rankWaiting(PlanLane &lane, Instant now)
 {
     lane.queue.clear();
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -99,6 +99,9 @@
     Duration ageOf(const JobEntry &job, std::uint32_t occurrence, Instant now) const;
     WaitingJob describeWaiting(const JobEntry &job, std::uint32_t occurrence, Instant since,
                                Instant now) const;
+
+    /** Returns the share of the tasks of an occurrence that neither run nor have succeeded. */
+    static double unstartedShare(const JobEntry &job, std::uint32_t occurrence);
     TaskRequest makeTaskRequest(const PlanCandidate &candidate);
     void start(JobEntry &job, const TaskRef &task, Worker &worker, std::uint64_t attempt);
 
--- a/modules/bulrush_steps/policy/JobRank.cpp
+++ b/modules/bulrush_steps/policy/JobRank.cpp
@@ -1,12 +1,14 @@
 #include "bulrush_steps/policy/JobRank.h"
 
+#include <algorithm>
+
 namespace bulrush {
 
 namespace {
 
-/** Slack that ranks a long-running task behind the short tasks of its priority: a short wait costs
+/** Cost that ranks a long-running task behind the short tasks of its priority: a short wait costs
     it little. */
-constexpr std::int64_t deferredSlackMs = 1'000'000'000;
+constexpr double deferredCost = 1000.0;
 
 /** A long-running task yields to short tasks for no longer than this, so that a constant supply of
     short tasks cannot starve it. */
@@ -15,27 +17,58 @@
 /** A job is urgent when its slack is less than this share of its objective. */
 constexpr double urgentSlackShare = 0.3;
 
+/** A late job with a smaller unstarted share than this ranks one band higher. */
+constexpr double maxNearlyStartedShare = 0.15;
+
+/** Shares of its objective at which a job is expected to end: up to the first it is assumed to
+    meet the objective, since estimates are rough; its chance falls until the second. */
+constexpr double safeEndShare = 0.7;
+constexpr double latestEndShare = 1.0;
+
+/** The assumed chance of a job that is expected to end just at its objective. */
+constexpr double minChance = 0.5;
+
+/** The smallest cost of a job that has tasks to start. */
+constexpr double minCost = 0.001;
+
 enum Band : std::uint32_t { MeetsObjective, LateButUseful, TooLate };
 
+/** Returns the assumed chance that a job meets its objective, from minChance to 1. */
+double chanceOf(const WaitingJob &job, Duration end)
+{
+    const double objective = std::chrono::duration<double>(job.objective).count();
+    const double share = objective > 0.0 ? std::chrono::duration<double>(end).count() / objective
+                                         : latestEndShare;
+    const double risk = (share - safeEndShare) / (latestEndShare - safeEndShare);
+    return 1.0 - (1.0 - minChance) * std::clamp(risk, 0.0, 1.0);
+}
+
+/** Returns the band of a late job: one higher when little of it is left to start. */
+std::uint32_t lateBand(const WaitingJob &job, Band band)
+{
+    return job.unstartedShare <= maxNearlyStartedShare ? band - 1U : band;
+}
+
 } // namespace
 
 JobRank rankOf(const WaitingJob &job)
 {
     if (job.runsIndefinitely) {
         const bool deferrable = job.waited < maxDeferral;
-        return { MeetsObjective, job.priority, deferrable ? deferredSlackMs : 0 };
+        return { MeetsObjective, job.priority, deferrable ? deferredCost : minCost, 0 };
     }
     const Duration end = job.age + job.remaining;
+    const double cost = std::max(minCost, job.unstartedShare / chanceOf(job, end));
     const auto slack = duration_cast<milliseconds>(job.objective - end).count();
     if (end <= job.objective) {
-        return { MeetsObjective, job.priority, slack };
+        return { MeetsObjective, job.priority, cost, slack };
     }
     const auto lateSlack =
             duration_cast<milliseconds>(job.objective * lateLimitFactor - end).count();
     if (lateSlack >= 0) {
-        return { LateButUseful, job.priority, lateSlack };
+        return { lateBand(job, LateButUseful), job.priority, cost, lateSlack };
     }
-    return { TooLate, job.priority, -lateSlack };
+    return { lateBand(job, TooLate), job.priority, cost, -lateSlack };
 }
 
 bool isUrgent(const WaitingJob &job)
--- a/modules/bulrush_steps/policy/JobRank.h
+++ b/modules/bulrush_steps/policy/JobRank.h
@@ -23,6 +23,8 @@
     Duration remaining {};
     /** The age up to which a finished job has its full value. */
     Duration objective {};
+    /** The share of its tasks that have yet to be started, 0 to 1. */
+    double unstartedShare = 1.0;
 };
 
 /** The rank of a waiting job; the smallest rank starts first. */
@@ -30,20 +32,27 @@
 {
     std::uint32_t band = 0;
     std::uint32_t priority = 0;
+    /** What is left to start, in proportion to what its completion is worth. */
+    double cost = 1.0;
     std::int64_t slackMs = 0;
 
     bool operator<(const JobRank &other) const
     {
-        return std::tie(this->band, this->priority, this->slackMs)
-                < std::tie(other.band, other.priority, other.slackMs);
+        return std::tie(this->band, this->priority, this->cost, this->slackMs)
+                < std::tie(other.band, other.priority, other.cost, other.slackMs);
     }
 };
 
 /**
     Ranks a waiting job for the case that capacity does not suffice for all jobs. Jobs that can
     still meet their objective come first, then jobs that are late but still have some value, then
-    jobs that are too late. Within a band, jobs are ranked by the operators' priority, then by
-    slack.
+    jobs that are too late. A late job of which little is left to start ranks with those of the band
+    before. Within a band, jobs are ranked by the operators' priority, then by what is left to start
+    in proportion to the chance that the job meets its objective, then by slack.
+
+    An overloaded owner thus completes the jobs that it has begun, and begins those that still have
+    time. With the least slack first, it would begin each job when its time has almost run out, and
+    all jobs would be late.
 */
 JobRank rankOf(const WaitingJob &job);
 
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -171,6 +171,10 @@
     Worker *best = nullptr;
     double bestScore = 0.0;
     for (auto &[id, worker] : workers) {
+        const std::optional<double> bound = this->scoreBound(worker, request);
+        if (!bound || (best != nullptr && *bound <= bestScore)) {
+            continue;
+        }
         const std::optional<double> score = this->scoreOf(worker, request);
         if (score && (best == nullptr || *score > bestScore)) {
             best = &worker;
--- a/modules/bulrush_steps/tests/planning_test.cpp
+++ b/modules/bulrush_steps/tests/planning_test.cpp
@@ -42,21 +42,46 @@
     fixture.accept(job);
 }
 
-/** Runs the dispatcher and ends each run after taskDuration. */
-void runWithEndingTasks(DispatcherFixture &fixture, milliseconds span)
+/** Ends each run of a fixture after taskDuration. */
+class TaskEnder
 {
-    const Instant end = fixture.clock.now() + span;
-    std::size_t ended = 0;
-    std::vector<Instant> startedAt;
-    while (fixture.clock.now() < end) {
-        fixture.runFor(tickInterval);
-        startedAt.resize(fixture.workers.starts.size(), fixture.clock.now());
-        for (; ended < startedAt.size() && fixture.clock.now() - startedAt[ended] >= taskDuration;
-             ++ended) {
-            const FakeWorkers::SentStart &start = fixture.workers.starts[ended];
-            fixture.workers.endRun(start.worker, start.attempt, EndKind::Succeeded);
+public:
+    explicit TaskEnder(DispatcherFixture &dispatcherFixture)
+        : fixture(dispatcherFixture)
+    {
+    }
+
+    void runFor(milliseconds span)
+    {
+        const Instant end = this->fixture.clock.now() + span;
+        while (this->fixture.clock.now() < end) {
+            this->fixture.runFor(tickInterval);
+            this->endDueRuns();
         }
     }
+
+private:
+    void endDueRuns()
+    {
+        const Instant now = this->fixture.clock.now();
+        const std::vector<FakeWorkers::SentStart> &starts = this->fixture.workers.starts;
+        this->startedAt.resize(starts.size(), now);
+        for (; this->ended < starts.size() && now - this->startedAt[this->ended] >= taskDuration;
+             ++this->ended) {
+            const FakeWorkers::SentStart &start = starts[this->ended];
+            this->fixture.workers.endRun(start.worker, start.attempt, EndKind::Succeeded);
+        }
+    }
+
+    DispatcherFixture &fixture;
+    std::size_t ended = 0;
+    std::vector<Instant> startedAt;
+};
+
+/** Runs the dispatcher and ends each run after taskDuration. */
+void runWithEndingTasks(DispatcherFixture &fixture, milliseconds span)
+{
+    TaskEnder(fixture).runFor(span);
 }
 
 /** Returns the position of a job's first start of a step among all starts. */
@@ -141,6 +166,37 @@
                   static_cast<int>(waited.count()));
 }
 
+/* With a quarter more work than can be started, each job was begun so late that hardly any ended in
+   time. */
+Test(Planning, anOverloadedOwnerStillServesMostOfItsJobsInTime)
+{
+    constexpr std::uint32_t jobs = 60;
+    constexpr std::uint32_t tasksAtOnce = 8;
+    constexpr milliseconds jobInterval { 800 };
+    constexpr milliseconds objective { 4000 };
+    DispatcherFixture fixture;
+    fixture.begin({});
+    WorkerEntry worker = makeWorkerEntry("w1");
+    worker.capacity = { 4000 * tasksAtOnce, 256000, 0 };
+    fixture.dispatcher.workerListed(worker);
+    fixture.runFor(milliseconds(100));
+    TaskEnder ender(fixture);
+    for (std::uint32_t number = 0; number < jobs; ++number) {
+        StepJob job = makeSteps(("batch" + std::to_string(number)).c_str(), 2, tasksAtOnce);
+        job.latencyTarget = milliseconds(2500);
+        submit(fixture, job);
+        ender.runFor(jobInterval);
+    }
+    const auto &entries = fixture.dispatcher.jobs().entries();
+    const auto inTime = std::count_if(entries.begin(), entries.end(), [&](const auto &each) {
+        const JobEntry &job = each.second;
+        const std::optional<Instant> endedAt = job.occurrences[0].steps.back().endedAt;
+        return job.succeeded && endedAt && *endedAt - job.acceptedAt <= objective;
+    });
+    cr_assert_geq(inTime, jobs * 3 / 5, "%d of %u jobs ended in time", static_cast<int>(inTime),
+                  jobs);
+}
+
 /* The limit of unanswered starts was fixed, so an overloaded owner kept on sending starts in vain.
  */
 Test(StartWindow, startsThatGoUnansweredDoNotKeepUpTheNumberOfOpenStarts)
--- a/modules/bulrush_steps/tests/policy_test.cpp
+++ b/modules/bulrush_steps/tests/policy_test.cpp
@@ -44,6 +44,33 @@
     cr_assert(rankOf(late) < rankOf(tooLate));
 }
 
+/* The last task of a job, which had to start again, waited behind all new jobs until it was of no
+   use. */
+Test(WorkOrder, aJobThatHasAlmostBeenStartedIsCompletedBeforeOthersAreBegun)
+{
+    WaitingJob fresh;
+    fresh.remaining = seconds(1);
+    fresh.objective = seconds(3);
+    WaitingJob begun = fresh;
+    begun.unstartedShare = 0.1;
+    cr_assert(rankOf(begun) < rankOf(fresh));
+    begun.age = seconds(4);
+    cr_assert(rankOf(begun) < rankOf(fresh), "also when it is late");
+    begun.unstartedShare = 0.5;
+    cr_assert(rankOf(fresh) < rankOf(begun), "not when much of a late job is left");
+}
+
+/* With the least slack first, each job was begun when its time had almost run out. */
+Test(WorkOrder, aJobThatWouldEndJustInTimeIsBegunAfterThoseThatHaveTime)
+{
+    WaitingJob fresh;
+    fresh.remaining = seconds(1);
+    fresh.objective = seconds(3);
+    WaitingJob justInTime = fresh;
+    justInTime.age = milliseconds(1900);
+    cr_assert(rankOf(fresh) < rankOf(justInTime));
+}
+
 Test(WorkOrder, jobsOnTimeAreOrderedByPriorityAndThenBySlack)
 {
     WaitingJob tight;
