--- a/modules/bulrush_steps/tests/crash_evidence_test.cpp
+++ b/modules/bulrush_steps/tests/crash_evidence_test.cpp
@@ -184,3 +184,110 @@
     fixture.runFor(seconds(1));
     cr_assert(fixture.progressOf("a").youngCrashes.empty());
 }
+
+/* The list cannot be read until the lease of the crashed worker is over. */
+Test(CrashEvidence, aCrashThatIsProvedAfterTheLeaseIsCounted)
+{
+    EvidenceFixture fixture;
+    fixture.accept(makeLongRunningJob("a"));
+    const TargetId first = fixture.awaitStart(1);
+    fixture.runFor(milliseconds(50));
+    fixture.processes.list.reset();
+    fixture.workers.workers[first].silent = true;
+    fixture.awaitStart(2);
+    fixture.processes.list =
+            WorkerProcesses { { TargetId("w1"), TargetId("w2"), TargetId("w3"), TargetId("w4") } };
+    fixture.processes.list->running.erase(first);
+    fixture.runFor(seconds(4));
+    cr_assert_eq(fixture.progressOf("a").youngCrashes.size(), 1U);
+}
+
+/* The worker answers again under the same process: it was only cut off. */
+Test(CrashEvidence, runsThatExpiredInSilenceAreNotCountedOnceTheirWorkerAnswers)
+{
+    EvidenceFixture fixture;
+    fixture.accept(makeLongRunningJob("a"));
+    const TargetId first = fixture.awaitStart(1);
+    fixture.runFor(milliseconds(50));
+    fixture.workers.workers[first].silent = true;
+    fixture.awaitStart(2);
+    fixture.workers.workers[first].running.clear();
+    fixture.workers.workers[first].silent = false;
+    fixture.runFor(seconds(1));
+    fixture.crash(first);
+    cr_assert(fixture.progressOf("a").youngCrashes.empty());
+}
+
+/* Were the others left running, they would end on their workers for nothing. */
+Test(CrashEvidence, theOtherRunsOfAJobThatIsGivenUpAreStopped)
+{
+    EvidenceFixture fixture;
+    StepJob job = makeJob("a", 2);
+    job.steps[0].runsIndefinitely = true;
+    job.steps[0].maxPerWorker = 1;
+    fixture.accept(job);
+    fixture.awaitStart(2);
+    const TargetId kept = fixture.workers.starts[1].worker;
+    fixture.runFor(milliseconds(50));
+    fixture.crash(fixture.workers.starts[0].worker);
+    const TargetId again = fixture.awaitStart(3);
+    fixture.runFor(milliseconds(50));
+    fixture.crash(again);
+    cr_assert(fixture.dispatcher.stateOf(JobId("a")) == JobState::Failed);
+    cr_assert_eq(fixture.workers.workers[kept].stopped.size(), 1U);
+}
+
+/* A task fails by its own fault on a worker that goes on: that worker has not crashed under it. */
+Test(CrashEvidence, aRunThatEndsTakesTheSuspicionOfItsTaskBack)
+{
+    EvidenceFixture fixture;
+    fixture.accept(makeJob("a", 1));
+    const TargetId first = fixture.awaitStart(1);
+    fixture.runFor(milliseconds(50));
+    fixture.crash(first);
+    const TargetId second = fixture.awaitStart(2);
+    fixture.runFor(milliseconds(50));
+    cr_assert_eq(fixture.progressOf("a").youngCrashes.size(), 1U);
+    fixture.workers.endRun(second, fixture.workers.starts.back().attempt, EndKind::Failed);
+    fixture.runFor(milliseconds(300));
+    cr_assert(fixture.progressOf("a").youngCrashes.empty());
+}
+
+/* The crash of a worker points at the suspect that was started apart there, not at what ran beside.
+ */
+Test(CrashEvidence, aCrashUnderASuspectIsNotCountedForAnotherTaskOnItsWorker)
+{
+    EvidenceFixture fixture;
+    StepJob other = makeLongRunningJob("b");
+    fixture.accept(other);
+    const TargetId shared = fixture.awaitStart(1);
+    fixture.runFor(seconds(1));
+    for (const char *name : { "w1", "w2", "w3", "w4" }) {
+        WorkerEntry entry = makeWorkerEntry(name);
+        entry.draining = TargetId(name) != shared;
+        fixture.dispatcher.workerListed(entry);
+    }
+    StepTask &task = const_cast<StepJobTable &>(fixture.dispatcher.jobs())
+                             .find(JobId("b"))
+                             ->task({ JobId("b"), 0, 0, 0 });
+    cr_assert(task.crashedAttempts.empty());
+    Worker &worker = const_cast<WorkerManager &>(fixture.dispatcher.runs()).workers().at(shared);
+    CrashSuspects::setApart(worker, { { JobId("x"), 0, 0, 0 }, 1 }, fixture.clock.now());
+    fixture.crash(shared);
+    cr_assert(task.crashedAttempts.empty());
+}
+
+Test(CrashEvidence, crashesOnRecordAreReadByANewOwner)
+{
+    const StepJob job = makeJob("a", 1);
+    ManualClock clock;
+    StepJobTable table = makeJobTable(job, {}, clock);
+    const std::string key = records::jobKey(job.id);
+    table.applyProgress(
+            { key,
+              R"({"schema":1,"succeeded":false,"failed":false,"tasks":[[0,0,0,false,[],[3,4],[4]]]})",
+              2 });
+    const StepTask &task = table.find(job.id)->task({ job.id, 0, 0, 0 });
+    cr_assert_eq(task.crashedAttempts.size(), 2U);
+    cr_assert_eq(task.youngCrashes.size(), 1U);
+}
--- a/modules/bulrush_steps/tests/ended_worker_test.cpp
+++ b/modules/bulrush_steps/tests/ended_worker_test.cpp
@@ -140,3 +140,18 @@
     }
     cr_assert_leq(processes.reads, 11, "%d readings", processes.reads);
 }
+
+/* Entries are missed now and then, never twice in a row. */
+Test(EndedWorker, readingsThatMissAWorkerCountOnlyInARow)
+{
+    DispatcherFixture fixture;
+    loseFirstWorker(fixture);
+    for (int round = 0; round < 6; ++round) {
+        fixture.processes.list = round % 2 == 0 ? running({ second }) : running({ first, second });
+        const int before = fixture.processes.reads;
+        while (fixture.processes.reads == before) {
+            fixture.runFor(milliseconds(10));
+        }
+    }
+    cr_assert_eq(fixture.startsOn("w2"), 0U);
+}
