Do not let a service without room hold up the steps of another

Cause: within a round of planning, a step without a worker rules out steps that need as much or more, and the service was not compared. Change: it is.

--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -170,16 +170,18 @@
     this->listener.startTask(job, task, worker, attempt);
 }
 
+ServiceId Planner::serviceOf(const JobEntry &job) const
+{
+    const QueuePolicy *queue = this->config.queue(job.spec.queue);
+    return queue == nullptr ? job.spec.service : queue->service;
+}
+
 TaskRequest Planner::makeTaskRequest(const PlanCandidate &candidate)
 {
     TaskRequest request;
     request.step = &candidate.job->spec.steps[candidate.step];
-    request.service = candidate.job->spec.service;
+    request.service = this->serviceOf(*candidate.job);
     request.riskAllowed = candidate.riskAllowed;
-    const QueuePolicy *queue = this->config.queue(candidate.job->spec.queue);
-    if (queue != nullptr) {
-        request.service = queue->service;
-    }
     if (request.step->maxPerWorker == 0 && !request.step->prefersSingleRack) {
         return request;
     }
@@ -325,9 +327,10 @@
         return;
     }
     const StepSpec &step = candidate.spec();
+    const ServiceId service = this->serviceOf(*candidate.job);
     const bool ruledOut =
             std::any_of(lane.unplaced.begin(), lane.unplaced.end(), [&](const UnplacedStep &each) {
-                return each.rulesOut(step, candidate.riskAllowed);
+                return each.rulesOut(step, service, candidate.riskAllowed);
             });
     if (ruledOut) {
         ++lane.unplacedCount;
@@ -338,7 +341,7 @@
     lane.unplacedCount += placed ? 0 : 1;
     const bool constrained = step.maxPerWorker > 0 || !step.requiredLabel.empty() || step.gang;
     if (!placed && !constrained) {
-        lane.unplaced.push_back({ &step, candidate.riskAllowed });
+        lane.unplaced.push_back({ &step, candidate.riskAllowed, service });
     }
 }
 
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -102,6 +102,9 @@
 
     /** Returns the share of the tasks of an occurrence that neither run nor have succeeded. */
     static double unstartedShare(const JobEntry &job, std::uint32_t occurrence);
+
+    /** Returns the service whose workers run a job, by the configuration in force. */
+    ServiceId serviceOf(const JobEntry &job) const;
     TaskRequest makeTaskRequest(const PlanCandidate &candidate);
     void start(JobEntry &job, const TaskRef &task, Worker &worker, std::uint64_t attempt);
 
--- a/modules/bulrush_steps/policy/StepPlacement.cpp
+++ b/modules/bulrush_steps/policy/StepPlacement.cpp
@@ -4,9 +4,11 @@
 
 namespace bulrush {
 
-bool UnplacedStep::rulesOut(const StepSpec &other, double otherRiskAllowed) const
+bool UnplacedStep::rulesOut(const StepSpec &other, const ServiceId &otherService,
+                            double otherRiskAllowed) const
 {
-    if (this->step->fills != other.fills || !this->step->size.fitsInto(other.size)) {
+    if (this->service != otherService || this->step->fills != other.fills
+        || !this->step->size.fitsInto(other.size)) {
         return false;
     }
     // Images interfere to different degrees: another image may find a worker.
--- a/modules/bulrush_steps/policy/StepPlacement.h
+++ b/modules/bulrush_steps/policy/StepPlacement.h
@@ -11,11 +11,14 @@
 {
     const StepSpec *step = nullptr;
     double riskAllowed = 0.0;
+    /** The service whose workers were tried. */
+    ServiceId service;
 
     /** Returns whether the tasks of another step need not be tried because they require at least as
-        much as this one. Filling steps are compared only within an image: images interfere to
-        different degrees, so another image may find a worker. */
-    bool rulesOut(const StepSpec &other, double otherRiskAllowed) const;
+        much as this one, of the same service. Filling steps are compared only within an image:
+        images interfere to different degrees, so another image may find a worker. */
+    bool rulesOut(const StepSpec &other, const ServiceId &otherService,
+                  double otherRiskAllowed) const;
 };
 
 /**
--- a/modules/bulrush_steps/tests/placement_test.cpp
+++ b/modules/bulrush_steps/tests/placement_test.cpp
@@ -71,19 +71,21 @@
 {
     const StepSpec heavy = makeFillingStep("heavy");
     const StepSpec light = makeFillingStep("light");
-    const UnplacedStep unplaced { &heavy, 0.5 };
-    cr_assert(unplaced.rulesOut(heavy, 0.5));
-    cr_assert_not(unplaced.rulesOut(light, 0.5));
-    cr_assert_not(unplaced.rulesOut(heavy, 0.9), "more risk is allowed");
+    const ServiceId service("review");
+    const UnplacedStep unplaced { &heavy, 0.5, service };
+    cr_assert(unplaced.rulesOut(heavy, service, 0.5));
+    cr_assert_not(unplaced.rulesOut(light, service, 0.5));
+    cr_assert_not(unplaced.rulesOut(heavy, service, 0.9), "more risk is allowed");
+    cr_assert_not(unplaced.rulesOut(heavy, ServiceId("other"), 0.5));
     StepSpec reserving = heavy;
     reserving.fills = false;
-    cr_assert_not(unplaced.rulesOut(reserving, 0.5));
+    cr_assert_not(unplaced.rulesOut(reserving, service, 0.5));
     StepSpec smaller = heavy;
     smaller.size.memoryMb /= 2;
-    cr_assert_not(unplaced.rulesOut(smaller, 0.5));
-    const UnplacedStep noRoom { &reserving, 0.0 };
+    cr_assert_not(unplaced.rulesOut(smaller, service, 0.5));
+    const UnplacedStep noRoom { &reserving, 0.0, service };
     reserving.image = "other";
-    cr_assert(noRoom.rulesOut(reserving, 0.0));
+    cr_assert(noRoom.rulesOut(reserving, service, 0.0));
 }
 
 Test(StepPlacement, choosesAsIfAllWorkersWereScoredForEachTask)
--- a/modules/bulrush_steps/tests/planning_test.cpp
+++ b/modules/bulrush_steps/tests/planning_test.cpp
@@ -197,6 +197,25 @@
                   jobs);
 }
 
+/* A step that found no room on the workers of its service kept those of other services waiting. */
+Test(Planning, aFullServiceDoesNotHoldUpTheStepsOfAnother)
+{
+    constexpr std::uint32_t tasks = 4;
+    DispatcherFixture fixture;
+    beginWithRoomForOneTask(fixture);
+    WorkerEntry free = makeWorkerEntry("w2");
+    free.service = ServiceId("audit");
+    fixture.dispatcher.workerListed(free);
+    fixture.runFor(milliseconds(100));
+    submit(fixture, makeSteps("full", 1, tasks));
+    fixture.runFor(milliseconds(100));
+    StepJob other = makeSteps("other", 1, tasks);
+    other.service = free.service;
+    submit(fixture, other);
+    fixture.runFor(milliseconds(200));
+    cr_assert_eq(fixture.startsOn("w2"), tasks);
+}
+
 /* The limit of unanswered starts was fixed, so an overloaded owner kept on sending starts in vain.
  */
 Test(StartWindow, startsThatGoUnansweredDoNotKeepUpTheNumberOfOpenStarts)
