--- a/modules/bulrush_steps/policy/JobRank.cpp
+++ b/modules/bulrush_steps/policy/JobRank.cpp
@@ -17,7 +17,7 @@
 /** A job is urgent when its slack is less than this share of its objective. */
 constexpr double urgentSlackShare = 0.3;
 
-/** A late job with a smaller unstarted share than this ranks one band higher. */
+/** A late job with at most this share of its tasks unstarted ranks one band higher. */
 constexpr double maxNearlyStartedShare = 0.15;
 
 /** Shares of its objective at which a job is expected to end: up to the first it is assumed to
--- a/modules/bulrush_steps/policy/JobRank.h
+++ b/modules/bulrush_steps/policy/JobRank.h
@@ -32,7 +32,7 @@
 {
     std::uint32_t band = 0;
     std::uint32_t priority = 0;
-    /** What is left to start, in proportion to what its completion is worth. */
+    /** The share of the job's tasks left to start, divided by its chance to end in time. */
     double cost = 1.0;
     std::int64_t slackMs = 0;
 
@@ -50,9 +50,10 @@
     before. Within a band, jobs are ranked by the operators' priority, then by what is left to start
     in proportion to the chance that the job meets its objective, then by slack.
 
-    An overloaded owner thus completes the jobs that it has begun, and begins those that still have
-    time. With the least slack first, it would begin each job when its time has almost run out, and
-    all jobs would be late.
+    An overloaded owner thus completes most of the jobs that it has begun, and begins those that
+    still have time. Jobs of few tasks are begun and completed at once, so they gain least by it.
+   With the least slack first, it would begin each job when its time has almost run out, and all
+   jobs would be late.
 */
 JobRank rankOf(const WaitingJob &job);
 
--- a/modules/bulrush_steps/tests/roster_test.cpp
+++ b/modules/bulrush_steps/tests/roster_test.cpp
@@ -91,3 +91,22 @@
     }
     cr_assert_eq(twice, 0U, "%zu tasks run twice", twice);
 }
+
+/* A worker was used as soon as a roster that named it was sent, though it was never stored. */
+Test(Roster, aWorkerGetsNoTaskWhileTheRosterThatNamesItIsOnlySent)
+{
+    DispatcherFixture fixture;
+    fixture.begin({});
+    fixture.listWorker("w1");
+    fixture.runFor(milliseconds(300));
+    fixture.log.up = false;
+    fixture.listWorker("w2");
+    fixture.runFor(milliseconds(200));
+    fixture.accept(makeJob("a", tasksOfTwoWorkers));
+    fixture.runFor(milliseconds(500));
+    cr_assert_gt(fixture.startsOn("w1"), 0U);
+    cr_assert_eq(fixture.startsOn("w2"), 0U);
+    fixture.log.up = true;
+    fixture.runFor(seconds(1));
+    cr_assert_gt(fixture.startsOn("w2"), 0U);
+}
