Test that an overload serves no kind of jobs far less than all

This test plays 150 % with jobs of one and of sixteen tasks and wants each kind served, within thrice its objective, at four fifths of the share of all at least, which is the users' bound; it passes.

--- a/modules/bulrush_steps/tests/planning_test.cpp
+++ b/modules/bulrush_steps/tests/planning_test.cpp
@@ -95,6 +95,26 @@
     return static_cast<std::size_t>(found - starts.begin());
 }
 
+/** Returns the share of the jobs whose names begin with a text that ended within three times their
+    objectives. */
+double servedShare(const DispatcherFixture &fixture, std::string_view kind)
+{
+    constexpr int lateLimit = 3;
+    const DurationEstimator durations;
+    double served = 0.0;
+    double jobs = 0.0;
+    for (const auto &[id, job] : fixture.dispatcher.jobs().entries()) {
+        if (!id.name().starts_with(kind)) {
+            continue;
+        }
+        jobs += 1.0;
+        const std::optional<Instant> endedAt = job.occurrences[0].steps.back().endedAt;
+        const Duration limit = durations.objective(job.spec) * lateLimit;
+        served += endedAt && *endedAt - job.acceptedAt <= limit ? 1.0 : 0.0;
+    }
+    return served / jobs;
+}
+
 } // namespace
 
 /* Finished steps counted as work to come, so the last steps queued behind all batch work. */
@@ -197,6 +217,37 @@
                   jobs);
 }
 
+/* Jobs of many tasks are begun and then completed first, so jobs of one task wait behind them. */
+Test(Planning, anOverloadServesNoKindOfJobsFarLessThanAll)
+{
+    constexpr std::uint32_t tasksAtOnce = 8;
+    constexpr std::uint32_t rounds = 60;
+    constexpr std::uint32_t shortJobsARound = 8;
+    constexpr double minPartOfAll = 0.8;
+    DispatcherFixture fixture;
+    fixture.begin({});
+    WorkerEntry worker = makeWorkerEntry("w1");
+    worker.capacity = { 4000 * tasksAtOnce, 256000, 0 };
+    fixture.dispatcher.workerListed(worker);
+    fixture.runFor(milliseconds(100));
+    TaskEnder ender(fixture);
+    for (std::uint32_t round = 0; round < rounds; ++round) {
+        StepJob large = makeSteps(("large" + std::to_string(round)).c_str(), 2, tasksAtOnce);
+        large.latencyTarget = milliseconds(2500);
+        submit(fixture, large);
+        for (std::uint32_t number = 0; number < shortJobsARound; ++number) {
+            const std::string id = "short" + std::to_string(round) + "-" + std::to_string(number);
+            submit(fixture, makeSteps(id.c_str(), 1, 1));
+        }
+        ender.runFor(seconds(1));
+    }
+    const double all = servedShare(fixture, "");
+    for (const char *kind : { "large", "short" }) {
+        cr_expect_geq(servedShare(fixture, kind), minPartOfAll * all,
+                      "%s jobs: %.2f served, all: %.2f", kind, servedShare(fixture, kind), all);
+    }
+}
+
 /* A step that found no room on the workers of its service kept those of other services waiting. */
 Test(Planning, aFullServiceDoesNotHoldUpTheStepsOfAnother)
 {
