Log which owners and workers a new owner waits for, and how many tasks it holds

Added: owner_states, worker_states and held_tasks. The test of the line did not exist before; no decision changes.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -29,7 +29,7 @@
     , workerManager(systemClock, port, dispatchSettings, decisionLog, *this)
     , endedWorkers(systemClock, processes, dispatchSettings.vmListCallsPerSecond, *this)
     , writer(systemClock, log, *this)
-    , takeoverWait(systemClock, decisionLog)
+    , takeoverWait(systemClock, decisionLog, *this)
     , planner(systemClock, this->jobTable, this->workerManager, this->durations,
               this->fillControl.pressures(), *this)
 {
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -43,7 +43,8 @@
 class Dispatcher : private WorkerManager::Listener,
                    private ProgressWriter::Listener,
                    private Planner::Listener,
-                   private EndedWorkerFinder::Listener
+                   private EndedWorkerFinder::Listener,
+                   private TakeoverWait::Observer
 {
 public:
     /** Provides the state of the ownership, and receives events of the ownership and of jobs. */
@@ -139,6 +140,10 @@
     void workerEnded(const TargetId &worker) override;
     bool isCredible(const WorkerProcesses &processes) const override;
 
+    // TakeoverWait::Observer
+    std::size_t heldTasks() const override;
+    std::string statesOf(const std::set<TargetId> &workers) const override;
+
     // ProgressWriter::Listener
     std::string progressRecord(const JobId &job) override;
     std::string rosterRecord() override;
@@ -146,7 +151,7 @@
     void writerFenced() override;
 
     // Planner::Listener
-    bool mayStart(const JobEntry &job) override;
+    bool mayStart(const JobEntry &job) const override;
     std::uint64_t nextAttempt(const StepTask &task) const override;
     void startTask(JobEntry &job, const TaskRef &ref, Worker &worker,
                    std::uint64_t attempt) override;
@@ -161,6 +166,7 @@
     };
 
     void addWaiting(const JobEntry &job);
+    std::size_t heldTasksOf(const JobEntry &job) const;
     /** Removes the records of former owners, once none of their commands matters any more. */
     void removeRecordsOfFormerOwners();
 
--- a/modules/bulrush_steps/dispatch/DispatcherTakeover.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherTakeover.cpp
@@ -5,6 +5,8 @@
 
 #include "bulrush_core/events/DecisionLog.h"
 
+#include <algorithm>
+
 namespace bulrush {
 
 std::optional<Resignation> Dispatcher::resignation() const
@@ -15,11 +17,56 @@
     return Resignation { this->term.fencingToken, this->takeoverWait.remainingWaits() };
 }
 
-bool Dispatcher::mayStart(const JobEntry &job)
+bool Dispatcher::mayStart(const JobEntry &job) const
 {
     return !job.knownToPreviousOwners || this->takeoverWait.isOver();
 }
 
+std::size_t Dispatcher::heldTasks() const
+{
+    std::size_t held = 0;
+    for (const auto &[id, job] : this->jobTable.entries()) {
+        if (!job.hasEnded()) {
+            held += this->heldTasksOf(job);
+        }
+    }
+    return held;
+}
+
+std::size_t Dispatcher::heldTasksOf(const JobEntry &job) const
+{
+    std::size_t held = 0;
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
+        const std::vector<StepState> &steps = job.occurrences[occurrence].steps;
+        for (std::uint32_t step = 0; step < steps.size(); ++step) {
+            if (!job.dependenciesMet(occurrence, step)) {
+                continue;
+            }
+            held += static_cast<std::size_t>(std::count_if(
+                    steps[step].tasks.begin(), steps[step].tasks.end(), [&](const StepTask &task) {
+                        return !task.succeeded && task.openRuns == 0 && !this->mayStart(job);
+                    }));
+        }
+    }
+    return held;
+}
+
+std::string Dispatcher::statesOf(const std::set<TargetId> &workers) const
+{
+    std::size_t unlisted = 0;
+    std::size_t unasked = 0;
+    std::size_t silent = 0;
+    for (const TargetId &id : workers) {
+        const auto found = this->workerManager.workers().find(id);
+        const bool known = found != this->workerManager.workers().end() && found->second.listed;
+        unlisted += known ? 0 : 1;
+        silent += known && found->second.failedHolds > 0 ? 1 : 0;
+        unasked += known && found->second.failedHolds == 0 ? 1 : 0;
+    }
+    return "unlisted:" + std::to_string(unlisted) + " silent:" + std::to_string(silent)
+            + " unasked:" + std::to_string(unasked);
+}
+
 void Dispatcher::workerKnown(const TargetId &worker)
 {
     this->takeoverWait.workerKnown(worker);
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -51,7 +51,7 @@
 
         /** Returns whether tasks of a job may start: no run of a previous owner can be alive
          * unseen. */
-        virtual bool mayStart(const JobEntry &job) = 0;
+        virtual bool mayStart(const JobEntry &job) const = 0;
 
         /** Returns the number of a task's next attempt. */
         virtual std::uint64_t nextAttempt(const StepTask &task) const = 0;
--- a/modules/bulrush_steps/ownership/FormerOwners.cpp
+++ b/modules/bulrush_steps/ownership/FormerOwners.cpp
@@ -104,4 +104,16 @@
     return owners;
 }
 
+std::string FormerOwners::describe(Instant now) const
+{
+    std::string text;
+    for (const auto &[token, wait] : this->waits) {
+        if (wait.until > now) {
+            text += text.empty() ? "" : " ";
+            text += std::to_string(token) + (wait.hasStopped ? ":stopped" : ":silent");
+        }
+    }
+    return text;
+}
+
 } // namespace bulrush
--- a/modules/bulrush_steps/ownership/FormerOwners.h
+++ b/modules/bulrush_steps/ownership/FormerOwners.h
@@ -52,6 +52,9 @@
         their names are known. */
     std::vector<OwnerRecord> ownersToAsk(Instant now) const;
 
+    /** Returns the tokens of the owners that are waited for, each with what is known of its end. */
+    std::string describe(Instant now) const;
+
 private:
     struct Wait
     {
--- a/modules/bulrush_steps/ownership/TakeoverWait.cpp
+++ b/modules/bulrush_steps/ownership/TakeoverWait.cpp
@@ -14,9 +14,11 @@
 
 } // namespace
 
-TakeoverWait::TakeoverWait(const Clock &systemClock, DecisionLog &decisionLog)
+TakeoverWait::TakeoverWait(const Clock &systemClock, DecisionLog &decisionLog,
+                           const Observer &waitObserver)
     : clock(systemClock)
     , decisions(decisionLog)
+    , observer(waitObserver)
 {
 }
 
@@ -80,11 +82,15 @@
     this->nextReportAt = now + reportInterval;
     const auto waited = duration_cast<milliseconds>(now - this->beganAt).count();
     const auto left = duration_cast<milliseconds>(this->owners.settledAt() - now).count();
-    this->decisions.write(DecisionLine(Event::FormerOwnersAwaited)
-                                  .with("waited_ms", waited)
-                                  .with("left_ms", left)
-                                  .with("owners", this->remainingWaits().size())
-                                  .with("unsettled_workers", this->namesOfUnheardWorkers()));
+    this->decisions.write(
+            DecisionLine(Event::FormerOwnersAwaited)
+                    .with("waited_ms", waited)
+                    .with("left_ms", left)
+                    .with("owners", this->remainingWaits().size())
+                    .with("unsettled_workers", this->namesOfUnheardWorkers())
+                    .with("worker_states", this->observer.statesOf(this->unheardWorkers))
+                    .with("owner_states", this->owners.describe(now))
+                    .with("held_tasks", this->observer.heldTasks()));
 }
 
 std::vector<UnsettledOwner> TakeoverWait::remainingWaits() const
--- a/modules/bulrush_steps/ownership/TakeoverWait.h
+++ b/modules/bulrush_steps/ownership/TakeoverWait.h
@@ -4,6 +4,7 @@
 #include "bulrush_steps/ownership/FormerOwners.h"
 #include "bulrush_steps/ownership/OwnershipTerm.h"
 
+#include <cstddef>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,7 +23,19 @@
 class TakeoverWait
 {
 public:
-    TakeoverWait(const Clock &clock, DecisionLog &decisions);
+    /** Describes what waits and why, for the log. */
+    struct Observer
+    {
+        virtual ~Observer() = default;
+
+        /** Returns the number of tasks that may not start because of the wait. */
+        virtual std::size_t heldTasks() const = 0;
+
+        /** Returns how many of these workers are in which state. */
+        virtual std::string statesOf(const std::set<TargetId> &workers) const = 0;
+    };
+
+    TakeoverWait(const Clock &clock, DecisionLog &decisions, const Observer &observer);
 
     /** Starts to wait for the owners and workers on record. */
     void begin(const StepJobTable &table, const OwnershipTerm &term);
@@ -64,6 +77,7 @@
 
     const Clock &clock;
     DecisionLog &decisions;
+    const Observer &observer;
     OwnershipTerm term;
     FormerOwners owners;
     /** The workers that may run tasks of former owners that this owner does not know. */
--- a/modules/bulrush_steps/tests/owner_change_test.cpp
+++ b/modules/bulrush_steps/tests/owner_change_test.cpp
@@ -298,3 +298,26 @@
     fixture.runFor(seconds(1));
     cr_assert_eq(fixture.workers.starts.size(), 1U);
 }
+
+/* Which owner and which kind of worker hold how many tasks: without it, a long wait is not
+ * explained.
+ */
+Test(Dispatcher, aWaitingOwnerLogsWhatItWaitsForAndHowManyTasksItHolds)
+{
+    DispatcherFixture fixture;
+    fixture.worker("w2").silent = true;
+    StepJobTable table = makeJobTable(
+            makeJob("a", 3), { TargetId("w1"), TargetId("w2"), TargetId("w3") }, fixture.clock);
+    table.applyJobRecord({ records::ownerKey(2), records::encode(OwnerRecord { 2, "m#1" }), 1 },
+                         fixture.clock);
+    fixture.begin(std::move(table));
+    fixture.listWorker("w1");
+    fixture.listWorker("w2");
+    fixture.runFor(milliseconds(1500));
+    const std::vector<std::string> &lines = fixture.decisions.lines[Event::FormerOwnersAwaited];
+    cr_assert_eq(lines.size(), 2U);
+    cr_assert(lines.back().find(R"("worker_states":"unlisted:1 silent:1 unasked:0")")
+              != std::string::npos);
+    cr_assert(lines.back().find(R"("owner_states":"2:silent")") != std::string::npos);
+    cr_assert(lines.back().find(R"("held_tasks":3)") != std::string::npos);
+}
