Show by a failing test that a lasting task waits for a worker that never had it

Another worker of the roster, which never had the task, does not answer. The task must run again within a second; on this code it is not started (0 starts), since all known tasks wait for all workers, up to 11.8 s in the fixture.

--- a/modules/bulrush_steps/tests/worker_departure_test.cpp
+++ b/modules/bulrush_steps/tests/worker_departure_test.cpp
@@ -248,3 +248,17 @@
     owners.runFor(milliseconds(400), { "w2" });
     cr_assert_eq(owners.startsOnSecondWorker(), 0U);
 }
+
+/* The worker answers the new owner, drains and leaves. Another worker, which never had the task,
+   does not answer: the task stayed away for as long as a former owner may have renewed leases. */
+Test(WorkerDeparture, aLastingTaskOfAWorkerThatLeftDoesNotWaitForAnotherThatIsSilent)
+{
+    Owners owners;
+    owners.startOnFirstWorker(milliseconds(0));
+    owners.runFor(seconds(2), { "w1", "w2", "w3" });
+    owners.workers.workers[TargetId("w3")].silent = true;
+    owners.takeOver();
+    owners.firstWorkerLeaves();
+    owners.runFor(seconds(1), { "w2", "w3" });
+    cr_assert_eq(owners.startsOnSecondWorker(), 1U, "%zu starts", owners.startsOnSecondWorker());
+}
