Put the worker of a long-running task on record before its start, and wait for that worker alone

One worker without an answer, together with a former owner whose end cannot be proved, keeps tasks away that this worker never had; among them those whose own worker answered the new owner, announced its shutdown and left.

Ruled out: another proof of an end. Three kinds were added before, and a worker or data centre that is cut off has none. Ruled out: the same record for all tasks: an append for each 15 ms of starts, and no starts while the store is down.

Change: the progress record of a long-running task names its worker; the start is sent once that is stored (RunPhase::Assigned, the room is reserved meanwhile). A new owner holds such a task only for that worker. Owners say in their records that they do so; after an owner of an earlier version all tasks wait for all workers as before. Found runs are put on record before the records of former owners are removed. Tasks that end wait as before.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -72,6 +72,8 @@
     this->fillControl.clearWorkers();
     this->roster.clear();
     this->rosterBasis.reset();
+    this->assignedStarts.clear();
+    this->changeBeforeRemoval.reset();
 }
 
 void Dispatcher::configure(const ServingConfig &serving)
@@ -170,11 +172,13 @@
     if (!this->isActive) {
         return;
     }
+    this->sendAssignedStarts();
     this->workerManager.tick();
     this->findEndedWorkers();
     if (this->takeoverWait.update()) {
-        this->removeRecordsOfFormerOwners();
+        this->changeBeforeRemoval = this->writer.newestChange();
     }
+    this->removeRecordsOfFormerOwners();
     this->updateRoster();
     this->checkQueues(now);
     if (!this->mayCommand()) {
@@ -234,6 +238,7 @@
     if (withRoster) {
         this->roster.sentRecordStored(this->workerManager.workers());
     }
+    this->sendAssignedStarts();
 }
 
 void Dispatcher::writerFenced()
@@ -268,6 +273,9 @@
         ++task.openRuns;
         task.lastAttempt = std::max(task.lastAttempt, listed.attempt.attempt);
         job->started = true;
+        if (!run.stopRequested) {
+            this->recordAssignment(*job, listed.attempt.task, worker.entry.worker);
+        }
     }
     this->decisions.write(DecisionLine(Event::RunFound)
                                   .with("task", text(listed.attempt.task))
@@ -416,31 +424,6 @@
     return std::max(task.lastAttempt, this->term.fencingToken * attemptsPerOwner) + 1;
 }
 
-void Dispatcher::startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt)
-{
-    StepTask &task = job.task(ref);
-    const Run run = this->describeRun(job, { ref, attempt });
-    ++job.startedRuns;
-    if (task.lastAttempt == 0) {
-        job.recordFirstStart(ref, this->clock.now());
-    }
-    task.lastAttempt = attempt;
-    ++task.openRuns;
-    task.apartWaitSince.reset();
-    if (task.startedApart) {
-        CrashSuspects::setApart(worker, run.attempt, this->clock.now());
-    }
-    this->decisions.write(
-            DecisionLine(Event::TaskStarted)
-                    .with("task", text(ref))
-                    .with("attempt", attempt)
-                    .with("worker", worker.entry.worker.name())
-                    .with("free_cpu", worker.free().cpuMilli)
-                    .with("fill_room", static_cast<std::int64_t>(worker.availableFillCpuMilli))
-                    .with("resumes", !task.checkpoint.empty()));
-    this->workerManager.start(worker, run, job.spec, task.checkpoint);
-}
-
 std::uint32_t Dispatcher::waitingJobs(std::string_view queue) const
 {
     return static_cast<std::uint32_t>(
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrush_steps/dispatch/AssignedStart.h"
 #include "bulrush_steps/dispatch/DispatchSettings.h"
 #include "bulrush_steps/dispatch/Planner.h"
 #include "bulrush_steps/dispatch/ProgressWriter.h"
@@ -152,6 +153,7 @@
 
     // Planner::Listener
     bool mayStart(const JobEntry &job) const override;
+    bool mayStart(const JobEntry &job, const StepSpec &step, const StepTask &task) const override;
     std::uint64_t nextAttempt(const StepTask &task) const override;
     void startTask(JobEntry &job, const TaskRef &ref, Worker &worker,
                    std::uint64_t attempt) override;
@@ -167,7 +169,19 @@
 
     void addWaiting(const JobEntry &job);
     std::size_t heldTasksOf(const JobEntry &job) const;
-    /** Removes the records of former owners, once none of their commands matters any more. */
+
+    /** Has the record of a task name the worker of its next run, if it is a long-running task.
+        @returns whether the record names that worker already, or need not */
+    bool recordAssignment(JobEntry &job, const TaskRef &ref, const TargetId &worker);
+
+    /** Sends the starts whose assignments are on record, and discards those that are no longer
+        wanted or possible. */
+    void sendAssignedStarts();
+    void discardStart(Worker &worker, const AttemptRef &attempt);
+    void sendStart(JobEntry &job, Worker &worker, Run &run);
+
+    /** Removes the records of former owners, once none of their commands matters any more and what
+        was found of them is on record. */
     void removeRecordsOfFormerOwners();
 
     /** Has the list of VMs read for workers that may have ended. */
@@ -234,6 +248,11 @@
     std::vector<QueueReport> queueReports;
     Instant nextQueueCheck {};
     WorkerRoster roster;
+    /** The starts that wait for the record of their assignment. */
+    std::vector<AssignedStart> assignedStarts;
+    /** The change that must be stored before the records of former owners are removed; none while
+        they are needed. */
+    std::optional<std::uint64_t> changeBeforeRemoval;
     /** From what the roster was last updated; none before the first time. */
     std::optional<RosterBasis> rosterBasis;
 };
--- /dev/null
+++ b/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
@@ -0,0 +1,95 @@
+// The part of Dispatcher that puts the workers of long-running tasks on record before their starts.
+
+#include "bulrush_steps/dispatch/Dispatcher.h"
+
+#include "bulrush_core/events/DecisionLog.h"
+#include "bulrush_steps/model/TaskText.h"
+#include "bulrush_steps/policy/CrashSuspects.h"
+
+#include <utility>
+
+namespace bulrush {
+
+bool Dispatcher::recordAssignment(JobEntry &job, const TaskRef &ref, const TargetId &worker)
+{
+    if (!job.step(ref).runsIndefinitely) {
+        return true;
+    }
+    StepTask &task = job.task(ref);
+    if (task.assignedTo != worker) {
+        task.assignedTo = worker;
+        task.assignmentChange = this->writer.markJobChanged(job.spec.id, true);
+    }
+    return task.assignmentChange <= this->writer.storedChange();
+}
+
+void Dispatcher::startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt)
+{
+    StepTask &task = job.task(ref);
+    const Run run = this->describeRun(job, { ref, attempt });
+    ++job.startedRuns;
+    if (task.lastAttempt == 0) {
+        job.recordFirstStart(ref, this->clock.now());
+    }
+    task.lastAttempt = attempt;
+    ++task.openRuns;
+    task.apartWaitSince.reset();
+    const TargetId &id = worker.entry.worker;
+    const bool onRecord = this->recordAssignment(job, ref, id);
+    this->workerManager.reserve(worker, run);
+    if (onRecord) {
+        this->sendStart(job, worker, worker.runs.at(run.attempt));
+    } else {
+        this->assignedStarts.push_back({ run.attempt, id, task.assignmentChange });
+    }
+}
+
+void Dispatcher::sendStart(JobEntry &job, Worker &worker, Run &run)
+{
+    const StepTask &task = job.task(run.attempt.task);
+    if (task.startedApart) {
+        CrashSuspects::setApart(worker, run.attempt, this->clock.now());
+    }
+    this->decisions.write(
+            DecisionLine(Event::TaskStarted)
+                    .with("task", text(run.attempt.task))
+                    .with("attempt", run.attempt.attempt)
+                    .with("worker", worker.entry.worker.name())
+                    .with("free_cpu", worker.free().cpuMilli)
+                    .with("fill_room", static_cast<std::int64_t>(worker.availableFillCpuMilli))
+                    .with("resumes", !task.checkpoint.empty()));
+    this->workerManager.startReserved(worker, run, job.spec, task.checkpoint);
+}
+
+void Dispatcher::sendAssignedStarts()
+{
+    for (const AssignedStart &start : std::exchange(this->assignedStarts, {})) {
+        Worker *worker = this->workerManager.find(start.worker);
+        JobEntry *job = this->findJob(start.attempt.task);
+        if (worker == nullptr || job == nullptr || !worker->runs.contains(start.attempt)) {
+            continue;
+        }
+        Run &run = worker->runs.at(start.attempt);
+        if (run.stopRequested || !worker->takesStarts()) {
+            this->discardStart(*worker, start.attempt);
+        } else if (start.change > this->writer.storedChange() || !this->mayCommand()) {
+            this->assignedStarts.push_back(start);
+        } else {
+            this->sendStart(*job, *worker, run);
+        }
+    }
+}
+
+void Dispatcher::discardStart(Worker &worker, const AttemptRef &attempt)
+{
+    const Run run = worker.runs.at(attempt);
+    worker.removeRun(attempt);
+    this->decisions.write(DecisionLine(Event::StartRefused)
+                                  .with("task", text(attempt.task))
+                                  .with("attempt", attempt.attempt)
+                                  .with("worker", worker.entry.worker.name())
+                                  .with("outcome", "not sent"));
+    this->requeueTask(run);
+}
+
+} // namespace bulrush
--- a/modules/bulrush_steps/dispatch/DispatcherTakeover.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherTakeover.cpp
@@ -19,7 +19,17 @@
 
 bool Dispatcher::mayStart(const JobEntry &job) const
 {
-    return !job.knownToPreviousOwners || this->takeoverWait.isOver();
+    if (!job.knownToPreviousOwners || this->takeoverWait.isOver()) {
+        return true;
+    }
+    return std::any_of(job.spec.steps.begin(), job.spec.steps.end(), [this](const StepSpec &step) {
+        return this->takeoverWait.usesAssignments(step);
+    });
+}
+
+bool Dispatcher::mayStart(const JobEntry &job, const StepSpec &step, const StepTask &task) const
+{
+    return !job.knownToPreviousOwners || !this->takeoverWait.concerns(step, task);
 }
 
 std::size_t Dispatcher::heldTasks() const
@@ -44,7 +54,8 @@
             }
             held += static_cast<std::size_t>(std::count_if(
                     steps[step].tasks.begin(), steps[step].tasks.end(), [&](const StepTask &task) {
-                        return !task.succeeded && task.openRuns == 0 && !this->mayStart(job);
+                        return !task.succeeded && task.openRuns == 0
+                                && !this->mayStart(job, job.spec.steps[step], task);
                     }));
         }
     }
@@ -124,6 +135,10 @@
 
 void Dispatcher::removeRecordsOfFormerOwners()
 {
+    if (!this->changeBeforeRemoval || *this->changeBeforeRemoval > this->writer.storedChange()) {
+        return;
+    }
+    this->changeBeforeRemoval.reset();
     std::vector<KeyedRecord> removals;
     for (const auto &[token, owner] : this->jobTable.owners()) {
         if (token < this->term.fencingToken) {
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -195,8 +195,28 @@
     return request;
 }
 
+std::vector<std::uint32_t> Planner::tasksToStart(const PlanCandidate &candidate) const
+{
+    const JobEntry &job = *candidate.job;
+    const StepSpec &step = candidate.spec();
+    const std::vector<StepTask> &tasks =
+            job.occurrences[candidate.occurrence].steps[candidate.step].tasks;
+    std::vector<std::uint32_t> indices;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        const StepTask &task = tasks[index];
+        if (!task.succeeded && task.openRuns == 0 && this->listener.mayStart(job, step, task)) {
+            indices.push_back(index);
+        }
+    }
+    return indices;
+}
+
 bool Planner::planStep(const PlanLane &lane, const PlanCandidate &candidate, Instant now)
 {
+    const std::vector<std::uint32_t> indices = this->tasksToStart(candidate);
+    if (indices.empty()) {
+        return true;
+    }
     JobEntry &job = *candidate.job;
     TaskRequest request = this->makeTaskRequest(candidate);
     const Placement placement(now, this->pressures);
@@ -204,11 +224,9 @@
     TaskRef ref { job.spec.id, candidate.occurrence, candidate.step, 0 };
     const StepSpec &step = *request.step;
     bool noneApart = false;
-    for (ref.index = 0; ref.index < step.taskCount; ++ref.index) {
+    for (const std::uint32_t index : indices) {
+        ref.index = index;
         StepTask &task = job.task(ref);
-        if (task.succeeded || task.openRuns > 0) {
-            continue;
-        }
         if (!this->mayStartMore(lane)) {
             return true;
         }
@@ -254,7 +272,7 @@
     std::string checkpoint;
     for (ref.index = 0; ref.index < step.taskCount; ++ref.index) {
         const StepTask &task = job.task(ref);
-        if (task.openRuns > 0) {
+        if (task.openRuns > 0 || !this->listener.mayStart(job, step, task)) {
             return true;
         }
         attempt = std::max(attempt, this->listener.nextAttempt(task));
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -49,10 +49,14 @@
         /** Returns whether commands may currently be sent. */
         virtual bool mayCommand() const = 0;
 
-        /** Returns whether tasks of a job may start: no run of a previous owner can be alive
-         * unseen. */
+        /** Returns whether tasks of a job may start, as far as mayStart(job, step, task) allows. */
         virtual bool mayStart(const JobEntry &job) const = 0;
 
+        /** Returns whether a task may start: no run of it by a previous owner can be alive unseen.
+         */
+        virtual bool mayStart(const JobEntry &job, const StepSpec &step,
+                              const StepTask &task) const = 0;
+
         /** Returns the number of a task's next attempt. */
         virtual std::uint64_t nextAttempt(const StepTask &task) const = 0;
 
@@ -81,6 +85,9 @@
     void planRound(PlanLane &lane, Instant now);
     void planCandidate(PlanLane &lane, const PlanCandidate &candidate, Instant now);
     bool planStep(const PlanLane &lane, const PlanCandidate &candidate, Instant now);
+
+    /** Returns the tasks of a step that are to be started and may start now. */
+    std::vector<std::uint32_t> tasksToStart(const PlanCandidate &candidate) const;
     bool planGang(const PlanCandidate &candidate, Instant now);
     bool mayStartMore(const PlanLane &lane) const;
     void rankWaiting(PlanLane &lane, Instant now);
--- a/modules/bulrush_steps/model/JobRecords.h
+++ b/modules/bulrush_steps/model/JobRecords.h
@@ -3,6 +3,7 @@
 #include "bulrush_steps/model/StepJob.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +22,8 @@
     /** As in StepTask. */
     std::vector<std::uint64_t> crashedAttempts;
     std::vector<std::uint64_t> youngCrashes;
+    /** As in StepTask. */
+    std::optional<TargetId> assignedTo;
 };
 
 /** The recorded progress of a job. */
@@ -40,6 +43,9 @@
     std::uint64_t fencingToken = 0;
     /** The owner's name in the group, which identifies its process. */
     std::string member;
+    /** Whether it starts a long-running task on a worker only after the task's record names that
+        worker. Earlier versions do not. */
+    bool recordsAssignments = false;
 };
 
 /** An owner's record of the workers that may run its tasks, and of the former owners that it waits
--- a/modules/bulrush_steps/model/StepJobTable.h
+++ b/modules/bulrush_steps/model/StepJobTable.h
@@ -39,6 +39,11 @@
     std::optional<Instant> apartWaitSince;
     /** The number of runs that may be alive. */
     std::uint32_t openRuns = 0;
+    /** The worker on which a run of a long-running task may be alive, as on record or about to be.
+        Any earlier run is no longer alive when the task is assigned to another worker. */
+    std::optional<TargetId> assignedTo;
+    /** The number of the change that puts the assignment on record. */
+    std::uint64_t assignmentChange = 0;
 };
 
 struct StepState
@@ -140,8 +145,8 @@
     /** Returns the highest fencing token that an owner has recorded. */
     std::uint64_t newestOwnerToken() const { return this->ownerToken; }
 
-    /** Returns the names in the group of the owners on record, by fencing token. */
-    const std::map<std::uint64_t, std::string> &owners() const { return this->knownOwners; }
+    /** Returns the owners on record, by fencing token. */
+    const std::map<std::uint64_t, OwnerRecord> &owners() const { return this->knownOwners; }
 
     /** Returns the resignations of owners, by fencing token. */
     const std::map<std::uint64_t, Resignation> &resignations() const
@@ -172,7 +177,7 @@
     std::unordered_set<JobId> pendingCancellations;
     Roster newestRoster;
     std::uint64_t ownerToken = 0;
-    std::map<std::uint64_t, std::string> knownOwners;
+    std::map<std::uint64_t, OwnerRecord> knownOwners;
     std::map<std::uint64_t, Resignation> ownerResignations;
 };
 
--- a/modules/bulrush_steps/ownership/FormerOwners.cpp
+++ b/modules/bulrush_steps/ownership/FormerOwners.cpp
@@ -4,20 +4,21 @@
 
 namespace bulrush {
 
-void FormerOwners::begin(const std::map<std::uint64_t, std::string> &owners, const Roster &roster,
+void FormerOwners::begin(const std::map<std::uint64_t, OwnerRecord> &owners, const Roster &roster,
                          std::uint64_t token, Instant fullWaitUntil)
 {
     this->waits.clear();
-    for (const auto &[former, member] : owners) {
-        if (former < token) {
-            this->waits.emplace(former, Wait { member, fullWaitUntil });
-        }
-    }
-    for (const OwnerRecord &former : roster.formerOwners) {
+    const auto add = [this, token, fullWaitUntil](const OwnerRecord &former) {
         if (former.fencingToken < token) {
-            this->waits.try_emplace(former.fencingToken, Wait { former.member, fullWaitUntil });
+            this->waits.try_emplace(
+                    former.fencingToken,
+                    Wait { former.member, fullWaitUntil, former.recordsAssignments });
         }
+    };
+    for (const auto &[former, record] : owners) {
+        add(record);
     }
+    std::for_each(roster.formerOwners.begin(), roster.formerOwners.end(), add);
     if (!this->waits.contains(roster.fencingToken)) {
         this->waits[0].until = fullWaitUntil;
     }
@@ -87,18 +88,25 @@
     std::vector<OwnerRecord> owners;
     for (const auto &[token, wait] : this->waits) {
         if (wait.until > now) {
-            owners.push_back({ token, wait.member });
+            owners.push_back({ token, wait.member, wait.recordsAssignments });
         }
     }
     return owners;
 }
 
+bool FormerOwners::recordAssignments(Instant now) const
+{
+    return std::all_of(this->waits.begin(), this->waits.end(), [now](const auto &entry) {
+        return entry.second.until <= now || entry.second.recordsAssignments;
+    });
+}
+
 std::vector<OwnerRecord> FormerOwners::ownersToAsk(Instant now) const
 {
     std::vector<OwnerRecord> owners;
     for (const auto &[token, wait] : this->waits) {
         if (wait.until > now && !wait.hasStopped && !wait.member.empty()) {
-            owners.push_back({ token, wait.member });
+            owners.push_back({ token, wait.member, wait.recordsAssignments });
         }
     }
     return owners;
--- a/modules/bulrush_steps/ownership/FormerOwners.h
+++ b/modules/bulrush_steps/ownership/FormerOwners.h
@@ -27,7 +27,7 @@
         @param token     the fencing token of the present owner
         @param fullWaitUntil when no command of a former owner can take effect any more, at the
                              latest */
-    void begin(const std::map<std::uint64_t, std::string> &owners, const Roster &roster,
+    void begin(const std::map<std::uint64_t, OwnerRecord> &owners, const Roster &roster,
                std::uint64_t token, Instant fullWaitUntil);
 
     /** Takes a resignation into account. Ignored unless its owner is waited for.
@@ -48,6 +48,10 @@
     /** Returns the owners that are waited for, with their names in the group. */
     std::vector<OwnerRecord> awaitedOwners(Instant now) const;
 
+    /** Returns whether all owners that are waited for put assignments of long-running tasks on
+        record. */
+    bool recordAssignments(Instant now) const;
+
     /** Returns the awaited owners that neither resigned nor are known to have stopped, as far as
         their names are known. */
     std::vector<OwnerRecord> ownersToAsk(Instant now) const;
@@ -60,6 +64,8 @@
     {
         std::string member;
         Instant until {};
+        /** As in OwnerRecord. */
+        bool recordsAssignments = false;
         /** Whether the owner resigned or is known to have stopped. */
         bool hasStopped = false;
     };
--- a/modules/bulrush_steps/ownership/Takeover.cpp
+++ b/modules/bulrush_steps/ownership/Takeover.cpp
@@ -118,7 +118,7 @@
 
 void Takeover::appendOwnerRecords()
 {
-    const std::string value = records::encode(OwnerRecord { this->token, this->member });
+    const std::string value = records::encode(OwnerRecord { this->token, this->member, true });
     const std::vector<KeyedRecord> ownerRecords { { records::ownerKey(this->token), value, 0 },
                                                   { records::newestOwnerKey(), value, 0 } };
     this->log.append(LogStream::Jobs, ownerRecords, std::nullopt, callTimeout,
--- a/modules/bulrush_steps/ownership/TakeoverWait.cpp
+++ b/modules/bulrush_steps/ownership/TakeoverWait.cpp
@@ -55,6 +55,20 @@
     return this->unheardWorkers.empty() || this->clock.now() >= this->owners.settledAt();
 }
 
+bool TakeoverWait::concerns(const StepSpec &step, const StepTask &task) const
+{
+    if (this->isOver()) {
+        return false;
+    }
+    return !this->usesAssignments(step)
+            || (task.assignedTo && this->unheardWorkers.contains(*task.assignedTo));
+}
+
+bool TakeoverWait::usesAssignments(const StepSpec &step) const
+{
+    return step.runsIndefinitely && this->owners.recordAssignments(this->clock.now());
+}
+
 bool TakeoverWait::update()
 {
     if (this->ended) {
--- a/modules/bulrush_steps/ownership/TakeoverWait.h
+++ b/modules/bulrush_steps/ownership/TakeoverWait.h
@@ -17,8 +17,9 @@
     Determines from when on a new owner may start the tasks of jobs that former owners knew.
 
     Such a task may run on a worker, or be about to start there, although no worker has listed it.
-    The wait ends when each worker of the former owners' roster has answered or ended, which shows
-    all that runs, or when no command of a former owner can take effect any more.
+    A long-running task waits for the worker that is on record as its own, any other task for all
+    workers of the former owners' roster: until they have answered or ended, which shows all that
+    they run, or until no command of a former owner can take effect any more.
 */
 class TakeoverWait
 {
@@ -51,9 +52,15 @@
         @returns the resignation to persist on its behalf */
     Resignation formerOwnerStopped(std::uint64_t fencingToken);
 
-    /** Returns whether tasks of jobs that former owners knew may start. */
+    /** Returns whether all tasks of jobs that former owners knew may start. */
     bool isOver() const;
 
+    /** Returns whether a run of a task that former owners knew may be alive unseen. */
+    bool concerns(const StepSpec &step, const StepTask &task) const;
+
+    /** Returns whether tasks of a step wait only for the workers that they are assigned to. */
+    bool usesAssignments(const StepSpec &step) const;
+
     /** Logs what is waited for, each second, and once that the wait is over.
         @returns whether the wait has ended since the last call */
     bool update();
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -99,8 +99,7 @@
 
 bool Placement::canAcceptNow(const Worker &worker, const TaskRequest &request) const
 {
-    const bool usable = worker.listed && !worker.entry.draining && worker.confirmed
-            && worker.onRoster && this->now >= worker.avoidUntil
+    const bool usable = worker.takesStarts() && this->now >= worker.avoidUntil
             && worker.commandsInFlight < maxStartsInFlightPerWorker
             && !CrashSuspects::isSetApart(worker);
     return usable && hasCapacity(worker, request) && isEligible(worker, request)
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -16,6 +16,8 @@
 
 /** The known phase of an attempt. */
 enum class RunPhase : std::uint8_t {
+    /** The start request is not sent yet: the record of the assignment is being stored. */
+    Assigned,
     /** The start request was sent and is not yet answered. */
     Starting,
     /** The worker has confirmed the run, or that it stopped it. A run in this phase that a later
@@ -187,6 +189,12 @@
         run.stopRequested = true;
     }
 
+    /** Returns whether a start request may be sent to it. */
+    bool takesStarts() const
+    {
+        return this->listed && !this->entry.draining && this->confirmed && this->onRoster;
+    }
+
     /** Returns whether its process has ended as announced: it reported that it was shutting down,
         withdrew its entry, and does not answer. */
     bool hasLeft() const
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -258,7 +258,9 @@
         return;
     }
     for (const auto &[attempt, run] : worker.runs) {
-        worker.runsExpiredInSilence.push_back(run);
+        if (run.phase != RunPhase::Assigned) {
+            worker.runsExpiredInSilence.push_back(run);
+        }
     }
     worker.runsExpiredAt = this->clock.now();
     for (const auto &[attempt, run] : worker.clearRuns()) {
@@ -290,6 +292,22 @@
 }
 
 void WorkerManager::start(Worker &worker, Run run, const StepJob &job, std::string checkpoint)
+{
+    const AttemptRef attempt = run.attempt;
+    this->reserve(worker, std::move(run));
+    this->startReserved(worker, worker.runs.at(attempt), job, std::move(checkpoint));
+}
+
+void WorkerManager::reserve(Worker &worker, Run run)
+{
+    run.phase = RunPhase::Assigned;
+    run.startSentAt = this->clock.now();
+    run.commandInFlight = true;
+    worker.addRun(std::move(run));
+}
+
+void WorkerManager::startReserved(Worker &worker, Run &run, const StepJob &job,
+                                  std::string checkpoint)
 {
     const std::optional<WorkerMillis> end = this->leaseEnd(worker);
     RunStart command;
@@ -301,12 +319,10 @@
     worker.clock.recordLeaseEnd(command.leaseEnd);
     run.phase = RunPhase::Starting;
     run.startSentAt = this->clock.now();
-    run.commandInFlight = true;
     const AttemptRef attempt = run.attempt;
     ++worker.commandsInFlight;
     StartWindow &window = run.fillCpuMilli > 0 ? this->fillStarts : this->reservingStarts;
     window.started();
-    worker.addRun(std::move(run));
     this->port.start(worker.address, command, commandTimeout,
                      [this, id = worker.entry.worker, attempt, &window,
                       isAlive = this->alive](const CommandAnswer &answer) {
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -96,6 +96,13 @@
     /** Sends a start request. The run counts as alive from this call on. */
     void start(Worker &worker, Run run, const StepJob &job, std::string checkpoint);
 
+    /** Reserves the resources of a run whose start request is to follow. The run cannot be alive
+        before startReserved(). */
+    void reserve(Worker &worker, Run run);
+
+    /** Sends the start request of a reserved run. It counts as alive from this call on. */
+    void startReserved(Worker &worker, Run &run, const StepJob &job, std::string checkpoint);
+
     /** Marks a run to be stopped and sends the stop request as soon as the worker has the run. */
     void requestStop(Worker &worker, Run &run);
 
--- a/modules/bulrush_steps/workers/WorkerManagerCrashes.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerCrashes.cpp
@@ -28,7 +28,9 @@
     if (Worker *worker = this->find(id)) {
         std::vector<Run> runs = this->takeRunsExpiredOfLate(*worker);
         for (const auto &[attempt, run] : worker->runs) {
-            runs.push_back(run);
+            if (run.phase != RunPhase::Assigned) {
+                runs.push_back(run);
+            }
         }
         this->reportCrash(*worker, runs, processEnded);
         this->dropRunsOfEndedProcess(*worker, processEnded);
@@ -51,7 +53,8 @@
     std::vector<Run> runs = this->takeRunsExpiredOfLate(worker);
     for (const auto &[attempt, run] : worker.runs) {
         // The new process may have begun a run since it made the answer, or may still do so.
-        const bool mayBeOfNewProcess = run.phase == RunPhase::Starting
+        const bool mayBeOfNewProcess = run.phase == RunPhase::Assigned
+                || run.phase == RunPhase::Starting
                 || (run.phase == RunPhase::Running && run.confirmedAt >= sentAt);
         if (!mayBeOfNewProcess && !lists(answer, attempt)) {
             runs.push_back(run);
