Count starts that are not sent yet among those in flight

A start that waits for the record of its assignment was counted neither in the window of unanswered starts nor among those in flight to its worker, so one round of planning could plan more than either limit allows, and all of them were sent at once when the record was stored. Now both count from the plan on; a start that is given up gives its place back.

--- a/modules/bulrush_steps/bulrush_steps.h
+++ b/modules/bulrush_steps/bulrush_steps.h
@@ -11,7 +11,7 @@
     Dependencies: bulrush_core, nlohmann_json.
 */
 
-#include "bulrush_steps/dispatch/AssignedStart.h"
+#include "bulrush_steps/dispatch/AssignedStarts.h"
 #include "bulrush_steps/dispatch/DispatchSettings.h"
 #include "bulrush_steps/dispatch/Dispatcher.h"
 #include "bulrush_steps/dispatch/PlanLane.h"
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "bulrush_steps/dispatch/AssignedStart.h"
+#include "bulrush_steps/dispatch/AssignedStarts.h"
 #include "bulrush_steps/dispatch/DispatchSettings.h"
 #include "bulrush_steps/dispatch/Planner.h"
 #include "bulrush_steps/dispatch/ProgressWriter.h"
@@ -155,6 +155,10 @@
     bool mayStart(const JobEntry &job) const override;
     bool mayStart(const JobEntry &job, const StepSpec &step, const StepTask &task) const override;
     std::uint64_t nextAttempt(const StepTask &task) const override;
+    std::uint32_t unsentStarts(bool fills) const override
+    {
+        return this->assignedStarts.count(fills);
+    }
     void startTask(JobEntry &job, const TaskRef &ref, Worker &worker,
                    std::uint64_t attempt) override;
 
@@ -249,7 +253,7 @@
     Instant nextQueueCheck {};
     WorkerRoster roster;
     /** The starts that wait for the record of their assignment. */
-    std::vector<AssignedStart> assignedStarts;
+    AssignedStarts assignedStarts;
     /** The change that must be stored before the records of former owners are removed; none while
         they are needed. */
     std::optional<std::uint64_t> changeBeforeRemoval;
--- a/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
@@ -6,7 +6,7 @@
 #include "bulrush_steps/model/TaskText.h"
 #include "bulrush_steps/policy/CrashSuspects.h"
 
-#include <utility>
+#include <optional>
 
 namespace bulrush {
 
@@ -40,7 +40,7 @@
     if (onRecord) {
         this->sendStart(job, worker, worker.runs.at(run.attempt));
     } else {
-        this->assignedStarts.push_back({ run.attempt, id, task.assignmentChange });
+        this->assignedStarts.add({ run.attempt, id, run.fillCpuMilli > 0, task.assignmentChange });
     }
 }
 
@@ -63,33 +63,36 @@
 
 void Dispatcher::sendAssignedStarts()
 {
-    for (const AssignedStart &start : std::exchange(this->assignedStarts, {})) {
+    for (const AssignedStart &start : this->assignedStarts.takeAll()) {
         Worker *worker = this->workerManager.find(start.worker);
         JobEntry *job = this->findJob(start.attempt.task);
-        if (worker == nullptr || job == nullptr || !worker->runs.contains(start.attempt)) {
+        if (worker == nullptr || job == nullptr) {
             continue;
         }
-        Run &run = worker->runs.at(start.attempt);
-        if (run.stopRequested || !worker->takesStarts()) {
+        const auto run = worker->runs.find(start.attempt);
+        const bool wanted = run != worker->runs.end() && !run->second.stopRequested;
+        if (!wanted || !worker->takesStarts()) {
             this->discardStart(*worker, start.attempt);
         } else if (start.change > this->writer.storedChange() || !this->mayCommand()) {
-            this->assignedStarts.push_back(start);
+            this->assignedStarts.add(start);
         } else {
-            this->sendStart(*job, *worker, run);
+            this->sendStart(*job, *worker, run->second);
         }
     }
 }
 
 void Dispatcher::discardStart(Worker &worker, const AttemptRef &attempt)
 {
-    const Run run = worker.runs.at(attempt);
-    worker.removeRun(attempt);
+    const std::optional<Run> run = WorkerManager::cancelReserved(worker, attempt);
+    if (!run) {
+        return;
+    }
     this->decisions.write(DecisionLine(Event::StartRefused)
                                   .with("task", text(attempt.task))
                                   .with("attempt", attempt.attempt)
                                   .with("worker", worker.entry.worker.name())
                                   .with("outcome", "not sent"));
-    this->requeueTask(run);
+    this->requeueTask(*run);
 }
 
 } // namespace bulrush
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -307,7 +307,8 @@
 bool Planner::mayStartMore(const PlanLane &lane) const
 {
     // The process may have been paused since the round began.
-    return this->workers.startWindow(lane.fills).isOpen() && this->listener.mayCommand();
+    const std::uint32_t unsent = this->listener.unsentStarts(lane.fills);
+    return this->workers.startWindow(lane.fills).isOpen(unsent) && this->listener.mayCommand();
 }
 
 void Planner::plan(PlanLane &lane, Instant now)
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -60,6 +60,10 @@
         /** Returns the number of a task's next attempt. */
         virtual std::uint64_t nextAttempt(const StepTask &task) const = 0;
 
+        /** Returns the number of starts of filling tasks, or of all others, that were planned and
+            are not sent yet. */
+        virtual std::uint32_t unsentStarts(bool fills) const = 0;
+
         virtual void startTask(JobEntry &job, const TaskRef &task, Worker &worker,
                                std::uint64_t attempt) = 0;
     };
--- a/modules/bulrush_steps/workers/StartWindow.h
+++ b/modules/bulrush_steps/workers/StartWindow.h
@@ -20,8 +20,12 @@
     {
     }
 
-    /** Returns whether another start may be sent. */
-    bool isOpen() const { return this->openStarts < static_cast<std::uint32_t>(this->limit); }
+    /** Returns whether another start may be sent.
+        @param unsent the starts that are to be sent before it */
+    bool isOpen(std::uint32_t unsent = 0) const
+    {
+        return this->openStarts + unsent < static_cast<std::uint32_t>(this->limit);
+    }
 
     std::uint32_t open() const { return this->openStarts; }
 
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -303,9 +303,22 @@
     run.phase = RunPhase::Assigned;
     run.startSentAt = this->clock.now();
     run.commandInFlight = true;
+    ++worker.commandsInFlight;
     worker.addRun(std::move(run));
 }
 
+std::optional<Run> WorkerManager::cancelReserved(Worker &worker, const AttemptRef &attempt)
+{
+    --worker.commandsInFlight;
+    const auto found = worker.runs.find(attempt);
+    if (found == worker.runs.end()) {
+        return std::nullopt;
+    }
+    const Run run = found->second;
+    worker.removeRun(attempt);
+    return run;
+}
+
 void WorkerManager::startReserved(Worker &worker, Run &run, const StepJob &job,
                                   std::string checkpoint)
 {
@@ -320,7 +333,6 @@
     run.phase = RunPhase::Starting;
     run.startSentAt = this->clock.now();
     const AttemptRef attempt = run.attempt;
-    ++worker.commandsInFlight;
     StartWindow &window = run.fillCpuMilli > 0 ? this->fillStarts : this->reservingStarts;
     window.started();
     this->port.start(worker.address, command, commandTimeout,
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -96,10 +97,13 @@
     /** Sends a start request. The run counts as alive from this call on. */
     void start(Worker &worker, Run run, const StepJob &job, std::string checkpoint);
 
-    /** Reserves the resources of a run whose start request is to follow. The run cannot be alive
-        before startReserved(). */
+    /** Reserves the resources of a run whose start request is to follow, which counts as in flight
+        already. The run cannot be alive before startReserved(). */
     void reserve(Worker &worker, Run run);
 
+    /** Gives up a start request that was to follow. @returns the run, if the worker still has it */
+    static std::optional<Run> cancelReserved(Worker &worker, const AttemptRef &attempt);
+
     /** Sends the start request of a reserved run. It counts as alive from this call on. */
     void startReserved(Worker &worker, Run &run, const StepJob &job, std::string checkpoint);
 
