Let a new owner's wait end by time only while no other node can be the owner

An owner that was cut off with its zone before the workers of other zones had answered waited on; a newer owner heard from those workers and kept their runs; 5.1 s after the end of the former owner the one that was cut off, still within its 6 s without the store, took all these tasks for ended and started them on the workers of its own zone. 28 at once, because all known jobs are released in that moment.

Change: TakeoverWait keeps whether the leases were over while no other node could be the owner, as for expired leases. An owner that is confirmed again under the same token goes on as before. Two tests, both failed before.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -172,7 +172,7 @@
     }
     this->workerManager.tick();
     this->findEndedWorkers();
-    if (this->takeoverWait.update()) {
+    if (this->takeoverWait.update(this->isSoleOwner())) {
         this->removeRecordsOfFormerOwners();
     }
     this->updateRoster();
--- a/modules/bulrush_steps/ownership/TakeoverWait.cpp
+++ b/modules/bulrush_steps/ownership/TakeoverWait.cpp
@@ -2,6 +2,8 @@
 
 #include "bulrush_core/events/DecisionLog.h"
 
+#include <algorithm>
+
 namespace bulrush {
 
 namespace {
@@ -27,6 +29,7 @@
     this->unheardWorkers = { workers.begin(), workers.end() };
     this->beganAt = this->clock.now();
     this->nextReportAt = this->beganAt;
+    this->leasesAreOver = false;
     this->ended = false;
     this->owners.begin(table.owners(), table.roster(), this->term.fencingToken,
                        this->term.previousOwnerSettledAt);
@@ -50,15 +53,16 @@
 
 bool TakeoverWait::isOver() const
 {
-    return this->unheardWorkers.empty() || this->clock.now() >= this->owners.settledAt();
+    return this->unheardWorkers.empty() || this->leasesAreOver;
 }
 
-bool TakeoverWait::update()
+bool TakeoverWait::update(bool isSoleOwner)
 {
     if (this->ended) {
         return false;
     }
     const Instant now = this->clock.now();
+    this->leasesAreOver = isSoleOwner && now >= this->owners.settledAt();
     if (!this->isOver()) {
         this->report(now);
         return false;
@@ -79,10 +83,10 @@
     }
     this->nextReportAt = now + reportInterval;
     const auto waited = duration_cast<milliseconds>(now - this->beganAt).count();
-    const auto left = duration_cast<milliseconds>(this->owners.settledAt() - now).count();
+    const Duration left = std::max(Duration::zero(), this->owners.settledAt() - now);
     this->decisions.write(DecisionLine(Event::FormerOwnersAwaited)
                                   .with("waited_ms", waited)
-                                  .with("left_ms", left)
+                                  .with("left_ms", duration_cast<milliseconds>(left).count())
                                   .with("owners", this->remainingWaits().size())
                                   .with("unsettled_workers", this->namesOfUnheardWorkers()));
 }
--- a/modules/bulrush_steps/ownership/TakeoverWait.h
+++ b/modules/bulrush_steps/ownership/TakeoverWait.h
@@ -17,7 +17,8 @@
 
     Such a task may run on a worker, or be about to start there, although no worker has listed it.
     The wait ends when each worker of the former owners' roster has answered or ended, which shows
-    all that runs, or when no command of a former owner can take effect any more.
+    all that runs, or when no command of a former owner can take effect any more and no newer owner
+    can have renewed the leases that they granted.
 */
 class TakeoverWait
 {
@@ -41,9 +42,12 @@
     /** Returns whether tasks of jobs that former owners knew may start. */
     bool isOver() const;
 
-    /** Logs what is waited for, each second, and once that the wait is over.
+    /** Ends the wait if its time is over, and logs what is waited for, each second, and once that
+        the wait is over.
+        @param isSoleOwner whether no other node can be the owner; without, the time that has passed
+            does not end the wait
         @returns whether the wait has ended since the last call */
-    bool update();
+    bool update(bool isSoleOwner);
 
     /** Returns the workers of the former owners' roster that have neither answered nor ended; none
         once the wait is over. */
@@ -68,6 +72,9 @@
     FormerOwners owners;
     /** The workers that may run tasks of former owners that this owner does not know. */
     std::set<TargetId> unheardWorkers;
+    /** Whether all leases that former owners granted were over while no newer owner could have
+        renewed them. */
+    bool leasesAreOver = false;
     Instant beganAt {};
     Instant nextReportAt {};
     /** Whether the end of the wait is logged. */
--- a/modules/bulrush_steps/tests/owner_change_test.cpp
+++ b/modules/bulrush_steps/tests/owner_change_test.cpp
@@ -261,6 +261,50 @@
     cr_assert_eq(fixture.startsOn("w2"), 1U);
 }
 
+/* A new owner is cut off from the store, and from a worker that has not answered it yet. The next
+   owner, which it does not know of, hears from that worker and renews its leases. By the time at
+   which the former owner's leases would be over, the tasks there still run, and the owner that is
+   cut off must not start them on the workers that it reaches. Found by the users' test bench: 28
+   tasks of known jobs ran twice, 4.4 s after a zone with a new owner was cut off. */
+Test(Dispatcher, afterTheWaitKnownTasksDoNotStartWhileANewerOwnerMayRenewTheirLeases)
+{
+    DispatcherFixture fixture;
+    const AttemptRef running { { JobId("a"), 0, 0, 0 }, 2001 };
+    fixture.worker("w2").running[running] = { running, "", 30, 0.0 };
+    fixture.worker("w2").silent = true;
+    fixture.begin(makeJobTable(makeJob("a", 1), { TargetId("w1"), TargetId("w2") }, fixture.clock));
+    fixture.listWorker("w1");
+    fixture.listWorker("w2");
+    fixture.runFor(seconds(1));
+    fixture.soleOwner = false;
+    fixture.runFor(formerOrdersLifetime);
+    cr_assert(fixture.workers.starts.empty(),
+              "a task was started that may run under leases of a newer owner");
+    cr_assert(fixture.obsoleteRecords.empty());
+    fixture.soleOwner = true;
+    fixture.runFor(milliseconds(100));
+    cr_assert_eq(fixture.startsOn("w1"), 1U);
+}
+
+/* The same, but the worker answers before the store does. */
+Test(Dispatcher, aWaitWithoutSoleOwnershipEndsWhenAllWorkersHaveAnswered)
+{
+    DispatcherFixture fixture;
+    const AttemptRef running { { JobId("a"), 0, 0, 0 }, 2001 };
+    fixture.worker("w2").running[running] = { running, "", 30, 0.0 };
+    fixture.worker("w2").silent = true;
+    fixture.begin(makeJobTable(makeJob("a", 2), { TargetId("w1"), TargetId("w2") }, fixture.clock));
+    fixture.listWorker("w1");
+    fixture.listWorker("w2");
+    fixture.soleOwner = false;
+    fixture.runFor(formerOrdersLifetime + seconds(1));
+    cr_assert(fixture.workers.starts.empty());
+    fixture.worker("w2").silent = false;
+    fixture.runFor(seconds(1));
+    cr_assert_eq(fixture.workers.starts.size(), 1U);
+    cr_assert_eq(fixture.workers.starts.front().attempt.task.index, 1U);
+}
+
 Test(Dispatcher, ownershipEndsWhenAWorkerHasSeenANewerOwner)
 {
     DispatcherFixture fixture;
