--- a/modules/bulrush_steps/tests/owner_change_test.cpp
+++ b/modules/bulrush_steps/tests/owner_change_test.cpp
@@ -305,6 +305,31 @@
     cr_assert_eq(fixture.workers.starts.front().attempt.task.index, 1U);
 }
 
+/* A worker answers a new owner for the first time. Before that owner grants it a lease, its entry
+   tells of a restart, so that it must confirm itself again, and it does not answer any more. The
+   lease that the former owner granted lasts on; the task that runs under it was started elsewhere
+   without waiting for its end. */
+Test(Dispatcher, aTaskThatANewOwnerFoundWaitsForTheLeaseOfTheFormerOwner)
+{
+    DispatcherFixture fixture;
+    const AttemptRef running { { JobId("a"), 0, 0, 0 }, 2001 };
+    fixture.worker("w1").running[running] = { running, "", 30, 0.0 };
+    fixture.begin(makeJobTable(makeJob("a", 1), { TargetId("w1") }, fixture.clock));
+    fixture.listWorker("w1");
+    fixture.listWorker("w2");
+    while (!fixture.dispatcher.runs().workers().at(TargetId("w1")).adopted) {
+        fixture.runFor(tickInterval);
+    }
+    fixture.worker("w1").silent = true;
+    WorkerEntry entry = makeWorkerEntry("w1");
+    entry.processStartedAt = 1;
+    fixture.dispatcher.workerListed(entry);
+    fixture.runFor(seconds(3));
+    cr_assert_eq(fixture.startsOn("w2"), 0U, "started while the former owner's lease may last");
+    fixture.runFor(seconds(2));
+    cr_assert_eq(fixture.startsOn("w2"), 1U);
+}
+
 Test(Dispatcher, ownershipEndsWhenAWorkerHasSeenANewerOwner)
 {
     DispatcherFixture fixture;
