--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -175,7 +175,7 @@
     this->sendAssignedStarts();
     this->workerManager.tick();
     this->findEndedWorkers();
-    if (this->takeoverWait.update()) {
+    if (this->takeoverWait.update(this->isSoleOwner())) {
         this->changeBeforeRemoval = this->writer.newestChange();
     }
     this->removeRecordsOfFormerOwners();
--- a/modules/bulrush_steps/ownership/FormerOwners.cpp
+++ b/modules/bulrush_steps/ownership/FormerOwners.cpp
@@ -94,11 +94,10 @@
     return owners;
 }
 
-bool FormerOwners::recordAssignments(Instant now) const
+bool FormerOwners::recordAssignments() const
 {
-    return std::all_of(this->waits.begin(), this->waits.end(), [now](const auto &entry) {
-        return entry.second.until <= now || entry.second.recordsAssignments;
-    });
+    return std::all_of(this->waits.begin(), this->waits.end(),
+                       [](const auto &entry) { return entry.second.recordsAssignments; });
 }
 
 std::vector<OwnerRecord> FormerOwners::ownersToAsk(Instant now) const
--- a/modules/bulrush_steps/ownership/FormerOwners.h
+++ b/modules/bulrush_steps/ownership/FormerOwners.h
@@ -48,9 +48,9 @@
     /** Returns the owners that are waited for, with their names in the group. */
     std::vector<OwnerRecord> awaitedOwners(Instant now) const;
 
-    /** Returns whether all owners that are waited for put assignments of long-running tasks on
+    /** Returns whether all former owners on record put assignments of long-running tasks on
         record. */
-    bool recordAssignments(Instant now) const;
+    bool recordAssignments() const;
 
     /** Returns the awaited owners that neither resigned nor are known to have stopped, as far as
         their names are known. */
