--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -49,13 +49,21 @@
         /** Returns whether commands may currently be sent. */
         virtual bool mayCommand() const = 0;
 
-        /** Returns whether tasks of a job may start: no run of a previous owner can be alive
-         * unseen. */
+        /** Returns whether tasks of a job may start, as far as mayStart(job, step, task) allows. */
         virtual bool mayStart(const JobEntry &job) const = 0;
 
+        /** Returns whether a task may start: no run of it by a previous owner can be alive unseen.
+         */
+        virtual bool mayStart(const JobEntry &job, const StepSpec &step,
+                              const StepTask &task) const = 0;
+
         /** Returns the number of a task's next attempt. */
         virtual std::uint64_t nextAttempt(const StepTask &task) const = 0;
 
+        /** Returns the number of starts of filling tasks, or of all others, that were planned and
+            are not sent yet. */
+        virtual std::uint32_t unsentStarts(bool fills) const = 0;
+
         virtual void startTask(JobEntry &job, const TaskRef &task, Worker &worker,
                                std::uint64_t attempt) = 0;
     };
@@ -81,6 +89,9 @@
     void planRound(PlanLane &lane, Instant now);
     void planCandidate(PlanLane &lane, const PlanCandidate &candidate, Instant now);
     bool planStep(const PlanLane &lane, const PlanCandidate &candidate, Instant now);
+
+    /** Returns the tasks of a step that are to be started and may start now. */
+    std::vector<std::uint32_t> tasksToStart(const PlanCandidate &candidate) const;
     bool planGang(const PlanCandidate &candidate, Instant now);
     bool mayStartMore(const PlanLane &lane) const;
     void rankWaiting(PlanLane &lane, Instant now);
--- a/modules/bulrush_steps/ownership/TakeoverWait.h
+++ b/modules/bulrush_steps/ownership/TakeoverWait.h
@@ -17,8 +17,10 @@
     Determines from when on a new owner may start the tasks of jobs that former owners knew.
 
     Such a task may run on a worker, or be about to start there, although no worker has listed it.
-    The wait ends when each worker of the former owners' roster has answered or ended, which shows
-    all that runs, or when no command of a former owner can take effect any more.
+    A long-running task waits for the worker that is on record as its own, any other task for all
+    workers of the former owners' roster: until they have answered or ended, which shows all that
+    they run, or until no command of a former owner can take effect any more and no newer owner can
+    have renewed the leases that they granted.
 */
 class TakeoverWait
 {
@@ -51,12 +53,21 @@
         @returns the resignation to persist on its behalf */
     Resignation formerOwnerStopped(std::uint64_t fencingToken);
 
-    /** Returns whether tasks of jobs that former owners knew may start. */
+    /** Returns whether all tasks of jobs that former owners knew may start. */
     bool isOver() const;
 
-    /** Logs what is waited for, each second, and once that the wait is over.
+    /** Returns whether a run of a task that former owners knew may be alive unseen. */
+    bool concerns(const StepSpec &step, const StepTask &task) const;
+
+    /** Returns whether tasks of a step wait only for the workers that they are assigned to. */
+    bool usesAssignments(const StepSpec &step) const;
+
+    /** Ends the wait if its time is over, and logs what is waited for, each second, and once that
+        the wait is over.
+        @param isSoleOwner whether no other node can be the owner; without, the time that has passed
+            does not end the wait
         @returns whether the wait has ended since the last call */
-    bool update();
+    bool update(bool isSoleOwner);
 
     /** Returns the workers of the former owners' roster that have neither answered nor ended; none
         once the wait is over. */
@@ -82,6 +93,9 @@
     FormerOwners owners;
     /** The workers that may run tasks of former owners that this owner does not know. */
     std::set<TargetId> unheardWorkers;
+    /** Whether all leases that former owners granted were over while no newer owner could have
+        renewed them. */
+    bool leasesAreOver = false;
     Instant beganAt {};
     Instant nextReportAt {};
     /** Whether the end of the wait is logged. */
