Name only workers that have answered on the roster

Cause, found while the odd entries of other writers were looked at: the roster named each listed worker, also one that never answered this owner. Such a worker got no start from it, yet each successor waited for it before it started known tasks that end, up to 12.6 s where the list of VMs cannot be read. A well-formed entry of another writer, at whose address nobody answers, is enough.

Ruled out: that such a worker may run tasks of a former owner; it stays on the roster as one of those until it has answered or ended, or their leases are over. A worker gets a start only after it has answered and the stored roster names it, as before.

Before: Roster/aWorkerThatNeverAnsweredIsNotOnTheRoster failed (the stored roster named w2). After: 195 of 195 tests of the module. The roster is judged anew when a worker answers for the first time; in a take-over the names stay the same, so it is not written more often.

--- a/modules/bulrush_steps/tests/roster_test.cpp
+++ b/modules/bulrush_steps/tests/roster_test.cpp
@@ -110,3 +110,23 @@
     fixture.runFor(seconds(1));
     cr_assert_gt(fixture.startsOn("w2"), 0U);
 }
+
+/* Another writer left an entry at whose address no worker answers. Each new owner would wait for it
+   before it starts the tasks of known jobs. */
+Test(Roster, aWorkerThatNeverAnsweredIsNotOnTheRoster)
+{
+    DispatcherFixture fixture;
+    fixture.worker("w2").silent = true;
+    fixture.begin({});
+    fixture.listWorker("w1");
+    fixture.listWorker("w2");
+    fixture.runFor(seconds(1));
+    cr_assert(names(storedRoster(fixture), "w1"));
+    cr_assert_not(names(storedRoster(fixture), "w2"));
+    fixture.worker("w2").silent = false;
+    fixture.runFor(seconds(1));
+    cr_assert(names(storedRoster(fixture), "w2"));
+    fixture.accept(makeJob("a", tasksOfTwoWorkers));
+    fixture.runFor(seconds(1));
+    cr_assert_gt(fixture.startsOn("w2"), 0U);
+}
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -120,7 +120,8 @@
        down, and gives them up, except for starts without an answer. */
     void workerEnded(const TargetId &worker);
 
-    /** Returns a number that changes whenever a worker is added or removed. */
+    /** Returns a number that changes whenever a worker is added or removed, or answers for the first
+        time. */
     std::uint64_t membershipVersion() const { return this->membershipChanges; }
 
     /** Excludes a worker from the placement of new tasks for a time. */
@@ -189,7 +190,7 @@
     Listener &listener;
     std::uint64_t fencingToken = 0;
     std::map<TargetId, Worker> workerTable;
-    /** The number of times that a worker was added or removed. */
+    /** The number of times that a worker was added or removed, or answered for the first time. */
     std::uint64_t membershipChanges = 0;
     /** The workers that the next tick checks. */
     std::vector<TargetId> workersToCheck;
--- a/modules/bulrush_steps/workers/WorkerManagerReports.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerReports.cpp
@@ -63,6 +63,7 @@
     this->processRuns(*worker, answer, sentAt);
     if (!worker->adopted) {
         worker->adopted = true;
+        ++this->membershipChanges;
         // What it runs may hold a lease that a former owner has just granted.
         worker->clock.recordLeaseEnd(answer.clock + this->settings.lease().count());
         this->listener.workerKnown(id);
--- a/modules/bulrush_steps/workers/WorkerRoster.cpp
+++ b/modules/bulrush_steps/workers/WorkerRoster.cpp
@@ -9,7 +9,9 @@
 {
     std::set<TargetId> roster = ofFormerOwners;
     for (const auto &[id, worker] : workers) {
-        roster.insert(id);
+        if (worker.adopted) {
+            roster.insert(id);
+        }
     }
     const bool changed = roster != this->newest;
     this->newest = std::move(roster);
--- a/modules/bulrush_steps/workers/WorkerRoster.h
+++ b/modules/bulrush_steps/workers/WorkerRoster.h
@@ -18,8 +18,8 @@
 class WorkerRoster
 {
 public:
-    /** Updates the roster to the present workers and those that may still run tasks of former
-        owners, and marks the workers that the persisted roster lists.
+    /** Updates the roster to the workers that have answered this owner and those that may still run
+        tasks of former owners, and marks the workers that the persisted roster lists.
         @returns whether the roster changed and is to be persisted */
     bool update(std::map<TargetId, Worker> &workers, const std::set<TargetId> &ofFormerOwners);
 
