--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -120,8 +120,8 @@
        down, and gives them up, except for starts without an answer. */
     void workerEnded(const TargetId &worker);
 
-    /** Returns a number that changes whenever a worker is added or removed, or answers for the first
-        time. */
+    /** Returns a number that changes whenever a worker is added or removed, or answers for the
+       first time. */
     std::uint64_t membershipVersion() const { return this->membershipChanges; }
 
     /** Excludes a worker from the placement of new tasks for a time. */
