Write the last answer before an idle stopping node ends

Cause: a stopping node counted as idle once it had made its last answer, in the same tick in which the answer was handed to the HTTP server, and stopped its event loop at once.

Ruled out: that the kernel drops written bytes at the exit. The test reads the socket after the node and its loop are destroyed, and the answer arrives once it has been written.

Change: the decision moves to a class of its own, DrainSchedule, which is pure. It counts the requests whose answer has not been sent completely, which the HTTP server knows, instead of those not answered yet. At the end of the grace period less 0.7 s the node stays up to 0.2 s longer for answers that are still being sent. The test decoders of callers' requests move to FakeCallers.h unchanged, but for the configuration, which the handler's fixture built itself before.

--- /dev/null
+++ b/modules/bulrush_entry/front/DrainSchedule.cpp
@@ -0,0 +1,37 @@
+#include "bulrush_entry/front/DrainSchedule.h"
+
+namespace bulrush {
+
+namespace {
+
+/** A stopping node is idle when no request has arrived for this long. */
+constexpr milliseconds idlePeriod { 1200 };
+
+/** Time within which the platform removes a node that is not ready from rotation. */
+constexpr milliseconds rotationRemovalTime { 2500 };
+
+/** Part of the grace period that is reserved for the exit of the process. */
+constexpr milliseconds exitMargin { 500 };
+
+/** How much longer a process stays for answers that are still being sent. */
+constexpr milliseconds sendingTime { 200 };
+
+} // namespace
+
+DrainSchedule::DrainSchedule(Duration gracePeriod, Instant drainStartedAt)
+    : startedAt(drainStartedAt)
+    , stopAt(drainStartedAt + gracePeriod - exitMargin - sendingTime)
+{
+}
+
+DrainStep DrainSchedule::stepAt(Instant now, const CallerActivity &activity) const
+{
+    const bool idle = now - activity.lastRequestAt > idlePeriod
+            && now - this->startedAt > rotationRemovalTime;
+    if (activity.openRequests == 0 && (idle || now >= this->stopAt)) {
+        return DrainStep::Stop;
+    }
+    return now >= this->stopAt + sendingTime ? DrainStep::Stop : DrainStep::Serve;
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_entry/front/DrainSchedule.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "bulrush_core/time/Clock.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace bulrush {
+
+/** What a node that was told to stop does with callers' requests. */
+enum class DrainStep : std::uint8_t {
+    /** Serves requests. */
+    Serve,
+    /** Ends the process. */
+    Stop,
+};
+
+/** The requests of callers on a node. */
+struct CallerActivity
+{
+    /** Number of requests whose answer has not been sent completely. */
+    std::size_t openRequests = 0;
+    Instant lastRequestAt {};
+};
+
+/** Decides when a node that was told to stop ends its process. */
+class DrainSchedule
+{
+public:
+    /** @param gracePeriod time after which the process is killed
+        @param startedAt   when the node was told to stop */
+    DrainSchedule(Duration gracePeriod, Instant startedAt);
+
+    /** Returns what the node does now. */
+    DrainStep stepAt(Instant now, const CallerActivity &activity) const;
+
+private:
+    Instant startedAt;
+    /** When the process ends once all answers have been sent. */
+    Instant stopAt;
+};
+
+} // namespace bulrush
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -40,15 +40,6 @@
 constexpr milliseconds resignationTimeout { 500 };
 constexpr int maxResignationAttempts = 6;
 
-/** A stopping node is idle when no request has arrived for this long. */
-constexpr milliseconds idlePeriod { 1200 };
-
-/** Time within which the platform removes a node that is not ready from rotation. */
-constexpr milliseconds rotationRemovalTime { 2500 };
-
-/** Part of the grace period that is reserved for the exit of the process. */
-constexpr milliseconds exitMargin { 700 };
-
 /** Paths of the operators' interface. */
 constexpr std::string_view metricsPath = "/metrics";
 constexpr std::string_view statusPath = "/v1/status";
@@ -148,7 +139,7 @@
     this->owner.askFormerOwners(this->dispatcher.formerOwnersToAsk(),
                                 this->ownership.fencingToken());
     this->refreshStandbyView();
-    if (this->drainingSince) {
+    if (this->drainSchedule) {
         this->drainTick();
     }
     this->reportOwnerLoad();
@@ -363,7 +354,7 @@
 
 bool EntryNode::ready()
 {
-    return !this->drainingSince && this->requestHandler.configured() && !this->health.checkLost();
+    return !this->drainSchedule && this->requestHandler.configured() && !this->health.checkLost();
 }
 
 void EntryNode::requestArrived(HttpServer::RequestId id, HttpRequest request)
@@ -405,7 +396,7 @@
     status.dataCentre = this->settings.dataCentre.name();
     status.uptime = this->clock.now() - this->startedAt;
     status.ready = this->ready();
-    status.draining = this->drainingSince.has_value();
+    status.draining = this->drainSchedule.has_value();
     status.owner = this->dispatcher.active();
     status.fencingToken = this->ownership.fencingToken();
     status.configVersion = this->config.config() ? this->config.config()->version : 0;
@@ -467,10 +458,10 @@
 
 void EntryNode::drain()
 {
-    if (this->drainingSince) {
+    if (this->drainSchedule) {
         return;
     }
-    this->drainingSince = this->clock.now();
+    this->drainSchedule.emplace(this->settings.gracePeriod, this->clock.now());
     this->decisions.write(
             DecisionLine(Event::NodeStopping)
                     .with("open_requests", static_cast<std::int64_t>(this->openRequests.size())));
@@ -479,16 +470,12 @@
 
 void EntryNode::drainTick()
 {
-    const Instant now = this->clock.now();
-    const Duration sinceDrain = now - *this->drainingSince;
-    const bool idle = this->openRequests.empty() && now - this->lastRequestAt > idlePeriod
-            && sinceDrain > rotationRemovalTime;
-    if (!idle && sinceDrain < this->settings.gracePeriod - exitMargin) {
+    const CallerActivity activity { this->callers.openRequests(), this->lastRequestAt };
+    if (this->drainSchedule->stepAt(this->clock.now(), activity) != DrainStep::Stop) {
         return;
     }
     this->decisions.write(
-            DecisionLine(Event::NodeStopped)
-                    .with("open_requests", static_cast<std::int64_t>(this->openRequests.size())));
+            DecisionLine(Event::NodeStopped).with("open_requests", activity.openRequests));
     this->loop.stop();
 }
 
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -2,6 +2,7 @@
 
 #include "bulrush_core/events/DecisionLog.h"
 #include "bulrush_entry/front/CallerRequestHandler.h"
+#include "bulrush_entry/front/DrainSchedule.h"
 #include "bulrush_entry/front/StoreHealth.h"
 #include "bulrush_entry/node/EntryMetrics.h"
 #include "bulrush_entry/node/EntryPorts.h"
@@ -148,7 +149,8 @@
     /** The planner's load as last logged. */
     PlanLoad reportedPlan;
     Instant lastRequestAt {};
-    std::optional<Instant> drainingSince;
+    /** Set when this node was told to stop. */
+    std::optional<DrainSchedule> drainSchedule;
 };
 
 } // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_entry/tests/RawCaller.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+/** A caller that sends one request on a socket of its own, outside the event loop under test. */
+class RawCaller
+{
+public:
+    /** Connects to a port of 127.0.0.1 and sends a request. */
+    RawCaller(std::uint16_t port, const std::string &method, const std::string &path);
+    ~RawCaller();
+
+    RawCaller(const RawCaller &) = delete;
+    RawCaller &operator=(const RawCaller &) = delete;
+
+    /** Reads what has arrived, without waiting. */
+    void read();
+
+    /** Returns the status of the response once it has arrived in full, else 0. */
+    int status() const;
+
+    /** Returns whether the server has closed the connection. */
+    bool closed() const { return this->connectionClosed; }
+
+private:
+    int socket = -1;
+    std::string received;
+    bool connectionClosed = false;
+};
--- a/modules/bulrush_entry/tests/caller_request_handler_test.cpp
+++ b/modules/bulrush_entry/tests/caller_request_handler_test.cpp
@@ -1,3 +1,4 @@
+#include "FakeCallers.h"
 #include "bulrush_entry/front/CallerRequestHandler.h"
 #include "bulrush_steps/tests/FakeWorkers.h"
 
@@ -8,41 +9,6 @@
 
 namespace {
 
-/** Decodes any body except "bad" as a job with one step of one task. */
-class FakeDecoder : public RecordDecoder
-{
-public:
-    bool isServingConfig(std::string_view /*key*/) const override { return true; }
-    ServingConfig servingConfig(std::string_view /*value*/) const override { return {}; }
-    WorkerEntry workerEntry(std::string_view /*key*/, std::string_view /*value*/) const override
-    {
-        return {};
-    }
-    StepJob submission(std::string_view body) const override
-    {
-        if (body == "bad") {
-            throw Error("decode", "phases", "is missing");
-        }
-        StepJob job;
-        job.steps.resize(1);
-        return job;
-    }
-};
-
-class FakeOwner : public OwnerQuestions
-{
-public:
-    void askState(const JobId & /*job*/, Callback callback) override { callback(this->answer); }
-    void askWaitingCount(const std::string & /*queue*/, Callback callback) override
-    {
-        callback(this->answer);
-    }
-
-    OwnerAnswer answer;
-};
-
-constexpr const char *path = "/q/0123456789abcdef";
-
 class HandlerFixture
 {
 public:
@@ -51,14 +17,7 @@
         , view(clock, log, decisions)
         , handler(clock, log, decoder, owner, view, health, decisions)
     {
-        ServingConfig config;
-        QueuePolicy queue;
-        queue.name = "q";
-        queue.host = "h";
-        queue.prefix = "/q/";
-        queue.service = ServiceId("s");
-        config.queues = { queue };
-        this->handler.configure(config);
+        this->handler.configure(this->decoder.servingConfig(""));
     }
 
     std::optional<CallerAnswer> send(CallerRequestKind kind, const std::string &where,
@@ -103,14 +62,14 @@
 Test(CallerRequestHandler, acceptsAJobOnlyWhenItIsRecorded)
 {
     HandlerFixture fixture;
-    cr_assert(fixture.send(CallerRequestKind::Submit, path)->outcome == CallerOutcome::Accepted);
+    cr_assert(fixture.send(CallerRequestKind::Submit, jobPath)->outcome == CallerOutcome::Accepted);
     cr_assert_neq(fixture.log.newestValue(LogStream::Jobs, "job/0123456789abcdef"), "");
 }
 
 Test(CallerRequestHandler, refusesMalformedRequestsAndUnknownQueues)
 {
     HandlerFixture fixture;
-    cr_assert(fixture.send(CallerRequestKind::Submit, path, "bad")->outcome
+    cr_assert(fixture.send(CallerRequestKind::Submit, jobPath, "bad")->outcome
               == CallerOutcome::Malformed);
     cr_assert(fixture.send(CallerRequestKind::Submit, "/q/short")->outcome
               == CallerOutcome::Malformed);
@@ -124,7 +83,7 @@
 {
     HandlerFixture fixture;
     fixture.log.losesAppendAnswers = true;
-    cr_assert_not(fixture.send(CallerRequestKind::Submit, path).has_value());
+    cr_assert_not(fixture.send(CallerRequestKind::Submit, jobPath).has_value());
     fixture.log.up = false;
     fixture.log.refusesAppends = true;
     fixture.log.losesAppendAnswers = false;
@@ -136,7 +95,7 @@
 {
     HandlerFixture fixture;
     fixture.log.losesAppendAnswers = true;
-    fixture.send(CallerRequestKind::Submit, path);
+    fixture.send(CallerRequestKind::Submit, jobPath);
     fixture.log.losesAppendAnswers = false;
     fixture.run(milliseconds(500));
     cr_assert(fixture.answer->outcome == CallerOutcome::Accepted);
@@ -147,7 +106,7 @@
     HandlerFixture fixture;
     fixture.log.up = false;
     fixture.log.refusesAppends = true;
-    fixture.send(CallerRequestKind::Submit, path);
+    fixture.send(CallerRequestKind::Submit, jobPath);
     fixture.run(seconds(4));
     cr_assert(fixture.answer->outcome == CallerOutcome::Refused);
     cr_assert(fixture.answer->retryAfter.has_value());
@@ -159,7 +118,7 @@
 {
     HandlerFixture fixture;
     fixture.clock.advance(seconds(3));
-    const std::optional<CallerAnswer> answer = fixture.send(CallerRequestKind::Submit, path);
+    const std::optional<CallerAnswer> answer = fixture.send(CallerRequestKind::Submit, jobPath);
     cr_assert(answer->outcome == CallerOutcome::Refused);
     cr_assert(answer->retryAfter.has_value());
     cr_assert(fixture.log.streams[LogStream::Jobs].empty());
@@ -169,9 +128,9 @@
 Test(CallerRequestHandler, aJobUnknownToTheOwnerIsLookedUpInTheLog)
 {
     HandlerFixture fixture;
-    fixture.send(CallerRequestKind::Submit, path);
+    fixture.send(CallerRequestKind::Submit, jobPath);
     fixture.owner.answer.kind = OwnerAnswer::Kind::NotKnown;
-    cr_assert(fixture.send(CallerRequestKind::Query, path)->outcome == CallerOutcome::State);
+    cr_assert(fixture.send(CallerRequestKind::Query, jobPath)->outcome == CallerOutcome::State);
     cr_assert(fixture.send(CallerRequestKind::Query, "/q/ffffffffffffffff")->outcome
               == CallerOutcome::NoSuchJob);
 }
@@ -179,17 +138,18 @@
 Test(CallerRequestHandler, neverReportsAJobAsMissingWithoutOwnerAndStore)
 {
     HandlerFixture fixture;
-    fixture.send(CallerRequestKind::Submit, path);
+    fixture.send(CallerRequestKind::Submit, jobPath);
     fixture.log.up = false;
-    cr_assert(fixture.send(CallerRequestKind::Query, path)->outcome == CallerOutcome::Refused);
+    cr_assert(fixture.send(CallerRequestKind::Query, jobPath)->outcome == CallerOutcome::Refused);
 }
 
 Test(CallerRequestHandler, aCancellationIsAnsweredWhenItIsRecorded)
 {
     HandlerFixture fixture;
-    fixture.send(CallerRequestKind::Submit, path);
+    fixture.send(CallerRequestKind::Submit, jobPath);
     fixture.owner.answer = { OwnerAnswer::Kind::Known, JobState::Running, 0 };
-    cr_assert(fixture.send(CallerRequestKind::Cancel, path)->outcome == CallerOutcome::Cancelled);
+    cr_assert(fixture.send(CallerRequestKind::Cancel, jobPath)->outcome
+              == CallerOutcome::Cancelled);
     cr_assert_neq(fixture.log.newestValue(LogStream::Jobs, "cancelled/0123456789abcdef"), "");
     cr_assert(fixture.send(CallerRequestKind::Cancel, "/q/ffffffffffffffff")->outcome
               == CallerOutcome::Cancelled);
@@ -198,7 +158,7 @@
 Test(CallerRequestHandler, countsWaitingJobsWithoutAnOwner)
 {
     HandlerFixture fixture;
-    fixture.send(CallerRequestKind::Submit, path);
+    fixture.send(CallerRequestKind::Submit, jobPath);
     const std::optional<CallerAnswer> answer = fixture.send(CallerRequestKind::CountWaiting, "/q/");
     cr_assert(fixture.send(CallerRequestKind::Query, "/q/")->outcome == CallerOutcome::Waiting);
     cr_assert_eq(fixture.answer->waiting, 1U);
--- /dev/null
+++ b/modules/bulrush_entry/tests/entry_node_drain_test.cpp
@@ -0,0 +1,188 @@
+#include "FakeCallers.h"
+#include "RawCaller.h"
+#include "bulrush_core/time/ManualClock.h"
+#include "bulrush_entry/node/EntryNode.h"
+#include "bulrush_steps/tests/FakeWorkers.h"
+
+#include <criterion/criterion.h>
+
+#include <optional>
+
+using namespace bulrush;
+using namespace bulrush::test;
+
+namespace {
+
+/** A log that can leave calls unanswered. */
+class HoldingLog : public FakeLog
+{
+public:
+    void append(LogStream stream, const std::vector<KeyedRecord> &records,
+                const std::optional<WriterMark> &mark, Duration timeout,
+                std::function<void(AppendAnswer)> callback) override
+    {
+        ++this->appends;
+        if (!this->holdsAppends) {
+            this->FakeLog::append(stream, records, mark, timeout, std::move(callback));
+        }
+    }
+
+    void read(LogStream stream, LogOffset from, milliseconds wait, Duration timeout,
+              std::function<void(ReadResult)> callback) override
+    {
+        if (!this->holdsReads) {
+            this->FakeLog::read(stream, from, wait, timeout, std::move(callback));
+        }
+    }
+
+    void newest(LogStream stream, std::string_view afterKey, Duration timeout,
+                std::function<void(NewestResult)> callback) override
+    {
+        if (!this->holdsReads) {
+            this->FakeLog::newest(stream, afterKey, timeout, std::move(callback));
+        }
+    }
+
+    bool holdsAppends = false;
+    bool holdsReads = false;
+    int appends = 0;
+};
+
+/** A group that never answers, so that the node knows no owner. */
+class SilentGroup : public MemberGroup
+{
+public:
+    void join(const std::string & /*member*/, std::uint64_t /*generation*/,
+              milliseconds /*timeToLive*/, Duration /*timeout*/,
+              std::function<void(Membership)> /*callback*/) override
+    {
+    }
+    void leave(const std::string & /*member*/, Duration /*timeout*/,
+               std::function<void()> /*callback*/) override
+    {
+    }
+    void findHolder(Duration /*timeout*/,
+                    std::function<void(PartitionHolder)> /*callback*/) override
+    {
+        ++this->searches;
+    }
+
+    int searches = 0;
+};
+
+/** A node on ports of its own, on a clock that the test advances. */
+class NodeFixture
+{
+public:
+    explicit NodeFixture(std::uint16_t firstPort, milliseconds gracePeriod)
+        : port(firstPort)
+        , decisions("node", clock)
+        , workers(clock)
+    {
+        EntrySettings settings;
+        settings.node = NodeId("node");
+        settings.callers = { "127.0.0.1", firstPort };
+        settings.readiness = { "127.0.0.1", static_cast<std::uint16_t>(firstPort + 1) };
+        settings.peers = { "127.0.0.1", static_cast<std::uint16_t>(firstPort + 2) };
+        settings.operators = { "127.0.0.1", static_cast<std::uint16_t>(firstPort + 3) };
+        settings.gracePeriod = gracePeriod;
+        this->log.streams[LogStream::Configuration].push_back({ "config", "{}", 0 });
+        this->loop.emplace();
+        this->node.emplace(*this->loop, this->clock, settings,
+                           EntryPorts { this->log, this->group, this->workers, nullptr,
+                                        this->decoder, this->protocol },
+                           this->decisions);
+        this->waitUntilReady();
+    }
+
+    /** Services the loop until the condition holds. @returns whether it held in time */
+    template<class Condition>
+    bool runUntil(Condition condition)
+    {
+        bool timeUp = false;
+        const auto timer = this->loop->schedule(patience, [&timeUp] { timeUp = true; });
+        while (!condition() && !timeUp) {
+            this->loop->runOnce();
+            this->log.deliver();
+        }
+        this->loop->cancel(timer);
+        return condition();
+    }
+
+    bool answered(RawCaller &caller)
+    {
+        return this->runUntil([&caller] {
+            caller.read();
+            return caller.status() != 0;
+        });
+    }
+
+    /** Advances the clock to a time after the node was told to stop. */
+    void advanceTo(Duration sinceDrain)
+    {
+        this->clock.advance(this->drainedAt + sinceDrain - this->clock.now());
+    }
+
+    void drain()
+    {
+        this->drainedAt = this->clock.now();
+        this->node->drain();
+    }
+
+    /** Runs the loop until the node stops it, then closes all sockets like an exit does. */
+    void runToExit()
+    {
+        this->loop->schedule(patience, [this] { this->loop->stop(); });
+        this->loop->run();
+        this->node.reset();
+        this->loop.reset();
+    }
+
+    /** Bounds the duration of a test that fails. */
+    static constexpr seconds patience { 2 };
+
+    const std::uint16_t port;
+    ManualClock clock;
+    JsonDecisionLog decisions;
+    HoldingLog log;
+    SilentGroup group;
+    FakeWorkers workers;
+    FakeDecoder decoder;
+    FakeProtocol protocol;
+    std::optional<EventLoop> loop;
+    std::optional<EntryNode> node;
+    Instant drainedAt {};
+
+private:
+    void waitUntilReady()
+    {
+        int status = 0;
+        while (status != 200) {
+            RawCaller caller(static_cast<std::uint16_t>(this->port + 1), "GET",
+                             FakeProtocol::readinessPath);
+            this->runUntil([&caller, &status] {
+                caller.read();
+                status = caller.status();
+                return status != 0;
+            });
+        }
+    }
+};
+
+} // namespace
+
+/* The last open request is answered in the tick in which the node finds itself idle: the loop
+   stopped before the answer was written. */
+Test(EntryNodeDrain, anAnswerIsWrittenBeforeAnIdleNodeStops)
+{
+    NodeFixture fixture(18451, seconds(6));
+    fixture.log.holdsAppends = true;
+    fixture.drain();
+    RawCaller caller(fixture.port, "POST", jobPath);
+    cr_assert(fixture.runUntil([&fixture] { return fixture.log.appends > 0; }));
+    // The caller's time limit is over, and the node is out of rotation.
+    fixture.advanceTo(seconds(3));
+    fixture.runToExit();
+    caller.read();
+    cr_assert_eq(caller.status(), FakeProtocol::statusOf(CallerOutcome::Unknown));
+}
