Answer every request before a stopping node exits

Cause: at the end of the grace period less 0.7 s a stopping node ended its event loop whatever was open, and until then it took requests like any other.

Ruled out: a request that the kernel had but the process had not read.

Change: DrainSchedule has two further steps. From 1.2 s before the end new requests are refused at once, with Retry-After 0, since another node can serve them. From 0.5 s before the end open ones are answered as well: a submission is refused where no append can have taken effect, else its outcome is unknown (504), as near a caller's limit; a question is refused, and a cancellation whose question is refused is not recorded later. The step is also looked up when a request arrives, so that a late tick doesn't let one in. A node that was held up past its end answers first and stops a turn of its loop later.

Before: on five tests of EntryNodeDrain failed over real sockets (submissions 0.6, 0.3 and 0.1 s before the exit, an unanswered append, an unanswered question: no answer).

Conclusion: a request that a stopping node has read is answered truthfully before its process ends.

--- a/modules/bulrush_entry/front/CallerRequestHandler.cpp
+++ b/modules/bulrush_entry/front/CallerRequestHandler.cpp
@@ -22,6 +22,11 @@
 /** Delay after which callers are asked to retry while the store is unavailable. */
 constexpr milliseconds storeRetryAfter { 2000 };
 
+/** The same when other nodes serve the request already. */
+constexpr milliseconds otherNodeRetryAfter { 0 };
+
+constexpr std::string_view stopReason = "this node stops";
+
 constexpr std::size_t jobIdDigits = 16;
 
 bool isJobId(std::string_view text)
@@ -49,15 +54,20 @@
 {
 }
 
-CallerAnswer CallerRequestHandler::refusal(std::string reason) const
+CallerAnswer CallerRequestHandler::refusal(std::string reason, milliseconds retryAfter) const
 {
     CallerAnswer answer;
     answer.outcome = CallerOutcome::Refused;
     answer.reason = std::move(reason);
-    answer.retryAfter = storeRetryAfter;
+    answer.retryAfter = retryAfter;
     return answer;
 }
 
+CallerAnswer CallerRequestHandler::stopRefusal() const
+{
+    return this->refusal(std::string(stopReason), otherNodeRetryAfter);
+}
+
 Instant CallerRequestHandler::appendDeadline(const CallerRequest &request,
                                              const QueuePolicy &queue) const
 {
@@ -71,7 +81,7 @@
 void CallerRequestHandler::serve(const CallerRequest &request, const Callback &callback)
 {
     if (!this->config) {
-        callback(this->refusal("no configuration yet"));
+        callback(this->refusal("no configuration yet", storeRetryAfter));
         return;
     }
     const QueuePolicy *queue = this->config->queueFor(request.host, request.path);
@@ -105,6 +115,14 @@
 void CallerRequestHandler::submit(const CallerRequest &request, const QueuePolicy &queue,
                                   const JobId &id, const Callback &callback)
 {
+    if (this->refusesNew) {
+        this->decisions.write(DecisionLine(Event::JobRefused)
+                                      .with("job", id.name())
+                                      .with("queue", queue.name)
+                                      .with("reason", stopReason));
+        callback(this->stopRefusal());
+        return;
+    }
     if (this->health.checkLost()) {
         const Duration silence = this->clock.now() - this->health.lastAnswerAt();
         this->decisions.write(
@@ -113,7 +131,8 @@
                         .with("queue", queue.name)
                         .with("reason", "the store does not answer")
                         .with("silent_ms", duration_cast<milliseconds>(silence).count()));
-        callback(this->refusal("the store does not answer; the job is not on record"));
+        callback(this->refusal("the store does not answer; the job is not on record",
+                               storeRetryAfter));
         return;
     }
     StepJob job;
@@ -191,18 +210,19 @@
     }
     pending->retryAt = this->clock.now() + retryDelay;
     if (this->health.checkLost()) {
-        this->abandon(pending, "the store does not answer");
+        this->abandon(pending, "the store does not answer", storeRetryAfter);
     }
 }
 
-void CallerRequestHandler::abandon(const std::shared_ptr<Pending> &pending, std::string_view reason)
+void CallerRequestHandler::abandon(const std::shared_ptr<Pending> &pending, std::string_view reason,
+                                   milliseconds retryAfter)
 {
     CallerAnswer answer;
     const bool refused = !pending->mayHaveTakenEffect && !pending->inFlight
             && pending->success == CallerOutcome::Accepted;
     answer.outcome = refused ? CallerOutcome::Refused : CallerOutcome::Unknown;
     answer.reason = reason;
-    answer.retryAfter = storeRetryAfter;
+    answer.retryAfter = retryAfter;
     this->decisions.write(DecisionLine(refused ? Event::JobRefused : Event::JobOutcomeUnknown)
                                   .with("job", pending->job.name())
                                   .with("reason", reason));
@@ -217,39 +237,80 @@
     const std::list<std::shared_ptr<Pending>> current = this->pendingAppends;
     for (const std::shared_ptr<Pending> &pending : current) {
         if (now >= pending->deadline) {
-            this->abandon(pending, "the store has not answered in time");
+            this->abandon(pending, "the store has not answered in time", storeRetryAfter);
         } else if (!pending->inFlight && now >= pending->retryAt) {
             this->send(pending);
         }
     }
 }
 
+void CallerRequestHandler::drain(DrainStep step)
+{
+    this->refusesNew = step != DrainStep::Serve;
+    if (step == DrainStep::AnswerOpen || step == DrainStep::Stop) {
+        this->answerOpenRequests();
+    }
+}
+
+void CallerRequestHandler::answerOpenRequests()
+{
+    const std::list<Question> questions = this->openQuestions;
+    for (const Question &question : questions) {
+        this->answerQuestion(question, this->stopRefusal());
+    }
+    const std::list<std::shared_ptr<Pending>> appends = this->pendingAppends;
+    for (const std::shared_ptr<Pending> &pending : appends) {
+        this->abandon(pending, stopReason, otherNodeRetryAfter);
+    }
+}
+
+CallerRequestHandler::Question CallerRequestHandler::openQuestion(const Callback &callback)
+{
+    return this->openQuestions.emplace_back(std::make_shared<Callback>(callback));
+}
+
+void CallerRequestHandler::answerQuestion(const Question &question, const CallerAnswer &answer)
+{
+    const Callback callback = std::exchange(*question, nullptr);
+    if (callback) {
+        this->openQuestions.remove(question);
+        callback(answer);
+    }
+}
+
 void CallerRequestHandler::query(const JobId &job, const Callback &callback)
 {
-    this->owner.askState(job, [this, job, callback](const OwnerAnswer &ownerAnswer) {
+    if (this->refusesNew) {
+        callback(this->stopRefusal());
+        return;
+    }
+    const Question question = this->openQuestion(callback);
+    this->owner.askState(job, [this, job, question](const OwnerAnswer &ownerAnswer) {
         if (ownerAnswer.kind != OwnerAnswer::Kind::Known) {
-            this->answerStateFromRecords(job, callback);
+            this->answerStateFromRecords(job, question);
             return;
         }
         CallerAnswer answer;
         answer.outcome = CallerOutcome::State;
         answer.state = ownerAnswer.state;
-        callback(answer);
+        this->answerQuestion(question, answer);
     });
 }
 
-void CallerRequestHandler::answerStateFromRecords(const JobId &job, const Callback &callback)
+void CallerRequestHandler::answerStateFromRecords(const JobId &job, const Question &question)
 {
-    this->view.refresh([this, job, callback](bool succeeded) {
+    this->view.refresh([this, job, question](bool succeeded) {
         if (!succeeded) {
-            callback(this->refusal("neither the owner nor the store answers"));
+            this->answerQuestion(
+                    question,
+                    this->refusal("neither the owner nor the store answers", storeRetryAfter));
             return;
         }
         const JobEntry *entry = this->view.jobTable().find(job);
         CallerAnswer answer;
         answer.outcome = entry == nullptr ? CallerOutcome::NoSuchJob : CallerOutcome::State;
         answer.state = entry == nullptr ? JobState::Queued : entry->visibleState();
-        callback(answer);
+        this->answerQuestion(question, answer);
     });
 }
 
@@ -281,26 +342,39 @@
 
 void CallerRequestHandler::answerWaitingCount(const std::string &queue, const Callback &callback)
 {
-    this->owner.askWaitingCount(queue, [this, queue, callback](const OwnerAnswer &ownerAnswer) {
+    if (this->refusesNew) {
+        callback(this->stopRefusal());
+        return;
+    }
+    const Question question = this->openQuestion(callback);
+    this->owner.askWaitingCount(queue, [this, queue, question](const OwnerAnswer &ownerAnswer) {
+        if (ownerAnswer.kind != OwnerAnswer::Kind::Known) {
+            this->answerWaitingCountFromRecords(queue, question);
+            return;
+        }
         CallerAnswer answer;
         answer.outcome = CallerOutcome::Waiting;
         answer.waiting = ownerAnswer.waiting;
-        if (ownerAnswer.kind == OwnerAnswer::Kind::Known) {
-            callback(answer);
+        this->answerQuestion(question, answer);
+    });
+}
+
+void CallerRequestHandler::answerWaitingCountFromRecords(const std::string &queue,
+                                                         const Question &question)
+{
+    this->view.refresh([this, queue, question](bool succeeded) {
+        if (!succeeded) {
+            this->answerQuestion(
+                    question,
+                    this->refusal("neither the owner nor the store answers", storeRetryAfter));
             return;
         }
-        this->view.refresh([this, queue, callback](bool succeeded) {
-            if (!succeeded) {
-                callback(this->refusal("neither the owner nor the store answers"));
-                return;
-            }
-            CallerAnswer counted;
-            counted.outcome = CallerOutcome::Waiting;
-            for (const auto &[id, job] : this->view.jobTable().entries()) {
-                counted.waiting += job.isQueuedIn(queue) ? 1U : 0U;
-            }
-            callback(counted);
-        });
+        CallerAnswer counted;
+        counted.outcome = CallerOutcome::Waiting;
+        for (const auto &[id, job] : this->view.jobTable().entries()) {
+            counted.waiting += job.isQueuedIn(queue) ? 1U : 0U;
+        }
+        this->answerQuestion(question, counted);
     });
 }
 
--- a/modules/bulrush_entry/front/CallerRequestHandler.h
+++ b/modules/bulrush_entry/front/CallerRequestHandler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrush_entry/front/CallerTypes.h"
+#include "bulrush_entry/front/DrainSchedule.h"
 #include "bulrush_entry/front/OwnerQuestions.h"
 #include "bulrush_entry/front/StoreHealth.h"
 #include "bulrush_steps/follow/RecordsView.h"
@@ -20,9 +21,9 @@
 /**
     Serves callers: records jobs and cancellations in the log, and reports the states of jobs.
 
-    A job is refused only when no attempt to append it can have taken effect. A failed append
-    is repeated until it succeeds, its deadline passes or the store counts as lost; in the last two
-    cases, a job that may be recorded and any cancellation are reported as Unknown.
+    A job is refused only when no attempt to append it can have taken effect. A failed append is
+    repeated until it succeeds, its deadline passes, the store counts as lost or this node stops. In
+    the last three cases, a job that may be recorded and any cancellation are reported as Unknown.
 */
 class CallerRequestHandler
 {
@@ -44,7 +45,14 @@
     /** Repeats appends that have not succeeded, until their deadlines have passed. */
     void tick();
 
+    /** Follows a step of this node's stop: from RefuseNew on, refuses new requests at once; from
+        AnswerOpen on, answers open ones with what is known of them. */
+    void drain(DrainStep step);
+
 private:
+    /** The callback of a question to the owner or the records; empty once it is answered. */
+    using Question = std::shared_ptr<Callback>;
+
     /** An append whose caller waits for an answer. */
     struct Pending
     {
@@ -69,13 +77,19 @@
     void cancel(const CallerRequest &request, const QueuePolicy &queue, const JobId &job,
                 const Callback &callback);
     void answerWaitingCount(const std::string &queue, const Callback &callback);
-    void answerStateFromRecords(const JobId &job, const Callback &callback);
+    void answerStateFromRecords(const JobId &job, const Question &question);
+    void answerWaitingCountFromRecords(const std::string &queue, const Question &question);
     void append(Pending pending);
     void send(const std::shared_ptr<Pending> &pending);
     void appendAnswered(const std::shared_ptr<Pending> &pending, const AppendAnswer &result);
-    void abandon(const std::shared_ptr<Pending> &pending, std::string_view reason);
+    void abandon(const std::shared_ptr<Pending> &pending, std::string_view reason,
+                 milliseconds retryAfter);
+    Question openQuestion(const Callback &callback);
+    void answerQuestion(const Question &question, const CallerAnswer &answer);
+    void answerOpenRequests();
     Instant appendDeadline(const CallerRequest &request, const QueuePolicy &queue) const;
-    CallerAnswer refusal(std::string reason) const;
+    CallerAnswer refusal(std::string reason, milliseconds retryAfter) const;
+    CallerAnswer stopRefusal() const;
 
     const Clock &clock;
     KeyedLog &log;
@@ -86,6 +100,9 @@
     DecisionLog &decisions;
     std::optional<ServingConfig> config;
     std::list<std::shared_ptr<Pending>> pendingAppends;
+    std::list<Question> openQuestions;
+    /** Whether this node stops so soon that new requests are refused. */
+    bool refusesNew = false;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_entry/front/DrainSchedule.cpp
+++ b/modules/bulrush_entry/front/DrainSchedule.cpp
@@ -16,6 +16,13 @@
 /** How much longer a process stays for answers that are still being sent. */
 constexpr milliseconds sendingTime { 200 };
 
+/** How long before the end all open requests are answered. */
+constexpr milliseconds answeringTime { 500 };
+
+/** Time in which a request is normally answered, even if one append is repeated. A request that
+    arrives later than this before open requests are answered is refused. */
+constexpr milliseconds servingTime { 700 };
+
 } // namespace
 
 DrainSchedule::DrainSchedule(Duration gracePeriod, Instant drainStartedAt)
@@ -31,7 +38,14 @@
     if (activity.openRequests == 0 && (idle || now >= this->stopAt)) {
         return DrainStep::Stop;
     }
-    return now >= this->stopAt + sendingTime ? DrainStep::Stop : DrainStep::Serve;
+    if (now >= this->stopAt + sendingTime) {
+        return DrainStep::Stop;
+    }
+    const Instant answerAt = this->stopAt - answeringTime;
+    if (now >= answerAt) {
+        return DrainStep::AnswerOpen;
+    }
+    return now >= answerAt - servingTime ? DrainStep::RefuseNew : DrainStep::Serve;
 }
 
 } // namespace bulrush
--- a/modules/bulrush_entry/front/DrainSchedule.h
+++ b/modules/bulrush_entry/front/DrainSchedule.h
@@ -11,6 +11,10 @@
 enum class DrainStep : std::uint8_t {
     /** Serves requests. */
     Serve,
+    /** Refuses new requests, and goes on serving open ones. */
+    RefuseNew,
+    /** Answers all open requests without waiting any longer, and refuses new ones. */
+    AnswerOpen,
     /** Ends the process. */
     Stop,
 };
@@ -23,7 +27,8 @@
     Instant lastRequestAt {};
 };
 
-/** Decides when a node that was told to stop ends its process. */
+/** Decides what a node that was told to stop does with callers' requests, so that each is answered
+    before the process ends. */
 class DrainSchedule
 {
 public:
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -365,6 +365,9 @@
         this->readiness.respond(id, std::move(response));
         return;
     }
+    if (this->drainSchedule) {
+        this->followDrain();
+    }
     const CallerRequest decoded = this->ports.callers.decode(request);
     this->lastRequestAt = this->clock.now();
     this->openRequests[id] = { decoded.kind, this->lastRequestAt };
@@ -468,15 +471,23 @@
     this->ownership.leave();
 }
 
-void EntryNode::drainTick()
+DrainStep EntryNode::followDrain()
 {
     const CallerActivity activity { this->callers.openRequests(), this->lastRequestAt };
-    if (this->drainSchedule->stepAt(this->clock.now(), activity) != DrainStep::Stop) {
+    const DrainStep step = this->drainSchedule->stepAt(this->clock.now(), activity);
+    this->requestHandler.drain(step);
+    return step;
+}
+
+void EntryNode::drainTick()
+{
+    if (this->followDrain() != DrainStep::Stop) {
         return;
     }
     this->decisions.write(
-            DecisionLine(Event::NodeStopped).with("open_requests", activity.openRequests));
-    this->loop.stop();
+            DecisionLine(Event::NodeStopped).with("open_requests", this->callers.openRequests()));
+    // The sockets are serviced before the timer fires, so that answers made just now are written.
+    this->loop.schedule(Duration::zero(), [this] { this->loop.stop(); });
 }
 
 } // namespace bulrush
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -108,6 +108,7 @@
     bool ready();
     void answerOperator(HttpServer::RequestId id, const HttpRequest &request);
     NodeStatus status();
+    DrainStep followDrain();
     void drainTick();
 
     EventLoop &loop;
--- a/modules/bulrush_entry/tests/drain_schedule_test.cpp
+++ b/modules/bulrush_entry/tests/drain_schedule_test.cpp
@@ -49,3 +49,25 @@
     cr_assert(fixture.stepAt(milliseconds(5300), 0, milliseconds(5290)) == DrainStep::Stop);
     cr_assert(fixture.stepAt(milliseconds(5500), 1, milliseconds(5490)) == DrainStep::Stop);
 }
+
+/* The loop stopped while requests were open: their callers got no answer. */
+Test(DrainSchedule, openRequestsAreAnsweredBeforeTheEnd)
+{
+    DrainFixture fixture;
+    const auto stepAt = [&fixture](int millis) {
+        return fixture.stepAt(milliseconds(millis), 1, milliseconds(millis));
+    };
+    cr_assert(stepAt(4000) == DrainStep::Serve);
+    cr_assert(stepAt(4100) == DrainStep::RefuseNew);
+    cr_assert(stepAt(4700) == DrainStep::RefuseNew);
+    cr_assert(stepAt(4800) == DrainStep::AnswerOpen);
+    cr_assert(stepAt(5400) == DrainStep::AnswerOpen);
+}
+
+Test(DrainSchedule, withTheShortestGracePeriodRequestsAreAnsweredAtOnce)
+{
+    const Instant start = ManualClock().now();
+    const DrainSchedule schedule(milliseconds(1001), start);
+    cr_assert(schedule.stepAt(start, { 1, start }) == DrainStep::AnswerOpen);
+    cr_assert(schedule.stepAt(start + milliseconds(302), { 0, start }) == DrainStep::Stop);
+}
--- a/modules/bulrush_entry/tests/entry_node_drain_test.cpp
+++ b/modules/bulrush_entry/tests/entry_node_drain_test.cpp
@@ -74,7 +74,7 @@
 class NodeFixture
 {
 public:
-    explicit NodeFixture(std::uint16_t firstPort, milliseconds gracePeriod)
+    explicit NodeFixture(std::uint16_t firstPort, milliseconds gracePeriod = shortGrace)
         : port(firstPort)
         , decisions("node", clock)
         , workers(clock)
@@ -138,6 +138,9 @@
         this->loop.reset();
     }
 
+    static constexpr milliseconds shortGrace { 2000 };
+    /** When the loop of a node with the short grace period ends, if requests arrive to the last. */
+    static constexpr milliseconds stopAfter { 1300 };
     /** Bounds the duration of a test that fails. */
     static constexpr seconds patience { 2 };
 
@@ -171,6 +174,79 @@
 
 } // namespace
 
+/* An append is unanswered when the process has to end: its caller was told nothing. */
+Test(EntryNodeDrain, anUnansweredSubmissionIsAnsweredBeforeTheExit)
+{
+    NodeFixture fixture(18401);
+    fixture.log.holdsAppends = true;
+    fixture.drain();
+    RawCaller caller(fixture.port, "POST", jobPath);
+    cr_assert(fixture.runUntil([&fixture] { return fixture.log.appends > 0; }));
+    fixture.advanceTo(NodeFixture::stopAfter - milliseconds(100));
+    cr_assert(fixture.answered(caller), "no answer before the exit");
+    cr_assert_eq(caller.status(), FakeProtocol::statusOf(CallerOutcome::Unknown));
+}
+
+namespace {
+
+void submitShortlyBeforeTheExit(std::uint16_t firstPort, milliseconds beforeExit)
+{
+    NodeFixture fixture(firstPort);
+    fixture.log.holdsAppends = true;
+    fixture.drain();
+    fixture.advanceTo(NodeFixture::stopAfter - beforeExit);
+    RawCaller caller(fixture.port, "POST", jobPath);
+    cr_assert(fixture.answered(caller), "no answer");
+    fixture.runToExit();
+    caller.read();
+    cr_assert(caller.closed());
+}
+
+} // namespace
+
+/* The answers to these requests would not be ready before the exit. */
+Test(EntryNodeDrain, aSubmission600MsBeforeTheExitIsAnswered)
+{
+    submitShortlyBeforeTheExit(18411, milliseconds(600));
+}
+
+Test(EntryNodeDrain, aSubmission300MsBeforeTheExitIsAnswered)
+{
+    submitShortlyBeforeTheExit(18421, milliseconds(300));
+}
+
+Test(EntryNodeDrain, aSubmission100MsBeforeTheExitIsAnswered)
+{
+    submitShortlyBeforeTheExit(18431, milliseconds(100));
+}
+
+/* The owner does not answer: the state was looked for until the process had ended. */
+Test(EntryNodeDrain, aStateQuestionIsAnsweredBeforeTheExit)
+{
+    NodeFixture fixture(18441);
+    fixture.log.holdsReads = true;
+    fixture.drain();
+    RawCaller caller(fixture.port, "GET", jobPath);
+    cr_assert(fixture.runUntil([&fixture] { return fixture.group.searches > 0; }));
+    fixture.advanceTo(NodeFixture::stopAfter - milliseconds(100));
+    cr_assert(fixture.answered(caller), "no answer before the exit");
+    cr_assert_eq(caller.status(), FakeProtocol::statusOf(CallerOutcome::Refused));
+}
+
+/* The process did not run for a while, and its time was over when it went on. */
+Test(EntryNodeDrain, aNodeThatWasHeldUpAnswersBeforeItStops)
+{
+    NodeFixture fixture(18471);
+    fixture.log.holdsAppends = true;
+    fixture.drain();
+    RawCaller caller(fixture.port, "POST", jobPath);
+    cr_assert(fixture.runUntil([&fixture] { return fixture.log.appends > 0; }));
+    fixture.advanceTo(NodeFixture::stopAfter + milliseconds(300));
+    fixture.runToExit();
+    caller.read();
+    cr_assert_eq(caller.status(), FakeProtocol::statusOf(CallerOutcome::Unknown));
+}
+
 /* The last open request is answered in the tick in which the node finds itself idle: the loop
    stopped before the answer was written. */
 Test(EntryNodeDrain, anAnswerIsWrittenBeforeAnIdleNodeStops)
