Close a caller's connection after each answer of a stopping node

Cause: a stopping node answered on connections that callers keep open and left them open. The platform moves only new connections to other nodes, so such a caller went on sending requests to the node until its process ended, and the last of them met the end.

Ruled out: closing connections that have no open request. A request may be on its way on them, and it would end without an answer; after an answer with "Connection: close" the caller knows not to send one. Closing at once instead of when the node is out of rotation costs a new connection to the same node for up to 2.5 s; no answer is lost by that.

Change: every answer to a caller after the stop signal carries "Connection: close", and the HTTP server closes the connection once it is written. A test of the HTTP server shows that an answer of 300,000 bytes arrives in full before the connection closes; it guards and did not fail before.

Conclusion: callers leave a stopping node after one more answer each, so few requests remain for its last second, in which they are refused.

--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -446,7 +446,12 @@
     const Duration elapsed = this->clock.now() - found->second.arrivedAt;
     this->metrics.recordCallerRequest(found->second.kind, answer.outcome, elapsed);
     this->openRequests.erase(found);
-    this->callers.respond(id, this->ports.callers.encode(answer));
+    HttpResponse response = this->ports.callers.encode(answer);
+    if (this->drainSchedule) {
+        // The caller's next connection goes to another node.
+        response.headers.push_back({ "connection", "close" });
+    }
+    this->callers.respond(id, std::move(response));
 }
 
 void EntryNode::clientDisconnected(HttpServer::RequestId id)
--- a/modules/bulrush_entry/tests/entry_node_drain_test.cpp
+++ b/modules/bulrush_entry/tests/entry_node_drain_test.cpp
@@ -262,3 +262,18 @@
     caller.read();
     cr_assert_eq(caller.status(), FakeProtocol::statusOf(CallerOutcome::Unknown));
 }
+
+/* A caller that keeps its connection goes on sending requests to a node that ends. */
+Test(EntryNodeDrain, anAnswerClosesItsConnection)
+{
+    NodeFixture fixture(18461);
+    fixture.drain();
+    RawCaller caller(fixture.port, "POST", jobPath);
+    cr_assert(fixture.answered(caller));
+    cr_assert_eq(caller.status(), FakeProtocol::statusOf(CallerOutcome::Accepted));
+    cr_assert(fixture.runUntil([&caller] {
+        caller.read();
+        return caller.closed();
+    }),
+              "the connection stays open");
+}
--- a/modules/bulrush_net/tests/net_test.cpp
+++ b/modules/bulrush_net/tests/net_test.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-/** Echoes each request, with special responses for /silent, /close and /large. */
+/** Echoes each request, with special responses for /silent, /close, /large and
+    /large-close. */
 struct EchoServer : HttpServer::Listener
 {
     explicit EchoServer(EventLoop &loop, std::uint16_t port)
@@ -32,10 +33,10 @@
         response.headers.push_back({ "bulrush-load", "3/8" });
         response.body =
                 request.method + " " + request.path + "?" + request.query + " " + request.body;
-        if (request.path == "/close") {
+        if (request.path == "/close" || request.path == "/large-close") {
             response.headers.push_back({ "connection", "close" });
         }
-        if (request.path == "/large") {
+        if (request.path == "/large" || request.path == "/large-close") {
             response.body.assign(300'000, 'x');
         }
         this->server.respond(id, std::move(response));
@@ -146,6 +147,17 @@
     cr_assert_eq(client.responses[1].body.size(), 300'000U);
 }
 
+/* A node that stops closes each connection after its answer: the answer must not be cut off. */
+Test(Http, responseThatClosesItsConnectionArrivesComplete)
+{
+    EventLoop loop;
+    EchoServer server(loop, 18106);
+    RecordingClient client(loop);
+    client.client.send(1, { "127.0.0.1", 18106 }, 0, post("/large-close", "x"));
+    runUntil(loop, [&] { return client.ended() == 1; });
+    cr_assert_eq(client.responses[1].body.size(), 300'000U);
+}
+
 Test(Http, refusedConnectionCountsAsNotSent)
 {
     EventLoop loop;
