Answer a request at the wrong port

Cause: the servers for callers and for readiness checks share one listener, which told them apart by the request's path only. A readiness check at the callers' port was answered by the readiness server, under a number of the callers' server, and any other request at the readiness port the other way round: the request got no answer, and one of the other server with the same number could get a wrong one. Since the number of open requests now decides when a stopping node ends, such a request would also hold the node to its last moment.

Change: SeparateServer, until now the operators' server, answers the readiness checks too, each through a function of the node. What is no readiness check gets 404 at the readiness port; a check at the callers' port is a request for a queue like any other.

Before: EntryNodeDrain.aRequestAtTheWrongPortIsAnswered failed, no answer at the callers' port.

Conclusion: every request that the node's servers read is answered by the server that read it.

--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -110,8 +110,10 @@
     , requestHandler(systemClock, this->store, entryPorts.decoder, this->owner, this->view,
                      this->health, decisionLog)
     , callers(eventLoop, entrySettings.callers, callerLimits(entryPorts.callers), *this)
-    , readiness(eventLoop, entrySettings.readiness, HttpServer::Limits(), *this)
-    , operators(eventLoop, entrySettings.operators, *this)
+    , readiness(eventLoop, entrySettings.readiness, HttpServer::Limits(), *this,
+                &EntryNode::readinessResponse)
+    , operators(eventLoop, entrySettings.operators, operatorLimits, *this,
+                &EntryNode::operatorResponse)
 {
     this->startedAt = this->clock.now();
     this->nextTickAt = this->startedAt;
@@ -359,12 +361,6 @@
 
 void EntryNode::requestArrived(HttpServer::RequestId id, HttpRequest request)
 {
-    if (this->ports.callers.isReadinessRequest(request)) {
-        HttpResponse response;
-        response.status = this->ready() ? 200 : 503;
-        this->readiness.respond(id, std::move(response));
-        return;
-    }
     if (this->drainSchedule) {
         this->followDrain();
     }
@@ -375,21 +371,29 @@
             decoded, [this, id](const CallerAnswer &answer) { this->sendAnswer(id, answer); });
 }
 
-EntryNode::OperatorsServer::OperatorsServer(EventLoop &eventLoop, const Endpoint &endpoint,
-                                            EntryNode &owningNode)
+EntryNode::SeparateServer::SeparateServer(EventLoop &eventLoop, const Endpoint &endpoint,
+                                          const HttpServer::Limits &limits, EntryNode &owningNode,
+                                          Handler requestHandler)
     : node(owningNode)
-    , server(eventLoop, endpoint, operatorLimits, *this)
+    , handler(requestHandler)
+    , server(eventLoop, endpoint, limits, *this)
 {
 }
 
-void EntryNode::OperatorsServer::respond(HttpServer::RequestId id, HttpResponse response)
+void EntryNode::SeparateServer::requestArrived(HttpServer::RequestId id, HttpRequest request)
 {
-    this->server.respond(id, std::move(response));
+    this->server.respond(id, (this->node.*this->handler)(request));
 }
 
-void EntryNode::OperatorsServer::requestArrived(HttpServer::RequestId id, HttpRequest request)
+HttpResponse EntryNode::readinessResponse(const HttpRequest &request)
 {
-    this->node.answerOperator(id, request);
+    HttpResponse response;
+    if (this->ports.callers.isReadinessRequest(request)) {
+        response.status = this->ready() ? 200 : 503;
+    } else {
+        response.status = 404;
+    }
+    return response;
 }
 
 NodeStatus EntryNode::status()
@@ -408,20 +412,18 @@
     return status;
 }
 
-void EntryNode::answerOperator(HttpServer::RequestId id, const HttpRequest &request)
+HttpResponse EntryNode::operatorResponse(const HttpRequest &request)
 {
     HttpResponse response;
     if (request.method == "GET" && request.path == metricsPath) {
         this->metrics.setDroppedLines(this->decisions.droppedLines());
         response.contentType = "text/plain; version=0.0.4";
         response.body = this->metrics.text();
-        this->operators.respond(id, std::move(response));
-        return;
+        return response;
     }
     if (request.method == "GET" && request.path == statusPath) {
         response.body = statusJson(this->status(), this->dispatcher);
-        this->operators.respond(id, std::move(response));
-        return;
+        return response;
     }
     if (request.method == "GET" && request.path.starts_with(explainPath)) {
         const JobId job(request.path.substr(explainPath.size()));
@@ -430,11 +432,10 @@
         const std::optional<std::string> text = explainJson(job, table, this->dispatcher);
         response.status = text ? 200 : 404;
         response.body = text.value_or(R"({"error":"the job is not known here; ask the owner"})");
-        this->operators.respond(id, std::move(response));
-        return;
+        return response;
     }
     response.status = 404;
-    this->operators.respond(id, std::move(response));
+    return response;
 }
 
 void EntryNode::sendAnswer(HttpServer::RequestId id, const CallerAnswer &answer)
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -48,18 +48,22 @@
         Instant arrivedAt {};
     };
 
-    /** Listens for operators' requests, which are kept apart from callers' requests. */
-    class OperatorsServer : private HttpServer::Listener
+    /** A server of its own, whose requests are kept apart from callers' requests and are answered
+        at once. */
+    class SeparateServer : private HttpServer::Listener
     {
     public:
-        OperatorsServer(EventLoop &loop, const Endpoint &endpoint, EntryNode &owningNode);
-        void respond(HttpServer::RequestId id, HttpResponse response);
+        using Handler = HttpResponse (EntryNode::*)(const HttpRequest &);
+
+        SeparateServer(EventLoop &loop, const Endpoint &endpoint, const HttpServer::Limits &limits,
+                       EntryNode &node, Handler handler);
 
     private:
         void requestArrived(HttpServer::RequestId id, HttpRequest request) override;
         void clientDisconnected(HttpServer::RequestId /*id*/) override { }
 
         EntryNode &node;
+        const Handler handler;
         HttpServer server;
     };
 
@@ -106,7 +110,8 @@
     void takeoverDone(Instant gainedAt, LogOffset markOffset);
     void sendAnswer(HttpServer::RequestId id, const CallerAnswer &answer);
     bool ready();
-    void answerOperator(HttpServer::RequestId id, const HttpRequest &request);
+    HttpResponse readinessResponse(const HttpRequest &request);
+    HttpResponse operatorResponse(const HttpRequest &request);
     NodeStatus status();
     DrainStep followDrain();
     void drainTick();
@@ -135,8 +140,8 @@
     OwnerLink owner;
     CallerRequestHandler requestHandler;
     HttpServer callers;
-    HttpServer readiness;
-    OperatorsServer operators;
+    SeparateServer readiness;
+    SeparateServer operators;
     std::map<HttpServer::RequestId, OpenRequest> openRequests;
     /** The resignation from this node's last ownership, until it is recorded in the log. */
     std::optional<Resignation> pendingResignation;
--- a/modules/bulrush_entry/tests/entry_node_drain_test.cpp
+++ b/modules/bulrush_entry/tests/entry_node_drain_test.cpp
@@ -277,3 +277,16 @@
     }),
               "the connection stays open");
 }
+
+/* The server for readiness checks was told to answer a request that the callers' server had, and
+   the other way round: neither was answered, and a stopping node waited for them to the last. */
+Test(EntryNodeDrain, aRequestAtTheWrongPortIsAnswered)
+{
+    NodeFixture fixture(18481);
+    RawCaller check(fixture.port, "GET", FakeProtocol::readinessPath);
+    cr_assert(fixture.answered(check), "no answer at the callers' port");
+    RawCaller caller(static_cast<std::uint16_t>(fixture.port + 1), "POST", jobPath);
+    cr_assert(fixture.answered(caller), "no answer at the readiness port");
+    cr_assert_eq(caller.status(), 404);
+    cr_assert_eq(fixture.log.appends, 0);
+}
