Take no request after a node has decided to stop

Cause: a node decides to stop while nothing is open, and its loop ends a turn later. A request that arrived in that turn made the node's schedule say "serve" again, so it was taken and an append could be sent, though the loop was about to end without its answer.

Ruled out: that the schedule must not go back. It is pure and sees only the moment; a request that arrives before the decision keeps an idle node alive, as it should.

Change: the handler keeps refusing once it has been told to, whatever the later steps are.

Conclusion: a request in the last turn of the loop gets a refusal and no effect; whether the refusal is still written depends on the sockets' turn, within a few milliseconds of the request.

--- a/modules/bulrush_entry/front/CallerRequestHandler.cpp
+++ b/modules/bulrush_entry/front/CallerRequestHandler.cpp
@@ -246,7 +246,7 @@
 
 void CallerRequestHandler::drain(DrainStep step)
 {
-    this->refusesNew = step != DrainStep::Serve;
+    this->refusesNew = this->refusesNew || step != DrainStep::Serve;
     if (step == DrainStep::AnswerOpen || step == DrainStep::Stop) {
         this->answerOpenRequests();
     }
--- a/modules/bulrush_entry/front/CallerRequestHandler.h
+++ b/modules/bulrush_entry/front/CallerRequestHandler.h
@@ -45,8 +45,8 @@
     /** Repeats appends that have not succeeded, until their deadlines have passed. */
     void tick();
 
-    /** Follows a step of this node's stop: from RefuseNew on, refuses new requests at once; from
-        AnswerOpen on, answers open ones with what is known of them. */
+    /** Follows a step of this node's stop, which is not taken back: from RefuseNew on, refuses new
+        requests at once; from AnswerOpen on, answers open ones with what is known of them. */
     void drain(DrainStep step);
 
 private:
--- a/modules/bulrush_entry/tests/caller_drain_test.cpp
+++ b/modules/bulrush_entry/tests/caller_drain_test.cpp
@@ -176,3 +176,15 @@
     fixture.log.deliver();
     cr_assert(fixture.answer->outcome == CallerOutcome::Accepted);
 }
+
+/* A request arrives between the decision to stop and the end of the loop: it must not be taken. */
+Test(CallerDrain, aStopIsNotTakenBackByALateRequest)
+{
+    DrainFixture fixture;
+    fixture.handler.drain(DrainStep::Stop);
+    fixture.handler.drain(DrainStep::Serve);
+    fixture.send(CallerRequestKind::Submit);
+    cr_assert(fixture.answer.has_value());
+    cr_assert(fixture.answer->outcome == CallerOutcome::Refused);
+    cr_assert(fixture.log.streams[LogStream::Jobs].empty());
+}
