--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -2,6 +2,7 @@
 
 #include "bulrush_core/events/DecisionLog.h"
 #include "bulrush_entry/front/CallerRequestHandler.h"
+#include "bulrush_entry/front/DrainSchedule.h"
 #include "bulrush_entry/front/StoreHealth.h"
 #include "bulrush_entry/node/EntryMetrics.h"
 #include "bulrush_entry/node/EntryPorts.h"
@@ -47,18 +48,22 @@
         Instant arrivedAt {};
     };
 
-    /** Listens for operators' requests, which are kept apart from callers' requests. */
-    class OperatorsServer : private HttpServer::Listener
+    /** A server of its own, whose requests are kept apart from callers' requests and are answered
+        at once. */
+    class SeparateServer : private HttpServer::Listener
     {
     public:
-        OperatorsServer(EventLoop &loop, const Endpoint &endpoint, EntryNode &owningNode);
-        void respond(HttpServer::RequestId id, HttpResponse response);
+        using Handler = HttpResponse (EntryNode::*)(const HttpRequest &);
+
+        SeparateServer(EventLoop &loop, const Endpoint &endpoint, const HttpServer::Limits &limits,
+                       EntryNode &node, Handler handler);
 
     private:
         void requestArrived(HttpServer::RequestId id, HttpRequest request) override;
         void clientDisconnected(HttpServer::RequestId /*id*/) override { }
 
         EntryNode &node;
+        const Handler handler;
         HttpServer server;
     };
 
@@ -105,8 +110,10 @@
     void takeoverDone(Instant gainedAt, LogOffset markOffset);
     void sendAnswer(HttpServer::RequestId id, const CallerAnswer &answer);
     bool ready();
-    void answerOperator(HttpServer::RequestId id, const HttpRequest &request);
+    HttpResponse readinessResponse(const HttpRequest &request);
+    HttpResponse operatorResponse(const HttpRequest &request);
     NodeStatus status();
+    DrainStep followDrain();
     void drainTick();
 
     EventLoop &loop;
@@ -133,8 +140,8 @@
     OwnerLink owner;
     CallerRequestHandler requestHandler;
     HttpServer callers;
-    HttpServer readiness;
-    OperatorsServer operators;
+    SeparateServer readiness;
+    SeparateServer operators;
     std::map<HttpServer::RequestId, OpenRequest> openRequests;
     /** The resignation from this node's last ownership, until it is recorded in the log. */
     std::optional<Resignation> pendingResignation;
@@ -148,7 +155,8 @@
     /** The planner's load as last logged. */
     PlanLoad reportedPlan;
     Instant lastRequestAt {};
-    std::optional<Instant> drainingSince;
+    /** Set when this node was told to stop. */
+    std::optional<DrainSchedule> drainSchedule;
 };
 
 } // namespace bulrush
