Check a stored job before it is used

Cause: decodeJob takes any numbers. A record of the jobs stream whose key names another job than its value made the owner use the job of the key, which was not in the table (a null pointer in Dispatcher::applyJobRecord). A step that depends on itself or on a missing one was looked up with at(), and billions of tasks or occurrences raised bad_alloc; neither is an Error, so nobody caught them and each node that read the record ended. Times near 2^63 overflowed when they were summed or converted to nanoseconds, also those of a resignation.

Ruled out: values that are no JSON, of another type or deeply nested; they raise Errors already, which every reader of these streams logs.

Change: checkLimits (model/JobLimits) bounds tasks, steps, dependencies, demands and times; StepJobTable calls it, compares the ids, and bounds the waits of a resignation. A resignation that is ignored means a wait in full, the safe side.

Before: five new tests of StepJobTable failed, one with an uncaught bad_alloc. After: all 181 tests of bulrush_steps pass.

Conclusion: only the system writes these streams, so this needs a writer of ours that is wrong, but one such record would have ended all nodes for good.

--- a/modules/bulrush_steps/model/StepJobTable.cpp
+++ b/modules/bulrush_steps/model/StepJobTable.cpp
@@ -1,9 +1,40 @@
 #include "bulrush_steps/model/StepJobTable.h"
 
+#include "bulrush_core/errors/Error.h"
+#include "bulrush_steps/model/JobLimits.h"
+
 #include <algorithm>
 
 namespace bulrush {
 
+namespace {
+
+/** The longest wait for former owners that a resignation may leave. */
+constexpr milliseconds maxUnsettledWait { std::chrono::hours(1) };
+
+StepJob decodeJob(const JobId &id, std::string_view value)
+{
+    StepJob job = records::decodeJob(value);
+    if (job.id != id) {
+        throw Error("check job", "job", "is not the one that the key names");
+    }
+    checkLimits(job);
+    return job;
+}
+
+Resignation decodeResignation(std::string_view value)
+{
+    Resignation resignation = records::decodeResignation(value);
+    for (const UnsettledOwner &former : resignation.unsettled) {
+        if (former.left < milliseconds(0) || former.left > maxUnsettledWait) {
+            throw Error("check resignation", "unsettled", "is out of bounds");
+        }
+    }
+    return resignation;
+}
+
+} // namespace
+
 JobState JobEntry::visibleState() const
 {
     if (this->endStored && this->succeeded) {
@@ -100,7 +131,7 @@
         return std::nullopt;
     }
     if (key.kind == records::KeyKind::Resignation) {
-        Resignation resignation = records::decodeResignation(record.value);
+        Resignation resignation = decodeResignation(record.value);
         const std::uint64_t token = resignation.fencingToken;
         this->ownerResignations.insert_or_assign(token, std::move(resignation));
         return std::nullopt;
@@ -117,7 +148,7 @@
     if (key.kind != records::KeyKind::Job || this->find(key.job) != nullptr) {
         return std::nullopt;
     }
-    JobEntry &job = this->addJob(records::decodeJob(record.value));
+    JobEntry &job = this->addJob(decodeJob(key.job, record.value));
     const UnixMillis age = clock.calendarMillis() - job.spec.acceptedAt;
     job.acceptedAt = clock.now() - milliseconds(std::max<UnixMillis>(0, age));
     job.cancelled = this->pendingCancellations.erase(key.job) > 0;
--- a/modules/bulrush_steps/tests/step_job_table_test.cpp
+++ b/modules/bulrush_steps/tests/step_job_table_test.cpp
@@ -3,6 +3,9 @@
 
 #include <criterion/criterion.h>
 
+#include <functional>
+#include <limits>
+
 using namespace bulrush;
 
 namespace {
@@ -153,3 +156,85 @@
     job.endStored = true;
     cr_assert(job.visibleState() == JobState::Succeeded);
 }
+
+namespace {
+
+/** Returns whether a job's record is rejected with an Error; any other exception would end the
+    process. */
+bool rejectsRecord(const KeyedRecord &record)
+{
+    const ManualClock clock;
+    StepJobTable table;
+    try {
+        table.applyJobRecord(record, clock);
+        return table.entries().empty();
+    } catch (const Error &) {
+        return true;
+    }
+}
+
+bool rejectsJob(const std::function<void(StepJob &)> &change)
+{
+    StepJob job = makeTwoStepJob("a");
+    change(job);
+    return rejectsRecord(makeRecord(job, 1));
+}
+
+} // namespace
+
+/* A record named another job than its key, and the owner used the job of the key, which was not
+   there. */
+Test(StepJobTable, aRecordOfAnotherJobThanItsKeyIsRejected)
+{
+    cr_assert(rejectsRecord({ "job/b", records::encode(makeTwoStepJob("a")), 1 }));
+    cr_assert_not(rejectsRecord({ "job/a", records::encode(makeTwoStepJob("a")), 1 }));
+}
+
+/* A step that depends on itself or on a missing one was looked up and ended the process. */
+Test(StepJobTable, aStepThatDependsOnNoEarlierOneIsRejected)
+{
+    for (const std::uint32_t step : { 1U, 2U, 4'294'967'295U }) {
+        cr_assert(rejectsJob([step](StepJob &job) { job.steps[1].dependsOn = { step }; }));
+    }
+}
+
+/* A state is kept for each task of each occurrence: billions of them exhaust the memory. */
+Test(StepJobTable, aRecordWithTooManyTasksIsRejected)
+{
+    cr_assert(rejectsJob([](StepJob &job) { job.steps[0].taskCount = 4'000'000'000; }));
+    cr_assert(rejectsJob([](StepJob &job) { job.occurrences = 4'000'000'000; }));
+    cr_assert(rejectsJob([](StepJob &job) { job.steps[0].taskCount = 0; }));
+}
+
+/* Times are summed and converted to nanoseconds, demands are multiplied. */
+Test(StepJobTable, aRecordWithANumberOutOfRangeIsRejected)
+{
+    constexpr std::int64_t most = std::numeric_limits<std::int64_t>::max();
+    for (const std::int64_t odd : { most, -most, std::int64_t { -1 } }) {
+        cr_assert(rejectsJob([odd](StepJob &job) { job.steps[0].estimate = milliseconds(odd); }));
+        cr_assert(rejectsJob([odd](StepJob &job) { job.steps[0].tailTarget = milliseconds(odd); }));
+        cr_assert(rejectsJob([odd](StepJob &job) { job.steps[0].size.cpuMilli = odd; }));
+        cr_assert(rejectsJob([odd](StepJob &job) { job.steps[0].size.memoryMb = odd; }));
+        cr_assert(rejectsJob([odd](StepJob &job) { job.steps[0].size.accelerators = odd; }));
+        cr_assert(rejectsJob([odd](StepJob &job) { job.firstDue = odd; }));
+        cr_assert(rejectsJob([odd](StepJob &job) { job.interval = milliseconds(odd); }));
+        cr_assert(rejectsJob([odd](StepJob &job) { job.acceptedAt = odd; }));
+        cr_assert(rejectsJob([odd](StepJob &job) { job.latencyTarget = milliseconds(odd); }));
+        cr_assert(rejectsJob([odd](StepJob &job) { job.slackFactor = double(odd) * 1e300; }));
+    }
+}
+
+/* A resignation that leaves a negative or endless wait would free tasks at once, or never. */
+Test(StepJobTable, aResignationWithAWaitOutOfRangeIsRejected)
+{
+    constexpr std::int64_t most = std::numeric_limits<std::int64_t>::max();
+    for (const std::int64_t odd : { most, -most, std::int64_t { -1 } }) {
+        const ManualClock clock;
+        StepJobTable table;
+        const Resignation resignation { 2, { { 1, milliseconds(odd) } } };
+        cr_assert_throw(table.applyJobRecord({ records::resignationKey(2),
+                                               records::encodeResignation(resignation), 1 },
+                                             clock),
+                        Error);
+    }
+}
