Stop using a worker whose newest entry is malformed

Cause: WorkerFollower only forgot when the entry was written when another writer put a malformed one under a good worker's key. The entry before it stayed in force, and the worker got new tasks, although its newest entry "names no executor to use".

Ruled out: taking the worker for departed. Its cause of removal was, and is, Unknown: its runs keep their lease, and nothing is given up.

Change: the worker counts as unlisted for an unknown cause until a valid entry is read. WorkerManager then gives it no new task, goes on holding it while it has runs, and takes it back with its next heartbeat.

Conclusion: a malformed entry now has the same effect whether a good one was there before or not, and one more heartbeat of the worker ends it.

--- a/modules/bulrush_steps/follow/WorkerFollower.cpp
+++ b/modules/bulrush_steps/follow/WorkerFollower.cpp
@@ -100,9 +100,9 @@
         this->listed.insert_or_assign(worker, this->unreadSince);
         this->listener.workerListed(entry);
     } catch (const Error &error) {
-        // Another writer's record says nothing of when the worker wrote its own.
-        if (const auto entry = this->listed.find(worker); entry != this->listed.end()) {
-            entry->second.reset();
+        // Another writer's record names no worker to use, and says nothing of how the worker fares.
+        if (this->listed.erase(worker) > 0) {
+            this->listener.workerUnlisted(worker, RemovalCause::Unknown);
         }
         if (this->malformedKeys.size() < maxMalformedKeys
             && this->malformedKeys.insert(record.key).second) {
--- a/modules/bulrush_steps/tests/follow_test.cpp
+++ b/modules/bulrush_steps/tests/follow_test.cpp
@@ -242,6 +242,45 @@
     cr_assert(list.listed == std::set<TargetId>({ TargetId("w2") }));
 }
 
+/* The newest entry names no worker to use, so the one before it must not stay in use. Another
+   writer's entry tells nothing of the worker's end either. */
+Test(WorkerFollower, aMalformedEntryUnderAGoodWorkersKeyUnlistsTheWorkerForNoKnownCause)
+{
+    FakeLog log;
+    write(log, LogStream::Workers, "w1", "ready");
+    write(log, LogStream::Workers, "w2", "ready");
+    WorkerList list(log);
+    list.read();
+    write(log, LogStream::Workers, "w1", "{{{");
+    list.read();
+    cr_assert(list.listed == std::set<TargetId>({ TargetId("w2") }));
+    cr_assert(list.causes.at(TargetId("w1")) == RemovalCause::Unknown);
+    list.causes.clear();
+    write(log, LogStream::Workers, "w1", "");
+    list.read();
+    cr_assert(list.causes.empty(),
+              "the removal of a malformed entry was taken for the worker's own");
+    write(log, LogStream::Workers, "w1", "ready");
+    list.read();
+    cr_assert(list.listed.contains(TargetId("w1")));
+}
+
+/* The malformed entry is read with the newest records, after the history was trimmed. */
+Test(WorkerFollower, aMalformedEntryAmongTheNewestRecordsUnlistsItsWorker)
+{
+    FakeLog log;
+    write(log, LogStream::Workers, "w1", "ready");
+    write(log, LogStream::Workers, "w2", "ready");
+    WorkerList list(log);
+    list.read();
+    write(log, LogStream::Workers, "w1", "{{{");
+    log.firstRetained = log.streams[LogStream::Workers].size();
+    write(log, LogStream::Workers, "w3", "ready");
+    list.read();
+    cr_assert(list.listed == std::set<TargetId>({ TargetId("w2"), TargetId("w3") }));
+    cr_assert(list.causes.at(TargetId("w1")) == RemovalCause::Unknown);
+}
+
 /* A queue was withdrawn by a newer configuration. Neither a restart nor a late copy of the older
    record may bring the older one back. */
 Test(ConfigFollower, aWithdrawnConfigurationIsNotInForceAgain)
