--- a/modules/bulrush_steps/model/StepJob.cpp
+++ b/modules/bulrush_steps/model/StepJob.cpp
@@ -21,12 +21,14 @@
 
 std::int64_t StepJob::estimatedCoreMillis() const
 {
-    constexpr std::int64_t milliPerProcessor = 1000;
-    std::int64_t sum = 0;
+    constexpr double milliPerProcessor = 1000.0;
+    constexpr double max = 9e18;
+    double sum = 0.0;
     for (const StepSpec &step : this->steps) {
-        sum += step.taskCount * step.size.cpuMilli * step.estimate.count() / milliPerProcessor;
+        sum += static_cast<double>(step.taskCount) * static_cast<double>(step.size.cpuMilli)
+                * static_cast<double>(step.estimate.count()) / milliPerProcessor;
     }
-    return sum * this->occurrences;
+    return static_cast<std::int64_t>(std::min(sum * this->occurrences, max));
 }
 
 } // namespace bulrush
--- a/modules/bulrush_steps/model/StepJob.h
+++ b/modules/bulrush_steps/model/StepJob.h
@@ -127,7 +127,8 @@
     /** Returns the number of tasks of all steps and occurrences. */
     std::size_t taskCount() const;
 
-    /** Returns the work of all tasks by their estimates, in milliseconds of one processor. */
+    /** Returns the work of all tasks by their estimates, in milliseconds of one processor;
+        9e18 when it is more. */
     std::int64_t estimatedCoreMillis() const;
 };
 
