Read the roster's former owners without copying them

Cause: decodeRoster read formerOwners with json::value(), which copies the field. Copying a JSON value recurses once a level, so a roster with deeply nested arrays there overflowed the stack, and each node that read the progress stream ended.

Ruled out: the other fields of our own records. They are read as numbers, texts or lists of numbers, and a nested value raises an Error, as the test shows for the list of workers and for the schema version.

Change: the field is read in place, if it is there.

Before: StepJobTable::aDeeplyNestedRosterIsRejected ended with a signal.

Only the system writes this stream.

--- a/modules/bulrush_steps/model/JobRecords.cpp
+++ b/modules/bulrush_steps/model/JobRecords.cpp
@@ -277,7 +277,10 @@
             roster.workers.emplace_back(name.get<std::string>());
         }
         roster.fencingToken = record.value("fencingToken", std::uint64_t { 0 });
-        for (const json &owner : record.value("formerOwners", json::array())) {
+        if (!record.contains("formerOwners")) {
+            return roster;
+        }
+        for (const json &owner : record.at("formerOwners")) {
             roster.formerOwners.push_back(
                     { owner.at(0).get<std::uint64_t>(), owner.at(1).get<std::string>() });
         }
--- a/modules/bulrush_steps/tests/step_job_table_test.cpp
+++ b/modules/bulrush_steps/tests/step_job_table_test.cpp
@@ -238,3 +238,16 @@
                         Error);
     }
 }
+
+/* Copying a deeply nested field of the roster overflowed the stack. */
+Test(StepJobTable, aDeeplyNestedRosterIsRejected)
+{
+    constexpr std::size_t brackets = 150'000;
+    const std::string nested = std::string(brackets, '[') + std::string(brackets, ']');
+    StepJobTable table;
+    for (const char *fields : { R"({"schema":1,"workers":[],"formerOwners":)",
+                                R"({"schema":1,"workers":)", R"({"schema":)" }) {
+        const KeyedRecord record { records::rosterKey(), fields + nested + "}", 1 };
+        cr_assert_throw(table.applyProgress(record), Error);
+    }
+}
