--- a/soak/NodeProcess.cpp
+++ b/soak/NodeProcess.cpp
@@ -5,7 +5,6 @@
 #include <fcntl.h>
 #include <fstream>
 #include <stdexcept>
-#include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
 #include <utility>
--- a/soak/NodeProcess.h
+++ b/soak/NodeProcess.h
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <sys/types.h>
+#include <sys/wait.h>
 
 namespace bulrush::soak {
 
@@ -36,6 +37,9 @@
     int callersPort() const { return callersPortNumber; }
     bool isRunning() const { return this->process > 0; }
 
+    /** Returns whether the process runs, and notes its end if it has ended by itself. */
+    bool checkRunning() { return this->process > 0 && !this->hasEnded(WNOHANG); }
+
 private:
     static constexpr int callersPortNumber = 8161;
 
--- a/soak/StoreServer.cpp
+++ b/soak/StoreServer.cpp
@@ -13,6 +13,9 @@
 constexpr int statusUnavailable = 503;
 constexpr std::size_t maxPageRecords = 500;
 constexpr std::size_t maxReadRecords = 2000;
+
+/** A page ends after the record with which it reaches this size. */
+constexpr std::size_t maxPageBytes = 1U << 20U;
 constexpr std::int64_t maxWaitMs = 30'000;
 
 /** Partitions of the group's topic; the member that holds the first one is the owner. */
@@ -54,6 +57,12 @@
     return text.append((4 - text.size() % 4) % 4, '=');
 }
 
+/** Returns a text with the bytes replaced that are no UTF-8, as JSON can hold no others. */
+std::string replaceInvalidUtf8(const std::string &text)
+{
+    return json::parse(json(text).dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
 } // namespace
 
 StoreServer::StoreServer(unsigned seed)
@@ -167,7 +176,7 @@
     appendBigEndian(body, records.size(), 8);
     appendBigEndian(body, 0, 8);
     const std::size_t end = std::min(records.size(), from + maxReadRecords);
-    for (std::size_t at = from; at < end; ++at) {
+    for (std::size_t at = from; at < end && body.size() < maxPageBytes; ++at) {
         const Record &record = records[at];
         appendBigEndian(body, 1 + record.key.size() + record.value.size(), 4);
         body.push_back(static_cast<char>(record.key.size()));
@@ -186,15 +195,18 @@
     }
     json items = json::array();
     const std::string after = request.get_param_value("dependsOn");
-    for (auto at = newestOffsetByKey.upper_bound(after);
-         at != newestOffsetByKey.end() && items.size() < maxPageRecords; ++at) {
+    std::size_t bytes = 0;
+    auto at = newestOffsetByKey.upper_bound(after);
+    for (; at != newestOffsetByKey.end() && items.size() < maxPageRecords && bytes < maxPageBytes;
+         ++at) {
         if (!records[at->second].value.empty()) {
-            items.push_back({ { "key", at->first },
+            bytes += records[at->second].value.size();
+            items.push_back({ { "key", replaceInvalidUtf8(at->first) },
                               { "value", base64(records[at->second].value) },
                               { "offset", at->second } });
         }
     }
-    const bool more = items.size() == maxPageRecords;
+    const bool more = at != newestOffsetByKey.end();
     standins::answerJson(
             answer, { { "items", items }, { "hasMore", more }, { "endOffset", records.size() } });
 }
--- a/soak/WorkerServer.cpp
+++ b/soak/WorkerServer.cpp
@@ -130,6 +130,7 @@
         this->endRun(task, "stopped");
     }
     this->running[task] = { attempt, this->clock.nowMs() };
+    ++this->startCount;
     this->checker.recordRunStarted(task, this->name);
     standins::answerJson(answer, { { "clockMs", this->workerClock() } });
 }
--- a/soak/WorkerServer.h
+++ b/soak/WorkerServer.h
@@ -32,6 +32,9 @@
 
     const std::string &workerName() const { return this->name; }
 
+    /** Returns the number of runs that were started. */
+    std::uint64_t startedRuns() const { return this->startCount; }
+
     /** Simulates a restart of the process: its runs and all other state are lost. */
     void crash();
 
@@ -78,6 +81,7 @@
     std::map<std::string, std::uint64_t> highestAttempt;
     std::vector<EndedRun> endedRuns;
     std::uint64_t lastEndNumber = 0;
+    std::atomic<std::uint64_t> startCount = 0;
     std::atomic<bool> closing = false;
     standins::LoopbackServer server;
     int port = 0;
