Escape the key after which the next page of a list begins

Cause: StoreClient put keys into the query as they are, and the HTTP client left "&", "=" and "+" unescaped, because it encoded the whole query. When a page of the newest records ended with a key that holds one of them, the store read a shorter key and sent the same page again, for ever. The list was never read to its end, no worker was known, and no job ran; no process ended.

Ruled out: "%", "#" and "?", which were escaped before. A page that ends with an empty key would still be read again (not mended: the call has no form for it).

All other queries hold numbers and constants only.

Before: with five entries of 1.1 MB under such keys, the process test failed in "daemons that begin with the odd records: a good job was not completed".

--- a/modules/bulrush_net/http/HttpClient.cpp
+++ b/modules/bulrush_net/http/HttpClient.cpp
@@ -26,7 +26,8 @@
 {
     std::string text = request.method + " " + percentEncoded(request.path);
     if (!request.query.empty()) {
-        text += "?" + percentEncoded(request.query);
+        // Its values are encoded already, which only their caller can do.
+        text += "?" + request.query;
     }
     text += " HTTP/1.1\r\n";
     if (headerValue(request.headers, "host").empty()) {
--- a/soak/OddRecords.cpp
+++ b/soak/OddRecords.cpp
@@ -160,6 +160,18 @@
     return group;
 }
 
+/** Returns long entries, with each of which a page of the list ends, under keys that mean something
+    else in a query. */
+OddGroup oddPageEnds()
+{
+    constexpr std::size_t pageBytes = 1'100'000;
+    OddGroup group { "the key with which a page ends", {} };
+    for (const char *key : { "m&dependsOn=a", "m+a", "m%2B", "m#a", "m?a=b" }) {
+        group.records.push_back({ workersTopic, key, std::string(pageBytes, 'x') });
+    }
+    return group;
+}
+
 OddGroup oddValues()
 {
     OddGroup group { "the whole value", {} };
@@ -210,7 +222,7 @@
 
 std::vector<OddGroup> oddWorkerEntries(int port)
 {
-    std::vector<OddGroup> groups { oddKeys(port), oddValues() };
+    std::vector<OddGroup> groups { oddKeys(port), oddPageEnds(), oddValues() };
     for (const FieldTexts &odd : oddFields(port)) {
         OddGroup group { "the field " + odd.field, {} };
         for (const std::string &text : odd.texts) {
