--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -274,7 +274,7 @@
         task.lastAttempt = std::max(task.lastAttempt, listed.attempt.attempt);
         job->started = true;
         if (!run.stopRequested) {
-            this->recordAssignment(*job, listed.attempt.task, worker.entry.worker);
+            this->recordFoundRun(*job, listed.attempt.task, worker.entry.worker);
         }
     }
     this->decisions.write(DecisionLine(Event::RunFound)
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -174,9 +174,12 @@
     void addWaiting(const JobEntry &job);
     std::size_t heldTasksOf(const JobEntry &job) const;
 
-    /** Has the record of a task name the worker of its next run, if it is a long-running task.
-        @returns whether the record names that worker already, or need not */
-    bool recordAssignment(JobEntry &job, const TaskRef &ref, const TargetId &worker);
+    /** Has the record of a task name the worker of its next run. Also when it names that worker
+        already, so that the store refuses the record of a former owner. */
+    void recordAssignment(JobEntry &job, const TaskRef &ref, const TargetId &worker);
+
+    /** Has the record of a long-running task name the worker on which a run of it was found. */
+    void recordFoundRun(JobEntry &job, const TaskRef &ref, const TargetId &worker);
 
     /** Sends the starts whose assignments are on record, and discards those that are no longer
         wanted or possible. */
--- a/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
@@ -10,17 +10,18 @@
 
 namespace bulrush {
 
-bool Dispatcher::recordAssignment(JobEntry &job, const TaskRef &ref, const TargetId &worker)
+void Dispatcher::recordAssignment(JobEntry &job, const TaskRef &ref, const TargetId &worker)
 {
-    if (!job.step(ref).runsIndefinitely) {
-        return true;
-    }
     StepTask &task = job.task(ref);
-    if (task.assignedTo != worker) {
-        task.assignedTo = worker;
-        task.assignmentChange = this->writer.markJobChanged(job.spec.id, true);
+    task.assignedTo = worker;
+    task.assignmentChange = this->writer.markJobChanged(job.spec.id, true);
+}
+
+void Dispatcher::recordFoundRun(JobEntry &job, const TaskRef &ref, const TargetId &worker)
+{
+    if (job.step(ref).runsIndefinitely && job.task(ref).assignedTo != worker) {
+        this->recordAssignment(job, ref, worker);
     }
-    return task.assignmentChange <= this->writer.storedChange();
 }
 
 void Dispatcher::startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt)
@@ -35,11 +36,14 @@
     ++task.openRuns;
     task.apartWaitSince.reset();
     const TargetId &id = worker.entry.worker;
-    const bool onRecord = this->recordAssignment(job, ref, id);
     this->workerManager.reserve(worker, run);
-    if (onRecord) {
+    if (task.startedApart) {
+        CrashSuspects::setApart(worker, run.attempt, this->clock.now());
+    }
+    if (!job.step(ref).runsIndefinitely) {
         this->sendStart(job, worker, worker.runs.at(run.attempt));
     } else {
+        this->recordAssignment(job, ref, id);
         this->assignedStarts.add({ run.attempt, id, run.fillCpuMilli > 0, task.assignmentChange });
     }
 }
@@ -55,7 +59,7 @@
                     .with("task", text(run.attempt.task))
                     .with("attempt", run.attempt.attempt)
                     .with("worker", worker.entry.worker.name())
-                    .with("free_cpu", worker.free().cpuMilli)
+                    .with("free_cpu", worker.free().cpuMilli + run.size.cpuMilli)
                     .with("fill_room", static_cast<std::int64_t>(worker.availableFillCpuMilli))
                     .with("resumes", !task.checkpoint.empty()));
     this->workerManager.startReserved(worker, run, job.spec, task.checkpoint);
@@ -70,7 +74,8 @@
             continue;
         }
         const auto run = worker->runs.find(start.attempt);
-        const bool wanted = run != worker->runs.end() && !run->second.stopRequested;
+        const bool wanted = run != worker->runs.end() && !run->second.stopRequested
+                && job->task(start.attempt.task).assignedTo == start.worker;
         if (!wanted || !worker->takesStarts()) {
             this->discardStart(*worker, start.attempt);
         } else if (start.change > this->writer.storedChange() || !this->mayCommand()) {
--- a/modules/bulrush_steps/tests/assignment_record_test.cpp
+++ b/modules/bulrush_steps/tests/assignment_record_test.cpp
@@ -262,10 +262,10 @@
     FormerOwners owners;
     owners.begin({ { 1, { 1, "m1", true } }, { 2, { 2, "m2", false } } }, Roster { {}, 2, {} }, 3,
                  start + fullWait);
-    cr_assert_not(owners.recordAssignments(start));
+    cr_assert_not(owners.recordAssignments());
     owners.begin({ { 1, { 1, "m1", true } }, { 2, { 2, "m2", true } } }, Roster { {}, 2, {} }, 3,
                  start + fullWait);
-    cr_assert(owners.recordAssignments(start));
+    cr_assert(owners.recordAssignments());
 }
 
 /* Of an owner that only a resignation names, or a roster of an earlier version, nothing is known.
@@ -276,11 +276,11 @@
     const std::map<std::uint64_t, OwnerRecord> records { { 2, { 2, "m2", true } } };
     owners.begin(records, Roster { {}, 2, {} }, 3, start + fullWait);
     owners.resigned({ 2, { { 1, milliseconds(9'000) } } }, start, milliseconds(5'000));
-    cr_assert_not(owners.recordAssignments(start));
+    cr_assert_not(owners.recordAssignments());
     owners.begin(records, Roster { {}, 0, {} }, 3, start + fullWait);
-    cr_assert_not(owners.recordAssignments(start));
+    cr_assert_not(owners.recordAssignments());
     owners.begin(records, Roster { {}, 2, { { 1, "m1", false } } }, 3, start + fullWait);
-    cr_assert_not(owners.recordAssignments(start));
+    cr_assert_not(owners.recordAssignments());
 }
 
 /* Owner 1's own record may be gone; the roster of owner 2 tells its successor. */
