--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -40,15 +40,6 @@
 constexpr milliseconds resignationTimeout { 500 };
 constexpr int maxResignationAttempts = 6;
 
-/** A stopping node is idle when no request has arrived for this long. */
-constexpr milliseconds idlePeriod { 1200 };
-
-/** Time within which the platform removes a node that is not ready from rotation. */
-constexpr milliseconds rotationRemovalTime { 2500 };
-
-/** Part of the grace period that is reserved for the exit of the process. */
-constexpr milliseconds exitMargin { 700 };
-
 /** Paths of the operators' interface. */
 constexpr std::string_view metricsPath = "/metrics";
 constexpr std::string_view statusPath = "/v1/status";
@@ -119,8 +110,10 @@
     , requestHandler(systemClock, this->store, entryPorts.decoder, this->owner, this->view,
                      this->health, decisionLog)
     , callers(eventLoop, entrySettings.callers, callerLimits(entryPorts.callers), *this)
-    , readiness(eventLoop, entrySettings.readiness, HttpServer::Limits(), *this)
-    , operators(eventLoop, entrySettings.operators, *this)
+    , readiness(eventLoop, entrySettings.readiness, HttpServer::Limits(), *this,
+                &EntryNode::readinessResponse)
+    , operators(eventLoop, entrySettings.operators, operatorLimits, *this,
+                &EntryNode::operatorResponse)
 {
     this->startedAt = this->clock.now();
     this->nextTickAt = this->startedAt;
@@ -148,7 +141,7 @@
     this->owner.askFormerOwners(this->dispatcher.formerOwnersToAsk(),
                                 this->ownership.fencingToken());
     this->refreshStandbyView();
-    if (this->drainingSince) {
+    if (this->drainSchedule) {
         this->drainTick();
     }
     this->reportOwnerLoad();
@@ -363,16 +356,13 @@
 
 bool EntryNode::ready()
 {
-    return !this->drainingSince && this->requestHandler.configured() && !this->health.checkLost();
+    return !this->drainSchedule && this->requestHandler.configured() && !this->health.checkLost();
 }
 
 void EntryNode::requestArrived(HttpServer::RequestId id, HttpRequest request)
 {
-    if (this->ports.callers.isReadinessRequest(request)) {
-        HttpResponse response;
-        response.status = this->ready() ? 200 : 503;
-        this->readiness.respond(id, std::move(response));
-        return;
+    if (this->drainSchedule) {
+        this->followDrain();
     }
     const CallerRequest decoded = this->ports.callers.decode(request);
     this->lastRequestAt = this->clock.now();
@@ -381,21 +371,29 @@
             decoded, [this, id](const CallerAnswer &answer) { this->sendAnswer(id, answer); });
 }
 
-EntryNode::OperatorsServer::OperatorsServer(EventLoop &eventLoop, const Endpoint &endpoint,
-                                            EntryNode &owningNode)
+EntryNode::SeparateServer::SeparateServer(EventLoop &eventLoop, const Endpoint &endpoint,
+                                          const HttpServer::Limits &limits, EntryNode &owningNode,
+                                          Handler requestHandler)
     : node(owningNode)
-    , server(eventLoop, endpoint, operatorLimits, *this)
+    , handler(requestHandler)
+    , server(eventLoop, endpoint, limits, *this)
 {
 }
 
-void EntryNode::OperatorsServer::respond(HttpServer::RequestId id, HttpResponse response)
+void EntryNode::SeparateServer::requestArrived(HttpServer::RequestId id, HttpRequest request)
 {
-    this->server.respond(id, std::move(response));
+    this->server.respond(id, (this->node.*this->handler)(request));
 }
 
-void EntryNode::OperatorsServer::requestArrived(HttpServer::RequestId id, HttpRequest request)
+HttpResponse EntryNode::readinessResponse(const HttpRequest &request)
 {
-    this->node.answerOperator(id, request);
+    HttpResponse response;
+    if (this->ports.callers.isReadinessRequest(request)) {
+        response.status = this->ready() ? 200 : 503;
+    } else {
+        response.status = 404;
+    }
+    return response;
 }
 
 NodeStatus EntryNode::status()
@@ -405,7 +403,7 @@
     status.dataCentre = this->settings.dataCentre.name();
     status.uptime = this->clock.now() - this->startedAt;
     status.ready = this->ready();
-    status.draining = this->drainingSince.has_value();
+    status.draining = this->drainSchedule.has_value();
     status.owner = this->dispatcher.active();
     status.fencingToken = this->ownership.fencingToken();
     status.configVersion = this->config.config() ? this->config.config()->version : 0;
@@ -414,20 +412,18 @@
     return status;
 }
 
-void EntryNode::answerOperator(HttpServer::RequestId id, const HttpRequest &request)
+HttpResponse EntryNode::operatorResponse(const HttpRequest &request)
 {
     HttpResponse response;
     if (request.method == "GET" && request.path == metricsPath) {
         this->metrics.setDroppedLines(this->decisions.droppedLines());
         response.contentType = "text/plain; version=0.0.4";
         response.body = this->metrics.text();
-        this->operators.respond(id, std::move(response));
-        return;
+        return response;
     }
     if (request.method == "GET" && request.path == statusPath) {
         response.body = statusJson(this->status(), this->dispatcher);
-        this->operators.respond(id, std::move(response));
-        return;
+        return response;
     }
     if (request.method == "GET" && request.path.starts_with(explainPath)) {
         const JobId job(request.path.substr(explainPath.size()));
@@ -436,11 +432,10 @@
         const std::optional<std::string> text = explainJson(job, table, this->dispatcher);
         response.status = text ? 200 : 404;
         response.body = text.value_or(R"({"error":"the job is not known here; ask the owner"})");
-        this->operators.respond(id, std::move(response));
-        return;
+        return response;
     }
     response.status = 404;
-    this->operators.respond(id, std::move(response));
+    return response;
 }
 
 void EntryNode::sendAnswer(HttpServer::RequestId id, const CallerAnswer &answer)
@@ -452,7 +447,12 @@
     const Duration elapsed = this->clock.now() - found->second.arrivedAt;
     this->metrics.recordCallerRequest(found->second.kind, answer.outcome, elapsed);
     this->openRequests.erase(found);
-    this->callers.respond(id, this->ports.callers.encode(answer));
+    HttpResponse response = this->ports.callers.encode(answer);
+    if (this->drainSchedule) {
+        // The caller's next connection goes to another node.
+        response.headers.push_back({ "connection", "close" });
+    }
+    this->callers.respond(id, std::move(response));
 }
 
 void EntryNode::clientDisconnected(HttpServer::RequestId id)
@@ -467,29 +467,33 @@
 
 void EntryNode::drain()
 {
-    if (this->drainingSince) {
+    if (this->drainSchedule) {
         return;
     }
-    this->drainingSince = this->clock.now();
+    this->drainSchedule.emplace(this->settings.gracePeriod, this->clock.now());
     this->decisions.write(
             DecisionLine(Event::NodeStopping)
                     .with("open_requests", static_cast<std::int64_t>(this->openRequests.size())));
     this->ownership.leave();
 }
 
+DrainStep EntryNode::followDrain()
+{
+    const CallerActivity activity { this->callers.openRequests(), this->lastRequestAt };
+    const DrainStep step = this->drainSchedule->stepAt(this->clock.now(), activity);
+    this->requestHandler.drain(step);
+    return step;
+}
+
 void EntryNode::drainTick()
 {
-    const Instant now = this->clock.now();
-    const Duration sinceDrain = now - *this->drainingSince;
-    const bool idle = this->openRequests.empty() && now - this->lastRequestAt > idlePeriod
-            && sinceDrain > rotationRemovalTime;
-    if (!idle && sinceDrain < this->settings.gracePeriod - exitMargin) {
+    if (this->followDrain() != DrainStep::Stop) {
         return;
     }
     this->decisions.write(
-            DecisionLine(Event::NodeStopped)
-                    .with("open_requests", static_cast<std::int64_t>(this->openRequests.size())));
-    this->loop.stop();
+            DecisionLine(Event::NodeStopped).with("open_requests", this->callers.openRequests()));
+    // The sockets are serviced before the timer fires, so that answers made just now are written.
+    this->loop.schedule(Duration::zero(), [this] { this->loop.stop(); });
 }
 
 } // namespace bulrush
