Leave starts in flight to tasks that end while long-running ones wait for the store

A start that waits for the record of its assignment counts in the window of starts in flight. At most 48 starts of a lane wait for their records now; the others are planned when these are sent.

--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -19,6 +19,11 @@
 constexpr PlanLimits reservingLimits { 2, milliseconds(20), milliseconds(0) };
 constexpr PlanLimits fillingLimits { 2, milliseconds(10), milliseconds(100) };
 
+/** Maximum number of starts of a lane that wait for the record of their assignment. They count in
+    the window of starts in flight, of which they must leave a part to other tasks while the store
+   is down. */
+constexpr std::uint32_t maxUnsentStarts = 48;
+
 } // namespace
 
 Planner::Planner(const Clock &systemClock, StepJobTable &jobTable, WorkerManager &workerManager,
@@ -227,7 +232,7 @@
     for (const std::uint32_t index : indices) {
         ref.index = index;
         StepTask &task = job.task(ref);
-        if (!this->mayStartMore(lane)) {
+        if (!this->mayStartMore(lane) || !this->mayAssignMore(lane, step)) {
             return true;
         }
         request.failedOn = task.failedOn;
@@ -311,6 +316,11 @@
     return this->workers.startWindow(lane.fills).isOpen(unsent) && this->listener.mayCommand();
 }
 
+bool Planner::mayAssignMore(const PlanLane &lane, const StepSpec &step) const
+{
+    return !step.runsIndefinitely || this->listener.unsentStarts(lane.fills) < maxUnsentStarts;
+}
+
 void Planner::plan(PlanLane &lane, Instant now)
 {
     if (now < lane.nextRound || !this->mayStartMore(lane)) {
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -94,6 +94,9 @@
     std::vector<std::uint32_t> tasksToStart(const PlanCandidate &candidate) const;
     bool planGang(const PlanCandidate &candidate, Instant now);
     bool mayStartMore(const PlanLane &lane) const;
+
+    /** Returns whether another task of a step may be assigned, if its assignments are recorded. */
+    bool mayAssignMore(const PlanLane &lane, const StepSpec &step) const;
     void rankWaiting(PlanLane &lane, Instant now);
 
     /** Adds the steps of a job that have tasks to start to the queue of a lane.
--- a/modules/bulrush_steps/tests/assignment_guard_test.cpp
+++ b/modules/bulrush_steps/tests/assignment_guard_test.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace bulrush;
 using namespace bulrush::test;
 
@@ -178,3 +180,31 @@
     fixture.runFor(formerOrdersLifetime - seconds(1));
     cr_assert_eq(fixture.workers.starts.size(), 0U, "%zu starts", fixture.workers.starts.size());
 }
+
+/* Long-running tasks wait for the store; they must not use up the starts that others may have in
+   flight. */
+Test(AssignmentGuard, tasksThatEndStartWhileManyLongRunningOnesWaitForTheStore)
+{
+    DispatcherFixture fixture;
+    fixture.begin({});
+    for (int i = 0; i < 40; ++i) {
+        fixture.listWorker(("w" + std::to_string(100 + i)).c_str());
+    }
+    fixture.runFor(milliseconds(300));
+    fixture.log.up = false;
+    StepJob lasting = makeLastingJob("a");
+    lasting.steps[0].taskCount = 400;
+    fixture.accept(lasting);
+    fixture.runFor(milliseconds(500));
+    fixture.accept(makeJob("b", 4));
+    fixture.runFor(milliseconds(500));
+    cr_assert_eq(fixture.workers.starts.size(), 4U, "%zu starts", fixture.workers.starts.size());
+    fixture.log.up = true;
+    fixture.runFor(seconds(2));
+    const auto ofLasting = [](const FakeWorkers::SentStart &start) {
+        return start.attempt.task.job == JobId("a");
+    };
+    cr_assert_eq(
+            std::count_if(fixture.workers.starts.begin(), fixture.workers.starts.end(), ofLasting),
+            400);
+}
