--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -172,10 +172,12 @@
     };
 
     void addWaiting(const JobEntry &job);
+
+    /** Returns the number of a job's tasks that could start but for former owners. */
     std::size_t heldTasksOf(const JobEntry &job) const;
 
-    /** Has the record of a task name the worker of its next run. Also when it names that worker
-        already, so that the store refuses the record of a former owner. */
+    /** Has the record of a task name the worker of its next run. The record is written anew even if
+        it names that worker already: the store refuses it if there is a newer owner. */
     void recordAssignment(JobEntry &job, const TaskRef &ref, const TargetId &worker);
 
     /** Has the record of a long-running task name the worker on which a run of it was found. */
@@ -184,6 +186,8 @@
     /** Sends the starts whose assignments are on record, and discards those that are no longer
         wanted or possible. */
     void sendAssignedStarts();
+
+    /** Gives up a start that was not sent, and plans its task anew. */
     void discardStart(Worker &worker, const AttemptRef &attempt);
     void sendStart(JobEntry &job, Worker &worker, Run &run);
 
--- a/modules/bulrush_steps/dispatch/DispatcherTakeover.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherTakeover.cpp
@@ -29,7 +29,7 @@
 
 bool Dispatcher::mayStart(const JobEntry &job, const StepSpec &step, const StepTask &task) const
 {
-    return !job.knownToPreviousOwners || !this->takeoverWait.concerns(step, task);
+    return !job.knownToPreviousOwners || !this->takeoverWait.holds(step, task);
 }
 
 std::size_t Dispatcher::heldTasks() const
--- a/modules/bulrush_steps/model/JobRecords.cpp
+++ b/modules/bulrush_steps/model/JobRecords.cpp
@@ -96,8 +96,7 @@
     return step;
 }
 
-/** The first columns of a task's row that earlier versions do not write. They read those that they
-    know. */
+/** Positions of the columns of a task's row that were added later. Earlier versions ignore them. */
 constexpr std::size_t crashColumns = 5;
 constexpr std::size_t assignmentColumn = 7;
 
--- a/modules/bulrush_steps/ownership/TakeoverWait.cpp
+++ b/modules/bulrush_steps/ownership/TakeoverWait.cpp
@@ -58,7 +58,7 @@
     return this->unheardWorkers.empty() || this->leasesAreOver;
 }
 
-bool TakeoverWait::concerns(const StepSpec &step, const StepTask &task) const
+bool TakeoverWait::holds(const StepSpec &step, const StepTask &task) const
 {
     if (this->isOver()) {
         return false;
--- a/modules/bulrush_steps/ownership/TakeoverWait.h
+++ b/modules/bulrush_steps/ownership/TakeoverWait.h
@@ -56,8 +56,9 @@
     /** Returns whether all tasks of jobs that former owners knew may start. */
     bool isOver() const;
 
-    /** Returns whether a run of a task that former owners knew may be alive unseen. */
-    bool concerns(const StepSpec &step, const StepTask &task) const;
+    /** Returns whether a task that former owners knew must wait, since a run of it may be alive
+        unseen. */
+    bool holds(const StepSpec &step, const StepTask &task) const;
 
     /** Returns whether tasks of a step wait only for the workers that they are assigned to. */
     bool usesAssignments(const StepSpec &step) const;
