Write the job that waits longest first, and count changes as stored while others wait

Cause: an append takes at most 200 changed jobs, by name, and while more are left no change counted as stored. With that many at all times (a store that is slow for a large installation) the start of a long-running task, which waits for its record, would never be sent, and a job with a late name would never be written.

Change: jobs are written in the order of their first unsent change, and all changes before that of the first job left count as stored with the append.

--- a/modules/bulrush_steps/dispatch/ProgressWriter.cpp
+++ b/modules/bulrush_steps/dispatch/ProgressWriter.cpp
@@ -44,6 +44,7 @@
     *this->alive = false;
     this->alive = std::make_shared<bool>(true);
     this->changed.clear();
+    this->changedInOrder.clear();
     this->rosterChanged = false;
     this->sending.clear();
     this->inFlight = false;
@@ -53,10 +54,13 @@
 
 std::uint64_t ProgressWriter::markJobChanged(const JobId &job, bool urgent)
 {
-    this->changed.insert(job);
+    const std::uint64_t number = ++this->newest;
+    if (this->changed.try_emplace(job, number).second) {
+        this->changedInOrder.emplace(number, job);
+    }
     const Instant due = this->clock.now() + (urgent ? urgentBatchDelay : batchDelay);
     this->dueAt = std::min(this->dueAt, due);
-    return ++this->newest;
+    return number;
 }
 
 void ProgressWriter::markRosterChanged()
@@ -79,11 +83,11 @@
     if (now < this->dueAt) {
         return;
     }
-    const bool partial = this->changed.size() > maxRecordsPerAppend;
     this->sendingJobs.clear();
     while (!this->changed.empty() && this->sendingJobs.size() < maxRecordsPerAppend) {
-        const JobId job = *this->changed.begin();
-        this->changed.erase(this->changed.begin());
+        const JobId job = this->changedInOrder.begin()->second;
+        this->changedInOrder.erase(this->changedInOrder.begin());
+        this->changed.erase(job);
         this->sending.push_back(
                 { records::jobKey(job), this->listener.progressRecord(job), LogOffset { 0 } });
         this->sendingJobs.push_back(job);
@@ -94,7 +98,9 @@
                 { records::rosterKey(), this->listener.rosterRecord(), LogOffset { 0 } });
     }
     this->rosterChanged = false;
-    this->sendingUpTo = partial ? this->storedUpTo : this->newest;
+    const bool partial = !this->changed.empty();
+    // All changes before the first one of a job that is left are in this append or an earlier one.
+    this->sendingUpTo = partial ? this->changedInOrder.begin()->first - 1 : this->newest;
     this->dueAt = partial ? now : Instant::max();
     ++this->mark.sequence;
     this->send();
--- a/modules/bulrush_steps/dispatch/ProgressWriter.h
+++ b/modules/bulrush_steps/dispatch/ProgressWriter.h
@@ -4,8 +4,8 @@
 #include "bulrush_steps/model/StepJobTable.h"
 #include "bulrush_steps/ports/KeyedLog.h"
 
+#include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -75,7 +75,10 @@
     KeyedLog &log;
     Listener &listener;
     WriterMark mark;
-    std::set<JobId> changed;
+    /** The jobs to be written, each with the number of the first change that is not sent yet. */
+    std::map<JobId, std::uint64_t> changed;
+    /** The same by number, so that the job that waits longest is written first. */
+    std::map<std::uint64_t, JobId> changedInOrder;
     bool rosterChanged = false;
     std::uint64_t newest = 0;
     std::uint64_t storedUpTo = 0;
--- a/modules/bulrush_steps/tests/assignment_guard_test.cpp
+++ b/modules/bulrush_steps/tests/assignment_guard_test.cpp
@@ -208,3 +208,31 @@
             std::count_if(fixture.workers.starts.begin(), fixture.workers.starts.end(), ofLasting),
             400);
 }
+
+/* More jobs change all the time than fit into one append, as while the store is slow. No change
+   counted as stored, so no start of a long-running task was sent. */
+Test(AssignmentGuard, aChangeIsStoredWhileMoreJobsChangeThanFitIntoOneAppend)
+{
+    ManualClock clock;
+    FakeLog log;
+    struct Records : ProgressWriter::Listener
+    {
+        std::string progressRecord(const JobId & /*job*/) override { return "{}"; }
+        std::string rosterRecord() override { return "{}"; }
+        void stored(const std::vector<JobId> & /*jobs*/, bool /*withRoster*/) override { }
+        void writerFenced() override { }
+    };
+    Records listener;
+    ProgressWriter writer(clock, log, listener);
+    writer.begin(99);
+    const std::uint64_t first = writer.markJobChanged(JobId("zz"), true);
+    for (int round = 0; round < 20; ++round) {
+        for (int job = 0; job < 300; ++job) {
+            writer.markJobChanged(JobId("j" + std::to_string(1000 + job)), false);
+        }
+        clock.advance(milliseconds(50));
+        writer.tick();
+        log.deliver();
+    }
+    cr_assert_geq(writer.storedChange(), first);
+}
