--- a/modules/bulrush_steps/tests/step_job_table_test.cpp
+++ b/modules/bulrush_steps/tests/step_job_table_test.cpp
@@ -132,7 +132,7 @@
     StepJobTable table;
     JobProgress progress;
     progress.job = JobId("a");
-    progress.tasks.push_back({ 0, 0, 1, true, { 5 }, {}, {} });
+    progress.tasks.push_back({ 0, 0, 1, true, { 5 }, {}, {}, {} });
     table.applyProgress(makeRecord(progress));
     table.applyJobRecord(makeRecord(makeTwoStepJob("a"), 0), clock);
     const JobEntry &job = *table.find(JobId("a"));
