Review case 2: schedules of a year end every process for its memory

Every task of every occurrence of an accepted job has its state in memory, due or not, in the view of each member and again at the owner. 250 scheduled submissions of 365 nights exceed the 260 MB of a node; each node that reads them is killed, starts again and is killed again, and accepted work is not started any more.

The former cases 2, 3 and 4 become 3, 4 and 5.

--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,11 +1,10 @@
-// A large submission comes while others are served.
+// The store is slow and then down while the tasks of a submission end. The node that orders the
+// executors is killed meanwhile, and an executor crashes.
 
 #include "../standins/Deployment.h"
 
 #include <algorithm>
 #include <iostream>
-#include <map>
-#include <set>
 #include <string>
 
 namespace {
@@ -13,113 +12,158 @@
 using review::Deployment;
 using review::Event;
 
-constexpr const char *largeId = "00000000000000b1";
-constexpr const char *lastingId = "00000000000000c1";
-constexpr const char *smallId = "00000000000000d1";
-constexpr int largeTasks = 15'000;
-constexpr int usualTasks = 900;
-constexpr int largeTimeoutMs = 60'000;
-constexpr int pollMs = 500;
-/** Of three executors with 64 processors each, in thousandths. */
-constexpr double allCpu = 192'000;
-/** No task of the large submission has started or ended for this long. */
-constexpr int quietMs = 3000;
-/** finish_s: how long after the end of the traffic submissions are asked for. */
-constexpr int finishMs = 14'000;
+constexpr const char *id = "00000000000000f1";
+constexpr int warmUps = 3;
+constexpr int warmUpTimeoutMs = 5000;
+/** The site file has a store that takes up to 71 times as long, for 4.9 s. */
+constexpr int slowness = 70;
+constexpr int slowLeadMs = 500;
+/** How many of the seven tasks have ended when the store goes down. */
+constexpr std::ptrdiff_t endsBeforeDown = 4;
+constexpr int endsTimeoutMs = 4000;
+/** The site file lets the store be down for 4.5 s. */
+constexpr int downMs = 2000;
+constexpr int killAfterDownMs = 1000;
+constexpr int crashAfterDownMs = 1300;
+/** The site file lets an executor be down for 4.5 s. */
+constexpr int workerDownMs = 4500;
+constexpr int nodeDownMs = 3500;
+/** The new owner is in touch once the store has been stable for this long. */
+constexpr int contactMs = 3000;
+constexpr int settleMs = 15'000;
+constexpr int pollMs = 5;
+/** From the rule: a start counts that comes later than this after the submission was shown as
+    completed. */
+constexpr int slackMs = 1000;
 
-std::string submission(int tasks)
+const char *const submission = R"({"spec":"cpu=100 ms=600+35","phases":[{"count":7,"cpu":100,)"
+                               R"("memMb":16,"estimateMs":700,"antiAffinity":1}]})";
+
+void sleepUntil(std::int64_t until)
 {
-    return R"({"spec":"cpu=500 ms=50","phases":[{"count":)" + std::to_string(tasks)
-            + R"(,"cpu":500,"memMb":64,"estimateMs":50}]})";
+    while (Deployment::nowMs() < until) {
+        Deployment::sleepMs(1);
+    }
 }
 
-const char *const lasting = R"({"spec":"cpu=1000 ms=0","phases":[{"count":6,"cpu":1000,"memMb":64,)"
-                            R"("estimateMs":50,"longRunning":true}]})";
-
-/** Returns when a task of a submission last started or ended; 0 when none has. */
-std::int64_t lastActivity(const Deployment &deployment, const std::string &id)
+std::ptrdiff_t endsOf(const std::vector<Event> &events)
 {
-    std::int64_t last = 0;
-    for (const Event &event : deployment.events()) {
-        if ((event.what == "start" || event.what == "end") && event.submission() == id) {
-            last = event.atMs;
-        }
-    }
-    return last;
+    return std::count_if(events.begin(), events.end(), [](const Event &event) {
+        return event.what == "end" && event.how == "done" && event.submission() == id;
+    });
 }
 
-std::size_t tasksOf(const Deployment &deployment, const std::string &id, const std::string &what)
+/** Returns the executor whose run of the submission ended last. */
+std::string lastWorker(const std::vector<Event> &events)
 {
-    std::set<std::string> tasks;
-    for (const Event &event : deployment.events()) {
-        if (event.what == what && event.submission() == id) {
-            tasks.insert(event.task);
+    std::string worker;
+    for (const Event &event : events) {
+        if (event.what == "end" && event.submission() == id) {
+            worker = event.worker;
         }
     }
-    return tasks.size();
+    return worker;
 }
 
-/** Returns the share of the executors' processors that tasks use. */
-double shareInUse(const Deployment &deployment)
+struct Outcome
 {
-    std::map<std::string, double> cpuOfRuns;
-    for (const Event &event : deployment.events()) {
-        const std::string run = event.worker + " " + event.task + " " + event.attempt;
-        if (event.what == "start") {
-            const std::size_t cpuAt = event.line.find("cpu=");
-            cpuOfRuns[run] = std::stod(event.line.substr(cpuAt + 4));
-        } else if (event.what == "end") {
-            cpuOfRuns.erase(run);
+    std::int64_t completedAt = 0;
+    std::int64_t inTouchFrom = 0;
+    bool ran = false;
+};
+
+/** Plays the disruptions around the end of the submission. */
+Outcome disrupt(Deployment &deployment)
+{
+    Outcome outcome;
+    const std::int64_t endsUntil = Deployment::nowMs() + endsTimeoutMs;
+    while (endsOf(deployment.events()) < endsBeforeDown) {
+        if (Deployment::nowMs() > endsUntil) {
+            return outcome;
+        }
+        Deployment::sleepMs(pollMs);
+    }
+    deployment.setStoreDown(true);
+    const std::int64_t downAt = Deployment::nowMs();
+    while (Deployment::nowMs() < downAt + killAfterDownMs) {
+        if (outcome.completedAt == 0 && deployment.state(id).state() == "completed") {
+            outcome.completedAt = Deployment::nowMs();
+            deployment.note(std::string("GET ") + id + " -> completed");
         }
+        Deployment::sleepMs(pollMs);
     }
-    double used = 0.0;
-    for (const auto &[run, cpu] : cpuOfRuns) {
-        used += cpu;
+    const int owner = deployment.ownerNode();
+    const std::string worker = lastWorker(deployment.events());
+    if (owner == 0 || worker.empty()) {
+        return outcome;
     }
-    return used / allCpu;
+    deployment.killNode(owner);
+    sleepUntil(downAt + crashAfterDownMs);
+    deployment.killWorker(worker);
+    sleepUntil(downAt + downMs);
+    deployment.setStoreDown(false);
+    deployment.setStoreSlow(1);
+    outcome.inTouchFrom = Deployment::nowMs() + contactMs;
+    sleepUntil(downAt + killAfterDownMs + nodeDownMs);
+    outcome.ran = deployment.ownerNode() != owner;
+    deployment.startNode(owner);
+    sleepUntil(downAt + crashAfterDownMs + workerDownMs);
+    deployment.startWorker(worker, "a");
+    return outcome;
 }
 
 int run(const std::string &recordPath)
 {
+    // One executor in seven crashes: a share of 0.14.
     Deployment deployment(recordPath,
-                          { { "w1", "a", "r1-1" }, { "w2", "a", "r1-1" }, { "w3", "a", "r1-2" } });
+                          { { "w1", "a", "r1-1" },
+                            { "w2", "a", "r1-1" },
+                            { "w3", "a", "r1-1" },
+                            { "w4", "a", "r1-1" },
+                            { "w5", "a", "r1-2" },
+                            { "w6", "a", "r1-2" },
+                            { "w7", "a", "r1-2" } });
     if (!deployment.waitUntilServing()) {
         return 2;
     }
-    const int tasks = review::withTrouble() ? largeTasks : usualTasks;
-    if (!deployment.submit(largeId, submission(tasks)).accepted()) {
-        return 2;
-    }
-    const std::int64_t until = Deployment::nowMs() + largeTimeoutMs;
-    while (deployment.state(largeId).state() != "completed" && Deployment::nowMs() < until) {
-        const std::int64_t last = lastActivity(deployment, largeId);
-        if (last != 0 && Deployment::nowMs() - last > quietMs) {
-            break;
+    for (int number = 1; number <= warmUps; ++number) {
+        const std::string other = review::submissionId(number);
+        if (!deployment.submit(other, submission).accepted()
+            || deployment.waitForState(other, "completed", warmUpTimeoutMs) != "completed") {
+            return 2;
         }
-        Deployment::sleepMs(pollMs);
     }
-    const bool accepted = deployment.submit(lastingId, lasting).accepted()
-            && deployment.submit(smallId, submission(4)).accepted();
-    if (!accepted) {
+    if (review::withTrouble()) {
+        deployment.setStoreSlow(slowness);
+        Deployment::sleepMs(slowLeadMs);
+    }
+    if (!deployment.submit(id, submission).accepted()) {
         return 2;
     }
-    const std::string smallState = deployment.waitForState(smallId, "completed", finishMs);
-    const std::string lastingState = deployment.waitForState(lastingId, "running", finishMs);
-    const std::string largeState = deployment.waitForState(largeId, "completed", pollMs);
-    const double inUse = shareInUse(deployment);
-    const std::size_t lastingStarts = tasksOf(deployment, lastingId, "start");
-    const std::string result = "large: " + std::to_string(tasksOf(deployment, largeId, "end"))
-            + " of " + std::to_string(tasks) + " tasks ended, shown as " + largeState
-            + "; small: " + std::to_string(tasksOf(deployment, smallId, "end"))
-            + " of 4 tasks ended, shown as " + smallState
-            + "; lasting: " + std::to_string(lastingStarts) + " of 6 tasks started, shown as "
-            + lastingState + "; share of the processors in use: " + std::to_string(inUse);
+    Outcome outcome;
+    if (review::withTrouble()) {
+        outcome = disrupt(deployment);
+    } else if (deployment.waitForState(id, "completed", settleMs) == "completed") {
+        outcome = { Deployment::nowMs(), 0, true };
+    }
+    Deployment::sleepMs(settleMs);
+    int broken = 0;
+    for (const Event &event : deployment.events()) {
+        if (event.what == "start" && event.submission() == id && outcome.completedAt != 0
+            && event.atMs > outcome.completedAt + slackMs && event.atMs > outcome.inTouchFrom) {
+            ++broken;
+            deployment.note("TWICE: " + event.line);
+        }
+    }
+    const std::string result = std::string("the submission was ")
+            + (outcome.completedAt == 0 ? "not shown" : "shown") + " as completed; "
+            + std::to_string(broken) + " starts of its tasks over a second later";
     deployment.note(result);
     std::cout << result << std::endl;
-    if (lastingStarts > 0) {
-        return smallState == "completed" && largeState == "completed" ? 0 : 2;
+    if (broken > 0) {
+        return 1;
     }
-    return inUse < 0.5 ? 1 : 2;
+    return outcome.ran ? 0 : 2;
 }
 
 } // namespace
--- a/review/standins/Deployment.cpp
+++ b/review/standins/Deployment.cpp
@@ -30,6 +30,8 @@
 constexpr int readinessPort = 8167;
 constexpr int internalPort = 7720;
 constexpr int metricsPort = 9464;
+constexpr std::int64_t memoryMb = 260;
+constexpr int restartDelayMs = 500;
 constexpr int tries = 5;
 constexpr int retryDelayMs = 300;
 constexpr int startTimeoutMs = 20'000;
@@ -209,6 +211,35 @@
     this->note("node " + name + " starts at " + ip);
 }
 
+int Deployment::enforceMemoryLimit()
+{
+    constexpr std::int64_t bytesPerMb = 1 << 20;
+    int killed = 0;
+    for (const auto &[node, process] : this->nodeProcesses) {
+        std::ifstream file("/proc/" + std::to_string(process) + "/statm");
+        std::int64_t pages = 0;
+        std::int64_t residentPages = 0;
+        file >> pages >> residentPages;
+        const std::int64_t megabytes = residentPages * getpagesize() / bytesPerMb;
+        if (megabytes <= memoryMb || this->nodeRestarts.contains(node)) {
+            continue;
+        }
+        this->note("node edge-" + std::to_string(node) + " has " + std::to_string(megabytes)
+                   + " MB");
+        this->killNode(node);
+        this->nodeRestarts[node] = nowMs() + restartDelayMs;
+        ++killed;
+    }
+    for (int node = 1; node <= nodes; ++node) {
+        const auto restart = this->nodeRestarts.find(node);
+        if (restart != this->nodeRestarts.end() && nowMs() >= restart->second) {
+            this->nodeRestarts.erase(restart);
+            this->startNode(node);
+        }
+    }
+    return killed;
+}
+
 void Deployment::startWorker(const std::string &name, const std::string &kind)
 {
     WorkerProcess &worker = this->workers.at(name);
--- a/review/standins/Deployment.h
+++ b/review/standins/Deployment.h
@@ -99,6 +99,11 @@
     /** Returns the events of all executors so far, in the order of time. */
     std::vector<Event> events() const;
 
+    /** Does what the platform does to a process that exceeds memoryMb: kills each node that does,
+        and starts it again after a short delay. To be called often.
+        @returns how many nodes it killed */
+    int enforceMemoryLimit();
+
     /** Writes a line into the record. */
     void note(const std::string &text);
 
@@ -126,6 +131,8 @@
     int addressOctet = 0;
     std::map<std::string, WorkerProcess> workers;
     std::map<int, pid_t> nodeProcesses;
+    /** When nodes that were killed start again. */
+    std::map<int, std::int64_t> nodeRestarts;
     std::vector<pid_t> processes;
     std::atomic<int> nextNode = 0;
     std::mutex recordMutex;
