Review case 3: crash the executor once the store is back

The crash now comes 0.3 s after the store's return, so that the executor's entry lapses later. Check and bounds are unchanged.

--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -24,7 +24,7 @@
 /** The site file lets the store be down for 4.5 s. */
 constexpr int downMs = 2000;
 constexpr int killAfterDownMs = 1000;
-constexpr int crashAfterDownMs = 1300;
+constexpr int crashAfterDownMs = downMs + 300;
 /** The site file lets an executor be down for 4.5 s. */
 constexpr int workerDownMs = 4500;
 constexpr int nodeDownMs = 3500;
@@ -98,12 +98,14 @@
         return outcome;
     }
     deployment.killNode(owner);
-    sleepUntil(downAt + crashAfterDownMs);
-    deployment.killWorker(worker);
     sleepUntil(downAt + downMs);
     deployment.setStoreDown(false);
     deployment.setStoreSlow(1);
     outcome.inTouchFrom = Deployment::nowMs() + contactMs;
+    // The executor has written its entry anew, so that it is missed only once the new owner is in
+    // touch. No node can be the new owner yet.
+    sleepUntil(downAt + crashAfterDownMs);
+    deployment.killWorker(worker);
     sleepUntil(downAt + killAfterDownMs + nodeDownMs);
     outcome.ran = deployment.ownerNode() != owner;
     deployment.startNode(owner);
