Count a job's end as stored only by a record that shows it

Cause: Dispatcher::stored() read the state of a job when an append was answered. The record in that append had been made when it was sent, so an end that arrived in between was shown to callers although no stored record has it. The same for failed.

Ruled out: a record that was lost, and the acknowledgement of ends to workers, which counts changes.

Change: ProgressWriter hands back what each record of the append showed; a job's end counts as stored only by a record that shows it.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -206,34 +206,22 @@
     }
 }
 
-std::string Dispatcher::progressRecord(const JobId &id)
+ProgressRecord Dispatcher::progressRecord(const JobId &id)
 {
     const JobEntry *job = this->jobTable.find(id);
-    return job == nullptr ? std::string() : records::encode(StepJobTable::progressOf(*job));
+    if (job == nullptr) {
+        return {};
+    }
+    return { records::encode(StepJobTable::progressOf(*job)), job->succeeded || job->failed };
 }
 
-void Dispatcher::stored(const std::vector<JobId> &jobs, bool withRoster)
+void Dispatcher::stored(const std::vector<WrittenJob> &jobs, bool withRoster)
 {
-    for (const JobId &id : jobs) {
-        JobEntry *job = this->jobTable.find(id);
-        if (job == nullptr || job->endStored || !(job->succeeded || job->failed)) {
-            continue;
+    for (const WrittenJob &written : jobs) {
+        JobEntry *job = this->jobTable.find(written.job);
+        if (job != nullptr && written.showsEnd && !job->endStored) {
+            this->endStored(*job);
         }
-        job->endStored = true;
-        const Duration age = this->clock.now() - job->acceptedAt;
-        this->listener.jobEnded(job->visibleState(), age);
-        this->recordServiceOfEnded(*job);
-        this->decisions.write(
-                DecisionLine(Event::JobEnded)
-                        .with("job", id.name())
-                        .with("queue", job->spec.queue)
-                        .with("state", text(job->visibleState()))
-                        .with("tasks", job->spec.taskCount())
-                        .with("runs", job->startedRuns)
-                        .with("objective_ms", this->durations.objective(job->spec).count())
-                        .with("start_wait_ms",
-                              duration_cast<milliseconds>(job->startWait()).count())
-                        .with("age_ms", duration_cast<milliseconds>(age).count()));
     }
     if (withRoster) {
         this->roster.sentRecordStored(this->workerManager.workers());
@@ -241,6 +229,24 @@
     this->sendAssignedStarts();
 }
 
+void Dispatcher::endStored(JobEntry &job)
+{
+    job.endStored = true;
+    const Duration age = this->clock.now() - job.acceptedAt;
+    this->listener.jobEnded(job.visibleState(), age);
+    this->recordServiceOfEnded(job);
+    this->decisions.write(
+            DecisionLine(Event::JobEnded)
+                    .with("job", job.spec.id.name())
+                    .with("queue", job.spec.queue)
+                    .with("state", text(job.visibleState()))
+                    .with("tasks", job.spec.taskCount())
+                    .with("runs", job.startedRuns)
+                    .with("objective_ms", this->durations.objective(job.spec).count())
+                    .with("start_wait_ms", duration_cast<milliseconds>(job.startWait()).count())
+                    .with("age_ms", duration_cast<milliseconds>(age).count()));
+}
+
 void Dispatcher::writerFenced()
 {
     this->listener.superseded("the store has a newer owner's epoch");
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -146,9 +146,9 @@
     std::string statesOf(const std::set<TargetId> &workers) const override;
 
     // ProgressWriter::Listener
-    std::string progressRecord(const JobId &job) override;
+    ProgressRecord progressRecord(const JobId &job) override;
     std::string rosterRecord() override;
-    void stored(const std::vector<JobId> &jobs, bool withRoster) override;
+    void stored(const std::vector<WrittenJob> &jobs, bool withRoster) override;
     void writerFenced() override;
 
     // Planner::Listener
@@ -187,6 +187,9 @@
         wanted or possible. */
     void sendAssignedStarts();
 
+    /** Shows callers the success or failure of a job, which is stored now. */
+    void endStored(JobEntry &job);
+
     /** Gives up a start that was not sent, and plans its task anew. */
     void discardStart(Worker &worker, const AttemptRef &attempt);
     void sendStart(JobEntry &job, Worker &worker, Run &run);
--- a/modules/bulrush_steps/dispatch/ProgressWriter.cpp
+++ b/modules/bulrush_steps/dispatch/ProgressWriter.cpp
@@ -1,6 +1,7 @@
 #include "bulrush_steps/dispatch/ProgressWriter.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bulrush {
 
@@ -88,9 +89,9 @@
         const JobId job = this->changedInOrder.begin()->second;
         this->changedInOrder.erase(this->changedInOrder.begin());
         this->changed.erase(job);
-        this->sending.push_back(
-                { records::jobKey(job), this->listener.progressRecord(job), LogOffset { 0 } });
-        this->sendingJobs.push_back(job);
+        ProgressRecord record = this->listener.progressRecord(job);
+        this->sending.push_back({ records::jobKey(job), std::move(record.value), LogOffset { 0 } });
+        this->sendingJobs.push_back({ job, record.showsEnd });
     }
     this->sendingRoster = this->rosterChanged;
     if (this->rosterChanged) {
--- a/modules/bulrush_steps/dispatch/ProgressWriter.h
+++ b/modules/bulrush_steps/dispatch/ProgressWriter.h
@@ -11,6 +11,23 @@
 
 namespace bulrush {
 
+/** The record of a job's progress. */
+struct ProgressRecord
+{
+    /** Empty when the job no longer exists. */
+    std::string value;
+    /** Whether the record shows that the job has succeeded or failed. */
+    bool showsEnd = false;
+};
+
+/** A job whose progress is in an append, as it was when its record was made. */
+struct WrittenJob
+{
+    JobId job;
+    /** As in ProgressRecord. */
+    bool showsEnd = false;
+};
+
 /**
     Persists the progress of jobs in the log. Batches many records into one append and keeps at most
     one append in flight.
@@ -25,15 +42,16 @@
     {
         virtual ~Listener() = default;
 
-        /** Returns the progress record of a job; empty when the job no longer exists. */
-        virtual std::string progressRecord(const JobId &job) = 0;
+        /** Returns the record of a job's present progress. */
+        virtual ProgressRecord progressRecord(const JobId &job) = 0;
 
         /** Returns the roster record, which lists the workers that may hold tasks. */
         virtual std::string rosterRecord() = 0;
 
-        /** Called when an append is stored. @param jobs whose progress it contained
+        /** Called when an append is stored. What has changed since its records were made is not
+            stored yet. @param jobs whose progress it contained
             @param withRoster whether it contained the roster */
-        virtual void stored(const std::vector<JobId> &jobs, bool withRoster) = 0;
+        virtual void stored(const std::vector<WrittenJob> &jobs, bool withRoster) = 0;
 
         /** Called when the store rejects an append because it has seen a newer epoch. */
         virtual void writerFenced() = 0;
@@ -86,7 +104,7 @@
 
     /** The records of the append in progress. Sent again until the store confirms them. */
     std::vector<KeyedRecord> sending;
-    std::vector<JobId> sendingJobs;
+    std::vector<WrittenJob> sendingJobs;
     bool sendingRoster = false;
     std::uint64_t sendingUpTo = 0;
     bool inFlight = false;
--- a/modules/bulrush_steps/tests/assignment_guard_test.cpp
+++ b/modules/bulrush_steps/tests/assignment_guard_test.cpp
@@ -217,9 +217,9 @@
     FakeLog log;
     struct Records : ProgressWriter::Listener
     {
-        std::string progressRecord(const JobId & /*job*/) override { return "{}"; }
+        ProgressRecord progressRecord(const JobId & /*job*/) override { return { "{}" }; }
         std::string rosterRecord() override { return "{}"; }
-        void stored(const std::vector<JobId> & /*jobs*/, bool /*withRoster*/) override { }
+        void stored(const std::vector<WrittenJob> & /*jobs*/, bool /*withRoster*/) override { }
         void writerFenced() override { }
     };
     Records listener;
--- a/modules/bulrush_steps/tests/dispatcher_test.cpp
+++ b/modules/bulrush_steps/tests/dispatcher_test.cpp
@@ -28,6 +28,55 @@
     cr_assert(fixture.dispatcher.stateOf(JobId("a")) == JobState::Succeeded);
 }
 
+namespace {
+
+/** Lets time pass while the store carries out appends but its answers are under way. */
+void runWithoutStoreAnswers(DispatcherFixture &fixture, milliseconds span)
+{
+    for (milliseconds passed { 0 }; passed < span; passed += tickInterval) {
+        fixture.clock.advance(tickInterval);
+        fixture.dispatcher.tick();
+        fixture.workers.deliver();
+    }
+}
+
+/** Plays an append that is under way while the last task of a job ends, and its answer.
+    @returns the state shown after the answer, which the next append does not reach */
+std::optional<JobState> stateAfterAnEndDuringAnAppend(DispatcherFixture &fixture, EndKind lastEnd)
+{
+    fixture.begin({});
+    fixture.listWorker("w1");
+    fixture.runFor(milliseconds(100));
+    StepJob job = makeJob("a", 2);
+    job.maxAttempts = 1;
+    fixture.accept(job);
+    fixture.runFor(milliseconds(100));
+    fixture.workers.endRun(TargetId("w1"), fixture.workers.starts[0].attempt, EndKind::Succeeded);
+    runWithoutStoreAnswers(fixture, milliseconds(100));
+    fixture.workers.endRun(TargetId("w1"), fixture.workers.starts[1].attempt, lastEnd);
+    runWithoutStoreAnswers(fixture, milliseconds(500));
+    fixture.log.up = false;
+    fixture.runFor(milliseconds(300));
+    return fixture.dispatcher.stateOf(JobId("a"));
+}
+
+} // namespace
+
+/* A job was shown as succeeded or failed although its last end was in no stored record, and the
+   next owner started that task again. */
+Test(Dispatcher, anEndThatFollowsTheAppendInProgressIsNotShownBeforeItIsStored)
+{
+    for (const EndKind lastEnd : { EndKind::Succeeded, EndKind::Failed }) {
+        DispatcherFixture fixture;
+        cr_expect(stateAfterAnEndDuringAnAppend(fixture, lastEnd) == JobState::Running);
+        fixture.log.up = true;
+        fixture.runFor(milliseconds(500));
+        const JobState ended =
+                lastEnd == EndKind::Succeeded ? JobState::Succeeded : JobState::Failed;
+        cr_expect(fixture.dispatcher.stateOf(JobId("a")) == ended);
+    }
+}
+
 Test(Dispatcher, aSilentWorkersTaskStartsElsewhereOnlyWhenItsLeaseIsOver)
 {
     DispatcherFixture fixture;
