Take no run for lost that a cut list of ended runs may leave out

Cause: a worker lists 500 ended runs at most in an answer. While nothing can be acknowledged, later ends are in neither of its lists, and WorkerManager took such runs for lost.

Ruled out: lapsed leases and a change of owner: the owner was the same, and each worker answered all the time.

Change: an answer says whether it lists all ended runs. If not, a run that it does not name keeps its room until its end is listed, is not treated as stalled or slow, and is no evidence of a crash; a new owner counts a worker as known only once all its ends are listed.

--- a/modules/bulrush_steps/policy/RunHealth.cpp
+++ b/modules/bulrush_steps/policy/RunHealth.cpp
@@ -49,8 +49,8 @@
 
 bool mayBeUnhealthy(const Worker &worker, const Run &run, Instant now)
 {
-    const bool isRunning =
-            run.phase == RunPhase::Running && !run.stopRequested && run.pacePercent > 0;
+    const bool isRunning = run.phase == RunPhase::Running && !run.mayHaveEnded && !run.stopRequested
+            && run.pacePercent > 0;
     if (!isRunning || !worker.confirmed) {
         return false;
     }
--- a/modules/bulrush_steps/ports/WorkerCommands.h
+++ b/modules/bulrush_steps/ports/WorkerCommands.h
@@ -121,7 +121,10 @@
     /** Start time of the worker's process; changes when the process restarts. */
     UnixMillis processStartedAt = 0;
     std::vector<ListedRun> running;
+    /** The ended runs after the acknowledged ones, by ascending numbers. */
     std::vector<ListedEnd> ended;
+    /** Whether ended lists all of them. If not, a run that neither list names may have ended. */
+    bool listsAllEnds = true;
 };
 
 /** Interface for sending commands to workers. Each callback is invoked exactly once, and never from
--- a/modules/bulrush_steps/tests/FakeWorkers.h
+++ b/modules/bulrush_steps/tests/FakeWorkers.h
@@ -3,6 +3,7 @@
 #include "bulrush_core/bulrush_core.h"
 #include "bulrush_steps/bulrush_steps.h"
 
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <map>
@@ -31,6 +32,8 @@
     /** Whether answers to holds list no runs, as if they were made before any run started. */
     bool omitsRuns = false;
     std::vector<ListedEnd> ended;
+    /** The maximum number of ended runs in one answer to a hold, which lists the oldest. */
+    std::size_t maxListedEnds = 500;
     std::uint64_t lastEndNumber = 0;
     /** The highest end number that a hold has acknowledged. */
     std::uint64_t acknowledged = 0;
@@ -190,7 +193,10 @@
             }
             answer.running.push_back(run);
         }
-        answer.ended = fake.ended;
+        const std::size_t listed = std::min(fake.ended.size(), fake.maxListedEnds);
+        answer.ended.assign(fake.ended.begin(),
+                            fake.ended.begin() + static_cast<std::ptrdiff_t>(listed));
+        answer.listsAllEnds = listed < fake.maxListedEnds;
     }
 
     WorkerMillis workerClock(const FakeWorker &fake) const
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -50,6 +50,8 @@
     Instant confirmedAt {};
     /** The number of the last report that listed the run. */
     std::uint64_t listedInReport = 0;
+    /** Whether the last report neither listed the run nor listed all ended runs. */
+    bool mayHaveEnded = false;
     std::uint32_t progressPercent = 0;
     /** When the run was confirmed, its percentage last changed or a pace was last requested,
         whichever is the latest. */
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -53,8 +53,8 @@
         /** Called when a worker refused to start a run. The run is not alive. */
         virtual void startRefused(const Worker &worker, const Run &run, CommandOutcome outcome) = 0;
 
-        /** Called when all that a worker may run of former owners is known: it has answered for the
-            first time, it has left, or its process has ended. */
+        /** Called when all that a worker may run of former owners is known: it has listed all its
+            current and ended runs, it has left, or its process has ended. May be called again. */
         virtual void workerKnown(const TargetId &worker) = 0;
 
         /** Called when a worker rejected a command because it has seen a higher fencing token. */
@@ -158,6 +158,11 @@
     void handleHoldFailure(Worker &worker, CommandOutcome outcome);
     void processEndedRuns(Worker &worker, const HoldAnswer &answer);
     void processRuns(Worker &worker, const HoldAnswer &answer, Instant sentAt);
+    void processListedRun(Worker &worker, const ListedRun &listed);
+
+    /** Gives up the runs that a worker had when a report was requested and that the report does not
+        list, unless it may have left out their ends. */
+    void processUnlistedRuns(Worker &worker, bool listsAllEnds, Instant sentAt);
     void handleWorkerRestart(Worker &worker, UnixMillis processStartedAt);
     void handleStartAnswer(const TargetId &id, const AttemptRef &attempt,
                            const CommandAnswer &answer);
--- a/modules/bulrush_steps/workers/WorkerManagerCrashes.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerCrashes.cpp
@@ -71,7 +71,9 @@
         return;
     }
     for (const Run &run : runs) {
-        this->listener.runCrashed(worker, run, evidence);
+        if (!run.mayHaveEnded) {
+            this->listener.runCrashed(worker, run, evidence);
+        }
     }
 }
 
--- a/modules/bulrush_steps/workers/WorkerManagerReports.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerReports.cpp
@@ -66,6 +66,8 @@
         ++this->membershipChanges;
         // What it runs may hold a lease that a former owner has just granted.
         worker->clock.recordLeaseEnd(answer.clock + this->settings.lease().count());
+    }
+    if (answer.listsAllEnds) {
         this->listener.workerKnown(id);
     }
     const bool firstAnswer = !worker->confirmed;
@@ -142,39 +144,54 @@
 }
 
 void WorkerManager::processRuns(Worker &worker, const HoldAnswer &answer, Instant sentAt)
+{
+    for (const ListedRun &listed : answer.running) {
+        this->processListedRun(worker, listed);
+    }
+    this->processUnlistedRuns(worker, answer.listsAllEnds, sentAt);
+}
+
+void WorkerManager::processListedRun(Worker &worker, const ListedRun &listed)
 {
     const Instant now = this->clock.now();
-    const std::uint64_t report = worker.holdNumber;
-    for (const ListedRun &each : answer.running) {
-        auto found = worker.runs.find(each.attempt);
-        if (found == worker.runs.end()) {
-            Run adopted = this->listener.adoptRun(worker, each);
-            adopted.phase = RunPhase::Running;
-            adopted.found = true;
-            adopted.confirmedAt = now;
-            adopted.progressedAt = now;
-            worker.addRun(std::move(adopted));
-            found = worker.runs.find(each.attempt);
-        }
-        Run &run = found->second;
-        if (run.phase != RunPhase::Running) {
-            run.phase = RunPhase::Running;
-            run.confirmedAt = now;
-            run.progressedAt = now;
-            this->listener.runConfirmed(run);
-        }
-        if (each.percent != run.progressPercent) {
-            run.progressedAt = now;
-        }
-        run.listedInReport = report;
-        run.progressPercent = each.percent;
-        run.load = each.load;
+    auto found = worker.runs.find(listed.attempt);
+    if (found == worker.runs.end()) {
+        Run adopted = this->listener.adoptRun(worker, listed);
+        adopted.phase = RunPhase::Running;
+        adopted.found = true;
+        adopted.confirmedAt = now;
+        adopted.progressedAt = now;
+        worker.addRun(std::move(adopted));
+        found = worker.runs.find(listed.attempt);
     }
+    Run &run = found->second;
+    if (run.phase != RunPhase::Running) {
+        run.phase = RunPhase::Running;
+        run.confirmedAt = now;
+        run.progressedAt = now;
+        this->listener.runConfirmed(run);
+    }
+    if (listed.percent != run.progressPercent) {
+        run.progressedAt = now;
+    }
+    run.listedInReport = worker.holdNumber;
+    run.mayHaveEnded = false;
+    run.progressPercent = listed.percent;
+    run.load = listed.load;
+}
+
+void WorkerManager::processUnlistedRuns(Worker &worker, bool listsAllEnds, Instant sentAt)
+{
     std::vector<Run> lost;
-    for (const auto &[attempt, run] : worker.runs) {
+    for (auto &[attempt, run] : worker.runs) {
         const bool confirmedBefore = run.phase == RunPhase::Running && run.confirmedAt < sentAt;
-        if (confirmedBefore && run.listedInReport != report) {
+        if (!confirmedBefore || run.listedInReport == worker.holdNumber) {
+            continue;
+        }
+        if (listsAllEnds) {
             lost.push_back(run);
+        } else {
+            run.mayHaveEnded = true;
         }
     }
     for (const Run &run : lost) {
