Keep the state of tasks that are under way, not of all that were accepted

Cause: StepJobTable allocated some 200 bytes for each task of each occurrence when it read a job, due or not, on each member and once more on the owner, and dropped nothing when an occurrence or a job had ended.

Ruled out: a leak, and the progress records: nothing had run.

Change: OccurrenceTable keeps an occurrence from its first start until it has ended, TaskStates a task from its first start until it has succeeded. A job that has ended keeps no task and no payload; progress read before its job is kept as the record. Planning and the count of held tasks begin with the first occurrence that has not ended and stop at the first that is not due.

--- a/modules/bulrush_entry/operators/StatusJson.cpp
+++ b/modules/bulrush_entry/operators/StatusJson.cpp
@@ -4,6 +4,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <set>
+
 namespace bulrush {
 
 namespace {
@@ -23,22 +26,32 @@
 
 json stepJson(const JobEntry &job, std::uint32_t occurrence, std::uint32_t step)
 {
-    const StepState &state = job.occurrences[occurrence].steps[step];
+    const TaskStates &tasks = job.occurrences.at(occurrence).steps[step].tasks;
     std::uint32_t running = 0;
     std::uint32_t failures = 0;
-    for (const StepTask &task : state.tasks) {
+    for (const auto &[index, task] : tasks.kept()) {
         running += task.openRuns > 0 ? 1U : 0U;
         failures += static_cast<std::uint32_t>(task.failedAttempts.size());
     }
     return { { "occurrence", occurrence },
              { "step", step },
-             { "tasks", state.tasks.size() },
-             { "succeeded", state.succeeded },
+             { "tasks", tasks.size() },
+             { "succeeded", tasks.succeeded() },
              { "running", running },
              { "failedAttempts", failures },
              { "waitsForSteps", !job.dependenciesMet(occurrence, step) } };
 }
 
+/** Returns the occurrences that are under way, and the first that has not ended. */
+std::set<std::uint32_t> occurrencesToShow(const OccurrenceTable &occurrences)
+{
+    std::set<std::uint32_t> shown { std::min(occurrences.firstOpen(), occurrences.size() - 1) };
+    for (const auto &[occurrence, state] : occurrences.kept()) {
+        shown.insert(occurrence);
+    }
+    return shown;
+}
+
 json degradedReasons(const NodeStatus &status)
 {
     json degraded = json::array();
@@ -97,7 +110,7 @@
                     { "cancelled", job->cancelled },
                     { "endOnRecord", job->endStored } };
     json steps = json::array();
-    for (std::uint32_t occurrence = 0; occurrence < job->occurrences.size(); ++occurrence) {
+    for (const std::uint32_t occurrence : occurrencesToShow(job->occurrences)) {
         for (std::uint32_t step = 0; step < job->spec.steps.size(); ++step) {
             steps.push_back(stepJson(*job, occurrence, step));
         }
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -245,6 +245,7 @@
                     .with("objective_ms", this->durations.objective(job.spec).count())
                     .with("start_wait_ms", duration_cast<milliseconds>(job.startWait()).count())
                     .with("age_ms", duration_cast<milliseconds>(age).count()));
+    job.releaseEnded();
 }
 
 void Dispatcher::writerFenced()
@@ -271,7 +272,7 @@
     if (job == nullptr) {
         run.stopRequested = true;
     } else {
-        StepTask &task = job->task(listed.attempt.task);
+        StepTask &task = job->changeTask(listed.attempt.task);
         run = this->describeRun(*job, listed.attempt);
         this->unstarted.erase(job->spec.id);
         run.startSentAt = this->clock.now();
@@ -330,14 +331,22 @@
         return this->writer.newestChange();
     }
     this->markStarted(*job);
-    const StepSpec &step = job->step(end.attempt.task);
-    StepTask &task = job->task(end.attempt.task);
+    const std::uint64_t change = this->countEnd(worker, *job, run, end);
+    job->releaseTask(end.attempt.task);
+    return change;
+}
+
+std::uint64_t Dispatcher::countEnd(const Worker &worker, JobEntry &job, const Run *run,
+                                   const ListedEnd &end)
+{
+    const StepSpec &step = job.step(end.attempt.task);
+    StepTask &task = job.changeTask(end.attempt.task);
     task.lastAttempt = std::max(task.lastAttempt, end.attempt.attempt);
     if (run != nullptr) {
         this->closeRun(task, end.checkpoint);
     }
     if (end.kind == EndKind::Succeeded && run != nullptr && !step.fills) {
-        this->recordDuration(*job, *run);
+        this->recordDuration(job, *run);
     }
     if (end.kind == EndKind::Failed) {
         task.failedOn.push_back(worker.entry.worker);
@@ -347,28 +356,28 @@
     if (ranToItsEnd || lasted) {
         const milliseconds age =
                 lasted ? CrashSuspects::lastKnownAge(worker, *run) : milliseconds(0);
-        this->clearSuspicion(*job, end.attempt.task, age);
+        this->clearSuspicion(job, end.attempt.task, age);
     }
-    this->planner.markWaiting(job->spec.id);
-    const bool hadEnded = job->hasEnded();
+    this->planner.markWaiting(job.spec.id);
+    const bool hadEnded = job.hasEnded();
     bool counted = false;
     if (end.kind == EndKind::Succeeded) {
-        counted = StepJobTable::countSuccess(*job, end.attempt.task);
-        job->recordStepEnd(end.attempt.task, this->clock.now());
+        counted = StepJobTable::countSuccess(job, end.attempt.task);
+        job.recordStepEnd(end.attempt.task, this->clock.now());
         if (step.gang) {
-            this->completeGang(*job, end.attempt);
+            this->completeGang(job, end.attempt);
         }
     } else if (end.kind == EndKind::Failed) {
-        counted = StepJobTable::countFailure(*job, end.attempt);
+        counted = StepJobTable::countFailure(job, end.attempt);
         task.checkpoint.clear();
     }
     if (!counted) {
         return this->writer.newestChange();
     }
-    if (job->failed && !hadEnded) {
-        this->stopRuns(*job, "the job failed");
+    if (job.failed && !hadEnded) {
+        this->stopRuns(job, "the job failed");
     }
-    return this->writer.markJobChanged(job->spec.id, job->hasEnded());
+    return this->writer.markJobChanged(job.spec.id, job.hasEnded());
 }
 
 void Dispatcher::completeGang(JobEntry &job, const AttemptRef &attempt)
@@ -389,7 +398,8 @@
 {
     JobEntry *job = this->findJob(run.attempt.task);
     if (job != nullptr) {
-        this->closeRun(job->task(run.attempt.task), {});
+        this->closeRun(job->changeTask(run.attempt.task), {});
+        job->releaseTask(run.attempt.task);
         this->planner.markWaiting(job->spec.id);
     }
 }
@@ -410,7 +420,7 @@
 
 void Dispatcher::clearSuspicion(JobEntry &job, const TaskRef &task, milliseconds age)
 {
-    if (CrashSuspects::clearSuspicion(job.step(task), job.task(task), age)) {
+    if (CrashSuspects::clearSuspicion(job.step(task), job.changeTask(task), age)) {
         this->markChanged(job);
     }
 }
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -231,6 +231,10 @@
     /** Notes that a worker has begun a task of a job. */
     void markStarted(JobEntry &job);
 
+    /** Counts the end of a run. @returns as runEnded() */
+    std::uint64_t countEnd(const Worker &worker, JobEntry &job, const Run *run,
+                           const ListedEnd &end);
+
     /** Returns the job of a task; null when the job is unknown or has no such task. */
     JobEntry *findJob(const TaskRef &task);
 
--- a/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
@@ -12,7 +12,7 @@
 
 void Dispatcher::recordAssignment(JobEntry &job, const TaskRef &ref, const TargetId &worker)
 {
-    StepTask &task = job.task(ref);
+    StepTask &task = job.changeTask(ref);
     task.assignedTo = worker;
     task.assignmentChange = this->writer.markJobChanged(job.spec.id, true);
 }
@@ -26,7 +26,7 @@
 
 void Dispatcher::startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt)
 {
-    StepTask &task = job.task(ref);
+    StepTask &task = job.changeTask(ref);
     const Run run = this->describeRun(job, { ref, attempt });
     ++job.startedRuns;
     if (task.lastAttempt == 0) {
--- a/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
@@ -67,7 +67,7 @@
         || CrashSuspects::crashPointsAtOther(worker, run.attempt)) {
         return;
     }
-    StepTask &task = job->task(run.attempt.task);
+    StepTask &task = job->changeTask(run.attempt.task);
     const RunAge kind = CrashSuspects::ageOf(worker, run);
     if (kind == RunAge::Lasted) {
         this->clearSuspicion(*job, run.attempt.task, age);
@@ -91,7 +91,7 @@
 
 milliseconds Dispatcher::typicalDuration(const JobEntry &job, const TaskRef &task) const
 {
-    const milliseconds mean = job.occurrences[task.occurrence].steps[task.step].meanDuration;
+    const milliseconds mean = job.occurrences.at(task.occurrence).steps.at(task.step).meanDuration;
     return mean.count() > 0 ? mean
                             : this->durations.expectedDuration(job.spec.queue, job.step(task));
 }
@@ -101,7 +101,7 @@
     const Duration took = this->clock.now() - run.startSentAt;
     const TaskRef &task = run.attempt.task;
     this->durations.recordDuration(job.spec.queue, job.step(task), took);
-    StepState &step = job.occurrences[task.occurrence].steps[task.step];
+    StepState &step = job.occurrences.change(task.occurrence).steps.at(task.step);
     const auto newest = duration_cast<milliseconds>(took);
     step.meanDuration = step.meanDuration.count() == 0 ? newest : (step.meanDuration + newest) / 2;
 }
@@ -117,7 +117,7 @@
             if (job == nullptr) {
                 continue;
             }
-            StepTask &task = job->task(attempt.task);
+            StepTask &task = job->changeTask(attempt.task);
             const RunHealth health =
                     assessRun(worker, run, now, this->typicalDuration(*job, attempt.task));
             const bool gang = job->step(attempt.task).gang;
--- a/modules/bulrush_steps/dispatch/DispatcherTakeover.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherTakeover.cpp
@@ -46,17 +46,17 @@
 std::size_t Dispatcher::heldTasksOf(const JobEntry &job) const
 {
     std::size_t held = 0;
-    for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
-        const std::vector<StepState> &steps = job.occurrences[occurrence].steps;
+    for (std::uint32_t occurrence = job.occurrences.firstOpen();
+         occurrence < job.occurrences.size() && job.isDue(occurrence, this->clock); ++occurrence) {
+        const std::vector<StepState> &steps = job.occurrences.at(occurrence).steps;
         for (std::uint32_t step = 0; step < steps.size(); ++step) {
             if (!job.dependenciesMet(occurrence, step)) {
                 continue;
             }
-            held += static_cast<std::size_t>(std::count_if(
-                    steps[step].tasks.begin(), steps[step].tasks.end(), [&](const StepTask &task) {
-                        return !task.succeeded && task.openRuns == 0
-                                && !this->mayStart(job, job.spec.steps[step], task);
-                    }));
+            const StepSpec &spec = job.spec.steps[step];
+            steps[step].tasks.forEachOpen([&](std::uint32_t /*index*/, const StepTask &task) {
+                held += this->mayStart(job, spec, task) ? 0 : 1;
+            });
         }
     }
     return held;
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -73,22 +73,13 @@
     return load;
 }
 
-Duration Planner::ageOf(const JobEntry &job, std::uint32_t occurrence, Instant now) const
-{
-    if (!job.spec.timed) {
-        return now - job.acceptedAt;
-    }
-    const UnixMillis due = job.spec.firstDue + job.spec.interval.count() * occurrence;
-    return milliseconds(this->clock.calendarMillis() - due);
-}
-
 WaitingJob Planner::describeWaiting(const JobEntry &job, std::uint32_t occurrence, Instant since,
                                     Instant now) const
 {
     WaitingJob waitingJob;
     waitingJob.priority = job.spec.priority;
     waitingJob.runsIndefinitely = job.spec.runsIndefinitely();
-    waitingJob.age = this->ageOf(job, occurrence, now);
+    waitingJob.age = job.ageOf(occurrence, this->clock);
     waitingJob.waited = now - since;
     waitingJob.remaining = this->durations.remainingPath(job, occurrence);
     waitingJob.objective = this->durations.objective(job.spec);
@@ -100,12 +91,9 @@
 {
     std::size_t unstarted = 0;
     std::size_t all = 0;
-    for (const StepState &step : job.occurrences[occurrence].steps) {
+    for (const StepState &step : job.occurrences.at(occurrence).steps) {
         all += step.tasks.size();
-        unstarted += static_cast<std::size_t>(
-                std::count_if(step.tasks.begin(), step.tasks.end(), [](const StepTask &task) {
-                    return !task.succeeded && task.openRuns == 0;
-                }));
+        unstarted += step.tasks.open();
     }
     return all == 0 ? 0.0 : static_cast<double>(unstarted) / static_cast<double>(all);
 }
@@ -132,8 +120,9 @@
 bool Planner::addCandidates(PlanLane &lane, JobEntry &job, Instant since, Instant now)
 {
     bool found = false;
-    for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
-        if (job.spec.timed && this->ageOf(job, occurrence, now) < Duration::zero()) {
+    for (std::uint32_t occurrence = job.occurrences.firstOpen();
+         occurrence < job.occurrences.size(); ++occurrence) {
+        if (!job.isDue(occurrence, this->clock)) {
             return true;
         }
         const std::vector<std::uint32_t> steps = openSteps(lane, job, occurrence);
@@ -155,13 +144,10 @@
                                               std::uint32_t occurrence)
 {
     std::vector<std::uint32_t> open;
-    const OccurrenceState &state = job.occurrences[occurrence];
+    const OccurrenceState &state = job.occurrences.at(occurrence);
     for (std::uint32_t step = 0; step < state.steps.size(); ++step) {
-        const std::vector<StepTask> &tasks = state.steps[step].tasks;
-        const bool hasOpenTask = job.spec.steps[step].fills == lane.fills
-                && std::any_of(tasks.begin(), tasks.end(), [](const StepTask &task) {
-                                     return !task.succeeded && task.openRuns == 0;
-                                 });
+        const bool hasOpenTask =
+                job.spec.steps[step].fills == lane.fills && state.steps[step].tasks.open() > 0;
         if (hasOpenTask && job.dependenciesMet(occurrence, step)) {
             open.push_back(step);
         }
@@ -204,15 +190,13 @@
 {
     const JobEntry &job = *candidate.job;
     const StepSpec &step = candidate.spec();
-    const std::vector<StepTask> &tasks =
-            job.occurrences[candidate.occurrence].steps[candidate.step].tasks;
+    const TaskStates &tasks = job.occurrences.at(candidate.occurrence).steps[candidate.step].tasks;
     std::vector<std::uint32_t> indices;
-    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        const StepTask &task = tasks[index];
-        if (!task.succeeded && task.openRuns == 0 && this->listener.mayStart(job, step, task)) {
+    tasks.forEachOpen([&](std::uint32_t index, const StepTask &task) {
+        if (this->listener.mayStart(job, step, task)) {
             indices.push_back(index);
         }
-    }
+    });
     return indices;
 }
 
@@ -231,12 +215,13 @@
     bool noneApart = false;
     for (const std::uint32_t index : indices) {
         ref.index = index;
-        StepTask &task = job.task(ref);
+        const StepTask &task = job.task(ref);
         if (!this->mayStartMore(lane) || !this->mayAssignMore(lane, step)) {
             return true;
         }
         request.failedOn = task.failedOn;
-        request.apart = CrashSuspects::requireApart(task, now);
+        request.apart =
+                !task.youngCrashes.empty() && CrashSuspects::requireApart(job.changeTask(ref), now);
         if (request.apart && noneApart) {
             continue;
         }
@@ -250,8 +235,9 @@
         if (worker == nullptr) {
             return false;
         }
-        task.startedApart = request.apart;
-        this->start(job, ref, *worker, this->listener.nextAttempt(task));
+        StepTask &started = job.changeTask(ref);
+        started.startedApart = request.apart;
+        this->start(job, ref, *worker, this->listener.nextAttempt(started));
         ++request.siblings[worker->entry.worker];
         const bool rackChosen = step.prefersSingleRack && request.rack != worker->rack;
         request.rack = worker->rack;
@@ -303,7 +289,7 @@
         return false;
     }
     for (ref.index = 0; ref.index < step.taskCount; ++ref.index) {
-        job.task(ref).checkpoint = checkpoint;
+        job.changeTask(ref).checkpoint = checkpoint;
         this->start(job, ref, *chosen[ref.index], attempt);
     }
     return true;
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -108,9 +108,6 @@
     static std::vector<std::uint32_t> openSteps(const PlanLane &lane, const JobEntry &job,
                                                 std::uint32_t occurrence);
 
-    /** Returns the time since a job was accepted, or, for a job with a schedule, since an
-        occurrence was due; negative before that. */
-    Duration ageOf(const JobEntry &job, std::uint32_t occurrence, Instant now) const;
     WaitingJob describeWaiting(const JobEntry &job, std::uint32_t occurrence, Instant since,
                                Instant now) const;
 
--- a/modules/bulrush_steps/model/StepJobTable.cpp
+++ b/modules/bulrush_steps/model/StepJobTable.cpp
@@ -56,11 +56,31 @@
     return this->started ? JobState::Running : JobState::Queued;
 }
 
-StepTask &JobEntry::task(const TaskRef &ref)
+const StepTask &JobEntry::task(const TaskRef &ref) const
 {
     return this->occurrences.at(ref.occurrence).steps.at(ref.step).tasks.at(ref.index);
 }
 
+StepTask &JobEntry::changeTask(const TaskRef &ref)
+{
+    return this->occurrences.change(ref.occurrence).steps.at(ref.step).tasks.change(ref.index);
+}
+
+void JobEntry::releaseEnded()
+{
+    this->spec.payload = {};
+    this->occurrences.releaseTasks();
+}
+
+Duration JobEntry::ageOf(std::uint32_t occurrence, const Clock &clock) const
+{
+    if (!this->spec.timed) {
+        return clock.now() - this->acceptedAt;
+    }
+    const UnixMillis due = this->spec.firstDue + this->spec.interval.count() * occurrence;
+    return milliseconds(clock.calendarMillis() - due);
+}
+
 bool JobEntry::hasTask(const TaskRef &ref) const
 {
     return ref.occurrence < this->occurrences.size() && ref.step < this->spec.steps.size()
@@ -71,15 +91,14 @@
 {
     const OccurrenceState &state = this->occurrences.at(occurrence);
     const std::vector<std::uint32_t> &dependencies = this->spec.steps.at(step).dependsOn;
-    return std::all_of(
-            dependencies.begin(), dependencies.end(), [this, &state](std::uint32_t earlier) {
-                return state.steps.at(earlier).succeeded == this->spec.steps.at(earlier).taskCount;
-            });
+    return std::all_of(dependencies.begin(), dependencies.end(), [&state](std::uint32_t earlier) {
+        return state.steps.at(earlier).tasks.allSucceeded();
+    });
 }
 
 void JobEntry::recordFirstStart(const TaskRef &ref, Instant now)
 {
-    OccurrenceState &occurrence = this->occurrences.at(ref.occurrence);
+    OccurrenceState &occurrence = this->occurrences.change(ref.occurrence);
     Instant readyAt = this->acceptedAt;
     for (const std::uint32_t earlier : this->step(ref).dependsOn) {
         readyAt = std::max(readyAt, occurrence.steps.at(earlier).endedAt.value_or(readyAt));
@@ -89,8 +108,8 @@
 
 void JobEntry::recordStepEnd(const TaskRef &ref, Instant now)
 {
-    StepState &step = this->occurrences.at(ref.occurrence).steps.at(ref.step);
-    if (step.succeeded == step.tasks.size() && !step.endedAt) {
+    StepState &step = this->occurrences.change(ref.occurrence).steps.at(ref.step);
+    if (step.tasks.allSucceeded() && !step.endedAt) {
         step.endedAt = now;
     }
 }
@@ -98,7 +117,7 @@
 Duration JobEntry::startWait() const
 {
     Duration longest {};
-    for (const OccurrenceState &occurrence : this->occurrences) {
+    for (const auto &[number, occurrence] : this->occurrences.kept()) {
         Duration wait {};
         for (const StepState &step : occurrence.steps) {
             wait += step.startWait;
@@ -111,14 +130,7 @@
 JobEntry &StepJobTable::addJob(StepJob job)
 {
     JobEntry entry;
-    entry.occurrences.resize(job.occurrences);
-    for (OccurrenceState &occurrence : entry.occurrences) {
-        for (const StepSpec &step : job.steps) {
-            StepState state;
-            state.tasks.resize(step.taskCount);
-            occurrence.steps.push_back(std::move(state));
-        }
-    }
+    entry.occurrences = OccurrenceTable(job);
     const JobId id = job.id;
     entry.spec = std::move(job);
     return this->jobs.emplace(id, std::move(entry)).first->second;
@@ -161,7 +173,7 @@
     job.cancelled = this->pendingCancellations.erase(key.job) > 0;
     const auto progress = this->pendingProgress.find(key.job);
     if (progress != this->pendingProgress.end()) {
-        const KeyedRecord pending { record.key, records::encode(progress->second), 0 };
+        const KeyedRecord pending { record.key, std::move(progress->second), 0 };
         this->pendingProgress.erase(progress);
         this->applyProgress(pending);
     }
@@ -192,10 +204,11 @@
     if (key.kind != records::KeyKind::Job) {
         return;
     }
-    JobProgress progress = records::decodeProgress(record.key, record.value);
+    const JobProgress progress = records::decodeProgress(record.key, record.value);
     JobEntry *job = this->find(key.job);
     if (job == nullptr) {
-        this->pendingProgress[key.job] = std::move(progress);
+        // Kept as a record, which takes less memory than its decoded form.
+        this->pendingProgress[key.job] = record.value;
         return;
     }
     for (const TaskProgress &task : progress.tasks) {
@@ -203,20 +216,25 @@
         if (!job->hasTask(ref)) {
             continue;
         }
-        job->task(ref).assignedTo = task.assignedTo;
+        StepTask &state = job->changeTask(ref);
+        state.assignedTo = task.assignedTo;
+        state.crashedAttempts = task.crashedAttempts;
+        state.youngCrashes = task.youngCrashes;
         job->started = job->started || showsRun(task);
-        job->task(ref).crashedAttempts = task.crashedAttempts;
-        job->task(ref).youngCrashes = task.youngCrashes;
         for (const std::uint64_t attempt : task.failedAttempts) {
             countFailure(*job, { ref, attempt });
         }
         if (task.succeeded) {
             countSuccess(*job, ref);
         }
+        job->releaseTask(ref);
     }
     job->succeeded = progress.succeeded;
     job->failed = progress.failed;
     job->endStored = progress.succeeded || progress.failed;
+    if (job->endStored) {
+        job->releaseEnded();
+    }
 }
 
 JobEntry *StepJobTable::find(const JobId &job)
@@ -233,28 +251,23 @@
 
 bool StepJobTable::countSuccess(JobEntry &job, const TaskRef &ref)
 {
-    StepTask &task = job.task(ref);
     // The progress record of a succeeded job does not list its tasks, so check the job as well.
-    if (job.succeeded || task.succeeded || job.step(ref).runsIndefinitely) {
+    if (job.succeeded || job.task(ref).succeeded || job.step(ref).runsIndefinitely) {
         return false;
     }
-    task.succeeded = true;
-    OccurrenceState &occurrence = job.occurrences[ref.occurrence];
-    StepState &step = occurrence.steps[ref.step];
-    ++step.succeeded;
-    if (step.succeeded == step.tasks.size()) {
-        ++occurrence.succeededSteps;
+    OccurrenceState &occurrence = job.occurrences.change(ref.occurrence);
+    StepState &step = occurrence.steps.at(ref.step);
+    step.tasks.markSucceeded(ref.index);
+    if (step.tasks.allSucceeded() && ++occurrence.succeededSteps == job.spec.steps.size()) {
+        job.occurrences.markEnded(ref.occurrence);
     }
-    job.succeeded = std::all_of(job.occurrences.begin(), job.occurrences.end(),
-                                [&job](const OccurrenceState &each) {
-                                    return each.succeededSteps == job.spec.steps.size();
-                                });
+    job.succeeded = job.occurrences.allEnded();
     return true;
 }
 
 bool StepJobTable::countFailure(JobEntry &job, const AttemptRef &attempt)
 {
-    std::vector<std::uint64_t> &counted = job.task(attempt.task).failedAttempts;
+    std::vector<std::uint64_t> &counted = job.changeTask(attempt.task).failedAttempts;
     if (std::find(counted.begin(), counted.end(), attempt.attempt) != counted.end()) {
         return false;
     }
@@ -278,11 +291,14 @@
         return progress;
     }
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
-        const OccurrenceState &state = job.occurrences[occurrence];
+        if (!job.occurrences.hasBegun(occurrence)) {
+            continue;
+        }
+        const OccurrenceState &state = job.occurrences.at(occurrence);
         for (std::uint32_t step = 0; step < state.steps.size(); ++step) {
-            const std::vector<StepTask> &tasks = state.steps[step].tasks;
+            const TaskStates &tasks = state.steps[step].tasks;
             for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                const StepTask &task = tasks[index];
+                const StepTask &task = tasks.at(index);
                 TaskProgress recorded { occurrence,
                                         step,
                                         index,
--- a/modules/bulrush_steps/model/StepJobTable.h
+++ b/modules/bulrush_steps/model/StepJobTable.h
@@ -2,6 +2,7 @@
 
 #include "bulrush_core/log/LogTypes.h"
 #include "bulrush_steps/model/JobRecords.h"
+#include "bulrush_steps/model/OccurrenceTable.h"
 #include "bulrush_steps/model/StepJob.h"
 #include "bulrush_steps/ports/KeyedLog.h"
 
@@ -15,60 +16,11 @@
 
 namespace bulrush {
 
-/** The state of one task. */
-struct StepTask
-{
-    bool succeeded = false;
-    /** Attempts that were counted as failed. */
-    std::vector<std::uint64_t> failedAttempts;
-    std::uint64_t lastAttempt = 0;
-    /** Workers on which attempts failed, stalled or were slow. */
-    std::vector<TargetId> failedOn;
-    /** The number of times that the task was moved because its run stalled or was slow. */
-    std::uint32_t relocations = 0;
-    /** The newest checkpoint that a worker reported. */
-    std::string checkpoint;
-    /** Attempts during which a worker crashed; of a long-running task those since its last long
-        run. */
-    std::vector<std::uint64_t> crashedAttempts;
-    /** The newest attempts in a row during which a worker crashed just after the start. */
-    std::vector<std::uint64_t> youngCrashes;
-    /** Whether the newest attempt was started apart. @see CrashSuspects */
-    bool startedApart = false;
-    /** Since when this owner has looked for a worker to start the task apart. */
-    std::optional<Instant> apartWaitSince;
-    /** The number of runs that may be alive. */
-    std::uint32_t openRuns = 0;
-    /** The worker on which a run of a long-running task may be alive, as on record or about to be.
-        Any earlier run is no longer alive when the task is assigned to another worker. */
-    std::optional<TargetId> assignedTo;
-    /** The number of the change that puts the assignment on record. */
-    std::uint64_t assignmentChange = 0;
-};
-
-struct StepState
-{
-    std::vector<StepTask> tasks;
-    std::uint32_t succeeded = 0;
-    /** Mean duration of the tasks that succeeded under this owner; 0 before the first. */
-    milliseconds meanDuration { 0 };
-    /** When the last task succeeded under this owner. */
-    std::optional<Instant> endedAt;
-    /** How long the step could have started before the last of its tasks was first started. */
-    Duration startWait {};
-};
-
-struct OccurrenceState
-{
-    std::vector<StepState> steps;
-    std::uint32_t succeededSteps = 0;
-};
-
 /** A job and its state. */
 struct JobEntry
 {
     StepJob spec;
-    std::vector<OccurrenceState> occurrences;
+    OccurrenceTable occurrences;
     /** Whether a previous owner may have started tasks of the job. False only when the first record
         of the job follows the owner record of the present owner. The newest record of the job does
         not show this, because it may repeat an earlier one. */
@@ -101,12 +53,33 @@
     /** Returns the state to show to callers: success or failure only once it is stored. */
     JobState visibleState() const;
 
-    StepTask &task(const TaskRef &ref);
+    /** Returns the state of a task. The reference is valid until the task's state changes. */
+    const StepTask &task(const TaskRef &ref) const;
+
+    /** Returns the state of a task to change. The reference is valid until releaseTask(). */
+    StepTask &changeTask(const TaskRef &ref);
+
+    /** Drops the state of a task that has succeeded and has no run. */
+    void releaseTask(const TaskRef &ref) { this->occurrences.release(ref); }
+
+    /** Drops what is not needed any more of a job whose end is known to callers. */
+    void releaseEnded();
+
     const StepSpec &step(const TaskRef &ref) const { return this->spec.steps.at(ref.step); }
 
     /** Returns whether a reference identifies a task of this job. */
     bool hasTask(const TaskRef &ref) const;
 
+    /** Returns the time since a job was accepted, or, for a job with a schedule, since an
+        occurrence was due; negative before that. */
+    Duration ageOf(std::uint32_t occurrence, const Clock &clock) const;
+
+    /** Returns whether an occurrence may start by its schedule, if it has one. */
+    bool isDue(std::uint32_t occurrence, const Clock &clock) const
+    {
+        return !this->spec.timed || this->ageOf(occurrence, clock) >= Duration::zero();
+    }
+
     /** Returns whether all steps that a step depends on have succeeded. */
     bool dependenciesMet(std::uint32_t occurrence, std::uint32_t step) const;
 
@@ -172,8 +145,8 @@
     void applyOwnerRecord(const KeyedRecord &record, std::uint64_t fencingToken);
 
     std::unordered_map<JobId, JobEntry> jobs;
-    /** Progress and cancellations that were read before the record of their job. */
-    std::unordered_map<JobId, JobProgress> pendingProgress;
+    /** Progress records and cancellations that were read before the record of their job. */
+    std::unordered_map<JobId, std::string> pendingProgress;
     std::unordered_set<JobId> pendingCancellations;
     Roster newestRoster;
     std::uint64_t ownerToken = 0;
--- a/modules/bulrush_steps/policy/DurationEstimator.cpp
+++ b/modules/bulrush_steps/policy/DurationEstimator.cpp
@@ -65,8 +65,7 @@
         for (const std::uint32_t earlier : job.steps[step].dependsOn) {
             start = std::max(start, ends.at(earlier));
         }
-        const bool ended =
-                progress != nullptr && progress->steps[step].succeeded == job.steps[step].taskCount;
+        const bool ended = progress != nullptr && progress->steps[step].tasks.allSucceeded();
         const milliseconds duration =
                 ended ? milliseconds(0) : this->expectedDuration(job.queue, job.steps[step]);
         ends[step] = start + duration;
--- a/modules/bulrush_steps/tests/crash_evidence_test.cpp
+++ b/modules/bulrush_steps/tests/crash_evidence_test.cpp
@@ -268,7 +268,7 @@
     }
     StepTask &task = const_cast<StepJobTable &>(fixture.dispatcher.jobs())
                              .find(JobId("b"))
-                             ->task({ JobId("b"), 0, 0, 0 });
+                             ->changeTask({ JobId("b"), 0, 0, 0 });
     cr_assert(task.crashedAttempts.empty());
     Worker &worker = const_cast<WorkerManager &>(fixture.dispatcher.runs()).workers().at(shared);
     CrashSuspects::setApart(worker, { { JobId("x"), 0, 0, 0 }, 1 }, fixture.clock.now());
--- a/modules/bulrush_steps/tests/planning_test.cpp
+++ b/modules/bulrush_steps/tests/planning_test.cpp
@@ -108,7 +108,7 @@
             continue;
         }
         jobs += 1.0;
-        const std::optional<Instant> endedAt = job.occurrences[0].steps.back().endedAt;
+        const std::optional<Instant> endedAt = job.occurrences.at(0).steps.back().endedAt;
         const Duration limit = durations.objective(job.spec) * lateLimit;
         served += endedAt && *endedAt - job.acceptedAt <= limit ? 1.0 : 0.0;
     }
@@ -210,7 +210,7 @@
     const auto &entries = fixture.dispatcher.jobs().entries();
     const auto inTime = std::count_if(entries.begin(), entries.end(), [&](const auto &each) {
         const JobEntry &job = each.second;
-        const std::optional<Instant> endedAt = job.occurrences[0].steps.back().endedAt;
+        const std::optional<Instant> endedAt = job.occurrences.at(0).steps.back().endedAt;
         return job.succeeded && endedAt && *endedAt - job.acceptedAt <= objective;
     });
     cr_assert_geq(inTime, jobs * 3 / 5, "%d of %u jobs ended in time", static_cast<int>(inTime),
--- a/modules/bulrush_steps/tests/step_job_table_test.cpp
+++ b/modules/bulrush_steps/tests/step_job_table_test.cpp
@@ -136,8 +136,9 @@
     table.applyProgress(makeRecord(progress));
     table.applyJobRecord(makeRecord(makeTwoStepJob("a"), 0), clock);
     const JobEntry &job = *table.find(JobId("a"));
-    cr_assert(job.occurrences[0].steps[0].tasks[1].succeeded);
-    cr_assert_eq(job.occurrences[0].steps[0].succeeded, 1U);
+    const TaskStates &tasks = job.occurrences.at(0).steps[0].tasks;
+    cr_assert(tasks.at(1).succeeded);
+    cr_assert_eq(tasks.succeeded(), 1U);
 }
 
 Test(StepJobTable, successIsReportedOnlyAfterItIsStored)
