Write the progress of a job in parts that the store takes

Cause: one progress record for a job lists each begun task. Longer than recordBytes, the store rejects it for good (400); that counted as an unknown outcome, so the same append was sent again without end, and it holds up the progress of all jobs. An append was bounded by its number of records only, not by requestBytes.

Ruled out: an outage of the store (all other calls succeed), a fenced writer.

Change: parts of 256 tasks, only those that changed are written, the first with the key and form of before; later ones are removed once the end is on record. recordBytes and requestBytes are read from the settings. A rejection for good is an outcome of its own (E1645): the records are sent one at a time, and a job whose record alone is rejected or too long fails (E1644), alone. A submission that fits into no record is rejected at once.

--- a/modules/bulrush_core/events/EventCatalogue.cpp
+++ b/modules/bulrush_core/events/EventCatalogue.cpp
@@ -67,6 +67,8 @@
     EventInfo { Event::ConfigApplied, Severity::Info, "config in force" },
     EventInfo { Event::SettingsRead, Severity::Info, "settings read" },
     EventInfo { Event::QueueServedAgain, Severity::Info, "queue served again" },
+    EventInfo { Event::ProgressTooLong, Severity::Error, "progress too long" },
+    EventInfo { Event::AppendRejected, Severity::Error, "append rejected" },
     EventInfo { Event::StoreLost, Severity::Warning, "store lost" },
     EventInfo { Event::StoreRecovered, Severity::Info, "store back" },
     EventInfo { Event::RecordIgnored, Severity::Warning, "record ignored" },
--- a/modules/bulrush_core/events/EventCatalogue.h
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -70,6 +70,8 @@
     ConfigApplied = 1641,
     SettingsRead = 1642,
     QueueServedAgain = 1643,
+    ProgressTooLong = 1644,
+    AppendRejected = 1645,
     StoreLost = 1651,
     StoreRecovered = 1652,
     RecordIgnored = 1653,
--- a/modules/bulrush_entry/front/CallerRequestHandler.cpp
+++ b/modules/bulrush_entry/front/CallerRequestHandler.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds otherNodeRetryAfter { 0 };
 
 constexpr std::string_view stopReason = "this node stops";
+constexpr std::string_view tooLargeReason = "the job does not fit into a record of the store";
 
 constexpr std::size_t jobIdDigits = 16;
 
@@ -157,6 +158,14 @@
     Pending pending;
     pending.job = id;
     pending.record = { records::jobKey(id), records::encode(job), 0 };
+    if (pending.record.size() > this->log.limits().record) {
+        this->decisions.write(DecisionLine(Event::JobRefused)
+                                      .with("job", id.name())
+                                      .with("queue", queue.name)
+                                      .with("reason", tooLargeReason));
+        callback({ CallerOutcome::Malformed, {}, 0, std::string(tooLargeReason), {} });
+        return;
+    }
     pending.success = CallerOutcome::Accepted;
     pending.queue = queue.name;
     pending.tasks = job.taskCount();
@@ -205,6 +214,12 @@
         callback(answer);
         return;
     }
+    if (result.outcome == StoreOutcome::Invalid && !pending->mayHaveTakenEffect) {
+        const Callback callback = std::exchange(pending->callback, nullptr);
+        this->pendingAppends.remove(pending);
+        callback({ CallerOutcome::Malformed, {}, 0, std::string(tooLargeReason), {} });
+        return;
+    }
     if (result.outcome != StoreOutcome::Refused) {
         pending->mayHaveTakenEffect = true;
     }
--- a/modules/bulrush_entry/node/ObservedStore.h
+++ b/modules/bulrush_entry/node/ObservedStore.h
@@ -13,6 +13,7 @@
     ObservedStore(const Clock &clock, KeyedLog &log, MemberGroup &group, StoreHealth &health,
                   EntryMetrics &metrics);
 
+    LogLimits limits() const override { return this->log.limits(); }
     void append(LogStream stream, const std::vector<KeyedRecord> &records,
                 const std::optional<WriterMark> &mark, Duration timeout,
                 std::function<void(AppendAnswer)> callback) override;
--- a/modules/bulrush_entry/settings/EntrySettings.h
+++ b/modules/bulrush_entry/settings/EntrySettings.h
@@ -4,6 +4,7 @@
 #include "bulrush_core/ids/Id.h"
 #include "bulrush_steps/dispatch/DispatchSettings.h"
 #include "bulrush_steps/ownership/OwnershipManager.h"
+#include "bulrush_steps/ports/KeyedLog.h"
 
 #include <optional>
 #include <string>
@@ -25,6 +26,7 @@
     Endpoint operators;
     /** Endpoint of the platform's store. */
     Endpoint store;
+    LogLimits storeLimits;
     /** Endpoint of the service that decides which workers may run a step, if there is one. */
     std::optional<Endpoint> advice;
     /** Endpoint of the platform's list of VMs, if there is one. */
--- a/modules/bulrush_entry/tests/caller_request_handler_test.cpp
+++ b/modules/bulrush_entry/tests/caller_request_handler_test.cpp
@@ -66,6 +66,16 @@
     cr_assert_neq(fixture.log.newestValue(LogStream::Jobs, "job/0123456789abcdef"), "");
 }
 
+/* A job whose record is longer than the store takes was sent to it until the caller's time limit.
+ */
+Test(CallerRequestHandler, refusesAtOnceAJobThatFitsIntoNoRecord)
+{
+    HandlerFixture fixture;
+    fixture.log.maxSizes.record = 100;
+    cr_assert(fixture.send(CallerRequestKind::Submit, jobPath)->outcome
+              == CallerOutcome::Malformed);
+}
+
 Test(CallerRequestHandler, refusesMalformedRequestsAndUnknownQueues)
 {
     HandlerFixture fixture;
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -47,7 +47,7 @@
         if (!job.hasEnded()) {
             this->addWaiting(job);
         } else if (!job.endStored && !job.cancelled) {
-            this->markChanged(job);
+            this->markEndChanged(job);
         }
     }
     this->workerManager.begin(this->term.fencingToken);
@@ -206,19 +206,39 @@
     }
 }
 
-ProgressRecord Dispatcher::progressRecord(const JobId &id)
+ProgressRecord Dispatcher::progressRecord(const ProgressPart &part)
 {
-    const JobEntry *job = this->jobTable.find(id);
-    if (job == nullptr) {
+    const JobEntry *job = this->jobTable.find(part.job);
+    if (job == nullptr || (job->endStored && !part.isFirst())) {
         return {};
     }
-    return { records::encode(StepJobTable::progressOf(*job)), job->succeeded || job->failed };
+    const JobProgress progress = StepJobTable::progressOf(*job, part);
+    return { records::encode(progress), progress.succeeded || progress.failed };
+}
+
+void Dispatcher::recordTooLong(const ProgressPart &part, std::size_t bytes)
+{
+    this->decisions.write(DecisionLine(Event::ProgressTooLong)
+                                  .with("job", part.job.name())
+                                  .with("part", part.number)
+                                  .with("bytes", bytes));
+    JobEntry *job = this->jobTable.find(part.job);
+    if (job != nullptr && !job->hasEnded()) {
+        job->failed = true;
+        this->stopRuns(*job, "the progress of the job does not fit into a record");
+    }
+}
+
+void Dispatcher::appendRejected(std::size_t records, std::size_t bytes)
+{
+    this->decisions.write(
+            DecisionLine(Event::AppendRejected).with("records", records).with("bytes", bytes));
 }
 
-void Dispatcher::stored(const std::vector<WrittenJob> &jobs, bool withRoster)
+void Dispatcher::stored(const std::vector<WrittenProgress> &parts, bool withRoster)
 {
-    for (const WrittenJob &written : jobs) {
-        JobEntry *job = this->jobTable.find(written.job);
+    for (const WrittenProgress &written : parts) {
+        JobEntry *job = this->jobTable.find(written.part.job);
         if (job != nullptr && written.showsEnd && !job->endStored) {
             this->endStored(*job);
         }
@@ -246,6 +266,15 @@
                     .with("start_wait_ms", duration_cast<milliseconds>(job.startWait()).count())
                     .with("age_ms", duration_cast<milliseconds>(age).count()));
     job.releaseEnded();
+    this->removeLaterProgress(job);
+}
+
+void Dispatcher::removeLaterProgress(const JobEntry &job)
+{
+    const std::uint32_t parts = progressPartCount(job.spec);
+    for (std::uint32_t number = 1; number < parts; ++number) {
+        this->writer.markChanged({ job.spec.id, number }, false);
+    }
 }
 
 void Dispatcher::writerFenced()
@@ -258,9 +287,19 @@
     this->listener.superseded(worker.entry.worker.name());
 }
 
-void Dispatcher::markChanged(const JobEntry &job)
+void Dispatcher::markEndChanged(const JobEntry &job)
 {
-    this->writer.markJobChanged(job.spec.id, job.succeeded || job.failed);
+    this->writer.markChanged({ job.spec.id, 0 }, true);
+}
+
+std::uint64_t Dispatcher::markTaskChanged(const JobEntry &job, const TaskRef &task)
+{
+    const std::uint64_t change = this->writer.markChanged(progressPartOf(job.spec, task), false);
+    if (!job.succeeded && !job.failed) {
+        return change;
+    }
+    this->markEndChanged(job);
+    return this->writer.newestChange();
 }
 
 Run Dispatcher::adoptRun(const Worker &worker, const ListedRun &listed)
@@ -377,14 +416,16 @@
     if (job.failed && !hadEnded) {
         this->stopRuns(job, "the job failed");
     }
-    return this->writer.markJobChanged(job.spec.id, job.hasEnded());
+    return this->markTaskChanged(job, end.attempt.task);
 }
 
 void Dispatcher::completeGang(JobEntry &job, const AttemptRef &attempt)
 {
     TaskRef ref = attempt.task;
     for (ref.index = 0; ref.index < job.step(ref).taskCount; ++ref.index) {
-        StepJobTable::countSuccess(job, ref);
+        if (StepJobTable::countSuccess(job, ref)) {
+            this->markTaskChanged(job, ref);
+        }
     }
 }
 
@@ -421,7 +462,7 @@
 void Dispatcher::clearSuspicion(JobEntry &job, const TaskRef &task, milliseconds age)
 {
     if (CrashSuspects::clearSuspicion(job.step(task), job.changeTask(task), age)) {
-        this->markChanged(job);
+        this->markTaskChanged(job, task);
     }
 }
 
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -146,9 +146,11 @@
     std::string statesOf(const std::set<TargetId> &workers) const override;
 
     // ProgressWriter::Listener
-    ProgressRecord progressRecord(const JobId &job) override;
+    ProgressRecord progressRecord(const ProgressPart &part) override;
+    void recordTooLong(const ProgressPart &part, std::size_t bytes) override;
+    void appendRejected(std::size_t records, std::size_t bytes) override;
     std::string rosterRecord() override;
-    void stored(const std::vector<WrittenJob> &jobs, bool withRoster) override;
+    void stored(const std::vector<WrittenProgress> &parts, bool withRoster) override;
     void writerFenced() override;
 
     // Planner::Listener
@@ -240,7 +242,16 @@
 
     /** Makes the task of a run that is no longer alive available for a new start. */
     void requeueTask(const Run &run);
-    void markChanged(const JobEntry &job);
+
+    /** Has the end of a job put on record. */
+    void markEndChanged(const JobEntry &job);
+
+    /** Has the progress of a task put on record, and the end of its job if it has ended.
+        @returns the number of the change */
+    std::uint64_t markTaskChanged(const JobEntry &job, const TaskRef &task);
+
+    /** Has the records removed that a job no longer needs because its end is stored. */
+    void removeLaterProgress(const JobEntry &job);
 
     const Clock &clock;
     const DispatchSettings settings;
--- a/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
@@ -14,7 +14,7 @@
 {
     StepTask &task = job.changeTask(ref);
     task.assignedTo = worker;
-    task.assignmentChange = this->writer.markJobChanged(job.spec.id, true);
+    task.assignmentChange = this->writer.markChanged(progressPartOf(job.spec, ref), true);
 }
 
 void Dispatcher::recordFoundRun(JobEntry &job, const TaskRef &ref, const TargetId &worker)
--- a/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
@@ -86,7 +86,7 @@
                         .with("early", static_cast<std::int64_t>(task.youngCrashes.size())));
         this->stopRuns(*job, "a task of the job crashes its workers");
     }
-    this->markChanged(*job);
+    this->markTaskChanged(*job, run.attempt.task);
 }
 
 milliseconds Dispatcher::typicalDuration(const JobEntry &job, const TaskRef &task) const
--- a/modules/bulrush_steps/model/JobRecords.cpp
+++ b/modules/bulrush_steps/model/JobRecords.cpp
@@ -7,7 +7,22 @@
 #include <algorithm>
 #include <charconv>
 
-namespace bulrush::records {
+namespace bulrush {
+
+ProgressPart progressPartOf(const StepJob &job, const TaskRef &task)
+{
+    const std::size_t number = job.positionOf(task) / tasksPerProgressPart;
+    return { job.id, static_cast<std::uint32_t>(number) };
+}
+
+std::uint32_t progressPartCount(const StepJob &job)
+{
+    const std::size_t full = job.taskCount() / tasksPerProgressPart;
+    const std::size_t rest = job.taskCount() % tasksPerProgressPart;
+    return static_cast<std::uint32_t>(full + (rest > 0 ? 1 : 0));
+}
+
+namespace records {
 
 namespace {
 
@@ -15,6 +30,7 @@
 
 constexpr int schemaVersion = 1;
 constexpr std::string_view jobPrefix = "job/";
+constexpr std::string_view laterProgressPrefix = "progress/";
 constexpr std::string_view cancellationPrefix = "cancelled/";
 constexpr std::string_view ownerName = "owner";
 constexpr std::string_view ownerPrefix = "owner/";
@@ -30,6 +46,20 @@
     return error == std::errc() && end == text.data() + text.size() ? token : 0;
 }
 
+/** Returns what the key of a later part of a job's progress names: its number and the job. */
+ParsedKey parseLaterProgress(std::string_view rest)
+{
+    ParsedKey key;
+    const auto [end, error] = std::from_chars(rest.data(), rest.data() + rest.size(), key.part);
+    rest.remove_prefix(static_cast<std::size_t>(end - rest.data()));
+    if (error != std::errc() || key.part == 0 || !rest.starts_with('/')) {
+        return {};
+    }
+    key.kind = KeyKind::LaterProgress;
+    key.job = JobId(rest.substr(1));
+    return key;
+}
+
 template<class Decode>
 auto decodeRecord(std::string_view what, std::string_view value, Decode decode)
 {
@@ -138,6 +168,13 @@
     return std::string(jobPrefix) + job.name();
 }
 
+std::string progressKey(const ProgressPart &part)
+{
+    return part.isFirst() ? jobKey(part.job)
+                          : std::string(laterProgressPrefix) + std::to_string(part.number) + "/"
+                    + part.job.name();
+}
+
 std::string cancellationKey(const JobId &job)
 {
     return std::string(cancellationPrefix) + job.name();
@@ -173,6 +210,9 @@
     if (key.starts_with(jobPrefix)) {
         return { KeyKind::Job, JobId(key.substr(jobPrefix.size())) };
     }
+    if (key.starts_with(laterProgressPrefix)) {
+        return parseLaterProgress(key.substr(laterProgressPrefix.size()));
+    }
     if (key.starts_with(cancellationPrefix)) {
         return { KeyKind::Cancellation, JobId(key.substr(cancellationPrefix.size())) };
     }
@@ -361,4 +401,6 @@
     });
 }
 
-} // namespace bulrush::records
+} // namespace records
+
+} // namespace bulrush
--- a/modules/bulrush_steps/model/JobRecords.h
+++ b/modules/bulrush_steps/model/JobRecords.h
@@ -2,10 +2,12 @@
 
 #include "bulrush_steps/model/StepJob.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace bulrush {
@@ -26,7 +28,32 @@
     std::optional<TargetId> assignedTo;
 };
 
-/** The recorded progress of a job. */
+/** Names the record of a part of a job's progress. Each part holds tasksPerProgressPart tasks, so
+    that no record becomes longer than the store takes; the first one also holds the job's end. */
+struct ProgressPart
+{
+    JobId job;
+    std::uint32_t number = 0;
+
+    bool isFirst() const { return this->number == 0; }
+
+    bool operator==(const ProgressPart &) const = default;
+    bool operator<(const ProgressPart &other) const
+    {
+        return std::tie(this->job, this->number) < std::tie(other.job, other.number);
+    }
+};
+
+/** The number of tasks in one part of a job's progress. It determines the keys of the records. */
+constexpr std::size_t tasksPerProgressPart = 256;
+
+/** Returns the part that holds a task. */
+ProgressPart progressPartOf(const StepJob &job, const TaskRef &task);
+
+/** Returns the number of parts of a job's progress. */
+std::uint32_t progressPartCount(const StepJob &job);
+
+/** The recorded progress of a job, or of a part of it. */
 struct JobProgress
 {
     JobId job;
@@ -84,6 +111,9 @@
 /** Returns the key of the record of an accepted job. */
 std::string jobKey(const JobId &job);
 
+/** Returns the key of a part of a job's progress. Earlier versions know the first part only. */
+std::string progressKey(const ProgressPart &part);
+
 /** Returns the key of the record of a cancelled job. */
 std::string cancellationKey(const JobId &job);
 
@@ -104,7 +134,17 @@
 std::string rosterKey();
 
 /** The kind of a record, which its key determines. */
-enum class KeyKind : std::uint8_t { Job, Cancellation, Owner, Resignation, Roster, Unknown };
+enum class KeyKind : std::uint8_t {
+    /** Of a job or of the first part of its progress. */
+    Job,
+    /** Of a later part of a job's progress. */
+    LaterProgress,
+    Cancellation,
+    Owner,
+    Resignation,
+    Roster,
+    Unknown
+};
 
 struct ParsedKey
 {
@@ -112,6 +152,8 @@
     JobId job;
     /** Of the record of one owner or of one resignation; 0 otherwise. */
     std::uint64_t fencingToken = 0;
+    /** Of a part of a job's progress; 0 otherwise. */
+    std::uint32_t part = 0;
 };
 
 /** Returns the kind of a key, Unknown where it matches none, and the job that it names, if any. */
--- a/modules/bulrush_steps/model/OccurrenceTable.h
+++ b/modules/bulrush_steps/model/OccurrenceTable.h
@@ -46,12 +46,6 @@
     /** Returns the first occurrence that has not ended; size() when all have. */
     std::uint32_t firstOpen() const { return this->firstNotEnded; }
 
-    /** Returns whether a task of an occurrence may have been started. */
-    bool hasBegun(std::uint32_t occurrence) const
-    {
-        return this->states.contains(occurrence) || this->hasEnded(occurrence);
-    }
-
     /** Returns whether all tasks of an occurrence have succeeded. */
     bool hasEnded(std::uint32_t occurrence) const;
     bool allEnded() const { return this->firstNotEnded == this->count; }
--- a/modules/bulrush_steps/model/StepJob.h
+++ b/modules/bulrush_steps/model/StepJob.h
@@ -98,6 +98,22 @@
     bool operator==(const StepSpec &) const = default;
 };
 
+/** Identifies one task of a job. */
+struct TaskRef
+{
+    JobId job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+
+    bool operator==(const TaskRef &) const = default;
+    bool operator<(const TaskRef &other) const
+    {
+        return std::tie(this->job, this->occurrence, this->step, this->index)
+                < std::tie(other.job, other.occurrence, other.step, other.index);
+    }
+};
+
 /** The specification of a job of steps, as it was accepted. */
 struct StepJob
 {
@@ -127,25 +143,19 @@
     /** Returns the number of tasks of all steps and occurrences. */
     std::size_t taskCount() const;
 
+    /** Returns the position of a task among all tasks, by occurrence, step and index. */
+    std::size_t positionOf(const TaskRef &task) const;
+
+    /** Returns the task at a position below taskCount(). */
+    TaskRef taskAt(std::size_t position) const;
+
     /** Returns the work of all tasks by their estimates, in milliseconds of one processor;
         9e18 when it is more. */
     std::int64_t estimatedCoreMillis() const;
-};
-
-/** Identifies one task of a job. */
-struct TaskRef
-{
-    JobId job;
-    std::uint32_t occurrence = 0;
-    std::uint32_t step = 0;
-    std::uint32_t index = 0;
 
-    bool operator==(const TaskRef &) const = default;
-    bool operator<(const TaskRef &other) const
-    {
-        return std::tie(this->job, this->occurrence, this->step, this->index)
-                < std::tie(other.job, other.occurrence, other.step, other.index);
-    }
+private:
+    /** Returns the number of tasks of one occurrence. */
+    std::size_t tasksPerOccurrence() const;
 };
 
 /** Identifies one attempt at a task. */
--- a/modules/bulrush_steps/model/StepJobTable.cpp
+++ b/modules/bulrush_steps/model/StepJobTable.cpp
@@ -171,13 +171,18 @@
     const UnixMillis age = clock.calendarMillis() - job.spec.acceptedAt;
     job.acceptedAt = clock.now() - milliseconds(std::max<UnixMillis>(0, age));
     job.cancelled = this->pendingCancellations.erase(key.job) > 0;
-    const auto progress = this->pendingProgress.find(key.job);
-    if (progress != this->pendingProgress.end()) {
-        const KeyedRecord pending { record.key, std::move(progress->second), 0 };
-        this->pendingProgress.erase(progress);
+    this->applyPendingProgress(key.job);
+    return key.job;
+}
+
+void StepJobTable::applyPendingProgress(const JobId &job)
+{
+    auto next = this->pendingProgress.lower_bound({ job, 0 });
+    while (next != this->pendingProgress.end() && next->first.job == job) {
+        const KeyedRecord pending { records::progressKey(next->first), std::move(next->second), 0 };
+        next = this->pendingProgress.erase(next);
         this->applyProgress(pending);
     }
-    return key.job;
 }
 
 void StepJobTable::applyOwnerRecord(const KeyedRecord &record, std::uint64_t fencingToken)
@@ -201,42 +206,51 @@
         this->newestRoster = records::decodeRoster(record.value);
         return;
     }
-    if (key.kind != records::KeyKind::Job) {
+    if (key.kind != records::KeyKind::Job && key.kind != records::KeyKind::LaterProgress) {
         return;
     }
     const JobProgress progress = records::decodeProgress(record.key, record.value);
     JobEntry *job = this->find(key.job);
     if (job == nullptr) {
         // Kept as a record, which takes less memory than its decoded form.
-        this->pendingProgress[key.job] = record.value;
+        this->pendingProgress[{ key.job, key.part }] = record.value;
+        return;
+    }
+    if (job->endStored) {
         return;
     }
     for (const TaskProgress &task : progress.tasks) {
-        const TaskRef ref { key.job, task.occurrence, task.step, task.index };
-        if (!job->hasTask(ref)) {
-            continue;
-        }
-        StepTask &state = job->changeTask(ref);
-        state.assignedTo = task.assignedTo;
-        state.crashedAttempts = task.crashedAttempts;
-        state.youngCrashes = task.youngCrashes;
-        job->started = job->started || showsRun(task);
-        for (const std::uint64_t attempt : task.failedAttempts) {
-            countFailure(*job, { ref, attempt });
-        }
-        if (task.succeeded) {
-            countSuccess(*job, ref);
-        }
-        job->releaseTask(ref);
+        applyTask(*job, task);
     }
-    job->succeeded = progress.succeeded;
-    job->failed = progress.failed;
+    // The tasks of all parts may show the end of a job whose first part does not show it yet.
+    job->succeeded = job->succeeded || progress.succeeded;
+    job->failed = job->failed || progress.failed;
     job->endStored = progress.succeeded || progress.failed;
     if (job->endStored) {
         job->releaseEnded();
     }
 }
 
+void StepJobTable::applyTask(JobEntry &job, const TaskProgress &progress)
+{
+    const TaskRef ref { job.spec.id, progress.occurrence, progress.step, progress.index };
+    if (!job.hasTask(ref)) {
+        return;
+    }
+    StepTask &task = job.changeTask(ref);
+    task.assignedTo = progress.assignedTo;
+    task.crashedAttempts = progress.crashedAttempts;
+    task.youngCrashes = progress.youngCrashes;
+    job.started = job.started || showsRun(progress);
+    for (const std::uint64_t attempt : progress.failedAttempts) {
+        countFailure(job, { ref, attempt });
+    }
+    if (progress.succeeded) {
+        countSuccess(job, ref);
+    }
+    job.releaseTask(ref);
+}
+
 JobEntry *StepJobTable::find(const JobId &job)
 {
     const auto found = this->jobs.find(job);
@@ -281,36 +295,28 @@
     return true;
 }
 
-JobProgress StepJobTable::progressOf(const JobEntry &job)
+JobProgress StepJobTable::progressOf(const JobEntry &job, const ProgressPart &part)
 {
     JobProgress progress;
     progress.job = job.spec.id;
-    progress.succeeded = job.succeeded;
-    progress.failed = job.failed && !job.succeeded;
-    if (progress.succeeded) {
+    if (part.isFirst()) {
+        progress.succeeded = job.succeeded;
+        progress.failed = job.failed && !job.succeeded;
+    }
+    if (job.hasEnded() && (part.isFirst() || job.cancelled)) {
         return progress;
     }
-    for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
-        if (!job.occurrences.hasBegun(occurrence)) {
-            continue;
-        }
-        const OccurrenceState &state = job.occurrences.at(occurrence);
-        for (std::uint32_t step = 0; step < state.steps.size(); ++step) {
-            const TaskStates &tasks = state.steps[step].tasks;
-            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                const StepTask &task = tasks.at(index);
-                TaskProgress recorded { occurrence,
-                                        step,
-                                        index,
-                                        task.succeeded,
-                                        task.failedAttempts,
-                                        task.crashedAttempts,
-                                        task.youngCrashes,
-                                        task.assignedTo };
-                if (showsRun(recorded) || recorded.assignedTo) {
-                    progress.tasks.push_back(std::move(recorded));
-                }
-            }
+    const std::size_t first = part.number * tasksPerProgressPart;
+    const std::size_t end = std::min(first + tasksPerProgressPart, job.spec.taskCount());
+    for (std::size_t position = first; position < end; ++position) {
+        const TaskRef ref = job.spec.taskAt(position);
+        const StepTask &task = job.task(ref);
+        TaskProgress recorded { ref.occurrence,      ref.step,
+                                ref.index,           task.succeeded,
+                                task.failedAttempts, task.crashedAttempts,
+                                task.youngCrashes,   task.assignedTo };
+        if (showsRun(recorded) || recorded.assignedTo) {
+            progress.tasks.push_back(std::move(recorded));
         }
     }
     return progress;
--- a/modules/bulrush_steps/model/StepJobTable.h
+++ b/modules/bulrush_steps/model/StepJobTable.h
@@ -135,18 +135,21 @@
         counted before */
     static bool countFailure(JobEntry &job, const AttemptRef &attempt);
 
-    /** Returns the progress of a job that is to be recorded. */
-    static JobProgress progressOf(const JobEntry &job);
+    /** Returns a part of the progress of a job that is to be recorded. The first part of a job that
+        has ended holds no tasks. */
+    static JobProgress progressOf(const JobEntry &job, const ProgressPart &part);
 
     void clear() { *this = StepJobTable(); }
 
 private:
     JobEntry &addJob(StepJob job);
+    void applyPendingProgress(const JobId &job);
+    static void applyTask(JobEntry &job, const TaskProgress &progress);
     void applyOwnerRecord(const KeyedRecord &record, std::uint64_t fencingToken);
 
     std::unordered_map<JobId, JobEntry> jobs;
     /** Progress records and cancellations that were read before the record of their job. */
-    std::unordered_map<JobId, std::string> pendingProgress;
+    std::map<ProgressPart, std::string> pendingProgress;
     std::unordered_set<JobId> pendingCancellations;
     Roster newestRoster;
     std::uint64_t ownerToken = 0;
--- a/modules/bulrush_steps/ports/KeyedLog.h
+++ b/modules/bulrush_steps/ports/KeyedLog.h
@@ -3,6 +3,7 @@
 #include "bulrush_core/log/LogTypes.h"
 #include "bulrush_core/time/Clock.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -32,6 +33,30 @@
     /** Empty when the key was removed. */
     std::string value;
     LogOffset offset = 0;
+
+    /** Returns the number of bytes that count against the limits of the store. */
+    std::size_t size() const
+    {
+        constexpr std::size_t keyLengthBytes = 1;
+        return keyLengthBytes + this->key.size() + this->value.size();
+    }
+};
+
+/** The store's limits on appends, in bytes. It rejects what exceeds them, however often it is sent.
+ */
+struct LogLimits
+{
+    /** Of one record. */
+    std::size_t record = 262'144;
+    /** Of all records of one append, each with its length. */
+    std::size_t append = 2'097'152;
+
+    /** Returns what a record takes of an append. */
+    static std::size_t sizeInAppend(const KeyedRecord &record)
+    {
+        constexpr std::size_t lengthBytes = 4;
+        return lengthBytes + record.size();
+    }
 };
 
 /** How a call to the store ended. */
@@ -39,6 +64,9 @@
     Done,
     /** The store rejected the call; it had no effect. */
     Refused,
+    /** The store rejects the request itself, for example for its size. It had no effect, and is not
+        to be sent again. */
+    Invalid,
     /** Another writer has used a higher epoch. */
     Fenced,
     /** The sequence number is not the successor of the last one. */
@@ -97,6 +125,8 @@
     KeyedLog(const KeyedLog &) = delete;
     KeyedLog &operator=(const KeyedLog &) = delete;
 
+    virtual LogLimits limits() const { return {}; }
+
     /** Appends records atomically. Without records, only sets the writer's epoch. */
     virtual void append(LogStream stream, const std::vector<KeyedRecord> &records,
                         const std::optional<WriterMark> &mark, Duration timeout,
--- a/modules/bulrush_steps/tests/FakeWorkers.h
+++ b/modules/bulrush_steps/tests/FakeWorkers.h
@@ -244,7 +244,9 @@
                 std::function<void(AppendAnswer)> callback) override
     {
         AppendAnswer answer;
-        if (!this->up) {
+        if (this->exceedsLimits(records)) {
+            answer.outcome = StoreOutcome::Invalid;
+        } else if (!this->up) {
             answer.outcome = this->refusesAppends ? StoreOutcome::Refused : StoreOutcome::Unknown;
         } else if (mark && mark->epoch < this->epoch) {
             answer.outcome = StoreOutcome::Fenced;
@@ -262,6 +264,11 @@
         this->enqueue([callback, answer] { callback(answer); });
     }
 
+    LogLimits limits() const override
+    {
+        return this->announcesLimits ? this->maxSizes : LogLimits();
+    }
+
     void read(LogStream stream, LogOffset from, milliseconds /*wait*/, Duration /*timeout*/,
               std::function<void(ReadResult)> callback) override
     {
@@ -328,6 +335,9 @@
         return value;
     }
 
+    LogLimits maxSizes;
+    /** Whether limits() returns maxSizes; otherwise the limits are lower than it tells. */
+    bool announcesLimits = true;
     bool up = true;
     /** Whether appends end as Refused instead of Unknown while the log is down. */
     bool refusesAppends = false;
@@ -343,6 +353,17 @@
     std::map<LogStream, std::vector<KeyedRecord>> streams;
 
 private:
+    bool exceedsLimits(const std::vector<KeyedRecord> &records) const
+    {
+        std::size_t bytes = 0;
+        bool tooLong = false;
+        for (const KeyedRecord &record : records) {
+            bytes += LogLimits::sizeInAppend(record);
+            tooLong = tooLong || record.size() > this->maxSizes.record;
+        }
+        return tooLong || bytes > this->maxSizes.append;
+    }
+
     void enqueue(std::function<void()> answer) { this->pending.push_back(std::move(answer)); }
 
     std::deque<std::function<void()>> pending;
--- a/modules/bulrush_steps/tests/assignment_guard_test.cpp
+++ b/modules/bulrush_steps/tests/assignment_guard_test.cpp
@@ -217,18 +217,20 @@
     FakeLog log;
     struct Records : ProgressWriter::Listener
     {
-        ProgressRecord progressRecord(const JobId & /*job*/) override { return { "{}" }; }
+        ProgressRecord progressRecord(const ProgressPart & /*part*/) override { return { "{}" }; }
+        void recordTooLong(const ProgressPart & /*part*/, std::size_t /*bytes*/) override { }
         std::string rosterRecord() override { return "{}"; }
-        void stored(const std::vector<WrittenJob> & /*jobs*/, bool /*withRoster*/) override { }
+        void stored(const std::vector<WrittenProgress> & /*parts*/, bool /*withRoster*/) override {
+        }
         void writerFenced() override { }
     };
     Records listener;
     ProgressWriter writer(clock, log, listener);
     writer.begin(99);
-    const std::uint64_t first = writer.markJobChanged(JobId("zz"), true);
+    const std::uint64_t first = writer.markChanged({ JobId("zz"), 0 }, true);
     for (int round = 0; round < 20; ++round) {
         for (int job = 0; job < 300; ++job) {
-            writer.markJobChanged(JobId("j" + std::to_string(1000 + job)), false);
+            writer.markChanged({ JobId("j" + std::to_string(1000 + job)), 0 }, false);
         }
         clock.advance(milliseconds(50));
         writer.tick();
