Refuse jobs beyond the memory that is left for them

What is recorded must be kept, so the bound stands before the record.

Change: the owner tells with each answer to other nodes what the jobs take that have not ended; a node refuses a submission (503, Retry-After) that would take them beyond a quarter of its memory.

Test: CallerRequestHandler/refusesJobsWhileThoseThatHaveNotEndedTakeTheMemoryForThem, which the code before cannot compile (the answers had no such field).

--- a/modules/bulrush_entry/front/CallerRequestHandler.cpp
+++ b/modules/bulrush_entry/front/CallerRequestHandler.cpp
@@ -22,10 +22,15 @@
 /** Delay after which callers are asked to retry while the store is unavailable. */
 constexpr milliseconds storeRetryAfter { 2000 };
 
+/** Delay after which callers are asked to retry while the jobs that have not ended take all memory
+    for them. */
+constexpr milliseconds memoryRetryAfter { 5000 };
+
 /** The same when other nodes serve the request already. */
 constexpr milliseconds otherNodeRetryAfter { 0 };
 
 constexpr std::string_view stopReason = "this node stops";
+constexpr std::string_view memoryReason = "the jobs that have not ended take all memory for them";
 constexpr std::string_view tooLargeReason = "the job does not fit into a record of the store";
 
 constexpr std::size_t jobIdDigits = 16;
@@ -44,7 +49,8 @@
 CallerRequestHandler::CallerRequestHandler(const Clock &systemClock, KeyedLog &keyedLog,
                                            const RecordDecoder &recordDecoder,
                                            OwnerQuestions &ownerQuestions, RecordsView &recordsView,
-                                           StoreHealth &storeHealth, DecisionLog &decisionLog)
+                                           StoreHealth &storeHealth, DecisionLog &decisionLog,
+                                           JobAdmission jobAdmission)
     : clock(systemClock)
     , log(keyedLog)
     , decoder(recordDecoder)
@@ -52,6 +58,7 @@
     , view(recordsView)
     , health(storeHealth)
     , decisions(decisionLog)
+    , admission(jobAdmission)
 {
 }
 
@@ -117,11 +124,7 @@
                                   const JobId &id, const Callback &callback)
 {
     if (this->refusesNew) {
-        this->decisions.write(DecisionLine(Event::JobRefused)
-                                      .with("job", id.name())
-                                      .with("queue", queue.name)
-                                      .with("reason", stopReason));
-        callback(this->stopRefusal());
+        this->refuseSubmission(id, queue.name, this->stopRefusal(), callback);
         return;
     }
     if (this->health.checkLost()) {
@@ -140,11 +143,8 @@
     try {
         job = this->decoder.submission(request.body);
     } catch (const Error &error) {
-        this->decisions.write(DecisionLine(Event::JobRefused)
-                                      .with("job", id.name())
-                                      .with("queue", queue.name)
-                                      .with("reason", error.what()));
-        callback({ CallerOutcome::Malformed, {}, 0, error.what(), {} });
+        this->refuseSubmission(id, queue.name,
+                               { CallerOutcome::Malformed, {}, 0, error.what(), {} }, callback);
         return;
     }
     job.id = id;
@@ -159,11 +159,17 @@
     pending.job = id;
     pending.record = { records::jobKey(id), records::encode(job), 0 };
     if (pending.record.size() > this->log.limits().record) {
-        this->decisions.write(DecisionLine(Event::JobRefused)
-                                      .with("job", id.name())
-                                      .with("queue", queue.name)
-                                      .with("reason", tooLargeReason));
-        callback({ CallerOutcome::Malformed, {}, 0, std::string(tooLargeReason), {} });
+        this->refuseSubmission(id, queue.name,
+                               { CallerOutcome::Malformed, {}, 0, std::string(tooLargeReason), {} },
+                               callback);
+        return;
+    }
+    this->askForJobMemory(queue.name);
+    pending.memory = StepJobTable::memoryOf(job);
+    if (!this->admission.admits(pending.memory)) {
+        this->refuseSubmission(id, queue.name,
+                               this->refusal(std::string(memoryReason), memoryRetryAfter),
+                               callback);
         return;
     }
     pending.success = CallerOutcome::Accepted;
@@ -175,6 +181,32 @@
     this->append(std::move(pending));
 }
 
+void CallerRequestHandler::refuseSubmission(const JobId &job, std::string_view queue,
+                                            const CallerAnswer &answer, const Callback &callback)
+{
+    this->decisions.write(DecisionLine(Event::JobRefused)
+                                  .with("job", job.name())
+                                  .with("queue", queue)
+                                  .with("reason", answer.reason));
+    callback(answer);
+}
+
+void CallerRequestHandler::askForJobMemory(const std::string &queue)
+{
+    if (this->admission.mustAsk()) {
+        this->owner.askWaitingCount(
+                queue, [this](const OwnerAnswer &answer) { this->noteMemory(answer); });
+    }
+}
+
+const OwnerAnswer &CallerRequestHandler::noteMemory(const OwnerAnswer &answer)
+{
+    if (answer.kind != OwnerAnswer::Kind::NoAnswer) {
+        this->admission.reported(answer.jobMemory);
+    }
+    return answer;
+}
+
 void CallerRequestHandler::append(Pending pending)
 {
     const auto shared = std::make_shared<Pending>(std::move(pending));
@@ -205,6 +237,7 @@
             line.with("queue", pending->queue)
                     .with("tasks", pending->tasks)
                     .with("core_ms", pending->coreMillis);
+            this->admission.recorded(pending->memory);
         }
         this->decisions.write(line);
         CallerAnswer answer;
@@ -301,7 +334,7 @@
     }
     const Question question = this->openQuestion(callback);
     this->owner.askState(job, [this, job, question](const OwnerAnswer &ownerAnswer) {
-        if (ownerAnswer.kind != OwnerAnswer::Kind::Known) {
+        if (this->noteMemory(ownerAnswer).kind != OwnerAnswer::Kind::Known) {
             this->answerStateFromRecords(job, question);
             return;
         }
@@ -363,7 +396,7 @@
     }
     const Question question = this->openQuestion(callback);
     this->owner.askWaitingCount(queue, [this, queue, question](const OwnerAnswer &ownerAnswer) {
-        if (ownerAnswer.kind != OwnerAnswer::Kind::Known) {
+        if (this->noteMemory(ownerAnswer).kind != OwnerAnswer::Kind::Known) {
             this->answerWaitingCountFromRecords(queue, question);
             return;
         }
--- a/modules/bulrush_entry/front/CallerRequestHandler.h
+++ b/modules/bulrush_entry/front/CallerRequestHandler.h
@@ -2,6 +2,7 @@
 
 #include "bulrush_entry/front/CallerTypes.h"
 #include "bulrush_entry/front/DrainSchedule.h"
+#include "bulrush_entry/front/JobAdmission.h"
 #include "bulrush_entry/front/OwnerQuestions.h"
 #include "bulrush_entry/front/StoreHealth.h"
 #include "bulrush_steps/follow/RecordsView.h"
@@ -32,7 +33,7 @@
 
     CallerRequestHandler(const Clock &clock, KeyedLog &log, const RecordDecoder &decoder,
                          OwnerQuestions &owner, RecordsView &view, StoreHealth &health,
-                         DecisionLog &decisions);
+                         DecisionLog &decisions, JobAdmission admission);
 
     /** Sets the configuration in force. */
     void configure(const ServingConfig &serving) { this->config = serving; }
@@ -61,6 +62,7 @@
         std::string queue;
         std::size_t tasks = 0;
         std::int64_t coreMillis = 0;
+        std::size_t memory = 0;
         KeyedRecord record;
         CallerOutcome success = CallerOutcome::Accepted;
         Instant deadline {};
@@ -73,6 +75,15 @@
 
     void submit(const CallerRequest &request, const QueuePolicy &queue, const JobId &job,
                 const Callback &callback);
+    /** Refuses a submission that is not recorded. */
+    void refuseSubmission(const JobId &job, std::string_view queue, const CallerAnswer &answer,
+                          const Callback &callback);
+
+    /** Asks the owner how much memory the jobs take, unless it was asked just now. */
+    void askForJobMemory(const std::string &queue);
+
+    /** Returns an answer of the owner after noting what it tells of the memory. */
+    const OwnerAnswer &noteMemory(const OwnerAnswer &answer);
     void query(const JobId &job, const Callback &callback);
     void cancel(const CallerRequest &request, const QueuePolicy &queue, const JobId &job,
                 const Callback &callback);
@@ -98,6 +109,7 @@
     RecordsView &view;
     StoreHealth &health;
     DecisionLog &decisions;
+    JobAdmission admission;
     std::optional<ServingConfig> config;
     std::list<std::shared_ptr<Pending>> pendingAppends;
     std::list<Question> openQuestions;
--- a/modules/bulrush_entry/front/OwnerQuestions.h
+++ b/modules/bulrush_entry/front/OwnerQuestions.h
@@ -3,6 +3,7 @@
 #include "bulrush_core/time/Clock.h"
 #include "bulrush_steps/model/StepJob.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -17,6 +18,8 @@
     Kind kind = Kind::NoAnswer;
     JobState state = JobState::Queued;
     std::uint32_t waiting = 0;
+    /** The memory that the jobs take that have not ended, in bytes. */
+    std::size_t jobMemory = 0;
 };
 
 /** Sends questions to the owner of the workers, which may be this or another node. Callbacks are
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -108,7 +108,7 @@
     , takeover(systemClock, this->store, this->view)
     , owner(eventLoop, systemClock, this->store, this->dispatcher, this->name, *this)
     , requestHandler(systemClock, this->store, entryPorts.decoder, this->owner, this->view,
-                     this->health, decisionLog)
+                     this->health, decisionLog, JobAdmission(systemClock, entrySettings.memoryMb))
     , callers(eventLoop, entrySettings.callers, callerLimits(entryPorts.callers), *this)
     , readiness(eventLoop, entrySettings.readiness, HttpServer::Limits(), *this,
                 &EntryNode::readinessResponse)
--- a/modules/bulrush_entry/owner/OwnerLink.cpp
+++ b/modules/bulrush_entry/owner/OwnerLink.cpp
@@ -63,6 +63,7 @@
 OwnerAnswer OwnerLink::answerLocally(Kind kind, const std::string &text) const
 {
     OwnerAnswer answer;
+    answer.jobMemory = this->dispatcher.jobMemory();
     if (kind == Kind::Waiting) {
         answer.kind = OwnerAnswer::Kind::Known;
         answer.waiting = this->dispatcher.waitingJobs(text);
@@ -258,6 +259,7 @@
                                                           : wire::OwnerReply::NotKnown;
     reply.state = static_cast<std::uint8_t>(answer.state);
     reply.waiting = answer.waiting;
+    reply.job_bytes = answer.jobMemory;
     return reply;
 }
 
@@ -274,6 +276,7 @@
     answer.state = static_cast<JobState>(
             std::min<std::uint8_t>(reply.state(), static_cast<std::uint8_t>(JobState::Cancelled)));
     answer.waiting = reply.waiting();
+    answer.jobMemory = reply.job_bytes();
     this->complete(reply.number(), answer);
 }
 
--- a/modules/bulrush_entry/tests/caller_drain_test.cpp
+++ b/modules/bulrush_entry/tests/caller_drain_test.cpp
@@ -26,7 +26,7 @@
     DrainFixture()
         : health(clock, decisions)
         , view(clock, log, decisions)
-        , handler(clock, log, decoder, owner, view, health, decisions)
+        , handler(clock, log, decoder, owner, view, health, decisions, JobAdmission(clock, 0))
     {
         this->handler.configure(this->decoder.servingConfig(""));
         this->owner.silent = true;
--- a/modules/bulrush_entry/tests/caller_request_handler_test.cpp
+++ b/modules/bulrush_entry/tests/caller_request_handler_test.cpp
@@ -9,13 +9,17 @@
 
 namespace {
 
+/** The memory of a node. */
+constexpr std::size_t memoryMb = 160;
+
 class HandlerFixture
 {
 public:
     HandlerFixture()
         : health(clock, decisions)
         , view(clock, log, decisions)
-        , handler(clock, log, decoder, owner, view, health, decisions)
+        , handler(clock, log, decoder, owner, view, health, decisions,
+                  JobAdmission(clock, memoryMb))
     {
         this->handler.configure(this->decoder.servingConfig(""));
     }
@@ -76,6 +80,22 @@
               == CallerOutcome::Malformed);
 }
 
+/* Nothing bounded the memory that all accepted jobs take together. */
+Test(CallerRequestHandler, refusesJobsWhileThoseThatHaveNotEndedTakeTheMemoryForThem)
+{
+    HandlerFixture fixture;
+    fixture.owner.answer.kind = OwnerAnswer::Kind::Known;
+    fixture.owner.answer.jobMemory = (memoryMb << 20U) / 2;
+    fixture.send(CallerRequestKind::Query, jobPath);
+    const CallerAnswer refused = fixture.send(CallerRequestKind::Submit, jobPath).value();
+    cr_expect(refused.outcome == CallerOutcome::Refused);
+    cr_expect_gt(refused.retryAfter.value().count(), 0);
+    cr_expect_eq(fixture.log.newestValue(LogStream::Jobs, "job/0123456789abcdef"), "");
+    fixture.owner.answer.jobMemory = 1000;
+    fixture.run(seconds(1));
+    cr_expect(fixture.send(CallerRequestKind::Submit, jobPath)->outcome == CallerOutcome::Accepted);
+}
+
 Test(CallerRequestHandler, refusesMalformedRequestsAndUnknownQueues)
 {
     HandlerFixture fixture;
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -120,6 +120,10 @@
 
     DispatchLoad load() const;
 
+    /** Returns the memory that the jobs take that have not ended, in bytes, as of the last second.
+     */
+    std::size_t jobMemory() const { return this->memoryOfOpenJobs; }
+
     const StepJobTable &jobs() const { return this->jobTable; }
     const WorkerManager &runs() const { return this->workerManager; }
 
@@ -276,6 +280,8 @@
     /** The newest judgement of the queues. */
     std::vector<QueueReport> queueReports;
     Instant nextQueueCheck {};
+    /** Of jobMemory(). */
+    std::size_t memoryOfOpenJobs = 0;
     WorkerRoster roster;
     /** The starts that wait for the record of their assignment. */
     AssignedStarts assignedStarts;
--- a/modules/bulrush_steps/dispatch/DispatcherQueues.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherQueues.cpp
@@ -58,6 +58,7 @@
         return;
     }
     this->nextQueueCheck = now + queueCheckInterval;
+    this->memoryOfOpenJobs = this->jobTable.memoryOfOpenJobs();
     std::erase_if(this->unserved,
                   [this, now](const JobId &job) { return this->recordIfOverdue(job, now); });
     this->queueReports = this->queueService.judge(now);
--- a/modules/bulrush_steps/model/StepJobTable.cpp
+++ b/modules/bulrush_steps/model/StepJobTable.cpp
@@ -251,6 +251,30 @@
     job.releaseTask(ref);
 }
 
+std::size_t StepJobTable::memoryOf(const StepJob &job)
+{
+    constexpr std::size_t mapNodeBytes = 64;
+    constexpr std::size_t bitsPerByte = 8;
+    // Of an occurrence that has not begun, one under way, and one that has ended.
+    constexpr std::size_t statesOfAStep = 3;
+    std::size_t bytes = sizeof(JobEntry) + mapNodeBytes + job.payload.size();
+    for (const StepSpec &step : job.steps) {
+        bytes += sizeof(StepSpec) + statesOfAStep * sizeof(StepState);
+        bytes += step.requiredLabel.size() + step.dataRack.size() + step.image.size();
+        bytes += step.dependsOn.size() * sizeof(std::uint32_t) + step.taskCount / bitsPerByte;
+    }
+    return bytes;
+}
+
+std::size_t StepJobTable::memoryOfOpenJobs() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[id, job] : this->jobs) {
+        bytes += job.hasEnded() ? 0 : memoryOf(job.spec);
+    }
+    return bytes;
+}
+
 JobEntry *StepJobTable::find(const JobId &job)
 {
     const auto found = this->jobs.find(job);
--- a/modules/bulrush_steps/model/StepJobTable.h
+++ b/modules/bulrush_steps/model/StepJobTable.h
@@ -6,6 +6,7 @@
 #include "bulrush_steps/model/StepJob.h"
 #include "bulrush_steps/ports/KeyedLog.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -112,6 +113,12 @@
     std::unordered_map<JobId, JobEntry> &entries() { return this->jobs; }
     const std::unordered_map<JobId, JobEntry> &entries() const { return this->jobs; }
 
+    /** Returns an estimate of the memory that a job takes before its tasks start, in bytes. */
+    static std::size_t memoryOf(const StepJob &job);
+
+    /** Returns the memory that the jobs take that have not ended, by memoryOf(). */
+    std::size_t memoryOfOpenJobs() const;
+
     /** Returns the newest roster. */
     const Roster &roster() const { return this->newestRoster; }
 
