--- a/modules/bulrush_entry/node/EntryMetrics.cpp
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -16,8 +16,9 @@
 
 namespace {
 
-constexpr std::array<const char *, 6> storeOutcomes { "done",         "refused", "fenced",
-                                                      "out_of_order", "trimmed", "unknown" };
+constexpr std::array storeOutcomes { "done",         "refused", "invalid", "fenced",
+                                     "out_of_order", "trimmed", "unknown" };
+static_assert(storeOutcomes.size() == static_cast<std::size_t>(StoreOutcome::Unknown) + 1);
 constexpr std::array<const char *, 5> requestKinds { "submit", "query", "cancel", "count",
                                                      "unsupported" };
 constexpr std::array<const char *, 9> callerOutcomes { "accepted",  "refused", "no_queue",
