Split the acceptance of a job, and log a record that the store rejects

submit() had grown to 60 lines with the limits of size and memory. What a queue sets moves into applyPolicy(), and a rejection by the store is refused and logged (E1602) like every other refusal.

--- a/modules/bulrush_entry/front/CallerRequestHandler.cpp
+++ b/modules/bulrush_entry/front/CallerRequestHandler.cpp
@@ -31,10 +31,19 @@
 
 constexpr std::string_view stopReason = "this node stops";
 constexpr std::string_view memoryReason = "the jobs that have not ended take all memory for them";
+constexpr std::string_view rejectedReason = "the store rejects the record of the job";
 constexpr std::string_view tooLargeReason = "the job does not fit into a record of the store";
 
 constexpr std::size_t jobIdDigits = 16;
 
+CallerAnswer malformedAnswer(std::string_view reason)
+{
+    CallerAnswer answer;
+    answer.outcome = CallerOutcome::Malformed;
+    answer.reason = reason;
+    return answer;
+}
+
 bool isJobId(std::string_view text)
 {
     const auto isHex = [](char each) {
@@ -143,42 +152,42 @@
     try {
         job = this->decoder.submission(request.body);
     } catch (const Error &error) {
-        this->refuseSubmission(id, queue.name,
-                               { CallerOutcome::Malformed, {}, 0, error.what(), {} }, callback);
+        this->refuseSubmission(id, queue.name, malformedAnswer(error.what()), callback);
         return;
     }
     job.id = id;
-    job.queue = queue.name;
-    job.service = queue.service;
-    job.acceptedAt = this->clock.calendarMillis();
-    job.priority = queue.priority;
-    job.maxAttempts = queue.maxAttempts;
-    job.slackFactor = queue.slackFactor;
-    job.latencyTarget = queue.latencyTarget;
+    this->applyPolicy(job, queue);
     Pending pending;
     pending.job = id;
     pending.record = { records::jobKey(id), records::encode(job), 0 };
-    if (pending.record.size() > this->log.limits().record) {
-        this->refuseSubmission(id, queue.name,
-                               { CallerOutcome::Malformed, {}, 0, std::string(tooLargeReason), {} },
-                               callback);
-        return;
-    }
-    this->askForJobMemory(queue.name);
-    pending.memory = StepJobTable::memoryOf(job);
-    if (!this->admission.admits(pending.memory)) {
-        this->refuseSubmission(id, queue.name,
-                               this->refusal(std::string(memoryReason), memoryRetryAfter),
-                               callback);
-        return;
-    }
     pending.success = CallerOutcome::Accepted;
     pending.queue = queue.name;
     pending.tasks = job.taskCount();
     pending.coreMillis = job.estimatedCoreMillis();
+    pending.memory = StepJobTable::memoryOf(job);
     pending.deadline = this->appendDeadline(request, queue);
     pending.callback = callback;
-    this->append(std::move(pending));
+    this->askForJobMemory(queue.name);
+    if (pending.record.size() > this->log.limits().record) {
+        this->refuseSubmission(id, queue.name, malformedAnswer(tooLargeReason), callback);
+    } else if (!this->admission.admits(pending.memory)) {
+        this->refuseSubmission(id, queue.name,
+                               this->refusal(std::string(memoryReason), memoryRetryAfter),
+                               callback);
+    } else {
+        this->append(std::move(pending));
+    }
+}
+
+void CallerRequestHandler::applyPolicy(StepJob &job, const QueuePolicy &queue) const
+{
+    job.queue = queue.name;
+    job.service = queue.service;
+    job.acceptedAt = this->clock.calendarMillis();
+    job.priority = queue.priority;
+    job.maxAttempts = queue.maxAttempts;
+    job.slackFactor = queue.slackFactor;
+    job.latencyTarget = queue.latencyTarget;
 }
 
 void CallerRequestHandler::refuseSubmission(const JobId &job, std::string_view queue,
@@ -250,7 +259,8 @@
     if (result.outcome == StoreOutcome::Invalid && !pending->mayHaveTakenEffect) {
         const Callback callback = std::exchange(pending->callback, nullptr);
         this->pendingAppends.remove(pending);
-        callback({ CallerOutcome::Malformed, {}, 0, std::string(tooLargeReason), {} });
+        this->refuseSubmission(pending->job, pending->queue, malformedAnswer(rejectedReason),
+                               callback);
         return;
     }
     if (result.outcome != StoreOutcome::Refused) {
--- a/modules/bulrush_entry/front/CallerRequestHandler.h
+++ b/modules/bulrush_entry/front/CallerRequestHandler.h
@@ -75,6 +75,9 @@
 
     void submit(const CallerRequest &request, const QueuePolicy &queue, const JobId &job,
                 const Callback &callback);
+    /** Gives a job the settings of its queue. */
+    void applyPolicy(StepJob &job, const QueuePolicy &queue) const;
+
     /** Refuses a submission that is not recorded. */
     void refuseSubmission(const JobId &job, std::string_view queue, const CallerAnswer &answer,
                           const Callback &callback);
