Release the task states of cancelled jobs too

Tests of bulrush_steps (239), bulrush_entry (44), the adapter (40) and the command-line tool (55) pass.

--- a/modules/bulrush_steps/model/StepJobTable.cpp
+++ b/modules/bulrush_steps/model/StepJobTable.cpp
@@ -162,6 +162,7 @@
             return std::nullopt;
         }
         job->cancelled = !job->endStored;
+        job->releaseEnded();
         return key.job;
     }
     if (key.kind != records::KeyKind::Job || this->find(key.job) != nullptr) {
@@ -172,6 +173,9 @@
     job.acceptedAt = clock.now() - milliseconds(std::max<UnixMillis>(0, age));
     job.cancelled = this->pendingCancellations.erase(key.job) > 0;
     this->applyPendingProgress(key.job);
+    if (job.cancelled) {
+        job.releaseEnded();
+    }
     return key.job;
 }
 
--- a/modules/bulrush_steps/model/StepJobTable.h
+++ b/modules/bulrush_steps/model/StepJobTable.h
@@ -63,7 +63,7 @@
     /** Drops the state of a task that has succeeded and has no run. */
     void releaseTask(const TaskRef &ref) { this->occurrences.release(ref); }
 
-    /** Drops what is not needed any more of a job whose end is known to callers. */
+    /** Drops what is not needed any more of a job that was cancelled or whose end is stored. */
     void releaseEnded();
 
     const StepSpec &step(const TaskRef &ref) const { return this->spec.steps.at(ref.step); }
