Move the ownership part of EntryNode into a file of its own

The functions that take the ownership over, follow the log as the owner and give the ownership up, and their four constants, are moved word for word into EntryNodeOwnership.cpp, as Dispatcher's parts are. No behaviour changes.

--- /dev/null
+++ b/modules/bulrush_entry/node/EntryNodeOwnership.cpp
@@ -0,0 +1,193 @@
+// The part of EntryNode that takes the ownership over, follows the log as the owner, and gives the
+// ownership up.
+
+#include "bulrush_entry/node/EntryNode.h"
+
+#include "bulrush_core/errors/Error.h"
+#include "bulrush_entry/owner/FormerOwnership.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bulrush {
+
+namespace {
+
+/** How long the store holds a long poll for new jobs. */
+constexpr milliseconds jobsPollWait { 1000 };
+
+/** Delay before the next poll for jobs after one that failed. */
+constexpr milliseconds jobsRetryDelay { 100 };
+
+/** Interval at which a member that is not the owner reads the records. */
+constexpr milliseconds standbyReadInterval { 3000 };
+
+/** Timeout of one attempt to record a resignation in the log, and delay before the next. A
+   successor that reads the record does not have to wait for all orders that the resigned owner
+   might have sent. */
+constexpr milliseconds resignationTimeout { 500 };
+constexpr int maxResignationAttempts = 6;
+
+} // namespace
+
+void EntryNode::refreshStandbyView()
+{
+    const Instant now = this->clock.now();
+    const bool standsBy = this->ownership.isMember() && !this->dispatcher.active()
+            && !this->takeover.running() && !this->health.checkLost();
+    if (standsBy && now >= this->nextStandbyRead) {
+        this->nextStandbyRead = now + standbyReadInterval;
+        this->view.refresh([](bool /*succeeded*/) {});
+    }
+}
+
+void EntryNode::ownershipGained(std::uint64_t fencingToken)
+{
+    this->metrics.setOwner(true);
+    const Instant gainedAt = this->clock.now();
+    this->takeover.begin(
+            fencingToken, this->ownership.memberName(),
+            [this, gainedAt](LogOffset markOffset) { this->takeoverDone(gainedAt, markOffset); },
+            [this] { this->ownership.superseded("the store reports a newer owner"); });
+}
+
+void EntryNode::takeoverDone(Instant gainedAt, LogOffset markOffset)
+{
+    OwnershipTerm term;
+    term.fencingToken = this->ownership.fencingToken();
+    term.previousOwnerSettledAt =
+            gainedAt + this->settings.ownershipTimes().previousOwnerSettleTime();
+    term.resignedOwnerSettleTime = this->settings.ownershipTimes().resignedOwnerSettleTime();
+    this->dispatcher.begin(term, this->view.jobTable());
+    if (this->config.config()) {
+        this->dispatcher.configure(*this->config.config());
+    }
+    StreamReader::Listener &records = *this;
+    this->jobs = std::make_shared<StreamReader>(this->store, LogStream::Jobs, records);
+    this->jobs->startAt(this->view.nextJobOffset());
+    this->workers.restart();
+    const Duration elapsed = this->clock.now() - gainedAt;
+    this->decisions.write(
+            DecisionLine(Event::OwnerReady)
+                    .with("fencing_token", term.fencingToken)
+                    .with("jobs", static_cast<std::int64_t>(this->view.jobTable().entries().size()))
+                    .with("mark_offset", markOffset)
+                    .with("took_ms", duration_cast<milliseconds>(elapsed).count()));
+}
+
+void EntryNode::ownershipLost(std::string_view /*reason*/)
+{
+    this->metrics.setOwner(false);
+    this->metrics.setServedShares({});
+    this->takeover.cancel();
+    this->pendingResignation = this->dispatcher.resignation();
+    this->resignationAttempts = 0;
+    this->dispatcher.end();
+    this->resign();
+    // A callback of the reader may be on the stack, so the reader is destroyed only after that
+    // callback has returned.
+    this->loop.schedule(Duration::zero(), [reader = std::move(this->jobs)] {});
+    this->jobs = nullptr;
+}
+
+void EntryNode::resign()
+{
+    if (!this->pendingResignation || this->resignationAttempts++ == maxResignationAttempts) {
+        return;
+    }
+    const std::string value = records::encodeResignation(*this->pendingResignation);
+    const std::uint64_t token = this->pendingResignation->fencingToken;
+    const std::vector<KeyedRecord> resignation { { records::resignationKey(token), value, 0 },
+                                                 { records::newestResignationKey(), value, 0 } };
+    this->store.append(LogStream::Jobs, resignation, std::nullopt, resignationTimeout,
+                       [this, token](const AppendAnswer &answer) {
+                           const bool current = this->pendingResignation
+                                   && this->pendingResignation->fencingToken == token;
+                           if (!current) {
+                               return;
+                           }
+                           if (answer.outcome == StoreOutcome::Done) {
+                               this->pendingResignation.reset();
+                               return;
+                           }
+                           this->loop.schedule(resignationTimeout, [this] { this->resign(); });
+                       });
+}
+
+bool EntryNode::stopCommandsOf(std::string_view member, std::uint64_t askedToken,
+                               std::uint64_t askerToken)
+{
+    return endFormerOwnership(this->ownership, this->name, member, askedToken, askerToken);
+}
+
+void EntryNode::formerOwnerStopped(std::uint64_t fencingToken)
+{
+    if (!this->dispatcher.active()) {
+        return;
+    }
+    const Resignation resignation = this->dispatcher.formerOwnerStopped(fencingToken);
+    this->decisions.write(DecisionLine(Event::FormerOwnerEnded).with("owner", fencingToken));
+    const KeyedRecord record { records::resignationKey(fencingToken),
+                               records::encodeResignation(resignation), 0 };
+    this->store.append(LogStream::Jobs, { record }, std::nullopt, resignationTimeout,
+                       [](const AppendAnswer & /*answer*/) {});
+}
+
+void EntryNode::recordsObsolete(const std::vector<KeyedRecord> &removals)
+{
+    this->store.append(LogStream::Jobs, removals, std::nullopt, resignationTimeout,
+                       [](const AppendAnswer & /*answer*/) {});
+}
+
+void EntryNode::superseded(std::string_view by)
+{
+    this->ownership.superseded(by);
+}
+
+void EntryNode::workerListed(const WorkerEntry &entry)
+{
+    if (this->dispatcher.active()) {
+        this->dispatcher.workerListed(entry);
+    }
+}
+
+void EntryNode::workerUnlisted(const TargetId &worker, RemovalCause cause)
+{
+    if (this->dispatcher.active()) {
+        this->dispatcher.workerUnlisted(worker, cause);
+    }
+}
+
+void EntryNode::followJobs()
+{
+    if (!this->jobs || this->jobs->busy() || this->clock.now() < this->jobsRetryAt) {
+        return;
+    }
+    this->jobs->advance(jobsPollWait, [this](StoreOutcome outcome) {
+        if (outcome != StoreOutcome::Done) {
+            this->jobsRetryAt = this->clock.now() + jobsRetryDelay;
+            return;
+        }
+        // The reader calls this callback, which must return before the reader is advanced again.
+        this->loop.schedule(Duration::zero(), [this] { this->followJobs(); });
+    });
+}
+
+void EntryNode::recordRead(LogStream /*stream*/, const KeyedRecord &record)
+{
+    if (!this->dispatcher.active()) {
+        return;
+    }
+    try {
+        this->dispatcher.applyJobRecord(record);
+    } catch (const Error &error) {
+        this->decisions.write(DecisionLine(Event::RecordIgnored)
+                                      .with("key", record.key)
+                                      .with("offset", record.offset)
+                                      .with("reason", error.what()));
+    }
+}
+
+} // namespace bulrush
