Log the steps of a takeover, and how far a slow one has come

What callers saw: nobody ordered the workers for seconds, and the log of the new owner held nothing between E1631 (ownership gained) and E1633 (owner ready), so that an owner that was never ready looked like one that was gone.

E1639 'takeover step' now tells each step's outcome, each second how far the streams have been read and how many records are known to follow, and whether the ownership ended before the owner was ready. No decision changes.

Test: Takeover/logsEachSecondHowFarItHasCome (new interface, so it cannot be built on the code before).

--- a/modules/bulrush_core/events/EventCatalogue.cpp
+++ b/modules/bulrush_core/events/EventCatalogue.cpp
@@ -63,6 +63,7 @@
     EventInfo { Event::FormerOwnersAwaited, Severity::Info, "former owners awaited" },
     EventInfo { Event::FormerOwnersSettled, Severity::Info, "former owners settled" },
     EventInfo { Event::FormerOwnerEnded, Severity::Info, "former owner ended" },
+    EventInfo { Event::TakeoverStep, Severity::Info, "takeover step" },
     EventInfo { Event::QueueServedLate, Severity::Warning, "queue served late" },
     EventInfo { Event::ConfigApplied, Severity::Info, "config in force" },
     EventInfo { Event::SettingsRead, Severity::Info, "settings read" },
--- a/modules/bulrush_core/events/EventCatalogue.h
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -66,6 +66,7 @@
     FormerOwnersAwaited = 1636,
     FormerOwnersSettled = 1637,
     FormerOwnerEnded = 1638,
+    TakeoverStep = 1639,
     QueueServedLate = 1640,
     ConfigApplied = 1641,
     SettingsRead = 1642,
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -87,7 +87,7 @@
                  entrySettings.dispatch, decisionLog, *this)
     , ownership(systemClock, this->store, this->name.text(), entrySettings.ownershipTimes(),
                 decisionLog, *this)
-    , takeover(systemClock, this->store, this->view)
+    , takeover(systemClock, this->store, this->view, decisionLog)
     , owner(eventLoop, systemClock, this->store, this->dispatcher, this->name, *this)
     , requestHandler(systemClock, this->store, entryPorts.decoder, this->owner, this->view,
                      this->health, decisionLog, JobAdmission(systemClock, entrySettings.memoryMb))
--- a/modules/bulrush_steps/follow/RecordsView.h
+++ b/modules/bulrush_steps/follow/RecordsView.h
@@ -10,6 +10,16 @@
 
 class DecisionLog;
 
+/** How far the streams have been read. */
+struct ReadPositions
+{
+    /** The offset of the next record of each stream. */
+    LogOffset jobs = 0;
+    LogOffset progress = 0;
+    /** The number of records of both streams that are known to follow. */
+    std::uint64_t unread = 0;
+};
+
 /**
     The state of the jobs in the log, read on demand: by a new owner before it begins, and by any
     node when the owner does not answer.
@@ -29,6 +39,12 @@
     /** Returns the offset that follows the last record read from the jobs stream. */
     LogOffset nextJobOffset() const { return this->jobs.next(); }
 
+    ReadPositions positions() const
+    {
+        return { this->jobs.next(), this->progress.next(),
+                 this->jobs.unread() + this->progress.unread() };
+    }
+
 private:
     void snapshotReadStarted(LogStream stream) override;
     void recordRead(LogStream stream, const KeyedRecord &record) override;
--- a/modules/bulrush_steps/follow/StreamReader.cpp
+++ b/modules/bulrush_steps/follow/StreamReader.cpp
@@ -65,6 +65,7 @@
         this->finish(result.outcome);
         return;
     }
+    this->endOffset = result.end;
     if (this->firstPage) {
         // The pages are not a consistent snapshot. Reading on from the end as of the first page
         // covers all changes that are made while the pages are read.
@@ -105,6 +106,7 @@
     }
     if (result.outcome == StoreOutcome::Done) {
         this->nextOffset = result.next;
+        this->endOffset = result.end;
         this->atEnd = result.next >= result.end;
         for (const KeyedRecord &record : result.records) {
             this->listener.recordRead(this->stream, record);
--- a/modules/bulrush_steps/follow/StreamReader.h
+++ b/modules/bulrush_steps/follow/StreamReader.h
@@ -49,6 +49,12 @@
     /** Returns the offset of the next record to read. */
     LogOffset next() const { return this->nextOffset; }
 
+    /** Returns the number of records that the stream held after next() as of the last answer. */
+    std::uint64_t unread() const
+    {
+        return this->endOffset > this->nextOffset ? this->endOffset - this->nextOffset : 0;
+    }
+
     bool busy() const { return this->inFlight; }
 
     /** Discards the position; the next call starts again with the newest records. */
@@ -73,6 +79,8 @@
     std::string afterKey;
     bool firstPage = true;
     LogOffset nextOffset = 0;
+    /** The end of the stream as of the last answer. */
+    LogOffset endOffset = 0;
     std::function<void(StoreOutcome)> onDone;
     /** Set to false on destruction, so that callbacks of pending calls are ignored. */
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/modules/bulrush_steps/ownership/Takeover.cpp
+++ b/modules/bulrush_steps/ownership/Takeover.cpp
@@ -1,5 +1,6 @@
 #include "bulrush_steps/ownership/Takeover.h"
 
+#include "bulrush_core/events/DecisionLog.h"
 #include "bulrush_steps/dispatch/ProgressWriter.h"
 
 #include <utility>
@@ -11,12 +12,27 @@
 constexpr milliseconds callTimeout { 800 };
 constexpr milliseconds retryDelay { 100 };
 
+/** Interval at which a takeover that is not complete logs how far it has come. */
+constexpr milliseconds reportInterval { 1000 };
+
+/** The steps as they are named in the log. */
+constexpr std::string_view fenceStep = "fence";
+constexpr std::string_view ownerRecordStep = "owner record";
+constexpr std::string_view readStep = "read";
+
+std::string_view outcomeOf(bool succeeded)
+{
+    return succeeded ? "done" : "failed";
+}
+
 } // namespace
 
-Takeover::Takeover(const Clock &systemClock, KeyedLog &keyedLog, RecordsView &recordsView)
+Takeover::Takeover(const Clock &systemClock, KeyedLog &keyedLog, RecordsView &recordsView,
+                   DecisionLog &decisionLog)
     : clock(systemClock)
     , log(keyedLog)
     , view(recordsView)
+    , decisions(decisionLog)
 {
 }
 
@@ -30,11 +46,16 @@
     this->whenSuperseded = std::move(superseded);
     this->fenceDone = false;
     this->ownerRecordDone = false;
+    this->beganAt = this->clock.now();
+    this->nextReportAt = this->beganAt + reportInterval;
     this->advance(Step::Announce);
 }
 
 void Takeover::cancel()
 {
+    if (this->running()) {
+        this->report(this->step == Step::Read ? readStep : fenceStep, "abandoned");
+    }
     *this->alive = false;
     this->alive = std::make_shared<bool>(true);
     this->step = Step::Idle;
@@ -46,7 +67,7 @@
     this->step = next;
     this->inFlight = false;
     this->retryAt = Instant();
-    this->tick();
+    this->retryIfDue();
 }
 
 void Takeover::retryLater()
@@ -56,6 +77,35 @@
 }
 
 void Takeover::tick()
+{
+    this->reportIfDue();
+    this->retryIfDue();
+}
+
+void Takeover::reportIfDue()
+{
+    const Instant now = this->clock.now();
+    if (this->running() && now >= this->nextReportAt) {
+        this->nextReportAt = now + reportInterval;
+        this->report(this->step == Step::Read ? readStep : fenceStep, "under way");
+    }
+}
+
+void Takeover::report(std::string_view reportedStep, std::string_view outcome) const
+{
+    const auto elapsed = duration_cast<milliseconds>(this->clock.now() - this->beganAt).count();
+    const ReadPositions positions = this->view.positions();
+    this->decisions.write(DecisionLine(Event::TakeoverStep)
+                                  .with("fencing_token", this->token)
+                                  .with("step", reportedStep)
+                                  .with("outcome", outcome)
+                                  .with("elapsed_ms", elapsed)
+                                  .with("jobs_offset", positions.jobs)
+                                  .with("progress_offset", positions.progress)
+                                  .with("unread", positions.unread));
+}
+
+void Takeover::retryIfDue()
 {
     if (this->inFlight || this->clock.now() < this->retryAt) {
         return;
@@ -112,6 +162,7 @@
                          }
                          this->fenceDone = result.outcome == StoreOutcome::Done
                                  || result.outcome == StoreOutcome::OutOfOrder;
+                         this->report(fenceStep, outcomeOf(this->fenceDone));
                          this->handleAnnounceAnswer();
                      });
 }
@@ -128,6 +179,7 @@
                          }
                          this->ownerRecordDone = result.outcome == StoreOutcome::Done;
                          this->ownerRecordOffset = result.offset;
+                         this->report(ownerRecordStep, outcomeOf(this->ownerRecordDone));
                          this->handleAnnounceAnswer();
                      });
 }
@@ -139,6 +191,7 @@
         if (!*isAlive) {
             return;
         }
+        this->report(readStep, outcomeOf(succeeded));
         if (!succeeded) {
             this->retryLater();
             return;
--- a/modules/bulrush_steps/ownership/Takeover.h
+++ b/modules/bulrush_steps/ownership/Takeover.h
@@ -8,9 +8,12 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace bulrush {
 
+class DecisionLog;
+
 /**
     Performs the takeover by a new owner before it sends any command: fences the previous owner's
     appends to the progress stream, appends an owner record to the jobs stream, and only then reads
@@ -19,7 +22,7 @@
 class Takeover
 {
 public:
-    Takeover(const Clock &clock, KeyedLog &log, RecordsView &view);
+    Takeover(const Clock &clock, KeyedLog &log, RecordsView &view, DecisionLog &decisions);
 
     /** Starts the takeover. Failed calls are retried until it is complete or cancelled.
         @param done called with the offset of the owner record; not called after cancel() or when
@@ -30,7 +33,7 @@
 
     void cancel();
 
-    /** Retries failed calls when due. */
+    /** Retries failed calls when due, and logs each second how far a slow takeover has come. */
     void tick();
 
     bool running() const { return this->step != Step::Idle; }
@@ -45,16 +48,22 @@
     void handleAnnounceAnswer();
     void advance(Step next);
     void retryLater();
+    void retryIfDue();
+    void reportIfDue();
+    void report(std::string_view reportedStep, std::string_view outcome) const;
 
     const Clock &clock;
     KeyedLog &log;
     RecordsView &view;
+    DecisionLog &decisions;
     Step step = Step::Idle;
     bool inFlight = false;
     bool fenceDone = false;
     bool ownerRecordDone = false;
     std::uint32_t pendingCalls = 0;
     Instant retryAt {};
+    Instant beganAt {};
+    Instant nextReportAt {};
     std::uint64_t token = 0;
     std::string member;
     LogOffset ownerRecordOffset = 0;
--- a/modules/bulrush_steps/tests/assignment_record_test.cpp
+++ b/modules/bulrush_steps/tests/assignment_record_test.cpp
@@ -246,7 +246,7 @@
     FakeLog log;
     NullDecisionLog decisions;
     RecordsView view(clock, log, decisions);
-    Takeover takeover(clock, log, view);
+    Takeover takeover(clock, log, view, decisions);
     takeover.begin(
             4, "m#2", [](LogOffset) {}, [] {});
     log.deliver();
--- a/modules/bulrush_steps/tests/ownership_test.cpp
+++ b/modules/bulrush_steps/tests/ownership_test.cpp
@@ -1,4 +1,4 @@
-#include "FakeWorkers.h"
+#include "DispatcherFixture.h"
 
 #include <criterion/criterion.h>
 
@@ -350,7 +350,7 @@
     FakeLog log;
     appendJobs(log, 2);
     RecordsView view(clock, log, decisions);
-    Takeover takeover(clock, log, view);
+    Takeover takeover(clock, log, view, decisions);
     std::optional<LogOffset> mark;
     takeover.begin(
             7, "m", [&mark](LogOffset offset) { mark = offset; }, [] {});
@@ -372,7 +372,7 @@
     FakeLog log;
     log.up = false;
     RecordsView view(clock, log, decisions);
-    Takeover takeover(clock, log, view);
+    Takeover takeover(clock, log, view, decisions);
     bool done = false;
     takeover.begin(
             7, "m", [&done](LogOffset /*offset*/) { done = true; }, [] {});
@@ -385,6 +385,37 @@
     cr_assert(done);
 }
 
+/* An owner was never ready, and nothing in its log said how far it had come. */
+Test(Takeover, logsEachSecondHowFarItHasCome)
+{
+    ManualClock clock;
+    RecordedDecisions decisions;
+    FakeLog log;
+    RecordsView view(clock, log, decisions);
+    Takeover takeover(clock, log, view, decisions);
+    takeover.begin(
+            7, "m", [](LogOffset /*offset*/) {}, [] {});
+    log.deliver();
+    log.up = false;
+    for (int round = 0; round < 20; ++round) {
+        clock.advance(milliseconds(100));
+        log.deliver();
+        takeover.tick();
+    }
+    const std::vector<std::string> &lines = decisions.lines[Event::TakeoverStep];
+    const auto count = [&lines](std::string_view text) {
+        return std::count_if(lines.begin(), lines.end(), [text](const std::string &line) {
+            return line.find(text) != std::string::npos;
+        });
+    };
+    cr_assert_eq(count(R"("step":"fence","outcome":"done")"), 1);
+    cr_assert_eq(count(R"("step":"owner record","outcome":"done")"), 1);
+    cr_assert_gt(count(R"("step":"read","outcome":"failed")"), 1);
+    cr_assert_eq(count(R"("step":"read","outcome":"under way")"), 2);
+    takeover.cancel();
+    cr_assert_eq(count(R"("outcome":"abandoned")"), 1);
+}
+
 Test(Takeover, reportsThatANewerOwnerHasBegun)
 {
     ManualClock clock;
@@ -392,7 +423,7 @@
     FakeLog log;
     log.epoch = 9;
     RecordsView view(clock, log, decisions);
-    Takeover takeover(clock, log, view);
+    Takeover takeover(clock, log, view, decisions);
     bool superseded = false;
     takeover.begin(
             7, "m", [](LogOffset /*offset*/) { cr_assert_fail(); },
