Let one reading of the records serve all that wait for it

What callers saw: while no owner answered, questions about jobs were answered from the records one reading at a time, and a takeover waited behind them. Cause: RecordsView::finish called refresh() once for each call that had come during the last reading; the first began a reading, all others queued again, so each reading served one of them. Evidence: by reading, and the test RecordsView/oneReadingServesAllCallsThatCameDuringTheLast, which fails with the former code (20 calls, 6 rounds of answers). All calls that came during a reading now share the next one.

--- a/modules/bulrush_steps/follow/RecordsView.cpp
+++ b/modules/bulrush_steps/follow/RecordsView.cpp
@@ -21,8 +21,13 @@
         this->nextWaiting.push_back(std::move(done));
         return;
     }
-    this->running = true;
     this->waiting.push_back(std::move(done));
+    this->readStreams();
+}
+
+void RecordsView::readStreams()
+{
+    this->running = true;
     this->failed = false;
     this->activeReaders = 2;
     this->readNext(this->jobs);
@@ -56,14 +61,13 @@
 void RecordsView::finish(bool succeeded)
 {
     this->running = false;
-    const auto callers = std::exchange(this->waiting, {});
+    const auto callers = std::exchange(this->waiting, std::exchange(this->nextWaiting, {}));
+    if (!this->waiting.empty()) {
+        this->readStreams();
+    }
     for (const auto &done : callers) {
         done(succeeded);
     }
-    const auto queued = std::exchange(this->nextWaiting, {});
-    for (const auto &done : queued) {
-        this->refresh(done);
-    }
 }
 
 void RecordsView::snapshotReadStarted(LogStream /*stream*/) { }
--- a/modules/bulrush_steps/follow/RecordsView.h
+++ b/modules/bulrush_steps/follow/RecordsView.h
@@ -29,8 +29,8 @@
 public:
     RecordsView(const Clock &clock, KeyedLog &log, DecisionLog &decisions);
 
-    /** Reads all records up to the current ends of the streams. A call while a refresh is running
-        starts another one after it.
+    /** Reads all records up to the current ends of the streams. All calls while a refresh is
+        running are served by the next one.
         @param done called with whether the refresh succeeded */
     void refresh(std::function<void(bool)> done);
 
@@ -49,6 +49,7 @@
     void snapshotReadStarted(LogStream stream) override;
     void recordRead(LogStream stream, const KeyedRecord &record) override;
     void snapshotReadCompleted(LogStream /*stream*/) override { }
+    void readStreams();
     void readNext(StreamReader &reader);
     void onAdvanced(StreamReader &reader, StoreOutcome outcome);
     void onReaderDone(bool succeeded);
@@ -60,8 +61,8 @@
     StreamReader jobs;
     StreamReader progress;
     std::vector<std::function<void(bool)>> waiting;
-    /** Callers that arrived during a refresh. Each is served by a later refresh, because the
-        running one may have reached the ends of the streams before the call. */
+    /** Callers that arrived during a refresh. They are served by the next one, because the running
+        one may have reached the ends of the streams before the call. */
     std::vector<std::function<void(bool)>> nextWaiting;
     bool running = false;
     std::uint32_t activeReaders = 0;
--- a/modules/bulrush_steps/tests/ownership_test.cpp
+++ b/modules/bulrush_steps/tests/ownership_test.cpp
@@ -343,6 +343,25 @@
     cr_assert_not(succeeded);
 }
 
+/* While no owner answers, callers' questions are answered from the records. Each of them had a
+   reading of its own, and a takeover waited in their queue. */
+Test(RecordsView, oneReadingServesAllCallsThatCameDuringTheLast)
+{
+    const ManualClock clock;
+    NullDecisionLog decisions;
+    FakeLog log;
+    appendJobs(log, 1);
+    RecordsView view(clock, log, decisions);
+    int served = 0;
+    for (int call = 0; call < 20; ++call) {
+        view.refresh([&served](bool succeeded) { served += succeeded ? 1 : 0; });
+    }
+    for (int round = 0; round < 6; ++round) {
+        log.deliver();
+    }
+    cr_assert_eq(served, 20);
+}
+
 Test(Takeover, fencesTheFormerOwnerAndAppendsItsMarkBeforeItReads)
 {
     ManualClock clock;
