Leave the group until the store confirms it

What callers saw: a stopping node may keep the partition, so that nobody orders the workers until its time to live is over. The leave is now sent again each 300 ms until the store confirms it, and after a join that was answered while the node stops. Tests, both failing with the former code: OwnershipManager/aStoppingNodeLeavesUntilTheStoreConfirmsIt and OwnershipManager/aStoppingNodeLeavesAgainAfterAJoinThatWasUnderWay.

--- a/modules/bulrush_entry/node/ObservedStore.cpp
+++ b/modules/bulrush_entry/node/ObservedStore.cpp
@@ -65,9 +65,14 @@
 }
 
 void ObservedStore::leave(const std::string &member, Duration timeout,
-                          std::function<void()> callback)
+                          std::function<void(StoreOutcome)> callback)
 {
-    this->group.leave(member, timeout, std::move(callback));
+    const Instant sentAt = this->clock.now();
+    this->group.leave(member, timeout,
+                      [this, sentAt, callback = std::move(callback)](StoreOutcome outcome) {
+                          this->recordCall("leave", outcome, sentAt);
+                          callback(outcome);
+                      });
 }
 
 void ObservedStore::findHolder(Duration timeout, std::function<void(PartitionHolder)> callback)
--- a/modules/bulrush_entry/tests/entry_node_drain_test.cpp
+++ b/modules/bulrush_entry/tests/entry_node_drain_test.cpp
@@ -58,7 +58,7 @@
     {
     }
     void leave(const std::string & /*member*/, Duration /*timeout*/,
-               std::function<void()> /*callback*/) override
+               std::function<void(StoreOutcome)> /*callback*/) override
     {
     }
     void findHolder(Duration /*timeout*/,
--- a/modules/bulrush_entry/tests/former_ownership_test.cpp
+++ b/modules/bulrush_entry/tests/former_ownership_test.cpp
@@ -23,9 +23,9 @@
         callback({ StoreOutcome::Done, ownToken, true });
     }
     void leave(const std::string & /*member*/, Duration /*timeout*/,
-               std::function<void()> callback) override
+               std::function<void(StoreOutcome)> callback) override
     {
-        callback();
+        callback(StoreOutcome::Done);
     }
     void findHolder(Duration /*timeout*/, std::function<void(PartitionHolder)> callback) override
     {
--- a/modules/bulrush_steps/ownership/OwnershipManager.cpp
+++ b/modules/bulrush_steps/ownership/OwnershipManager.cpp
@@ -27,6 +27,9 @@
 
 constexpr milliseconds joinTimeout { 800 };
 
+/** Interval at which a stopping node leaves the group until the store confirms it. */
+constexpr milliseconds leaveInterval { 300 };
+
 } // namespace
 
 milliseconds OwnershipTimings::previousOwnerSettleTime() const
@@ -70,6 +73,9 @@
     if (this->owner && !this->isOwner()) {
         this->loseOwnership("the store did not confirm the membership in time");
     }
+    if (this->leaving && this->nextLeaveAt && now >= *this->nextLeaveAt) {
+        this->sendLeave();
+    }
     if (this->leaving || this->inFlight || now < this->nextJoinAt) {
         return;
     }
@@ -124,7 +130,14 @@
 
 void OwnershipManager::handleJoinAnswer(Instant sentAt, const Membership &membership)
 {
-    if (membership.outcome != StoreOutcome::Done || this->leaving) {
+    if (this->leaving) {
+        if (membership.outcome != StoreOutcome::Refused) {
+            // The join may have been carried out after the leave.
+            this->nextLeaveAt = this->clock.now();
+        }
+        return;
+    }
+    if (membership.outcome != StoreOutcome::Done) {
         return;
     }
     const bool changed = membership.generation != this->generation;
@@ -200,8 +213,18 @@
     this->leaving = true;
     this->handOver("this node is shutting down");
     if (this->member) {
-        this->group.leave(this->name, joinTimeout, [] {});
+        this->sendLeave();
     }
 }
 
+void OwnershipManager::sendLeave()
+{
+    this->nextLeaveAt = this->clock.now() + leaveInterval;
+    this->group.leave(this->name, joinTimeout, [this](StoreOutcome outcome) {
+        if (outcome == StoreOutcome::Done) {
+            this->nextLeaveAt.reset();
+        }
+    });
+}
+
 } // namespace bulrush
--- a/modules/bulrush_steps/ownership/OwnershipManager.h
+++ b/modules/bulrush_steps/ownership/OwnershipManager.h
@@ -4,6 +4,7 @@
 #include "bulrush_steps/ports/MemberGroup.h"
 
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -91,8 +92,8 @@
 
     const std::string &memberName() const { return this->name; }
 
-    /** Leaves the group permanently. An owner continues to send commands until its successor takes
-        over or the ownership expires. */
+    /** Leaves the group permanently, and again until the store confirms it. An owner continues to
+       send commands until its successor takes over or the ownership expires. */
     void leave();
 
 private:
@@ -100,6 +101,7 @@
     void pollGroup();
     void handleMemberCount(std::uint32_t members);
     void handleJoinAnswer(Instant sentAt, const Membership &membership);
+    void sendLeave();
     void handOver(std::string_view reason);
     void loseOwnership(std::string_view reason);
 
@@ -111,6 +113,8 @@
     Listener &listener;
     bool inFlight = false;
     bool leaving = false;
+    /** When a permanent leave is sent again; none once the store has confirmed it. */
+    std::optional<Instant> nextLeaveAt;
     bool member = false;
     /** Whether members were missing at the last poll. */
     bool membersMissing = false;
--- a/modules/bulrush_steps/ports/MemberGroup.h
+++ b/modules/bulrush_steps/ports/MemberGroup.h
@@ -45,7 +45,7 @@
 
     /** Leaves the group immediately. */
     virtual void leave(const std::string &member, Duration timeout,
-                       std::function<void()> callback) = 0;
+                       std::function<void(StoreOutcome)> callback) = 0;
 
     /** Queries which member holds the partition. */
     virtual void findHolder(Duration timeout, std::function<void(PartitionHolder)> callback) = 0;
--- a/modules/bulrush_steps/tests/ownership_test.cpp
+++ b/modules/bulrush_steps/tests/ownership_test.cpp
@@ -16,7 +16,9 @@
               std::function<void(Membership)> callback) override
     {
         ++this->joins;
-        if (this->up) {
+        if (this->holdsJoins) {
+            this->heldJoin = std::move(callback);
+        } else if (this->up) {
             callback({ StoreOutcome::Done, this->generation, this->holdsPartition });
         } else {
             callback({});
@@ -24,10 +26,10 @@
     }
 
     void leave(const std::string & /*member*/, Duration /*timeout*/,
-               std::function<void()> callback) override
+               std::function<void(StoreOutcome)> callback) override
     {
         ++this->leaves;
-        callback();
+        callback(this->leaveOutcome);
     }
 
     void findHolder(Duration /*timeout*/, std::function<void(PartitionHolder)> callback) override
@@ -36,6 +38,10 @@
     }
 
     bool up = true;
+    /** Whether joins stay unanswered; the test answers the last one through heldJoin. */
+    bool holdsJoins = false;
+    std::function<void(Membership)> heldJoin;
+    StoreOutcome leaveOutcome = StoreOutcome::Done;
     bool holdsPartition = true;
     std::uint64_t generation = 5;
     std::uint32_t members = 0;
@@ -249,6 +255,37 @@
     cr_assert(fixture.manager.isSoleOwner());
 }
 
+/* The answer to the leave is lost: the group kept the stopping node, and with it the partition, for
+   a whole time to live. */
+Test(OwnershipManager, aStoppingNodeLeavesUntilTheStoreConfirmsIt)
+{
+    OwnershipFixture fixture;
+    fixture.runFor(seconds(2));
+    fixture.group.leaveOutcome = StoreOutcome::Unknown;
+    fixture.manager.leave();
+    fixture.runFor(seconds(1));
+    cr_assert_gt(fixture.group.leaves, 1);
+    fixture.group.leaveOutcome = StoreOutcome::Done;
+    fixture.runFor(seconds(1));
+    const int leaves = fixture.group.leaves;
+    fixture.runFor(seconds(2));
+    cr_assert_eq(fixture.group.leaves, leaves);
+}
+
+/* The store carries out a join after the leave that was sent later, on another connection. */
+Test(OwnershipManager, aStoppingNodeLeavesAgainAfterAJoinThatWasUnderWay)
+{
+    OwnershipFixture fixture;
+    fixture.runFor(seconds(2));
+    fixture.group.holdsJoins = true;
+    fixture.runFor(seconds(1));
+    fixture.manager.leave();
+    cr_assert_eq(fixture.group.leaves, 1);
+    fixture.group.heldJoin({ StoreOutcome::Done, 6, true });
+    fixture.runFor(milliseconds(100));
+    cr_assert_eq(fixture.group.leaves, 2);
+}
+
 Test(OwnershipTimings, aNewOwnerWaitsForTheLastLeaseOfAFormerOne)
 {
     const OwnershipTimings times = OwnershipFixture::times();
