Join the group only with the records read

What callers saw: all nodes restart in turn, members are missing, and a node that has read nothing, or is far behind, gets the partition; nobody orders the workers while it reads, behind a narrow link for seconds. Cause: a node joined as soon as members were missing, and read the records as a member, each 3 s; one that could not keep up stayed. Now a node reads the records first and joins once they are at most 3 s old, reads on each second, and a member that is not the owner leaves (E1646) if it could not keep up for 3 s although the store confirms its membership. Without any member the reading begins during the join delay. Ruled out: leaving while the store is away (a test keeps the member). Tests, failing with the former code: OwnershipManager/aNodeDoesNotJoinBeforeItHasReadTheRecords, aCandidateIsNoneAnyMoreOnceThereAreEnoughMembers, aMemberThatCannotKeepUpWithTheRecordsLeaves; aMemberWithoutTheStoreStays guards.

--- a/modules/bulrush_core/events/EventCatalogue.h
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -73,6 +73,7 @@
     QueueServedAgain = 1643,
     ProgressTooLong = 1644,
     AppendRejected = 1645,
+    MembershipGivenUp = 1646,
     StoreLost = 1651,
     StoreRecovered = 1652,
     RecordIgnored = 1653,
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -74,6 +74,7 @@
     // OwnershipManager::Listener
     void ownershipGained(std::uint64_t fencingToken) override;
     void ownershipLost(std::string_view reason) override;
+    bool recordsAreCurrent() const override;
 
     // Dispatcher::Listener
     void superseded(std::string_view by) override;
@@ -134,9 +135,11 @@
     Takeover takeover;
     std::shared_ptr<StreamReader> jobs;
     Instant jobsRetryAt {};
-    /** When a member that is not the owner next reads the records, so that fewer are left to read
-        in a take-over. */
+    /** When a node that may become the owner soon next reads the records. */
     Instant nextStandbyRead {};
+    bool standbyReadRuns = false;
+    /** When the last of these readings was complete. */
+    std::optional<Instant> recordsReadAt;
     OwnerLink owner;
     CallerRequestHandler requestHandler;
     HttpServer callers;
--- a/modules/bulrush_entry/node/EntryNodeOwnership.cpp
+++ b/modules/bulrush_entry/node/EntryNodeOwnership.cpp
@@ -21,8 +21,13 @@
 /** Delay before the next poll for jobs after one that failed. */
 constexpr milliseconds jobsRetryDelay { 100 };
 
-/** Interval at which a member that is not the owner reads the records. */
-constexpr milliseconds standbyReadInterval { 3000 };
+/** Delay between two readings of the records by a node that may become the owner soon, so that few
+    are left to read in a takeover, and the delay after a reading that failed. */
+constexpr milliseconds standbyReadInterval { 1000 };
+constexpr milliseconds standbyRetryDelay { 100 };
+
+/** How long ago the records may have been read for a node to join the group. */
+constexpr milliseconds maxRecordsAge { 3000 };
 
 /** Timeout of one attempt to record a resignation in the log, and delay before the next. A
    successor that reads the record does not have to wait for all orders that the resigned owner
@@ -35,12 +40,25 @@
 void EntryNode::refreshStandbyView()
 {
     const Instant now = this->clock.now();
-    const bool standsBy = this->ownership.isMember() && !this->dispatcher.active()
-            && !this->takeover.running() && !this->health.checkLost();
-    if (standsBy && now >= this->nextStandbyRead) {
-        this->nextStandbyRead = now + standbyReadInterval;
-        this->view.refresh([](bool /*succeeded*/) {});
+    const bool standsBy = (this->ownership.isMember() || this->ownership.isCandidate())
+            && !this->dispatcher.active() && !this->takeover.running() && !this->health.checkLost();
+    if (!standsBy || this->standbyReadRuns || now < this->nextStandbyRead) {
+        return;
     }
+    this->standbyReadRuns = true;
+    this->view.refresh([this](bool succeeded) {
+        this->standbyReadRuns = false;
+        const Instant readAt = this->clock.now();
+        this->nextStandbyRead = readAt + (succeeded ? standbyReadInterval : standbyRetryDelay);
+        if (succeeded) {
+            this->recordsReadAt = readAt;
+        }
+    });
+}
+
+bool EntryNode::recordsAreCurrent() const
+{
+    return this->recordsReadAt && this->clock.now() - *this->recordsReadAt <= maxRecordsAge;
 }
 
 void EntryNode::ownershipGained(std::uint64_t fencingToken)
--- a/modules/bulrush_entry/tests/former_ownership_test.cpp
+++ b/modules/bulrush_entry/tests/former_ownership_test.cpp
@@ -47,6 +47,7 @@
     }
     void ownershipGained(std::uint64_t /*token*/) override { }
     void ownershipLost(std::string_view /*reason*/) override { }
+    bool recordsAreCurrent() const override { return true; }
 
     bool asked(const std::string &member, std::uint64_t askerToken)
     {
--- a/modules/bulrush_steps/ownership/OwnershipManager.cpp
+++ b/modules/bulrush_steps/ownership/OwnershipManager.cpp
@@ -30,6 +30,9 @@
 /** Interval at which a stopping node leaves the group until the store confirms it. */
 constexpr milliseconds leaveInterval { 300 };
 
+/** How long a member may be unable to keep up with the records before it leaves. */
+constexpr milliseconds maxTimeBehind { 3000 };
+
 } // namespace
 
 milliseconds OwnershipTimings::previousOwnerSettleTime() const
@@ -76,6 +79,7 @@
     if (this->leaving && this->nextLeaveAt && now >= *this->nextLeaveAt) {
         this->sendLeave();
     }
+    this->stepDownIfBehind();
     if (this->leaving || this->inFlight || now < this->nextJoinAt) {
         return;
     }
@@ -113,14 +117,18 @@
 {
     if (members >= targetMemberCount) {
         this->membersMissing = false;
+        this->candidate = false;
         return;
     }
     const Instant now = this->clock.now();
     if (this->membersMissing) {
-        this->member = true;
-        this->nextJoinAt = now;
+        this->candidate = !this->listener.recordsAreCurrent();
+        this->member = !this->candidate;
+        this->nextJoinAt = this->member ? now : this->nextJoinAt;
         return;
     }
+    // Without any member nobody can take over, so the records are read during the delay.
+    this->candidate = members == 0;
     // All polling nodes notice missing members at the same time. Each polls again after a random
     // delay before it joins.
     this->membersMissing = true;
@@ -140,6 +148,7 @@
     if (membership.outcome != StoreOutcome::Done) {
         return;
     }
+    this->joinedAt = sentAt;
     const bool changed = membership.generation != this->generation;
     this->generation = membership.generation;
     if (changed) {
@@ -227,4 +236,27 @@
     });
 }
 
+void OwnershipManager::stepDownIfBehind()
+{
+    const Instant now = this->clock.now();
+    const bool confirmed = now < this->joinedAt + this->times.timeToLive;
+    const bool standsBy = this->member && !this->owner && !this->leaving && confirmed;
+    if (this->inFlight) {
+        return;
+    }
+    if (!standsBy || this->listener.recordsAreCurrent()) {
+        this->behindSince.reset();
+        return;
+    }
+    this->behindSince = this->behindSince.value_or(now);
+    if (now - *this->behindSince < maxTimeBehind) {
+        return;
+    }
+    this->member = false;
+    this->membersMissing = false;
+    this->behindSince.reset();
+    this->decisions.write(DecisionLine(Event::MembershipGivenUp));
+    this->group.leave(this->name, joinTimeout, [](StoreOutcome /*outcome*/) {});
+}
+
 } // namespace bulrush
--- a/modules/bulrush_steps/ownership/OwnershipManager.h
+++ b/modules/bulrush_steps/ownership/OwnershipManager.h
@@ -37,7 +37,9 @@
 /**
     Participates in the member group and determines whether this node is the owner.
 
-    Only a few nodes are members. The others poll the group and join when members are missing.
+    Only a few nodes are members. The others poll the group and join when members are missing, once
+    they have read the records, so that each member is able to take over soon. A member that cannot
+    keep up with the records leaves.
 
     An owner that loses its partition to another node, or that is about to stop, continues to send
     commands until it finds evidence of its successor or its ownership expires. The successor may
@@ -60,6 +62,10 @@
         virtual void ownershipGained(std::uint64_t fencingToken) = 0;
 
         virtual void ownershipLost(std::string_view reason) = 0;
+
+        /** Returns whether the records were read so lately that a takeover needs only the few that
+            follow. */
+        virtual bool recordsAreCurrent() const = 0;
     };
 
     OwnershipManager(const Clock &clock, MemberGroup &group, std::string memberName,
@@ -74,6 +80,9 @@
     /** Returns whether this node is a member of the group and can become the owner. */
     bool isMember() const { return this->member; }
 
+    /** Returns whether this node joins the group as soon as its records are current. */
+    bool isCandidate() const { return this->candidate; }
+
     /** Returns whether currently no other node can be the owner. */
     bool isSoleOwner() const;
 
@@ -102,6 +111,7 @@
     void handleMemberCount(std::uint32_t members);
     void handleJoinAnswer(Instant sentAt, const Membership &membership);
     void sendLeave();
+    void stepDownIfBehind();
     void handOver(std::string_view reason);
     void loseOwnership(std::string_view reason);
 
@@ -116,6 +126,9 @@
     /** When a permanent leave is sent again; none once the store has confirmed it. */
     std::optional<Instant> nextLeaveAt;
     bool member = false;
+    bool candidate = false;
+    /** Since when the records of a member whose membership is confirmed are not current. */
+    std::optional<Instant> behindSince;
     /** Whether members were missing at the last poll. */
     bool membersMissing = false;
     Instant nextJoinAt {};
@@ -126,6 +139,8 @@
     bool handedOver = false;
     std::uint64_t token = 0;
     /** When the last successful join was sent. */
+    Instant joinedAt {};
+    /** When the last successful join was sent that confirmed this node's partition. */
     Instant confirmedAt {};
     /** Ownership is not accepted again at generations up to this one. */
     std::uint64_t supersededGeneration = 0;
--- a/modules/bulrush_steps/tests/ownership_test.cpp
+++ b/modules/bulrush_steps/tests/ownership_test.cpp
@@ -68,6 +68,7 @@
 
     void ownershipGained(std::uint64_t token) override { this->gained.push_back(token); }
     void ownershipLost(std::string_view /*reason*/) override { ++this->losses; }
+    bool recordsAreCurrent() const override { return this->current; }
 
     void runFor(milliseconds span)
     {
@@ -82,6 +83,7 @@
     NullDecisionLog decisions;
     std::vector<std::uint64_t> gained;
     int losses = 0;
+    bool current = true;
     OwnershipManager manager;
 };
 
@@ -255,6 +257,66 @@
     cr_assert(fixture.manager.isSoleOwner());
 }
 
+/* All nodes restart one after the other, and members are missing. A node that has read nothing yet
+   got the partition, and nobody ordered the workers while it read the records. */
+Test(OwnershipManager, aNodeDoesNotJoinBeforeItHasReadTheRecords)
+{
+    OwnershipFixture fixture;
+    fixture.current = false;
+    fixture.runFor(seconds(4));
+    cr_assert_eq(fixture.group.joins, 0);
+    cr_assert(fixture.manager.isCandidate());
+    fixture.current = true;
+    fixture.runFor(milliseconds(500));
+    cr_assert(fixture.manager.isOwner());
+    cr_assert_not(fixture.manager.isCandidate());
+}
+
+Test(OwnershipManager, aCandidateIsNoneAnyMoreOnceThereAreEnoughMembers)
+{
+    OwnershipFixture fixture;
+    fixture.current = false;
+    fixture.runFor(seconds(4));
+    fixture.group.members = 3;
+    fixture.runFor(seconds(1));
+    cr_assert_not(fixture.manager.isCandidate());
+    fixture.current = true;
+    fixture.runFor(seconds(2));
+    cr_assert_eq(fixture.group.joins, 0);
+}
+
+/* A member behind a narrow link falls behind. As the next owner it would order nobody for seconds.
+ */
+Test(OwnershipManager, aMemberThatCannotKeepUpWithTheRecordsLeaves)
+{
+    OwnershipFixture fixture;
+    fixture.group.holdsPartition = false;
+    fixture.runFor(seconds(2));
+    cr_assert(fixture.manager.isMember());
+    fixture.current = false;
+    fixture.group.members = 2;
+    fixture.runFor(seconds(2));
+    cr_assert(fixture.manager.isMember());
+    fixture.runFor(seconds(2));
+    cr_assert_not(fixture.manager.isMember());
+    cr_assert_eq(fixture.group.leaves, 1);
+}
+
+/* The store is away for a while. If the members left, nobody could take over once it is back. */
+Test(OwnershipManager, aMemberWithoutTheStoreStays)
+{
+    OwnershipFixture fixture;
+    fixture.group.holdsPartition = false;
+    fixture.runFor(seconds(2));
+    fixture.group.up = false;
+    fixture.current = false;
+    fixture.runFor(seconds(8));
+    cr_assert(fixture.manager.isMember());
+    fixture.group.up = true;
+    fixture.runFor(seconds(2));
+    cr_assert(fixture.manager.isMember());
+}
+
 /* The answer to the leave is lost: the group kept the stopping node, and with it the partition, for
    a whole time to live. */
 Test(OwnershipManager, aStoppingNodeLeavesUntilTheStoreConfirmsIt)
