--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -146,7 +146,7 @@
     bool isCredible(const WorkerProcesses &processes) const override;
 
     // TakeoverWait::Observer
-    std::size_t heldTasks() const override;
+    HeldTasks heldTasks() const override;
     std::string statesOf(const std::set<TargetId> &workers) const override;
 
     // ProgressWriter::Listener
@@ -179,8 +179,8 @@
 
     void addWaiting(const JobEntry &job);
 
-    /** Returns the number of a job's tasks that could start but for former owners. */
-    std::size_t heldTasksOf(const JobEntry &job) const;
+    /** Counts a job's tasks that could start but for former owners. */
+    void countHeldTasks(const JobEntry &job, HeldTasks &held) const;
 
     /** Has the record of a task name the worker of its next run. The record is written anew even if
         it names that worker already: the store refuses it if there is a newer owner. */
--- a/modules/bulrush_steps/dispatch/DispatcherTakeover.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherTakeover.cpp
@@ -32,20 +32,19 @@
     return !job.knownToPreviousOwners || !this->takeoverWait.holds(step, task);
 }
 
-std::size_t Dispatcher::heldTasks() const
+HeldTasks Dispatcher::heldTasks() const
 {
-    std::size_t held = 0;
+    HeldTasks held;
     for (const auto &[id, job] : this->jobTable.entries()) {
         if (!job.hasEnded()) {
-            held += this->heldTasksOf(job);
+            this->countHeldTasks(job, held);
         }
     }
     return held;
 }
 
-std::size_t Dispatcher::heldTasksOf(const JobEntry &job) const
+void Dispatcher::countHeldTasks(const JobEntry &job, HeldTasks &held) const
 {
-    std::size_t held = 0;
     for (std::uint32_t occurrence = job.occurrences.firstOpen();
          occurrence < job.occurrences.size() && job.isDue(occurrence, this->clock); ++occurrence) {
         const std::vector<StepState> &steps = job.occurrences.at(occurrence).steps;
@@ -54,12 +53,13 @@
                 continue;
             }
             const StepSpec &spec = job.spec.steps[step];
+            std::size_t &count = this->takeoverWait.usesAssignments(spec) ? held.forOwnWorker
+                                                                          : held.forAllWorkers;
             steps[step].tasks.forEachOpen([&](std::uint32_t /*index*/, const StepTask &task) {
-                held += this->mayStart(job, spec, task) ? 0 : 1;
+                count += this->mayStart(job, spec, task) ? 0 : 1;
             });
         }
     }
-    return held;
 }
 
 std::string Dispatcher::statesOf(const std::set<TargetId> &workers) const
--- a/modules/bulrush_steps/ownership/TakeoverWait.cpp
+++ b/modules/bulrush_steps/ownership/TakeoverWait.cpp
@@ -100,6 +100,7 @@
     this->nextReportAt = now + reportInterval;
     const auto waited = duration_cast<milliseconds>(now - this->beganAt).count();
     const Duration left = std::max(Duration::zero(), this->owners.settledAt() - now);
+    const HeldTasks held = this->observer.heldTasks();
     this->decisions.write(
             DecisionLine(Event::FormerOwnersAwaited)
                     .with("waited_ms", waited)
@@ -108,7 +109,8 @@
                     .with("unsettled_workers", this->namesOfUnheardWorkers())
                     .with("worker_states", this->observer.statesOf(this->unheardWorkers))
                     .with("owner_states", this->owners.describe(now))
-                    .with("held_tasks", this->observer.heldTasks()));
+                    .with("held_tasks", held.all())
+                    .with("held_for_own_worker", held.forOwnWorker));
 }
 
 std::vector<UnsettledOwner> TakeoverWait::remainingWaits() const
--- a/modules/bulrush_steps/ownership/TakeoverWait.h
+++ b/modules/bulrush_steps/ownership/TakeoverWait.h
@@ -13,6 +13,17 @@
 
 class DecisionLog;
 
+/** The numbers of tasks that may not start because of a wait for former owners. */
+struct HeldTasks
+{
+    /** Long-running tasks that wait only for the worker that they are assigned to. */
+    std::size_t forOwnWorker = 0;
+    /** Tasks that wait for all workers of the roster. */
+    std::size_t forAllWorkers = 0;
+
+    std::size_t all() const { return this->forOwnWorker + this->forAllWorkers; }
+};
+
 /**
     Determines from when on a new owner may start the tasks of jobs that former owners knew.
 
@@ -30,8 +41,8 @@
     {
         virtual ~Observer() = default;
 
-        /** Returns the number of tasks that may not start because of the wait. */
-        virtual std::size_t heldTasks() const = 0;
+        /** Returns the numbers of tasks that may not start because of the wait. */
+        virtual HeldTasks heldTasks() const = 0;
 
         /** Returns how many of these workers are in which state. */
         virtual std::string statesOf(const std::set<TargetId> &workers) const = 0;
