Forget owners whose records are gone when the records are read anew

What callers saw: after a change of owner, known tasks may wait for a former owner that had been settled long before. Cause: a reader that finds its history trimmed reads the newest record of each key, in which removed keys are missing; RecordsView kept the owners and resignations that it had read before. The test RecordsView/forgetsTheOwnersWhoseRecordsAreGone fails with the former code.

--- a/modules/bulrush_steps/follow/RecordsView.cpp
+++ b/modules/bulrush_steps/follow/RecordsView.cpp
@@ -70,7 +70,13 @@
     }
 }
 
-void RecordsView::snapshotReadStarted(LogStream /*stream*/) { }
+void RecordsView::snapshotReadStarted(LogStream stream)
+{
+    if (stream == LogStream::Jobs) {
+        // Those that are still on record are read again.
+        this->table.forgetOwners();
+    }
+}
 
 void RecordsView::recordRead(LogStream stream, const KeyedRecord &record)
 {
--- a/modules/bulrush_steps/model/StepJobTable.cpp
+++ b/modules/bulrush_steps/model/StepJobTable.cpp
@@ -200,6 +200,12 @@
     this->knownOwners.insert_or_assign(owner.fencingToken, std::move(owner));
 }
 
+void StepJobTable::forgetOwners()
+{
+    this->knownOwners.clear();
+    this->ownerResignations.clear();
+}
+
 void StepJobTable::applyProgress(const KeyedRecord &record)
 {
     const records::ParsedKey key = records::parseKey(record.key);
--- a/modules/bulrush_steps/model/StepJobTable.h
+++ b/modules/bulrush_steps/model/StepJobTable.h
@@ -125,6 +125,9 @@
     /** Returns the highest fencing token that an owner has recorded. */
     std::uint64_t newestOwnerToken() const { return this->ownerToken; }
 
+    /** Forgets all owners and resignations, before their records are read anew. */
+    void forgetOwners();
+
     /** Returns the owners on record, by fencing token. */
     const std::map<std::uint64_t, OwnerRecord> &owners() const { return this->knownOwners; }
 
--- a/modules/bulrush_steps/tests/ownership_test.cpp
+++ b/modules/bulrush_steps/tests/ownership_test.cpp
@@ -424,6 +424,39 @@
     cr_assert_eq(view.jobTable().entries().size(), 5U);
 }
 
+/* Owner 3 has settled and removed the record of owner 2. A standby that had read it and did not see
+   the removal, since the history was trimmed, waited for owner 2 again when it took over. */
+Test(RecordsView, forgetsTheOwnersWhoseRecordsAreGone)
+{
+    const ManualClock clock;
+    NullDecisionLog decisions;
+    FakeLog log;
+    RecordsView view(clock, log, decisions);
+    const auto readAll = [&] {
+        bool done = false;
+        view.refresh([&done](bool succeeded) { done = succeeded; });
+        for (int reads = 0; reads < 50 && !done; ++reads) {
+            log.deliver();
+        }
+        cr_assert(done);
+    };
+    appendJobs(log, 5);
+    std::vector<KeyedRecord> &jobs = log.streams[LogStream::Jobs];
+    jobs.push_back({ records::ownerKey(2), records::encode(OwnerRecord { 2, "m" }), 0 });
+    jobs.push_back({ records::resignationKey(2), records::encodeResignation({ 2, {} }), 0 });
+    readAll();
+    cr_assert_eq(view.jobTable().owners().size(), 1U);
+    jobs.push_back({ records::ownerKey(2), {}, 0 });
+    jobs.push_back({ records::resignationKey(2), {}, 0 });
+    jobs.push_back({ records::ownerKey(3), records::encode(OwnerRecord { 3, "n" }), 0 });
+    appendJobs(log, 5);
+    log.firstRetained = 10;
+    readAll();
+    cr_assert_eq(view.jobTable().owners().size(), 1U);
+    cr_assert(view.jobTable().owners().contains(3));
+    cr_assert(view.jobTable().resignations().empty());
+}
+
 Test(RecordsView, reportsFailureWhenTheStoreDoesNotAnswer)
 {
     const ManualClock clock;
