Wait less for an owner that was never ready

What callers saw: lasting tasks did not run for up to 12.6 s after a chain of owners. Cause (hypothesis 1): an owner that loses the partition before it has read the records leaves its owner record and no resignation, since Dispatcher::resignation() is empty while inactive, and its successor waits for it in full unless its process answers. An owner now starts nothing before its roster is on record (as before), and until then renews leases only while no other node can be the owner; its record says so (commandsAfterRoster). So one that is newer than the writer of the roster is waited for until its last possible renewals are over: time to live + lease + delivery (6.6 s for 12.6). Owners of earlier versions, and rosters without a writer, are waited for in full as before. Tests, failing with the former code: FormerOwners/anOwnerThatWasNeverReadyIsWaitedForUntilItsRenewalsAreOver, Dispatcher/beforeItsRosterIsStoredAnOwnerRenewsLeasesOnlyAsTheSoleOwner; two more guard the waits for earlier versions.

--- a/modules/bulrush_entry/node/EntryNodeOwnership.cpp
+++ b/modules/bulrush_entry/node/EntryNodeOwnership.cpp
@@ -73,11 +73,12 @@
 
 void EntryNode::takeoverDone(Instant gainedAt, LogOffset markOffset)
 {
+    const OwnershipTimings times = this->settings.ownershipTimes();
     OwnershipTerm term;
     term.fencingToken = this->ownership.fencingToken();
-    term.previousOwnerSettledAt =
-            gainedAt + this->settings.ownershipTimes().previousOwnerSettleTime();
-    term.resignedOwnerSettleTime = this->settings.ownershipTimes().resignedOwnerSettleTime();
+    term.previousOwnerSettledAt = gainedAt + times.previousOwnerSettleTime();
+    term.unreadyOwnerSettledAt = gainedAt + times.unreadyOwnerSettleTime();
+    term.resignedOwnerSettleTime = times.resignedOwnerSettleTime();
     this->dispatcher.begin(term, this->view.jobTable());
     if (this->config.config()) {
         this->dispatcher.configure(*this->config.config());
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -139,6 +139,10 @@
     void superseded(const Worker &worker) override;
     std::uint64_t storedChange() const override { return this->writer.storedChange(); }
     bool mayCommand() const override;
+    bool mayRenewLeases() const override
+    {
+        return this->roster.isRecorded() || this->listener.isSoleOwner();
+    }
     bool isSoleOwner() const override { return this->listener.isSoleOwner(); }
 
     // EndedWorkerFinder::Listener
--- a/modules/bulrush_steps/model/JobRecords.cpp
+++ b/modules/bulrush_steps/model/JobRecords.cpp
@@ -353,7 +353,8 @@
         { "schema", schemaVersion },
         { "fencingToken", owner.fencingToken },
         { "member", owner.member },
-        { "recordsAssignments", owner.recordsAssignments }
+        { "recordsAssignments", owner.recordsAssignments },
+        { "commandsAfterRoster", owner.commandsAfterRoster }
     }.dump();
 }
 
@@ -397,7 +398,8 @@
     return decodeRecord("owner", value, [](const json &record) {
         return OwnerRecord { record.at("fencingToken").get<std::uint64_t>(),
                              record.value("member", std::string()),
-                             record.value("recordsAssignments", false) };
+                             record.value("recordsAssignments", false),
+                             record.value("commandsAfterRoster", false) };
     });
 }
 
--- a/modules/bulrush_steps/model/JobRecords.h
+++ b/modules/bulrush_steps/model/JobRecords.h
@@ -73,6 +73,9 @@
     /** Whether it starts a long-running task on a worker only after the task's record names that
         worker. Earlier versions do not. */
     bool recordsAssignments = false;
+    /** Whether, until its roster is on record, it starts nothing, and renews leases only while no
+        other node can be the owner. Earlier versions do not. */
+    bool commandsAfterRoster = false;
 };
 
 /** An owner's record of the workers that may run its tasks, and of the former owners that it waits
--- a/modules/bulrush_steps/ownership/FormerOwners.cpp
+++ b/modules/bulrush_steps/ownership/FormerOwners.cpp
@@ -5,22 +5,27 @@
 namespace bulrush {
 
 void FormerOwners::begin(const std::map<std::uint64_t, OwnerRecord> &owners, const Roster &roster,
-                         std::uint64_t token, Instant fullWaitUntil)
+                         const OwnershipTerm &term)
 {
     this->waits.clear();
-    const auto add = [this, token, fullWaitUntil](const OwnerRecord &former) {
-        if (former.fencingToken < token) {
-            this->waits.try_emplace(
-                    former.fencingToken,
-                    Wait { former.member, fullWaitUntil, former.recordsAssignments });
+    const auto add = [this, &roster, &term](const OwnerRecord &former) {
+        if (former.fencingToken >= term.fencingToken) {
+            return;
         }
+        // An earlier version writes a roster without its token, which may replace a later one.
+        const bool wasUnready = former.commandsAfterRoster && roster.fencingToken != 0
+                && former.fencingToken > roster.fencingToken;
+        const Instant until = wasUnready ? term.unreadyOwnerSettledAt : term.previousOwnerSettledAt;
+        this->waits.try_emplace(
+                former.fencingToken,
+                Wait { former.member, until, former.recordsAssignments, wasUnready });
     };
     for (const auto &[former, record] : owners) {
         add(record);
     }
     std::for_each(roster.formerOwners.begin(), roster.formerOwners.end(), add);
     if (!this->waits.contains(roster.fencingToken)) {
-        this->waits[0].until = fullWaitUntil;
+        this->waits[0].until = term.previousOwnerSettledAt;
     }
 }
 
@@ -117,7 +122,8 @@
     for (const auto &[token, wait] : this->waits) {
         if (wait.until > now) {
             text += text.empty() ? "" : " ";
-            text += std::to_string(token) + (wait.hasStopped ? ":stopped" : ":silent");
+            text += std::to_string(token) + (wait.hasStopped ? ":stopped" : ":silent")
+                    + (wait.wasUnready ? ":unready" : "");
         }
     }
     return text;
--- a/modules/bulrush_steps/ownership/FormerOwners.h
+++ b/modules/bulrush_steps/ownership/FormerOwners.h
@@ -2,6 +2,7 @@
 
 #include "bulrush_core/time/Clock.h"
 #include "bulrush_steps/model/JobRecords.h"
+#include "bulrush_steps/ownership/OwnershipTerm.h"
 
 #include <cstdint>
 #include <map>
@@ -21,14 +22,13 @@
 {
 public:
     /** Starts to wait. If the writer of the roster is neither on record nor named by the roster, an
-        unknown owner is waited for in full.
+        unknown owner is waited for in full. An owner that was never ready to send commands, since
+        a later owner than the writer of the roster, is waited for until its renewals are over only.
         @param owners    the owners on record, by fencing token; lower ones are former owners
-        @param roster    the newest roster
-        @param token     the fencing token of the present owner
-        @param fullWaitUntil when no command of a former owner can take effect any more, at the
-                             latest */
+        @param roster    the newest roster, read after all former owners were fenced
+        @param term      of the present owner */
     void begin(const std::map<std::uint64_t, OwnerRecord> &owners, const Roster &roster,
-               std::uint64_t token, Instant fullWaitUntil);
+               const OwnershipTerm &term);
 
     /** Takes a resignation into account. Ignored unless its owner is waited for.
         @param settleTime how long commands of an owner may take effect after its resignation */
@@ -66,6 +66,8 @@
         Instant until {};
         /** As in OwnerRecord. */
         bool recordsAssignments = false;
+        /** Whether the owner put no roster on record, so that it started nothing. */
+        bool wasUnready = false;
         /** Whether the owner resigned or is known to have stopped. */
         bool hasStopped = false;
     };
--- a/modules/bulrush_steps/ownership/OwnershipManager.cpp
+++ b/modules/bulrush_steps/ownership/OwnershipManager.cpp
@@ -40,6 +40,11 @@
     return this->timeToLive + this->outageGrace + this->resignedOwnerSettleTime();
 }
 
+milliseconds OwnershipTimings::unreadyOwnerSettleTime() const
+{
+    return this->timeToLive + this->resignedOwnerSettleTime();
+}
+
 milliseconds OwnershipTimings::resignedOwnerSettleTime() const
 {
     return maxLocalDuration(this->lease) + commandDeliveryAllowance;
--- a/modules/bulrush_steps/ownership/OwnershipManager.h
+++ b/modules/bulrush_steps/ownership/OwnershipManager.h
@@ -32,6 +32,10 @@
 
     /** Returns how long after a takeover commands of the previous owner may still take effect. */
     milliseconds previousOwnerSettleTime() const;
+
+    /** Returns the same for a previous owner that put no roster on record: it renewed leases only
+        while no other node could be the owner. */
+    milliseconds unreadyOwnerSettleTime() const;
 };
 
 /**
--- a/modules/bulrush_steps/ownership/Takeover.cpp
+++ b/modules/bulrush_steps/ownership/Takeover.cpp
@@ -169,7 +169,8 @@
 
 void Takeover::appendOwnerRecords()
 {
-    const std::string value = records::encode(OwnerRecord { this->token, this->member, true });
+    const std::string value =
+            records::encode(OwnerRecord { this->token, this->member, true, true });
     const std::vector<KeyedRecord> ownerRecords { { records::ownerKey(this->token), value, 0 },
                                                   { records::newestOwnerKey(), value, 0 } };
     this->log.append(LogStream::Jobs, ownerRecords, std::nullopt, callTimeout,
--- a/modules/bulrush_steps/ownership/TakeoverWait.cpp
+++ b/modules/bulrush_steps/ownership/TakeoverWait.cpp
@@ -33,8 +33,7 @@
     this->nextReportAt = this->beganAt;
     this->leasesAreOver = false;
     this->ended = false;
-    this->owners.begin(table.owners(), table.roster(), this->term.fencingToken,
-                       this->term.previousOwnerSettledAt);
+    this->owners.begin(table.owners(), table.roster(), this->term);
     this->applyResignations(table);
 }
 
--- a/modules/bulrush_steps/tests/assignment_record_test.cpp
+++ b/modules/bulrush_steps/tests/assignment_record_test.cpp
@@ -10,6 +10,14 @@
 constexpr Instant start { hours(1) };
 constexpr milliseconds fullWait { 20'000 };
 
+OwnershipTerm termOf(std::uint64_t token)
+{
+    OwnershipTerm term;
+    term.fencingToken = token;
+    term.previousOwnerSettledAt = start + fullWait;
+    return term;
+}
+
 StepJob makeLastingJob(const char *id, std::uint32_t tasks = 1)
 {
     StepJob job = makeJob(id, tasks);
@@ -260,11 +268,11 @@
 Test(AssignmentRecord, allOwnersThatAreWaitedForMustRecordAssignments)
 {
     FormerOwners owners;
-    owners.begin({ { 1, { 1, "m1", true } }, { 2, { 2, "m2", false } } }, Roster { {}, 2, {} }, 3,
-                 start + fullWait);
+    owners.begin({ { 1, { 1, "m1", true } }, { 2, { 2, "m2", false } } }, Roster { {}, 2, {} },
+                 termOf(3));
     cr_assert_not(owners.recordAssignments());
-    owners.begin({ { 1, { 1, "m1", true } }, { 2, { 2, "m2", true } } }, Roster { {}, 2, {} }, 3,
-                 start + fullWait);
+    owners.begin({ { 1, { 1, "m1", true } }, { 2, { 2, "m2", true } } }, Roster { {}, 2, {} },
+                 termOf(3));
     cr_assert(owners.recordAssignments());
 }
 
@@ -274,12 +282,12 @@
 {
     FormerOwners owners;
     const std::map<std::uint64_t, OwnerRecord> records { { 2, { 2, "m2", true } } };
-    owners.begin(records, Roster { {}, 2, {} }, 3, start + fullWait);
+    owners.begin(records, Roster { {}, 2, {} }, termOf(3));
     owners.resigned({ 2, { { 1, milliseconds(9'000) } } }, start, milliseconds(5'000));
     cr_assert_not(owners.recordAssignments());
-    owners.begin(records, Roster { {}, 0, {} }, 3, start + fullWait);
+    owners.begin(records, Roster { {}, 0, {} }, termOf(3));
     cr_assert_not(owners.recordAssignments());
-    owners.begin(records, Roster { {}, 2, { { 1, "m1", false } } }, 3, start + fullWait);
+    owners.begin(records, Roster { {}, 2, { { 1, "m1", false } } }, termOf(3));
     cr_assert_not(owners.recordAssignments());
 }
 
@@ -287,8 +295,8 @@
 Test(AssignmentRecord, theRosterPassesOnWhetherFormerOwnersRecordAssignments)
 {
     FormerOwners owners;
-    owners.begin({ { 1, { 1, "m1", true } }, { 2, { 2, "m2", false } } }, Roster { {}, 2, {} }, 3,
-                 start + fullWait);
+    owners.begin({ { 1, { 1, "m1", true } }, { 2, { 2, "m2", false } } }, Roster { {}, 2, {} },
+                 termOf(3));
     const Roster written { {}, 3, owners.awaitedOwners(start) };
     const Roster read = records::decodeRoster(records::encode(written));
     cr_assert_eq(read.formerOwners.size(), 2U);
--- a/modules/bulrush_steps/tests/former_owners_test.cpp
+++ b/modules/bulrush_steps/tests/former_owners_test.cpp
@@ -10,11 +10,17 @@
 constexpr milliseconds fullWait { 20'000 };
 constexpr milliseconds settleTime { 5'000 };
 
+constexpr milliseconds unreadyWait { 6'500 };
+
+OwnershipTerm termOf(std::uint64_t token)
+{
+    return { token, start + fullWait, start + unreadyWait, settleTime };
+}
+
 FormerOwners waitingFor(std::uint64_t token)
 {
     FormerOwners owners;
-    owners.begin({ { token, { token, "m" } } }, Roster { {}, token, {} }, token + 1,
-                 start + fullWait);
+    owners.begin({ { token, { token, "m" } } }, Roster { {}, token, {} }, termOf(token + 1));
     return owners;
 }
 
@@ -85,7 +91,7 @@
 Test(FormerOwners, withoutAnOwnerOnRecordAnUnknownOneIsWaitedForInFull)
 {
     FormerOwners owners;
-    owners.begin({}, {}, 3, start + fullWait);
+    owners.begin({}, {}, termOf(3));
     cr_assert(owners.settledAt() == start + fullWait);
     cr_assert(owners.ownersToAsk(start).empty());
 }
@@ -95,7 +101,7 @@
 Test(FormerOwners, anUnknownWriterOfTheRosterIsWaitedForInFull)
 {
     FormerOwners owners;
-    owners.begin({ { 1, { 1, "m1" } } }, {}, 3, start + fullWait);
+    owners.begin({ { 1, { 1, "m1" } } }, {}, termOf(3));
     owners.resigned({ 1, {} }, start, settleTime);
     cr_assert(owners.settledAt() == start + fullWait);
 }
@@ -104,7 +110,7 @@
 Test(FormerOwners, theOwnersThatTheRosterNamesAreWaitedFor)
 {
     FormerOwners owners;
-    owners.begin({ { 2, { 2, "m2" } } }, Roster { {}, 2, { { 1, "m1" } } }, 3, start + fullWait);
+    owners.begin({ { 2, { 2, "m2" } } }, Roster { {}, 2, { { 1, "m1" } } }, termOf(3));
     const Resignation ended = owners.stopped(2, start, settleTime);
     cr_assert(owners.settledAt() == start + fullWait);
     const std::vector<UnsettledOwner> left { { 1, fullWait } };
@@ -117,8 +123,7 @@
 Test(FormerOwners, aResignationSettlesTheEarlierOwnersThatItDoesNotName)
 {
     FormerOwners owners;
-    owners.begin({ { 1, { 1, "m1" } }, { 2, { 2, "m2" } } }, Roster { {}, 2, {} }, 3,
-                 start + fullWait);
+    owners.begin({ { 1, { 1, "m1" } }, { 2, { 2, "m2" } } }, Roster { {}, 2, {} }, termOf(3));
     owners.resigned({ 2, {} }, start, settleTime);
     cr_assert(owners.settledAt() == start + settleTime);
 }
@@ -133,3 +138,38 @@
     cr_assert_eq(read.formerOwners.at(0).member, "m");
     cr_assert_eq(records::decodeRoster(R"({"schema":1,"workers":["w1"]})").fencingToken, 0U);
 }
+
+namespace {
+
+/** Returns until when a new owner waits for owner 2 after one that wrote the newest roster.
+    @param secondOwner    the record of owner 2
+    @param rosterWriter   0 for an earlier version, which does not name itself */
+Instant waitAfterAnOwnerWithoutARoster(const OwnerRecord &secondOwner, std::uint64_t rosterWriter)
+{
+    FormerOwners owners;
+    owners.begin({ { 1, { 1, "m1" } }, { 2, secondOwner } }, Roster { {}, rosterWriter, {} },
+                 termOf(3));
+    owners.resigned({ 1, {} }, start, settleTime);
+    return owners.settledAt();
+}
+
+} // namespace
+
+/* Owner 2 got the partition, wrote its owner record, and was stopped before it had read the
+   records. It had started nothing, and had no resignation to write: its successor waited for it in
+   full. */
+Test(FormerOwners, anOwnerThatWasNeverReadyIsWaitedForUntilItsRenewalsAreOver)
+{
+    cr_assert(waitAfterAnOwnerWithoutARoster({ 2, "m2", true, true }, 1) == start + unreadyWait);
+}
+
+Test(FormerOwners, anOwnerOfAnEarlierVersionWithoutARosterIsWaitedForInFull)
+{
+    cr_assert(waitAfterAnOwnerWithoutARoster({ 2, "m2", true, false }, 1) == start + fullWait);
+}
+
+/* An owner of an earlier version has overwritten the roster, which does not name its writer. */
+Test(FormerOwners, anOwnerWhoseRosterMayBeOverwrittenIsWaitedForInFull)
+{
+    cr_assert(waitAfterAnOwnerWithoutARoster({ 2, "m2", true, true }, 0) == start + fullWait);
+}
--- a/modules/bulrush_steps/tests/owner_change_test.cpp
+++ b/modules/bulrush_steps/tests/owner_change_test.cpp
@@ -169,6 +169,31 @@
     cr_assert_eq(roster.formerOwners.front().member, "m#1");
 }
 
+/* An owner that loses the partition before its roster is on record counts as one that renewed
+   leases only while nobody else could be the owner. */
+Test(Dispatcher, beforeItsRosterIsStoredAnOwnerRenewsLeasesOnlyAsTheSoleOwner)
+{
+    DispatcherFixture fixture;
+    const AttemptRef running { { JobId("a"), 0, 0, 0 }, 2001 };
+    fixture.worker("w1").running[running] = { running, "", 30, 0.0 };
+    fixture.log.up = false;
+    fixture.soleOwner = false;
+    fixture.begin(makeJobTable(makeJob("a", 1), { TargetId("w1") }, fixture.clock));
+    fixture.listWorker("w1");
+    fixture.runFor(seconds(1));
+    cr_assert(fixture.dispatcher.runs().workers().at(TargetId("w1")).adopted);
+    cr_assert_eq(fixture.worker("w1").leaseEnd, 0);
+    fixture.soleOwner = true;
+    fixture.runFor(milliseconds(500));
+    cr_assert_gt(fixture.worker("w1").leaseEnd, 0);
+    fixture.soleOwner = false;
+    fixture.log.up = true;
+    fixture.runFor(seconds(2));
+    const WorkerMillis leaseEnd = fixture.worker("w1").leaseEnd;
+    fixture.runFor(seconds(3));
+    cr_assert_gt(fixture.worker("w1").leaseEnd, leaseEnd);
+}
+
 /* The owner's own records were appended late, after a newer owner had read the stream. */
 Test(Dispatcher, anOwnerThatReadANewerOwnersRecordDoesNotBegin)
 {
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -25,6 +25,9 @@
     the next tick. */
 constexpr milliseconds checkOfAllInterval { 50 };
 
+/** Delay of the next hold request to a worker while leases may not be renewed. */
+constexpr milliseconds delayWithoutRenewal { 100 };
+
 /** How long a worker receives no new tasks after it refused a start or did not answer it. */
 constexpr milliseconds refusalPause { 400 };
 
@@ -196,7 +199,9 @@
     }
     const bool hasUnacknowledgedEnds = worker.processedEnds > worker.acknowledgedEnds;
     const bool stored = worker.processedChange <= this->listener.storedChange();
-    return now >= worker.nextHoldAt || (hasUnacknowledgedEnds && stored && worker.confirmed);
+    const bool renews = !worker.confirmed || this->listener.mayRenewLeases();
+    const Instant dueAt = renews ? worker.nextHoldAt : worker.nextHoldAt + delayWithoutRenewal;
+    return now >= dueAt || (hasUnacknowledgedEnds && stored && worker.confirmed);
 }
 
 std::optional<WorkerMillis> WorkerManager::leaseEnd(Worker &worker)
@@ -228,9 +233,12 @@
     const bool stored = worker.processedChange <= this->listener.storedChange();
     if (worker.confirmed) {
         command.acknowledgedEnds = stored ? worker.processedEnds : worker.acknowledgedEnds;
-        command.leaseEnd = this->leaseEnd(worker);
+        if (this->listener.mayRenewLeases()) {
+            command.leaseEnd = this->leaseEnd(worker);
+        }
         const bool hasUnacknowledgedEnds = worker.processedEnds > command.acknowledgedEnds;
-        command.wait = hasUnacknowledgedEnds ? milliseconds(0) : this->holdWait(worker);
+        const bool waits = command.leaseEnd && !hasUnacknowledgedEnds;
+        command.wait = waits ? this->holdWait(worker) : milliseconds(0);
     }
     if (command.leaseEnd) {
         worker.clock.recordLeaseEnd(*command.leaseEnd);
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -66,6 +66,9 @@
         /** Returns whether commands may currently be sent. */
         virtual bool mayCommand() const = 0;
 
+        /** Returns whether leases may be renewed. */
+        virtual bool mayRenewLeases() const = 0;
+
         /** Returns whether no other node can have renewed a lease that this owner did not renew. */
         virtual bool isSoleOwner() const = 0;
     };
--- a/modules/bulrush_steps/workers/WorkerRoster.cpp
+++ b/modules/bulrush_steps/workers/WorkerRoster.cpp
@@ -28,6 +28,7 @@
 void WorkerRoster::sentRecordStored(std::map<TargetId, Worker> &workers)
 {
     this->recorded = this->sent;
+    this->anyRecorded = true;
     this->markRecorded(workers);
 }
 
@@ -44,6 +45,7 @@
     this->newest.clear();
     this->sent.clear();
     this->recorded.clear();
+    this->anyRecorded = false;
 }
 
 } // namespace bulrush
--- a/modules/bulrush_steps/workers/WorkerRoster.h
+++ b/modules/bulrush_steps/workers/WorkerRoster.h
@@ -29,6 +29,9 @@
     /** Notes that the record which was returned last is persisted. */
     void sentRecordStored(std::map<TargetId, Worker> &workers);
 
+    /** Returns whether a roster of this owner is persisted. */
+    bool isRecorded() const { return this->anyRecorded; }
+
     void clear();
 
 private:
@@ -39,6 +42,7 @@
     std::set<TargetId> sent;
     /** The roster that is persisted. */
     std::set<TargetId> recorded;
+    bool anyRecorded = false;
 };
 
 } // namespace bulrush
