Know whether an owner records assignments without its own record

What callers saw: one former owner of which only a resignation or the roster is left turns off, for every task, that a long-running task waits for its own worker alone. Cause: FormerOwners::resigned and the unknown writer of a roster counted as of an earlier version, which does not record assignments. The roster and each entry of a resignation now say it; without the statement they count as of an earlier version, as before. Found by reading; no play shows it. The test FormerOwners/whetherAnOwnerRecordsAssignmentsIsKnownWithoutItsOwnRecord fails with the former code.

--- a/modules/bulrush_steps/dispatch/DispatcherTakeover.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherTakeover.cpp
@@ -96,7 +96,7 @@
 std::string Dispatcher::rosterRecord()
 {
     return records::encode(Roster { this->roster.workersToSend(), this->term.fencingToken,
-                                    this->takeoverWait.awaitedOwners() });
+                                    this->takeoverWait.awaitedOwners(), true });
 }
 
 void Dispatcher::findEndedWorkers()
--- a/modules/bulrush_steps/model/JobRecords.cpp
+++ b/modules/bulrush_steps/model/JobRecords.cpp
@@ -323,7 +323,8 @@
         { "schema", schemaVersion },
         { "workers", std::move(workers) },
         { "fencingToken", roster.fencingToken },
-        { "formerOwners", std::move(owners) }
+        { "formerOwners", std::move(owners) },
+        { "recordsAssignments", roster.recordsAssignments }
     }.dump();
 }
 
@@ -335,6 +336,7 @@
             roster.workers.emplace_back(name.get<std::string>());
         }
         roster.fencingToken = record.value("fencingToken", std::uint64_t { 0 });
+        roster.recordsAssignments = record.value("recordsAssignments", false);
         if (!record.contains("formerOwners")) {
             return roster;
         }
@@ -363,7 +365,8 @@
     json unsettled = json::array();
     milliseconds longest { 0 };
     for (const UnsettledOwner &former : resignation.unsettled) {
-        unsettled.push_back({ former.fencingToken, former.left.count() });
+        unsettled.push_back(
+                { former.fencingToken, former.left.count(), former.recordsAssignments });
         longest = std::max(longest, former.left);
     }
     // Earlier versions read unsettledMs only.
@@ -387,7 +390,8 @@
         }
         for (const json &former : record.at("unsettled")) {
             const milliseconds left(former.at(1).get<std::int64_t>());
-            resignation.unsettled.push_back({ former.at(0).get<std::uint64_t>(), left });
+            resignation.unsettled.push_back({ former.at(0).get<std::uint64_t>(), left,
+                                              former.size() > 2 && former.at(2).get<bool>() });
         }
         return resignation;
     });
--- a/modules/bulrush_steps/model/JobRecords.h
+++ b/modules/bulrush_steps/model/JobRecords.h
@@ -87,6 +87,8 @@
     std::uint64_t fencingToken = 0;
     /** The former owners that this owner waited for. */
     std::vector<OwnerRecord> formerOwners;
+    /** Of the writer, as in OwnerRecord. */
+    bool recordsAssignments = false;
 };
 
 /** A former owner whose commands may still take effect, and for how long. */
@@ -95,6 +97,8 @@
     /** 0 when the owner is unknown. */
     std::uint64_t fencingToken = 0;
     milliseconds left { 0 };
+    /** As in OwnerRecord. */
+    bool recordsAssignments = false;
 
     bool operator==(const UnsettledOwner &) const = default;
 };
--- a/modules/bulrush_steps/ownership/FormerOwners.cpp
+++ b/modules/bulrush_steps/ownership/FormerOwners.cpp
@@ -25,7 +25,7 @@
     }
     std::for_each(roster.formerOwners.begin(), roster.formerOwners.end(), add);
     if (!this->waits.contains(roster.fencingToken)) {
-        this->waits[0].until = term.previousOwnerSettledAt;
+        this->waits[0] = Wait { {}, term.previousOwnerSettledAt, roster.recordsAssignments };
     }
 }
 
@@ -42,8 +42,9 @@
     std::map<std::uint64_t, milliseconds> left;
     for (const UnsettledOwner &former : resignation.unsettled) {
         left[former.fencingToken] = former.left;
-        this->waits.try_emplace(former.fencingToken,
-                                Wait { {}, std::min(limit, now + former.left) });
+        this->waits.try_emplace(
+                former.fencingToken,
+                Wait { {}, std::min(limit, now + former.left), former.recordsAssignments });
     }
     // An earlier version states one time for all its predecessors, under token 0. The wait for an
     // unknown owner is kept, as that may have come after the one that resigned.
@@ -82,7 +83,8 @@
     std::vector<UnsettledOwner> owners;
     for (const auto &[token, wait] : this->waits) {
         if (wait.until > now) {
-            owners.push_back({ token, std::chrono::ceil<milliseconds>(wait.until - now) });
+            owners.push_back({ token, std::chrono::ceil<milliseconds>(wait.until - now),
+                               wait.recordsAssignments });
         }
     }
     return owners;
--- a/modules/bulrush_steps/tests/former_owners_test.cpp
+++ b/modules/bulrush_steps/tests/former_owners_test.cpp
@@ -173,3 +173,21 @@
 {
     cr_assert(waitAfterAnOwnerWithoutARoster({ 2, "m2", true, true }, 0) == start + fullWait);
 }
+
+/* Long-running tasks waited for all workers because of an owner whose own record was gone. */
+Test(FormerOwners, whetherAnOwnerRecordsAssignmentsIsKnownWithoutItsOwnRecord)
+{
+    Roster roster { {}, 2, {} };
+    FormerOwners owners;
+    owners.begin({}, roster, termOf(3));
+    cr_assert_not(owners.recordAssignments());
+    roster.recordsAssignments = true;
+    owners.begin({}, roster, termOf(3));
+    cr_assert(owners.recordAssignments());
+    const Resignation resignation { 2, { { 1, milliseconds(900), true } } };
+    FormerOwners assigning;
+    assigning.begin({ { 2, { 2, "m", true } } }, Roster { {}, 2, {} }, termOf(3));
+    assigning.resigned(records::decodeResignation(records::encodeResignation(resignation)), start,
+                       settleTime);
+    cr_assert(assigning.recordAssignments());
+}
