End a stopping process only after a pass in which nothing arrived

Cause: the stop was scheduled one pass ahead so that answers could be written, but requests were read in that pass as well. The loop now ends only after a whole pass without a new connection or request and with no open answer, or when the time for closing (0.2 s, within the 0.5 s before the kill) is over. Tests over real sockets, failing with the former code: EntryNodeDrain/requestsThatArriveWhileAnIdleNodeStopsAreAnswered and aRequestOnAnOpenConnectionIsAnsweredWhileTheNodeStops.

--- a/modules/bulrush_entry/front/DrainSchedule.cpp
+++ b/modules/bulrush_entry/front/DrainSchedule.cpp
@@ -16,6 +16,9 @@
 /** How much longer a process stays for answers that are still being sent. */
 constexpr milliseconds sendingTime { 200 };
 
+/** How much longer it stays for requests that arrive while it closes. */
+constexpr milliseconds closingTime { 200 };
+
 /** How long before the end all open requests are answered. */
 constexpr milliseconds answeringTime { 500 };
 
@@ -48,4 +51,9 @@
     return now >= answerAt - servingTime ? DrainStep::RefuseNew : DrainStep::Serve;
 }
 
+Instant DrainSchedule::latestEnd() const
+{
+    return this->stopAt + sendingTime + closingTime;
+}
+
 } // namespace bulrush
--- a/modules/bulrush_entry/front/DrainSchedule.h
+++ b/modules/bulrush_entry/front/DrainSchedule.h
@@ -39,6 +39,9 @@
     /** Returns what the node does now. */
     DrainStep stepAt(Instant now, const CallerActivity &activity) const;
 
+    /** Returns when the process ends at the latest, even if a request is open that came last. */
+    Instant latestEnd() const;
+
 private:
     Instant startedAt;
     /** When the process ends once all answers have been sent. */
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -189,6 +189,7 @@
         this->followDrain();
     }
     const CallerRequest decoded = this->ports.callers.decode(request);
+    ++this->arrivedRequests;
     this->lastRequestAt = this->clock.now();
     this->openRequests[id] = { decoded.kind, this->lastRequestAt };
     this->requestHandler.serve(
@@ -311,13 +312,32 @@
 
 void EntryNode::drainTick()
 {
-    if (this->followDrain() != DrainStep::Stop) {
+    if (this->ending || this->followDrain() != DrainStep::Stop) {
         return;
     }
+    this->ending = true;
+    this->loop.stopWhen([this, seen = this->callerEvents()]() mutable {
+        const std::uint64_t before = std::exchange(seen, this->callerEvents());
+        return this->mayEnd(before == seen);
+    });
+}
+
+std::uint64_t EntryNode::callerEvents() const
+{
+    return this->callers.acceptedConnections() + this->arrivedRequests;
+}
+
+bool EntryNode::mayEnd(bool quiet)
+{
+    // A request that is read in the last pass would be cut off in the middle of its answer.
+    const bool answered = quiet && this->callers.openRequests() == 0;
+    if (!answered && this->clock.now() < this->drainSchedule->latestEnd()) {
+        return false;
+    }
     this->decisions.write(
             DecisionLine(Event::NodeStopped).with("open_requests", this->callers.openRequests()));
-    // The sockets are serviced before the timer fires, so that answers made just now are written.
-    this->loop.schedule(Duration::zero(), [this] { this->loop.stop(); });
+    this->decisions.flush();
+    return true;
 }
 
 } // namespace bulrush
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -117,6 +117,13 @@
     DrainStep followDrain();
     void drainTick();
 
+    /** Returns the number of connections and requests of callers that have arrived. */
+    std::uint64_t callerEvents() const;
+
+    /** Returns whether the process may end.
+        @param quiet whether nothing has arrived from callers in the last pass over the sockets */
+    bool mayEnd(bool quiet);
+
     EventLoop &loop;
     const Clock &clock;
     const EntrySettings settings;
@@ -158,8 +165,11 @@
     /** The planner's load as last logged. */
     PlanLoad reportedPlan;
     Instant lastRequestAt {};
+    std::uint64_t arrivedRequests = 0;
     /** Set when this node was told to stop. */
     std::optional<DrainSchedule> drainSchedule;
+    /** Whether the process ends as soon as no request is open. */
+    bool ending = false;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_entry/tests/RawCaller.cpp
+++ b/modules/bulrush_entry/tests/RawCaller.cpp
@@ -20,13 +20,24 @@
         throw std::runtime_error("the port does not accept connections");
     }
     const std::string body = method == "POST" ? "{}" : "";
-    const std::string request = method + " " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: "
+    this->request = method + " " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: "
             + std::to_string(body.size()) + "\r\n\r\n" + body;
-    if (send(this->socket, request.data(), request.size(), MSG_NOSIGNAL) < 0) {
+    this->sendRequest();
+}
+
+void RawCaller::sendRequest() const
+{
+    if (send(this->socket, this->request.data(), this->request.size(), MSG_NOSIGNAL) < 0) {
         throw std::runtime_error("the request cannot be sent");
     }
 }
 
+void RawCaller::sendAgain()
+{
+    this->received.clear();
+    this->sendRequest();
+}
+
 RawCaller::~RawCaller()
 {
     close(this->socket);
--- a/modules/bulrush_entry/tests/RawCaller.h
+++ b/modules/bulrush_entry/tests/RawCaller.h
@@ -14,6 +14,9 @@
     RawCaller(const RawCaller &) = delete;
     RawCaller &operator=(const RawCaller &) = delete;
 
+    /** Sends the request again on the same connection, and forgets the response to the last one. */
+    void sendAgain();
+
     /** Reads what has arrived, without waiting. */
     void read();
 
@@ -24,7 +27,10 @@
     bool closed() const { return this->connectionClosed; }
 
 private:
+    void sendRequest() const;
+
     int socket = -1;
+    std::string request;
     std::string received;
     bool connectionClosed = false;
 };
--- a/modules/bulrush_entry/tests/entry_node_drain_test.cpp
+++ b/modules/bulrush_entry/tests/entry_node_drain_test.cpp
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 
 #include <optional>
+#include <thread>
 
 using namespace bulrush;
 using namespace bulrush::test;
@@ -129,6 +130,9 @@
         this->node->drain();
     }
 
+    /** Has the node's next tick precede the sockets in the next pass of the loop. */
+    void letTickBecomeDue() { std::this_thread::sleep_for(milliseconds(100)); }
+
     /** Runs the loop until the node stops it, then closes all sockets like an exit does. */
     void runToExit()
     {
@@ -263,6 +267,38 @@
     cr_assert_eq(caller.status(), FakeProtocol::statusOf(CallerOutcome::Unknown));
 }
 
+/* Two requests were on their way to a node that held itself for idle. They were read in the pass in
+   which the loop ended, and their connections were closed in the middle of the answers. */
+Test(EntryNodeDrain, requestsThatArriveWhileAnIdleNodeStopsAreAnswered)
+{
+    NodeFixture fixture(18491, seconds(6));
+    fixture.drain();
+    fixture.advanceTo(seconds(4));
+    fixture.letTickBecomeDue();
+    RawCaller first(fixture.port, "POST", jobPath);
+    RawCaller second(fixture.port, "GET", jobPath);
+    fixture.runToExit();
+    first.read();
+    second.read();
+    cr_assert_eq(first.status(), FakeProtocol::statusOf(CallerOutcome::Refused));
+    cr_assert_eq(second.status(), FakeProtocol::statusOf(CallerOutcome::Refused));
+}
+
+/* The same with a connection that the caller had kept open. */
+Test(EntryNodeDrain, aRequestOnAnOpenConnectionIsAnsweredWhileTheNodeStops)
+{
+    NodeFixture fixture(18551, seconds(6));
+    RawCaller caller(fixture.port, "POST", jobPath);
+    cr_assert(fixture.answered(caller));
+    fixture.drain();
+    fixture.advanceTo(seconds(4));
+    fixture.letTickBecomeDue();
+    caller.sendAgain();
+    fixture.runToExit();
+    caller.read();
+    cr_assert_eq(caller.status(), FakeProtocol::statusOf(CallerOutcome::Refused));
+}
+
 /* A caller that keeps its connection goes on sending requests to a node that ends. */
 Test(EntryNodeDrain, anAnswerClosesItsConnection)
 {
--- a/modules/bulrush_net/loop/EventLoop.cpp
+++ b/modules/bulrush_net/loop/EventLoop.cpp
@@ -71,7 +71,11 @@
 void EventLoop::run()
 {
     while (!this->stopping) {
+        const bool mayStop = static_cast<bool>(this->stopCondition);
         lws_service(this->lwsContext, 0);
+        if (mayStop && this->stopCondition()) {
+            return;
+        }
     }
 }
 
@@ -86,6 +90,12 @@
     this->wake();
 }
 
+void EventLoop::stopWhen(std::function<bool()> condition)
+{
+    this->stopCondition = std::move(condition);
+    this->wake();
+}
+
 void EventLoop::wake()
 {
     lws_cancel_service(this->lwsContext);
--- a/modules/bulrush_net/loop/EventLoop.h
+++ b/modules/bulrush_net/loop/EventLoop.h
@@ -48,6 +48,10 @@
     /** Ends run(). Safe from any thread and from a signal handler's thread. */
     void stop();
 
+    /** Ends run() as soon as a condition holds after a whole pass over the sockets and timers that
+        are ready. No socket is read between the condition's last call and the end of run(). */
+    void stopWhen(std::function<bool()> condition);
+
     /** Makes the loop call the wake listeners asynchronously. Safe from any thread. */
     void wake();
 
@@ -98,6 +102,8 @@
     std::vector<std::shared_ptr<void>> retained;
     lws_context *lwsContext = nullptr;
     std::atomic<bool> stopping = false;
+    /** Of stopWhen(); empty before. */
+    std::function<bool()> stopCondition;
     std::vector<std::function<void()>> wakeListeners;
     std::map<TimerId, Timer> timers;
     std::set<std::pair<Micros, TimerId>> timersByTime;
