Log calls to the store that fail or are slow

A node whose reading of a stream failed each second for 50 s wrote nothing about it: the metrics count calls by outcome, but neither say for which stream nor how much they held. E1654 'store call slow' names the call, the stream, the outcome, the time, and the records and bytes, for each call that fails or takes over 0.5 s longer than the store was asked to wait. With E1639 it tells a node whose link is too narrow for what it reads from a store that is away. No decision changes. The names of the outcomes stand in TaskText once, where EntryMetrics had its own list.

--- a/modules/bulrush_core/events/EventCatalogue.cpp
+++ b/modules/bulrush_core/events/EventCatalogue.cpp
@@ -74,6 +74,7 @@
     EventInfo { Event::StoreLost, Severity::Warning, "store lost" },
     EventInfo { Event::StoreRecovered, Severity::Info, "store back" },
     EventInfo { Event::RecordIgnored, Severity::Warning, "record ignored" },
+    EventInfo { Event::StoreCallSlow, Severity::Warning, "store call slow" },
     EventInfo { Event::LinesDropped, Severity::Warning, "lines dropped" },
 };
 
--- a/modules/bulrush_core/events/EventCatalogue.h
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -77,6 +77,7 @@
     StoreLost = 1651,
     StoreRecovered = 1652,
     RecordIgnored = 1653,
+    StoreCallSlow = 1654,
     LinesDropped = 1661,
 };
 
--- a/modules/bulrush_entry/node/EntryMetrics.cpp
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -16,9 +16,6 @@
 
 namespace {
 
-constexpr std::array storeOutcomes { "done",         "refused", "invalid", "fenced",
-                                     "out_of_order", "trimmed", "unknown" };
-static_assert(storeOutcomes.size() == static_cast<std::size_t>(StoreOutcome::Unknown) + 1);
 constexpr std::array<const char *, 5> requestKinds { "submit", "query", "cancel", "count",
                                                      "unsupported" };
 constexpr std::array<const char *, 9> callerOutcomes { "accepted",  "refused", "no_queue",
@@ -139,8 +136,7 @@
 {
     const std::string name(call);
     this->families->storeCalls
-            .Add({ { "call", name },
-                   { "outcome", storeOutcomes.at(static_cast<std::size_t>(outcome)) } })
+            .Add({ { "call", name }, { "outcome", std::string(bulrush::text(outcome)) } })
             .Increment();
     this->families->storeSeconds.Add({ { "call", name } }, secondsBuckets)
             .Observe(toSeconds(elapsed));
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -76,7 +76,7 @@
     , ports(entryPorts)
     , decisions(decisionLog)
     , health(systemClock, decisionLog)
-    , store(systemClock, entryPorts.log, entryPorts.group, this->health, this->metrics)
+    , store(systemClock, entryPorts.log, entryPorts.group, this->health, this->metrics, decisionLog)
     , orders(systemClock, entryPorts.workers, this->metrics)
     , config(systemClock, this->store, entryPorts.decoder, decisionLog, configPollWait,
              [this] { this->configChanged(); })
--- a/modules/bulrush_entry/node/ObservedStore.cpp
+++ b/modules/bulrush_entry/node/ObservedStore.cpp
@@ -1,42 +1,78 @@
 #include "bulrush_entry/node/ObservedStore.h"
 
+#include "bulrush_core/events/DecisionLog.h"
+#include "bulrush_steps/model/TaskText.h"
+
+#include <utility>
+
 namespace bulrush {
 
+namespace {
+
+/** A call is slow when it takes this much longer than the store was asked to wait. */
+constexpr milliseconds slowCall { 500 };
+
+} // namespace
+
+ObservedStore::Size::Size(const std::vector<KeyedRecord> &keyedRecords)
+    : records(keyedRecords.size())
+{
+    for (const KeyedRecord &record : keyedRecords) {
+        this->bytes += LogLimits::sizeInAppend(record);
+    }
+}
+
 ObservedStore::ObservedStore(const Clock &systemClock, KeyedLog &keyedLog, MemberGroup &memberGroup,
-                             StoreHealth &storeHealth, EntryMetrics &entryMetrics)
+                             StoreHealth &storeHealth, EntryMetrics &entryMetrics,
+                             DecisionLog &decisionLog)
     : clock(systemClock)
     , log(keyedLog)
     , group(memberGroup)
     , health(storeHealth)
     , metrics(entryMetrics)
+    , decisions(decisionLog)
 {
 }
 
-void ObservedStore::recordCall(const char *call, StoreOutcome outcome, Instant sentAt)
+void ObservedStore::recordCall(const Call &call, StoreOutcome outcome, const Size &size)
 {
-    this->health.recordOutcome(call, outcome);
-    this->metrics.recordStoreCall(call, outcome, this->clock.now() - sentAt);
+    const Duration elapsed = this->clock.now() - call.sentAt;
+    this->health.recordOutcome(call.name, outcome);
+    this->metrics.recordStoreCall(call.name, outcome, elapsed);
+    const bool failed = outcome == StoreOutcome::Unknown || outcome == StoreOutcome::Refused;
+    if (!failed && elapsed <= call.wait + slowCall) {
+        return;
+    }
+    this->decisions.write(DecisionLine(Event::StoreCallSlow)
+                                  .with("call", call.name)
+                                  .with("stream", call.stream ? text(*call.stream) : "none")
+                                  .with("outcome", text(outcome))
+                                  .with("elapsed_ms", duration_cast<milliseconds>(elapsed).count())
+                                  .with("records", size.records)
+                                  .with("bytes", size.bytes));
 }
 
 void ObservedStore::append(LogStream stream, const std::vector<KeyedRecord> &records,
                            const std::optional<WriterMark> &mark, Duration timeout,
                            std::function<void(AppendAnswer)> callback)
 {
-    const Instant sentAt = this->clock.now();
-    this->log.append(stream, records, mark, timeout,
-                     [this, sentAt, callback = std::move(callback)](const AppendAnswer &result) {
-                         this->recordCall("append", result.outcome, sentAt);
-                         callback(result);
-                     });
+    const Call call { "append", stream, this->clock.now() };
+    const Size size(records);
+    this->log.append(
+            stream, records, mark, timeout,
+            [this, call, size, callback = std::move(callback)](const AppendAnswer &result) {
+                this->recordCall(call, result.outcome, size);
+                callback(result);
+            });
 }
 
 void ObservedStore::read(LogStream stream, LogOffset from, milliseconds wait, Duration timeout,
                          std::function<void(ReadResult)> callback)
 {
-    const Instant sentAt = this->clock.now();
+    const Call call { "read", stream, this->clock.now(), wait };
     this->log.read(stream, from, wait, timeout,
-                   [this, sentAt, callback = std::move(callback)](ReadResult result) {
-                       this->recordCall("read", result.outcome, sentAt);
+                   [this, call, callback = std::move(callback)](ReadResult result) {
+                       this->recordCall(call, result.outcome, Size(result.records));
                        callback(std::move(result));
                    });
 }
@@ -44,10 +80,10 @@
 void ObservedStore::newest(LogStream stream, std::string_view afterKey, Duration timeout,
                            std::function<void(NewestResult)> callback)
 {
-    const Instant sentAt = this->clock.now();
+    const Call call { "newest", stream, this->clock.now() };
     this->log.newest(stream, afterKey, timeout,
-                     [this, sentAt, callback = std::move(callback)](NewestResult result) {
-                         this->recordCall("newest", result.outcome, sentAt);
+                     [this, call, callback = std::move(callback)](NewestResult result) {
+                         this->recordCall(call, result.outcome, Size(result.records));
                          callback(std::move(result));
                      });
 }
@@ -56,10 +92,10 @@
                          milliseconds timeToLive, Duration timeout,
                          std::function<void(Membership)> callback)
 {
-    const Instant sentAt = this->clock.now();
+    const Call call { "join", std::nullopt, this->clock.now() };
     this->group.join(member, generation, timeToLive, timeout,
-                     [this, sentAt, callback = std::move(callback)](const Membership &membership) {
-                         this->recordCall("join", membership.outcome, sentAt);
+                     [this, call, callback = std::move(callback)](const Membership &membership) {
+                         this->recordCall(call, membership.outcome, {});
                          callback(membership);
                      });
 }
@@ -67,20 +103,20 @@
 void ObservedStore::leave(const std::string &member, Duration timeout,
                           std::function<void(StoreOutcome)> callback)
 {
-    const Instant sentAt = this->clock.now();
+    const Call call { "leave", std::nullopt, this->clock.now() };
     this->group.leave(member, timeout,
-                      [this, sentAt, callback = std::move(callback)](StoreOutcome outcome) {
-                          this->recordCall("leave", outcome, sentAt);
+                      [this, call, callback = std::move(callback)](StoreOutcome outcome) {
+                          this->recordCall(call, outcome, {});
                           callback(outcome);
                       });
 }
 
 void ObservedStore::findHolder(Duration timeout, std::function<void(PartitionHolder)> callback)
 {
-    const Instant sentAt = this->clock.now();
+    const Call call { "holder", std::nullopt, this->clock.now() };
     this->group.findHolder(
-            timeout, [this, sentAt, callback = std::move(callback)](const PartitionHolder &holder) {
-                this->recordCall("holder", holder.outcome, sentAt);
+            timeout, [this, call, callback = std::move(callback)](const PartitionHolder &holder) {
+                this->recordCall(call, holder.outcome, {});
                 callback(holder);
             });
 }
--- a/modules/bulrush_entry/node/ObservedStore.h
+++ b/modules/bulrush_entry/node/ObservedStore.h
@@ -3,14 +3,20 @@
 #include "bulrush_entry/front/StoreHealth.h"
 #include "bulrush_entry/node/EntryMetrics.h"
 
+#include <optional>
+#include <vector>
+
 namespace bulrush {
 
-/** Forwards calls to the store and records their outcomes in the node's health and metrics. */
+class DecisionLog;
+
+/** Forwards calls to the store, records their outcomes in the node's health and metrics, and logs
+    those that fail or are slow. */
 class ObservedStore : public KeyedLog, public MemberGroup
 {
 public:
     ObservedStore(const Clock &clock, KeyedLog &log, MemberGroup &group, StoreHealth &health,
-                  EntryMetrics &metrics);
+                  EntryMetrics &metrics, DecisionLog &decisions);
 
     LogLimits limits() const override { return this->log.limits(); }
     void append(LogStream stream, const std::vector<KeyedRecord> &records,
@@ -27,13 +33,34 @@
     void findHolder(Duration timeout, std::function<void(PartitionHolder)> callback) override;
 
 private:
-    void recordCall(const char *call, StoreOutcome outcome, Instant sentAt);
+    /** A call that was sent. */
+    struct Call
+    {
+        const char *name = "";
+        std::optional<LogStream> stream;
+        Instant sentAt {};
+        /** How long the store was asked to wait. */
+        milliseconds wait { 0 };
+    };
+
+    /** How much a call or its answer holds. */
+    struct Size
+    {
+        explicit Size(const std::vector<KeyedRecord> &records);
+        Size() = default;
+
+        std::size_t records = 0;
+        std::size_t bytes = 0;
+    };
+
+    void recordCall(const Call &call, StoreOutcome outcome, const Size &size);
 
     const Clock &clock;
     KeyedLog &log;
     MemberGroup &group;
     StoreHealth &health;
     EntryMetrics &metrics;
+    DecisionLog &decisions;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/model/TaskText.cpp
+++ b/modules/bulrush_steps/model/TaskText.cpp
@@ -19,6 +19,18 @@
     "queued", "running", "succeeded", "failed", "cancelled",
 };
 
+constexpr std::array<std::string_view, 7> storeOutcomeNames {
+    "done", "refused", "invalid", "fenced", "out_of_order", "trimmed", "unknown",
+};
+static_assert(storeOutcomeNames.size() == static_cast<std::size_t>(StoreOutcome::Unknown) + 1);
+
+constexpr std::array<std::string_view, 4> streamNames {
+    "jobs",
+    "progress",
+    "configuration",
+    "workers",
+};
+
 } // namespace
 
 std::string text(const TaskRef &task)
@@ -42,4 +54,14 @@
     return stateNames.at(static_cast<std::size_t>(state));
 }
 
+std::string_view text(StoreOutcome outcome)
+{
+    return storeOutcomeNames.at(static_cast<std::size_t>(outcome));
+}
+
+std::string_view text(LogStream stream)
+{
+    return streamNames.at(static_cast<std::size_t>(stream));
+}
+
 } // namespace bulrush
--- a/modules/bulrush_steps/model/TaskText.h
+++ b/modules/bulrush_steps/model/TaskText.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrush_steps/ports/KeyedLog.h"
 #include "bulrush_steps/ports/WorkerCommands.h"
 
 #include <string>
@@ -13,5 +14,7 @@
 std::string_view text(CommandOutcome outcome);
 std::string_view text(EndKind kind);
 std::string_view text(JobState state);
+std::string_view text(StoreOutcome outcome);
+std::string_view text(LogStream stream);
 
 } // namespace bulrush
