--- a/modules/bulrush_net/http/HttpCaller.cpp
+++ b/modules/bulrush_net/http/HttpCaller.cpp
@@ -1,5 +1,7 @@
 #include "bulrush_net/http/HttpCaller.h"
 
+#include <algorithm>
+
 namespace bulrush {
 
 HttpCaller::HttpCaller(EventLoop &owningLoop, std::size_t connectionCount)
@@ -9,7 +11,7 @@
 {
 }
 
-void HttpCaller::call(const Endpoint &endpoint, HttpRequest request, Duration timeout,
+void HttpCaller::call(const Endpoint &endpoint, HttpRequest request, CallTimeLimits limits,
                       Callback callback, Condition maySend)
 {
     const HttpClient::ExchangeId id = this->nextCall++;
@@ -18,7 +20,10 @@
     call.request = std::move(request);
     call.callback = std::move(callback);
     call.maySend = std::move(maySend);
-    call.timer = this->loop.schedule(timeout, [this, id] { this->timedOut(id); });
+    call.limits = limits;
+    call.startedAt = this->loop.now();
+    call.progressedAt = call.startedAt;
+    this->scheduleTimer(id, call);
     Peer &peer = this->peers[endpoint];
     peer.queue.push_back(id);
     this->sendNext(peer);
@@ -66,7 +71,36 @@
     this->finish(id, { {}, failure, std::string(reason) });
 }
 
-void HttpCaller::timedOut(HttpClient::ExchangeId id)
+void HttpCaller::exchangeProgressed(HttpClient::ExchangeId id)
+{
+    const auto found = this->calls.find(id);
+    if (found != this->calls.end()) {
+        found->second.progressedAt = this->loop.now();
+    }
+}
+
+void HttpCaller::scheduleTimer(HttpClient::ExchangeId id, Call &call)
+{
+    const Instant stalledAt = call.progressedAt + call.limits.stall;
+    const Instant dueAt = std::min(stalledAt, call.startedAt + call.limits.total);
+    const Duration delay = std::max(Duration::zero(), dueAt - this->loop.now());
+    call.timer = this->loop.schedule(delay, [this, id] { this->timerFired(id); });
+}
+
+void HttpCaller::timerFired(HttpClient::ExchangeId id)
+{
+    Call &call = this->calls.at(id);
+    const Instant now = this->loop.now();
+    if (now >= call.startedAt + call.limits.total) {
+        this->timedOut(id, "timeout");
+    } else if (now >= call.progressedAt + call.limits.stall) {
+        this->timedOut(id, "no progress");
+    } else {
+        this->scheduleTimer(id, call);
+    }
+}
+
+void HttpCaller::timedOut(HttpClient::ExchangeId id, std::string_view reason)
 {
     const Call &call = this->calls.at(id);
     if (!call.connection) {
@@ -75,7 +109,9 @@
         return;
     }
     const bool sent = this->client.abandon(id);
-    this->finish(id, { {}, sent ? ExchangeFailure::Lost : ExchangeFailure::NotSent, "timeout" });
+    this->finish(
+            id,
+            { {}, sent ? ExchangeFailure::Lost : ExchangeFailure::NotSent, std::string(reason) });
 }
 
 void HttpCaller::finish(HttpClient::ExchangeId id, CallResult result)
--- a/modules/bulrush_net/http/HttpCaller.h
+++ b/modules/bulrush_net/http/HttpCaller.h
@@ -7,7 +7,9 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <utility>
 
 namespace bulrush {
 
@@ -25,11 +27,20 @@
     }
 };
 
+/** How long a call may take, including the time for which it is queued for a connection. */
+struct CallTimeLimits
+{
+    /** Without any byte sent or received. A peer that is gone is noticed after this time, however
+        long a large response may take on a narrow link. */
+    Duration stall {};
+    /** In all. */
+    Duration total {};
+};
+
 /**
-    Calls HTTP endpoints with a timeout per call and selects the connections itself.
+    Calls HTTP endpoints with time limits per call and selects the connections itself.
 
-    A call is queued while all connections to its endpoint are in use; its timeout includes the
-    time in the queue.
+    A call is queued while all connections to its endpoint are in use.
 */
 class HttpCaller : private HttpClient::Listener
 {
@@ -42,12 +53,21 @@
     /** Decides whether a request may still be sent. */
     using Condition = std::function<bool()>;
 
+    /** Sends a request that may take a given time in all.
+        @see the overload below */
+    void call(const Endpoint &endpoint, HttpRequest request, Duration timeout, Callback callback,
+              Condition maySend = {})
+    {
+        this->call(endpoint, std::move(request), CallTimeLimits { timeout, timeout },
+                   std::move(callback), std::move(maySend));
+    }
+
     /** Sends a request. The callback is called once, after this function has returned.
         @param maySend called immediately before the first byte is sent; if it returns false, the
                        call fails unsent. A request may be delayed by more than its timeout when the
                        process is paused. */
-    void call(const Endpoint &endpoint, HttpRequest request, Duration timeout, Callback callback,
-              Condition maySend = {});
+    void call(const Endpoint &endpoint, HttpRequest request, CallTimeLimits limits,
+              Callback callback, Condition maySend = {});
 
 private:
     struct Call
@@ -56,6 +76,10 @@
         /** Empty while the call is queued for a connection. */
         std::optional<std::size_t> connection;
         HttpRequest request;
+        CallTimeLimits limits;
+        Instant startedAt {};
+        /** When a byte was last sent or received. */
+        Instant progressedAt {};
         EventLoop::TimerId timer = 0;
         Callback callback;
         Condition maySend;
@@ -71,13 +95,16 @@
     };
 
     bool requestStarting(HttpClient::ExchangeId id) override;
+    void exchangeProgressed(HttpClient::ExchangeId id) override;
     void responseArrived(HttpClient::ExchangeId id, HttpResponse response) override;
     void exchangeFailed(HttpClient::ExchangeId id, ExchangeFailure failure,
                         std::string_view reason) override;
 
     std::optional<std::size_t> freeConnection(const Peer &peer) const;
     void sendNext(Peer &peer);
-    void timedOut(HttpClient::ExchangeId id);
+    void scheduleTimer(HttpClient::ExchangeId id, Call &call);
+    void timerFired(HttpClient::ExchangeId id);
+    void timedOut(HttpClient::ExchangeId id, std::string_view reason);
     void finish(HttpClient::ExchangeId id, CallResult result);
 
     EventLoop &loop;
--- a/modules/bulrush_net/http/HttpClient.cpp
+++ b/modules/bulrush_net/http/HttpClient.cpp
@@ -290,6 +290,7 @@
     if (lws_write(connection.wsi, buffer.data() + LWS_PRE, chunk, LWS_WRITE_RAW) < 0) {
         return -1;
     }
+    this->listener.exchangeProgressed(exchange.id);
     exchange.writtenBytes += chunk;
     if (exchange.writtenBytes < exchange.outgoing.size()) {
         lws_callback_on_writable(connection.wsi);
@@ -306,6 +307,7 @@
         // No request was sent, so the bytes answer nothing.
         return -1;
     }
+    this->listener.exchangeProgressed(connection.exchange->id);
     switch (connection.reader.append(bytes)) {
     case HttpResponseReader::Status::Incomplete:
         return 0;
--- a/modules/bulrush_net/http/HttpClient.h
+++ b/modules/bulrush_net/http/HttpClient.h
@@ -48,6 +48,9 @@
             @returns false to have the exchange fail unsent, because it is too late for it */
         virtual bool requestStarting(ExchangeId id) = 0;
 
+        /** Called when bytes of the request were sent or bytes of the response arrived. */
+        virtual void exchangeProgressed(ExchangeId /*id*/) { }
+
         /** Called with the complete response; ends the exchange. */
         virtual void responseArrived(ExchangeId id, HttpResponse response) = 0;
 
--- a/modules/bulrush_steps/ports/KeyedLog.h
+++ b/modules/bulrush_steps/ports/KeyedLog.h
@@ -46,6 +46,9 @@
  */
 struct LogLimits
 {
+    /** What the length of a record takes of an append. */
+    static constexpr std::size_t lengthBytes = 4;
+
     /** Of one record. */
     std::size_t record = 262'144;
     /** Of all records of one append, each with its length. */
@@ -54,9 +57,14 @@
     /** Returns what a record takes of an append. */
     static std::size_t sizeInAppend(const KeyedRecord &record)
     {
-        constexpr std::size_t lengthBytes = 4;
         return lengthBytes + record.size();
     }
+
+    /** Returns what a record of the greatest size takes of an append. */
+    static std::size_t sizeOfLongestInAppend(const LogLimits &limits)
+    {
+        return lengthBytes + limits.record;
+    }
 };
 
 /** How a call to the store ended. */
