Read the list of workers beside the records in a takeover

Part of the cause: a new owner began to read the list of workers, some 300 KB of 490 workers, only when it was ready, which takes 0.2 s on a link of 10 Mbit/s, and renewed no lease before. The list is now read from the moment at which the partition is gained; entries are kept and no order is sent before the takeover is complete. The test Dispatcher/workersThatWereListedDuringTheTakeoverAreAskedAtOnce guards that (it passes on the former Dispatcher, whose caller dropped the entries).

--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -115,8 +115,10 @@
     this->owner.tick();
     this->requestHandler.tick();
     this->health.checkLost();
-    if (this->dispatcher.active()) {
+    if (this->isOwnerOrTakesOver()) {
         this->workers.tick();
+    }
+    if (this->dispatcher.active()) {
         this->followJobs();
         this->dispatcher.tick();
     }
@@ -128,8 +130,7 @@
     }
     this->reportOwnerLoad();
     this->decisions.flush();
-    const bool busy = this->dispatcher.active() || this->takeover.running();
-    const milliseconds interval = busy ? tickInterval : idleTickInterval;
+    const milliseconds interval = this->isOwnerOrTakesOver() ? tickInterval : idleTickInterval;
     this->nextTickAt = this->clock.now() + interval;
     this->loop.schedule(interval, [this] { this->tick(); });
 }
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -104,6 +104,10 @@
     void tick();
     void recordTickDelay();
     void reportOwnerLoad();
+    bool isOwnerOrTakesOver() const
+    {
+        return this->dispatcher.active() || this->takeover.running();
+    }
     void followJobs();
     void resign();
     void refreshStandbyView();
--- a/modules/bulrush_entry/node/EntryNodeOwnership.cpp
+++ b/modules/bulrush_entry/node/EntryNodeOwnership.cpp
@@ -65,6 +65,8 @@
 {
     this->metrics.setOwner(true);
     const Instant gainedAt = this->clock.now();
+    // The list of workers is long, so it is read beside the records.
+    this->workers.restart();
     this->takeover.begin(
             fencingToken, this->ownership.memberName(),
             [this, gainedAt](LogOffset markOffset) { this->takeoverDone(gainedAt, markOffset); },
@@ -86,7 +88,6 @@
     StreamReader::Listener &records = *this;
     this->jobs = std::make_shared<StreamReader>(this->store, LogStream::Jobs, records);
     this->jobs->startAt(this->view.nextJobOffset());
-    this->workers.restart();
     const Duration elapsed = this->clock.now() - gainedAt;
     this->decisions.write(
             DecisionLine(Event::OwnerReady)
@@ -167,14 +168,14 @@
 
 void EntryNode::workerListed(const WorkerEntry &entry)
 {
-    if (this->dispatcher.active()) {
+    if (this->isOwnerOrTakesOver()) {
         this->dispatcher.workerListed(entry);
     }
 }
 
 void EntryNode::workerUnlisted(const TargetId &worker, RemovalCause cause)
 {
-    if (this->dispatcher.active()) {
+    if (this->isOwnerOrTakesOver()) {
         this->dispatcher.workerUnlisted(worker, cause);
     }
 }
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -102,7 +102,12 @@
     void applyJobRecord(const KeyedRecord &record);
 
     void configure(const ServingConfig &config);
+
+    /** Adds or updates a worker. May be called before begin(), so that the list of workers is known
+        as soon as the records are read. */
     void workerListed(const WorkerEntry &entry) { this->workerManager.workerListed(entry); }
+
+    /** Notes that the list no longer holds a worker. May be called before begin(). */
     void workerUnlisted(const TargetId &worker, RemovalCause cause)
     {
         this->workerManager.workerUnlisted(worker, cause);
--- a/modules/bulrush_steps/tests/owner_change_test.cpp
+++ b/modules/bulrush_steps/tests/owner_change_test.cpp
@@ -169,6 +169,22 @@
     cr_assert_eq(roster.formerOwners.front().member, "m#1");
 }
 
+/* A new owner behind a narrow link read the list of workers after the records, and meanwhile leases
+   lapsed that it could have renewed. */
+Test(Dispatcher, workersThatWereListedDuringTheTakeoverAreAskedAtOnce)
+{
+    DispatcherFixture fixture;
+    const AttemptRef running { { JobId("a"), 0, 0, 0 }, 2001 };
+    fixture.worker("w1").running[running] = { running, "", 30, 0.0 };
+    fixture.listWorker("w1");
+    fixture.runFor(seconds(1));
+    cr_assert_eq(fixture.worker("w1").fencingToken, 0U, "an order was sent before the takeover");
+    fixture.begin(makeJobTable(makeJob("a", 1), { TargetId("w1") }, fixture.clock));
+    fixture.runFor(milliseconds(100));
+    cr_assert_eq(fixture.worker("w1").fencingToken, 3U);
+    cr_assert_gt(fixture.worker("w1").leaseEnd, 0);
+}
+
 /* An owner that loses the partition before its roster is on record counts as one that renewed
    leases only while nobody else could be the owner. */
 Test(Dispatcher, beforeItsRosterIsStoredAnOwnerRenewsLeasesOnlyAsTheSoleOwner)
