Count takeovers and held tasks in the metrics

What operators could not see: whether a new owner gets ready, and which tasks wait for whom, without the logs of the node that owned at the time. bulrush_entry_takeover_seconds counts takeovers by outcome ('ready', 'abandoned'), bulrush_entry_held_tasks the tasks that wait for their own worker or for all workers, each second of a new owner's wait. No decision changes. Test: Dispatcher/tasksThatWaitForTheirOwnWorkerAreCountedApart (new interface, so it cannot be built on the code before).

--- a/modules/bulrush_cli/tests/pages_test.cpp
+++ b/modules/bulrush_cli/tests/pages_test.cpp
@@ -121,6 +121,7 @@
     metrics.recordJobStart(milliseconds(1));
     metrics.recordJobEnd(JobState::Succeeded, milliseconds(1));
     metrics.setServedShares({ { "checks", 1.0 } });
+    metrics.recordTakeover("ready", milliseconds(1));
     assertSame(namesIn(metrics.text(), "# HELP (\\w+)"),
                namesIn(section(readPage("docs/METRICS.md"), "On the users' platform"),
                        "\n\\| `(bulrush_\\w+)` \\|"),
--- a/modules/bulrush_entry/node/EntryMetrics.cpp
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -111,6 +111,18 @@
                                        .Help("1 while this node orders the workers")
                                        .Register(registry)
                                        .Add({});
+    prometheus::Family<prometheus::Histogram> &takeoverSeconds =
+            prometheus::BuildHistogram()
+                    .Name("bulrush_entry_takeover_seconds")
+                    .Help("Time from becoming the owner to being ready, or to losing the ownership")
+                    .Register(registry);
+    prometheus::Family<prometheus::Gauge> &heldTasks =
+            prometheus::BuildGauge()
+                    .Name("bulrush_entry_held_tasks")
+                    .Help("Tasks that may not start because of former owners")
+                    .Register(registry);
+    prometheus::Gauge &heldForOwnWorker = heldTasks.Add({ { "waits_for", "own_worker" } });
+    prometheus::Gauge &heldForAllWorkers = heldTasks.Add({ { "waits_for", "all_workers" } });
     prometheus::Family<prometheus::Gauge> &servedShares =
             prometheus::BuildGauge()
                     .Name("bulrush_entry_queue_served_share")
@@ -185,6 +197,18 @@
     this->families->tickDelaySeconds.Observe(toSeconds(delay));
 }
 
+void EntryMetrics::recordTakeover(const char *outcome, Duration elapsed)
+{
+    this->families->takeoverSeconds.Add({ { "outcome", outcome } }, secondsBuckets)
+            .Observe(toSeconds(elapsed));
+}
+
+void EntryMetrics::setHeldTasks(const HeldTasks &held)
+{
+    this->families->heldForOwnWorker.Set(static_cast<double>(held.forOwnWorker));
+    this->families->heldForAllWorkers.Set(static_cast<double>(held.forAllWorkers));
+}
+
 void EntryMetrics::setOwner(bool owner)
 {
     this->families->owner.Set(owner ? 1.0 : 0.0);
--- a/modules/bulrush_entry/node/EntryMetrics.h
+++ b/modules/bulrush_entry/node/EntryMetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrush_entry/front/CallerTypes.h"
+#include "bulrush_steps/ownership/TakeoverWait.h"
 #include "bulrush_steps/ports/KeyedLog.h"
 #include "bulrush_steps/ports/WorkerCommands.h"
 
@@ -36,7 +37,15 @@
     /** Records by how much the periodic work of the event loop ran late. */
     void recordTickDelay(Duration delay);
 
+    /** Records how long a new owner took to get ready, or until it was the owner no more.
+        @param outcome "ready" or "abandoned" */
+    void recordTakeover(const char *outcome, Duration elapsed);
+
+    /** Sets the numbers of tasks that may not start because of former owners. */
+    void setHeldTasks(const HeldTasks &held);
+
     void setOwner(bool owner);
+
     /** Sets the share of jobs that end within their late limits, by queue. Queues that are not
         given have no series from then on. */
     void setServedShares(const std::map<std::string, double> &shares);
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -86,6 +86,7 @@
     }
     bool isSoleOwner() const override { return this->ownership.isSoleOwner(); }
     void recordsObsolete(const std::vector<KeyedRecord> &removals) override;
+    void tasksHeld(const HeldTasks &held) override { this->metrics.setHeldTasks(held); }
 
     // WorkerFollower::Listener
     void workerListed(const WorkerEntry &entry) override;
@@ -112,7 +113,7 @@
     void resign();
     void refreshStandbyView();
     void configChanged();
-    void takeoverDone(Instant gainedAt, LogOffset markOffset);
+    void takeoverDone(LogOffset markOffset);
     void sendAnswer(HttpServer::RequestId id, const CallerAnswer &answer);
     bool ready();
     HttpResponse readinessResponse(const HttpRequest &request);
@@ -161,6 +162,8 @@
     std::optional<Resignation> pendingResignation;
     int resignationAttempts = 0;
     Instant startedAt {};
+    /** When this node last became the owner. */
+    Instant gainedAt {};
     /** When the next tick is due. */
     Instant nextTickAt {};
     /** The longest delay of a tick since the owner's load was last logged. */
--- a/modules/bulrush_entry/node/EntryNodeOwnership.cpp
+++ b/modules/bulrush_entry/node/EntryNodeOwnership.cpp
@@ -64,22 +64,22 @@
 void EntryNode::ownershipGained(std::uint64_t fencingToken)
 {
     this->metrics.setOwner(true);
-    const Instant gainedAt = this->clock.now();
+    this->gainedAt = this->clock.now();
     // The list of workers is long, so it is read beside the records.
     this->workers.restart();
     this->takeover.begin(
             fencingToken, this->ownership.memberName(),
-            [this, gainedAt](LogOffset markOffset) { this->takeoverDone(gainedAt, markOffset); },
+            [this](LogOffset markOffset) { this->takeoverDone(markOffset); },
             [this] { this->ownership.superseded("the store reports a newer owner"); });
 }
 
-void EntryNode::takeoverDone(Instant gainedAt, LogOffset markOffset)
+void EntryNode::takeoverDone(LogOffset markOffset)
 {
     const OwnershipTimings times = this->settings.ownershipTimes();
     OwnershipTerm term;
     term.fencingToken = this->ownership.fencingToken();
-    term.previousOwnerSettledAt = gainedAt + times.previousOwnerSettleTime();
-    term.unreadyOwnerSettledAt = gainedAt + times.unreadyOwnerSettleTime();
+    term.previousOwnerSettledAt = this->gainedAt + times.previousOwnerSettleTime();
+    term.unreadyOwnerSettledAt = this->gainedAt + times.unreadyOwnerSettleTime();
     term.resignedOwnerSettleTime = times.resignedOwnerSettleTime();
     this->dispatcher.begin(term, this->view.jobTable());
     if (this->config.config()) {
@@ -88,7 +88,8 @@
     StreamReader::Listener &records = *this;
     this->jobs = std::make_shared<StreamReader>(this->store, LogStream::Jobs, records);
     this->jobs->startAt(this->view.nextJobOffset());
-    const Duration elapsed = this->clock.now() - gainedAt;
+    const Duration elapsed = this->clock.now() - this->gainedAt;
+    this->metrics.recordTakeover("ready", elapsed);
     this->decisions.write(
             DecisionLine(Event::OwnerReady)
                     .with("fencing_token", term.fencingToken)
@@ -101,6 +102,10 @@
 {
     this->metrics.setOwner(false);
     this->metrics.setServedShares({});
+    this->metrics.setHeldTasks({});
+    if (this->takeover.running()) {
+        this->metrics.recordTakeover("abandoned", this->clock.now() - this->gainedAt);
+    }
     this->takeover.cancel();
     this->pendingResignation = this->dispatcher.resignation();
     this->resignationAttempts = 0;
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -66,6 +66,10 @@
             @param removals the records that remove them from the jobs stream */
         virtual void recordsObsolete(const std::vector<KeyedRecord> & /*removals*/) { }
 
+        /** Called each second while tasks may not start because of former owners, and with none
+           once they may. */
+        virtual void tasksHeld(const HeldTasks & /*held*/) { }
+
         /** Called when the first task of a job is started. @param waited time since acceptance */
         virtual void jobStarted(Duration /*waited*/) { }
 
@@ -156,6 +160,7 @@
 
     // TakeoverWait::Observer
     HeldTasks heldTasks() const override;
+    void tasksHeld(const HeldTasks &held) override { this->listener.tasksHeld(held); }
     std::string statesOf(const std::set<TargetId> &workers) const override;
 
     // ProgressWriter::Listener
--- a/modules/bulrush_steps/ownership/TakeoverWait.cpp
+++ b/modules/bulrush_steps/ownership/TakeoverWait.cpp
@@ -17,7 +17,7 @@
 } // namespace
 
 TakeoverWait::TakeoverWait(const Clock &systemClock, DecisionLog &decisionLog,
-                           const Observer &waitObserver)
+                           Observer &waitObserver)
     : clock(systemClock)
     , decisions(decisionLog)
     , observer(waitObserver)
@@ -88,6 +88,7 @@
                                   .with("waited_ms", waited)
                                   .with("by", this->unheardWorkers.empty() ? "workers" : "time"));
     this->unheardWorkers.clear();
+    this->observer.tasksHeld({});
     return true;
 }
 
@@ -100,6 +101,7 @@
     const auto waited = duration_cast<milliseconds>(now - this->beganAt).count();
     const Duration left = std::max(Duration::zero(), this->owners.settledAt() - now);
     const HeldTasks held = this->observer.heldTasks();
+    this->observer.tasksHeld(held);
     this->decisions.write(
             DecisionLine(Event::FormerOwnersAwaited)
                     .with("waited_ms", waited)
--- a/modules/bulrush_steps/ownership/TakeoverWait.h
+++ b/modules/bulrush_steps/ownership/TakeoverWait.h
@@ -44,11 +44,15 @@
         /** Returns the numbers of tasks that may not start because of the wait. */
         virtual HeldTasks heldTasks() const = 0;
 
+        /** Called each second with what heldTasks() returns, and with none once the wait is over.
+         */
+        virtual void tasksHeld(const HeldTasks &held) = 0;
+
         /** Returns how many of these workers are in which state. */
         virtual std::string statesOf(const std::set<TargetId> &workers) const = 0;
     };
 
-    TakeoverWait(const Clock &clock, DecisionLog &decisions, const Observer &observer);
+    TakeoverWait(const Clock &clock, DecisionLog &decisions, Observer &observer);
 
     /** Starts to wait for the owners and workers on record. */
     void begin(const StepJobTable &table, const OwnershipTerm &term);
@@ -100,7 +104,7 @@
 
     const Clock &clock;
     DecisionLog &decisions;
-    const Observer &observer;
+    Observer &observer;
     OwnershipTerm term;
     FormerOwners owners;
     /** The workers that may run tasks of former owners that this owner does not know. */
--- a/modules/bulrush_steps/tests/DispatcherFixture.h
+++ b/modules/bulrush_steps/tests/DispatcherFixture.h
@@ -83,6 +83,7 @@
     {
         this->obsoleteRecords = removals;
     }
+    void tasksHeld(const HeldTasks &tasks) override { this->held = tasks; }
     bool isOwner() const override { return this->owner; }
     bool isSoleOwner() const override { return this->owner && this->soleOwner; }
 
@@ -145,6 +146,7 @@
     bool soleOwner = true;
     bool ownershipLost = false;
     std::vector<KeyedRecord> obsoleteRecords;
+    HeldTasks held;
     Dispatcher dispatcher;
 };
 
--- a/modules/bulrush_steps/tests/owner_change_test.cpp
+++ b/modules/bulrush_steps/tests/owner_change_test.cpp
@@ -169,6 +169,35 @@
     cr_assert_eq(roster.formerOwners.front().member, "m#1");
 }
 
+/* Logs and metrics did not tell whether a task waits for its own worker or for all of them. */
+Test(Dispatcher, tasksThatWaitForTheirOwnWorkerAreCountedApart)
+{
+    DispatcherFixture fixture;
+    fixture.worker("w2").silent = true;
+    StepJobTable table =
+            makeJobTable(makeJob("a", 2), { TargetId("w1"), TargetId("w2") }, fixture.clock);
+    StepJob lasting = makeJob("b", 1);
+    lasting.steps[0].runsIndefinitely = true;
+    table.applyJobRecord({ records::jobKey(lasting.id), records::encode(lasting), 2 },
+                         fixture.clock);
+    JobProgress progress;
+    progress.job = lasting.id;
+    progress.tasks.emplace_back().assignedTo = TargetId("w2");
+    table.applyProgress({ records::jobKey(lasting.id), records::encode(progress), 2 });
+    table.applyJobRecord(
+            { records::ownerKey(2), records::encode(OwnerRecord { 2, "m#1", true }), 3 },
+            fixture.clock);
+    fixture.begin(std::move(table));
+    fixture.listWorker("w1");
+    fixture.runFor(milliseconds(1100));
+    cr_assert_eq(fixture.held.forOwnWorker, 1U);
+    cr_assert_eq(fixture.held.forAllWorkers, 2U);
+    fixture.worker("w2").silent = false;
+    fixture.listWorker("w2");
+    fixture.runFor(seconds(1));
+    cr_assert_eq(fixture.held.all(), 0U);
+}
+
 /* A new owner behind a narrow link read the list of workers after the records, and meanwhile leases
    lapsed that it could have renewed. */
 Test(Dispatcher, workersThatWereListedDuringTheTakeoverAreAskedAtOnce)
