Keep a resignation until it is stored when its node becomes the owner again

What callers could see: known tasks wait in full for an owner that did resign. Cause, found by the review, by reading: the resignation that waits for the store was kept in one place; an ownership that ended without being ready, or the next one, replaced it, and its late answer was ignored. No test: EntryNode has no fixture with a group that hands the partition on; the code has one state less.

--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -110,7 +110,11 @@
         return this->dispatcher.active() || this->takeover.running();
     }
     void followJobs();
-    void resign();
+    void resign(const Resignation &resignation);
+
+    /** Appends records of an ownership that has ended to the jobs stream, again until the store
+        confirms it. */
+    void appendUntilStored(const std::vector<KeyedRecord> &records, int attemptsLeft);
     void refreshStandbyView();
     void configChanged();
     void takeoverDone(LogOffset markOffset);
@@ -158,9 +162,6 @@
     SeparateServer readiness;
     SeparateServer operators;
     std::map<HttpServer::RequestId, OpenRequest> openRequests;
-    /** The resignation from this node's last ownership, until it is recorded in the log. */
-    std::optional<Resignation> pendingResignation;
-    int resignationAttempts = 0;
     Instant startedAt {};
     /** When this node last became the owner. */
     Instant gainedAt {};
--- a/modules/bulrush_entry/node/EntryNodeOwnership.cpp
+++ b/modules/bulrush_entry/node/EntryNodeOwnership.cpp
@@ -107,37 +107,36 @@
         this->metrics.recordTakeover("abandoned", this->clock.now() - this->gainedAt);
     }
     this->takeover.cancel();
-    this->pendingResignation = this->dispatcher.resignation();
-    this->resignationAttempts = 0;
+    const std::optional<Resignation> resignation = this->dispatcher.resignation();
     this->dispatcher.end();
-    this->resign();
+    if (resignation) {
+        this->resign(*resignation);
+    }
     // A callback of the reader may be on the stack, so the reader is destroyed only after that
     // callback has returned.
     this->loop.schedule(Duration::zero(), [reader = std::move(this->jobs)] {});
     this->jobs = nullptr;
 }
 
-void EntryNode::resign()
+void EntryNode::resign(const Resignation &resignation)
 {
-    if (!this->pendingResignation || this->resignationAttempts++ == maxResignationAttempts) {
-        return;
-    }
-    const std::string value = records::encodeResignation(*this->pendingResignation);
-    const std::uint64_t token = this->pendingResignation->fencingToken;
-    const std::vector<KeyedRecord> resignation { { records::resignationKey(token), value, 0 },
-                                                 { records::newestResignationKey(), value, 0 } };
-    this->store.append(LogStream::Jobs, resignation, std::nullopt, resignationTimeout,
-                       [this, token](const AppendAnswer &answer) {
-                           const bool current = this->pendingResignation
-                                   && this->pendingResignation->fencingToken == token;
-                           if (!current) {
-                               return;
-                           }
-                           if (answer.outcome == StoreOutcome::Done) {
-                               this->pendingResignation.reset();
+    const std::string value = records::encodeResignation(resignation);
+    this->appendUntilStored({ { records::resignationKey(resignation.fencingToken), value, 0 },
+                              { records::newestResignationKey(), value, 0 } },
+                            maxResignationAttempts);
+}
+
+void EntryNode::appendUntilStored(const std::vector<KeyedRecord> &ownerRecords, int attemptsLeft)
+{
+    this->store.append(LogStream::Jobs, ownerRecords, std::nullopt, resignationTimeout,
+                       [this, ownerRecords, attemptsLeft](const AppendAnswer &answer) {
+                           if (answer.outcome == StoreOutcome::Done || attemptsLeft <= 1) {
                                return;
                            }
-                           this->loop.schedule(resignationTimeout, [this] { this->resign(); });
+                           this->loop.schedule(
+                                   resignationTimeout, [this, ownerRecords, attemptsLeft] {
+                                       this->appendUntilStored(ownerRecords, attemptsLeft - 1);
+                                   });
                        });
 }
 
