--- a/modules/bulrush_entry/node/EntryNodeOwnership.cpp
+++ b/modules/bulrush_entry/node/EntryNodeOwnership.cpp
@@ -24,7 +24,7 @@
 /** Delay between two readings of the records by a node that may become the owner soon, so that few
     are left to read in a takeover, and the delay after a reading that failed. */
 constexpr milliseconds standbyReadInterval { 1000 };
-constexpr milliseconds standbyRetryDelay { 100 };
+constexpr milliseconds standbyRetryDelay { 500 };
 
 /** How long ago the records may have been read for a node to join the group. */
 constexpr milliseconds maxRecordsAge { 3000 };
--- a/modules/bulrush_steps/ownership/OwnershipManager.cpp
+++ b/modules/bulrush_steps/ownership/OwnershipManager.cpp
@@ -33,6 +33,9 @@
 /** How long a member may be unable to keep up with the records before it leaves. */
 constexpr milliseconds maxTimeBehind { 3000 };
 
+/** How long such a member then leaves the group to other nodes. */
+constexpr milliseconds rejoinPause { 5000 };
+
 } // namespace
 
 milliseconds OwnershipTimings::previousOwnerSettleTime() const
@@ -132,8 +135,6 @@
         this->nextJoinAt = this->member ? now : this->nextJoinAt;
         return;
     }
-    // Without any member nobody can take over, so the records are read during the delay.
-    this->candidate = members == 0;
     // All polling nodes notice missing members at the same time. Each polls again after a random
     // delay before it joins.
     this->membersMissing = true;
@@ -260,6 +261,7 @@
     this->member = false;
     this->membersMissing = false;
     this->behindSince.reset();
+    this->nextJoinAt = now + rejoinPause;
     this->decisions.write(DecisionLine(Event::MembershipGivenUp));
     this->group.leave(this->name, joinTimeout, [](StoreOutcome /*outcome*/) {});
 }
