Remove the record of an owner that was never ready, and heed its removal

What callers could see: after a chain of owners that were never ready, each successor waits anew for all of them (6.6 s from its own takeover; found by the review). An owner that loses the partition before it is ready has sent no command; it now removes its own owner record, again until the store confirms it, and an owner that reads such a removal waits no longer for it. Beside it, a wait that only a resignation names is capped by the full wait, not by the shorter one of its writer. Tests: FormerOwners/anOwnerWhoseRecordIsGoneIsNotWaitedFor, anOwnerWithoutARecordIsWaitedForAfterRecordsHaveGone, aShortWaitDoesNotCapThatOfAnOwnerBeforeIt (new interface), and Dispatcher/aFormerOwnerThatRemovesItsRecordIsNotWaitedFor, whose failure on the code before was not run.

--- a/modules/bulrush_entry/node/EntryNodeOwnership.cpp
+++ b/modules/bulrush_entry/node/EntryNodeOwnership.cpp
@@ -105,6 +105,9 @@
     this->metrics.setHeldTasks({});
     if (this->takeover.running()) {
         this->metrics.recordTakeover("abandoned", this->clock.now() - this->gainedAt);
+        // It has sent no command, so nobody needs to wait for it.
+        this->appendUntilStored({ { records::ownerKey(this->ownership.fencingToken()), {}, 0 } },
+                                maxResignationAttempts);
     }
     this->takeover.cancel();
     const std::optional<Resignation> resignation = this->dispatcher.resignation();
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -101,7 +101,7 @@
         return;
     }
     if (!id) {
-        this->takeoverWait.applyResignations(this->jobTable);
+        this->takeoverWait.applyOwnerRecords(this->jobTable);
         return;
     }
     JobEntry &job = *this->jobTable.find(*id);
--- a/modules/bulrush_steps/ownership/FormerOwners.cpp
+++ b/modules/bulrush_steps/ownership/FormerOwners.cpp
@@ -8,6 +8,7 @@
                          const OwnershipTerm &term)
 {
     this->waits.clear();
+    this->fullWaitUntil = term.previousOwnerSettledAt;
     const auto add = [this, &roster, &term](const OwnerRecord &former) {
         if (former.fencingToken >= term.fencingToken) {
             return;
@@ -23,12 +24,22 @@
     for (const auto &[former, record] : owners) {
         add(record);
     }
+    for (auto &[former, wait] : this->waits) {
+        wait.onRecord = true;
+    }
     std::for_each(roster.formerOwners.begin(), roster.formerOwners.end(), add);
     if (!this->waits.contains(roster.fencingToken)) {
         this->waits[0] = Wait { {}, term.previousOwnerSettledAt, roster.recordsAssignments };
     }
 }
 
+void FormerOwners::recordsRemoved(const std::map<std::uint64_t, OwnerRecord> &owners)
+{
+    std::erase_if(this->waits, [&owners](const auto &entry) {
+        return entry.second.onRecord && !owners.contains(entry.first);
+    });
+}
+
 void FormerOwners::resigned(const Resignation &resignation, Instant now, milliseconds settleTime)
 {
     const auto found = this->waits.find(resignation.fencingToken);
@@ -42,9 +53,10 @@
     std::map<std::uint64_t, milliseconds> left;
     for (const UnsettledOwner &former : resignation.unsettled) {
         left[former.fencingToken] = former.left;
-        this->waits.try_emplace(
-                former.fencingToken,
-                Wait { {}, std::min(limit, now + former.left), former.recordsAssignments });
+        this->waits.try_emplace(former.fencingToken,
+                                Wait { {},
+                                       std::min(this->fullWaitUntil, now + former.left),
+                                       former.recordsAssignments });
     }
     // An earlier version states one time for all its predecessors, under token 0. The wait for an
     // unknown owner is kept, as that may have come after the one that resigned.
--- a/modules/bulrush_steps/ownership/FormerOwners.h
+++ b/modules/bulrush_steps/ownership/FormerOwners.h
@@ -30,6 +30,11 @@
     void begin(const std::map<std::uint64_t, OwnerRecord> &owners, const Roster &roster,
                const OwnershipTerm &term);
 
+    /** Waits no longer for owners whose records are gone: they never sent a command, or a later
+       owner has settled them.
+        @param owners the owners on record now */
+    void recordsRemoved(const std::map<std::uint64_t, OwnerRecord> &owners);
+
     /** Takes a resignation into account. Ignored unless its owner is waited for.
         @param settleTime how long commands of an owner may take effect after its resignation */
     void resigned(const Resignation &resignation, Instant now, milliseconds settleTime);
@@ -70,8 +75,12 @@
         bool wasUnready = false;
         /** Whether the owner resigned or is known to have stopped. */
         bool hasStopped = false;
+        /** Whether the owner's own record names it, which goes once it need not be waited for. */
+        bool onRecord = false;
     };
 
+    /** When no command of any former owner can take effect any more, at the latest. */
+    Instant fullWaitUntil {};
     /** The owners that are waited for, by fencing token; token 0 stands for an unknown owner. */
     std::map<std::uint64_t, Wait> waits;
 };
--- a/modules/bulrush_steps/ownership/TakeoverWait.cpp
+++ b/modules/bulrush_steps/ownership/TakeoverWait.cpp
@@ -34,11 +34,12 @@
     this->leasesAreOver = false;
     this->ended = false;
     this->owners.begin(table.owners(), table.roster(), this->term);
-    this->applyResignations(table);
+    this->applyOwnerRecords(table);
 }
 
-void TakeoverWait::applyResignations(const StepJobTable &table)
+void TakeoverWait::applyOwnerRecords(const StepJobTable &table)
 {
+    this->owners.recordsRemoved(table.owners());
     // Newest first: a resignation tells what was left of the waits for earlier owners.
     const std::map<std::uint64_t, Resignation> &resignations = table.resignations();
     for (auto at = resignations.rbegin(); at != resignations.rend(); ++at) {
--- a/modules/bulrush_steps/ownership/TakeoverWait.h
+++ b/modules/bulrush_steps/ownership/TakeoverWait.h
@@ -57,8 +57,8 @@
     /** Starts to wait for the owners and workers on record. */
     void begin(const StepJobTable &table, const OwnershipTerm &term);
 
-    /** Takes the resignations on record into account. */
-    void applyResignations(const StepJobTable &table);
+    /** Takes into account what is on record of the former owners now. */
+    void applyOwnerRecords(const StepJobTable &table);
 
     /** Notes that all that a worker may run is known: it has answered this owner, or it has ended.
      */
--- a/modules/bulrush_steps/tests/former_owners_test.cpp
+++ b/modules/bulrush_steps/tests/former_owners_test.cpp
@@ -191,3 +191,37 @@
                        settleTime);
     cr_assert(assigning.recordAssignments());
 }
+
+/* An owner that sent no command removes its own record; one that a later owner has settled is
+   removed by that. */
+Test(FormerOwners, anOwnerWhoseRecordIsGoneIsNotWaitedFor)
+{
+    FormerOwners owners;
+    const std::map<std::uint64_t, OwnerRecord> before { { 1, { 1, "m1" } },
+                                                        { 2, { 2, "m2", true, true } } };
+    owners.begin(before, Roster { {}, 1, {} }, termOf(3));
+    owners.recordsRemoved(before);
+    owners.resigned({ 1, {} }, start, settleTime);
+    cr_assert(owners.settledAt() == start + unreadyWait);
+    owners.recordsRemoved({ { 1, { 1, "m1" } } });
+    cr_assert(owners.settledAt() == start + settleTime);
+}
+
+/* Owner 1 is named by nothing but the roster or a resignation, and has no record that could go. */
+Test(FormerOwners, anOwnerWithoutARecordIsWaitedForAfterRecordsHaveGone)
+{
+    FormerOwners owners;
+    owners.begin({ { 2, { 2, "m2" } } }, Roster { {}, 2, { { 1, "m1" } } }, termOf(3));
+    owners.recordsRemoved({ { 2, { 2, "m2" } } });
+    owners.resigned({ 2, { { 1, fullWait } } }, start, settleTime);
+    cr_assert(owners.settledAt() == start + fullWait);
+}
+
+/* The resignation of an owner that is waited for only shortly names one that sent commands. */
+Test(FormerOwners, aShortWaitDoesNotCapThatOfAnOwnerBeforeIt)
+{
+    FormerOwners owners;
+    owners.begin({ { 2, { 2, "m2", true, true } } }, Roster { {}, 1, {} }, termOf(3));
+    owners.resigned({ 2, { { 1, milliseconds(15'000) } } }, start, settleTime);
+    cr_assert_geq((owners.settledAt() - start).count(), Duration(milliseconds(15'000)).count());
+}
--- a/modules/bulrush_steps/tests/owner_change_test.cpp
+++ b/modules/bulrush_steps/tests/owner_change_test.cpp
@@ -169,6 +169,24 @@
     cr_assert_eq(roster.formerOwners.front().member, "m#1");
 }
 
+/* The record of an owner that was never ready goes while its successor waits for it. */
+Test(Dispatcher, aFormerOwnerThatRemovesItsRecordIsNotWaitedFor)
+{
+    DispatcherFixture fixture;
+    fixture.worker("w2").silent = true;
+    StepJobTable table =
+            makeJobTable(makeJob("a", 1), { TargetId("w1"), TargetId("w2") }, fixture.clock);
+    table.applyJobRecord({ records::ownerKey(2), records::encode(OwnerRecord { 2, "m#1" }), 1 },
+                         fixture.clock);
+    fixture.begin(std::move(table));
+    fixture.listWorker("w1");
+    fixture.runFor(seconds(1));
+    cr_assert(fixture.workers.starts.empty());
+    fixture.dispatcher.applyJobRecord({ records::ownerKey(2), {}, 5 });
+    fixture.runFor(milliseconds(200));
+    cr_assert_eq(fixture.startsOn("w1"), 1U);
+}
+
 /* Logs and metrics did not tell whether a task waits for its own worker or for all of them. */
 Test(Dispatcher, tasksThatWaitForTheirOwnWorkerAreCountedApart)
 {
