Bound a call for the list of VMs by its progress

What callers see: behind a narrow link, a worker whose process has ended is not found in the list of VMs, so that its tasks are started again only when their leases have expired. Cause: a page of the list had 0.8 s in all, whatever its size, which the caller cannot choose; the next reading asked for the same page. Class: that of, a time limit on the whole of an answer whose size nobody bounds.

--- a/modules/bulrush_steps/ports/WorkerProcessList.h
+++ b/modules/bulrush_steps/ports/WorkerProcessList.h
@@ -31,7 +31,7 @@
 
     /** Reads the whole list. The callback is called once, after this function has returned, with
         nullopt when a part of the list could not be read.
-        @param timeout for each call, of which a reading may take several */
+        @param timeout for each call without progress; a reading may take several calls */
     virtual void read(Duration timeout, Callback callback) = 0;
 };
 
