Ignore answers to calls from before a stream was read anew

What callers see: a node that gains the partition while it reads a page of the list of workers leaves out the workers before that page, and starts nothing on them until their entries change. Cause: StreamReader::restart() with a call in flight: the late page counted as the first of the new reading, which went on after the page's last key. After startAt(), a late answer moved the offset, and a trimmed one restarted all. Change: restart() and startAt() begin a new reading; the answer to a call of a former one ends the call, its records are ignored, and the next call reads from the new position. Evidence: failing with the former code, passing now: WorkerFollower/aListThatIsReadAgainAmidAPageHoldsAllWorkers, StreamReader/aLateAnswerLeavesAChosenOffsetAlone, StreamReader/aLateAnswerThatTheOffsetIsTrimmedRestartsNothing. One more guards that a call that fails after a restart ends.

--- a/modules/bulrush_steps/follow/StreamReader.cpp
+++ b/modules/bulrush_steps/follow/StreamReader.cpp
@@ -25,6 +25,7 @@
 
 void StreamReader::restart()
 {
+    ++this->readingNumber;
     this->newestRead = false;
     this->atEnd = false;
     this->firstPage = true;
@@ -33,6 +34,7 @@
 
 void StreamReader::startAt(LogOffset offset)
 {
+    ++this->readingNumber;
     this->newestRead = true;
     this->atEnd = false;
     this->nextOffset = offset;
@@ -52,9 +54,15 @@
 void StreamReader::readNewest()
 {
     this->log.newest(this->stream, this->afterKey, callTimeout,
-                     [this, isAlive = this->alive](const NewestResult &result) {
-                         if (*isAlive) {
+                     [this, number = this->readingNumber,
+                      isAlive = this->alive](const NewestResult &result) {
+                         if (!*isAlive) {
+                             return;
+                         }
+                         if (number == this->readingNumber) {
                              this->onNewest(result);
+                         } else {
+                             this->finishFormerReading(result.outcome);
                          }
                      });
 }
@@ -89,12 +97,18 @@
 
 void StreamReader::readNext(milliseconds wait)
 {
-    this->log.read(this->stream, this->nextOffset, wait, wait + callTimeout,
-                   [this, isAlive = this->alive](const ReadResult &result) {
-                       if (*isAlive) {
-                           this->onRead(result);
-                       }
-                   });
+    this->log.read(
+            this->stream, this->nextOffset, wait, wait + callTimeout,
+            [this, number = this->readingNumber, isAlive = this->alive](const ReadResult &result) {
+                if (!*isAlive) {
+                    return;
+                }
+                if (number == this->readingNumber) {
+                    this->onRead(result);
+                } else {
+                    this->finishFormerReading(result.outcome);
+                }
+            });
 }
 
 void StreamReader::onRead(const ReadResult &result)
@@ -115,6 +129,12 @@
     this->finish(result.outcome);
 }
 
+void StreamReader::finishFormerReading(StoreOutcome outcome)
+{
+    // That an offset is trimmed says nothing of the position from which the next call reads.
+    this->finish(outcome == StoreOutcome::Trimmed ? StoreOutcome::Done : outcome);
+}
+
 void StreamReader::finish(StoreOutcome outcome)
 {
     this->inFlight = false;
--- a/modules/bulrush_steps/follow/StreamReader.h
+++ b/modules/bulrush_steps/follow/StreamReader.h
@@ -2,6 +2,7 @@
 
 #include "bulrush_steps/ports/KeyedLog.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -57,10 +58,12 @@
 
     bool busy() const { return this->inFlight; }
 
-    /** Discards the position; the next call starts again with the newest records. */
+    /** Discards the position; the next call starts again with the newest records. A call that is in
+        flight ends with its next answer, whose records are ignored. */
     void restart();
 
-    /** Continues at an offset, for a caller that already knows all earlier records. */
+    /** Continues at an offset, for a caller that already knows all earlier records. A call that is
+        in flight ends as with restart(). */
     void startAt(LogOffset offset);
 
 private:
@@ -68,11 +71,16 @@
     void onNewest(const NewestResult &result);
     void readNext(milliseconds wait);
     void onRead(const ReadResult &result);
+
+    /** Ends a call that was in flight when the position was changed. */
+    void finishFormerReading(StoreOutcome outcome);
     void finish(StoreOutcome outcome);
 
     KeyedLog &log;
     const LogStream stream;
     Listener &listener;
+    /** Changes with each restart() and startAt(), to tell late answers from those awaited. */
+    std::uint64_t readingNumber = 0;
     bool newestRead = false;
     bool atEnd = false;
     bool inFlight = false;
--- a/modules/bulrush_steps/tests/follow_test.cpp
+++ b/modules/bulrush_steps/tests/follow_test.cpp
@@ -2,12 +2,14 @@
 
 #include "bulrush_core/errors/Error.h"
 #include "bulrush_steps/follow/ConfigFollower.h"
+#include "bulrush_steps/follow/StreamReader.h"
 #include "bulrush_steps/follow/WorkerFollower.h"
 
 #include <criterion/criterion.h>
 
 #include <set>
 #include <string>
+#include <vector>
 
 using namespace bulrush;
 using namespace bulrush::test;
@@ -281,6 +283,108 @@
     cr_assert(list.causes.at(TargetId("w1")) == RemovalCause::Unknown);
 }
 
+/* A node gains ownership while it reads a page of the list. Reading on after that page would leave
+   out the workers before it. */
+Test(WorkerFollower, aListThatIsReadAgainAmidAPageHoldsAllWorkers)
+{
+    FakeLog log;
+    for (const char *name : { "w1", "w2", "w3", "w4", "w5" }) {
+        write(log, LogStream::Workers, name, "ready");
+    }
+    WorkerList list(log);
+    list.follower.tick();
+    log.deliver();
+    list.listed.clear();
+    list.follower.restart();
+    list.read();
+    cr_assert_eq(list.listed.size(), 5U);
+}
+
+namespace {
+
+/** Keeps the keys that a StreamReader delivers, and counts its callbacks. */
+class ReadKeys : private StreamReader::Listener
+{
+public:
+    explicit ReadKeys(FakeLog &log)
+        : reader(log, LogStream::Jobs, *this)
+    {
+    }
+
+    void advance()
+    {
+        this->reader.advance(milliseconds(0), [this](StoreOutcome /*outcome*/) { ++this->ended; });
+    }
+
+    StreamReader reader;
+    std::vector<std::string> keys;
+    int ended = 0;
+
+private:
+    void snapshotReadStarted(LogStream /*stream*/) override { this->keys.clear(); }
+    void recordRead(LogStream /*stream*/, const KeyedRecord &record) override
+    {
+        this->keys.push_back(record.key);
+    }
+    void snapshotReadCompleted(LogStream /*stream*/) override { }
+};
+
+} // namespace
+
+/* The answer to a call from before startAt() must not move the offset or deliver its records. */
+Test(StreamReader, aLateAnswerLeavesAChosenOffsetAlone)
+{
+    FakeLog log;
+    for (const char *key : { "a", "b", "c", "d" }) {
+        write(log, LogStream::Jobs, key, "value");
+    }
+    ReadKeys read(log);
+    read.reader.startAt(0);
+    read.advance();
+    read.reader.startAt(2);
+    log.deliver();
+    cr_assert(!read.reader.busy());
+    cr_assert(!read.reader.caughtUp());
+    cr_assert_eq(read.ended, 1);
+    read.advance();
+    log.deliver();
+    cr_assert(read.keys == std::vector<std::string>({ "c", "d" }));
+    cr_assert(read.reader.caughtUp());
+}
+
+/* The late answer says that the old offset is trimmed, which does not apply to the new one. */
+Test(StreamReader, aLateAnswerThatTheOffsetIsTrimmedRestartsNothing)
+{
+    FakeLog log;
+    for (const char *key : { "a", "b", "c" }) {
+        write(log, LogStream::Jobs, key, "value");
+    }
+    log.firstRetained = 1;
+    ReadKeys read(log);
+    read.reader.startAt(0);
+    read.advance();
+    read.reader.startAt(2);
+    log.deliver();
+    cr_assert(!read.reader.busy());
+    cr_assert_eq(read.ended, 1);
+    read.advance();
+    log.deliver();
+    cr_assert(read.keys == std::vector<std::string>({ "c" }));
+}
+
+/* A call from before a restart that fails must still end. */
+Test(StreamReader, aCallFromBeforeARestartThatFailsEnds)
+{
+    FakeLog log;
+    log.up = false;
+    ReadKeys read(log);
+    read.advance();
+    read.reader.restart();
+    log.deliver();
+    cr_assert(!read.reader.busy());
+    cr_assert_eq(read.ended, 1);
+}
+
 /* A queue was withdrawn by a newer configuration. Neither a restart nor a late copy of the older
    record may bring the older one back. */
 Test(ConfigFollower, aWithdrawnConfigurationIsNotInForceAgain)
