Read what arrived during a pause before a call counts as stalled

What callers see: a node that was paused, or got no processor time, for about a second gives up a call to the store whose answer is there, and asks again. Cause: after a pause the timers fire before the sockets are read, so that the limit of the time without progress was over with the answer unread. Change: when the time without progress is over, the call is given up only in the next round of timers, before which the sockets are serviced. The limit in all is as strict as before.

--- a/modules/bulrush_net/http/HttpCaller.cpp
+++ b/modules/bulrush_net/http/HttpCaller.cpp
@@ -76,6 +76,7 @@
     const auto found = this->calls.find(id);
     if (found != this->calls.end()) {
         found->second.progressedAt = this->loop.now();
+        found->second.stallNoticed = false;
     }
 }
 
@@ -93,11 +94,17 @@
     const Instant now = this->loop.now();
     if (now >= call.startedAt + call.limits.total) {
         this->timedOut(id, "timeout");
-    } else if (now >= call.progressedAt + call.limits.stall) {
+        return;
+    }
+    const bool stalled = now >= call.progressedAt + call.limits.stall;
+    if (stalled && call.stallNoticed) {
         this->timedOut(id, "no progress");
-    } else {
-        this->scheduleTimer(id, call);
+        return;
     }
+    // After a pause of this process, bytes that arrived meanwhile are read before the next round of
+    // timers.
+    call.stallNoticed = stalled;
+    this->scheduleTimer(id, call);
 }
 
 void HttpCaller::timedOut(HttpClient::ExchangeId id, std::string_view reason)
--- a/modules/bulrush_net/http/HttpCaller.h
+++ b/modules/bulrush_net/http/HttpCaller.h
@@ -80,6 +80,8 @@
         Instant startedAt {};
         /** When a byte was last sent or received. */
         Instant progressedAt {};
+        /** Whether the timer fired once since then. */
+        bool stallNoticed = false;
         EventLoop::TimerId timer = 0;
         Callback callback;
         Condition maySend;
--- a/modules/bulrush_net/tests/net_test.cpp
+++ b/modules/bulrush_net/tests/net_test.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <thread>
 #include <utility>
 
 using namespace bulrush;
@@ -299,6 +300,29 @@
     cr_assert(result->failure == ExchangeFailure::NotSent);
 }
 
+/* A process is paused, or gets no processor time, for longer than a call may go without progress.
+   The answer that arrived meanwhile must be read before the call is given up. */
+Test(Http, anAnswerThatArrivedDuringAPauseIsNoStall)
+{
+    const ScriptedServer server(18144, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+    EventLoop loop;
+    HttpCaller caller(loop, 1);
+    bool sent = false;
+    std::optional<CallResult> result;
+    caller.call(
+            { "127.0.0.1", 18144 }, post("/echo", "x"),
+            CallTimeLimits { milliseconds(200), seconds(30) },
+            [&result](const CallResult &each) { result = each; },
+            [&sent] {
+                sent = true;
+                return true;
+            });
+    runUntil(loop, [&] { return sent; });
+    std::this_thread::sleep_for(milliseconds(600));
+    runUntil(loop, [&] { return result.has_value(); });
+    cr_assert(result->succeeded(), "%s", result->reason.c_str());
+}
+
 /* A process is paused after it has queued an order, and goes on when the order's validity is over.
    The order must not go out any more, and its sender must learn that it was not sent. */
 Test(Http, callWhoseTimeIsOverBeforeItIsSentStaysUnsent)
