Count a response as open until the socket has taken all of it

Cause: libwebsockets keeps what the socket did not take of a write. The server dropped the exchange all the same, so openRequests() was 0 and a stopping process ended with the rest unsent. Change: the exchange stays until nothing of the response is buffered.

--- a/modules/bulrush_net/http/HttpServer.cpp
+++ b/modules/bulrush_net/http/HttpServer.cpp
@@ -371,7 +371,8 @@
         }
         exchange.sentBytes += chunk;
     }
-    if (!last) {
+    // Until the socket has taken all of it, the rest would be lost if the process ended.
+    if (!last || lws_partial_buffered(wsi) != 0) {
         lws_callback_on_writable(wsi);
         return 0;
     }
--- a/modules/bulrush_net/tests/net_test.cpp
+++ b/modules/bulrush_net/tests/net_test.cpp
@@ -1,4 +1,5 @@
 #include "ScriptedServer.h"
+#include "SlowReader.h"
 #include "UnacceptingPort.h"
 #include "bulrush_core/bulrush_core.h"
 #include "bulrush_net/bulrush_net.h"
@@ -6,6 +7,7 @@
 #include <criterion/criterion.h>
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <thread>
@@ -15,8 +17,8 @@
 
 namespace {
 
-/** Echoes each request, with special responses for /silent, /close, /large and
-    /large-close. */
+/** Echoes each request, with special responses for /silent, /close, /large,
+    /large-close and /sized-close. */
 struct EchoServer : HttpServer::Listener
 {
     explicit EchoServer(EventLoop &loop, std::uint16_t port)
@@ -40,11 +42,17 @@
         if (request.path == "/large" || request.path == "/large-close") {
             response.body.assign(300'000, 'x');
         }
+        if (request.path == "/sized-close") {
+            response.headers.push_back({ "connection", "close" });
+            response.body.assign(this->sizedBytes, 'x');
+        }
         this->server.respond(id, std::move(response));
     }
 
     void clientDisconnected(HttpServer::RequestId /*id*/) override { ++this->disconnects; }
 
+    /** Length of the response to /sized-close. */
+    std::size_t sizedBytes = 0;
     int arrivals = 0;
     int disconnects = 0;
     HttpServer server;
@@ -159,6 +167,40 @@
     cr_assert_eq(client.responses[1].body.size(), 300'000U);
 }
 
+namespace {
+
+/** Ends a server once it has no open request, while a caller still reads the response to its last.
+    @returns the number of bytes of the body that the caller gets */
+std::size_t bytesReceivedOf(std::size_t bodyBytes, std::uint16_t port)
+{
+    auto loop = std::make_unique<EventLoop>();
+    auto server = std::make_unique<EchoServer>(*loop, port);
+    server->sizedBytes = bodyBytes;
+    SlowReader reader(port, "GET /sized-close HTTP/1.1\r\nHost: h\r\n\r\n");
+    runUntil(*loop, [&] { return server->server.openRequests() > 0; });
+    while (server->server.openRequests() > 0) {
+        loop->runOnce();
+        reader.read(1000);
+    }
+    server.reset();
+    loop.reset();
+    reader.readToEnd();
+    return reader.bodyBytes();
+}
+
+} // namespace
+
+/* A response of whose last part the socket had taken only some was held for sent: a process that
+   ended then closed the caller's connection in the middle of it. */
+Test(Http, aResponseIsOpenUntilTheSocketHasTakenAllOfIt)
+{
+    constexpr std::size_t serverChunk = 32768;
+    for (std::uint16_t chunks = 1; chunks <= 12; ++chunks) {
+        const std::size_t bytes = chunks * serverChunk;
+        cr_expect_eq(bytesReceivedOf(bytes, 18660 + chunks), bytes, "cut: %zu bytes", bytes);
+    }
+}
+
 Test(Http, refusedConnectionCountsAsNotSent)
 {
     EventLoop loop;
