End the front task's loop only after a pass in which nothing arrived

What callers saw: a request that reached bulrushrilld just as its drain was over was read, and its connection was closed without an answer. Cause: the front task reported an idle moment, and the control task ended the front loop from its own thread; requests were read up to the end of that pass. Evidence: FrontTask/aRequestThatArrivesWhileAnIdleNodeStopsIsAnswered failed before. Change: the front loop ends itself, after a whole pass without a new connection or request and with no open answer, or at the drain bound; only then does the front task report that it is drained.

--- a/modules/bulrush_node/front/FrontTask.cpp
+++ b/modules/bulrush_node/front/FrontTask.cpp
@@ -3,6 +3,8 @@
 #include "bulrush_node/front/Answers.h"
 #include "bulrush_node/front/TargetAnswer.h"
 
+#include <utility>
+
 namespace bulrush {
 
 namespace {
@@ -78,6 +80,7 @@
 //==============================================================================
 void FrontTask::requestArrived(HttpServer::RequestId id, HttpRequest request)
 {
+    ++this->arrivedRequests;
     if (request.path == "/ready" || request.path == "/live") {
         this->answerProbe(id, request);
         return;
@@ -320,17 +323,39 @@
 
 void FrontTask::checkDrained()
 {
-    const bool idle = this->server.openRequests() == 0;
-    const bool boundReached = this->clock.now() + drainReserve >= this->drainUntil;
-    if (this->drained || (!idle && !boundReached)) {
+    if (this->drained || (this->server.openRequests() > 0 && !this->drainBoundReached())) {
         return;
     }
     this->drained = true;
-    if (!idle) {
+    this->loop.stopWhen([this, seen = this->callerEvents()]() mutable {
+        const std::uint64_t before = std::exchange(seen, this->callerEvents());
+        return this->mayEnd(before == seen);
+    });
+}
+
+bool FrontTask::drainBoundReached() const
+{
+    return this->clock.now() + drainReserve >= this->drainUntil;
+}
+
+std::uint64_t FrontTask::callerEvents() const
+{
+    return this->server.acceptedConnections() + this->arrivedRequests;
+}
+
+bool FrontTask::mayEnd(bool quiet)
+{
+    // A request that is read in the last pass would be cut off in the middle of its answer.
+    const std::size_t open = this->server.openRequests();
+    if (!(quiet && open == 0) && !this->drainBoundReached()) {
+        return false;
+    }
+    if (open > 0) {
         this->events.write(Event::DrainBoundPassed, "",
-                           std::to_string(this->server.openRequests()) + " requests unanswered");
+                           std::to_string(open) + " requests unanswered");
     }
-    this->report(FrontDrained { this->server.openRequests() });
+    this->report(FrontDrained { open });
+    return true;
 }
 
 //==============================================================================
--- a/modules/bulrush_node/front/FrontTask.h
+++ b/modules/bulrush_node/front/FrontTask.h
@@ -6,6 +6,7 @@
 #include "bulrush_node/messages/FrontMessages.h"
 #include "bulrush_node/metrics/NodeMetrics.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -77,6 +78,14 @@
     void handleKeyClaimResult(const KeyClaimResult &verdict);
     void drain(const DrainFront &request);
     void checkDrained();
+    bool drainBoundReached() const;
+
+    /** Returns the number of connections and requests of callers that have arrived. */
+    std::uint64_t callerEvents() const;
+
+    /** Returns whether the loop may end, and reports it then.
+        @param quiet whether nothing has arrived from callers in the last pass over the sockets */
+    bool mayEnd(bool quiet);
 
     // Actions of the routers.
     void runRouters();
@@ -102,7 +111,9 @@
     std::map<ArrivalId, Arrival> arrivals;
     bool configured = false;
     bool draining = false;
+    /** Whether the loop ends as soon as no request is open. */
     bool drained = false;
+    std::uint64_t arrivedRequests = 0;
     Instant drainUntil {};
     bool runningRouters = false;
     std::map<TargetId, routing::TargetState> lastTargetStates;
