Test requests that meet the end of a stopping process

What callers see: no change. The end of a stopping entry node was attacked over real sockets: a body in two pieces around the stop, requests in each pass to the last, and requests at the very end of the grace period of a busy node. Change: tests only. RawCaller can connect without a request and send any bytes.

--- a/modules/bulrush_entry/tests/RawCaller.cpp
+++ b/modules/bulrush_entry/tests/RawCaller.cpp
@@ -9,7 +9,7 @@
 #include <stdexcept>
 #include <string_view>
 
-RawCaller::RawCaller(std::uint16_t port, const std::string &method, const std::string &path)
+RawCaller::RawCaller(std::uint16_t port)
     : socket(::socket(AF_INET, SOCK_STREAM, 0))
 {
     sockaddr_in address = {};
@@ -19,15 +19,20 @@
     if (connect(this->socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
         throw std::runtime_error("the port does not accept connections");
     }
+}
+
+RawCaller::RawCaller(std::uint16_t port, const std::string &method, const std::string &path)
+    : RawCaller(port)
+{
     const std::string body = method == "POST" ? "{}" : "";
     this->request = method + " " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: "
             + std::to_string(body.size()) + "\r\n\r\n" + body;
-    this->sendRequest();
+    this->send(this->request);
 }
 
-void RawCaller::sendRequest() const
+void RawCaller::send(std::string_view bytes) const
 {
-    if (send(this->socket, this->request.data(), this->request.size(), MSG_NOSIGNAL) < 0) {
+    if (::send(this->socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) {
         throw std::runtime_error("the request cannot be sent");
     }
 }
@@ -35,7 +40,7 @@
 void RawCaller::sendAgain()
 {
     this->received.clear();
-    this->sendRequest();
+    this->send(this->request);
 }
 
 RawCaller::~RawCaller()
--- a/modules/bulrush_entry/tests/RawCaller.h
+++ b/modules/bulrush_entry/tests/RawCaller.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 /** A caller that sends one request on a socket of its own, outside the event loop under test. */
 class RawCaller
@@ -9,6 +10,9 @@
 public:
     /** Connects to a port of 127.0.0.1 and sends a request. */
     RawCaller(std::uint16_t port, const std::string &method, const std::string &path);
+
+    /** Connects to a port of 127.0.0.1 and sends nothing. */
+    explicit RawCaller(std::uint16_t port);
     ~RawCaller();
 
     RawCaller(const RawCaller &) = delete;
@@ -17,6 +21,9 @@
     /** Sends the request again on the same connection, and forgets the response to the last one. */
     void sendAgain();
 
+    /** Sends any bytes. @throws std::runtime_error when the connection is closed */
+    void send(std::string_view bytes) const;
+
     /** Reads what has arrived, without waiting. */
     void read();
 
@@ -27,8 +34,6 @@
     bool closed() const { return this->connectionClosed; }
 
 private:
-    void sendRequest() const;
-
     int socket = -1;
     std::string request;
     std::string received;
--- a/modules/bulrush_entry/tests/entry_node_drain_test.cpp
+++ b/modules/bulrush_entry/tests/entry_node_drain_test.cpp
@@ -6,7 +6,9 @@
 
 #include <criterion/criterion.h>
 
+#include <list>
 #include <optional>
+#include <string>
 #include <thread>
 
 using namespace bulrush;
@@ -299,6 +301,76 @@
     cr_assert_eq(caller.status(), FakeProtocol::statusOf(CallerOutcome::Refused));
 }
 
+namespace {
+
+/** A request for submission whose body has two bytes, without its last byte. */
+std::string unfinishedSubmission()
+{
+    return std::string("POST ") + jobPath + " HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{";
+}
+
+constexpr milliseconds grace { 6000 };
+/** Latest end of a process with this grace period. */
+constexpr milliseconds latestEnd { 5700 };
+
+} // namespace
+
+/* The rest of a body comes after the node has found itself idle and begun to end. */
+Test(EntryNodeDrain, aBodyThatArrivesInTwoPiecesWhileAnIdleNodeStopsIsAnswered)
+{
+    NodeFixture fixture(18561, grace);
+    fixture.drain();
+    fixture.advanceTo(seconds(4));
+    fixture.letTickBecomeDue();
+    RawCaller caller(fixture.port);
+    caller.send(unfinishedSubmission());
+    fixture.loop->schedule(milliseconds(150), [&caller] { caller.send("}"); });
+    fixture.runToExit();
+    caller.read();
+    cr_assert_eq(caller.status(), FakeProtocol::statusOf(CallerOutcome::Refused));
+}
+
+/* Requests that arrive in each pass must not keep the process until it is killed. */
+Test(EntryNodeDrain, requestsInEachPassDoNotKeepTheProcess)
+{
+    NodeFixture fixture(18591, grace);
+    fixture.drain();
+    fixture.advanceTo(seconds(4));
+    fixture.letTickBecomeDue();
+    std::list<RawCaller> callers;
+    fixture.loop->scheduleEvery(microseconds(1), [&fixture, &callers] {
+        fixture.clock.advance(milliseconds(5));
+        callers.emplace_back(fixture.port, "POST", jobPath);
+    });
+    fixture.runToExit();
+    cr_assert_gt(callers.size(), 100U);
+    cr_assert_geq(fixture.clock.now() - fixture.drainedAt, latestEnd);
+    cr_assert_lt(fixture.clock.now() - fixture.drainedAt, latestEnd + milliseconds(100));
+}
+
+/* Requests came until the end of the grace period, and one more in the last pass. */
+Test(EntryNodeDrain, aRequestAtTheEndOfTheGracePeriodIsAnswered)
+{
+    NodeFixture fixture(18621, grace);
+    RawCaller kept(fixture.port, "POST", jobPath);
+    cr_assert(fixture.answered(kept));
+    fixture.drain();
+    for (int second = 1; second <= 5; ++second) {
+        fixture.advanceTo(seconds(second));
+        RawCaller earlier(fixture.port, "POST", jobPath);
+        cr_assert(fixture.answered(earlier), "the node has found itself idle");
+    }
+    fixture.advanceTo(latestEnd - milliseconds(350));
+    fixture.letTickBecomeDue();
+    RawCaller caller(fixture.port, "POST", jobPath);
+    kept.sendAgain();
+    fixture.runToExit();
+    caller.read();
+    kept.read();
+    cr_assert_eq(caller.status(), FakeProtocol::statusOf(CallerOutcome::Refused));
+    cr_assert_eq(kept.status(), FakeProtocol::statusOf(CallerOutcome::Refused));
+}
+
 /* A caller that keeps its connection goes on sending requests to a node that ends. */
 Test(EntryNodeDrain, anAnswerClosesItsConnection)
 {
