Notice the progress of a call without reading the clock

A part sent or received now only sets a flag, and only where the message is not complete; the timer of the stall limit looks at it. A peer that never answers is noticed as soon as before, one that falls silent in the middle after up to twice the limit.

--- a/modules/bulrush_net/http/HttpCaller.cpp
+++ b/modules/bulrush_net/http/HttpCaller.cpp
@@ -1,6 +1,7 @@
 #include "bulrush_net/http/HttpCaller.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bulrush {
 
@@ -21,8 +22,6 @@
     call.callback = std::move(callback);
     call.maySend = std::move(maySend);
     call.limits = limits;
-    call.startedAt = this->loop.now();
-    call.progressedAt = call.startedAt;
     this->scheduleTimer(id, call);
     Peer &peer = this->peers[endpoint];
     peer.queue.push_back(id);
@@ -75,36 +74,37 @@
 {
     const auto found = this->calls.find(id);
     if (found != this->calls.end()) {
-        found->second.progressedAt = this->loop.now();
-        found->second.stallNoticed = false;
+        found->second.progressed = true;
     }
 }
 
 void HttpCaller::scheduleTimer(HttpClient::ExchangeId id, Call &call)
 {
-    const Instant stalledAt = call.progressedAt + call.limits.stall;
-    const Instant dueAt = std::min(stalledAt, call.startedAt + call.limits.total);
-    const Duration delay = std::max(Duration::zero(), dueAt - this->loop.now());
+    const Duration delay = std::min(call.limits.stall, call.limits.total);
+    call.limits.total -= delay;
     call.timer = this->loop.schedule(delay, [this, id] { this->timerFired(id); });
 }
 
 void HttpCaller::timerFired(HttpClient::ExchangeId id)
 {
     Call &call = this->calls.at(id);
-    const Instant now = this->loop.now();
-    if (now >= call.startedAt + call.limits.total) {
+    if (call.limits.total == Duration::zero()) {
         this->timedOut(id, "timeout");
         return;
     }
-    const bool stalled = now >= call.progressedAt + call.limits.stall;
-    if (stalled && call.stallNoticed) {
+    if (std::exchange(call.progressed, false)) {
+        call.stallNoticed = false;
+        this->scheduleTimer(id, call);
+        return;
+    }
+    if (call.stallNoticed) {
         this->timedOut(id, "no progress");
         return;
     }
     // After a pause of this process, bytes that arrived meanwhile are read before the next round of
     // timers.
-    call.stallNoticed = stalled;
-    this->scheduleTimer(id, call);
+    call.stallNoticed = true;
+    call.timer = this->loop.schedule(Duration::zero(), [this, id] { this->timerFired(id); });
 }
 
 void HttpCaller::timedOut(HttpClient::ExchangeId id, std::string_view reason)
--- a/modules/bulrush_net/http/HttpCaller.h
+++ b/modules/bulrush_net/http/HttpCaller.h
@@ -30,8 +30,9 @@
 /** How long a call may take, including the time for which it is queued for a connection. */
 struct CallTimeLimits
 {
-    /** Without any byte sent or received. A peer that is gone is noticed after this time, however
-        long a large response may take on a narrow link. */
+    /** Without any byte sent or received. A peer that never answers is noticed after this time, one
+        that falls silent in the middle of an answer after up to twice as long, however long a large
+        answer may take on a narrow link. */
     Duration stall {};
     /** In all. */
     Duration total {};
@@ -76,11 +77,11 @@
         /** Empty while the call is queued for a connection. */
         std::optional<std::size_t> connection;
         HttpRequest request;
+        /** The total is what is left of it after the timer that runs. */
         CallTimeLimits limits;
-        Instant startedAt {};
-        /** When a byte was last sent or received. */
-        Instant progressedAt {};
-        /** Whether the timer fired once since then. */
+        /** Whether the exchange has progressed since the timer was started. */
+        bool progressed = false;
+        /** Whether the timer has fired once without progress. */
         bool stallNoticed = false;
         EventLoop::TimerId timer = 0;
         Callback callback;
--- a/modules/bulrush_net/http/HttpClient.cpp
+++ b/modules/bulrush_net/http/HttpClient.cpp
@@ -290,9 +290,9 @@
     if (lws_write(connection.wsi, buffer.data() + LWS_PRE, chunk, LWS_WRITE_RAW) < 0) {
         return -1;
     }
-    this->listener.exchangeProgressed(exchange.id);
     exchange.writtenBytes += chunk;
     if (exchange.writtenBytes < exchange.outgoing.size()) {
+        this->listener.exchangeProgressed(exchange.id);
         lws_callback_on_writable(connection.wsi);
     } else {
         exchange.outgoing = std::string();
@@ -307,9 +307,9 @@
         // No request was sent, so the bytes answer nothing.
         return -1;
     }
-    this->listener.exchangeProgressed(connection.exchange->id);
     switch (connection.reader.append(bytes)) {
     case HttpResponseReader::Status::Incomplete:
+        this->listener.exchangeProgressed(connection.exchange->id);
         return 0;
     case HttpResponseReader::Status::Complete:
         return this->deliverResponse(connection) ? 0 : -1;
--- a/modules/bulrush_net/http/HttpClient.h
+++ b/modules/bulrush_net/http/HttpClient.h
@@ -48,7 +48,8 @@
             @returns false to have the exchange fail unsent, because it is too late for it */
         virtual bool requestStarting(ExchangeId id) = 0;
 
-        /** Called when bytes of the request were sent or bytes of the response arrived. */
+        /** Called when a part of the request was sent or a part of the response arrived, but not
+           when either is complete. */
         virtual void exchangeProgressed(ExchangeId /*id*/) { }
 
         /** Called with the complete response; ends the exchange. */
