--- a/modules/bulrush_entry/node/EntryNodeOwnership.cpp
+++ b/modules/bulrush_entry/node/EntryNodeOwnership.cpp
@@ -23,11 +23,11 @@
 
 /** Delay between two readings of the records by a node that may become the owner soon, so that few
     are left to read in a takeover, and the delay after a reading that failed. */
-constexpr milliseconds standbyReadInterval { 1000 };
+constexpr milliseconds standbyReadInterval { 2000 };
 constexpr milliseconds standbyRetryDelay { 500 };
 
 /** How long ago the records may have been read for a node to join the group. */
-constexpr milliseconds maxRecordsAge { 3000 };
+constexpr milliseconds maxRecordsAge { 4000 };
 
 /** Timeout of one attempt to record a resignation in the log, and delay before the next. A
    successor that reads the record does not have to wait for all orders that the resigned owner
