--- a/modules/bulrush_node/front/FrontTask.cpp
+++ b/modules/bulrush_node/front/FrontTask.cpp
@@ -338,21 +338,16 @@
     return this->clock.now() + drainReserve >= this->drainUntil;
 }
 
-std::uint64_t FrontTask::callerEvents() const
-{
-    return this->server.acceptedConnections() + this->arrivedRequests;
-}
-
 bool FrontTask::mayEnd(bool quiet)
 {
     // A request that is read in the last pass would be cut off in the middle of its answer.
     const std::size_t open = this->server.openRequests();
-    if (!(quiet && open == 0) && !this->drainBoundReached()) {
+    if ((!quiet || open > 0) && !this->drainBoundReached()) {
         return false;
     }
     if (open > 0) {
-        this->events.write(Event::DrainBoundPassed, "",
-                           std::to_string(open) + " requests unanswered");
+        const std::string text = std::to_string(open) + " requests unanswered";
+        this->events.write(Event::DrainBoundPassed, "", text);
     }
     this->report(FrontDrained { open });
     return true;
--- a/modules/bulrush_node/front/FrontTask.h
+++ b/modules/bulrush_node/front/FrontTask.h
@@ -81,7 +81,10 @@
     bool drainBoundReached() const;
 
     /** Returns the number of connections and requests of callers that have arrived. */
-    std::uint64_t callerEvents() const;
+    std::uint64_t callerEvents() const
+    {
+        return this->server.acceptedConnections() + this->arrivedRequests;
+    }
 
     /** Returns whether the loop may end, and reports it then.
         @param quiet whether nothing has arrived from callers in the last pass over the sockets */
