Log and count why steps that may start have no worker

Callers saw tasks that never start although half of the room is free; the load line had one number for all of them, unplaced_steps, so a limit on harm, a lack of room in one piece and an order that is never planned to its end looked alike. E1647 counts the steps by reason once a second (no worker, no room, paused, limits of filling, risk, not reached) and names the job that has waited longest; bulrush_entry_waiting_steps shows the same. The reason is that of the worker that comes closest, and is computed for one pass over the queue a second.

--- a/modules/bulrush_core/events/EventCatalogue.cpp
+++ b/modules/bulrush_core/events/EventCatalogue.cpp
@@ -71,6 +71,7 @@
     EventInfo { Event::ProgressTooLong, Severity::Error, "progress too long" },
     EventInfo { Event::AppendRejected, Severity::Error, "append rejected" },
     EventInfo { Event::MembershipGivenUp, Severity::Warning, "membership given up" },
+    EventInfo { Event::TasksWait, Severity::Info, "tasks wait" },
     EventInfo { Event::StoreLost, Severity::Warning, "store lost" },
     EventInfo { Event::StoreRecovered, Severity::Info, "store back" },
     EventInfo { Event::RecordIgnored, Severity::Warning, "record ignored" },
--- a/modules/bulrush_core/events/EventCatalogue.h
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -74,6 +74,7 @@
     ProgressTooLong = 1644,
     AppendRejected = 1645,
     MembershipGivenUp = 1646,
+    TasksWait = 1647,
     StoreLost = 1651,
     StoreRecovered = 1652,
     RecordIgnored = 1653,
--- a/modules/bulrush_entry/node/EntryMetrics.cpp
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -123,6 +123,11 @@
                     .Register(registry);
     prometheus::Gauge &heldForOwnWorker = heldTasks.Add({ { "waits_for", "own_worker" } });
     prometheus::Gauge &heldForAllWorkers = heldTasks.Add({ { "waits_for", "all_workers" } });
+    prometheus::Family<prometheus::Gauge> &waitingSteps =
+            prometheus::BuildGauge()
+                    .Name("bulrush_entry_waiting_steps")
+                    .Help("Steps whose turn has come and that wait for a worker, by the reason")
+                    .Register(registry);
     prometheus::Family<prometheus::Gauge> &servedShares =
             prometheus::BuildGauge()
                     .Name("bulrush_entry_queue_served_share")
@@ -209,9 +214,21 @@
     this->families->heldForAllWorkers.Set(static_cast<double>(held.forAllWorkers));
 }
 
+void EntryMetrics::setWaitingSteps(const WaitCensus &waits)
+{
+    for (std::size_t index = 0; index < waitReasonCount; ++index) {
+        const auto reason = static_cast<WaitReason>(index);
+        this->families->waitingSteps.Add({ { "reason", std::string(bulrush::text(reason)) } })
+                .Set(static_cast<double>(waits.count(reason)));
+    }
+}
+
 void EntryMetrics::setOwner(bool owner)
 {
     this->families->owner.Set(owner ? 1.0 : 0.0);
+    if (!owner) {
+        this->setWaitingSteps({});
+    }
 }
 
 void EntryMetrics::setServedShares(const std::map<std::string, double> &shares)
--- a/modules/bulrush_entry/node/EntryMetrics.h
+++ b/modules/bulrush_entry/node/EntryMetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrush_entry/front/CallerTypes.h"
+#include "bulrush_steps/dispatch/WaitCensus.h"
 #include "bulrush_steps/ownership/TakeoverWait.h"
 #include "bulrush_steps/ports/KeyedLog.h"
 #include "bulrush_steps/ports/WorkerCommands.h"
@@ -44,6 +45,10 @@
     /** Sets the numbers of tasks that may not start because of former owners. */
     void setHeldTasks(const HeldTasks &held);
 
+    /** Sets the numbers of steps that wait for a worker, by the reason. */
+    void setWaitingSteps(const WaitCensus &waits);
+
+    /** Sets whether this node is the owner. No steps wait for a node that is not. */
     void setOwner(bool owner);
 
     /** Sets the share of jobs that end within their late limits, by queue. Queues that are not
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -170,9 +170,26 @@
                           toMillis(load.plan.reservingTime - before.reservingTime))
                     .with("planning_filling_ms",
                           toMillis(load.plan.fillingTime - before.fillingTime)));
+    this->reportWaits(load.plan.waits);
     this->metrics.setServedShares(servedShares(load.queues));
 }
 
+void EntryNode::reportWaits(const WaitCensus &waits)
+{
+    this->metrics.setWaitingSteps(waits);
+    if (!waits.longest()) {
+        return;
+    }
+    DecisionLine line(Event::TasksWait);
+    for (std::size_t index = 0; index < waitReasonCount; ++index) {
+        const auto reason = static_cast<WaitReason>(index);
+        line.with(text(reason), waits.count(reason));
+    }
+    this->decisions.write(line.with("longest_job", waits.longest()->job.name())
+                                  .with("longest_ms", toMillis(waits.longest()->age))
+                                  .with("longest_reason", text(waits.longest()->reason)));
+}
+
 void EntryNode::configChanged()
 {
     this->requestHandler.configure(*this->config.config());
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -105,6 +105,8 @@
     void tick();
     void recordTickDelay();
     void reportOwnerLoad();
+    /** Logs why steps that may start have no worker, if there are any, and sets the metrics. */
+    void reportWaits(const WaitCensus &waits);
     bool isOwnerOrTakesOver() const
     {
         return this->dispatcher.active() || this->takeover.running();
--- a/modules/bulrush_steps/dispatch/PlanLane.h
+++ b/modules/bulrush_steps/dispatch/PlanLane.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "bulrush_steps/dispatch/WaitCensus.h"
 #include "bulrush_steps/model/StepJobTable.h"
 #include "bulrush_steps/policy/JobRank.h"
 #include "bulrush_steps/policy/StepPlacement.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace bulrush {
@@ -20,6 +22,8 @@
     /** For a filling step: the maximum expected number of serving tasks on the chosen worker that
         exceed their tail latency target. */
     double riskAllowed = 0.0;
+    /** How long it has waited, as LongestWait::age. */
+    Duration age {};
 
     const StepSpec &spec() const { return this->job->spec.steps[this->step]; }
 };
@@ -58,6 +62,10 @@
     std::vector<UnplacedStep> unplaced;
     /** The number of steps of the queue that found no worker or were ruled out. */
     std::size_t unplacedCount = 0;
+    /** The newest census of the steps that wait, and the one under way, if any. */
+    WaitCensus census;
+    std::optional<WaitCensus> openCensus;
+    Instant nextCensus {};
     Instant nextRanking {};
     Instant nextRound {};
 
@@ -69,6 +77,9 @@
         this->next = 0;
         this->unplaced.clear();
         this->unplacedCount = 0;
+        this->census = WaitCensus();
+        this->openCensus.reset();
+        this->nextCensus = Instant();
         this->nextRanking = Instant();
         this->nextRound = Instant();
     }
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -24,6 +24,9 @@
    is down. */
 constexpr std::uint32_t maxUnsentStarts = 48;
 
+/** Interval at which the steps that wait are counted by their reasons. */
+constexpr seconds censusInterval { 1 };
+
 } // namespace
 
 Planner::Planner(const Clock &systemClock, StepJobTable &jobTable, WorkerManager &workerManager,
@@ -69,6 +72,7 @@
     load.waitingFills = this->lanes.back().waiting.size();
     for (const PlanLane &lane : this->lanes) {
         load.unplacedSteps += lane.unplacedCount;
+        load.waits.add(lane.census);
     }
     return load;
 }
@@ -98,8 +102,25 @@
     return all == 0 ? 0.0 : static_cast<double>(unstarted) / static_cast<double>(all);
 }
 
+void Planner::turnCensus(PlanLane &lane, Instant now)
+{
+    if (lane.openCensus) {
+        for (std::size_t at = lane.next; at < lane.queue.size(); ++at) {
+            const PlanCandidate &candidate = lane.queue[at];
+            lane.openCensus->add(WaitReason::NotReached, candidate.job->spec.id, candidate.age);
+        }
+        lane.census = *lane.openCensus;
+        lane.openCensus.reset();
+    }
+    if (now >= lane.nextCensus) {
+        lane.nextCensus = now + censusInterval;
+        lane.openCensus.emplace();
+    }
+}
+
 void Planner::rankWaiting(PlanLane &lane, Instant now)
 {
+    turnCensus(lane, now);
     lane.queue.clear();
     lane.next = 0;
     lane.unplaced.clear();
@@ -133,8 +154,9 @@
         const WaitingJob described = this->describeWaiting(job, occurrence, since, now);
         const JobRank rank = rankOf(described);
         const double risk = isUrgent(described) ? maxRiskOfUrgentFill : maxRiskOfDeferrableFill;
+        const Duration age = described.runsIndefinitely ? described.waited : described.age;
         for (const std::uint32_t step : steps) {
-            lane.queue.push_back({ &job, occurrence, step, rank, risk });
+            lane.queue.push_back({ &job, occurrence, step, rank, risk, age });
         }
     }
     return found;
@@ -167,7 +189,7 @@
     return queue == nullptr ? job.spec.service : queue->service;
 }
 
-TaskRequest Planner::makeTaskRequest(const PlanCandidate &candidate)
+TaskRequest Planner::makeTaskRequest(const PlanCandidate &candidate) const
 {
     TaskRequest request;
     request.step = &candidate.job->spec.steps[candidate.step];
@@ -343,21 +365,40 @@
     }
     const StepSpec &step = candidate.spec();
     const ServiceId service = this->serviceOf(*candidate.job);
-    const bool ruledOut =
-            std::any_of(lane.unplaced.begin(), lane.unplaced.end(), [&](const UnplacedStep &each) {
+    const auto ruledOutBy = std::find_if(
+            lane.unplaced.begin(), lane.unplaced.end(), [&](const UnplacedStep &each) {
                 return each.rulesOut(step, service, candidate.riskAllowed);
             });
-    if (ruledOut) {
+    if (ruledOutBy != lane.unplaced.end()) {
         ++lane.unplacedCount;
+        if (lane.openCensus) {
+            lane.openCensus->add(ruledOutBy->reason, candidate.job->spec.id, candidate.age);
+        }
         return;
     }
     const bool placed =
             step.gang ? this->planGang(candidate, now) : this->planStep(lane, candidate, now);
-    lane.unplacedCount += placed ? 0 : 1;
+    if (placed) {
+        return;
+    }
+    ++lane.unplacedCount;
+    const WaitReason reason = this->countUnplaced(lane, candidate, now);
     const bool constrained = step.maxPerWorker > 0 || !step.requiredLabel.empty() || step.gang;
-    if (!placed && !constrained) {
-        lane.unplaced.push_back({ &step, candidate.riskAllowed, service });
+    if (!constrained) {
+        lane.unplaced.push_back({ &step, candidate.riskAllowed, service, reason });
     }
 }
 
+WaitReason Planner::countUnplaced(PlanLane &lane, const PlanCandidate &candidate, Instant now)
+{
+    if (!lane.openCensus) {
+        return WaitReason::NoWorker;
+    }
+    const Placement placement(now, this->pressures);
+    const WaitReason reason = placement.obstacle(this->workers.workers(),
+                                                 this->makeTaskRequest(candidate));
+    lane.openCensus->add(reason, candidate.job->spec.id, candidate.age);
+    return reason;
+}
+
 } // namespace bulrush
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -21,6 +21,8 @@
     std::size_t waitingFills = 0;
     /** Steps for which the last round of planning found no worker. */
     std::size_t unplacedSteps = 0;
+    /** The steps that waited for a worker in the last second, by the reason. */
+    WaitCensus waits;
     /** Rounds of planning, their durations by lane, and the starts that they made, since the start
         of the process. */
     std::uint64_t rounds = 0;
@@ -88,6 +90,14 @@
     void plan(PlanLane &lane, Instant now);
     void planRound(PlanLane &lane, Instant now);
     void planCandidate(PlanLane &lane, const PlanCandidate &candidate, Instant now);
+
+    /** Ends the census that is under way, and begins the next when it is due. Called before the queue
+        is ranked anew. */
+    static void turnCensus(PlanLane &lane, Instant now);
+
+    /** Counts a step that no worker was found for, if a census is under way.
+        @returns the reason; that of the census is computed only then */
+    WaitReason countUnplaced(PlanLane &lane, const PlanCandidate &candidate, Instant now);
     bool planStep(const PlanLane &lane, const PlanCandidate &candidate, Instant now);
 
     /** Returns the tasks of a step that are to be started and may start now. */
@@ -116,7 +126,7 @@
 
     /** Returns the service whose workers run a job, by the configuration in force. */
     ServiceId serviceOf(const JobEntry &job) const;
-    TaskRequest makeTaskRequest(const PlanCandidate &candidate);
+    TaskRequest makeTaskRequest(const PlanCandidate &candidate) const;
     void start(JobEntry &job, const TaskRef &task, Worker &worker, std::uint64_t attempt);
 
     const Clock &clock;
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -97,15 +97,45 @@
     return siblingCount == request.siblings.end() || siblingCount->second < step.maxPerWorker;
 }
 
-bool Placement::canAcceptNow(const Worker &worker, const TaskRequest &request) const
+bool Placement::isUsable(const Worker &worker, const TaskRequest &request) const
 {
-    const bool usable = worker.takesStarts() && this->now >= worker.avoidUntil
-            && worker.commandsInFlight < maxStartsInFlightPerWorker
-            && !CrashSuspects::isSetApart(worker);
-    return usable && hasCapacity(worker, request) && isEligible(worker, request)
+    return this->now >= worker.avoidUntil && worker.commandsInFlight < maxStartsInFlightPerWorker
+            && !CrashSuspects::isSetApart(worker)
             && !(request.apart && CrashSuspects::hasYoungRun(worker));
 }
 
+bool Placement::canAcceptNow(const Worker &worker, const TaskRequest &request) const
+{
+    return worker.takesStarts() && hasCapacity(worker, request) && isEligible(worker, request)
+            && this->isUsable(worker, request);
+}
+
+WaitReason Placement::obstacleOn(const Worker &worker, const TaskRequest &request) const
+{
+    if (!worker.takesStarts() || !isEligible(worker, request)) {
+        return WaitReason::NoWorker;
+    }
+    if (!hasCapacity(worker, request)) {
+        return WaitReason::NoRoom;
+    }
+    if (!this->isUsable(worker, request)) {
+        return WaitReason::Paused;
+    }
+    const bool withinLimits =
+            !request.step->fills || this->hasFillCapacity(worker, *request.step);
+    return withinLimits ? WaitReason::Risk : WaitReason::FillLimits;
+}
+
+WaitReason Placement::obstacle(const std::map<TargetId, Worker> &workers,
+                               const TaskRequest &request) const
+{
+    WaitReason closest = WaitReason::NoWorker;
+    for (const auto &[id, worker] : workers) {
+        closest = std::max(closest, this->obstacleOn(worker, request));
+    }
+    return closest;
+}
+
 bool Placement::hasFillCapacity(const Worker &worker, const StepSpec &step) const
 {
     const auto memory = static_cast<double>(worker.entry.capacity.memoryMb);
--- a/modules/bulrush_steps/policy/Placement.h
+++ b/modules/bulrush_steps/policy/Placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrush_steps/policy/PressureModel.h"
+#include "bulrush_steps/policy/WaitReason.h"
 #include "bulrush_steps/workers/Worker.h"
 
 #include <map>
@@ -57,6 +58,11 @@
         compute than all else. */
     std::optional<double> scoreBound(const Worker &worker, const TaskRequest &request) const;
 
+    /** Returns why choose() finds no worker for the task: the reason of the worker that comes closest
+        to accepting it. */
+    WaitReason obstacle(const std::map<TargetId, Worker> &workers,
+                        const TaskRequest &request) const;
+
     /** Returns whether the worker could run the task if it were otherwise empty. */
     static bool isEligible(const Worker &worker, const TaskRequest &request);
 
@@ -67,6 +73,10 @@
     static double unusedFillCpu(const Worker &worker);
     static bool hasCapacity(const Worker &worker, const TaskRequest &request);
     bool canAcceptNow(const Worker &worker, const TaskRequest &request) const;
+    /** Returns whether starts of the task may be sent to the worker as far as earlier starts and
+        crashes allow. */
+    bool isUsable(const Worker &worker, const TaskRequest &request) const;
+    WaitReason obstacleOn(const Worker &worker, const TaskRequest &request) const;
     bool hasFillCapacity(const Worker &worker, const StepSpec &step) const;
     static double commonScore(const Worker &worker, const TaskRequest &request);
 
--- a/modules/bulrush_steps/policy/StepPlacement.h
+++ b/modules/bulrush_steps/policy/StepPlacement.h
@@ -13,6 +13,8 @@
     double riskAllowed = 0.0;
     /** The service whose workers were tried. */
     ServiceId service;
+    /** Why none was found. */
+    WaitReason reason = WaitReason::NoWorker;
 
     /** Returns whether the tasks of another step need not be tried because they require at least as
         much as this one, of the same service. Filling steps are compared only within an image:
