--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -45,7 +45,7 @@
     for (auto &[id, job] : this->jobTable.entries()) {
         job.knownToPreviousOwners = true;
         if (!job.hasEnded()) {
-            this->addWaiting(job);
+            this->addWaiting(job, job.acceptedAt);
         } else if (!job.endStored && !job.cancelled) {
             this->markEndChanged(job);
         }
@@ -115,16 +115,16 @@
         this->stopRuns(job, "cancelled");
         return;
     }
-    this->addWaiting(job);
+    this->addWaiting(job, this->clock.now());
 }
 
-void Dispatcher::addWaiting(const JobEntry &job)
+void Dispatcher::addWaiting(const JobEntry &job, Instant since)
 {
     if (!job.started) {
         this->unstarted.insert(job.spec.id);
     }
     this->watchService(job);
-    this->planner.markWaiting(job.spec.id);
+    this->planner.markWaiting(job.spec.id, since);
 }
 
 void Dispatcher::stopRuns(const JobEntry &job, std::string_view reason)
@@ -306,7 +306,7 @@
                 lasted ? CrashSuspects::lastKnownAge(worker, *run) : milliseconds(0);
         this->clearSuspicion(job, end.attempt.task, age);
     }
-    this->planner.markWaiting(job.spec.id);
+    this->planner.markWaiting(job.spec.id, this->clock.now());
     const bool hadEnded = job.hasEnded();
     bool counted = false;
     if (end.kind == EndKind::Succeeded) {
@@ -344,13 +344,13 @@
     return job != nullptr && job->hasTask(task) ? job : nullptr;
 }
 
-void Dispatcher::requeueTask(const Run &run)
+void Dispatcher::requeueTask(const Run &run, bool wasAlive)
 {
     JobEntry *job = this->findJob(run.attempt.task);
     if (job != nullptr) {
         this->closeRun(job->changeTask(run.attempt.task), {});
         job->releaseTask(run.attempt.task);
-        this->planner.markWaiting(job->spec.id);
+        this->planner.markWaiting(job->spec.id, wasAlive ? this->clock.now() : job->acceptedAt);
     }
 }
 
@@ -365,7 +365,7 @@
     if (job != nullptr && CrashSuspects::ageOf(worker, run) == RunAge::Lasted) {
         this->clearSuspicion(*job, run.attempt.task, CrashSuspects::lastKnownAge(worker, run));
     }
-    this->requeueTask(run);
+    this->requeueTask(run, true);
 }
 
 void Dispatcher::clearSuspicion(JobEntry &job, const TaskRef &task, milliseconds age)
@@ -382,7 +382,7 @@
                                   .with("attempt", run.attempt.attempt)
                                   .with("worker", worker.entry.worker.name())
                                   .with("outcome", text(outcome)));
-    this->requeueTask(run);
+    this->requeueTask(run, false);
 }
 
 std::uint64_t Dispatcher::nextAttempt(const StepTask &task) const
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -179,8 +179,8 @@
     {
         return this->assignedStarts.count(fills);
     }
-    void startTask(JobEntry &job, const TaskRef &ref, Worker &worker,
-                   std::uint64_t attempt) override;
+    void startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt,
+                   std::uint32_t paceLimit) override;
 
     /** What the roster depends on. */
     struct RosterBasis
@@ -191,7 +191,8 @@
         bool operator==(const RosterBasis &) const = default;
     };
 
-    void addWaiting(const JobEntry &job);
+    /** @param since when its tasks began to wait, at the earliest */
+    void addWaiting(const JobEntry &job, Instant since);
 
     /** Counts a job's tasks that could start but for former owners. */
     void countHeldTasks(const JobEntry &job, HeldTasks &held) const;
@@ -258,8 +259,10 @@
     /** Returns the job of a task; null when the job is unknown or has no such task. */
     JobEntry *findJob(const TaskRef &task);
 
-    /** Makes the task of a run that is no longer alive available for a new start. */
-    void requeueTask(const Run &run);
+    /** Makes the task of a run that is no longer alive available for a new start.
+        @param wasAlive false when no worker began the run, so that the task has waited for its turn
+        already */
+    void requeueTask(const Run &run, bool wasAlive);
 
     /** Has the end of a job put on record. */
     void markEndChanged(const JobEntry &job);
--- a/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
@@ -24,10 +24,12 @@
     }
 }
 
-void Dispatcher::startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt)
+void Dispatcher::startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt,
+                           std::uint32_t paceLimit)
 {
     StepTask &task = job.changeTask(ref);
-    const Run run = this->describeRun(job, { ref, attempt });
+    Run run = this->describeRun(job, { ref, attempt });
+    run.paceLimit = paceLimit;
     ++job.startedRuns;
     if (task.lastAttempt == 0) {
         job.recordFirstStart(ref, this->clock.now());
@@ -61,6 +63,7 @@
                     .with("worker", worker.entry.worker.name())
                     .with("free_cpu", worker.free().cpuMilli + run.size.cpuMilli)
                     .with("fill_room", static_cast<std::int64_t>(worker.availableFillCpuMilli))
+                    .with("pace_limit", run.paceLimit)
                     .with("resumes", !task.checkpoint.empty()));
     this->workerManager.startReserved(worker, run, job.spec, task.checkpoint);
 }
@@ -97,7 +100,7 @@
                                   .with("attempt", attempt.attempt)
                                   .with("worker", worker.entry.worker.name())
                                   .with("outcome", "not sent"));
-    this->requeueTask(*run);
+    this->requeueTask(*run, false);
 }
 
 } // namespace bulrush
--- a/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
@@ -38,6 +38,7 @@
         if (FillController::exceedsTailTarget(worker)) {
             worker.fillsBlockedUntil = now + fillBlockDuration;
         }
+        this->fillControl.liftPaceLimits(worker, now + riskHorizon, maxRiskOfUrgentFill);
         for (const FillChange &change : this->fillControl.decide(worker, now, this->settings)) {
             Run &run = worker.runs.at(change.attempt);
             if (change.move) {
@@ -124,9 +125,14 @@
             if (health == RunHealth::Healthy || gang || task.relocations >= maxMoves) {
                 continue;
             }
+            const bool stalled = health == RunHealth::Stalled;
+            if (stalled && run.fillCpuMilli > 0 && run.found && !run.paceSent) {
+                // The former owner may have paused it.
+                this->workerManager.pace(worker, run, run.paceLimit);
+                continue;
+            }
             ++task.relocations;
             task.failedOn.push_back(id);
-            const bool stalled = health == RunHealth::Stalled;
             const std::string_view reason =
                     stalled ? "run makes no progress" : "run is slower than expected";
             this->workerManager.suspendPlacement(worker, unhealthyWorkerPause, reason);
--- a/modules/bulrush_steps/dispatch/PlanLane.h
+++ b/modules/bulrush_steps/dispatch/PlanLane.h
@@ -24,8 +24,15 @@
     double riskAllowed = 0.0;
     /** How long it has waited, as LongestWait::age. */
     Duration age {};
+    /** Whether the wait must come to an end. @see isStarving */
+    bool starving = false;
 
     const StepSpec &spec() const { return this->job->spec.steps[this->step]; }
+    StepRef ref() const { return { this->job->spec.id, this->occurrence, this->step }; }
+
+    /** Returns whether only one task of the step is to be started, and only while none of the job
+        runs. */
+    bool isForFirstRun() const { return this->starving && !this->spec().runsIndefinitely; }
 };
 
 /** The limits of a PlanLane. */
@@ -55,6 +62,9 @@
     std::map<JobId, Instant> waiting;
     /** The steps that have tasks to start, in the order of their ranks. */
     std::vector<PlanCandidate> queue;
+    /** Of each service, the starving step of a job that ends which has waited longest. Used while
+       the steps are ranked. */
+    std::map<ServiceId, PlanCandidate> longestStarving;
     /** Position of the next step of the queue to plan. */
     std::size_t next = 0;
     /** Steps of the queue for which no worker was found. They rule out steps that need as much or
@@ -62,6 +72,10 @@
     std::vector<UnplacedStep> unplaced;
     /** The number of steps of the queue that found no worker or were ruled out. */
     std::size_t unplacedCount = 0;
+    /** When starving steps without room may next have some reserved. */
+    Instant nextReservations {};
+    /** Whether that time has come with the present queue. */
+    bool reservesRoom = false;
     /** The newest census of the steps that wait, and the one under way, if any. */
     WaitCensus census;
     std::optional<WaitCensus> openCensus;
@@ -74,9 +88,11 @@
     {
         this->waiting.clear();
         this->queue.clear();
+        this->longestStarving.clear();
         this->next = 0;
         this->unplaced.clear();
         this->unplacedCount = 0;
+        this->nextReservations = Instant();
         this->census = WaitCensus();
         this->openCensus.reset();
         this->nextCensus = Instant();
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -8,12 +8,6 @@
 
 namespace {
 
-/** Limits on the expected number of serving tasks that exceed their tail latency target on the
-    worker of a filling task. The first applies while the filling task can wait, the second when it
-    would otherwise be late. */
-constexpr double maxRiskOfDeferrableFill = 0.25;
-constexpr double maxRiskOfUrgentFill = 0.5;
-
 /** Limits of planning. Steps that reserve processors are ranked in each round, since their callers
     wait. */
 constexpr PlanLimits reservingLimits { 2, milliseconds(20), milliseconds(0) };
@@ -24,9 +18,6 @@
    is down. */
 constexpr std::uint32_t maxUnsentStarts = 48;
 
-/** Interval at which the steps that wait are counted by their reasons. */
-constexpr seconds censusInterval { 1 };
-
 } // namespace
 
 Planner::Planner(const Clock &systemClock, StepJobTable &jobTable, WorkerManager &workerManager,
@@ -38,16 +29,17 @@
     , durations(durationEstimator)
     , pressures(pressureModel)
     , listener(startListener)
+    , reservations(workerManager)
 {
     this->lanes.front().limits = reservingLimits;
     this->lanes.back().limits = fillingLimits;
     this->lanes.back().fills = true;
 }
 
-void Planner::markWaiting(const JobId &job)
+void Planner::markWaiting(const JobId &job, Instant since)
 {
     for (PlanLane &lane : this->lanes) {
-        lane.waiting.try_emplace(job, this->clock.now());
+        lane.waiting.try_emplace(job, since);
     }
 }
 
@@ -56,10 +48,14 @@
     for (PlanLane &lane : this->lanes) {
         lane.clear();
     }
+    this->reservations.clear();
+    this->firstRuns.clear();
+    this->turns.clear();
 }
 
 void Planner::tick(Instant now)
 {
+    this->sweepReservations(now);
     for (PlanLane &lane : this->lanes) {
         this->plan(lane, now);
     }
@@ -68,6 +64,7 @@
 PlanLoad Planner::load() const
 {
     PlanLoad load = this->counters;
+    load.reservedWorkers = this->reservations.size();
     load.waitingJobs = this->lanes.front().waiting.size();
     load.waitingFills = this->lanes.back().waiting.size();
     for (const PlanLane &lane : this->lanes) {
@@ -77,8 +74,8 @@
     return load;
 }
 
-WaitingJob Planner::describeWaiting(const JobEntry &job, std::uint32_t occurrence, Instant since,
-                                    Instant now) const
+WaitingJob Planner::describeWaiting(const PlanLane &lane, const JobEntry &job,
+                                    std::uint32_t occurrence, Instant since, Instant now) const
 {
     WaitingJob waitingJob;
     waitingJob.priority = job.spec.priority;
@@ -88,6 +85,8 @@
     waitingJob.remaining = this->durations.remainingPath(job, occurrence);
     waitingJob.objective = this->durations.objective(job.spec);
     waitingJob.unstartedShare = unstartedShare(job, occurrence);
+    waitingJob.fills = lane.fills;
+    waitingJob.hasRuns = hasRuns(job, occurrence);
     return waitingJob;
 }
 
@@ -102,29 +101,23 @@
     return all == 0 ? 0.0 : static_cast<double>(unstarted) / static_cast<double>(all);
 }
 
-void Planner::turnCensus(PlanLane &lane, Instant now)
+bool Planner::hasRuns(const JobEntry &job, std::uint32_t occurrence)
 {
-    if (lane.openCensus) {
-        for (std::size_t at = lane.next; at < lane.queue.size(); ++at) {
-            const PlanCandidate &candidate = lane.queue[at];
-            lane.openCensus->add(WaitReason::NotReached, candidate.job->spec.id, candidate.age);
-        }
-        lane.census = *lane.openCensus;
-        lane.openCensus.reset();
-    }
-    if (now >= lane.nextCensus) {
-        lane.nextCensus = now + censusInterval;
-        lane.openCensus.emplace();
-    }
+    const std::vector<StepState> &steps = job.occurrences.at(occurrence).steps;
+    return std::any_of(steps.begin(), steps.end(), [](const StepState &step) {
+        return step.tasks.open() + step.tasks.succeeded() < step.tasks.size();
+    });
 }
 
 void Planner::rankWaiting(PlanLane &lane, Instant now)
 {
     turnCensus(lane, now);
+    turnReservations(lane, now);
     lane.queue.clear();
     lane.next = 0;
     lane.unplaced.clear();
     lane.unplacedCount = 0;
+    lane.longestStarving.clear();
     for (auto at = lane.waiting.begin(); at != lane.waiting.end();) {
         JobEntry *job = this->jobs.find(at->first);
         const bool open = job != nullptr && !job->hasEnded()
@@ -132,6 +125,7 @@
                     || this->addCandidates(lane, *job, at->second, now));
         at = open ? std::next(at) : lane.waiting.erase(at);
     }
+    this->giveTurns(lane, now);
     std::stable_sort(
             lane.queue.begin(), lane.queue.end(),
             [](const PlanCandidate &a, const PlanCandidate &b) { return a.rank < b.rank; });
@@ -151,12 +145,20 @@
             continue;
         }
         found = true;
-        const WaitingJob described = this->describeWaiting(job, occurrence, since, now);
+        const WaitingJob described = this->describeWaiting(lane, job, occurrence, since, now);
         const JobRank rank = rankOf(described);
         const double risk = isUrgent(described) ? maxRiskOfUrgentFill : maxRiskOfDeferrableFill;
         const Duration age = described.runsIndefinitely ? described.waited : described.age;
         for (const std::uint32_t step : steps) {
-            lane.queue.push_back({ &job, occurrence, step, rank, risk, age });
+            PlanCandidate candidate { &job, occurrence, step, rank, risk, age };
+            WaitingJob asStep = described;
+            asStep.runsIndefinitely = job.spec.steps[step].runsIndefinitely;
+            candidate.starving = isStarving(asStep);
+            if (!candidate.starving) {
+                lane.queue.push_back(candidate);
+                continue;
+            }
+            this->addStarving(lane, candidate, starvingRank(asStep), now);
         }
     }
     return found;
@@ -177,10 +179,12 @@
     return open;
 }
 
-void Planner::start(JobEntry &job, const TaskRef &task, Worker &worker, std::uint64_t attempt)
+void Planner::start(JobEntry &job, const TaskRef &task, Worker &worker, std::uint64_t attempt,
+                    std::uint32_t paceLimit)
 {
     ++this->counters.starts;
-    this->listener.startTask(job, task, worker, attempt);
+    this->reservations.started(task.stepRef(), worker);
+    this->listener.startTask(job, task, worker, attempt, paceLimit);
 }
 
 ServiceId Planner::serviceOf(const JobEntry &job) const
@@ -193,6 +197,8 @@
 {
     TaskRequest request;
     request.step = &candidate.job->spec.steps[candidate.step];
+    request.ref = candidate.ref();
+    request.starving = candidate.starving;
     request.service = this->serviceOf(*candidate.job);
     request.riskAllowed = candidate.riskAllowed;
     if (request.step->maxPerWorker == 0 && !request.step->prefersSingleRack) {
@@ -229,6 +235,9 @@
         return true;
     }
     JobEntry &job = *candidate.job;
+    if (candidate.isForFirstRun() && hasRuns(job, candidate.occurrence)) {
+        return true;
+    }
     TaskRequest request = this->makeTaskRequest(candidate);
     const Placement placement(now, this->pressures);
     StepPlacement stepPlacement(placement, this->workers.workers(), request);
@@ -259,7 +268,16 @@
         }
         StepTask &started = job.changeTask(ref);
         started.startedApart = request.apart;
-        this->start(job, ref, *worker, this->listener.nextAttempt(started));
+        const std::uint32_t pace = request.starving && step.fills
+                ? placement.paceWithinRisk(*worker, request)
+                : fullPace;
+        this->start(job, ref, *worker, this->listener.nextAttempt(started), pace);
+        if (candidate.isForFirstRun()) {
+            if (!lane.fills) {
+                this->firstRuns[request.service] = { ref, job.task(ref).lastAttempt };
+            }
+            return true;
+        }
         ++request.siblings[worker->entry.worker];
         const bool rackChosen = step.prefersSingleRack && request.rack != worker->rack;
         request.rack = worker->rack;
@@ -310,9 +328,15 @@
     if (chosen.size() < step.taskCount) {
         return false;
     }
+    std::uint32_t pace = fullPace;
+    for (Worker *worker : chosen) {
+        if (step.fills && candidate.starving) {
+            pace = std::min(pace, placement.paceWithinRisk(*worker, request));
+        }
+    }
     for (ref.index = 0; ref.index < step.taskCount; ++ref.index) {
         job.changeTask(ref).checkpoint = checkpoint;
-        this->start(job, ref, *chosen[ref.index], attempt);
+        this->start(job, ref, *chosen[ref.index], attempt, pace);
     }
     return true;
 }
@@ -365,11 +389,14 @@
     }
     const StepSpec &step = candidate.spec();
     const ServiceId service = this->serviceOf(*candidate.job);
-    const auto ruledOutBy = std::find_if(
-            lane.unplaced.begin(), lane.unplaced.end(), [&](const UnplacedStep &each) {
-                return each.rulesOut(step, service, candidate.riskAllowed);
+    const auto ruledOutBy =
+            std::find_if(lane.unplaced.begin(), lane.unplaced.end(), [&](const UnplacedStep &each) {
+                return each.rulesOut(step, service, candidate.riskAllowed, candidate.starving);
             });
-    if (ruledOutBy != lane.unplaced.end()) {
+    const bool hasReservation =
+            candidate.starving && this->reservations.countOf(candidate.ref()) > 0;
+    if (ruledOutBy != lane.unplaced.end() && !hasReservation) {
+        this->reserveRoom(lane, candidate, now);
         ++lane.unplacedCount;
         if (lane.openCensus) {
             lane.openCensus->add(ruledOutBy->reason, candidate.job->spec.id, candidate.age);
@@ -381,24 +408,14 @@
     if (placed) {
         return;
     }
+    this->reserveRoom(lane, candidate, now);
     ++lane.unplacedCount;
     const WaitReason reason = this->countUnplaced(lane, candidate, now);
     const bool constrained = step.maxPerWorker > 0 || !step.requiredLabel.empty() || step.gang;
     if (!constrained) {
-        lane.unplaced.push_back({ &step, candidate.riskAllowed, service, reason });
+        lane.unplaced.push_back(
+                { &step, candidate.riskAllowed, service, candidate.starving, reason });
     }
 }
 
-WaitReason Planner::countUnplaced(PlanLane &lane, const PlanCandidate &candidate, Instant now)
-{
-    if (!lane.openCensus) {
-        return WaitReason::NoWorker;
-    }
-    const Placement placement(now, this->pressures);
-    const WaitReason reason = placement.obstacle(this->workers.workers(),
-                                                 this->makeTaskRequest(candidate));
-    lane.openCensus->add(reason, candidate.job->spec.id, candidate.age);
-    return reason;
-}
-
 } // namespace bulrush
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrush_steps/dispatch/PlanLane.h"
+#include "bulrush_steps/dispatch/StartReservations.h"
 #include "bulrush_steps/model/ServingConfig.h"
 #include "bulrush_steps/model/StepJobTable.h"
 #include "bulrush_steps/policy/DurationEstimator.h"
@@ -23,6 +24,8 @@
     std::size_t unplacedSteps = 0;
     /** The steps that waited for a worker in the last second, by the reason. */
     WaitCensus waits;
+    /** Workers with room that is kept for starving tasks. */
+    std::size_t reservedWorkers = 0;
     /** Rounds of planning, their durations by lane, and the starts that they made, since the start
         of the process. */
     std::uint64_t rounds = 0;
@@ -66,8 +69,9 @@
             are not sent yet. */
         virtual std::uint32_t unsentStarts(bool fills) const = 0;
 
+        /** @param paceLimit see Run::paceLimit */
         virtual void startTask(JobEntry &job, const TaskRef &task, Worker &worker,
-                               std::uint64_t attempt) = 0;
+                               std::uint64_t attempt, std::uint32_t paceLimit) = 0;
     };
 
     Planner(const Clock &clock, StepJobTable &jobs, WorkerManager &workers,
@@ -75,8 +79,9 @@
 
     void configure(const ServingConfig &serving) { this->config = serving; }
 
-    /** Considers a job, which may have tasks to start, from now on. */
-    void markWaiting(const JobId &job);
+    /** Considers a job, which may have tasks to start, from now on.
+        @param since when its tasks began to wait */
+    void markWaiting(const JobId &job, Instant since);
 
     /** Discards all jobs. */
     void clear();
@@ -91,8 +96,8 @@
     void planRound(PlanLane &lane, Instant now);
     void planCandidate(PlanLane &lane, const PlanCandidate &candidate, Instant now);
 
-    /** Ends the census that is under way, and begins the next when it is due. Called before the queue
-        is ranked anew. */
+    /** Ends the census that is under way, and begins the next when it is due. Called before the
+       queue is ranked anew. */
     static void turnCensus(PlanLane &lane, Instant now);
 
     /** Counts a step that no worker was found for, if a census is under way.
@@ -102,6 +107,33 @@
 
     /** Returns the tasks of a step that are to be started and may start now. */
     std::vector<std::uint32_t> tasksToStart(const PlanCandidate &candidate) const;
+
+    /** Returns whether any task of an occurrence runs. */
+    static bool hasRuns(const JobEntry &job, std::uint32_t occurrence);
+
+    /** Has room kept for the tasks of a starving step that found none. */
+    void reserveRoom(const PlanLane &lane, const PlanCandidate &candidate, Instant now);
+
+    /** Gives up reservations that are not needed any more. */
+    void sweepReservations(Instant now);
+
+    /** Adds a starving step to the queue, ahead of its place by rank. */
+    void addStarving(PlanLane &lane, PlanCandidate candidate, const JobRank &rank, Instant now);
+
+    /** Returns whether a task of a starving job that ends could start. */
+    bool mayTakeTurn(const PlanCandidate &candidate, const ServiceId &service) const;
+
+    /** Returns whether a job has had the turn of a service for a time without a start. */
+    bool hadTurnInVain(const PlanCandidate &candidate, const ServiceId &service, Instant now) const;
+
+    /** Adds the starving jobs that end whose turn it is to the queue. */
+    void giveTurns(PlanLane &lane, Instant now);
+
+    /** Notes whether room may be reserved with the queue that is about to be ranked. */
+    static void turnReservations(PlanLane &lane, Instant now);
+
+    /** Returns whether a run of a service that a starving job was started with is still alive. */
+    bool hasFirstRun(const ServiceId &service);
     bool planGang(const PlanCandidate &candidate, Instant now);
     bool mayStartMore(const PlanLane &lane) const;
 
@@ -118,8 +150,8 @@
     static std::vector<std::uint32_t> openSteps(const PlanLane &lane, const JobEntry &job,
                                                 std::uint32_t occurrence);
 
-    WaitingJob describeWaiting(const JobEntry &job, std::uint32_t occurrence, Instant since,
-                               Instant now) const;
+    WaitingJob describeWaiting(const PlanLane &lane, const JobEntry &job, std::uint32_t occurrence,
+                               Instant since, Instant now) const;
 
     /** Returns the share of the tasks of an occurrence that neither run nor have succeeded. */
     static double unstartedShare(const JobEntry &job, std::uint32_t occurrence);
@@ -127,7 +159,8 @@
     /** Returns the service whose workers run a job, by the configuration in force. */
     ServiceId serviceOf(const JobEntry &job) const;
     TaskRequest makeTaskRequest(const PlanCandidate &candidate) const;
-    void start(JobEntry &job, const TaskRef &task, Worker &worker, std::uint64_t attempt);
+    void start(JobEntry &job, const TaskRef &task, Worker &worker, std::uint64_t attempt,
+               std::uint32_t paceLimit = fullPace);
 
     const Clock &clock;
     StepJobTable &jobs;
@@ -138,6 +171,18 @@
     ServingConfig config;
     /** The planning of the steps that reserve processors, then of those that fill. */
     std::array<PlanLane, 2> lanes;
+    StartReservations reservations;
+    /** Of each service, the newest run that reserves processors and with which a starving job that
+        ends was started. */
+    std::map<ServiceId, AttemptRef> firstRuns;
+    /** The starving job that ends of each service that had the last turn, and since when. */
+    struct Turn
+    {
+        JobId job;
+        Instant since {};
+    };
+    std::map<ServiceId, Turn> turns;
+    Instant nextSweep {};
     /** Of load(): rounds, time and starts. */
     PlanLoad counters;
 };
--- /dev/null
+++ b/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
@@ -0,0 +1,175 @@
+// The part of Planner that sees to it that waits have an end, and counts the steps that wait.
+
+#include "bulrush_steps/dispatch/Planner.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace bulrush {
+
+namespace {
+
+/** Interval at which the steps that wait are counted by their reasons. */
+constexpr seconds censusInterval { 1 };
+
+/** How long a starving job that ends has its turn without a start before another gets it. */
+constexpr milliseconds maxTurn { 5000 };
+
+/** Interval at which room is reserved for starving steps. */
+constexpr milliseconds reservationInterval { 100 };
+
+} // namespace
+
+void Planner::addStarving(PlanLane &lane, PlanCandidate candidate, const JobRank &rank, Instant now)
+{
+    if (candidate.spec().runsIndefinitely) {
+        candidate.rank = rank;
+        lane.queue.push_back(candidate);
+        return;
+    }
+    // The other tasks of a job that ends keep to the limits and to its place.
+    PlanCandidate others = candidate;
+    others.starving = false;
+    lane.queue.push_back(others);
+    if (lane.fills) {
+        // It needs no better rank: it may start beyond the limits that others keep to, and leaves
+        // the workers within them to those that are in time.
+        lane.queue.push_back(candidate);
+        return;
+    }
+    // Jobs that are too late are many under overload. They take turns with one run at a time, so
+    // that the others keep the order that serves most of them.
+    const ServiceId service = this->serviceOf(*candidate.job);
+    if (this->hasFirstRun(service) || !this->mayTakeTurn(candidate, service)) {
+        return;
+    }
+    candidate.rank = rank;
+    const auto [longest, added] = lane.longestStarving.try_emplace(service, candidate);
+    // Jobs that had their turn in vain come last, those with a run earlier come behind those
+    // without.
+    const auto order = [this, &service, now](const PlanCandidate &each) {
+        return std::tuple(this->hadTurnInVain(each, service, now), each.job->started, -each.age);
+    };
+    if (!added && order(candidate) < order(longest->second)) {
+        longest->second = candidate;
+    }
+}
+
+bool Planner::mayTakeTurn(const PlanCandidate &candidate, const ServiceId &service) const
+{
+    if (this->tasksToStart(candidate).empty()) {
+        return false;
+    }
+    TaskRequest request;
+    request.step = &candidate.spec();
+    request.service = service;
+    const std::map<TargetId, Worker> &workerTable = this->workers.workers();
+    return std::any_of(workerTable.begin(), workerTable.end(), [&request](const auto &each) {
+        return each.second.takesStarts() && Placement::isEligible(each.second, request);
+    });
+}
+
+bool Planner::hadTurnInVain(const PlanCandidate &candidate, const ServiceId &service,
+                            Instant now) const
+{
+    const auto turn = this->turns.find(service);
+    return turn != this->turns.end() && turn->second.job == candidate.job->spec.id
+            && now - turn->second.since >= maxTurn;
+}
+
+void Planner::giveTurns(PlanLane &lane, Instant now)
+{
+    for (const auto &[service, candidate] : lane.longestStarving) {
+        Turn &turn = this->turns[service];
+        if (turn.job != candidate.job->spec.id || this->hadTurnInVain(candidate, service, now)) {
+            turn = { candidate.job->spec.id, now };
+        }
+        lane.queue.push_back(candidate);
+    }
+}
+
+bool Planner::hasFirstRun(const ServiceId &service)
+{
+    const auto found = this->firstRuns.find(service);
+    if (found == this->firstRuns.end()) {
+        return false;
+    }
+    const AttemptRef &attempt = found->second;
+    const JobEntry *job = this->jobs.find(attempt.task.job);
+    if (job == nullptr) {
+        return false;
+    }
+    const StepTask &task = job->task(attempt.task);
+    return task.openRuns > 0 && task.lastAttempt == attempt.attempt;
+}
+
+void Planner::turnReservations(PlanLane &lane, Instant now)
+{
+    lane.reservesRoom = now >= lane.nextReservations;
+    if (lane.reservesRoom) {
+        lane.nextReservations = now + reservationInterval;
+    }
+}
+
+void Planner::reserveRoom(const PlanLane &lane, const PlanCandidate &candidate, Instant now)
+{
+    if (!candidate.starving || !lane.reservesRoom) {
+        return;
+    }
+    const std::uint32_t reserved = this->reservations.countOf(candidate.ref());
+    const bool all = candidate.spec().runsIndefinitely || candidate.spec().gang;
+    const auto wanted = all ? static_cast<std::uint32_t>(this->tasksToStart(candidate).size()) : 1U;
+    if (reserved < wanted) {
+        this->reservations.reserve(this->makeTaskRequest(candidate), wanted - reserved, now);
+    }
+}
+
+void Planner::sweepReservations(Instant now)
+{
+    if (now < this->nextSweep) {
+        return;
+    }
+    this->nextSweep = now + reservationInterval;
+    this->reservations.sweep(now, [this](const StepRef &ref) -> std::uint32_t {
+        const JobEntry *job = this->jobs.find(ref.job);
+        if (job == nullptr || job->hasEnded()) {
+            return 0;
+        }
+        const StepState &step = job->occurrences.at(ref.occurrence).steps.at(ref.step);
+        const StepSpec &spec = job->spec.steps[ref.step];
+        if (!spec.runsIndefinitely && hasRuns(*job, ref.occurrence)) {
+            return 0;
+        }
+        return step.tasks.open();
+    });
+}
+
+void Planner::turnCensus(PlanLane &lane, Instant now)
+{
+    if (lane.openCensus) {
+        for (std::size_t at = lane.next; at < lane.queue.size(); ++at) {
+            const PlanCandidate &candidate = lane.queue[at];
+            lane.openCensus->add(WaitReason::NotReached, candidate.job->spec.id, candidate.age);
+        }
+        lane.census = *lane.openCensus;
+        lane.openCensus.reset();
+    }
+    if (now >= lane.nextCensus) {
+        lane.nextCensus = now + censusInterval;
+        lane.openCensus.emplace();
+    }
+}
+
+WaitReason Planner::countUnplaced(PlanLane &lane, const PlanCandidate &candidate, Instant now)
+{
+    if (!lane.openCensus) {
+        return WaitReason::NoWorker;
+    }
+    const Placement placement(now, this->pressures);
+    const WaitReason reason =
+            placement.obstacle(this->workers.workers(), this->makeTaskRequest(candidate));
+    lane.openCensus->add(reason, candidate.job->spec.id, candidate.age);
+    return reason;
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/dispatch/StartReservations.cpp
@@ -0,0 +1,158 @@
+#include "bulrush_steps/dispatch/StartReservations.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace bulrush {
+
+namespace {
+
+/** A reservation lapses after this time, and a worker is chosen anew. */
+constexpr milliseconds maxReservation { 3000 };
+
+/** At most one of this many workers of a service has a reservation. */
+constexpr std::size_t workersAReservation = 4;
+
+/** Returns when a run is expected to end; none for one that ends only when it is stopped. */
+std::optional<Instant> expectedEnd(const Run &run, Instant now)
+{
+    if (run.stopRequested) {
+        return now;
+    }
+    if (run.runsIndefinitely || run.pacePercent == 0) {
+        return std::nullopt;
+    }
+    const milliseconds expected = run.expected * fullPace / run.pacePercent;
+    const Instant end = run.startSentAt + expected;
+    // Of a run that takes longer than expected it is not known how much longer.
+    return end > now ? end : now + (now - run.startSentAt);
+}
+
+/** Returns when a worker is expected to have room of a size; none if not by the ends of its runs.
+ */
+std::optional<Instant> roomExpectedAt(const Worker &worker, const ResourceVector &size, Instant now)
+{
+    ResourceVector room = worker.free();
+    if (size.fitsInto(room)) {
+        return now;
+    }
+    std::vector<std::pair<Instant, const Run *>> ends;
+    for (const auto &[attempt, run] : worker.runs) {
+        if (const std::optional<Instant> end = expectedEnd(run, now)) {
+            ends.emplace_back(*end, &run);
+        }
+    }
+    std::sort(ends.begin(), ends.end(),
+              [](const auto &a, const auto &b) { return a.first < b.first; });
+    for (const auto &[end, run] : ends) {
+        room += run->size;
+        if (size.fitsInto(room)) {
+            return end;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+void StartReservations::uncount(const StepRef &step)
+{
+    const auto count = this->counts.find(step);
+    if (count != this->counts.end() && --count->second == 0) {
+        this->counts.erase(count);
+    }
+}
+
+void StartReservations::sweep(Instant now,
+                              const std::function<std::uint32_t(const StepRef &)> &needed)
+{
+    for (auto at = this->reserved.begin(); at != this->reserved.end();) {
+        Worker *worker = this->workers.find(at->first);
+        const bool kept = worker != nullptr && worker->reservation;
+        const bool holds = kept && worker->takesStarts() && now < worker->reservation->lapsesAt
+                && this->countOf(at->second) <= needed(at->second);
+        if (holds) {
+            ++at;
+            continue;
+        }
+        if (kept) {
+            worker->reservation.reset();
+        }
+        this->uncount(at->second);
+        at = this->reserved.erase(at);
+    }
+}
+
+std::size_t StartReservations::available(const ServiceId &service) const
+{
+    std::size_t all = 0;
+    std::size_t taken = 0;
+    for (const auto &[id, worker] : this->workers.workers()) {
+        if (worker.entry.service == service && worker.takesStarts()) {
+            ++all;
+            taken += worker.reservation ? 1 : 0;
+        }
+    }
+    const std::size_t most = (all + workersAReservation - 1) / workersAReservation;
+    return most > taken ? most - taken : 0;
+}
+
+void StartReservations::reserve(const TaskRequest &request, std::uint32_t tasks, Instant now)
+{
+    // The members of a gang need their room at the same time.
+    const std::size_t most = request.step->gang
+            ? tasks
+            : std::min<std::size_t>(tasks, this->available(request.service));
+    if (most == 0) {
+        return;
+    }
+    const ResourceVector size = request.step->reserved();
+    std::vector<std::pair<Instant, Worker *>> candidates;
+    for (auto &[id, worker] : this->workers.workers()) {
+        if (worker.reservation || !worker.takesStarts() || !Placement::isEligible(worker, request)
+            || !Placement::hasSiblingCapacity(worker, request)) {
+            continue;
+        }
+        if (const std::optional<Instant> at = roomExpectedAt(worker, size, now)) {
+            candidates.emplace_back(std::max(*at, worker.avoidUntil), &worker);
+        }
+    }
+    const std::size_t count = std::min(most, candidates.size());
+    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count),
+                      candidates.end(),
+                      [](const auto &a, const auto &b) { return a.first < b.first; });
+    candidates.resize(count);
+    for (const auto &[at, worker] : candidates) {
+        worker->reservation = StartReservation { request.ref, size, now + maxReservation };
+        const auto [entry, added] = this->reserved.try_emplace(worker->entry.worker, request.ref);
+        if (!added) {
+            this->uncount(entry->second);
+            entry->second = request.ref;
+        }
+        ++this->counts[request.ref];
+    }
+}
+
+void StartReservations::started(const StepRef &step, Worker &worker)
+{
+    if (worker.reservation && worker.reservation->step == step) {
+        worker.reservation.reset();
+        this->reserved.erase(worker.entry.worker);
+        this->uncount(step);
+    }
+}
+
+void StartReservations::clear()
+{
+    for (const auto &[id, step] : this->reserved) {
+        if (Worker *worker = this->workers.find(id)) {
+            worker->reservation.reset();
+        }
+    }
+    this->reserved.clear();
+    this->counts.clear();
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/dispatch/StartReservations.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "bulrush_steps/policy/Placement.h"
+#include "bulrush_steps/workers/WorkerManager.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+
+namespace bulrush {
+
+/**
+    Keeps the room that comes free on some workers for tasks that need more than is free on any.
+
+    Without it, smaller tasks take each part that comes free, and a large task never starts on a
+   full service (backfilling with reservations). A reservation excludes only those tasks from a
+   worker that would not fit beside the one that it is made for.
+
+    @see Worker::reservation, Placement
+*/
+class StartReservations
+{
+public:
+    explicit StartReservations(WorkerManager &workerManager)
+        : workers(workerManager)
+    {
+    }
+
+    /** Returns the number of workers with room reserved for a step. */
+    std::uint32_t countOf(const StepRef &step) const
+    {
+        const auto found = this->counts.find(step);
+        return found == this->counts.end() ? 0 : found->second;
+    }
+
+    /** Returns the number of workers with reserved room. */
+    std::size_t size() const { return this->reserved.size(); }
+
+    /** Makes up to a number of reservations for tasks of a step, on the workers on which room is
+        expected first. A quarter of the workers of a service may have one, and more for a gang.
+       Workers that have no room before long-running tasks end are left out. */
+    void reserve(const TaskRequest &request, std::uint32_t tasks, Instant now);
+
+    /** Notes that a task of a step was started on a worker. */
+    void started(const StepRef &step, Worker &worker);
+
+    /** Gives up the reservations that have lapsed, those on workers that take no starts any more,
+       and those for steps that need fewer.
+        @param needed returns the number of tasks of a step that wait */
+    void sweep(Instant now, const std::function<std::uint32_t(const StepRef &)> &needed);
+
+    /** Gives up all reservations. */
+    void clear();
+
+private:
+    /** Returns how many more workers of a service may have a reservation. */
+    std::size_t available(const ServiceId &service) const;
+
+    /** Counts a reservation of a step less. */
+    void uncount(const StepRef &step);
+
+    WorkerManager &workers;
+    /** The workers that have a reservation, each with the step that it is made for. */
+    std::map<TargetId, StepRef> reserved;
+    /** The number of reservations of each step that has any. */
+    std::map<StepRef, std::uint32_t> counts;
+};
+
+} // namespace bulrush
--- a/modules/bulrush_steps/dispatch/WaitCensus.h
+++ b/modules/bulrush_steps/dispatch/WaitCensus.h
@@ -15,7 +15,7 @@
 {
     JobId job;
     /** Time since its acceptance or due time; of a long-running job, since a task of it began to
-        wait for this owner. */
+        wait, or since its acceptance if that was under a former owner. */
     Duration age {};
     WaitReason reason = WaitReason::NotReached;
 };
--- a/modules/bulrush_steps/model/StepJob.h
+++ b/modules/bulrush_steps/model/StepJob.h
@@ -40,6 +40,18 @@
         return *this;
     }
 
+    /** Returns whether this demand and another one are within the free resources. A resource that
+       this one does not demand is left out, so that the other one may exceed it. */
+    bool fitsBeside(const ResourceVector &other, const ResourceVector &free) const
+    {
+        const auto fits = [](std::int64_t mine, std::int64_t others, std::int64_t room) {
+            return mine == 0 || mine + others <= room;
+        };
+        return fits(this->cpuMilli, other.cpuMilli, free.cpuMilli)
+                && fits(this->memoryMb, other.memoryMb, free.memoryMb)
+                && fits(this->accelerators, other.accelerators, free.accelerators);
+    }
+
     /** Returns whether this demand is within the free resources. */
     bool fitsInto(const ResourceVector &free) const
     {
@@ -98,6 +110,21 @@
     bool operator==(const StepSpec &) const = default;
 };
 
+/** Identifies one step of an occurrence of a job. */
+struct StepRef
+{
+    JobId job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+
+    bool operator==(const StepRef &) const = default;
+    bool operator<(const StepRef &other) const
+    {
+        return std::tie(this->job, this->occurrence, this->step)
+                < std::tie(other.job, other.occurrence, other.step);
+    }
+};
+
 /** Identifies one task of a job. */
 struct TaskRef
 {
@@ -106,6 +133,9 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
 
+    /** Returns the step that the task belongs to. */
+    StepRef stepRef() const { return { this->job, this->occurrence, this->step }; }
+
     bool operator==(const TaskRef &) const = default;
     bool operator<(const TaskRef &other) const
     {
--- a/modules/bulrush_steps/policy/FillController.cpp
+++ b/modules/bulrush_steps/policy/FillController.cpp
@@ -105,13 +105,33 @@
     });
 }
 
+void FillController::liftPaceLimits(Worker &worker, Instant moment, double risk) const
+{
+    for (auto &[attempt, run] : worker.runs) {
+        const bool limited = run.paceLimit < fullPace && run.pacePercent == run.paceLimit;
+        if (!limited || run.phase != RunPhase::Running) {
+            continue;
+        }
+        const double added = worker.shareOf(static_cast<double>(run.fillCpuMilli))
+                * (fullPace - run.paceLimit) / fullPace;
+        const FillImpact impact =
+                PressureModel::impactOf(this->model.servingPressures(worker, moment),
+                                        this->model.coefficientsOf(run.image), added);
+        if (impact.overTarget <= risk) {
+            worker.liftPaceLimit(run);
+            return;
+        }
+    }
+}
+
 std::vector<FillChange> FillController::decide(const Worker &worker, Instant now,
                                                const DispatchSettings &settings)
 {
     this->updateOverTarget(worker, now);
-    const std::uint32_t percent = this->mustPause(worker, now, settings) ? 0 : 100;
+    const bool paused = this->mustPause(worker, now, settings);
     std::map<AttemptRef, FillChange> changes;
     for (const auto &[attempt, run] : worker.runs) {
+        const std::uint32_t percent = paused ? 0 : run.paceLimit;
         const bool fills = run.fillCpuMilli > 0 && run.phase == RunPhase::Running;
         if (fills && run.pacePercent != percent) {
             changes[attempt] = { attempt, percent, false };
--- a/modules/bulrush_steps/policy/FillController.h
+++ b/modules/bulrush_steps/policy/FillController.h
@@ -34,6 +34,12 @@
     /** Updates the pressure model with a worker's newest report. */
     void observe(const Worker &worker, Instant now) { this->model.observe(worker, now); }
 
+    /** Lets one filling run that was started below full pace use all that it demands, once the
+        worker's serving tasks are expected to bear it.
+        @param moment the moment for which their load is expected
+        @param risk the maximum expected number of serving tasks above their targets then */
+    void liftPaceLimits(Worker &worker, Instant moment, double risk) const;
+
     /** Returns the changes that are due on one worker, at most one for each filling run. */
     std::vector<FillChange> decide(const Worker &worker, Instant now,
                                    const DispatchSettings &settings);
--- a/modules/bulrush_steps/policy/JobRank.cpp
+++ b/modules/bulrush_steps/policy/JobRank.cpp
@@ -31,7 +31,7 @@
 /** The smallest cost of a job that has tasks to start. */
 constexpr double minCost = 0.001;
 
-enum Band : std::uint32_t { MeetsObjective, LateButUseful, TooLate };
+enum Band : std::uint32_t { Starving, MeetsObjective, LateButUseful, TooLate };
 
 /** Returns the assumed chance that a job meets its objective, from minChance to 1. */
 double chanceOf(const WaitingJob &job, Duration end)
@@ -71,6 +71,21 @@
     return { lateBand(job, TooLate), job.priority, cost, -lateSlack };
 }
 
+bool isStarving(const WaitingJob &job)
+{
+    if (job.runsIndefinitely) {
+        return job.waited >= maxDeferral;
+    }
+    const Duration latest = job.fills ? job.objective : job.objective * lateLimitFactor;
+    return !job.hasRuns && job.age + job.remaining > latest;
+}
+
+JobRank starvingRank(const WaitingJob &job)
+{
+    const Duration wait = job.runsIndefinitely ? job.waited : job.age;
+    return { Starving, 0, 0.0, -duration_cast<milliseconds>(wait).count() };
+}
+
 bool isUrgent(const WaitingJob &job)
 {
     const std::chrono::duration<double> slack = job.objective - job.remaining - job.age;
--- a/modules/bulrush_steps/policy/JobRank.h
+++ b/modules/bulrush_steps/policy/JobRank.h
@@ -25,6 +25,10 @@
     Duration objective {};
     /** The share of its tasks that have yet to be started, 0 to 1. */
     double unstartedShare = 1.0;
+    /** Whether its tasks fill. */
+    bool fills = false;
+    /** Whether any of its tasks runs. */
+    bool hasRuns = false;
 };
 
 /** The rank of a waiting job; the smallest rank starts first. */
@@ -60,4 +64,17 @@
 /** Returns whether a job has little slack left before it misses its objective. */
 bool isUrgent(const WaitingJob &job);
 
+/**
+    Returns whether a job's wait must come to an end: it is long-running and has yielded to others
+   for long enough, or none of its tasks runs and it is late if it fills, or else too late.
+
+    Such a job gets the next room that holds one of its tasks, whatever its priority, and room is
+   kept for it when none is free. Each task of a long-running job has this claim, of others the
+   first only.
+*/
+bool isStarving(const WaitingJob &job);
+
+/** Returns the rank of a job that is starving: before all others, the longest wait first. */
+JobRank starvingRank(const WaitingJob &job);
+
 } // namespace bulrush
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/** The share of processor time with which a filling task starts that is beyond its allowed risk, in
+    percent. */
+constexpr std::uint32_t minFillPace = 5;
+
 /** The maximum number of unanswered start requests to one worker. */
 constexpr std::uint32_t maxStartsInFlightPerWorker = 6;
 
@@ -15,10 +19,6 @@
     its tail latency target. */
 constexpr double riskWeight = 5.0;
 
-/** How far ahead the load of serving tasks is predicted, since a filling task keeps running on the
-    worker. */
-constexpr milliseconds riskHorizon { 1000 };
-
 /** How long the expected pressure on a worker's serving tasks is used again. */
 constexpr milliseconds maxPressureAge { 100 };
 
@@ -27,6 +27,11 @@
     them. */
 constexpr double pressureWeight = 2.0;
 
+/** Added to a worker's score for a starving filling task if there are others like it: until the
+   pace of such a task is in force, it slows the serving tasks of its worker, so few workers get
+   them. */
+constexpr double gatheringBonus = 100.0;
+
 /** A filling task starts only on a worker with at least this share of its processors unused. */
 constexpr double minUnusedShare = 0.7;
 
@@ -74,6 +79,12 @@
                                    shareOf(worker, step));
 }
 
+std::uint32_t Placement::paceWithinRisk(Worker &worker, const TaskRequest &request) const
+{
+    const FillImpact impact = this->fillImpact(worker, *request.step);
+    return impact.overTarget <= request.riskAllowed ? fullPace : minFillPace;
+}
+
 bool Placement::isEligible(const Worker &worker, const TaskRequest &request)
 {
     const StepSpec &step = *request.step;
@@ -86,15 +97,18 @@
 
 bool Placement::hasCapacity(const Worker &worker, const TaskRequest &request)
 {
-    const StepSpec &step = *request.step;
-    if (!step.reserved().fitsInto(worker.free())) {
-        return false;
-    }
-    if (step.maxPerWorker == 0) {
+    return worker.hasRoomFor(request.ref, request.step->reserved())
+            && hasSiblingCapacity(worker, request);
+}
+
+bool Placement::hasSiblingCapacity(const Worker &worker, const TaskRequest &request)
+{
+    if (request.step->maxPerWorker == 0) {
         return true;
     }
     const auto siblingCount = request.siblings.find(worker.entry.worker);
-    return siblingCount == request.siblings.end() || siblingCount->second < step.maxPerWorker;
+    return siblingCount == request.siblings.end()
+            || siblingCount->second < request.step->maxPerWorker;
 }
 
 bool Placement::isUsable(const Worker &worker, const TaskRequest &request) const
@@ -121,8 +135,7 @@
     if (!this->isUsable(worker, request)) {
         return WaitReason::Paused;
     }
-    const bool withinLimits =
-            !request.step->fills || this->hasFillCapacity(worker, *request.step);
+    const bool withinLimits = !request.step->fills || this->hasFillCapacity(worker, *request.step);
     return withinLimits ? WaitReason::Risk : WaitReason::FillLimits;
 }
 
@@ -176,10 +189,11 @@
         const double freeShare = worker.shareOf(static_cast<double>(worker.free().cpuMilli));
         return commonScore(worker, request) + (request.apart ? freeShare : -freeShare);
     }
-    if (!this->hasFillCapacity(worker, *request.step)) {
+    if (!request.starving && !this->hasFillCapacity(worker, *request.step)) {
         return std::nullopt;
     }
-    return commonScore(worker, request) + worker.shareOf(unusedFillCpu(worker));
+    const double gathered = request.starving && worker.limitedRuns > 0 ? gatheringBonus : 0.0;
+    return commonScore(worker, request) + worker.shareOf(unusedFillCpu(worker)) + gathered;
 }
 
 std::optional<double> Placement::scoreOf(Worker &worker, const TaskRequest &request) const
@@ -189,7 +203,7 @@
         return bound;
     }
     const FillImpact impact = this->fillImpact(worker, *request.step);
-    if (impact.overTarget > request.riskAllowed) {
+    if (!request.starving && impact.overTarget > request.riskAllowed) {
         return std::nullopt;
     }
     return *bound - riskWeight * impact.overTarget - pressureWeight * impact.addedPressure;
--- a/modules/bulrush_steps/policy/Placement.h
+++ b/modules/bulrush_steps/policy/Placement.h
@@ -10,10 +10,21 @@
 
 namespace bulrush {
 
+/** Limits on the expected number of serving tasks that exceed their tail latency target on the
+    worker of a filling task. The first applies while the filling task can wait, the second when it
+    would otherwise be late. */
+inline constexpr double maxRiskOfDeferrableFill = 0.25;
+inline constexpr double maxRiskOfUrgentFill = 0.5;
+
+/** How far ahead the load of serving tasks is predicted, since a filling task keeps running on the
+    worker. */
+inline constexpr milliseconds riskHorizon { 1000 };
+
 /** The requirements of one task on its worker. */
 struct TaskRequest
 {
     const StepSpec *step = nullptr;
+    StepRef ref;
     ServiceId service;
     /** The number of tasks of the same step and occurrence on each worker that has any. */
     std::map<TargetId, std::uint32_t> siblings;
@@ -24,6 +35,9 @@
     /** For a filling task: the maximum expected number of serving tasks on its worker that exceed
         their tail latency target. */
     double riskAllowed = 0.0;
+    /** Whether a filling task is to start on the worker that suits it best, even if that is beyond
+        the limits that protect serving tasks. @see isStarving */
+    bool starving = false;
     /** For a step that prefers one rack: the rack of its running tasks; empty while none
         runs. */
     std::string rack;
@@ -58,14 +72,21 @@
         compute than all else. */
     std::optional<double> scoreBound(const Worker &worker, const TaskRequest &request) const;
 
-    /** Returns why choose() finds no worker for the task: the reason of the worker that comes closest
-        to accepting it. */
+    /** Returns the share of processor time that a filling task may use from its start on a worker,
+       in percent: all that it demands if it keeps within its allowed risk, else very little. */
+    std::uint32_t paceWithinRisk(Worker &worker, const TaskRequest &request) const;
+
+    /** Returns why choose() finds no worker for the task: the reason of the worker that comes
+       closest to accepting it. */
     WaitReason obstacle(const std::map<TargetId, Worker> &workers,
                         const TaskRequest &request) const;
 
     /** Returns whether the worker could run the task if it were otherwise empty. */
     static bool isEligible(const Worker &worker, const TaskRequest &request);
 
+    /** Returns whether the worker may run one more task of the step. */
+    static bool hasSiblingCapacity(const Worker &worker, const TaskRequest &request);
+
 private:
     static double shareOf(const Worker &worker, const StepSpec &step);
     FillImpact fillImpact(Worker &worker, const StepSpec &step) const;
--- a/modules/bulrush_steps/policy/RunHealth.cpp
+++ b/modules/bulrush_steps/policy/RunHealth.cpp
@@ -35,7 +35,8 @@
 
 bool isStalled(const Worker &worker, const Run &run)
 {
-    const milliseconds span = run.runsIndefinitely ? longRunningStallTimeout : stallTimeout;
+    const milliseconds atFullPace = run.runsIndefinitely ? longRunningStallTimeout : stallTimeout;
+    const milliseconds span = atFullPace * 100 / std::max<std::uint32_t>(1, run.pacePercent);
     return run.progressPercent < completePercent && worker.reportedAt - run.progressedAt >= span;
 }
 
--- a/modules/bulrush_steps/policy/StepPlacement.cpp
+++ b/modules/bulrush_steps/policy/StepPlacement.cpp
@@ -5,15 +5,17 @@
 namespace bulrush {
 
 bool UnplacedStep::rulesOut(const StepSpec &other, const ServiceId &otherService,
-                            double otherRiskAllowed) const
+                            double otherRiskAllowed, bool otherIsStarving) const
 {
     if (this->service != otherService || this->step->fills != other.fills
         || !this->step->size.fitsInto(other.size)) {
         return false;
     }
     // Images interfere to different degrees: another image may find a worker.
-    return !other.fills
-            || (this->step->image == other.image && otherRiskAllowed <= this->riskAllowed);
+    if (!other.fills || this->step->image != other.image) {
+        return !other.fills;
+    }
+    return this->starving || (!otherIsStarving && otherRiskAllowed <= this->riskAllowed);
 }
 
 StepPlacement::StepPlacement(const Placement &placementPolicy, std::map<TargetId, Worker> &workers,
--- a/modules/bulrush_steps/policy/StepPlacement.h
+++ b/modules/bulrush_steps/policy/StepPlacement.h
@@ -13,14 +13,16 @@
     double riskAllowed = 0.0;
     /** The service whose workers were tried. */
     ServiceId service;
+    /** Whether the limits that protect serving tasks did not apply. */
+    bool starving = false;
     /** Why none was found. */
     WaitReason reason = WaitReason::NoWorker;
 
     /** Returns whether the tasks of another step need not be tried because they require at least as
         much as this one, of the same service. Filling steps are compared only within an image:
         images interfere to different degrees, so another image may find a worker. */
-    bool rulesOut(const StepSpec &other, const ServiceId &otherService,
-                  double otherRiskAllowed) const;
+    bool rulesOut(const StepSpec &other, const ServiceId &otherService, double otherRiskAllowed,
+                  bool otherIsStarving = false) const;
 };
 
 /**
--- a/modules/bulrush_steps/tests/placement_test.cpp
+++ b/modules/bulrush_steps/tests/placement_test.cpp
@@ -227,3 +227,33 @@
     worker.committed.memoryMb = 256000;
     cr_assert_not(chosen(), "memory");
 }
+
+/* Room that was kept for one task went to another. */
+Test(Placement, reservedRoomGoesToItsStepAndToWhatFitsBesideIt)
+{
+    const PressureModel model;
+    std::map<TargetId, Worker> workers;
+    workers.emplace(TargetId("a"), makeWorker("a", { makeRun("x", 49000, "") }));
+    Worker &worker = workers.at(TargetId("a"));
+    const StepRef large { JobId("large"), 0, 0 };
+    worker.reservation = StartReservation { large, { 13000, 26000, 0 }, start + hours(1) };
+    StepSpec step;
+    step.size = { 2000, 1000, 0 };
+    TaskRequest request;
+    request.step = &step;
+    request.service = ServiceId("review");
+    const Placement placement(start, model);
+    const auto chosen = [&] { return placement.choose(workers, request) != nullptr; };
+    cr_expect(chosen(), "it fits beside");
+    step.size.cpuMilli = 2001;
+    cr_expect_not(chosen(), "processors");
+    step.size = { 1000, 230000, 0 };
+    cr_expect_not(chosen(), "memory");
+    request.ref = large;
+    step.size = { 13000, 26000, 0 };
+    cr_expect(chosen(), "the room is kept for it");
+    step = makeFillingStep("light");
+    request.ref = {};
+    request.riskAllowed = 1.0;
+    cr_expect(chosen(), "it reserves no processors");
+}
--- a/modules/bulrush_steps/tests/policy_test.cpp
+++ b/modules/bulrush_steps/tests/policy_test.cpp
@@ -290,3 +290,21 @@
     cr_assert_eq(recordRunEnd(worker, true).count(), 2000);
     cr_assert_eq(recordRunEnd(worker, false).count(), 0);
 }
+
+/* A limit of pace was lifted before it was in force, so the run slowed serving tasks at full pace.
+ */
+Test(FillController, aPaceLimitIsLiftedOnlyOnceItIsInForce)
+{
+    FillController control;
+    Run limited = makeFillingRun("f", "light", 0);
+    limited.paceLimit = 5;
+    Worker worker = makeWorker("w", { limited });
+    const std::int64_t demand = worker.fillDemandMilli;
+    cr_assert_eq(demand, limited.fillCpuMilli * 5 / 100, "it demands %ld", demand);
+    control.liftPaceLimits(worker, start, 1.0);
+    cr_assert_eq(worker.runs.begin()->second.paceLimit, 5U);
+    worker.runs.begin()->second.pacePercent = 5;
+    control.liftPaceLimits(worker, start, 1.0);
+    cr_assert_eq(worker.runs.begin()->second.paceLimit, fullPace);
+    cr_assert_eq(worker.fillDemandMilli, limited.fillCpuMilli);
+}
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -27,6 +27,9 @@
     Unconfirmed,
 };
 
+/** The pace of a run that may use all the processor time that it demands, in percent. */
+inline constexpr std::uint32_t fullPace = 100;
+
 /** One attempt that may be alive on a worker. */
 struct Run
 {
@@ -60,10 +63,20 @@
     double load = 0.0;
     milliseconds tailTarget { 0 };
     /** Last requested share of processor time. */
-    std::uint32_t pacePercent = 100;
+    std::uint32_t pacePercent = fullPace;
+    /** The share of processor time that the run may use while no serving task requires less. */
+    std::uint32_t paceLimit = fullPace;
     std::string image;
+    /** Whether this owner has set the pace. The pace of a run that was found is not known before.
+     */
+    bool paceSent = false;
     /** Expected duration of the run on a healthy worker; an estimate. */
     milliseconds expected { 0 };
+
+    bool isLimited() const { return this->paceLimit < fullPace; }
+
+    /** Returns the processors that a filling run may use at its pace limit, in thousandths. */
+    std::int64_t fillDemandMilli() const { return this->fillCpuMilli * this->paceLimit / fullPace; }
 };
 
 /** The expected pressure on a serving run. @see PressureModel::servingPressures */
@@ -77,6 +90,16 @@
     double atTarget = 0.0;
 };
 
+/** Room on a worker that is kept for a task of one step. @see StartReservations */
+struct StartReservation
+{
+    StepRef step;
+    /** What the task reserves. */
+    ResourceVector size;
+    /** When the reservation is given up if the task was not started. */
+    Instant lapsesAt {};
+};
+
 /** A worker and its state as known to the owner. */
 struct Worker
 {
@@ -127,6 +150,9 @@
     std::int64_t fillDemandMilli = 0;
     /** The number of runs that are to be stopped. */
     std::uint32_t stopRequests = 0;
+    /** The number of runs below full pace because they were started beyond the limits that protect
+        serving tasks. */
+    std::uint32_t limitedRuns = 0;
     /** Estimate of the processors available to filling tasks, in thousandths. */
     double availableFillCpuMilli = 0.0;
     /** The pressure on its serving runs, kept between placements; empty when it must be computed.
@@ -144,6 +170,8 @@
     /** Receives no filling tasks before this moment, because a serving task exceeded its
         tail latency target. */
     Instant fillsBlockedUntil {};
+    /** The room that is kept for one task, as soon as it is free; none if none is. */
+    std::optional<StartReservation> reservation;
     /** Moving average of the share of failed runs, 0 to 1. */
     double failureShare = 0.0;
     /** Failed runs since the last successful one. */
@@ -153,7 +181,8 @@
     void addRun(Run run)
     {
         this->committed += run.size;
-        this->fillDemandMilli += run.fillCpuMilli;
+        this->fillDemandMilli += run.fillDemandMilli();
+        this->limitedRuns += run.isLimited() ? 1 : 0;
         this->stopRequests += run.stopRequested ? 1 : 0;
         this->servingPressures.reset();
         const AttemptRef attempt = run.attempt;
@@ -168,7 +197,8 @@
             return;
         }
         this->committed -= found->second.size;
-        this->fillDemandMilli -= found->second.fillCpuMilli;
+        this->fillDemandMilli -= found->second.fillDemandMilli();
+        this->limitedRuns -= found->second.isLimited() ? 1 : 0;
         this->stopRequests -= found->second.stopRequested ? 1 : 0;
         this->servingPressures.reset();
         this->runs.erase(found);
@@ -179,11 +209,21 @@
     {
         this->committed = ResourceVector();
         this->fillDemandMilli = 0;
+        this->limitedRuns = 0;
         this->stopRequests = 0;
         this->servingPressures.reset();
         return std::exchange(this->runs, {});
     }
 
+    /** Lets a run of this worker use all the processor time that it demands. */
+    void liftPaceLimit(Run &run)
+    {
+        this->fillDemandMilli -= run.fillDemandMilli();
+        this->limitedRuns -= run.isLimited() ? 1 : 0;
+        run.paceLimit = fullPace;
+        this->fillDemandMilli += run.fillDemandMilli();
+    }
+
     /** Marks a run of this worker to be stopped. */
     void requestStop(Run &run)
     {
@@ -219,6 +259,16 @@
         room -= this->committed;
         return room;
     }
+
+    /** Returns whether a task of a step has the room that it reserves, beside the task that room is
+        kept for if that is of another step. */
+    bool hasRoomFor(const StepRef &step, const ResourceVector &size) const
+    {
+        if (!this->reservation || this->reservation->step == step) {
+            return size.fitsInto(this->free());
+        }
+        return size.fitsBeside(this->reservation->size, this->free());
+    }
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -379,6 +379,9 @@
             run.phase = RunPhase::Running;
             run.confirmedAt = now;
             run.progressedAt = now;
+            if (run.paceLimit < run.pacePercent) {
+                this->pace(*worker, run, run.paceLimit);
+            }
             this->listener.runConfirmed(run);
         }
         return;
@@ -454,6 +457,7 @@
 void WorkerManager::pace(Worker &worker, Run &run, std::uint32_t percent)
 {
     run.pacePercent = percent;
+    run.paceSent = true;
     worker.servingPressures.reset();
     // The stall time-out starts again, because the run made no progress while it was paused or
     // makes none from now on.
