Give each reason of waiting steps its metric from the start

A family without a series is not shown, so a scrape of a node that was never the owner lacked the metric; now it shows 0 for each reason.

--- a/modules/bulrush_entry/node/EntryMetrics.cpp
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -145,6 +145,7 @@
 EntryMetrics::EntryMetrics()
     : families(std::make_unique<Families>())
 {
+    this->setWaitingSteps({});
 }
 
 EntryMetrics::~EntryMetrics() = default;
