Rank long-running tasks by the wait of each task

Callers saw long-running tasks without a run for 9 to 11 s on a full service, while tasks that had just lost their run got room before them.

Cause: one time a job said since when it waits, and after a change of owner that was the job's acceptance.

Change: each task knows since when it has had no confirmed run (StepTask::waitsSince). A refused or unanswered start does not begin its wait anew. A long-running step ranks by its longest wait, and only those of its tasks that have yielded to others for long enough go before the others. Tasks of jobs known to a former owner count as having yielded already.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -45,7 +45,9 @@
     for (auto &[id, job] : this->jobTable.entries()) {
         job.knownToPreviousOwners = true;
         if (!job.hasEnded()) {
-            this->addWaiting(job, job.acceptedAt);
+            // Its tasks have yielded to others under the former owner.
+            job.waitsSince = std::max(job.acceptedAt, this->clock.now() - maxDeferral);
+            this->addWaiting(job);
         } else if (!job.endStored && !job.cancelled) {
             this->markEndChanged(job);
         }
@@ -109,22 +111,23 @@
         // The record is read as soon as it is stored. Its calendar time is another node's, and this
         // node's may have stepped since.
         job.acceptedAt = this->clock.now();
+        job.waitsSince = job.acceptedAt;
     }
     if (job.cancelled) {
         this->unstarted.erase(*id);
         this->stopRuns(job, "cancelled");
         return;
     }
-    this->addWaiting(job, this->clock.now());
+    this->addWaiting(job);
 }
 
-void Dispatcher::addWaiting(const JobEntry &job, Instant since)
+void Dispatcher::addWaiting(const JobEntry &job)
 {
     if (!job.started) {
         this->unstarted.insert(job.spec.id);
     }
     this->watchService(job);
-    this->planner.markWaiting(job.spec.id, since);
+    this->planner.markWaiting(job.spec.id);
 }
 
 void Dispatcher::stopRuns(const JobEntry &job, std::string_view reason)
@@ -226,6 +229,7 @@
         run.startSentAt = this->clock.now();
         run.stopRequested = job->hasEnded() || task.succeeded;
         ++task.openRuns;
+        task.waitsSince.reset();
         task.lastAttempt = std::max(task.lastAttempt, listed.attempt.attempt);
         job->started = true;
         if (!run.stopRequested) {
@@ -253,6 +257,9 @@
 {
     if (JobEntry *job = this->findJob(run.attempt.task)) {
         this->markStarted(*job);
+        if (job->task(run.attempt.task).waitsSince) {
+            job->changeTask(run.attempt.task).waitsSince.reset();
+        }
     }
 }
 
@@ -261,6 +268,9 @@
     if (task.openRuns > 0) {
         --task.openRuns;
     }
+    if (task.openRuns == 0 && !task.waitsSince) {
+        task.waitsSince = this->clock.now();
+    }
     if (!checkpoint.empty()) {
         task.checkpoint = std::move(checkpoint);
     }
@@ -306,7 +316,7 @@
                 lasted ? CrashSuspects::lastKnownAge(worker, *run) : milliseconds(0);
         this->clearSuspicion(job, end.attempt.task, age);
     }
-    this->planner.markWaiting(job.spec.id, this->clock.now());
+    this->planner.markWaiting(job.spec.id);
     const bool hadEnded = job.hasEnded();
     bool counted = false;
     if (end.kind == EndKind::Succeeded) {
@@ -344,13 +354,13 @@
     return job != nullptr && job->hasTask(task) ? job : nullptr;
 }
 
-void Dispatcher::requeueTask(const Run &run, bool wasAlive)
+void Dispatcher::requeueTask(const Run &run)
 {
     JobEntry *job = this->findJob(run.attempt.task);
     if (job != nullptr) {
         this->closeRun(job->changeTask(run.attempt.task), {});
         job->releaseTask(run.attempt.task);
-        this->planner.markWaiting(job->spec.id, wasAlive ? this->clock.now() : job->acceptedAt);
+        this->planner.markWaiting(job->spec.id);
     }
 }
 
@@ -365,7 +375,7 @@
     if (job != nullptr && CrashSuspects::ageOf(worker, run) == RunAge::Lasted) {
         this->clearSuspicion(*job, run.attempt.task, CrashSuspects::lastKnownAge(worker, run));
     }
-    this->requeueTask(run, true);
+    this->requeueTask(run);
 }
 
 void Dispatcher::clearSuspicion(JobEntry &job, const TaskRef &task, milliseconds age)
@@ -382,7 +392,7 @@
                                   .with("attempt", run.attempt.attempt)
                                   .with("worker", worker.entry.worker.name())
                                   .with("outcome", text(outcome)));
-    this->requeueTask(run, false);
+    this->requeueTask(run);
 }
 
 std::uint64_t Dispatcher::nextAttempt(const StepTask &task) const
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -191,8 +191,7 @@
         bool operator==(const RosterBasis &) const = default;
     };
 
-    /** @param since when its tasks began to wait, at the earliest */
-    void addWaiting(const JobEntry &job, Instant since);
+    void addWaiting(const JobEntry &job);
 
     /** Counts a job's tasks that could start but for former owners. */
     void countHeldTasks(const JobEntry &job, HeldTasks &held) const;
@@ -259,10 +258,8 @@
     /** Returns the job of a task; null when the job is unknown or has no such task. */
     JobEntry *findJob(const TaskRef &task);
 
-    /** Makes the task of a run that is no longer alive available for a new start.
-        @param wasAlive false when no worker began the run, so that the task has waited for its turn
-        already */
-    void requeueTask(const Run &run, bool wasAlive);
+    /** Makes the task of a run that is no longer alive available for a new start. */
+    void requeueTask(const Run &run);
 
     /** Has the end of a job put on record. */
     void markEndChanged(const JobEntry &job);
--- a/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
@@ -36,6 +36,8 @@
     }
     task.lastAttempt = attempt;
     ++task.openRuns;
+    task.waitsSince =
+            task.waitsSince.value_or(job.waitingSince(ref.occurrence, ref.step, this->clock));
     task.apartWaitSince.reset();
     const TargetId &id = worker.entry.worker;
     this->workerManager.reserve(worker, run);
@@ -100,7 +102,7 @@
                                   .with("attempt", attempt.attempt)
                                   .with("worker", worker.entry.worker.name())
                                   .with("outcome", "not sent"));
-    this->requeueTask(*run, false);
+    this->requeueTask(*run);
 }
 
 } // namespace bulrush
--- a/modules/bulrush_steps/dispatch/PlanLane.h
+++ b/modules/bulrush_steps/dispatch/PlanLane.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace bulrush {
@@ -24,17 +25,34 @@
     double riskAllowed = 0.0;
     /** How long it has waited, as LongestWait::age. */
     Duration age {};
+    /** Since when those of its tasks wait that this owner has not started. */
+    Instant waitsSince {};
     /** Whether the wait must come to an end. @see isStarving */
     bool starving = false;
 
     const StepSpec &spec() const { return this->job->spec.steps[this->step]; }
     StepRef ref() const { return { this->job->spec.id, this->occurrence, this->step }; }
 
+    /** Returns how long a task of the step that has no run has waited for one. */
+    Duration waitOf(const StepTask &task, Instant now) const
+    {
+        return now - task.waitsSince.value_or(this->waitsSince);
+    }
+
     /** Returns whether only one task of the step is to be started, and only while none of the job
         runs. */
     bool isForFirstRun() const { return this->starving && !this->spec().runsIndefinitely; }
 };
 
+/** The tasks of a step that wait and may start now. */
+struct WaitingTasks
+{
+    std::uint32_t all = 0;
+    /** Those that have waited for a given time at least. */
+    std::uint32_t longWaiting = 0;
+    Duration longestWait {};
+};
+
 /** The limits of a PlanLane. */
 struct PlanLimits
 {
@@ -58,8 +76,8 @@
     bool fills = false;
     PlanLimits limits;
 
-    /** Jobs that may have tasks to start, with the time since when. */
-    std::map<JobId, Instant> waiting;
+    /** Jobs that may have tasks to start. */
+    std::set<JobId> waiting;
     /** The steps that have tasks to start, in the order of their ranks. */
     std::vector<PlanCandidate> queue;
     /** Of each service, the starving step of a job that ends which has waited longest. Used while
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -3,6 +3,8 @@
 #include "bulrush_steps/policy/CrashSuspects.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace bulrush {
 
@@ -18,6 +20,9 @@
    is down. */
 constexpr std::uint32_t maxUnsentStarts = 48;
 
+/** Maximum number of long-running tasks of a step that a round tries to start by their waits. */
+constexpr std::size_t maxLongestWaiting = 64;
+
 } // namespace
 
 Planner::Planner(const Clock &systemClock, StepJobTable &jobTable, WorkerManager &workerManager,
@@ -36,10 +41,10 @@
     this->lanes.back().fills = true;
 }
 
-void Planner::markWaiting(const JobId &job, Instant since)
+void Planner::markWaiting(const JobId &job)
 {
     for (PlanLane &lane : this->lanes) {
-        lane.waiting.try_emplace(job, since);
+        lane.waiting.insert(job);
     }
 }
 
@@ -75,13 +80,12 @@
 }
 
 WaitingJob Planner::describeWaiting(const PlanLane &lane, const JobEntry &job,
-                                    std::uint32_t occurrence, Instant since, Instant now) const
+                                    std::uint32_t occurrence) const
 {
     WaitingJob waitingJob;
     waitingJob.priority = job.spec.priority;
     waitingJob.runsIndefinitely = job.spec.runsIndefinitely();
     waitingJob.age = job.ageOf(occurrence, this->clock);
-    waitingJob.waited = now - since;
     waitingJob.remaining = this->durations.remainingPath(job, occurrence);
     waitingJob.objective = this->durations.objective(job.spec);
     waitingJob.unstartedShare = unstartedShare(job, occurrence);
@@ -119,10 +123,9 @@
     lane.unplacedCount = 0;
     lane.longestStarving.clear();
     for (auto at = lane.waiting.begin(); at != lane.waiting.end();) {
-        JobEntry *job = this->jobs.find(at->first);
+        JobEntry *job = this->jobs.find(*at);
         const bool open = job != nullptr && !job->hasEnded()
-                && (!this->listener.mayStart(*job)
-                    || this->addCandidates(lane, *job, at->second, now));
+                && (!this->listener.mayStart(*job) || this->addCandidates(lane, *job, now));
         at = open ? std::next(at) : lane.waiting.erase(at);
     }
     this->giveTurns(lane, now);
@@ -132,7 +135,7 @@
     lane.nextRanking = now + lane.limits.rankInterval;
 }
 
-bool Planner::addCandidates(PlanLane &lane, JobEntry &job, Instant since, Instant now)
+bool Planner::addCandidates(PlanLane &lane, JobEntry &job, Instant now)
 {
     bool found = false;
     for (std::uint32_t occurrence = job.occurrences.firstOpen();
@@ -145,25 +148,69 @@
             continue;
         }
         found = true;
-        const WaitingJob described = this->describeWaiting(lane, job, occurrence, since, now);
-        const JobRank rank = rankOf(described);
-        const double risk = isUrgent(described) ? maxRiskOfUrgentFill : maxRiskOfDeferrableFill;
-        const Duration age = described.runsIndefinitely ? described.waited : described.age;
+        const WaitingJob described = this->describeWaiting(lane, job, occurrence);
         for (const std::uint32_t step : steps) {
-            PlanCandidate candidate { &job, occurrence, step, rank, risk, age };
-            WaitingJob asStep = described;
-            asStep.runsIndefinitely = job.spec.steps[step].runsIndefinitely;
-            candidate.starving = isStarving(asStep);
-            if (!candidate.starving) {
-                lane.queue.push_back(candidate);
-                continue;
-            }
-            this->addStarving(lane, candidate, starvingRank(asStep), now);
+            PlanCandidate candidate;
+            candidate.job = &job;
+            candidate.occurrence = occurrence;
+            candidate.step = step;
+            this->addCandidate(lane, described, candidate, now);
         }
     }
     return found;
 }
 
+void Planner::addCandidate(PlanLane &lane, WaitingJob described, PlanCandidate candidate,
+                           Instant now)
+{
+    const StepSpec &spec = candidate.spec();
+    candidate.waitsSince =
+            candidate.job->waitingSince(candidate.occurrence, candidate.step, this->clock);
+    WaitingTasks waiting;
+    if (spec.runsIndefinitely) {
+        waiting = this->waitingTasks(candidate, maxDeferral, now);
+    }
+    described.waited = spec.runsIndefinitely ? waiting.longestWait : now - candidate.waitsSince;
+    candidate.rank = rankOf(described);
+    candidate.riskAllowed = isUrgent(described) ? maxRiskOfUrgentFill : maxRiskOfDeferrableFill;
+    candidate.age = described.runsIndefinitely ? described.waited : described.age;
+    described.runsIndefinitely = spec.runsIndefinitely;
+    candidate.starving = isStarving(described);
+    if (!candidate.starving) {
+        lane.queue.push_back(candidate);
+        return;
+    }
+    if (spec.runsIndefinitely && waiting.all > waiting.longWaiting) {
+        // Those of its tasks that have not waited for long yield to others.
+        PlanCandidate others = candidate;
+        others.starving = false;
+        WaitingJob yielding = described;
+        yielding.waited = Duration::zero();
+        others.rank = rankOf(yielding);
+        lane.queue.push_back(others);
+    }
+    this->addStarving(lane, candidate, starvingRank(described), now);
+}
+
+WaitingTasks Planner::waitingTasks(const PlanCandidate &candidate, Duration longWait,
+                                   Instant now) const
+{
+    const JobEntry &job = *candidate.job;
+    const StepSpec &step = candidate.spec();
+    const OccurrenceState &state = job.occurrences.at(candidate.occurrence);
+    WaitingTasks waiting;
+    state.steps[candidate.step].tasks.forEachOpen([&](std::uint32_t, const StepTask &task) {
+        if (!this->listener.mayStart(job, step, task)) {
+            return;
+        }
+        const Duration wait = candidate.waitOf(task, now);
+        ++waiting.all;
+        waiting.longWaiting += wait >= longWait ? 1 : 0;
+        waiting.longestWait = std::max(waiting.longestWait, wait);
+    });
+    return waiting;
+}
+
 std::vector<std::uint32_t> Planner::openSteps(const PlanLane &lane, const JobEntry &job,
                                               std::uint32_t occurrence)
 {
@@ -214,11 +261,14 @@
     return request;
 }
 
-std::vector<std::uint32_t> Planner::tasksToStart(const PlanCandidate &candidate) const
+std::vector<std::uint32_t> Planner::tasksToStart(const PlanCandidate &candidate, Instant now) const
 {
     const JobEntry &job = *candidate.job;
     const StepSpec &step = candidate.spec();
     const TaskStates &tasks = job.occurrences.at(candidate.occurrence).steps[candidate.step].tasks;
+    if (candidate.starving && step.runsIndefinitely && !step.gang) {
+        return this->longestWaiting(candidate, now);
+    }
     std::vector<std::uint32_t> indices;
     tasks.forEachOpen([&](std::uint32_t index, const StepTask &task) {
         if (this->listener.mayStart(job, step, task)) {
@@ -228,9 +278,30 @@
     return indices;
 }
 
+std::vector<std::uint32_t> Planner::longestWaiting(const PlanCandidate &candidate,
+                                                   Instant now) const
+{
+    const JobEntry &job = *candidate.job;
+    const StepSpec &step = candidate.spec();
+    const TaskStates &tasks = job.occurrences.at(candidate.occurrence).steps[candidate.step].tasks;
+    std::vector<std::pair<Duration, std::uint32_t>> waits;
+    tasks.forEachOpen([&](std::uint32_t index, const StepTask &task) {
+        const Duration wait = candidate.waitOf(task, now);
+        if (wait >= maxDeferral && this->listener.mayStart(job, step, task)) {
+            waits.emplace_back(-wait, index);
+        }
+    });
+    const auto count = static_cast<std::ptrdiff_t>(std::min(waits.size(), maxLongestWaiting));
+    std::partial_sort(waits.begin(), waits.begin() + count, waits.end());
+    std::vector<std::uint32_t> indices;
+    std::transform(waits.begin(), waits.begin() + count, std::back_inserter(indices),
+                   [](const auto &each) { return each.second; });
+    return indices;
+}
+
 bool Planner::planStep(const PlanLane &lane, const PlanCandidate &candidate, Instant now)
 {
-    const std::vector<std::uint32_t> indices = this->tasksToStart(candidate);
+    const std::vector<std::uint32_t> indices = this->tasksToStart(candidate, now);
     if (indices.empty()) {
         return true;
     }
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -79,9 +79,8 @@
 
     void configure(const ServingConfig &serving) { this->config = serving; }
 
-    /** Considers a job, which may have tasks to start, from now on.
-        @param since when its tasks began to wait */
-    void markWaiting(const JobId &job, Instant since);
+    /** Considers a job, which may have tasks to start, from now on. */
+    void markWaiting(const JobId &job);
 
     /** Discards all jobs. */
     void clear();
@@ -105,8 +104,14 @@
     WaitReason countUnplaced(PlanLane &lane, const PlanCandidate &candidate, Instant now);
     bool planStep(const PlanLane &lane, const PlanCandidate &candidate, Instant now);
 
-    /** Returns the tasks of a step that are to be started and may start now. */
-    std::vector<std::uint32_t> tasksToStart(const PlanCandidate &candidate) const;
+    /** Returns the tasks of a step that are to be started and may start now; of a long-running step
+        that is starving, those that have yielded for long enough, the longest wait first. */
+    std::vector<std::uint32_t> tasksToStart(const PlanCandidate &candidate, Instant now) const;
+    std::vector<std::uint32_t> longestWaiting(const PlanCandidate &candidate, Instant now) const;
+
+    /** Counts the tasks of a step that wait and may start now.
+        @param longWait see WaitingTasks::longWaiting */
+    WaitingTasks waitingTasks(const PlanCandidate &candidate, Duration longWait, Instant now) const;
 
     /** Returns whether any task of an occurrence runs. */
     static bool hasRuns(const JobEntry &job, std::uint32_t occurrence);
@@ -121,7 +126,7 @@
     void addStarving(PlanLane &lane, PlanCandidate candidate, const JobRank &rank, Instant now);
 
     /** Returns whether a task of a starving job that ends could start. */
-    bool mayTakeTurn(const PlanCandidate &candidate, const ServiceId &service) const;
+    bool mayTakeTurn(const PlanCandidate &candidate, const ServiceId &service, Instant now) const;
 
     /** Returns whether a job has had the turn of a service for a time without a start. */
     bool hadTurnInVain(const PlanCandidate &candidate, const ServiceId &service, Instant now) const;
@@ -143,15 +148,19 @@
 
     /** Adds the steps of a job that have tasks to start to the queue of a lane.
         @returns whether the job has such a step, or an occurrence that is not due yet */
-    bool addCandidates(PlanLane &lane, JobEntry &job, Instant since, Instant now);
+    bool addCandidates(PlanLane &lane, JobEntry &job, Instant now);
+
+    /** Adds a step to the queue of a lane.
+        @param described the job and occurrence that it belongs to */
+    void addCandidate(PlanLane &lane, WaitingJob described, PlanCandidate candidate, Instant now);
 
     /** Returns the steps of an occurrence that a lane plans, that may start and that have tasks to
         start. */
     static std::vector<std::uint32_t> openSteps(const PlanLane &lane, const JobEntry &job,
                                                 std::uint32_t occurrence);
 
-    WaitingJob describeWaiting(const PlanLane &lane, const JobEntry &job, std::uint32_t occurrence,
-                               Instant since, Instant now) const;
+    WaitingJob describeWaiting(const PlanLane &lane, const JobEntry &job,
+                               std::uint32_t occurrence) const;
 
     /** Returns the share of the tasks of an occurrence that neither run nor have succeeded. */
     static double unstartedShare(const JobEntry &job, std::uint32_t occurrence);
--- a/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
+++ b/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
@@ -40,7 +40,7 @@
     // Jobs that are too late are many under overload. They take turns with one run at a time, so
     // that the others keep the order that serves most of them.
     const ServiceId service = this->serviceOf(*candidate.job);
-    if (this->hasFirstRun(service) || !this->mayTakeTurn(candidate, service)) {
+    if (this->hasFirstRun(service) || !this->mayTakeTurn(candidate, service, now)) {
         return;
     }
     candidate.rank = rank;
@@ -55,9 +55,10 @@
     }
 }
 
-bool Planner::mayTakeTurn(const PlanCandidate &candidate, const ServiceId &service) const
+bool Planner::mayTakeTurn(const PlanCandidate &candidate, const ServiceId &service,
+                          Instant now) const
 {
-    if (this->tasksToStart(candidate).empty()) {
+    if (this->tasksToStart(candidate, now).empty()) {
         return false;
     }
     TaskRequest request;
@@ -117,8 +118,10 @@
         return;
     }
     const std::uint32_t reserved = this->reservations.countOf(candidate.ref());
-    const bool all = candidate.spec().runsIndefinitely || candidate.spec().gang;
-    const auto wanted = all ? static_cast<std::uint32_t>(this->tasksToStart(candidate).size()) : 1U;
+    const StepSpec &spec = candidate.spec();
+    const WaitingTasks waiting = this->waitingTasks(candidate, maxDeferral, now);
+    const std::uint32_t ofGang = spec.gang ? waiting.all : 1U;
+    const std::uint32_t wanted = spec.runsIndefinitely && !spec.gang ? waiting.longWaiting : ofGang;
     if (reserved < wanted) {
         this->reservations.reserve(this->makeTaskRequest(candidate), wanted - reserved, now);
     }
--- a/modules/bulrush_steps/model/StepJobTable.cpp
+++ b/modules/bulrush_steps/model/StepJobTable.cpp
@@ -66,6 +66,20 @@
     return this->occurrences.change(ref.occurrence).steps.at(ref.step).tasks.change(ref.index);
 }
 
+Instant JobEntry::waitingSince(std::uint32_t occurrence, std::uint32_t step,
+                               const Clock &clock) const
+{
+    Instant since = this->waitsSince;
+    if (this->spec.timed) {
+        since = std::max(since, clock.now() - this->ageOf(occurrence, clock));
+    }
+    const std::vector<StepState> &states = this->occurrences.at(occurrence).steps;
+    for (const std::uint32_t before : this->spec.steps[step].dependsOn) {
+        since = std::max(since, states[before].endedAt.value_or(since));
+    }
+    return since;
+}
+
 void JobEntry::releaseEnded()
 {
     this->spec.payload = {};
--- a/modules/bulrush_steps/model/StepJobTable.h
+++ b/modules/bulrush_steps/model/StepJobTable.h
@@ -28,6 +28,8 @@
     bool knownToPreviousOwners = false;
     /** The time of acceptance on this process's clock. */
     Instant acceptedAt {};
+    /** Since when those of its tasks count as waiting that this owner has not started. */
+    Instant waitsSince {};
     bool cancelled = false;
     bool succeeded = false;
     bool failed = false;
@@ -60,6 +62,16 @@
     /** Returns the state of a task to change. The reference is valid until releaseTask(). */
     StepTask &changeTask(const TaskRef &ref);
 
+    /** Returns since when those tasks of a step count as waiting that this owner has not started:
+       not before its occurrence was due and the steps before it ended. */
+    Instant waitingSince(std::uint32_t occurrence, std::uint32_t step, const Clock &clock) const;
+
+    /** Returns how long a task has waited that this owner has started before. */
+    Duration waitOf(const StepTask &task, Instant now) const
+    {
+        return now - task.waitsSince.value_or(this->waitsSince);
+    }
+
     /** Drops the state of a task that has succeeded and has no run. */
     void releaseTask(const TaskRef &ref) { this->occurrences.release(ref); }
 
--- a/modules/bulrush_steps/model/TaskStates.h
+++ b/modules/bulrush_steps/model/TaskStates.h
@@ -35,6 +35,9 @@
     std::optional<Instant> apartWaitSince;
     /** The number of runs that may be alive. */
     std::uint32_t openRuns = 0;
+    /** Since when the task has had no run that a worker confirmed; none while it has one, and
+       before its first start under this owner. @see JobEntry::waitOf */
+    std::optional<Instant> waitsSince;
     /** The worker on which a run of a long-running task may be alive, as on record or about to be.
         Any earlier run is no longer alive when the task is assigned to another worker. */
     std::optional<TargetId> assignedTo;
--- a/modules/bulrush_steps/policy/JobRank.cpp
+++ b/modules/bulrush_steps/policy/JobRank.cpp
@@ -10,10 +10,6 @@
     it little. */
 constexpr double deferredCost = 1000.0;
 
-/** A long-running task yields to short tasks for no longer than this, so that a constant supply of
-    short tasks cannot starve it. */
-constexpr milliseconds maxDeferral { 1500 };
-
 /** A job is urgent when its slack is less than this share of its objective. */
 constexpr double urgentSlackShare = 0.3;
 
--- a/modules/bulrush_steps/policy/JobRank.h
+++ b/modules/bulrush_steps/policy/JobRank.h
@@ -10,6 +10,10 @@
 /** Up to this multiple of its objective, its late limit, a late job still has some value. */
 inline constexpr int lateLimitFactor = 3;
 
+/** A long-running task yields to short tasks for no longer than this, so that a constant supply of
+    short tasks cannot starve it. */
+inline constexpr milliseconds maxDeferral { 1500 };
+
 /** The properties of a waiting job that determine its rank. */
 struct WaitingJob
 {
@@ -17,7 +21,7 @@
     bool runsIndefinitely = false;
     /** Time since the job was accepted, or since its occurrence was due. */
     Duration age {};
-    /** Time since tasks of the job began to wait for a start. */
+    /** Of a long-running step: how long the task has waited that waits longest. */
     Duration waited {};
     /** Expected time until the last task of the job ends, if the job started now. */
     Duration remaining {};
