Log and count how long tasks wait for room, and what becomes of reservations

From the logs one could not tell whether room was expected for a task that waits, whether its reservation was used or lapsed, who holds the processors, how many starts wait for the record of their assignment, and what the task that waits longest needs.

Change, with no change of what is decided: - E1611: `reserved`, and `waited_ms` for long-running tasks and for those that had a run before. - E1635: reservations made, used, lapsed and dropped in that second, `long_cpu`, `ending_cpu`, `leaving_workers`, `unsent_starts`. - E1647: `longest_cpu`, `longest_memory` and `expected_room_ms`, computed once a second for the longest wait of each planning lane. - bulrush_entry_restart_wait_seconds and bulrush_entry_reservations_total. The runs of all workers are looked at once a second, with the load line.

--- a/modules/bulrush_entry/node/EntryMetrics.cpp
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -28,6 +28,9 @@
 const prometheus::Histogram::BucketBoundaries secondsBuckets { 0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
                                                                0.2,   0.5,   1.0,  2.0,  5.0 };
 
+const prometheus::Histogram::BucketBoundaries restartBuckets { 0.1, 0.2, 0.5, 1.0,  2.0,  3.0, 4.0,
+                                                               5.0, 6.0, 9.0, 12.0, 20.0, 30.0 };
+
 double toSeconds(Duration span)
 {
     return std::chrono::duration<double>(span).count();
@@ -94,6 +97,20 @@
                     .Help("Time from a job's acceptance to the start of its first task")
                     .Register(registry)
                     .Add({}, secondsBuckets);
+    prometheus::Histogram &restartWaitSeconds =
+            prometheus::BuildHistogram()
+                    .Name("bulrush_entry_restart_wait_seconds")
+                    .Help("Time that tasks of long-running steps waited for their next run")
+                    .Register(registry)
+                    .Add({}, restartBuckets);
+    prometheus::Family<prometheus::Counter> &reservations =
+            prometheus::BuildCounter()
+                    .Name("bulrush_entry_reservations_total")
+                    .Help("Reservations of room for starving tasks by outcome")
+                    .Register(registry);
+    prometheus::Counter &usedReservations = reservations.Add({ { "outcome", "used" } });
+    prometheus::Counter &lapsedReservations = reservations.Add({ { "outcome", "lapsed" } });
+    prometheus::Counter &droppedReservations = reservations.Add({ { "outcome", "dropped" } });
     prometheus::Family<prometheus::Histogram> &jobSeconds =
             prometheus::BuildHistogram()
                     .Name("bulrush_entry_job_seconds")
@@ -191,6 +208,18 @@
     this->families->jobWaitSeconds.Observe(toSeconds(waited));
 }
 
+void EntryMetrics::recordRestartWait(Duration waited)
+{
+    this->families->restartWaitSeconds.Observe(toSeconds(waited));
+}
+
+void EntryMetrics::recordReservations(const ReservationCounts &more)
+{
+    this->families->usedReservations.Increment(static_cast<double>(more.used));
+    this->families->lapsedReservations.Increment(static_cast<double>(more.lapsed));
+    this->families->droppedReservations.Increment(static_cast<double>(more.dropped));
+}
+
 void EntryMetrics::recordJobEnd(JobState state, Duration elapsed)
 {
     this->families->jobSeconds
--- a/modules/bulrush_entry/node/EntryMetrics.h
+++ b/modules/bulrush_entry/node/EntryMetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrush_entry/front/CallerTypes.h"
+#include "bulrush_steps/dispatch/ReservationCounts.h"
 #include "bulrush_steps/dispatch/WaitCensus.h"
 #include "bulrush_steps/ownership/TakeoverWait.h"
 #include "bulrush_steps/ports/KeyedLog.h"
@@ -31,6 +32,12 @@
     /** Records the start of a job's first task. @param waited time since the job was accepted */
     void recordJobStart(Duration waited);
 
+    /** Records how long a task of a long-running step waited for its next run. */
+    void recordRestartWait(Duration waited);
+
+    /** Records what became of reservations of room. @param more since the last call */
+    void recordReservations(const ReservationCounts &more);
+
     /** Records a job's end after it was stored in the log.
         @param elapsed time since the job was accepted */
     void recordJobEnd(JobState state, Duration elapsed);
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -151,6 +151,7 @@
     this->nextLoadReport = now + loadReportInterval;
     const DispatchLoad load = this->dispatcher.load();
     const PlanLoad before = std::exchange(this->reportedPlan, load.plan);
+    const ReservationCounts reservations = load.plan.reservations.since(before.reservations);
     const auto lateMillis = toMillis(this->longestTickDelay);
     this->longestTickDelay = Duration::zero();
     this->decisions.write(
@@ -161,8 +162,16 @@
                     .with("waiting_fills", load.plan.waitingFills)
                     .with("unplaced_steps", load.plan.unplacedSteps)
                     .with("reserved_workers", load.plan.reservedWorkers)
+                    .with("reservations_made", reservations.made)
+                    .with("reservations_used", reservations.used)
+                    .with("reservations_lapsed", reservations.lapsed)
+                    .with("reservations_dropped", reservations.dropped)
+                    .with("unsent_starts", load.unsentStarts)
+                    .with("leaving_workers", load.leavingWorkers)
                     .with("runs", load.runs)
                     .with("free_cpu", percentOf(load.free.cpuMilli, load.capacity.cpuMilli))
+                    .with("long_cpu", percentOf(load.longRunningCpuMilli, load.capacity.cpuMilli))
+                    .with("ending_cpu", percentOf(load.endingCpuMilli, load.capacity.cpuMilli))
                     .with("free_memory", percentOf(load.free.memoryMb, load.capacity.memoryMb))
                     .with("starts", load.plan.starts - before.starts)
                     .with("rounds", load.plan.rounds - before.rounds)
@@ -171,6 +180,7 @@
                           toMillis(load.plan.reservingTime - before.reservingTime))
                     .with("planning_filling_ms",
                           toMillis(load.plan.fillingTime - before.fillingTime)));
+    this->metrics.recordReservations(reservations);
     this->reportWaits(load.plan.waits);
     this->metrics.setServedShares(servedShares(load.queues));
 }
@@ -186,9 +196,16 @@
         const auto reason = static_cast<WaitReason>(index);
         line.with(text(reason), waits.count(reason));
     }
-    this->decisions.write(line.with("longest_job", waits.longest()->job.name())
-                                  .with("longest_ms", toMillis(waits.longest()->age))
-                                  .with("longest_reason", text(waits.longest()->reason)));
+    const LongestWait &longest = *waits.longest();
+    constexpr std::int64_t notExpected = -1;
+    this->decisions.write(line.with("longest_job", longest.job.name())
+                                  .with("longest_ms", toMillis(longest.age))
+                                  .with("longest_reason", text(longest.reason))
+                                  .with("longest_cpu", longest.size.cpuMilli)
+                                  .with("longest_memory", longest.size.memoryMb)
+                                  .with("expected_room_ms",
+                                        longest.roomExpectedIn ? toMillis(*longest.roomExpectedIn)
+                                                               : notExpected));
 }
 
 void EntryNode::configChanged()
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -80,6 +80,10 @@
     void superseded(std::string_view by) override;
     bool isOwner() const override { return this->ownership.isOwner(); }
     void jobStarted(Duration waited) override { this->metrics.recordJobStart(waited); }
+    void longRunningTaskStarted(Duration waited) override
+    {
+        this->metrics.recordRestartWait(waited);
+    }
     void jobEnded(JobState state, Duration elapsed) override
     {
         this->metrics.recordJobEnd(state, elapsed);
--- a/modules/bulrush_entry/tests/entry_metrics_test.cpp
+++ b/modules/bulrush_entry/tests/entry_metrics_test.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <stdexcept>
+#include <string>
 
 using namespace bulrush;
 
@@ -17,3 +18,32 @@
                            std::out_of_range);
     }
 }
+
+/* Of the waits of long-running tasks it was not known how many were beyond what callers bear. */
+Test(EntryMetrics, tellsRestartWaitsOfSixSecondsFromLongerOnes)
+{
+    EntryMetrics metrics;
+    metrics.recordRestartWait(milliseconds(2900));
+    metrics.recordRestartWait(milliseconds(5900));
+    metrics.recordRestartWait(milliseconds(6100));
+    metrics.recordRestartWait(milliseconds(29000));
+    const std::string text = metrics.text();
+    const std::string bucket = "bulrush_entry_restart_wait_seconds_bucket{le=";
+    for (const char *line : { "\"3\"} 1\n", "\"6\"} 2\n", "\"9\"} 3\n", "\"30\"} 4\n" }) {
+        cr_expect(text.find(bucket + line) != std::string::npos, "no %s in %s", line, text.c_str());
+    }
+}
+
+/* An outcome that has not occurred yet had no series, so that its rate could not be watched. */
+Test(EntryMetrics, countsReservationsOfEachOutcome)
+{
+    EntryMetrics metrics;
+    const std::string total = "bulrush_entry_reservations_total{outcome=";
+    cr_expect(metrics.text().find(total + "\"lapsed\"} 0\n") != std::string::npos);
+    metrics.recordReservations({ 9, 1, 2, 3 });
+    metrics.recordReservations({ 9, 1, 2, 3 });
+    const std::string text = metrics.text();
+    for (const char *line : { "\"used\"} 2\n", "\"lapsed\"} 4\n", "\"dropped\"} 6\n" }) {
+        cr_expect(text.find(total + line) != std::string::npos, "no %s in %s", line, text.c_str());
+    }
+}
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -257,9 +257,14 @@
 {
     if (JobEntry *job = this->findJob(run.attempt.task)) {
         this->markStarted(*job);
-        if (job->task(run.attempt.task).waitsSince) {
-            job->changeTask(run.attempt.task).waitsSince.reset();
+        const StepTask &task = job->task(run.attempt.task);
+        if (!task.waitsSince) {
+            return;
         }
+        if (run.runsIndefinitely) {
+            this->listener.longRunningTaskStarted(job->waitOf(task, this->clock.now()));
+        }
+        job->changeTask(run.attempt.task).waitsSince.reset();
     }
 }
 
@@ -409,6 +414,14 @@
             }));
 }
 
+void Dispatcher::addReserved(DispatchLoad &load, const Worker &worker)
+{
+    for (const auto &[attempt, run] : worker.runs) {
+        (run.runsIndefinitely ? load.longRunningCpuMilli : load.endingCpuMilli) +=
+                run.size.cpuMilli;
+    }
+}
+
 DispatchLoad Dispatcher::load() const
 {
     DispatchLoad load;
@@ -416,11 +429,14 @@
     load.queues = this->queueReports;
     load.openStarts = this->workerManager.startWindow(false).open()
             + this->workerManager.startWindow(true).open();
+    load.unsentStarts = this->assignedStarts.count(false) + this->assignedStarts.count(true);
     for (const auto &[id, worker] : this->workerManager.workers()) {
         load.runs += worker.runs.size();
+        load.leavingWorkers += worker.listed && worker.entry.draining ? 1 : 0;
         if (worker.listed && !worker.entry.draining && worker.confirmed) {
             load.capacity += worker.entry.capacity;
             load.free += worker.free();
+            addReserved(load, worker);
         }
     }
     return load;
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -31,6 +31,14 @@
     /** The capacity of all workers that take tasks, and the part of it that is not reserved. */
     ResourceVector capacity;
     ResourceVector free;
+    /** The processors of these workers that long-running runs reserve, and those that runs reserve
+        which end by themselves, in thousandths. */
+    std::int64_t longRunningCpuMilli = 0;
+    std::int64_t endingCpuMilli = 0;
+    /** Workers that take no new tasks because they drain. */
+    std::size_t leavingWorkers = 0;
+    /** Starts that wait for the record of their assignment. */
+    std::uint32_t unsentStarts = 0;
     /** How the queues were served when they were last judged. */
     std::vector<QueueReport> queues;
 };
@@ -73,6 +81,10 @@
         /** Called when the first task of a job is started. @param waited time since acceptance */
         virtual void jobStarted(Duration /*waited*/) { }
 
+        /** Called when a worker has confirmed the run of a task of a long-running step.
+            @param waited time since its last run, or since the acceptance of its job */
+        virtual void longRunningTaskStarted(Duration /*waited*/) { }
+
         /** Called when the success or failure of a job is persisted.
             @param took time since acceptance */
         virtual void jobEnded(JobState /*state*/, Duration /*took*/) { }
@@ -180,7 +192,7 @@
         return this->assignedStarts.count(fills);
     }
     void startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt,
-                   std::uint32_t paceLimit) override;
+                   std::uint32_t paceLimit, bool roomReserved) override;
 
     /** What the roster depends on. */
     struct RosterBasis
@@ -235,6 +247,9 @@
         @param age of the run that shows it */
     void clearSuspicion(JobEntry &job, const TaskRef &task, milliseconds age);
 
+    /** Adds what the runs of a worker reserve to the load. */
+    static void addReserved(DispatchLoad &load, const Worker &worker);
+
     /** Has a job counted when it passes its late limit. */
     void watchService(const JobEntry &job);
     ServedJob describeService(const JobEntry &job) const;
--- a/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
@@ -25,11 +25,12 @@
 }
 
 void Dispatcher::startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt,
-                           std::uint32_t paceLimit)
+                           std::uint32_t paceLimit, bool roomReserved)
 {
     StepTask &task = job.changeTask(ref);
     Run run = this->describeRun(job, { ref, attempt });
     run.paceLimit = paceLimit;
+    run.roomReserved = roomReserved;
     ++job.startedRuns;
     if (task.lastAttempt == 0) {
         job.recordFirstStart(ref, this->clock.now());
@@ -58,15 +59,21 @@
     if (task.startedApart) {
         CrashSuspects::setApart(worker, run.attempt, this->clock.now());
     }
-    this->decisions.write(
-            DecisionLine(Event::TaskStarted)
-                    .with("task", text(run.attempt.task))
-                    .with("attempt", run.attempt.attempt)
-                    .with("worker", worker.entry.worker.name())
-                    .with("free_cpu", worker.free().cpuMilli + run.size.cpuMilli)
-                    .with("fill_room", static_cast<std::int64_t>(worker.availableFillCpuMilli))
-                    .with("pace_limit", run.paceLimit)
-                    .with("resumes", !task.checkpoint.empty()));
+    DecisionLine line(Event::TaskStarted);
+    line.with("task", text(run.attempt.task))
+            .with("attempt", run.attempt.attempt)
+            .with("worker", worker.entry.worker.name())
+            .with("free_cpu", worker.free().cpuMilli + run.size.cpuMilli)
+            .with("fill_room", static_cast<std::int64_t>(worker.availableFillCpuMilli))
+            .with("pace_limit", run.paceLimit)
+            .with("resumes", !task.checkpoint.empty())
+            .with("reserved", run.roomReserved);
+    // The first run of a task that ends may also have waited for the steps that it depends on.
+    if (run.runsIndefinitely || task.waitsSince != job.waitsSince) {
+        const Duration waited = job.waitOf(task, this->clock.now());
+        line.with("waited_ms", duration_cast<milliseconds>(waited).count());
+    }
+    this->decisions.write(line);
     this->workerManager.startReserved(worker, run, job.spec, task.checkpoint);
 }
 
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -70,6 +70,7 @@
 {
     PlanLoad load = this->counters;
     load.reservedWorkers = this->reservations.size();
+    load.reservations = this->reservations.outcomes();
     load.waitingJobs = this->lanes.front().waiting.size();
     load.waitingFills = this->lanes.back().waiting.size();
     for (const PlanLane &lane : this->lanes) {
@@ -115,7 +116,7 @@
 
 void Planner::rankWaiting(PlanLane &lane, Instant now)
 {
-    turnCensus(lane, now);
+    this->turnCensus(lane, now);
     turnReservations(lane, now);
     lane.queue.clear();
     lane.next = 0;
@@ -230,8 +231,8 @@
                     std::uint32_t paceLimit)
 {
     ++this->counters.starts;
-    this->reservations.started(task.stepRef(), worker);
-    this->listener.startTask(job, task, worker, attempt, paceLimit);
+    const bool roomReserved = this->reservations.started(task.stepRef(), worker);
+    this->listener.startTask(job, task, worker, attempt, paceLimit, roomReserved);
 }
 
 ServiceId Planner::serviceOf(const JobEntry &job) const
@@ -470,7 +471,7 @@
         this->reserveRoom(lane, candidate, now);
         ++lane.unplacedCount;
         if (lane.openCensus) {
-            lane.openCensus->add(ruledOutBy->reason, candidate.job->spec.id, candidate.age);
+            lane.openCensus->add(ruledOutBy->reason, candidate.ref(), candidate.age);
         }
         return;
     }
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -26,6 +26,8 @@
     WaitCensus waits;
     /** Workers with room that is kept for starving tasks. */
     std::size_t reservedWorkers = 0;
+    /** The reservations of such room since the start of the process. */
+    ReservationCounts reservations;
     /** Rounds of planning, their durations by lane, and the starts that they made, since the start
         of the process. */
     std::uint64_t rounds = 0;
@@ -69,9 +71,11 @@
             are not sent yet. */
         virtual std::uint32_t unsentStarts(bool fills) const = 0;
 
-        /** @param paceLimit see Run::paceLimit */
+        /** @param paceLimit see Run::paceLimit
+            @param roomReserved see Run::roomReserved */
         virtual void startTask(JobEntry &job, const TaskRef &task, Worker &worker,
-                               std::uint64_t attempt, std::uint32_t paceLimit) = 0;
+                               std::uint64_t attempt, std::uint32_t paceLimit,
+                               bool roomReserved) = 0;
     };
 
     Planner(const Clock &clock, StepJobTable &jobs, WorkerManager &workers,
@@ -97,7 +101,10 @@
 
     /** Ends the census that is under way, and begins the next when it is due. Called before the
        queue is ranked anew. */
-    static void turnCensus(PlanLane &lane, Instant now);
+    void turnCensus(PlanLane &lane, Instant now);
+
+    /** Adds to a census what its longest wait is for. */
+    void describeLongestWait(WaitCensus &census, Instant now) const;
 
     /** Counts a step that no worker was found for, if a census is under way.
         @returns the reason; that of the census is computed only then */
--- a/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
+++ b/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
@@ -3,6 +3,7 @@
 #include "bulrush_steps/dispatch/Planner.h"
 
 #include <algorithm>
+#include <optional>
 #include <tuple>
 
 namespace bulrush {
@@ -152,10 +153,11 @@
     if (lane.openCensus) {
         for (std::size_t at = lane.next; at < lane.queue.size(); ++at) {
             const PlanCandidate &candidate = lane.queue[at];
-            lane.openCensus->add(WaitReason::NotReached, candidate.job->spec.id, candidate.age);
+            lane.openCensus->add(WaitReason::NotReached, candidate.ref(), candidate.age);
         }
         lane.census = *lane.openCensus;
         lane.openCensus.reset();
+        this->describeLongestWait(lane.census, now);
     }
     if (now >= lane.nextCensus) {
         lane.nextCensus = now + censusInterval;
@@ -163,6 +165,23 @@
     }
 }
 
+void Planner::describeLongestWait(WaitCensus &census, Instant now) const
+{
+    const std::optional<LongestWait> &longest = census.longest();
+    JobEntry *job = longest ? this->jobs.find(longest->job) : nullptr;
+    if (job == nullptr || job->hasEnded()) {
+        return;
+    }
+    PlanCandidate candidate;
+    candidate.job = job;
+    candidate.occurrence = longest->occurrence;
+    candidate.step = longest->step;
+    const std::optional<Instant> at =
+            this->reservations.roomExpectedAt(this->makeTaskRequest(candidate), now);
+    census.describeLongest(candidate.spec().reserved(),
+                           at ? std::optional(std::max(*at, now) - now) : std::nullopt);
+}
+
 WaitReason Planner::countUnplaced(PlanLane &lane, const PlanCandidate &candidate, Instant now)
 {
     if (!lane.openCensus) {
@@ -171,7 +190,7 @@
     const Placement placement(now, this->pressures);
     const WaitReason reason =
             placement.obstacle(this->workers.workers(), this->makeTaskRequest(candidate));
-    lane.openCensus->add(reason, candidate.job->spec.id, candidate.age);
+    lane.openCensus->add(reason, candidate.ref(), candidate.age);
     return reason;
 }
 
--- a/modules/bulrush_steps/dispatch/StartReservations.cpp
+++ b/modules/bulrush_steps/dispatch/StartReservations.cpp
@@ -55,6 +55,19 @@
     return std::nullopt;
 }
 
+/** Returns when a task is expected to find room on a worker; none if it may not start there or no
+    end of a run makes room. */
+std::optional<Instant> startExpectedAt(const Worker &worker, const TaskRequest &request,
+                                       Instant now)
+{
+    if (!worker.takesStarts() || !Placement::isEligible(worker, request)
+        || !Placement::hasSiblingCapacity(worker, request)) {
+        return std::nullopt;
+    }
+    const std::optional<Instant> at = roomExpectedAt(worker, request.step->reserved(), now);
+    return at ? std::optional(std::max(*at, worker.avoidUntil)) : std::nullopt;
+}
+
 } // namespace
 
 void StartReservations::uncount(const StepRef &step)
@@ -71,12 +84,13 @@
     for (auto at = this->reserved.begin(); at != this->reserved.end();) {
         Worker *worker = this->workers.find(at->first);
         const bool kept = worker != nullptr && worker->reservation;
-        const bool holds = kept && worker->takesStarts() && now < worker->reservation->lapsesAt
-                && this->countOf(at->second) <= needed(at->second);
-        if (holds) {
+        const bool wanted =
+                kept && worker->takesStarts() && this->countOf(at->second) <= needed(at->second);
+        if (wanted && now < worker->reservation->lapsesAt) {
             ++at;
             continue;
         }
+        ++(wanted ? this->totals.lapsed : this->totals.dropped);
         if (kept) {
             worker->reservation.reset();
         }
@@ -111,12 +125,11 @@
     const ResourceVector size = request.step->reserved();
     std::vector<std::pair<Instant, Worker *>> candidates;
     for (auto &[id, worker] : this->workers.workers()) {
-        if (worker.reservation || !worker.takesStarts() || !Placement::isEligible(worker, request)
-            || !Placement::hasSiblingCapacity(worker, request)) {
+        if (worker.reservation) {
             continue;
         }
-        if (const std::optional<Instant> at = roomExpectedAt(worker, size, now)) {
-            candidates.emplace_back(std::max(*at, worker.avoidUntil), &worker);
+        if (const std::optional<Instant> at = startExpectedAt(worker, request, now)) {
+            candidates.emplace_back(*at, &worker);
         }
     }
     const std::size_t count = std::min(most, candidates.size());
@@ -128,20 +141,38 @@
         worker->reservation = StartReservation { request.ref, size, now + maxReservation };
         const auto [entry, added] = this->reserved.try_emplace(worker->entry.worker, request.ref);
         if (!added) {
+            ++this->totals.dropped;
             this->uncount(entry->second);
             entry->second = request.ref;
         }
+        ++this->totals.made;
         ++this->counts[request.ref];
     }
 }
 
-void StartReservations::started(const StepRef &step, Worker &worker)
+bool StartReservations::started(const StepRef &step, Worker &worker)
 {
-    if (worker.reservation && worker.reservation->step == step) {
-        worker.reservation.reset();
-        this->reserved.erase(worker.entry.worker);
-        this->uncount(step);
+    if (!worker.reservation || worker.reservation->step != step) {
+        return false;
+    }
+    worker.reservation.reset();
+    this->reserved.erase(worker.entry.worker);
+    this->uncount(step);
+    ++this->totals.used;
+    return true;
+}
+
+std::optional<Instant> StartReservations::roomExpectedAt(const TaskRequest &request,
+                                                         Instant now) const
+{
+    std::optional<Instant> first;
+    for (const auto &[id, worker] : this->workers.workers()) {
+        const std::optional<Instant> at = startExpectedAt(worker, request, now);
+        if (at && (!first || *at < *first)) {
+            first = at;
+        }
     }
+    return first;
 }
 
 void StartReservations::clear()
@@ -151,6 +182,7 @@
             worker->reservation.reset();
         }
     }
+    this->totals.dropped += this->reserved.size();
     this->reserved.clear();
     this->counts.clear();
 }
--- a/modules/bulrush_steps/dispatch/StartReservations.h
+++ b/modules/bulrush_steps/dispatch/StartReservations.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "bulrush_steps/dispatch/ReservationCounts.h"
 #include "bulrush_steps/policy/Placement.h"
 #include "bulrush_steps/workers/WorkerManager.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 
 namespace bulrush {
 
@@ -41,8 +43,16 @@
        Workers that have no room before long-running tasks end are left out. */
     void reserve(const TaskRequest &request, std::uint32_t tasks, Instant now);
 
-    /** Notes that a task of a step was started on a worker. */
-    void started(const StepRef &step, Worker &worker);
+    /** Notes that a task of a step was started on a worker.
+        @returns whether the worker had room reserved for the step */
+    bool started(const StepRef &step, Worker &worker);
+
+    /** Returns when a worker is expected to have room for a task of a step, by the ends of its runs
+        and whatever is reserved; none if none is. */
+    std::optional<Instant> roomExpectedAt(const TaskRequest &request, Instant now) const;
+
+    /** Returns how many reservations were made, and what became of them. */
+    const ReservationCounts &outcomes() const { return this->totals; }
 
     /** Gives up the reservations that have lapsed, those on workers that take no starts any more,
        and those for steps that need fewer.
@@ -64,6 +74,7 @@
     std::map<TargetId, StepRef> reserved;
     /** The number of reservations of each step that has any. */
     std::map<StepRef, std::uint32_t> counts;
+    ReservationCounts totals;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/dispatch/WaitCensus.h
+++ b/modules/bulrush_steps/dispatch/WaitCensus.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "bulrush_core/ids/Id.h"
 #include "bulrush_core/time/Clock.h"
+#include "bulrush_steps/model/StepJob.h"
 #include "bulrush_steps/policy/WaitReason.h"
 
 #include <array>
@@ -10,14 +10,21 @@
 
 namespace bulrush {
 
-/** A job of which a task waits for a worker. */
+/** A step of a job of which a task waits for a worker. */
 struct LongestWait
 {
     JobId job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
     /** Time since its acceptance or due time; of a long-running job, since a task of it began to
         wait, or since its acceptance if that was under a former owner. */
     Duration age {};
     WaitReason reason = WaitReason::NotReached;
+    /** What each of its tasks reserves. */
+    ResourceVector size;
+    /** In what time a worker is expected to have room for one, when the census ended; none if none
+        is. */
+    std::optional<Duration> roomExpectedIn;
 };
 
 /** Counts the steps that wait for a worker, by the reason. */
@@ -25,11 +32,12 @@
 {
 public:
     /** Counts a step. @param age see LongestWait */
-    void add(WaitReason reason, const JobId &job, Duration age)
+    void add(WaitReason reason, const StepRef &step, Duration age)
     {
         ++this->counts[static_cast<std::size_t>(reason)];
         if (!this->longestWait || age > this->longestWait->age) {
-            this->longestWait = LongestWait { job, age, reason };
+            this->longestWait =
+                    LongestWait { step.job, step.occurrence, step.step, age, reason, {}, {} };
         }
     }
 
@@ -54,6 +62,16 @@
     /** Returns the job that has waited longest; none while no step waits. */
     const std::optional<LongestWait> &longest() const { return this->longestWait; }
 
+    /** Adds what the job that has waited longest waits for.
+        @param size,roomExpectedIn see LongestWait */
+    void describeLongest(const ResourceVector &size, std::optional<Duration> roomExpectedIn)
+    {
+        if (this->longestWait) {
+            this->longestWait->size = size;
+            this->longestWait->roomExpectedIn = roomExpectedIn;
+        }
+    }
+
 private:
     std::array<std::uint32_t, waitReasonCount> counts {};
     std::optional<LongestWait> longestWait;
--- a/modules/bulrush_steps/tests/DispatcherFixture.h
+++ b/modules/bulrush_steps/tests/DispatcherFixture.h
@@ -84,6 +84,7 @@
         this->obsoleteRecords = removals;
     }
     void tasksHeld(const HeldTasks &tasks) override { this->held = tasks; }
+    void longRunningTaskStarted(Duration waited) override { this->restartWaits.push_back(waited); }
     bool isOwner() const override { return this->owner; }
     bool isSoleOwner() const override { return this->owner && this->soleOwner; }
 
@@ -147,6 +148,8 @@
     bool ownershipLost = false;
     std::vector<KeyedRecord> obsoleteRecords;
     HeldTasks held;
+    /** How long tasks of long-running steps waited, each time that a run was confirmed. */
+    std::vector<Duration> restartWaits;
     Dispatcher dispatcher;
 };
 
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -42,6 +42,8 @@
     bool runsIndefinitely = false;
     /** Whether an earlier owner started it, so that startSentAt is when this owner found it. */
     bool found = false;
+    /** Whether room was reserved for the task's step when its worker was chosen. */
+    bool roomReserved = false;
     /** Whether a later run can resume from a checkpoint of this one. */
     bool resumable = false;
     /** Set by Worker::requestStop() once the worker has the run. */
