Reserve the rows of a progress record before they are decoded

Cause: the list of decoded rows grew by doubling, beside the parsed record.

Change: the list gets its size at once.

--- a/modules/bulrush_steps/model/JobRecords.cpp
+++ b/modules/bulrush_steps/model/JobRecords.cpp
@@ -302,7 +302,9 @@
         progress.job = parseKey(key).job;
         progress.succeeded = record.at("succeeded").get<bool>();
         progress.failed = record.at("failed").get<bool>();
-        for (const json &row : record.at("tasks")) {
+        const json &rows = record.at("tasks");
+        progress.tasks.reserve(rows.size());
+        for (const json &row : rows) {
             progress.tasks.push_back(decodeTask(row));
         }
         return progress;
