Keep on record since when a long-running task waits

Cause: a new owner did not know how long a long-running task had waited.

Change: the progress record of a long-running task has another column, the calendar time since when the task has no run that a worker confirmed. It is written when the wait begins (not urgent; the end of the run is acknowledged without it), stays while a start is not confirmed, and goes with the confirmed run. A task that is assigned after less than maxDeferral has none, so a restart without a wait needs no further record: a new owner counts that much for a task without one. A new owner takes the wait to be the job's age at most. It ignores a time that has not come yet (and counts maxDeferral, not 0: the task has yielded already) and malformed values, without losing the rest of the record. Earlier versions ignore the column.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -47,6 +47,7 @@
         if (!job.hasEnded()) {
             // Its tasks have yielded to others under the former owner.
             job.waitsSince = std::max(job.acceptedAt, this->clock.now() - maxDeferral);
+            job.readRecordedWaits(this->clock);
             this->addWaiting(job);
         } else if (!job.endStored && !job.cancelled) {
             this->markEndChanged(job);
@@ -229,7 +230,7 @@
         run.startSentAt = this->clock.now();
         run.stopRequested = job->hasEnded() || task.succeeded;
         ++task.openRuns;
-        task.waitsSince.reset();
+        this->endWait(*job, listed.attempt.task);
         task.lastAttempt = std::max(task.lastAttempt, listed.attempt.attempt);
         job->started = true;
         if (!run.stopRequested) {
@@ -258,13 +259,10 @@
     if (JobEntry *job = this->findJob(run.attempt.task)) {
         this->markStarted(*job);
         const StepTask &task = job->task(run.attempt.task);
-        if (!task.waitsSince) {
-            return;
-        }
-        if (run.runsIndefinitely) {
+        if (run.runsIndefinitely && task.waitsSince) {
             this->listener.longRunningTaskStarted(job->waitOf(task, this->clock.now()));
         }
-        job->changeTask(run.attempt.task).waitsSince.reset();
+        this->endWait(*job, run.attempt.task);
     }
 }
 
@@ -295,6 +293,8 @@
     }
     this->markStarted(*job);
     const std::uint64_t change = this->countEnd(worker, *job, run, end);
+    // The acknowledgement of the end does not wait for this record.
+    this->recordWait(*job, end.attempt.task);
     job->releaseTask(end.attempt.task);
     return change;
 }
@@ -364,6 +364,7 @@
     JobEntry *job = this->findJob(run.attempt.task);
     if (job != nullptr) {
         this->closeRun(job->changeTask(run.attempt.task), {});
+        this->recordWait(*job, run.attempt.task);
         job->releaseTask(run.attempt.task);
         this->planner.markWaiting(job->spec.id);
     }
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -243,6 +243,15 @@
     void completeGang(JobEntry &job, const AttemptRef &attempt);
     void closeRun(StepTask &task, std::string checkpoint);
 
+    /** Has it put on record since when a long-running task without a run waits. */
+    void recordWait(JobEntry &job, const TaskRef &ref);
+
+    /** Ends the wait of a task, as a worker has confirmed a run of it. */
+    void endWait(JobEntry &job, const TaskRef &ref);
+
+    /** Sets what the record of a task that is being assigned is to give of its wait. */
+    void setRecordedWait(StepTask &task) const;
+
     /** Takes back the suspicion that a task crashes its workers.
         @param age of the run that shows it */
     void clearSuspicion(JobEntry &job, const TaskRef &task, milliseconds age);
--- a/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
@@ -1,15 +1,65 @@
-// The part of Dispatcher that puts the workers of long-running tasks on record before their starts.
+// The part of Dispatcher that puts the workers of long-running tasks on record before their starts,
+// and since when such tasks wait.
 
 #include "bulrush_steps/dispatch/Dispatcher.h"
 
 #include "bulrush_core/events/DecisionLog.h"
 #include "bulrush_steps/model/TaskText.h"
 #include "bulrush_steps/policy/CrashSuspects.h"
+#include "bulrush_steps/policy/JobRank.h"
 
 #include <optional>
 
 namespace bulrush {
 
+namespace {
+
+/** Returns the calendar time of an instant, by the difference of the clock's two times now. */
+UnixMillis calendarOf(Instant instant, const Clock &clock)
+{
+    return clock.calendarMillis() - duration_cast<milliseconds>(clock.now() - instant).count();
+}
+
+} // namespace
+
+void Dispatcher::recordWait(JobEntry &job, const TaskRef &ref)
+{
+    if (!job.step(ref).runsIndefinitely || job.hasEnded()) {
+        return;
+    }
+    const StepTask &task = job.task(ref);
+    if (task.openRuns > 0 || !task.waitsSince || task.recordedWaitsSince) {
+        return;
+    }
+    const UnixMillis since = calendarOf(*task.waitsSince, this->clock);
+    job.changeTask(ref).recordedWaitsSince = since;
+    this->markTaskChanged(job, ref);
+}
+
+void Dispatcher::endWait(JobEntry &job, const TaskRef &ref)
+{
+    if (!job.task(ref).waitsSince) {
+        return;
+    }
+    StepTask &task = job.changeTask(ref);
+    task.waitsSince.reset();
+    if (task.recordedWaitsSince && !job.hasEnded()) {
+        task.recordedWaitsSince.reset();
+        this->markTaskChanged(job, ref);
+    }
+}
+
+void Dispatcher::setRecordedWait(StepTask &task) const
+{
+    const Instant since = task.waitsSince.value_or(this->clock.now());
+    if (this->clock.now() - since < maxDeferral) {
+        // A new owner assumes as much without it, and no further record is needed after the start.
+        task.recordedWaitsSince.reset();
+    } else if (!task.recordedWaitsSince) {
+        task.recordedWaitsSince = calendarOf(since, this->clock);
+    }
+}
+
 void Dispatcher::recordAssignment(JobEntry &job, const TaskRef &ref, const TargetId &worker)
 {
     StepTask &task = job.changeTask(ref);
@@ -48,6 +98,7 @@
     if (!job.step(ref).runsIndefinitely) {
         this->sendStart(job, worker, worker.runs.at(run.attempt));
     } else {
+        this->setRecordedWait(task);
         this->recordAssignment(job, ref, id);
         this->assignedStarts.add({ run.attempt, id, run.fillCpuMilli > 0, task.assignmentChange });
     }
--- a/modules/bulrush_steps/model/JobRecords.cpp
+++ b/modules/bulrush_steps/model/JobRecords.cpp
@@ -1,6 +1,7 @@
 #include "bulrush_steps/model/JobRecords.h"
 
 #include "bulrush_core/errors/Error.h"
+#include "bulrush_steps/model/JobLimits.h"
 
 #include <nlohmann/json.hpp>
 
@@ -129,6 +130,7 @@
 /** Positions of the columns of a task's row that were added later. Earlier versions ignore them. */
 constexpr std::size_t crashColumns = 5;
 constexpr std::size_t assignmentColumn = 7;
+constexpr std::size_t waitColumn = 8;
 
 json encodeTask(const TaskProgress &task)
 {
@@ -140,9 +142,22 @@
     if (task.assignedTo) {
         row.push_back(task.assignedTo->name());
     }
+    if (task.assignedTo && task.waitsSince) {
+        row.push_back(*task.waitsSince);
+    }
     return row;
 }
 
+/** Returns since when a task waits. A malformed time is ignored, so that the rest of the record
+    stays in use. */
+std::optional<UnixMillis> decodeWait(const json &value)
+{
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() > maxUnixMillis) {
+        return std::nullopt;
+    }
+    return value.get<UnixMillis>();
+}
+
 TaskProgress decodeTask(const json &row)
 {
     TaskProgress task;
@@ -158,6 +173,9 @@
     if (row.size() > assignmentColumn) {
         task.assignedTo = TargetId(row.at(assignmentColumn).get<std::string>());
     }
+    if (row.size() > waitColumn) {
+        task.waitsSince = decodeWait(row.at(waitColumn));
+    }
     return task;
 }
 
--- a/modules/bulrush_steps/model/JobRecords.h
+++ b/modules/bulrush_steps/model/JobRecords.h
@@ -26,6 +26,9 @@
     std::vector<std::uint64_t> youngCrashes;
     /** As in StepTask. */
     std::optional<TargetId> assignedTo;
+    /** Of an assigned task: since when it waits, in calendar time. @see
+        StepTask::recordedWaitsSince */
+    std::optional<UnixMillis> waitsSince;
 };
 
 /** Names the record of a part of a job's progress. Each part holds tasksPerProgressPart tasks, so
--- a/modules/bulrush_steps/model/StepJobTable.cpp
+++ b/modules/bulrush_steps/model/StepJobTable.cpp
@@ -80,6 +80,30 @@
     return since;
 }
 
+void JobEntry::readRecordedWaits(const Clock &clock)
+{
+    for (const auto &[number, occurrence] : this->occurrences.kept()) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            for (const auto &[index, task] : occurrence.steps[step].tasks.kept()) {
+                if (task.recordedWaitsSince) {
+                    const TaskRef ref { this->spec.id, number, step, index };
+                    this->readRecordedWait(this->changeTask(ref), clock);
+                }
+            }
+        }
+    }
+}
+
+void JobEntry::readRecordedWait(StepTask &task, const Clock &clock) const
+{
+    const milliseconds wait(clock.calendarMillis() - *task.recordedWaitsSince);
+    if (wait < milliseconds(0)) {
+        task.recordedWaitsSince.reset();
+        return;
+    }
+    task.waitsSince = std::max(this->acceptedAt, clock.now() - wait);
+}
+
 void JobEntry::releaseEnded()
 {
     this->spec.payload = {};
@@ -265,6 +289,9 @@
     task.assignedTo = progress.assignedTo;
     task.crashedAttempts = progress.crashedAttempts;
     task.youngCrashes = progress.youngCrashes;
+    if (job.step(ref).runsIndefinitely) {
+        task.recordedWaitsSince = progress.waitsSince;
+    }
     job.started = job.started || showsRun(progress);
     for (const std::uint64_t attempt : progress.failedAttempts) {
         countFailure(job, { ref, attempt });
@@ -359,10 +386,15 @@
     for (std::size_t position = first; position < end; ++position) {
         const TaskRef ref = job.spec.taskAt(position);
         const StepTask &task = job.task(ref);
-        TaskProgress recorded { ref.occurrence,      ref.step,
-                                ref.index,           task.succeeded,
-                                task.failedAttempts, task.crashedAttempts,
-                                task.youngCrashes,   task.assignedTo };
+        TaskProgress recorded { ref.occurrence,
+                                ref.step,
+                                ref.index,
+                                task.succeeded,
+                                task.failedAttempts,
+                                task.crashedAttempts,
+                                task.youngCrashes,
+                                task.assignedTo,
+                                task.recordedWaitsSince };
         if (showsRun(recorded) || recorded.assignedTo) {
             progress.tasks.push_back(std::move(recorded));
         }
--- a/modules/bulrush_steps/model/StepJobTable.h
+++ b/modules/bulrush_steps/model/StepJobTable.h
@@ -28,7 +28,7 @@
     bool knownToPreviousOwners = false;
     /** The time of acceptance on this process's clock. */
     Instant acceptedAt {};
-    /** Since when those of its tasks count as waiting that this owner has not started. */
+    /** Since when those of its tasks count as waiting of which StepTask does not say it. */
     Instant waitsSince {};
     bool cancelled = false;
     bool succeeded = false;
@@ -72,6 +72,10 @@
         return now - task.waitsSince.value_or(this->waitsSince);
     }
 
+    /** Sets the waits of long-running tasks by their records, to the age of the job at most. A time
+        that has not come yet is ignored: the clock has stepped. */
+    void readRecordedWaits(const Clock &clock);
+
     /** Drops the state of a task that has succeeded and has no run. */
     void releaseTask(const TaskRef &ref) { this->occurrences.release(ref); }
 
@@ -105,6 +109,9 @@
     /** Returns how long the job's steps waited for their first starts, added up over the steps of
         the occurrence that waited longest. */
     Duration startWait() const;
+
+private:
+    void readRecordedWait(StepTask &task, const Clock &clock) const;
 };
 
 /** The state of all jobs in the log. Applying records is idempotent. */
--- a/modules/bulrush_steps/model/TaskStates.h
+++ b/modules/bulrush_steps/model/TaskStates.h
@@ -2,6 +2,7 @@
 
 #include "bulrush_core/ids/Id.h"
 #include "bulrush_core/time/Clock.h"
+#include "bulrush_steps/model/StepJob.h"
 
 #include <cstdint>
 #include <map>
@@ -36,8 +37,11 @@
     /** The number of runs that may be alive. */
     std::uint32_t openRuns = 0;
     /** Since when the task has had no run that a worker confirmed; none while it has one, and
-       before its first start under this owner. @see JobEntry::waitOf */
+        before its first start under this owner if nothing is on record. @see JobEntry::waitOf */
     std::optional<Instant> waitsSince;
+    /** Of a long-running task: waitsSince as calendar time, which its record gives to the next
+        owner; none while the record gives none. */
+    std::optional<UnixMillis> recordedWaitsSince;
     /** The worker on which a run of a long-running task may be alive, as on record or about to be.
         Any earlier run is no longer alive when the task is assigned to another worker. */
     std::optional<TargetId> assignedTo;
--- a/modules/bulrush_steps/tests/FakeWorkers.h
+++ b/modules/bulrush_steps/tests/FakeWorkers.h
@@ -22,6 +22,8 @@
     bool silent = false;
     /** Whether starts are carried out but end as Unknown, as if their answers were lost. */
     bool losesStartAnswers = false;
+    /** Whether starts have no effect and end as NoRoom. */
+    bool refusesStarts = false;
     std::uint64_t fencingToken = 0;
     WorkerMillis leaseEnd = 0;
     std::map<AttemptRef, ListedRun> running;
@@ -64,6 +66,8 @@
         CommandAnswer answer { CommandOutcome::Done, this->workerClock(fake) };
         if (order.fencingToken < fake.fencingToken) {
             answer.outcome = CommandOutcome::Fenced;
+        } else if (fake.refusesStarts) {
+            answer.outcome = CommandOutcome::NoRoom;
         } else {
             fake.fencingToken = order.fencingToken;
             fake.leaseEnd = std::max(fake.leaseEnd, order.leaseEnd);
