--- a/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
@@ -91,7 +91,7 @@
             task.waitsSince.value_or(job.waitingSince(ref.occurrence, ref.step, this->clock));
     task.apartWaitSince.reset();
     const TargetId &id = worker.entry.worker;
-    this->workerManager.reserve(worker, run);
+    this->workerManager.assign(worker, run);
     if (task.startedApart) {
         CrashSuspects::setApart(worker, run.attempt, this->clock.now());
     }
@@ -125,7 +125,7 @@
         line.with("waited_ms", duration_cast<milliseconds>(waited).count());
     }
     this->decisions.write(line);
-    this->workerManager.startReserved(worker, run, job.spec, task.checkpoint);
+    this->workerManager.startAssigned(worker, run, job.spec, task.checkpoint);
 }
 
 void Dispatcher::sendAssignedStarts()
@@ -151,7 +151,7 @@
 
 void Dispatcher::discardStart(Worker &worker, const AttemptRef &attempt)
 {
-    const std::optional<Run> run = WorkerManager::cancelReserved(worker, attempt);
+    const std::optional<Run> run = WorkerManager::cancelAssigned(worker, attempt);
     if (!run) {
         return;
     }
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -97,18 +97,15 @@
         lease has expired, and removes unlisted workers that have no runs. */
     void tick();
 
-    /** Sends a start request. The run counts as alive from this call on. */
-    void start(Worker &worker, Run run, const StepJob &job, std::string checkpoint);
-
-    /** Reserves the resources of a run whose start request is to follow, which counts as in flight
-        already. The run cannot be alive before startReserved(). */
-    void reserve(Worker &worker, Run run);
+    /** Assigns a run to a worker: reserves the resources of a run whose start request is to follow,
+       which counts as in flight already. The run cannot be alive before startAssigned(). */
+    void assign(Worker &worker, Run run);
 
     /** Gives up a start request that was to follow. @returns the run, if the worker still has it */
-    static std::optional<Run> cancelReserved(Worker &worker, const AttemptRef &attempt);
+    static std::optional<Run> cancelAssigned(Worker &worker, const AttemptRef &attempt);
 
-    /** Sends the start request of a reserved run. It counts as alive from this call on. */
-    void startReserved(Worker &worker, Run &run, const StepJob &job, std::string checkpoint);
+    /** Sends the start request of an assigned run. It counts as alive from this call on. */
+    void startAssigned(Worker &worker, Run &run, const StepJob &job, std::string checkpoint);
 
     /** Marks a run to be stopped and sends the stop request as soon as the worker has the run. */
     void requestStop(Worker &worker, Run &run);
