Stop long-running runs for tasks that have waited too long

Callers saw long-running tasks without a run for 9 to 12 s on a full service, under owners that were ready and settled.

Cause: room was reserved only where runs that end by themselves would free it. Long-running tasks held 92 to 96 % of the processors, so for nearly all waits there was no such worker, and the wait was for an event that nobody made happen. Class: a wait without an end (starvation).

Change: Preemption. A long-running task that has waited for half of the 6 s in which it is to run again has runs stopped on one worker: long-running ones that have had their room for 5 s, or filling ones that have been paused for 3 s. Room is reserved for it before the stops are sent. So tasks that do not all fit take turns. Left alone: gangs, steps that limit how many tasks may be away, everything while the store is slow, while another node may be the owner, or while runs are stopped on a sixteenth of the workers; nothing is stopped where room is expected within a second. Steps for which a search finds nothing pause for a second, so that they take no searches from others.

--- a/modules/bulrush_steps/bulrush_steps.h
+++ b/modules/bulrush_steps/bulrush_steps.h
@@ -39,6 +39,7 @@
 #include "bulrush_steps/policy/JobRank.h"
 #include "bulrush_steps/policy/LoadTrend.h"
 #include "bulrush_steps/policy/Placement.h"
+#include "bulrush_steps/policy/Preemption.h"
 #include "bulrush_steps/policy/PressureModel.h"
 #include "bulrush_steps/policy/QueueService.h"
 #include "bulrush_steps/policy/RunHealth.h"
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -159,6 +159,8 @@
     run.size = step.reserved();
     run.fillCpuMilli = step.fills ? step.size.cpuMilli : 0;
     run.runsIndefinitely = step.runsIndefinitely;
+    run.preemptible = !step.gang && step.maxConcurrentDisruptions == 0;
+    run.placedAt = this->clock.now();
     run.resumable = step.checkpoints;
     run.image = step.image;
     run.tailTarget = step.tailTarget;
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -193,6 +193,8 @@
     }
     void startTask(JobEntry &job, const TaskRef &ref, Worker &worker, std::uint64_t attempt,
                    std::uint32_t paceLimit, bool roomReserved) override;
+    bool mayPreempt() const override;
+    void preempt(Worker &worker, const AttemptRef &attempt) override;
 
     /** What the roster depends on. */
     struct RosterBasis
--- a/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
@@ -19,6 +19,10 @@
 /** Maximum number of times that a task is moved because its run is stalled or slow. */
 constexpr std::uint32_t maxMoves = 3;
 
+/** No run is stopped to make room while an append takes longer: the start in its place waits for
+    one. */
+constexpr milliseconds maxAppendAge { 500 };
+
 /** How long a worker receives no new tasks after a run on it was stalled or slow. */
 constexpr milliseconds unhealthyWorkerPause { 2500 };
 
@@ -54,6 +58,19 @@
     }
 }
 
+bool Dispatcher::mayPreempt() const
+{
+    return this->isSoleOwner() && this->mayCommand() && this->writer.appendAge() < maxAppendAge;
+}
+
+void Dispatcher::preempt(Worker &worker, const AttemptRef &attempt)
+{
+    const auto run = worker.runs.find(attempt);
+    if (run != worker.runs.end()) {
+        this->stopRun(worker, run->second, "its room goes to a task that has waited longer");
+    }
+}
+
 void Dispatcher::runCrashed(const Worker &worker, const Run &run, std::string_view evidence)
 {
     const milliseconds age = CrashSuspects::lastKnownAge(worker, run);
--- a/modules/bulrush_steps/dispatch/PlanLane.h
+++ b/modules/bulrush_steps/dispatch/PlanLane.h
@@ -94,6 +94,8 @@
     Instant nextReservations {};
     /** Whether that time has come with the present queue. */
     bool reservesRoom = false;
+    /** How often runs to stop may still be searched for with the present queue. */
+    std::uint32_t searchesLeft = 0;
     /** The newest census of the steps that wait, and the one under way, if any. */
     WaitCensus census;
     std::optional<WaitCensus> openCensus;
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -56,6 +56,7 @@
     this->reservations.clear();
     this->firstRuns.clear();
     this->turns.clear();
+    this->searchPauses.clear();
 }
 
 void Planner::tick(Instant now)
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -34,6 +34,8 @@
     Duration reservingTime {};
     Duration fillingTime {};
     std::uint64_t starts = 0;
+    /** Runs that were stopped to make room, since the start of the process. */
+    std::uint64_t preemptions = 0;
 
     /** Returns the duration of all rounds. */
     Duration time() const { return this->reservingTime + this->fillingTime; }
@@ -76,6 +78,13 @@
         virtual void startTask(JobEntry &job, const TaskRef &task, Worker &worker,
                                std::uint64_t attempt, std::uint32_t paceLimit,
                                bool roomReserved) = 0;
+
+        /** Returns whether runs may be stopped to make room: the store takes the records that the
+            starts in their place need. */
+        virtual bool mayPreempt() const = 0;
+
+        /** Stops a run, so that its room is free for a task that has waited too long. */
+        virtual void preempt(Worker &worker, const AttemptRef &attempt) = 0;
     };
 
     Planner(const Clock &clock, StepJobTable &jobs, WorkerManager &workers,
@@ -124,7 +133,14 @@
     static bool hasRuns(const JobEntry &job, std::uint32_t occurrence);
 
     /** Has room kept for the tasks of a starving step that found none. */
-    void reserveRoom(const PlanLane &lane, const PlanCandidate &candidate, Instant now);
+    void reserveRoom(PlanLane &lane, const PlanCandidate &candidate, Instant now);
+
+    /** Has runs stopped to make room for those tasks of a starving long-running step that have
+        waited too long. @see Preemption */
+    void makeRoom(PlanLane &lane, const PlanCandidate &candidate, Instant now);
+
+    /** Returns for how many more tasks runs may be stopped now. */
+    std::size_t preemptionsAllowed() const;
 
     /** Gives up reservations that are not needed any more. */
     void sweepReservations(Instant now);
@@ -198,6 +214,8 @@
         Instant since {};
     };
     std::map<ServiceId, Turn> turns;
+    /** Until when no runs to stop are searched for, of each step for which none were found. */
+    std::map<StepRef, Instant> searchPauses;
     Instant nextSweep {};
     /** Of load(): rounds, time and starts. */
     PlanLoad counters;
--- a/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
+++ b/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
@@ -2,6 +2,8 @@
 
 #include "bulrush_steps/dispatch/Planner.h"
 
+#include "bulrush_steps/policy/Preemption.h"
+
 #include <algorithm>
 #include <optional>
 #include <tuple>
@@ -19,6 +21,21 @@
 /** Interval at which room is reserved for starving steps. */
 constexpr milliseconds reservationInterval { 100 };
 
+/** How often runs to stop are searched for in that interval at most: a search looks at all runs. */
+constexpr std::uint32_t maxSearches = 4;
+
+/** After a search that found none, a step waits this long for the next, so that others have theirs.
+ */
+constexpr seconds searchPause { 1 };
+
+/** Runs are stopped on at most one of this many workers at a time, and on two if these are few. */
+constexpr std::size_t workersAPreemption = 16;
+constexpr std::size_t minPreemptions = 2;
+
+/** A long-running task that has waited this long gets the room of others: it takes the rest of
+    maxRestartWait to stop them and to start the task. */
+constexpr milliseconds preemptionWait = maxRestartWait / 2;
+
 } // namespace
 
 void Planner::addStarving(PlanLane &lane, PlanCandidate candidate, const JobRank &rank, Instant now)
@@ -110,10 +127,11 @@
     lane.reservesRoom = now >= lane.nextReservations;
     if (lane.reservesRoom) {
         lane.nextReservations = now + reservationInterval;
+        lane.searchesLeft = maxSearches;
     }
 }
 
-void Planner::reserveRoom(const PlanLane &lane, const PlanCandidate &candidate, Instant now)
+void Planner::reserveRoom(PlanLane &lane, const PlanCandidate &candidate, Instant now)
 {
     if (!candidate.starving || !lane.reservesRoom) {
         return;
@@ -126,6 +144,50 @@
     if (reserved < wanted) {
         this->reservations.reserve(this->makeTaskRequest(candidate), wanted - reserved, now);
     }
+    this->makeRoom(lane, candidate, now);
+}
+
+std::size_t Planner::preemptionsAllowed() const
+{
+    const std::map<TargetId, Worker> &workerTable = this->workers.workers();
+    const auto stopping = static_cast<std::size_t>(
+            std::count_if(workerTable.begin(), workerTable.end(), [](const auto &each) {
+                return each.second.stopRequests > 0 && each.second.reservation;
+            }));
+    const std::size_t most = std::max(minPreemptions, workerTable.size() / workersAPreemption);
+    const std::size_t taken = stopping + this->listener.unsentStarts(false);
+    return most > taken ? most - taken : 0;
+}
+
+void Planner::makeRoom(PlanLane &lane, const PlanCandidate &candidate, Instant now)
+{
+    if (!Preemption::isAllowedFor(candidate.spec()) || lane.searchesLeft == 0
+        || candidate.age < preemptionWait || !this->listener.mayPreempt()) {
+        return;
+    }
+    const auto paused = this->searchPauses.find(candidate.ref());
+    if (paused != this->searchPauses.end() && now < paused->second) {
+        return;
+    }
+    const std::uint32_t overdue = this->waitingTasks(candidate, preemptionWait, now).longWaiting;
+    std::uint32_t secured = this->reservations.securedCountOf(candidate.ref(), now);
+    const TaskRequest request = this->makeTaskRequest(candidate);
+    const Preemption preemption(now);
+    std::size_t allowed = this->preemptionsAllowed();
+    for (; secured < overdue && lane.searchesLeft > 0 && allowed > 0; ++secured, --allowed) {
+        --lane.searchesLeft;
+        const std::optional<PreemptionChoice> choice =
+                preemption.choose(this->workers.workers(), request);
+        if (!choice) {
+            this->searchPauses[candidate.ref()] = now + searchPause;
+            return;
+        }
+        this->reservations.reserveOn(*choice->worker, request.ref, request.step->reserved(), now);
+        for (const AttemptRef &victim : choice->victims) {
+            ++this->counters.preemptions;
+            this->listener.preempt(*choice->worker, victim);
+        }
+    }
 }
 
 void Planner::sweepReservations(Instant now)
@@ -134,6 +196,7 @@
         return;
     }
     this->nextSweep = now + reservationInterval;
+    std::erase_if(this->searchPauses, [now](const auto &each) { return now >= each.second; });
     this->reservations.sweep(now, [this](const StepRef &ref) -> std::uint32_t {
         const JobEntry *job = this->jobs.find(ref.job);
         if (job == nullptr || job->hasEnded()) {
--- a/modules/bulrush_steps/dispatch/ProgressWriter.cpp
+++ b/modules/bulrush_steps/dispatch/ProgressWriter.cpp
@@ -86,6 +86,7 @@
     if (now < this->dueAt) {
         return;
     }
+    this->collectedAt = now;
     this->collect();
     const bool partial = !this->changed.empty();
     // All changes before the first one of a part that is left are in this append or an earlier one.
--- a/modules/bulrush_steps/dispatch/ProgressWriter.h
+++ b/modules/bulrush_steps/dispatch/ProgressWriter.h
@@ -95,6 +95,14 @@
     /** Returns the number up to which all changes are stored. */
     std::uint64_t storedChange() const { return this->storedUpTo; }
 
+    /** Returns how long the append under way has taken, with its repetitions; zero if there is
+     * none.
+     */
+    Duration appendAge() const
+    {
+        return this->sending.empty() ? Duration::zero() : this->clock.now() - this->collectedAt;
+    }
+
     /** Returns the number of the newest change. */
     std::uint64_t newestChange() const { return this->newest; }
 
@@ -137,6 +145,8 @@
     std::uint64_t newest = 0;
     std::uint64_t storedUpTo = 0;
     Instant dueAt = Instant::max();
+    /** When the records of the append under way were collected. */
+    Instant collectedAt {};
 
     /** The records of the append in progress. Sent again until the store confirms them. */
     std::vector<KeyedRecord> sending;
--- a/modules/bulrush_steps/dispatch/StartReservations.cpp
+++ b/modules/bulrush_steps/dispatch/StartReservations.cpp
@@ -1,5 +1,8 @@
 #include "bulrush_steps/dispatch/StartReservations.h"
 
+#include "bulrush_steps/policy/Preemption.h"
+#include "bulrush_steps/policy/RoomForecast.h"
+
 #include <algorithm>
 #include <optional>
 #include <utility>
@@ -15,46 +18,6 @@
 /** At most one of this many workers of a service has a reservation. */
 constexpr std::size_t workersAReservation = 4;
 
-/** Returns when a run is expected to end; none for one that ends only when it is stopped. */
-std::optional<Instant> expectedEnd(const Run &run, Instant now)
-{
-    if (run.stopRequested) {
-        return now;
-    }
-    if (run.runsIndefinitely || run.pacePercent == 0) {
-        return std::nullopt;
-    }
-    const milliseconds expected = run.expected * fullPace / run.pacePercent;
-    const Instant end = run.startSentAt + expected;
-    // Of a run that takes longer than expected it is not known how much longer.
-    return end > now ? end : now + (now - run.startSentAt);
-}
-
-/** Returns when a worker is expected to have room of a size; none if not by the ends of its runs.
- */
-std::optional<Instant> roomExpectedAt(const Worker &worker, const ResourceVector &size, Instant now)
-{
-    ResourceVector room = worker.free();
-    if (size.fitsInto(room)) {
-        return now;
-    }
-    std::vector<std::pair<Instant, const Run *>> ends;
-    for (const auto &[attempt, run] : worker.runs) {
-        if (const std::optional<Instant> end = expectedEnd(run, now)) {
-            ends.emplace_back(*end, &run);
-        }
-    }
-    std::sort(ends.begin(), ends.end(),
-              [](const auto &a, const auto &b) { return a.first < b.first; });
-    for (const auto &[end, run] : ends) {
-        room += run->size;
-        if (size.fitsInto(room)) {
-            return end;
-        }
-    }
-    return std::nullopt;
-}
-
 /** Returns when a task is expected to find room on a worker; none if it may not start there or no
     end of a run makes room. */
 std::optional<Instant> startExpectedAt(const Worker &worker, const TaskRequest &request,
@@ -86,7 +49,7 @@
         const bool kept = worker != nullptr && worker->reservation;
         const bool wanted =
                 kept && worker->takesStarts() && this->countOf(at->second) <= needed(at->second);
-        if (wanted && now < worker->reservation->lapsesAt) {
+        if (wanted && (now < worker->reservation->lapsesAt || worker->stopRequests > 0)) {
             ++at;
             continue;
         }
@@ -138,16 +101,36 @@
                       [](const auto &a, const auto &b) { return a.first < b.first; });
     candidates.resize(count);
     for (const auto &[at, worker] : candidates) {
-        worker->reservation = StartReservation { request.ref, size, now + maxReservation };
-        const auto [entry, added] = this->reserved.try_emplace(worker->entry.worker, request.ref);
-        if (!added) {
-            ++this->totals.dropped;
-            this->uncount(entry->second);
-            entry->second = request.ref;
-        }
-        ++this->totals.made;
-        ++this->counts[request.ref];
+        this->reserveOn(*worker, request.ref, size, now);
+    }
+}
+
+void StartReservations::reserveOn(Worker &worker, const StepRef &step, const ResourceVector &size,
+                                  Instant now)
+{
+    worker.reservation = StartReservation { step, size, now + maxReservation };
+    const auto [entry, added] = this->reserved.try_emplace(worker.entry.worker, step);
+    if (!added) {
+        ++this->totals.dropped;
+        this->uncount(entry->second);
+        entry->second = step;
+    }
+    ++this->totals.made;
+    ++this->counts[step];
+}
+
+std::uint32_t StartReservations::securedCountOf(const StepRef &step, Instant now) const
+{
+    if (this->countOf(step) == 0) {
+        return 0;
     }
+    return static_cast<std::uint32_t>(
+            std::count_if(this->reserved.begin(), this->reserved.end(), [&](const auto &each) {
+                const Worker *worker = this->workers.find(each.first);
+                return each.second == step && worker != nullptr && worker->reservation
+                        && worker->takesStarts()
+                        && Preemption::willSoonHaveRoom(*worker, worker->reservation->size, now);
+            }));
 }
 
 bool StartReservations::started(const StepRef &step, Worker &worker)
--- a/modules/bulrush_steps/dispatch/StartReservations.h
+++ b/modules/bulrush_steps/dispatch/StartReservations.h
@@ -43,6 +43,14 @@
        Workers that have no room before long-running tasks end are left out. */
     void reserve(const TaskRequest &request, std::uint32_t tasks, Instant now);
 
+    /** Reserves room for a task of a step on a worker that has none reserved for another step. */
+    void reserveOn(Worker &worker, const StepRef &step, const ResourceVector &size, Instant now);
+
+    /** Returns the number of workers with room reserved for a step on which its task can soon
+       start.
+        @see Preemption::willSoonHaveRoom */
+    std::uint32_t securedCountOf(const StepRef &step, Instant now) const;
+
     /** Notes that a task of a step was started on a worker.
         @returns whether the worker had room reserved for the step */
     bool started(const StepRef &step, Worker &worker);
--- a/modules/bulrush_steps/policy/JobRank.h
+++ b/modules/bulrush_steps/policy/JobRank.h
@@ -14,6 +14,9 @@
     short tasks cannot starve it. */
 inline constexpr milliseconds maxDeferral { 1500 };
 
+/** A long-running task has a run again at the latest this long after its last one. */
+inline constexpr milliseconds maxRestartWait { 6000 };
+
 /** The properties of a waiting job that determine its rank. */
 struct WaitingJob
 {
--- a/modules/bulrush_steps/tests/FakeWorkers.h
+++ b/modules/bulrush_steps/tests/FakeWorkers.h
@@ -29,6 +29,8 @@
     std::map<AttemptRef, ListedRun> running;
     /** When each run was first listed; its progress counts from then. */
     std::map<AttemptRef, Instant> listedSince;
+    /** The percentage at which its runs stop to rise: 100 for a long-running task at work. */
+    std::int64_t highestPercent = 99;
     /** Whether runs make no progress although the worker still answers. */
     bool hangs = false;
     /** Whether answers to holds list no runs, as if they were made before any run started. */
@@ -183,7 +185,6 @@
             return end.number <= order.acknowledgedEnds;
         });
         constexpr milliseconds timePerPercent { 100 };
-        constexpr std::int64_t highestUnfinishedPercent = 99;
         for (auto &[attempt, run] : fake.running) {
             if (fake.omitsRuns) {
                 continue;
@@ -192,8 +193,7 @@
                     fake.listedSince.try_emplace(attempt, this->clock.now()).first->second;
             if (!fake.hangs) {
                 const auto percent = (this->clock.now() - since) / timePerPercent;
-                run.percent =
-                        static_cast<std::uint32_t>(std::min(highestUnfinishedPercent, percent));
+                run.percent = static_cast<std::uint32_t>(std::min(fake.highestPercent, percent));
             }
             answer.running.push_back(run);
         }
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -44,6 +44,10 @@
     bool found = false;
     /** Whether room was reserved for the task's step when its worker was chosen. */
     bool roomReserved = false;
+    /** Whether it may be stopped to make room, as far as its step allows it. @see Preemption */
+    bool preemptible = false;
+    /** Since when the task has had its room on the worker, as far as this owner knows. */
+    Instant placedAt {};
     /** Whether a later run can resume from a checkpoint of this one. */
     bool resumable = false;
     /** Set by Worker::requestStop() once the worker has the run. */
@@ -66,6 +70,8 @@
     milliseconds tailTarget { 0 };
     /** Last requested share of processor time. */
     std::uint32_t pacePercent = fullPace;
+    /** While that is zero: since when. */
+    Instant pausedAt {};
     /** The share of processor time that the run may use while no serving task requires less. */
     std::uint32_t paceLimit = fullPace;
     std::string image;
--- a/modules/bulrush_steps/workers/WorkerManagerOrders.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerOrders.cpp
@@ -160,6 +160,9 @@
 
 void WorkerManager::pace(Worker &worker, Run &run, std::uint32_t percent)
 {
+    if (percent == 0 && run.pacePercent > 0) {
+        run.pausedAt = this->clock.now();
+    }
     run.pacePercent = percent;
     run.paceSent = true;
     worker.servingPressures.reset();
