--- a/modules/bulrush_steps/model/JobRecords.h
+++ b/modules/bulrush_steps/model/JobRecords.h
@@ -28,7 +28,7 @@
     std::optional<TargetId> assignedTo;
     /** Of an assigned task: since when it waits, in calendar time. @see
         StepTask::recordedWaitsSince */
-    std::optional<UnixMillis> waitsSince;
+    std::optional<UnixMillis> waitsSince = std::nullopt;
 };
 
 /** Names the record of a part of a job's progress. Each part holds tasksPerProgressPart tasks, so
