--- a/review/standins-2/Executor.cpp
+++ b/review/standins-2/Executor.cpp
@@ -201,8 +201,8 @@
     entry.startedAt = run.startedAt;
     run.index = this->book.add(entry);
     this->running.emplace(key, run);
-    this->record.write(this->id + ": begins " + key.first + " run " + std::to_string(key.second)
-                       + " with fence number " + std::to_string(token));
+    this->write(this->id + ": begins " + key.first + " run " + std::to_string(key.second)
+                + " with fence number " + std::to_string(token));
     return accepted;
 }
 
@@ -276,7 +276,7 @@
             return false;
         }
         this->book.note(end.index, this->record.now());
-        this->record.write(this->id + ": the end of " + end.run.first + " is taken note of");
+        this->write(this->id + ": the end of " + end.run.first + " is taken note of");
         return true;
     });
     const std::uint64_t lifeThen = this->life;
@@ -315,8 +315,15 @@
     closed = std::max(closed, key.second);
     this->ends.push_back({ ++this->endCount, key, run.index, how });
     this->book.end(run.index, this->record.now(), how);
-    this->record.write(this->id + ": " + key.first + " run " + std::to_string(key.second)
-                       + " ends: " + how);
+    this->write(this->id + ": " + key.first + " run " + std::to_string(key.second)
+                + " ends: " + how);
+}
+
+void Executor::write(const std::string &line)
+{
+    if (!this->rules.quiet) {
+        this->record.write(line);
+    }
 }
 
 void Executor::work()
@@ -347,7 +354,7 @@
     }
 }
 
-void Executor::finish(const std::string &task)
+void Executor::finish(const std::string &task, const std::string &how)
 {
     {
         const std::scoped_lock lock(this->mutex);
@@ -358,7 +365,7 @@
             }
         }
         for (const RunKey &key : keys) {
-            this->endRun(key, "done");
+            this->endRun(key, how);
         }
     }
     this->changed.notify_all();
--- a/review/standins-2/Executor.h
+++ b/review/standins-2/Executor.h
@@ -54,6 +54,9 @@
     std::int64_t holdMaxMs = 6000;
     std::int64_t stopMs = 100;
 
+    /** Whether the begins and ends of runs are left out of the record. */
+    bool quiet = false;
+
     /** Returns how long a task works; none for one that lasts. */
     std::function<std::optional<Milliseconds>(const std::string &task)> workOf;
 
@@ -93,8 +96,8 @@
     /** Returns for how many milliseconds it has been down; 0 while it is up. */
     std::int64_t downFor();
 
-    /** Ends a task that works until it is told so. */
-    void finish(const std::string &task);
+    /** Ends a task that works until it is told so. @param how as it is listed */
+    void finish(const std::string &task, const std::string &how = "done");
 
 private:
     using Request = httplib::Request;
@@ -130,6 +133,7 @@
     void extendLease(const Json &order);
     void endRun(const RunKey &run, const std::string &how);
     void work();
+    void write(const std::string &line);
     std::int64_t clockMs() const { return this->record.now() - this->startedAt; }
     std::int64_t usedCpu() const;
 
--- a/review/standins-2/PlatformStore.cpp
+++ b/review/standins-2/PlatformStore.cpp
@@ -14,6 +14,10 @@
 
 constexpr int statusOk = 200;
 constexpr int statusConflict = 409;
+constexpr int statusInsufficientStorage = 507;
+constexpr std::size_t maxStoredBytes = 400'000'000;
+constexpr std::int64_t defaultPageKb = 1024;
+constexpr std::size_t bytesPerKb = 1024;
 constexpr std::size_t rememberedAnswers = 5;
 constexpr std::size_t maxPageRecords = 500;
 constexpr std::int64_t maxWaitMs = 30'000;
@@ -182,6 +186,12 @@
     return appends;
 }
 
+std::size_t PlatformStore::storedBytes()
+{
+    const std::scoped_lock lock(this->mutex);
+    return this->bytes;
+}
+
 std::string PlatformStore::newestValue(const std::string &topic, const std::string &key)
 {
     const std::scoped_lock lock(this->mutex);
@@ -225,6 +235,9 @@
 PlatformStore::Answer PlatformStore::appendTo(const Request &request)
 {
     const std::scoped_lock lock(this->mutex);
+    if (this->bytes >= maxStoredBytes) {
+        return { statusInsufficientStorage, Json::object() };
+    }
     Topic &topic = this->topics[request.get_param_value("topic")];
     Answer result;
     if (request.has_param("producer")) {
@@ -285,8 +298,9 @@
 
 void PlatformStore::addEntries(Topic &topic, const std::string &body)
 {
+    this->bytes += body.size();
     for (auto &[key, value] : splitBody(body)) {
-        topic.entries.push_back({ key, value });
+        topic.entries.push_back({ std::move(key), std::move(value) });
     }
 }
 
@@ -307,7 +321,10 @@
     std::string body;
     addBigEndian(body, entries.size(), offsetBytes);
     addBigEndian(body, 0, offsetBytes);
-    for (std::size_t at = from; at < entries.size(); ++at) {
+    const auto maxBytes = static_cast<std::size_t>(
+                                  numberParameter(request, "maxKb", defaultPageKb, defaultPageKb))
+            * bytesPerKb;
+    for (std::size_t at = from; at < entries.size() && body.size() < maxBytes; ++at) {
         const Entry &entry = entries[at];
         addBigEndian(body, 1 + entry.key.size() + entry.value.size(), lengthBytes);
         body.push_back(static_cast<char>(entry.key.size()));
--- a/review/standins-2/PlatformStore.h
+++ b/review/standins-2/PlatformStore.h
@@ -56,6 +56,9 @@
     /** Returns the number of records that a producer has appended in its newest epoch. */
     std::uint64_t appendsOfEpoch();
 
+    /** Returns the bytes of all records; at 400 MB appends are refused. */
+    std::size_t storedBytes();
+
     /** Returns the newest value of a key; empty if there is none. */
     std::string newestValue(const std::string &topic, const std::string &key);
 
@@ -128,6 +131,7 @@
     std::uint64_t generation = 0;
     LateAppends lateAppends;
     std::vector<std::thread> lateThreads;
+    std::size_t bytes = 0;
     bool down = false;
     std::int64_t downSince = 0;
     bool closing = false;
