Log which process of a worker a start is made for, and what ends its lease

The logs could not tell the hypotheses of the incident apart: which process a command was made for, which one took it, and on which clock a lease was counted that was taken for over.

No logic changes: LeaseClock::continues is used by the log only.

--- a/modules/bulrush_core/events/EventCatalogue.h
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -58,6 +58,8 @@
     WorkerSetAside = 1626,
     WorkerRestarted = 1627,
     WorkerEnded = 1628,
+    WorkerLeaseExpired = 1629,
+    CommandTakenByOtherProcess = 1630,
     OwnershipGained = 1631,
     OwnershipLost = 1632,
     OwnerReady = 1633,
--- a/modules/bulrush_steps/workers/LeaseClock.cpp
+++ b/modules/bulrush_steps/workers/LeaseClock.cpp
@@ -12,6 +12,9 @@
 /** Covers rounding to whole milliseconds and the time that a worker needs to end its runs. */
 constexpr milliseconds leaseExpiryMargin { 150 };
 
+/** Two readings and a moment of the local clock are each rounded to whole milliseconds. */
+constexpr milliseconds maxRoundingError { 3 };
+
 } // namespace
 
 milliseconds maxLocalDuration(milliseconds workerSpan)
@@ -25,6 +28,18 @@
     this->reading = Reading { clock, arrivedAt };
 }
 
+bool LeaseClock::continues(WorkerMillis clock, Instant sentAt) const
+{
+    if (!this->reading) {
+        return true;
+    }
+    const auto elapsed = static_cast<double>(
+            duration_cast<milliseconds>(sentAt - this->reading->arrivedAt).count());
+    const double minElapsed = elapsed > 0.0 ? elapsed * minClockRate : elapsed;
+    const auto lowest = this->reading->clock + static_cast<WorkerMillis>(minElapsed);
+    return clock + maxRoundingError.count() >= lowest;
+}
+
 void LeaseClock::reset()
 {
     this->reading.reset();
--- a/modules/bulrush_steps/workers/LeaseClock.h
+++ b/modules/bulrush_steps/workers/LeaseClock.h
@@ -23,6 +23,11 @@
     /** Records a clock reading that arrived with an answer of the worker. */
     void recordReading(WorkerMillis clock, Instant arrivedAt);
 
+    /** Returns whether a reading can be of the process that the last reading was of: its clock has
+        gone on since, at no less than the lowest rate.
+        @param sentAt when the request was sent that the reading answers */
+    bool continues(WorkerMillis clock, Instant sentAt) const;
+
     /** Discards all state. Called when the worker's process has restarted. */
     void reset();
 
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -129,6 +129,8 @@
     bool onRoster = false;
     LeaseClock clock;
     UnixMillis processStartedAt = 0;
+    /** When the last command was sent that grants or renews a lease. */
+    Instant leaseSentAt {};
 
     bool holdInFlight = false;
     std::uint64_t holdNumber = 0;
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -221,6 +221,7 @@
     }
     if (command.leaseEnd) {
         worker.clock.recordLeaseEnd(*command.leaseEnd);
+        worker.leaseSentAt = this->clock.now();
     }
     worker.holdInFlight = true;
     const std::uint64_t number = ++worker.holdNumber;
@@ -244,6 +245,7 @@
     if (!expiredAt || this->clock.now() < *expiredAt) {
         return;
     }
+    this->reportLeaseExpired(worker);
     for (const auto &[attempt, run] : worker.runs) {
         if (run.phase != RunPhase::Assigned) {
             worker.runsExpiredInSilence.push_back(run);
@@ -255,6 +257,24 @@
     }
 }
 
+void WorkerManager::reportLeaseExpired(const Worker &worker)
+{
+    const Instant now = this->clock.now();
+    const auto unanswered =
+            std::count_if(worker.runs.begin(), worker.runs.end(), [](const auto &entry) {
+                return entry.second.phase != RunPhase::Running;
+            });
+    const auto sinceLease = duration_cast<milliseconds>(now - worker.leaseSentAt).count();
+    const auto sinceReport = duration_cast<milliseconds>(now - worker.reportedAt).count();
+    this->decisions.write(DecisionLine(Event::WorkerLeaseExpired)
+                                  .with("worker", worker.entry.worker.name())
+                                  .with("born_ms", worker.processStartedAt)
+                                  .with("runs", static_cast<std::int64_t>(worker.runs.size()))
+                                  .with("unanswered_starts", static_cast<std::int64_t>(unanswered))
+                                  .with("since_lease_ms", sinceLease)
+                                  .with("since_report_ms", sinceReport));
+}
+
 void WorkerManager::handleDeparture(Worker &worker)
 {
     if (!worker.hasLeft()) {
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -166,11 +166,15 @@
     void handleWorkerRestart(Worker &worker, UnixMillis processStartedAt);
     void handleStartAnswer(const TargetId &id, const AttemptRef &attempt,
                            const CommandAnswer &answer);
+    /** Logs the answer to a start whose clock shows that another process made it than the one that
+        the start was made for. */
+    void reportOtherProcess(const Worker &worker, const Run &run, const CommandAnswer &answer);
     void handleStopAnswer(const TargetId &id, const AttemptRef &attempt,
                           const CommandAnswer &answer);
     void sendStops(Worker &worker);
     void sendStop(Worker &worker, Run &run);
     void dropExpiredRuns(Worker &worker);
+    void reportLeaseExpired(const Worker &worker);
     /** Gives up the runs that a worker had before its process ended. Starts without an answer are
         kept until their lease is over: a later process of the worker may still carry them out. */
     void dropRunsOfEndedProcess(Worker &worker, std::string_view reason);
--- a/modules/bulrush_steps/workers/WorkerManagerOrders.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerOrders.cpp
@@ -54,6 +54,7 @@
     worker.clock.recordLeaseEnd(command.leaseEnd);
     run.phase = RunPhase::Starting;
     run.startSentAt = this->clock.now();
+    worker.leaseSentAt = run.startSentAt;
     const AttemptRef attempt = run.attempt;
     StartWindow &window = run.fillCpuMilli > 0 ? this->fillStarts : this->reservingStarts;
     window.started();
@@ -88,6 +89,7 @@
     }
     Run &run = found->second;
     run.commandInFlight = false;
+    this->reportOtherProcess(*worker, run, answer);
     if (answer.outcome == CommandOutcome::Done) {
         if (run.phase != RunPhase::Running) {
             run.phase = RunPhase::Running;
@@ -117,6 +119,20 @@
     this->listener.startRefused(*worker, refused, answer.outcome);
 }
 
+void WorkerManager::reportOtherProcess(const Worker &worker, const Run &run,
+                                       const CommandAnswer &answer)
+{
+    if (!answer.clock || worker.clock.continues(*answer.clock, run.startSentAt)) {
+        return;
+    }
+    this->decisions.write(DecisionLine(Event::CommandTakenByOtherProcess)
+                                  .with("worker", worker.entry.worker.name())
+                                  .with("born_ms", worker.processStartedAt)
+                                  .with("task", text(run.attempt.task))
+                                  .with("attempt", run.attempt.attempt)
+                                  .with("worker_clock_ms", *answer.clock));
+}
+
 void WorkerManager::sendStop(Worker &worker, Run &run)
 {
     run.commandInFlight = true;
--- a/modules/bulrush_steps/workers/WorkerManagerReports.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerReports.cpp
@@ -107,9 +107,15 @@
             run.confirmedAt = this->clock.now();
         }
     }
+    const Instant now = this->clock.now();
+    const auto sinceLease = duration_cast<milliseconds>(now - worker.leaseSentAt).count();
+    const auto sinceReport = duration_cast<milliseconds>(now - worker.reportedAt).count();
     this->decisions.write(DecisionLine(Event::WorkerRestarted)
                                   .with("worker", worker.entry.worker.name())
                                   .with("born_ms", processStartedAt)
+                                  .with("former_born_ms", worker.processStartedAt)
+                                  .with("since_lease_ms", sinceLease)
+                                  .with("since_report_ms", sinceReport)
                                   .with("runs_lost", static_cast<std::int64_t>(lost.size())));
     worker.shutdownAnnounced = worker.entry.draining;
     worker.processedEnds = 0;
