Let the scripted test servers listen on a free port

Ruled out: another test of ours with one of these ports (none names them). Which process had it is not known.

The servers of these tests now take a port from the kernel, so no other program can have it. Tests whose servers are made by libwebsockets and our own transport keep their fixed ports.

--- a/modules/bulrush_net/tests/ScriptedServer.cpp
+++ b/modules/bulrush_net/tests/ScriptedServer.cpp
@@ -9,20 +9,20 @@
 #include <stdexcept>
 #include <utility>
 
-ScriptedServer::ScriptedServer(std::uint16_t port, std::string bytes)
+ScriptedServer::ScriptedServer(std::string bytes)
     : listener(socket(AF_INET, SOCK_STREAM, 0))
     , response(std::move(bytes))
 {
-    const int enable = 1;
-    setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &enable, sizeof(enable));
     sockaddr_in address = {};
     address.sin_family = AF_INET;
-    address.sin_port = htons(port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    const auto *generic = reinterpret_cast<const sockaddr *>(&address);
-    if (bind(this->listener, generic, sizeof(address)) != 0 || listen(this->listener, 1) != 0) {
-        throw std::runtime_error("the test's port cannot be bound");
+    auto *generic = reinterpret_cast<sockaddr *>(&address);
+    socklen_t length = sizeof(address);
+    if (bind(this->listener, generic, length) != 0 || listen(this->listener, 1) != 0
+        || getsockname(this->listener, generic, &length) != 0) {
+        throw std::runtime_error("no port can be bound for the test");
     }
+    this->boundPort = ntohs(address.sin_port);
     this->thread = std::thread([this] { this->serve(); });
 }
 
--- a/modules/bulrush_net/tests/ScriptedServer.h
+++ b/modules/bulrush_net/tests/ScriptedServer.h
@@ -11,9 +11,9 @@
 class ScriptedServer
 {
 public:
-    /** Listens on a port of 127.0.0.1.
+    /** Listens on a free port of 127.0.0.1.
         @param bytes what to send once a request's headers have arrived */
-    ScriptedServer(std::uint16_t port, std::string bytes);
+    explicit ScriptedServer(std::string bytes);
 
     /** Waits until the connection was served. */
     ~ScriptedServer();
@@ -21,10 +21,13 @@
     ScriptedServer(const ScriptedServer &) = delete;
     ScriptedServer &operator=(const ScriptedServer &) = delete;
 
+    std::uint16_t port() const { return this->boundPort; }
+
 private:
     void serve() const;
 
     int listener = -1;
+    std::uint16_t boundPort = 0;
     const std::string response;
     std::thread thread;
 };
--- a/modules/bulrush_net/tests/net_test.cpp
+++ b/modules/bulrush_net/tests/net_test.cpp
@@ -241,13 +241,12 @@
         { "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour", "four" },
         { "HTTP/1.1 204 No Content\r\n\r\n", "" },
     };
-    std::uint16_t port = 18120;
     for (const auto &[bytes, body] : cases) {
         // Waits for the client's sockets to be closed, so it must be destroyed after the loop.
-        const ScriptedServer server(++port, bytes);
+        const ScriptedServer server(bytes);
         EventLoop loop;
         RecordingClient client(loop);
-        client.client.send(1, { "127.0.0.1", port }, 0, post("/x", "y"));
+        client.client.send(1, { "127.0.0.1", server.port() }, 0, post("/x", "y"));
         runUntil(loop, [&] { return client.ended() == 1; });
         cr_assert_eq(client.responses.count(1), 1U, "%s", bytes.c_str());
         cr_assert_eq(client.responses[1].body, body);
@@ -267,13 +266,12 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
         std::string(100'000, 'x'),
     };
-    std::uint16_t port = 18130;
     for (const std::string &bytes : cases) {
         // Waits for the client's sockets to be closed, so it must be destroyed after the loop.
-        const ScriptedServer server(++port, bytes);
+        const ScriptedServer server(bytes);
         EventLoop loop;
         RecordingClient client(loop);
-        client.client.send(1, { "127.0.0.1", port }, 0, post("/x", "y"));
+        client.client.send(1, { "127.0.0.1", server.port() }, 0, post("/x", "y"));
         runUntil(loop, [&] { return client.ended() == 1; });
         cr_assert_eq(client.failures.count(1), 1U, "%s", bytes.substr(0, 80).c_str());
         cr_assert(client.failures[1] == ExchangeFailure::Lost);
@@ -286,10 +284,10 @@
 Test(Http, bytesAfterAResponseAreNotTheNextOne)
 {
     const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
-    const ScriptedServer server(18140, response + "a" + response + "b");
+    const ScriptedServer server(response + "a" + response + "b");
     EventLoop loop;
     RecordingClient client(loop);
-    const Endpoint endpoint { "127.0.0.1", 18140 };
+    const Endpoint endpoint { "127.0.0.1", server.port() };
     client.client.send(1, endpoint, 0, post("/x", "y"));
     runUntil(loop, [&] { return client.ended() == 1; });
     cr_assert_eq(client.responses[1].body, "a");
@@ -338,13 +336,13 @@
    The answer that arrived meanwhile must be read before the call is given up. */
 Test(Http, anAnswerThatArrivedDuringAPauseIsNoStall)
 {
-    const ScriptedServer server(18144, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+    const ScriptedServer server("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
     EventLoop loop;
     HttpCaller caller(loop, 1);
     bool sent = false;
     std::optional<CallResult> result;
     caller.call(
-            { "127.0.0.1", 18144 }, post("/echo", "x"),
+            { "127.0.0.1", server.port() }, post("/echo", "x"),
             CallTimeLimits { milliseconds(200), seconds(30) },
             [&result](const CallResult &each) { result = each; },
             [&sent] {
