Wait after a resignation for the longest lease that workers grant

A new owner waited for the 4 s that owners ask for: 5.1 s from the resignation, while a run may last 6.1 s.

Change: resignedOwnerSettleTime counts with the longest lease, 7.1 s. The full wait (12.6 s) and the one for an owner that was never ready stay: only commands from the last second of an owner that is cut off from the store could outlast them, and a longer wait leaves long-running tasks without a run.

--- a/modules/bulrush_entry/settings/EntrySettings.cpp
+++ b/modules/bulrush_entry/settings/EntrySettings.cpp
@@ -21,6 +21,7 @@
     times.timeToLive = this->minTimeToLive * 3 / 2;
     times.outageGrace = this->dispatch.maxLease;
     times.lease = this->dispatch.lease();
+    times.maxLease = this->dispatch.maxLease;
     const double joinDelay = static_cast<double>(joinDelayOfOneCore.count()) / this->processors;
     times.joinDelay = milliseconds(static_cast<std::int64_t>(joinDelay));
     return times;
--- a/modules/bulrush_steps/ownership/OwnershipManager.cpp
+++ b/modules/bulrush_steps/ownership/OwnershipManager.cpp
@@ -40,17 +40,17 @@
 
 milliseconds OwnershipTimings::previousOwnerSettleTime() const
 {
-    return this->timeToLive + this->outageGrace + this->resignedOwnerSettleTime();
+    return this->outageGrace + this->unreadyOwnerSettleTime();
 }
 
 milliseconds OwnershipTimings::unreadyOwnerSettleTime() const
 {
-    return this->timeToLive + this->resignedOwnerSettleTime();
+    return this->timeToLive + maxLocalDuration(this->lease) + commandDeliveryAllowance;
 }
 
 milliseconds OwnershipTimings::resignedOwnerSettleTime() const
 {
-    return maxLocalDuration(this->lease) + commandDeliveryAllowance;
+    return maxLocalDuration(this->maxLease) + commandDeliveryAllowance;
 }
 
 OwnershipManager::OwnershipManager(const Clock &systemClock, MemberGroup &memberGroup,
--- a/modules/bulrush_steps/ownership/OwnershipManager.h
+++ b/modules/bulrush_steps/ownership/OwnershipManager.h
@@ -23,6 +23,9 @@
     milliseconds outageGrace { 6000 };
     /** Maximum lease duration that an owner grants. */
     milliseconds lease { 4000 };
+    /** Maximum lease duration that a worker has by an owner's command, which may have been made for
+        a former process of the worker. */
+    milliseconds maxLease { 6000 };
     /** Additional delay before this node joins when members are missing, so that machines with more
         processor time, which make better owners, join first. */
     milliseconds joinDelay { 0 };
