Tell a worker's processes apart by the fencing tokens of commands

Cause: a command can be taken by another process of the worker than the one that it was made for, and nothing in it tells. The end of a lease is a time of the process's clock; the new clock has begun anew, so the process cuts it to the longest lease (6 s), from then on, for all its runs. The owner forgot it with the former clock, or counted on that clock, and gave the runs up 4.2 s after its last renewal. Class: something of a former incarnation is taken for the present one's.

Change: the token of a command is the owner's token x 1,000,000,000 + a count. The owner takes a new one for a worker whenever it does not know which process takes the next command (first hold, hold without an answer, another process in the list, in an answer's clock or in a report). The next hold carries nothing but that token, and nothing starts there before it is answered; from then on the process refuses what was sent before, and its leases are bounded by that answer and the longest lease. A run that no known process has confirmed is waited for until the last command that grants a lease + 2 s + the longest lease. A refusal of an older token of its own does not end an ownership.

--- a/modules/bulrush_steps/bulrush_steps.h
+++ b/modules/bulrush_steps/bulrush_steps.h
@@ -50,6 +50,7 @@
 #include "bulrush_steps/ports/WorkerCommands.h"
 #include "bulrush_steps/ports/WorkerEntry.h"
 #include "bulrush_steps/ports/WorkerProcessList.h"
+#include "bulrush_steps/workers/CommandTokens.h"
 #include "bulrush_steps/workers/EndedWorkerFinder.h"
 #include "bulrush_steps/workers/LeaseClock.h"
 #include "bulrush_steps/workers/StartWindow.h"
--- a/modules/bulrush_steps/workers/LeaseClock.cpp
+++ b/modules/bulrush_steps/workers/LeaseClock.cpp
@@ -23,6 +23,11 @@
     return milliseconds(static_cast<std::int64_t>(span / minClockRate));
 }
 
+Instant leaseExpiry(Instant takenBy, milliseconds workerSpan)
+{
+    return takenBy + maxLocalDuration(workerSpan) + leaseExpiryMargin;
+}
+
 void LeaseClock::recordReading(WorkerMillis clock, Instant arrivedAt)
 {
     this->reading = Reading { clock, arrivedAt };
@@ -44,6 +49,7 @@
 {
     this->reading.reset();
     this->latestLeaseEnd = 0;
+    this->foreignLeaseUntil = Instant();
 }
 
 std::optional<WorkerMillis> LeaseClock::clockAt(Instant now) const
@@ -65,8 +71,18 @@
     if (!this->reading) {
         return std::nullopt;
     }
-    const auto left = std::max<WorkerMillis>(0, this->latestLeaseEnd - this->reading->clock);
-    return this->reading->arrivedAt + maxLocalDuration(milliseconds(left)) + leaseExpiryMargin;
+    return std::max(this->countedLeaseExpiredAt(*this->reading), this->foreignLeaseUntil);
+}
+
+bool LeaseClock::endsWithForeignLease() const
+{
+    return this->reading && this->foreignLeaseUntil > this->countedLeaseExpiredAt(*this->reading);
+}
+
+Instant LeaseClock::countedLeaseExpiredAt(const Reading &last) const
+{
+    const auto left = std::max<WorkerMillis>(0, this->latestLeaseEnd - last.clock);
+    return leaseExpiry(last.arrivedAt, milliseconds(left));
 }
 
 } // namespace bulrush
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -40,6 +40,9 @@
         for other tasks. */
     std::int64_t fillCpuMilli = 0;
     bool runsIndefinitely = false;
+    /** Whether the start was not answered by a process of the worker that is known, so that a later
+        process may have the run or may still take the start. */
+    bool processUnknown = true;
     /** Whether an earlier owner started it, so that startSentAt is when this owner found it. */
     bool found = false;
     /** Whether room was reserved for the task's step when its worker was chosen. */
@@ -120,9 +123,17 @@
     bool shutdownAnnounced = false;
     /** Whether it has removed its entry from that list itself. */
     bool deregistered = false;
-    /** Whether it has answered a hold under this owner's fencing token since its last failed hold,
-        restart or change of address. */
+    /** Whether its process is known: it has answered a hold with the present command token. */
     bool confirmed = false;
+    /** The fencing token of commands to it. A process that has answered one refuses what was sent
+        with lower ones, to a former process or by this owner's predecessors.
+        @see WorkerManager::takeNewToken */
+    std::uint64_t commandToken = 0;
+    /** Whether its process may have taken commands that were made for a former process or by a
+       former owner, since it has not answered the present command token. */
+    bool mayHaveForeignLease = true;
+    /** Whether its process is known to have ended, and no later one is known. */
+    bool processEnded = false;
     /** Whether it has ever answered under this owner's fencing token. */
     bool adopted = false;
     /** Whether the persisted roster lists it as a worker that may hold tasks. */
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -48,7 +48,10 @@
 
 void WorkerManager::begin(std::uint64_t token)
 {
-    this->fencingToken = token;
+    this->commandTokens.begin(token);
+    for (auto &[id, worker] : this->workerTable) {
+        this->takeNewToken(worker);
+    }
 }
 
 void WorkerManager::end()
@@ -76,13 +79,15 @@
     const auto [found, added] = this->workerTable.try_emplace(entry.worker);
     Worker &worker = found->second;
     const bool moved = !added && !(worker.address.endpoint == entry.endpoint);
-    const bool restarted = !added && entry.processStartedAt != worker.entry.processStartedAt;
+    const bool restarted = !added && entry.processStartedAt != worker.entry.processStartedAt
+            && entry.processStartedAt != worker.processStartedAt;
     if (!added && entry.draining && !worker.entry.draining) {
         this->decisions.write(
                 DecisionLine(Event::WorkerDraining).with("worker", entry.worker.name()));
     }
     worker.entry = entry;
     worker.listed = true;
+    worker.processEnded = false;
     if (entry.draining || entry.processStartedAt == worker.processStartedAt) {
         worker.shutdownAnnounced = entry.draining;
     }
@@ -99,9 +104,8 @@
                                       .with("worker", entry.worker.name())
                                       .with("address", entry.endpoint.text()));
     }
-    if (moved || restarted) {
-        worker.confirmed = false;
-        worker.nextHoldAt = this->clock.now();
+    if (added || moved || (restarted && worker.confirmed)) {
+        this->takeNewToken(worker);
     }
     this->checkSoon(worker);
 }
@@ -206,7 +210,7 @@
 void WorkerManager::sendHold(Worker &worker)
 {
     WorkerHold command;
-    command.fencingToken = this->fencingToken;
+    command.fencingToken = worker.commandToken;
     // An unconfirmed worker may have restarted, which resets its numbering of ended runs. Nothing
     // is acknowledged and no lease is renewed until it has answered.
     const bool stored = worker.processedChange <= this->listener.storedChange();
@@ -224,7 +228,8 @@
         worker.leaseSentAt = this->clock.now();
     }
     worker.holdInFlight = true;
-    const std::uint64_t number = ++worker.holdNumber;
+    const std::uint64_t number = ++this->lastHoldNumber;
+    worker.holdNumber = number;
     const Instant sentAt = this->clock.now();
     this->port.hold(worker.address, command, command.wait + holdTimeout,
                     [this, id = worker.entry.worker, number, sentAt,
@@ -241,36 +246,60 @@
     if (worker.runs.empty() || worker.confirmed || !this->listener.isSoleOwner()) {
         return;
     }
-    const std::optional<Instant> expiredAt = worker.clock.leaseExpiredAt();
-    if (!expiredAt || this->clock.now() < *expiredAt) {
+    const Instant now = this->clock.now();
+    const std::optional<Instant> leaseExpiredAt = worker.clock.leaseExpiredAt();
+    if (!leaseExpiredAt) {
         return;
     }
-    this->reportLeaseExpired(worker);
+    std::vector<Run> expired;
     for (const auto &[attempt, run] : worker.runs) {
+        if (now >= this->expiryOf(worker, run, *leaseExpiredAt)) {
+            expired.push_back(run);
+        }
+    }
+    if (expired.empty()) {
+        return;
+    }
+    this->reportLeaseExpired(worker, expired);
+    worker.runsExpiredAt = now;
+    for (const Run &run : expired) {
+        worker.removeRun(run.attempt);
         if (run.phase != RunPhase::Assigned) {
             worker.runsExpiredInSilence.push_back(run);
         }
     }
-    worker.runsExpiredAt = this->clock.now();
-    for (const auto &[attempt, run] : worker.clearRuns()) {
+    for (const Run &run : expired) {
         this->listener.runLost(worker, run, "lease expired");
     }
 }
 
-void WorkerManager::reportLeaseExpired(const Worker &worker)
+Instant WorkerManager::expiryOf(const Worker &worker, const Run &run, Instant leaseExpiredAt) const
+{
+    if (run.phase == RunPhase::Assigned || !run.processUnknown) {
+        return leaseExpiredAt;
+    }
+    // Each later command prolongs the lease of all runs of the process that takes it.
+    const Instant takenBy = std::max(run.startSentAt, worker.leaseSentAt) + maxCommandDelay;
+    const Instant endsBy =
+            worker.processEnded ? takenBy : leaseExpiry(takenBy, this->settings.maxLease);
+    return std::max(leaseExpiredAt, endsBy);
+}
+
+void WorkerManager::reportLeaseExpired(const Worker &worker, const std::vector<Run> &expired)
 {
     const Instant now = this->clock.now();
-    const auto unanswered =
-            std::count_if(worker.runs.begin(), worker.runs.end(), [](const auto &entry) {
-                return entry.second.phase != RunPhase::Running;
-            });
+    const auto unknown = std::count_if(expired.begin(), expired.end(),
+                                       [](const Run &run) { return run.processUnknown; });
     const auto sinceLease = duration_cast<milliseconds>(now - worker.leaseSentAt).count();
     const auto sinceReport = duration_cast<milliseconds>(now - worker.reportedAt).count();
+    const bool foreign = worker.clock.endsWithForeignLease();
     this->decisions.write(DecisionLine(Event::WorkerLeaseExpired)
                                   .with("worker", worker.entry.worker.name())
                                   .with("born_ms", worker.processStartedAt)
-                                  .with("runs", static_cast<std::int64_t>(worker.runs.size()))
-                                  .with("unanswered_starts", static_cast<std::int64_t>(unanswered))
+                                  .with("token", worker.commandToken)
+                                  .with("runs", static_cast<std::int64_t>(expired.size()))
+                                  .with("unanswered_starts", static_cast<std::int64_t>(unknown))
+                                  .with("bounded_by", foreign ? "foreign lease" : "renewal")
                                   .with("since_lease_ms", sinceLease)
                                   .with("since_report_ms", sinceReport));
 }
@@ -280,6 +309,7 @@
     if (!worker.hasLeft()) {
         return;
     }
+    worker.processEnded = true;
     this->dropRunsOfEndedProcess(worker, "the worker has left");
     this->listener.workerKnown(worker.entry.worker);
 }
@@ -288,7 +318,7 @@
 {
     std::vector<Run> lost;
     for (const auto &[attempt, run] : worker.runs) {
-        if (run.phase == RunPhase::Running) {
+        if (run.phase == RunPhase::Running && !run.processUnknown) {
             lost.push_back(run);
         }
     }
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrush_steps/dispatch/DispatchSettings.h"
+#include "bulrush_steps/workers/CommandTokens.h"
 #include "bulrush_steps/workers/StartWindow.h"
 #include "bulrush_steps/workers/Worker.h"
 
@@ -144,6 +145,14 @@
     void forEachRun(const JobId &job, const std::function<void(Worker &, Run &)> &visit);
 
 private:
+    /** A start or stop request that was sent. */
+    struct SentCommand
+    {
+        AttemptRef attempt;
+        std::uint64_t token = 0;
+        Instant sentAt {};
+    };
+
     /** Checks all workers, and removes those that are unlisted and have no runs. */
     void checkAll();
 
@@ -156,6 +165,16 @@
     void handleHoldAnswer(const TargetId &id, std::uint64_t number, Instant sentAt,
                           std::uint64_t acknowledged, const HoldAnswer &answer);
     void handleHoldFailure(Worker &worker, CommandOutcome outcome);
+
+    /** Has all further commands to a worker carry a new token, and asks the worker at once which
+        process takes them. Called when that may be another process than before: nothing is started
+        there until the worker has answered. */
+    void takeNewToken(Worker &worker);
+
+    /** Bounds the leases that a worker's process may have from commands that were not made for it.
+        @param answersNewToken whether the process has answered a token that no such command has, so
+            that it takes no more of them */
+    void boundForeignLeases(Worker &worker, bool answersNewToken);
     void processEndedRuns(Worker &worker, const HoldAnswer &answer);
     void processRuns(Worker &worker, const HoldAnswer &answer, Instant sentAt);
     void processListedRun(Worker &worker, const ListedRun &listed);
@@ -164,17 +183,26 @@
         list, unless it may have left out their ends. */
     void processUnlistedRuns(Worker &worker, bool listsAllEnds, Instant sentAt);
     void handleWorkerRestart(Worker &worker, UnixMillis processStartedAt);
-    void handleStartAnswer(const TargetId &id, const AttemptRef &attempt,
+    void handleStartAnswer(const TargetId &id, const SentCommand &command,
                            const CommandAnswer &answer);
-    /** Logs the answer to a start whose clock shows that another process made it than the one that
-        the start was made for. */
-    void reportOtherProcess(const Worker &worker, const Run &run, const CommandAnswer &answer);
-    void handleStopAnswer(const TargetId &id, const AttemptRef &attempt,
+
+    /** @param processKnown whether the process that the worker is known to have answered */
+    void confirmStart(Worker &worker, Run &run, bool processKnown);
+    /** Takes a new token if the clock of an answer shows that another process of the worker made it
+        than the one that is known.
+        @returns whether it does */
+    bool noticeOtherProcess(Worker &worker, const AttemptRef &attempt, Instant sentAt,
+                            const CommandAnswer &answer);
+    void handleStopAnswer(const TargetId &id, const SentCommand &command,
                           const CommandAnswer &answer);
     void sendStops(Worker &worker);
     void sendStop(Worker &worker, Run &run);
     void dropExpiredRuns(Worker &worker);
-    void reportLeaseExpired(const Worker &worker);
+
+    /** Returns when a run on a silent worker has ended for certain, or can no longer begin.
+        @param leaseExpiredAt when the leases of the worker's known process are over */
+    Instant expiryOf(const Worker &worker, const Run &run, Instant leaseExpiredAt) const;
+    void reportLeaseExpired(const Worker &worker, const std::vector<Run> &expired);
     /** Gives up the runs that a worker had before its process ended. Starts without an answer are
         kept until their lease is over: a later process of the worker may still carry them out. */
     void dropRunsOfEndedProcess(Worker &worker, std::string_view reason);
@@ -197,7 +225,10 @@
     const DispatchSettings settings;
     DecisionLog &decisions;
     Listener &listener;
-    std::uint64_t fencingToken = 0;
+    CommandTokens commandTokens;
+    /** The number of the last hold request. No two workers share one, nor do a worker that was
+       removed and the same one added again. */
+    std::uint64_t lastHoldNumber = 0;
     std::map<TargetId, Worker> workerTable;
     /** The number of times that a worker was added or removed, or answered for the first time. */
     std::uint64_t membershipChanges = 0;
--- a/modules/bulrush_steps/workers/WorkerManagerCrashes.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerCrashes.cpp
@@ -32,6 +32,7 @@
                 runs.push_back(run);
             }
         }
+        worker->processEnded = true;
         this->reportCrash(*worker, runs, processEnded);
         this->dropRunsOfEndedProcess(*worker, processEnded);
     }
--- a/modules/bulrush_steps/workers/WorkerManagerOrders.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerOrders.cpp
@@ -49,7 +49,7 @@
     command.attempt = run.attempt;
     command.payload = job.payload;
     command.leaseEnd = end.value_or(0);
-    command.fencingToken = this->fencingToken;
+    command.fencingToken = worker.commandToken;
     command.checkpoint = std::move(checkpoint);
     worker.clock.recordLeaseEnd(command.leaseEnd);
     run.phase = RunPhase::Starting;
@@ -58,17 +58,18 @@
     const AttemptRef attempt = run.attempt;
     StartWindow &window = run.fillCpuMilli > 0 ? this->fillStarts : this->reservingStarts;
     window.started();
+    const SentCommand sent { attempt, worker.commandToken, run.startSentAt };
     this->port.start(worker.address, command, commandTimeout,
-                     [this, id = worker.entry.worker, attempt, &window,
+                     [this, id = worker.entry.worker, sent, &window,
                       isAlive = this->alive](const CommandAnswer &answer) {
                          if (*isAlive) {
                              window.finished(answer.outcome != CommandOutcome::Unknown);
-                             this->handleStartAnswer(id, attempt, answer);
+                             this->handleStartAnswer(id, sent, answer);
                          }
                      });
 }
 
-void WorkerManager::handleStartAnswer(const TargetId &id, const AttemptRef &attempt,
+void WorkerManager::handleStartAnswer(const TargetId &id, const SentCommand &command,
                                       const CommandAnswer &answer)
 {
     Worker *worker = this->find(id);
@@ -78,30 +79,24 @@
     if (worker->commandsInFlight > 0) {
         --worker->commandsInFlight;
     }
-    const Instant now = this->clock.now();
-    if (answer.outcome == CommandOutcome::Fenced) {
+    // A lower token than the present one was refused because of the present one.
+    if (answer.outcome == CommandOutcome::Fenced && command.token == worker->commandToken) {
         this->listener.superseded(*worker);
         return;
     }
+    const AttemptRef &attempt = command.attempt;
+    const bool otherProcess = this->noticeOtherProcess(*worker, attempt, command.sentAt, answer);
     const auto found = worker->runs.find(attempt);
     if (found == worker->runs.end()) {
         return;
     }
     Run &run = found->second;
     run.commandInFlight = false;
-    this->reportOtherProcess(*worker, run, answer);
     if (answer.outcome == CommandOutcome::Done) {
-        if (run.phase != RunPhase::Running) {
-            run.phase = RunPhase::Running;
-            run.confirmedAt = now;
-            run.progressedAt = now;
-            if (run.paceLimit < run.pacePercent) {
-                this->pace(*worker, run, run.paceLimit);
-            }
-            this->listener.runConfirmed(run);
-        }
+        this->confirmStart(*worker, run, answer.clock && !otherProcess);
         return;
     }
+    const Instant now = this->clock.now();
     if (answer.outcome == CommandOutcome::Unknown
         || answer.outcome == CommandOutcome::OtherWorker) {
         run.phase = RunPhase::Unconfirmed;
@@ -119,45 +114,66 @@
     this->listener.startRefused(*worker, refused, answer.outcome);
 }
 
-void WorkerManager::reportOtherProcess(const Worker &worker, const Run &run,
-                                       const CommandAnswer &answer)
+void WorkerManager::confirmStart(Worker &worker, Run &run, bool processKnown)
 {
-    if (!answer.clock || worker.clock.continues(*answer.clock, run.startSentAt)) {
+    if (run.phase == RunPhase::Running) {
         return;
     }
-    this->decisions.write(DecisionLine(Event::CommandTakenByOtherProcess)
-                                  .with("worker", worker.entry.worker.name())
-                                  .with("born_ms", worker.processStartedAt)
-                                  .with("task", text(run.attempt.task))
-                                  .with("attempt", run.attempt.attempt)
-                                  .with("worker_clock_ms", *answer.clock));
+    run.phase = RunPhase::Running;
+    run.processUnknown = !processKnown;
+    run.confirmedAt = this->clock.now();
+    run.progressedAt = run.confirmedAt;
+    if (run.paceLimit < run.pacePercent) {
+        this->pace(worker, run, run.paceLimit);
+    }
+    this->listener.runConfirmed(run);
+}
+
+bool WorkerManager::noticeOtherProcess(Worker &worker, const AttemptRef &attempt, Instant sentAt,
+                                       const CommandAnswer &answer)
+{
+    if (!answer.clock || worker.clock.continues(*answer.clock, sentAt)) {
+        return false;
+    }
+    if (worker.confirmed) {
+        this->decisions.write(DecisionLine(Event::CommandTakenByOtherProcess)
+                                      .with("worker", worker.entry.worker.name())
+                                      .with("born_ms", worker.processStartedAt)
+                                      .with("task", text(attempt.task))
+                                      .with("attempt", attempt.attempt)
+                                      .with("worker_clock_ms", *answer.clock));
+        this->takeNewToken(worker);
+    }
+    return true;
 }
 
 void WorkerManager::sendStop(Worker &worker, Run &run)
 {
     run.commandInFlight = true;
-    const RunStop command { run.attempt, this->fencingToken };
+    const RunStop command { run.attempt, worker.commandToken };
+    const SentCommand sent { run.attempt, worker.commandToken, this->clock.now() };
     this->port.stop(worker.address, command, commandTimeout,
-                    [this, id = worker.entry.worker, attempt = run.attempt,
+                    [this, id = worker.entry.worker, sent,
                      isAlive = this->alive](const CommandAnswer &answer) {
                         if (*isAlive) {
-                            this->handleStopAnswer(id, attempt, answer);
+                            this->handleStopAnswer(id, sent, answer);
                         }
                     });
 }
 
-void WorkerManager::handleStopAnswer(const TargetId &id, const AttemptRef &attempt,
+void WorkerManager::handleStopAnswer(const TargetId &id, const SentCommand &command,
                                      const CommandAnswer &answer)
 {
     Worker *worker = this->find(id);
     if (worker == nullptr) {
         return;
     }
-    if (answer.outcome == CommandOutcome::Fenced) {
+    if (answer.outcome == CommandOutcome::Fenced && command.token == worker->commandToken) {
         this->listener.superseded(*worker);
         return;
     }
-    const auto found = worker->runs.find(attempt);
+    this->noticeOtherProcess(*worker, command.attempt, command.sentAt, answer);
+    const auto found = worker->runs.find(command.attempt);
     if (found == worker->runs.end()) {
         return;
     }
@@ -185,7 +201,7 @@
     // The stall time-out starts again, because the run made no progress while it was paused or
     // makes none from now on.
     run.progressedAt = this->clock.now();
-    const RunPace command { run.attempt, percent, this->fencingToken };
+    const RunPace command { run.attempt, percent, worker.commandToken };
     this->port.pace(worker.address, command, commandTimeout,
                     [this, id = worker.entry.worker, attempt = run.attempt,
                      isAlive = this->alive](const CommandAnswer &answer) {
--- a/modules/bulrush_steps/workers/WorkerManagerReports.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerReports.cpp
@@ -38,7 +38,11 @@
         return;
     }
     const Instant now = this->clock.now();
-    if (worker->processStartedAt != 0 && answer.processStartedAt != worker->processStartedAt) {
+    // The token of an unconfirmed worker was in no command yet but in holds that granted nothing.
+    const bool answersNewToken = !worker->confirmed;
+    const bool restarted =
+            worker->processStartedAt != 0 && answer.processStartedAt != worker->processStartedAt;
+    if (restarted) {
         this->reportRestart(*worker, sentAt, answer);
         this->handleWorkerRestart(*worker, answer.processStartedAt);
         // The hold request acknowledged ended runs of the previous process.
@@ -54,9 +58,11 @@
     }
     worker->processStartedAt = answer.processStartedAt;
     worker->failedHolds = 0;
+    worker->processEnded = false;
     this->silent.erase(id);
     worker->runsExpiredInSilence.clear();
     worker->clock.recordReading(answer.clock, now);
+    this->boundForeignLeases(*worker, answersNewToken);
     worker->reportedAt = now;
     worker->acknowledgedEnds = std::max(worker->acknowledgedEnds, acknowledged);
     this->processEndedRuns(*worker, answer);
@@ -64,18 +70,20 @@
     if (!worker->adopted) {
         worker->adopted = true;
         ++this->membershipChanges;
-        // What it runs may hold a lease that a former owner has just granted.
-        worker->clock.recordLeaseEnd(answer.clock + this->settings.lease().count());
     }
     if (answer.listsAllEnds) {
         this->listener.workerKnown(id);
     }
-    const bool firstAnswer = !worker->confirmed;
+    if (restarted && !answersNewToken) {
+        this->takeNewToken(*worker);
+        this->reported.insert(id);
+        return;
+    }
     worker->confirmed = true;
     const bool hasUnacknowledgedEnds = worker->processedEnds > worker->acknowledgedEnds;
     const bool awaitsStorage =
             hasUnacknowledgedEnds && worker->processedChange > this->listener.storedChange();
-    worker->nextHoldAt = awaitsStorage && !firstAnswer ? now + maxUnstoredHoldDelay : now;
+    worker->nextHoldAt = awaitsStorage && !answersNewToken ? now + maxUnstoredHoldDelay : now;
     this->reported.insert(id);
     this->checkSoon(*worker);
 }
@@ -88,11 +96,35 @@
                                       .with("outcome", text(outcome))
                                       .with("runs", static_cast<std::int64_t>(worker.runs.size())));
     }
-    worker.confirmed = false;
+    if (worker.confirmed) {
+        this->takeNewToken(worker);
+    }
     this->silent.insert(worker.entry.worker);
     worker.nextHoldAt = this->clock.now() + holdRetryDelay;
 }
 
+void WorkerManager::takeNewToken(Worker &worker)
+{
+    worker.confirmed = false;
+    worker.commandToken = this->commandTokens.next();
+    // The answer to a hold with a former token is not waited for.
+    worker.holdInFlight = false;
+    worker.holdNumber = ++this->lastHoldNumber;
+    worker.nextHoldAt = this->clock.now();
+    this->checkSoon(worker);
+}
+
+void WorkerManager::boundForeignLeases(Worker &worker, bool answersNewToken)
+{
+    if (!worker.mayHaveForeignLease) {
+        return;
+    }
+    const Instant now = this->clock.now();
+    const Instant takenBy = answersNewToken ? now : now + maxCommandDelay;
+    worker.clock.recordForeignLease(leaseExpiry(takenBy, this->settings.maxLease));
+    worker.mayHaveForeignLease = !answersNewToken;
+}
+
 void WorkerManager::handleWorkerRestart(Worker &worker, UnixMillis processStartedAt)
 {
     std::vector<Run> lost;
@@ -122,6 +154,7 @@
     worker.processedChange = 0;
     worker.acknowledgedEnds = 0;
     worker.clock.reset();
+    worker.mayHaveForeignLease = true;
     for (const Run &run : lost) {
         worker.removeRun(run.attempt);
         this->listener.runLost(worker, run, "the worker's process restarted");
@@ -180,6 +213,7 @@
     if (listed.percent != run.progressPercent) {
         run.progressedAt = now;
     }
+    run.processUnknown = false;
     run.listedInReport = worker.holdNumber;
     run.mayHaveEnded = false;
     run.progressPercent = listed.percent;
