Count what is found of the processes of workers

The log told of restarts one by one; no metric said how often a worker's process changed or was in doubt, how often a command was answered by another process than the one that it was made for, and how often a worker refused an older token of the same owner. bulrush_entry_worker_processes_total counts these four, on the owner, each second.

--- a/modules/bulrush_entry/node/EntryMetrics.cpp
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -111,6 +111,17 @@
     prometheus::Counter &usedReservations = reservations.Add({ { "outcome", "used" } });
     prometheus::Counter &lapsedReservations = reservations.Add({ { "outcome", "lapsed" } });
     prometheus::Counter &droppedReservations = reservations.Add({ { "outcome", "dropped" } });
+    prometheus::Family<prometheus::Counter> &workerProcesses =
+            prometheus::BuildCounter()
+                    .Name("bulrush_entry_worker_processes_total")
+                    .Help("Events that concern the processes of workers")
+                    .Register(registry);
+    prometheus::Counter &restartedWorkers = workerProcesses.Add({ { "event", "restarted" } });
+    prometheus::Counter &doubtedWorkers = workerProcesses.Add({ { "event", "doubted" } });
+    prometheus::Counter &othersCommands =
+            workerProcesses.Add({ { "event", "took_others_command" } });
+    prometheus::Counter &refusedTokens =
+            workerProcesses.Add({ { "event", "refused_older_token" } });
     prometheus::Family<prometheus::Histogram> &jobSeconds =
             prometheus::BuildHistogram()
                     .Name("bulrush_entry_job_seconds")
@@ -220,6 +231,14 @@
     this->families->droppedReservations.Increment(static_cast<double>(more.dropped));
 }
 
+void EntryMetrics::recordWorkerProcesses(const WorkerProcessCounts &more)
+{
+    this->families->restartedWorkers.Increment(static_cast<double>(more.restarted));
+    this->families->doubtedWorkers.Increment(static_cast<double>(more.doubted));
+    this->families->othersCommands.Increment(static_cast<double>(more.tookOthersCommand));
+    this->families->refusedTokens.Increment(static_cast<double>(more.refusedOlderToken));
+}
+
 void EntryMetrics::recordJobEnd(JobState state, Duration elapsed)
 {
     this->families->jobSeconds
--- a/modules/bulrush_entry/node/EntryMetrics.h
+++ b/modules/bulrush_entry/node/EntryMetrics.h
@@ -6,6 +6,7 @@
 #include "bulrush_steps/ownership/TakeoverWait.h"
 #include "bulrush_steps/ports/KeyedLog.h"
 #include "bulrush_steps/ports/WorkerCommands.h"
+#include "bulrush_steps/workers/WorkerProcessCounts.h"
 
 #include <map>
 #include <memory>
@@ -38,6 +39,9 @@
     /** Records what became of reservations of room. @param more since the last call */
     void recordReservations(const ReservationCounts &more);
 
+    /** Records what was found of the processes of workers. @param more since the last call */
+    void recordWorkerProcesses(const WorkerProcessCounts &more);
+
     /** Records a job's end after it was stored in the log.
         @param elapsed time since the job was accepted */
     void recordJobEnd(JobState state, Duration elapsed);
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -181,6 +181,9 @@
                     .with("planning_filling_ms",
                           toMillis(load.plan.fillingTime - before.fillingTime)));
     this->metrics.recordReservations(reservations);
+    const WorkerProcessCounts processesBefore =
+            std::exchange(this->reportedProcesses, load.workerProcesses);
+    this->metrics.recordWorkerProcesses(load.workerProcesses.since(processesBefore));
     this->reportWaits(load.plan.waits);
     this->metrics.setServedShares(servedShares(load.queues));
 }
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -178,6 +178,7 @@
     Instant nextLoadReport {};
     /** The planner's load as last logged. */
     PlanLoad reportedPlan;
+    WorkerProcessCounts reportedProcesses;
     Instant lastRequestAt {};
     std::uint64_t arrivedRequests = 0;
     /** Set when this node was told to stop. */
--- a/modules/bulrush_entry/tests/entry_metrics_test.cpp
+++ b/modules/bulrush_entry/tests/entry_metrics_test.cpp
@@ -47,3 +47,18 @@
         cr_expect(text.find(total + line) != std::string::npos, "no %s in %s", line, text.c_str());
     }
 }
+
+/* Restarts of workers showed in the log only, not how often commands met another process. */
+Test(EntryMetrics, countsEventsOfWorkerProcesses)
+{
+    EntryMetrics metrics;
+    const std::string total = "bulrush_entry_worker_processes_total{event=";
+    cr_expect(metrics.text().find(total + "\"restarted\"} 0\n") != std::string::npos);
+    metrics.recordWorkerProcesses({ 1, 2, 3, 4 });
+    metrics.recordWorkerProcesses({ 1, 2, 3, 4 });
+    const std::string text = metrics.text();
+    for (const char *line : { "\"restarted\"} 2\n", "\"doubted\"} 4\n",
+                              "\"took_others_command\"} 6\n", "\"refused_older_token\"} 8\n" }) {
+        cr_expect(text.find(total + line) != std::string::npos, "no %s in %s", line, text.c_str());
+    }
+}
--- a/modules/bulrush_steps/bulrush_steps.h
+++ b/modules/bulrush_steps/bulrush_steps.h
@@ -56,4 +56,5 @@
 #include "bulrush_steps/workers/StartWindow.h"
 #include "bulrush_steps/workers/Worker.h"
 #include "bulrush_steps/workers/WorkerManager.h"
+#include "bulrush_steps/workers/WorkerProcessCounts.h"
 #include "bulrush_steps/workers/WorkerRoster.h"
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -430,6 +430,7 @@
     DispatchLoad load;
     load.plan = this->planner.load();
     load.queues = this->queueReports;
+    load.workerProcesses = this->workerManager.processCounts();
     load.openStarts = this->workerManager.startWindow(false).open()
             + this->workerManager.startWindow(true).open();
     load.unsentStarts = this->assignedStarts.count(false) + this->assignedStarts.count(true);
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -24,6 +24,7 @@
 struct DispatchLoad
 {
     PlanLoad plan;
+    WorkerProcessCounts workerProcesses;
     /** Start requests without an answer. */
     std::uint32_t openStarts = 0;
     /** Runs that may be alive. */
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -4,6 +4,7 @@
 #include "bulrush_steps/workers/CommandTokens.h"
 #include "bulrush_steps/workers/StartWindow.h"
 #include "bulrush_steps/workers/Worker.h"
+#include "bulrush_steps/workers/WorkerProcessCounts.h"
 
 #include <functional>
 #include <map>
@@ -131,6 +132,8 @@
     /** Sets the share of processor time that a run may use. */
     void pace(Worker &worker, Run &run, std::uint32_t percent);
 
+    const WorkerProcessCounts &processCounts() const { return this->processEvents; }
+
     /** Returns the window of the start requests of filling tasks, or of all others. */
     const StartWindow &startWindow(bool fills) const
     {
@@ -188,6 +191,10 @@
 
     /** @param processKnown whether the process that the worker is known to have answered */
     void confirmStart(Worker &worker, Run &run, bool processKnown);
+    /** Returns whether the refusal of a command's token shows a newer owner, rather than that the
+        worker has seen a newer token of this one. */
+    bool isSuperseded(const Worker &worker, const SentCommand &refused);
+
     /** Takes a new token if the clock of an answer shows that another process of the worker made it
         than the one that is known.
         @returns whether it does */
@@ -239,6 +246,7 @@
     std::set<TargetId> silent;
     /** The workers that have reported since takeReported() was last called. */
     std::set<TargetId> reported;
+    WorkerProcessCounts processEvents;
     StartWindow reservingStarts;
     StartWindow fillStarts;
     /** Shared with the callbacks of requests; set to false by end() and on destruction, so that
--- a/modules/bulrush_steps/workers/WorkerManagerOrders.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerOrders.cpp
@@ -79,8 +79,7 @@
     if (worker->commandsInFlight > 0) {
         --worker->commandsInFlight;
     }
-    // A lower token than the present one was refused because of the present one.
-    if (answer.outcome == CommandOutcome::Fenced && command.token == worker->commandToken) {
+    if (answer.outcome == CommandOutcome::Fenced && this->isSuperseded(*worker, command)) {
         this->listener.superseded(*worker);
         return;
     }
@@ -129,6 +128,15 @@
     this->listener.runConfirmed(run);
 }
 
+bool WorkerManager::isSuperseded(const Worker &worker, const SentCommand &refused)
+{
+    if (refused.token == worker.commandToken) {
+        return true;
+    }
+    ++this->processEvents.refusedOlderToken;
+    return false;
+}
+
 bool WorkerManager::noticeOtherProcess(Worker &worker, const AttemptRef &attempt, Instant sentAt,
                                        const CommandAnswer &answer)
 {
@@ -142,6 +150,7 @@
                                       .with("task", text(attempt.task))
                                       .with("attempt", attempt.attempt)
                                       .with("worker_clock_ms", *answer.clock));
+        ++this->processEvents.tookOthersCommand;
         this->takeNewToken(worker);
     }
     return true;
@@ -168,7 +177,7 @@
     if (worker == nullptr) {
         return;
     }
-    if (answer.outcome == CommandOutcome::Fenced && command.token == worker->commandToken) {
+    if (answer.outcome == CommandOutcome::Fenced && this->isSuperseded(*worker, command)) {
         this->listener.superseded(*worker);
         return;
     }
--- a/modules/bulrush_steps/workers/WorkerManagerReports.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerReports.cpp
@@ -105,6 +105,7 @@
 
 void WorkerManager::takeNewToken(Worker &worker)
 {
+    this->processEvents.doubted += worker.confirmed ? 1 : 0;
     worker.confirmed = false;
     worker.commandToken = this->commandTokens.next();
     // The answer to a hold with a former token is not waited for.
@@ -139,6 +140,7 @@
             run.confirmedAt = this->clock.now();
         }
     }
+    ++this->processEvents.restarted;
     const Instant now = this->clock.now();
     const auto sinceLease = duration_cast<milliseconds>(now - worker.leaseSentAt).count();
     const auto sinceReport = duration_cast<milliseconds>(now - worker.reportedAt).count();
