--- a/modules/bulrush_steps/ownership/OwnershipManager.cpp
+++ b/modules/bulrush_steps/ownership/OwnershipManager.cpp
@@ -16,6 +16,13 @@
 /** Number of polls per time to live, for a node that is not a member. */
 constexpr int pollsPerTimeToLive = 4;
 
+/** Minimum time between two leaves that are to make a new generation, as a part of the time to
+    live. */
+constexpr int renewalsPerTimeToLive = 3;
+
+/** How long the store may take to carry out a call that it has not answered. */
+constexpr milliseconds maxCallDelay { 15'000 };
+
 /** Number of members that the group is kept at: the owner and its standbys. */
 constexpr std::uint32_t targetMemberCount = 3;
 
@@ -74,8 +81,13 @@
 
 bool OwnershipManager::isSoleOwner() const
 {
-    return this->owner && !this->handedOver
-            && this->clock.now() < this->confirmedAt + this->times.timeToLive;
+    return this->owner && !this->handedOver && this->isConfirmedAt(this->clock.now());
+}
+
+bool OwnershipManager::isConfirmedAt(Instant time) const
+{
+    return this->confirmedAt >= this->leavePossibleUntil
+            && time < this->confirmedAt + this->times.timeToLive;
 }
 
 void OwnershipManager::tick()
@@ -166,12 +178,21 @@
         this->handOver("the store assigned the partition to another node");
         return;
     }
-    const bool tooLate = changed && sentAt >= this->confirmedAt + this->times.timeToLive;
-    if (this->owner && (this->handedOver || tooLate)) {
+    const bool mayHaveChangedHands = changed && !this->isConfirmedAt(sentAt);
+    if (this->owner && (this->handedOver || mayHaveChangedHands)) {
         this->loseOwnership("another node was or may have been the owner in the meantime");
     }
     this->confirmedAt = sentAt;
-    if (this->owner || membership.generation <= this->supersededGeneration) {
+    if (this->owner) {
+        return;
+    }
+    if (membership.generation <= this->usedGeneration) {
+        if (sentAt >= this->usedSince) {
+            this->leaveForNewGeneration();
+        } else {
+            // The assignment may have changed since.
+            this->nextJoinAt = this->clock.now();
+        }
         return;
     }
     this->owner = true;
@@ -187,7 +208,6 @@
         return;
     }
     this->handedOver = true;
-    this->supersededGeneration = std::max(this->supersededGeneration, this->token);
     this->decisions.write(DecisionLine(Event::OwnershipHandedOver)
                                   .with("fencing_token", this->token)
                                   .with("reason", reason));
@@ -196,7 +216,7 @@
 void OwnershipManager::superseded(std::string_view by)
 {
     if (this->owner) {
-        this->supersededGeneration = this->generation;
+        this->markUsed(this->generation);
         this->loseOwnership(by);
     }
 }
@@ -210,19 +230,53 @@
         this->loseOwnership("a newer owner asks");
     }
     // All tokens below that of the asking owner are superseded.
-    this->supersededGeneration = std::max(this->supersededGeneration, newerToken - 1);
+    this->markUsed(newerToken - 1);
     return !this->owner || this->token != askedToken;
 }
 
 void OwnershipManager::loseOwnership(std::string_view reason)
 {
     this->owner = false;
+    this->markUsed(this->token);
     this->decisions.write(DecisionLine(Event::OwnershipLost)
                                   .with("fencing_token", this->token)
                                   .with("reason", reason));
     this->listener.ownershipLost(reason);
 }
 
+void OwnershipManager::markUsed(std::uint64_t usedUpTo)
+{
+    if (usedUpTo > this->usedGeneration) {
+        this->usedGeneration = usedUpTo;
+        this->usedSince = this->clock.now();
+    }
+}
+
+void OwnershipManager::leaveForNewGeneration()
+{
+    const Instant now = this->clock.now();
+    if (now < this->nextRenewalAt) {
+        return;
+    }
+    this->nextRenewalAt = now + this->times.timeToLive / renewalsPerTimeToLive;
+    this->inFlight = true;
+    this->leaveForNow([this] {
+        this->inFlight = false;
+        this->nextJoinAt = this->clock.now();
+    });
+}
+
+void OwnershipManager::leaveForNow(std::function<void()> answered)
+{
+    this->group.leave(this->name, joinTimeout,
+                      [this, answered = std::move(answered)](StoreOutcome outcome) {
+                          if (outcome == StoreOutcome::Unknown) {
+                              this->leavePossibleUntil = this->clock.now() + maxCallDelay;
+                          }
+                          answered();
+                      });
+}
+
 void OwnershipManager::leave()
 {
     this->leaving = true;
@@ -263,7 +317,7 @@
     this->behindSince.reset();
     this->nextJoinAt = now + rejoinPause;
     this->decisions.write(DecisionLine(Event::MembershipGivenUp));
-    this->group.leave(this->name, joinTimeout, [](StoreOutcome /*outcome*/) {});
+    this->leaveForNow([] {});
 }
 
 } // namespace bulrush
--- a/modules/bulrush_steps/ownership/OwnershipManager.h
+++ b/modules/bulrush_steps/ownership/OwnershipManager.h
@@ -53,6 +53,11 @@
     need some time to read the log, and waits until commands of the previous owner can no longer
     take effect.
 
+    Each ownership is a term of its own, and its fencing token is the group's generation at which it
+    began. No generation begins two terms. When the store assigns the partition to this node at a
+    generation whose term has ended, the node leaves the group and joins again, which makes a higher
+    one.
+
     All times are measured from the sending of a successful join, by a clock that also advances
     while the machine is suspended.
 */
@@ -65,7 +70,7 @@
         virtual ~Listener() = default;
 
         /** Called when this node becomes the owner. @param fencingToken higher than that of any
-            previous owner */
+            previous owner, and than that of any earlier ownership of this node */
         virtual void ownershipGained(std::uint64_t fencingToken) = 0;
 
         virtual void ownershipLost(std::string_view reason) = 0;
@@ -117,6 +122,11 @@
     void pollGroup();
     void handleMemberCount(std::uint32_t members);
     void handleJoinAnswer(Instant sentAt, const Membership &membership);
+    /** Returns whether the last confirmation excludes that another node is the owner at a time. */
+    bool isConfirmedAt(Instant time) const;
+    void markUsed(std::uint64_t usedUpTo);
+    void leaveForNewGeneration();
+    void leaveForNow(std::function<void()> answered);
     void sendLeave();
     void stepDownIfBehind();
     void handOver(std::string_view reason);
@@ -149,8 +159,15 @@
     Instant joinedAt {};
     /** When the last successful join was sent that confirmed this node's partition. */
     Instant confirmedAt {};
-    /** Ownership is not accepted again at generations up to this one. */
-    std::uint64_t supersededGeneration = 0;
+    /** No term begins at generations up to this one, which are those of terms that have ended, and
+        since when this is known. */
+    std::uint64_t usedGeneration = 0;
+    Instant usedSince {};
+    /** When this node may leave again for a new generation. */
+    Instant nextRenewalAt {};
+    /** Until when the store may carry out a leave that it has not answered, so that another node
+        may become the owner although this one has joined since. */
+    Instant leavePossibleUntil {};
 };
 
 } // namespace bulrush
