Soak: workers that are cut off soon after a restart, and commands carried out late

Cause: the soak's workers restarted, but were never cut off afterwards, no command was carried out late, and no run outlasted a lease.

Change: a worker can be cut off (commands have no effect; connections stay silent or are dropped), and can carry out commands 1 to 4 s late, without an answer, also while it is cut off, on the process that it has by then. Series of up to three workers go down for 0.2 to 0.6 s, come back as new processes, and are cut off 0.3 to 2.5 s later for 3.3 to 6 s; half of them with 30 % of commands late. Runs that these processes start last until the lease lapses or the series ends. The series draw from a generator of their own, so the faults of existing seeds are drawn as before. workers.log, in the folder that is kept of a seed that failed, has what workers did, and the violations.

--- a/soak/InvariantChecker.cpp
+++ b/soak/InvariantChecker.cpp
@@ -17,6 +17,23 @@
     this->index = static_cast<std::uint32_t>(std::stoul(part));
 }
 
+void InvariantChecker::note(const std::string &text)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->write(text);
+}
+
+void InvariantChecker::write(const std::string &text)
+{
+    this->log << this->clock.nowMs() << ' ' << text << std::endl;
+}
+
+void InvariantChecker::recordViolation(std::string description)
+{
+    this->write("broken: " + description);
+    this->recordedViolations.push_back(std::move(description));
+}
+
 void InvariantChecker::recordJobSubmitted(const std::string &job, const std::vector<JobStep> &steps)
 {
     const std::scoped_lock lock(this->mutex);
@@ -107,12 +124,14 @@
 void InvariantChecker::recordEndAcknowledged(const std::string &task)
 {
     const std::scoped_lock lock(this->mutex);
+    this->write("the end of " + task + " is acknowledged");
     this->acknowledgedTasks.insert(TaskName(task));
 }
 
 void InvariantChecker::recordWorkerCrash(const std::string &worker)
 {
     const std::scoped_lock lock(this->mutex);
+    this->write(worker + " restarts");
     for (auto &[task, workers] : this->running) {
         workers.erase(worker);
     }
--- a/soak/InvariantChecker.h
+++ b/soak/InvariantChecker.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "standins/common/ProcessClock.h"
+
 #include <cstdint>
+#include <fstream>
 #include <map>
 #include <mutex>
 #include <set>
@@ -37,6 +40,16 @@
 class InvariantChecker
 {
 public:
+    /** @param logPath file for notes and violations, with the time in ms since 1970;
+        empty for none */
+    explicit InvariantChecker(const std::string &logPath = "")
+        : log(logPath)
+    {
+    }
+
+    /** Writes to the log what may explain a violation. */
+    void note(const std::string &text);
+
     void recordJobSubmitted(const std::string &job, const std::vector<JobStep> &steps);
     void recordJobAccepted(const std::string &job);
     void recordJobCancelled(const std::string &job);
@@ -72,10 +85,8 @@
     };
 
     bool isStepComplete(const std::string &job, std::uint32_t step) const;
-    void recordViolation(std::string description)
-    {
-        this->recordedViolations.push_back(std::move(description));
-    }
+    void recordViolation(std::string description);
+    void write(const std::string &text);
 
     std::mutex mutex;
     std::map<std::string, Job> jobs;
@@ -85,6 +96,8 @@
     std::set<TaskName> acknowledgedTasks;
     std::vector<std::string> recordedViolations;
     std::uint64_t runsStarted = 0;
+    const standins::ProcessClock clock;
+    std::ofstream log;
 };
 
 } // namespace bulrush::soak
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -19,6 +19,20 @@
 constexpr int minFaultDurationMs = 300;
 constexpr int maxFaultDurationMs = 3000;
 
+/** Series of restarts and cuts: interval between two, workers of one, how long a process is down,
+    how long the new one is connected, and how long it is cut off (a lease lasts 3 s at most). */
+constexpr int minSeriesIntervalMs = 1500;
+constexpr int maxSeriesIntervalMs = 5000;
+constexpr int maxSeriesWorkers = 3;
+constexpr int minDownMs = 200;
+constexpr int maxDownMs = 600;
+constexpr int minConnectedMs = 300;
+constexpr int maxConnectedMs = 2500;
+constexpr int minCutMs = 3300;
+constexpr int maxCutMs = 6000;
+constexpr int lateCommandsPercent = 30;
+constexpr int maxLateCommandsMs = 1000;
+
 constexpr int storeDelayMs = 250;
 constexpr int storeLossPercent = 30;
 
@@ -45,13 +59,16 @@
     : settings(soakSettings)
     , random(soakSettings.seed)
     , changeRandom(soakSettings.seed + 1)
+    , seriesRandom(soakSettings.seed + 2)
+    , checker(soakSettings.folder + "/workers.log")
     , store(soakSettings.seed)
 {
     const int storePort = this->store.start();
     this->store.put("keyed.op", "config", configuration(this->configVersion));
     for (int number = 1; number <= this->settings.workers; ++number) {
-        this->workers.push_back(
-                std::make_unique<WorkerServer>("w" + std::to_string(number), this->checker));
+        this->workers.push_back(std::make_unique<WorkerServer>(
+                "w" + std::to_string(number), this->checker,
+                this->settings.seed + static_cast<unsigned>(number)));
     }
     this->publishWorkers();
     for (int number = 1; number <= this->settings.nodes; ++number) {
@@ -167,6 +184,47 @@
     this->recoveries.push_back({ end, (this->*kind.inject)() });
 }
 
+void SoakRun::restartAndCutOffWorkers()
+{
+    const int count = 1 + static_cast<int>(this->seriesRandom() % maxSeriesWorkers);
+    for (int number = 0; number < count; ++number) {
+        WorkerServer &worker = *this->workers.at(this->seriesRandom() % this->workers.size());
+        if (this->workersInSeries.insert(worker.workerName()).second) {
+            this->scheduleRestartAndCut(worker);
+        }
+    }
+}
+
+void SoakRun::scheduleRestartAndCut(WorkerServer &worker)
+{
+    const auto draw = [this](int least, int most) {
+        return milliseconds(std::uniform_int_distribution<int>(least, most)(this->seriesRandom));
+    };
+    const bool drops = this->seriesRandom() % 2 == 0;
+    const bool late = this->seriesRandom() % 2 == 0;
+    this->faultNames += " restart-cut-" + worker.workerName() + (late ? "-late" : "");
+    worker.latePercent = late ? lateCommandsPercent : 0;
+    TimePoint at = std::chrono::steady_clock::now();
+    at += draw(0, late ? maxLateCommandsMs : 0);
+    this->recoveries.push_back({ at, [&worker, drops] { worker.cutOff(drops); } });
+    at += draw(minDownMs, maxDownMs);
+    this->recoveries.push_back({ at, [&worker] {
+                                    worker.crash();
+                                    worker.runsLong = true;
+                                    worker.reconnect();
+                                } });
+    at += draw(minConnectedMs, maxConnectedMs);
+    this->recoveries.push_back({ at, [&worker, drops] { worker.cutOff(drops); } });
+    at += draw(minCutMs, maxCutMs);
+    this->recoveries.push_back({ at, [this, &worker] {
+                                    worker.latePercent = 0;
+                                    worker.runsLong = false;
+                                    worker.reconnect();
+                                    this->workersInSeries.erase(worker.workerName());
+                                    this->publishWorkers();
+                                } });
+}
+
 void SoakRun::changeConfiguration()
 {
     // Versions rise in uneven steps.
@@ -202,6 +260,8 @@
     std::uniform_int_distribution<int> changeInterval(minChangeIntervalMs, maxChangeIntervalMs);
     TimePoint nextFault = std::chrono::steady_clock::now();
     TimePoint nextChange = nextFault;
+    std::uniform_int_distribution<int> seriesInterval(minSeriesIntervalMs, maxSeriesIntervalMs);
+    TimePoint nextSeries = nextFault;
     while (std::chrono::steady_clock::now() < faultsEnd) {
         if (std::chrono::steady_clock::now() >= nextFault) {
             this->injectFault();
@@ -212,6 +272,11 @@
             nextChange = std::chrono::steady_clock::now()
                     + milliseconds(changeInterval(this->changeRandom));
         }
+        if (std::chrono::steady_clock::now() >= nextSeries) {
+            this->restartAndCutOffWorkers();
+            nextSeries = std::chrono::steady_clock::now()
+                    + milliseconds(seriesInterval(this->seriesRandom));
+        }
         this->recoverDueFaults(false);
         std::this_thread::sleep_for(pollInterval);
     }
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,7 +53,7 @@
 private:
     using TimePoint = std::chrono::steady_clock::time_point;
 
-    /** The action that ends a fault, and when it is due. */
+    /** An action that ends a fault or is the next of a series, and when it is due. */
     struct ScheduledRecovery
     {
         TimePoint dueAt;
@@ -80,6 +81,11 @@
 
     void injectFault();
 
+    /** Begins a series on some workers: they go down, silently, and are back as new processes, then
+        are cut off for longer than a lease. Sometimes commands to them are carried out late. */
+    void restartAndCutOffWorkers();
+    void scheduleRestartAndCut(WorkerServer &worker);
+
     /** Publishes a new version of the configuration and lets a node read its settings again. */
     void changeConfiguration();
     void recoverDueFaults(bool all);
@@ -91,12 +97,16 @@
     std::mt19937 random;
     /** For the changes of the configuration, so that they do not alter a seed's faults. */
     std::mt19937 changeRandom;
+    /** For the series of restarts and cuts, for the same reason. */
+    std::mt19937 seriesRandom;
     int configVersion = 1;
     InvariantChecker checker;
     StoreServer store;
     std::vector<std::unique_ptr<WorkerServer>> workers;
     std::vector<std::unique_ptr<NodeProcess>> nodes;
     std::vector<ScheduledRecovery> recoveries;
+    /** Workers that are in a series of a restart and a cut. */
+    std::set<std::string> workersInSeries;
     std::string faultNames;
 };
 
--- a/soak/WorkerServer.cpp
+++ b/soak/WorkerServer.cpp
@@ -14,24 +14,23 @@
 constexpr std::int64_t maxLeaseMs = 3000;
 constexpr std::chrono::milliseconds pollInterval { 10 };
 constexpr std::int64_t fullPercent = 100;
+constexpr std::int64_t minDelayMs = 1000;
+constexpr std::int64_t maxDelayMs = 4000;
+
+/** How long a silent connection stays open: longer than callers wait for any answer. */
+constexpr std::chrono::seconds silentTime { 2 };
 
 } // namespace
 
-WorkerServer::WorkerServer(std::string workerName, InvariantChecker &runChecker)
+WorkerServer::WorkerServer(std::string workerName, InvariantChecker &runChecker, unsigned seed)
     : name(std::move(workerName))
     , checker(runChecker)
     , processStartedAt(this->clock.nowMs())
+    , random(seed)
 {
-    const auto handler = [this](void (WorkerServer::*call)(const Request &, Response &)) {
-        return [this, call](const Request &request, Response &answer) {
-            if (request.get_header_value("expect-instance") != this->name) {
-                answer.status = statusWrongInstance;
-                return;
-            }
-            (this->*call)(request, answer);
-            if (this->silent) {
-                standins::LoopbackServer::dropConnection();
-            }
+    const auto handler = [this](Command command) {
+        return [this, command](const Request &request, Response &answer) {
+            this->receive(command, request, answer);
         };
     };
     this->server.Post("/api/run-start", handler(&WorkerServer::start));
@@ -78,6 +77,88 @@
     this->changed.notify_all();
 }
 
+void WorkerServer::cutOff(bool drops)
+{
+    this->checker.note(this->name + " is cut off");
+    this->dropsConnections = drops;
+    this->isCutOff = true;
+    ++this->cutCount;
+}
+
+void WorkerServer::reconnect()
+{
+    this->checker.note(this->name + " is connected again");
+    this->isCutOff = false;
+}
+
+void WorkerServer::receive(Command command, const Request &request, Response &answer)
+{
+    if (request.get_header_value("expect-instance") != this->name) {
+        answer.status = statusWrongInstance;
+        return;
+    }
+    const std::uint64_t cutsBefore = this->cutCount;
+    if (this->isCutOff || this->isLate(command, request)) {
+        this->leaveUnanswered();
+        return;
+    }
+    (this->*command)(request, answer);
+    if (this->cutCount != cutsBefore) {
+        this->leaveUnanswered();
+    } else if (this->silent) {
+        standins::LoopbackServer::dropConnection();
+    }
+}
+
+void WorkerServer::leaveUnanswered()
+{
+    if (!this->dropsConnections) {
+        std::unique_lock lock(this->mutex);
+        this->changed.wait_for(lock, silentTime, [this] { return this->closing.load(); });
+    }
+    standins::LoopbackServer::dropConnection();
+}
+
+bool WorkerServer::isLate(Command command, const Request &request)
+{
+    const std::scoped_lock lock(this->mutex);
+    std::uniform_int_distribution<int> percent(0, fullPercent - 1);
+    if (percent(this->random) >= this->latePercent) {
+        return false;
+    }
+    LateCommand late { command, {}, this->clock.nowMs() };
+    std::uniform_int_distribution<std::int64_t> delay(minDelayMs, maxDelayMs);
+    late.dueAt += delay(this->random);
+    json body = standins::parseBody(request);
+    body.erase("waitMs");
+    late.request.body = body.dump();
+    this->checker.note(this->name + " is to carry out at " + std::to_string(late.dueAt) + ": "
+                       + late.request.body);
+    this->lateCommands.push_back(std::move(late));
+    return true;
+}
+
+void WorkerServer::carryOutLateCommands()
+{
+    std::vector<LateCommand> due;
+    {
+        const std::scoped_lock lock(this->mutex);
+        const std::int64_t now = this->clock.nowMs();
+        std::erase_if(this->lateCommands, [&due, now](const LateCommand &late) {
+            if (late.dueAt <= now) {
+                due.push_back(late);
+            }
+            return late.dueAt <= now;
+        });
+    }
+    for (const LateCommand &late : due) {
+        Response discarded;
+        (this->*late.command)(late.request, discarded);
+        this->checker.note(this->name + " has carried out late, status "
+                           + std::to_string(discarded.status) + ": " + late.request.body);
+    }
+}
+
 void WorkerServer::refuse(Response &answer, const char *reason)
 {
     standins::answerJson(answer, { { "clockMs", this->workerClock() }, { "reason", reason } },
@@ -121,7 +202,7 @@
         this->refuse(answer, "old");
         return;
     }
-    if (this->leaseEnd <= this->workerClock()) {
+    if (command.value("deadlineMs", std::int64_t { 0 }) <= this->workerClock()) {
         this->refuse(answer, "late");
         return;
     }
@@ -131,6 +212,9 @@
     }
     this->running[task] = { attempt, this->clock.nowMs() };
     ++this->startCount;
+    this->checker.note(this->name + " has a lease until "
+                       + std::to_string(this->processStartedAt + this->leaseEnd) + " and starts "
+                       + request.body);
     this->checker.recordRunStarted(task, this->name);
     standins::answerJson(answer, { { "clockMs", this->workerClock() } });
 }
@@ -156,6 +240,7 @@
 {
     const Run run = this->running.at(task);
     this->running.erase(task);
+    this->checker.note(task + " ends on " + this->name + ": " + outcome);
     this->checker.recordRunEnded(task, this->name, outcome == "done");
     this->endedRuns.push_back({ ++this->lastEndNumber, task, run.attempt, outcome });
     this->changed.notify_all();
@@ -201,11 +286,13 @@
 {
     while (!this->closing) {
         std::this_thread::sleep_for(pollInterval);
+        this->carryOutLateCommands();
         const std::scoped_lock lock(this->mutex);
         const bool lapsed = this->workerClock() >= this->leaseEnd;
         std::vector<std::string> endingTasks;
         for (const auto &[task, run] : this->running) {
-            if (lapsed || this->clock.nowMs() - run.startedAt >= taskDurationMs) {
+            const bool done = this->clock.nowMs() - run.startedAt >= taskDurationMs;
+            if (lapsed || (done && !this->runsLong)) {
                 endingTasks.push_back(task);
             }
         }
