Count a worker's crash against a task only if the task had just begun there

Cause: a task was given up after two crashes "young and apart", or four of any kind. Young was judged by the last report, up to a second old; runs whose start was never answered counted, and so did old runs that were lost with their worker. Coincidence sufficed.

Whether the run was alone is judged by what was on the worker at the crash: no run of another job as young, no start without an answer. A task is given up after two such crashes in a row alone, three with one alone among them, or four. A run that lasts or ends takes all of it back. A suspect may be started on a worker without a start in the last 0.25 s, not only once a report shows that its runs have lasted.

A task that crashes its workers later than 0.25 s after the start, or whose starts are never answered, is no longer recognised.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -319,9 +319,7 @@
     const bool ranToItsEnd = end.kind == EndKind::Succeeded || end.kind == EndKind::Failed;
     const bool lasted = run != nullptr && CrashSuspects::ageOf(worker, *run) == RunAge::Lasted;
     if (ranToItsEnd || lasted) {
-        const milliseconds age =
-                lasted ? CrashSuspects::lastKnownAge(worker, *run) : milliseconds(0);
-        this->clearSuspicion(job, end.attempt.task, age);
+        this->clearSuspicion(job, end.attempt.task);
     }
     this->planner.markWaiting(job.spec.id);
     const bool hadEnded = job.hasEnded();
@@ -381,14 +379,14 @@
                                   .with("reason", reason));
     JobEntry *job = this->findJob(run.attempt.task);
     if (job != nullptr && CrashSuspects::ageOf(worker, run) == RunAge::Lasted) {
-        this->clearSuspicion(*job, run.attempt.task, CrashSuspects::lastKnownAge(worker, run));
+        this->clearSuspicion(*job, run.attempt.task);
     }
     this->requeueTask(run);
 }
 
-void Dispatcher::clearSuspicion(JobEntry &job, const TaskRef &task, milliseconds age)
+void Dispatcher::clearSuspicion(JobEntry &job, const TaskRef &task)
 {
-    if (CrashSuspects::clearSuspicion(job.step(task), job.changeTask(task), age)) {
+    if (CrashSuspects::clearSuspicion(job.changeTask(task))) {
         this->markTaskChanged(job, task);
     }
 }
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -155,7 +155,8 @@
     void runConfirmed(const Run &run) override;
     std::uint64_t runEnded(const Worker &worker, const Run *run, const ListedEnd &end) override;
     void runLost(const Worker &worker, const Run &run, std::string_view reason) override;
-    void runCrashed(const Worker &worker, const Run &run, std::string_view evidence) override;
+    void runCrashed(const Worker &worker, const Run &run, CrashSign sign,
+                    std::string_view evidence) override;
     void startRefused(const Worker &worker, const Run &run, CommandOutcome outcome) override;
     void workerKnown(const TargetId &worker) override;
     void superseded(const Worker &worker) override;
@@ -255,9 +256,8 @@
     /** Sets what the record of a task that is being assigned is to give of its wait. */
     void setRecordedWait(StepTask &task) const;
 
-    /** Takes back the suspicion that a task crashes its workers.
-        @param age of the run that shows it */
-    void clearSuspicion(JobEntry &job, const TaskRef &task, milliseconds age);
+    /** Takes back the suspicion that a task crashes its workers. */
+    void clearSuspicion(JobEntry &job, const TaskRef &task);
 
     /** Adds what the runs of a worker reserve to the load. */
     static void addReserved(DispatchLoad &load, const Worker &worker);
--- a/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
@@ -71,14 +71,18 @@
     }
 }
 
-void Dispatcher::runCrashed(const Worker &worker, const Run &run, std::string_view evidence)
+void Dispatcher::runCrashed(const Worker &worker, const Run &run, CrashSign sign,
+                            std::string_view evidence)
 {
     const milliseconds age = CrashSuspects::lastKnownAge(worker, run);
+    const milliseconds maxAge = CrashSuspects::maxAgeAtCrash(worker, run, this->clock.now());
     this->decisions.write(DecisionLine(Event::TaskCrashed)
                                   .with("task", text(run.attempt.task))
                                   .with("attempt", run.attempt.attempt)
                                   .with("worker", worker.entry.worker.name())
                                   .with("age_ms", age.count())
+                                  .with("max_age_ms", maxAge.count())
+                                  .with("alone", sign == CrashSign::Evidence)
                                   .with("evidence", evidence));
     JobEntry *job = this->findJob(run.attempt.task);
     if (job == nullptr || job->hasEnded() || job->task(run.attempt.task).succeeded
@@ -86,16 +90,13 @@
         return;
     }
     StepTask &task = job->changeTask(run.attempt.task);
-    const RunAge kind = CrashSuspects::ageOf(worker, run);
-    if (kind == RunAge::Lasted) {
-        this->clearSuspicion(*job, run.attempt.task, age);
+    if (CrashSuspects::ageOf(worker, run) == RunAge::Lasted) {
+        this->clearSuspicion(*job, run.attempt.task);
     }
-    if (!CrashSuspects::countCrash(task, run.attempt.attempt, kind)) {
+    if (!CrashSuspects::countCrash(task, run.attempt.attempt, sign)) {
         return;
     }
-    // Without an answer to the start, it is not known whether the worker began the task.
-    const bool begunApart = worker.apartRun == run.attempt && run.phase == RunPhase::Running;
-    if (CrashSuspects::mustGiveUp(task, begunApart)) {
+    if (CrashSuspects::mustGiveUp(task)) {
         job->failed = true;
         this->decisions.write(
                 DecisionLine(Event::TaskGivenUp)
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -324,8 +324,8 @@
             return true;
         }
         request.failedOn = task.failedOn;
-        request.apart =
-                !task.youngCrashes.empty() && CrashSuspects::requireApart(job.changeTask(ref), now);
+        request.apart = !task.crashedAttempts.empty()
+                && CrashSuspects::requireApart(job.changeTask(ref), now);
         if (request.apart && noneApart) {
             continue;
         }
--- a/modules/bulrush_steps/model/TaskStates.h
+++ b/modules/bulrush_steps/model/TaskStates.h
@@ -25,10 +25,10 @@
     std::uint32_t relocations = 0;
     /** The newest checkpoint that a worker reported. */
     std::string checkpoint;
-    /** Attempts during which a worker crashed; of a long-running task those since its last long
-        run. */
+    /** Attempts since the last one that lasted, at which a worker crashed just after it had begun
+        the run. @see CrashSign::Suspicion */
     std::vector<std::uint64_t> crashedAttempts;
-    /** The newest attempts in a row during which a worker crashed just after the start. */
+    /** Those of them whose run was alone among the young ones there. @see CrashSign::Evidence */
     std::vector<std::uint64_t> youngCrashes;
     /** Whether the newest attempt was started apart. @see CrashSuspects */
     bool startedApart = false;
--- a/modules/bulrush_steps/policy/CrashSuspects.cpp
+++ b/modules/bulrush_steps/policy/CrashSuspects.cpp
@@ -6,24 +6,24 @@
 
 namespace {
 
-/** A run is young below this age; a crash under a young run makes its task a suspect. */
+/** A run has lasted when its worker reports this long after the start. */
 constexpr milliseconds youngAge { 500 };
 
+/** A task that crashes its workers does so within this time from the start, as the owner sees it.
+ */
+constexpr milliseconds maxCrashDelay { 250 };
+
 /** How long a suspected task waits for a worker without young runs. */
 constexpr milliseconds maxApartWait { 1500 };
 
-/** Crashes in a row under a young run at which a task is given up whose last attempt was started
-    apart. */
-constexpr std::size_t maxYoungCrashesApart = 2;
-
-/** The same if it was started beside others, for example as a member of a gang. */
-constexpr std::size_t maxYoungCrashes = 4;
+/** Crashes in a row under a young run, alone on its worker, at which a task is given up. */
+constexpr std::size_t maxEvidence = 2;
 
-/** Crashes of any age at which a task is given up. */
-constexpr std::size_t maxCrashes = 4;
+/** Crashes in a row under a young run at which a task is given up that was alone at one of them. */
+constexpr std::size_t maxCrashesAfterEvidence = 3;
 
-/** After a run of this length, crashes under earlier runs of a long-running task count no more. */
-constexpr milliseconds longRun { 3000 };
+/** The same for a task that was alone at none of them. */
+constexpr std::size_t maxCrashesBesideOthers = 4;
 
 bool contains(const std::vector<std::uint64_t> &attempts, std::uint64_t attempt)
 {
@@ -32,38 +32,55 @@
 
 } // namespace
 
-bool CrashSuspects::countCrash(StepTask &task, std::uint64_t attempt, RunAge age)
+CrashSign CrashSuspects::signOf(const Worker &worker, const std::vector<Run> &crashed,
+                                const Run &run, Instant now)
+{
+    const bool begun = run.phase == RunPhase::Running && !run.processUnknown && !run.found;
+    if (!begun || maxAgeAtCrash(worker, run, now) >= maxCrashDelay) {
+        return CrashSign::None;
+    }
+    // A start without an answer may have been carried out at any moment since.
+    const auto mayBeCause = [&](const Run &other) {
+        return other.attempt.task.job != run.attempt.task.job && other.phase != RunPhase::Assigned
+                && (other.phase != RunPhase::Running
+                    || maxAgeAtCrash(worker, other, now) < maxCrashDelay);
+    };
+    const bool amongOthers = std::any_of(crashed.begin(), crashed.end(), mayBeCause)
+            || std::any_of(worker.runs.begin(), worker.runs.end(),
+                           [&](const auto &each) { return mayBeCause(each.second); });
+    return amongOthers ? CrashSign::Suspicion : CrashSign::Evidence;
+}
+
+bool CrashSuspects::countCrash(StepTask &task, std::uint64_t attempt, CrashSign sign)
 {
-    if (contains(task.crashedAttempts, attempt) || contains(task.youngCrashes, attempt)) {
+    if (sign == CrashSign::None || contains(task.crashedAttempts, attempt)) {
         return false;
     }
-    if (age == RunAge::Young) {
+    task.crashedAttempts.push_back(attempt);
+    if (sign == CrashSign::Evidence) {
         task.youngCrashes.push_back(attempt);
     }
-    task.crashedAttempts.push_back(attempt);
     return true;
 }
 
-bool CrashSuspects::clearSuspicion(const StepSpec &step, StepTask &task, milliseconds age)
+bool CrashSuspects::clearSuspicion(StepTask &task)
 {
-    bool changed = !task.youngCrashes.empty();
+    const bool changed = !task.crashedAttempts.empty() || !task.youngCrashes.empty();
+    task.crashedAttempts.clear();
     task.youngCrashes.clear();
-    if (step.runsIndefinitely && age >= longRun) {
-        changed = changed || !task.crashedAttempts.empty();
-        task.crashedAttempts.clear();
-    }
     return changed;
 }
 
-bool CrashSuspects::mustGiveUp(const StepTask &task, bool startedApart)
+bool CrashSuspects::mustGiveUp(const StepTask &task)
 {
-    const std::size_t limit = startedApart ? maxYoungCrashesApart : maxYoungCrashes;
-    return task.youngCrashes.size() >= limit || task.crashedAttempts.size() >= maxCrashes;
+    return task.youngCrashes.size() >= maxEvidence
+            || task.crashedAttempts.size()
+            >= (task.youngCrashes.empty() ? maxCrashesBesideOthers : maxCrashesAfterEvidence);
 }
 
 bool CrashSuspects::requireApart(StepTask &task, Instant now)
 {
-    if (task.youngCrashes.empty()) {
+    if (task.crashedAttempts.empty()) {
         return false;
     }
     if (!task.apartWaitSince) {
@@ -72,10 +89,11 @@
     return now - *task.apartWaitSince < maxApartWait;
 }
 
-bool CrashSuspects::hasYoungRun(const Worker &worker)
+bool CrashSuspects::hasYoungRun(const Worker &worker, Instant now)
 {
-    return std::any_of(worker.runs.begin(), worker.runs.end(), [&worker](const auto &each) {
-        return ageOf(worker, each.second) == RunAge::Young;
+    return std::any_of(worker.runs.begin(), worker.runs.end(), [now](const auto &each) {
+        const Run &run = each.second;
+        return run.phase != RunPhase::Running || now - run.startSentAt < maxCrashDelay;
     });
 }
 
@@ -110,4 +128,10 @@
                     milliseconds(0));
 }
 
+milliseconds CrashSuspects::maxAgeAtCrash(const Worker &worker, const Run &run, Instant now)
+{
+    const Instant crashedBy = worker.silentSince.value_or(now);
+    return std::max(duration_cast<milliseconds>(crashedBy - run.startSentAt), milliseconds(0));
+}
+
 } // namespace bulrush
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -115,7 +115,7 @@
 {
     return this->now >= worker.avoidUntil && worker.commandsInFlight < maxStartsInFlightPerWorker
             && !CrashSuspects::isSetApart(worker)
-            && !(request.apart && CrashSuspects::hasYoungRun(worker));
+            && !(request.apart && CrashSuspects::hasYoungRun(worker, this->now));
 }
 
 bool Placement::canAcceptNow(const Worker &worker, const TaskRequest &request) const
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -156,6 +156,8 @@
     /** Number of the last ended run whose acknowledgement the worker has received. */
     std::uint64_t acknowledgedEnds = 0;
     std::uint32_t failedHolds = 0;
+    /** When the first of them failed; none while the worker answers. */
+    std::optional<Instant> silentSince;
     /** Runs whose lease has expired while the worker was silent, until it is known whether the
         worker crashed. */
     std::vector<Run> runsExpiredInSilence;
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrush_steps/dispatch/DispatchSettings.h"
+#include "bulrush_steps/policy/CrashSuspects.h"
 #include "bulrush_steps/workers/CommandTokens.h"
 #include "bulrush_steps/workers/StartWindow.h"
 #include "bulrush_steps/workers/Worker.h"
@@ -48,8 +49,9 @@
 
         /** Called for each run that was on a worker whose process crashed, before runLost() if that
             was not called earlier.
+            @param sign what the crash says about the run's task
             @param evidence what shows the crash */
-        virtual void runCrashed(const Worker &worker, const Run &run,
+        virtual void runCrashed(const Worker &worker, const Run &run, CrashSign sign,
                                 std::string_view evidence) = 0;
 
         /** Called when a worker refused to start a run. The run is not alive. */
--- a/modules/bulrush_steps/workers/WorkerManagerCrashes.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerCrashes.cpp
@@ -73,7 +73,8 @@
     }
     for (const Run &run : runs) {
         if (!run.mayHaveEnded) {
-            this->listener.runCrashed(worker, run, evidence);
+            const CrashSign sign = CrashSuspects::signOf(worker, runs, run, this->clock.now());
+            this->listener.runCrashed(worker, run, sign, evidence);
         }
     }
 }
--- a/modules/bulrush_steps/workers/WorkerManagerReports.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerReports.cpp
@@ -58,6 +58,7 @@
     }
     worker->processStartedAt = answer.processStartedAt;
     worker->failedHolds = 0;
+    worker->silentSince.reset();
     worker->processEnded = false;
     this->silent.erase(id);
     worker->runsExpiredInSilence.clear();
@@ -91,6 +92,7 @@
 void WorkerManager::handleHoldFailure(Worker &worker, CommandOutcome outcome)
 {
     if (worker.failedHolds++ == 0) {
+        worker.silentSince = this->clock.now();
         this->decisions.write(DecisionLine(Event::WorkerSilent)
                                       .with("worker", worker.entry.worker.name())
                                       .with("outcome", text(outcome))
