--- a/modules/bulrush_steps/workers/CommandTokens.h
+++ b/modules/bulrush_steps/workers/CommandTokens.h
@@ -16,9 +16,8 @@
 class CommandTokens
 {
 public:
-    /** Continues with the tokens of an owner. @param ownerToken higher than that of any former
-     * owner
-     */
+    /** Continues with the tokens of an owner.
+        @param ownerToken not lower than that of any former owner */
     void begin(std::uint64_t ownerToken)
     {
         this->newest = std::max(this->newest, firstOf(ownerToken));
