--- a/modules/bulrush_entry/front/CallerRequestHandler.cpp
+++ b/modules/bulrush_entry/front/CallerRequestHandler.cpp
@@ -26,11 +26,17 @@
     for them. */
 constexpr milliseconds memoryRetryAfter { 5000 };
 
+/** Delay after which callers are asked to retry while the cancellations of jobs that are not on
+    record are too many. */
+constexpr milliseconds cancellationRetryAfter { 5000 };
+
 /** The same when other nodes serve the request already. */
 constexpr milliseconds otherNodeRetryAfter { 0 };
 
 constexpr std::string_view stopReason = "this node stops";
 constexpr std::string_view memoryReason = "the jobs that have not ended take all memory for them";
+constexpr std::string_view cancellationsReason =
+        "too many jobs that are not on record are cancelled";
 constexpr std::string_view rejectedReason = "the store rejects the record of the job";
 constexpr std::string_view tooLargeReason = "the job does not fit into a record of the store";
 
@@ -247,6 +253,8 @@
                     .with("tasks", pending->tasks)
                     .with("core_ms", pending->coreMillis);
             this->admission.recorded(pending->memory);
+        } else {
+            line.with("before_record", pending->success == CallerOutcome::NoSuchJob);
         }
         this->decisions.write(line);
         CallerAnswer answer;
@@ -377,27 +385,47 @@
 {
     const Instant deadline = this->appendDeadline(request, queue);
     this->query(job, [this, job, deadline, callback](const CallerAnswer &state) {
-        if (state.outcome != CallerOutcome::State) {
+        if (state.outcome == CallerOutcome::NoSuchJob) {
+            this->cancelBeforeRecord(job, deadline, callback);
+        } else if (state.outcome != CallerOutcome::State) {
             callback(state);
-            return;
-        }
-        if (state.state != JobState::Queued && state.state != JobState::Running) {
+        } else if (state.state == JobState::Queued || state.state == JobState::Running) {
+            this->append(cancellationOf(job, {}, deadline, callback));
+        } else {
             CallerAnswer answer;
             answer.outcome = CallerOutcome::Cancelled;
             callback(answer);
-            return;
         }
-        Pending pending;
-        pending.job = job;
-        // The value carries no data; it only marks the key as present.
-        pending.record = { records::cancellationKey(job), R"({"schema":1})", 0 };
-        pending.success = CallerOutcome::Cancelled;
-        pending.deadline = deadline;
-        pending.callback = callback;
-        this->append(std::move(pending));
     });
 }
 
+void CallerRequestHandler::cancelBeforeRecord(const JobId &job, Instant deadline,
+                                              const Callback &callback)
+{
+    const UnixMillis now = this->clock.calendarMillis();
+    if (this->view.jobTable().earlyCancellations().full(now)) {
+        callback(this->refusal(std::string(cancellationsReason), cancellationRetryAfter));
+        return;
+    }
+    Pending pending = cancellationOf(job, { now }, deadline, callback);
+    pending.success = CallerOutcome::NoSuchJob;
+    this->append(std::move(pending));
+}
+
+CallerRequestHandler::Pending CallerRequestHandler::cancellationOf(const JobId &job,
+                                                                   const Cancellation &cancellation,
+                                                                   Instant deadline,
+                                                                   const Callback &callback)
+{
+    Pending pending;
+    pending.job = job;
+    pending.record = { records::cancellationKey(job), records::encode(cancellation), 0 };
+    pending.success = CallerOutcome::Cancelled;
+    pending.deadline = deadline;
+    pending.callback = callback;
+    return pending;
+}
+
 void CallerRequestHandler::answerWaitingCount(const std::string &queue, const Callback &callback)
 {
     if (this->refusesNew) {
--- a/modules/bulrush_entry/front/CallerRequestHandler.h
+++ b/modules/bulrush_entry/front/CallerRequestHandler.h
@@ -90,6 +90,14 @@
     void query(const JobId &job, const Callback &callback);
     void cancel(const CallerRequest &request, const QueuePolicy &queue, const JobId &job,
                 const Callback &callback);
+
+    /** Records the cancellation of a job that is not on record. Its record may still be on its way:
+        an append that got no answer may take effect later, and other nodes may repeat it. */
+    void cancelBeforeRecord(const JobId &job, Instant deadline, const Callback &callback);
+
+    /** Returns an append of the cancellation of a job that is on record. */
+    static Pending cancellationOf(const JobId &job, const Cancellation &cancellation,
+                                  Instant deadline, const Callback &callback);
     void answerWaitingCount(const std::string &queue, const Callback &callback);
     void answerStateFromRecords(const JobId &job, const Question &question);
     void answerWaitingCountFromRecords(const std::string &queue, const Question &question);
--- a/modules/bulrush_entry/front/CallerTypes.h
+++ b/modules/bulrush_entry/front/CallerTypes.h
@@ -37,6 +37,8 @@
     State,
     /** The cancellation is recorded in the log. */
     Cancelled,
+    /** The job is not on record. If it was to be cancelled, a cancellation is on record that holds
+        for a record of the job that arrives later. */
     NoSuchJob,
     /** The answer contains the number of waiting jobs. */
     Waiting,
--- a/modules/bulrush_entry/tests/caller_request_handler_test.cpp
+++ b/modules/bulrush_entry/tests/caller_request_handler_test.cpp
@@ -185,6 +185,53 @@
               == CallerOutcome::Cancelled);
 }
 
+/* A caller left, and cancelled its job at another node while the append of the job was under way.
+   It was told that no such job exists, and the job, recorded 0.3 s later, ran on. */
+Test(CallerRequestHandler, aJobThatIsRecordedAfterItsCancellationIsCancelled)
+{
+    HandlerFixture fixture;
+    cr_assert(fixture.send(CallerRequestKind::Cancel, jobPath)->outcome
+              == CallerOutcome::NoSuchJob);
+    cr_assert_neq(fixture.log.newestValue(LogStream::Jobs, "cancelled/0123456789abcdef"), "");
+    fixture.send(CallerRequestKind::Submit, jobPath);
+    const CallerAnswer state = fixture.send(CallerRequestKind::Query, jobPath).value();
+    cr_assert(state.outcome == CallerOutcome::State);
+    cr_expect(state.state == JobState::Cancelled);
+}
+
+/* The caller relies on the answer: no job with this id runs from now on. */
+Test(CallerRequestHandler, aJobIsNotReportedAsMissingToItsCancellerBeforeTheCancellationIsRecorded)
+{
+    HandlerFixture fixture;
+    fixture.owner.answer.kind = OwnerAnswer::Kind::NotKnown;
+    fixture.log.losesAppendAnswers = true;
+    cr_assert_not(fixture.send(CallerRequestKind::Cancel, jobPath).has_value());
+    fixture.run(seconds(4));
+    cr_assert(fixture.answer->outcome == CallerOutcome::Unknown);
+}
+
+/* Callers that cancel jobs that never existed would fill the memory of all nodes. */
+Test(CallerRequestHandler, refusesCancellationsOfUnknownJobsWhileTooManyAreOnRecord)
+{
+    HandlerFixture fixture;
+    fixture.log.pageSize = EarlyCancellations::maxCount;
+    for (std::size_t number = 0; number < EarlyCancellations::maxCount; ++number) {
+        const Cancellation cancellation { fixture.clock.calendarMillis() };
+        const std::string key = records::cancellationKey(JobId(std::to_string(number)));
+        fixture.log.streams[LogStream::Jobs].push_back(
+                { key, records::encode(cancellation), LogOffset { 0 } });
+    }
+    fixture.send(CallerRequestKind::Query, jobPath);
+    fixture.run(seconds(1));
+    const CallerAnswer refused = fixture.send(CallerRequestKind::Cancel, jobPath).value();
+    cr_expect(refused.outcome == CallerOutcome::Refused);
+    cr_expect_gt(refused.retryAfter.value().count(), 0);
+    cr_expect_eq(fixture.log.newestValue(LogStream::Jobs, "cancelled/0123456789abcdef"), "");
+    cr_expect(fixture.send(CallerRequestKind::Submit, jobPath)->outcome == CallerOutcome::Accepted);
+    cr_expect(fixture.send(CallerRequestKind::Cancel, jobPath)->outcome
+              == CallerOutcome::Cancelled);
+}
+
 Test(CallerRequestHandler, countsWaitingJobsWithoutAnOwner)
 {
     HandlerFixture fixture;
--- a/modules/bulrush_steps/model/JobRecords.cpp
+++ b/modules/bulrush_steps/model/JobRecords.cpp
@@ -23,6 +23,28 @@
     return static_cast<std::uint32_t>(full + (rest > 0 ? 1 : 0));
 }
 
+namespace {
+
+/** How long after an early cancellation its job may be accepted. A submission is repeated, and an
+    append carried out, seconds later; the clocks of nodes may differ by more. */
+constexpr milliseconds maxSubmissionDelay { minutes(10) };
+
+/** How long after its acceptance a job may be recorded. */
+constexpr milliseconds maxRecordDelay { minutes(1) };
+
+} // namespace
+
+bool Cancellation::holdsFor(UnixMillis acceptedAt) const
+{
+    return !this->earlyAt || acceptedAt - *this->earlyAt <= maxSubmissionDelay.count();
+}
+
+bool Cancellation::hasExpired(UnixMillis now) const
+{
+    constexpr milliseconds kept = maxSubmissionDelay + maxRecordDelay;
+    return this->earlyAt && now - *this->earlyAt > kept.count();
+}
+
 namespace records {
 
 namespace {
@@ -380,6 +402,32 @@
     }.dump();
 }
 
+std::string encode(const Cancellation &cancellation)
+{
+    json record { { "schema", schemaVersion } };
+    if (cancellation.earlyAt) {
+        record["earlyAt"] = *cancellation.earlyAt;
+    }
+    return record.dump();
+}
+
+Cancellation decodeCancellation(std::string_view value)
+{
+    Cancellation cancellation;
+    const json record = json::parse(value, nullptr, false);
+    if (!record.is_object()) {
+        return cancellation;
+    }
+    const auto time = record.find("earlyAt");
+    if (time != record.end() && time->is_number_integer()) {
+        const UnixMillis earlyAt = time->get<UnixMillis>();
+        if (earlyAt >= 0 && earlyAt <= maxUnixMillis) {
+            cancellation.earlyAt = earlyAt;
+        }
+    }
+    return cancellation;
+}
+
 std::string encodeResignation(const Resignation &resignation)
 {
     json unsettled = json::array();
--- a/modules/bulrush_steps/model/JobRecords.h
+++ b/modules/bulrush_steps/model/JobRecords.h
@@ -67,6 +67,21 @@
     std::vector<TaskProgress> tasks;
 };
 
+/** A caller's cancellation of a job. */
+struct Cancellation
+{
+    /** Of a cancellation whose job was not on record: the calendar time. It holds for a job that is
+        accepted before or soon after; others hold without a limit. All nodes decide alike, in
+        whatever order they read the records. */
+    std::optional<UnixMillis> earlyAt;
+
+    /** Returns whether a job is cancelled that was accepted at a calendar time. */
+    bool holdsFor(UnixMillis acceptedAt) const;
+
+    /** Returns whether no job will be recorded any more that it holds for. */
+    bool hasExpired(UnixMillis now) const;
+};
+
 /** An owner's announcement that it sends commands. */
 struct OwnerRecord
 {
@@ -173,6 +188,7 @@
 std::string encode(const JobProgress &progress);
 std::string encode(const Roster &roster);
 std::string encode(const OwnerRecord &owner);
+std::string encode(const Cancellation &cancellation);
 std::string encodeResignation(const Resignation &resignation);
 
 /** @throws Error naming the field when the record is malformed */
@@ -182,6 +198,9 @@
 OwnerRecord decodeOwner(std::string_view value);
 Resignation decodeResignation(std::string_view value);
 
+/** Reads a cancellation. It holds whatever its value is, so a malformed one has no time. */
+Cancellation decodeCancellation(std::string_view value);
+
 } // namespace records
 
 } // namespace bulrush
--- a/modules/bulrush_steps/model/StepJobTable.cpp
+++ b/modules/bulrush_steps/model/StepJobTable.cpp
@@ -194,14 +194,7 @@
         return std::nullopt;
     }
     if (key.kind == records::KeyKind::Cancellation) {
-        JobEntry *job = this->find(key.job);
-        if (job == nullptr) {
-            this->pendingCancellations.insert(key.job);
-            return std::nullopt;
-        }
-        job->cancelled = !job->endStored;
-        job->releaseEnded();
-        return key.job;
+        return this->applyCancellation(key.job, record, clock);
     }
     if (key.kind != records::KeyKind::Job || this->find(key.job) != nullptr) {
         return std::nullopt;
@@ -209,7 +202,7 @@
     JobEntry &job = this->addJob(decodeJob(key.job, record.value));
     const UnixMillis age = clock.calendarMillis() - job.spec.acceptedAt;
     job.acceptedAt = clock.now() - milliseconds(std::max<UnixMillis>(0, age));
-    job.cancelled = this->pendingCancellations.erase(key.job) > 0;
+    job.cancelled = this->cancellations.take(key.job, job.spec.acceptedAt);
     this->applyPendingProgress(key.job);
     if (job.cancelled) {
         job.releaseEnded();
@@ -217,6 +210,23 @@
     return key.job;
 }
 
+std::optional<JobId> StepJobTable::applyCancellation(const JobId &id, const KeyedRecord &record,
+                                                     const Clock &clock)
+{
+    const Cancellation cancellation = records::decodeCancellation(record.value);
+    JobEntry *job = this->find(id);
+    if (job == nullptr) {
+        this->cancellations.add(id, cancellation, clock.calendarMillis());
+        return std::nullopt;
+    }
+    if (!cancellation.holdsFor(job->spec.acceptedAt)) {
+        return std::nullopt;
+    }
+    job->cancelled = !job->endStored;
+    job->releaseEnded();
+    return id;
+}
+
 void StepJobTable::applyPendingProgress(const JobId &job)
 {
     auto next = this->pendingProgress.lower_bound({ job, 0 });
--- a/modules/bulrush_steps/model/StepJobTable.h
+++ b/modules/bulrush_steps/model/StepJobTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrush_core/log/LogTypes.h"
+#include "bulrush_steps/model/EarlyCancellations.h"
 #include "bulrush_steps/model/JobRecords.h"
 #include "bulrush_steps/model/OccurrenceTable.h"
 #include "bulrush_steps/model/StepJob.h"
@@ -12,7 +13,6 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace bulrush {
@@ -138,6 +138,9 @@
     /** Returns the memory that the jobs take that have not ended, by memoryOf(). */
     std::size_t memoryOfOpenJobs() const;
 
+    /** Returns the cancellations whose jobs are not on record. */
+    const EarlyCancellations &earlyCancellations() const { return this->cancellations; }
+
     /** Returns the newest roster. */
     const Roster &roster() const { return this->newestRoster; }
 
@@ -174,12 +177,14 @@
     JobEntry &addJob(StepJob job);
     void applyPendingProgress(const JobId &job);
     static void applyTask(JobEntry &job, const TaskProgress &progress);
+    std::optional<JobId> applyCancellation(const JobId &id, const KeyedRecord &record,
+                                           const Clock &clock);
     void applyOwnerRecord(const KeyedRecord &record, std::uint64_t fencingToken);
 
     std::unordered_map<JobId, JobEntry> jobs;
-    /** Progress records and cancellations that were read before the record of their job. */
+    /** Progress records that were read before the record of their job. */
     std::map<ProgressPart, std::string> pendingProgress;
-    std::unordered_set<JobId> pendingCancellations;
+    EarlyCancellations cancellations;
     Roster newestRoster;
     std::uint64_t ownerToken = 0;
     std::map<std::uint64_t, OwnerRecord> knownOwners;
--- a/soak/InvariantChecker.cpp
+++ b/soak/InvariantChecker.cpp
@@ -52,6 +52,25 @@
     this->jobs[job].cancelled = true;
 }
 
+void InvariantChecker::recordCancellationAcknowledged(const std::string &job)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->write("the cancellation of " + job + " is acknowledged");
+    this->jobs[job].cancellationAcknowledged = true;
+}
+
+void InvariantChecker::checkCancelledJobsHaveEnded()
+{
+    const std::scoped_lock lock(this->mutex);
+    for (const auto &[task, workers] : this->running) {
+        if (workers.empty() || !this->jobs[task.job].cancellationAcknowledged) {
+            continue;
+        }
+        this->recordViolation("a task of " + task.job + " still runs on " + *workers.begin()
+                              + ", but the cancellation of the job was acknowledged");
+    }
+}
+
 bool InvariantChecker::isStepComplete(const std::string &job, std::uint32_t step) const
 {
     const std::vector<JobStep> &steps = this->jobs.at(job).steps;
--- a/soak/InvariantChecker.h
+++ b/soak/InvariantChecker.h
@@ -54,6 +54,13 @@
     void recordJobAccepted(const std::string &job);
     void recordJobCancelled(const std::string &job);
 
+    /** Records that the cancellation of a job was acknowledged: from then on it has to end. */
+    void recordCancellationAcknowledged(const std::string &job);
+
+    /** Reports each run of a job whose cancellation was acknowledged. To be called once everything
+        has been calm for as long as such runs may last. */
+    void checkCancelledJobsHaveEnded();
+
     /** Records a job's state as a daemon reported it to a caller. */
     void recordJobState(const std::string &job, const std::string &state);
 
@@ -81,6 +88,7 @@
         std::vector<JobStep> steps;
         bool accepted = false;
         bool cancelled = false;
+        bool cancellationAcknowledged = false;
         bool reportedCompleted = false;
     };
 
--- a/soak/SoakCallers.cpp
+++ b/soak/SoakCallers.cpp
@@ -2,6 +2,8 @@
 
 #include <httplib.h>
 
+#include "soak/WorkerServer.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -18,12 +20,20 @@
 constexpr std::chrono::milliseconds pause { 60 };
 constexpr std::chrono::milliseconds answerTimeout { 1500 };
 constexpr int statusOk = 200;
+constexpr int statusGone = 410;
+
+/** How long a caller that leaves early waits for its answer. */
+constexpr std::chrono::milliseconds shortPatience { 40 };
+constexpr int maxCancellationAttempts = 100;
 
 /** One in `cancelOneIn` accepted jobs is cancelled; one in `resubmitOneIn` jobs is submitted twice.
  */
 constexpr unsigned cancelOneIn = 15;
 constexpr unsigned resubmitOneIn = 5;
 
+/** One in so many callers leaves early. */
+constexpr unsigned leaveOneIn = 4;
+
 httplib::Client makeClient(const std::string &address, int port)
 {
     httplib::Client client(address, port);
@@ -58,14 +68,26 @@
     return json { { "spec", "soak" }, { "phases", phases } }.dump();
 }
 
+std::string lastingJobBody()
+{
+    const json phase = { { "count", 1 },
+                         { "cpu", 100 },
+                         { "memMb", 100 },
+                         { "estimateMs", 400 },
+                         { "longRunning", true } };
+    return json { { "spec", WorkerServer::lastingPayload }, { "phases", { phase } } }.dump();
+}
+
 } // namespace
 
 SoakCallers::SoakCallers(std::vector<std::string> nodeAddresses, int callersPort,
-                         InvariantChecker &runChecker, unsigned seed)
+                         InvariantChecker &runChecker, unsigned seed, bool someLeaveEarly)
     : addresses(std::move(nodeAddresses))
     , port(callersPort)
     , checker(runChecker)
+    , leavesEarly(someLeaveEarly)
     , random(seed)
+    , leavingRandom(seed + 1)
     , thread([this] { this->run(); })
 {
 }
@@ -73,7 +95,14 @@
 SoakCallers::~SoakCallers()
 {
     this->submitting = false;
-    this->thread.join();
+    this->waitUntilStopped();
+}
+
+void SoakCallers::waitUntilStopped()
+{
+    if (this->thread.joinable()) {
+        this->thread.join();
+    }
 }
 
 const std::string &SoakCallers::randomNode()
@@ -95,16 +124,24 @@
 {
     while (this->submitting) {
         this->submit();
+        if (this->leavesEarly && this->leavingRandom() % leaveOneIn == 0) {
+            this->submitAndLeave();
+        }
         std::this_thread::sleep_for(pause);
     }
 }
 
-void SoakCallers::submit()
+std::string SoakCallers::randomJob(std::mt19937_64 &generator)
 {
     std::array<char, 17> name {};
     std::snprintf(name.data(), name.size(), "%016llx",
-                  static_cast<unsigned long long>(this->random()));
-    const std::string job(name.data());
+                  static_cast<unsigned long long>(generator()));
+    return name.data();
+}
+
+void SoakCallers::submit()
+{
+    const std::string job = randomJob(this->random);
     std::vector<JobStep> steps { { 1 + static_cast<std::uint32_t>(this->random() % 4), {} } };
     if (this->random() % 2 == 0) {
         steps.push_back({ 2, { 0 } });
@@ -135,6 +172,29 @@
     this->openConnection(this->randomNode()).Delete("/q/" + job);
 }
 
+void SoakCallers::submitAndLeave()
+{
+    const std::string job = randomJob(this->leavingRandom);
+    const auto node = [this]() -> const std::string & {
+        return this->addresses.at(this->leavingRandom() % this->addresses.size());
+    };
+    this->checker.recordJobSubmitted(job, { { 1, {} } });
+    this->checker.recordJobCancelled(job);
+    {
+        httplib::Client leaving = makeClient(node(), this->port);
+        leaving.set_read_timeout(shortPatience);
+        leaving.Post("/q/" + job, lastingJobBody(), "application/json");
+    }
+    for (int attempt = 0; attempt < maxCancellationAttempts; ++attempt) {
+        const auto answer = makeClient(node(), this->port).Delete("/q/" + job);
+        if (answer && (answer->status == statusOk || answer->status == statusGone)) {
+            this->checker.recordCancellationAcknowledged(job);
+            return;
+        }
+        std::this_thread::sleep_for(pause);
+    }
+}
+
 void SoakCallers::queryState(const std::string &job)
 {
     httplib::Client client = makeClient(this->randomNode(), this->port);
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -33,6 +33,10 @@
 constexpr int lateCommandsPercent = 30;
 constexpr int maxLateCommandsMs = 1000;
 
+/** The time until all nodes are in touch, that for a cancellation, and that for a stop. */
+constexpr milliseconds cancelledJobsEndTime = seconds(3) + seconds(3) + milliseconds(200);
+
+constexpr int lateSubmissionsPercent = 30;
 constexpr int storeDelayMs = 250;
 constexpr int storeLossPercent = 30;
 
@@ -253,8 +257,10 @@
     for (const auto &node : this->nodes) {
         addresses.push_back(node->address());
     }
+    this->store.faults.lateSubmissionsPercent =
+            this->settings.earlyCancellations ? lateSubmissionsPercent : 0;
     SoakCallers callers(addresses, this->nodes.front()->callersPort(), this->checker,
-                        this->settings.seed);
+                        this->settings.seed, this->settings.earlyCancellations);
     std::uniform_int_distribution<int> interval(minFaultIntervalMs, maxFaultIntervalMs);
     const TimePoint faultsEnd = std::chrono::steady_clock::now() + this->settings.faultDuration;
     std::uniform_int_distribution<int> changeInterval(minChangeIntervalMs, maxChangeIntervalMs);
@@ -281,13 +287,20 @@
         std::this_thread::sleep_for(pollInterval);
     }
     this->recoverDueFaults(true);
+    this->store.faults.lateSubmissionsPercent = 0;
+    // Waits, since a job that is accepted last has to be finished too.
     callers.stopSubmitting();
+    callers.waitUntilStopped();
     const TimePoint completionDeadline = std::chrono::steady_clock::now() + completionTimeout;
     while (!this->checker.unfinishedJobs().empty()
            && std::chrono::steady_clock::now() < completionDeadline) {
         callers.queryUnfinishedJobs();
         std::this_thread::sleep_for(pollInterval);
     }
+    if (this->settings.earlyCancellations) {
+        std::this_thread::sleep_for(cancelledJobsEndTime);
+        this->checker.checkCancelledJobsHaveEnded();
+    }
     return { this->checker.violations(), this->checker.unfinishedJobs(),
              this->checker.acceptedCount(), this->checker.runCount(), this->faultNames };
 }
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -28,6 +28,9 @@
     std::chrono::seconds faultDuration { 20 };
     /** Whether workers are also cut off soon after restarts, with commands carried out late. */
     bool cutsAfterRestarts = false;
+    /** Whether callers also cancel jobs whose submission was not answered, and the store carries
+        out some submissions late. */
+    bool earlyCancellations = false;
 };
 
 /** The results of a run. */
--- a/soak/StoreServer.cpp
+++ b/soak/StoreServer.cpp
@@ -12,6 +12,11 @@
 constexpr int statusConflict = 409;
 constexpr int statusUnavailable = 503;
 constexpr std::size_t maxPageRecords = 500;
+
+/** How much later a submission is stored that is stored late: longer than nodes wait for an answer.
+ */
+constexpr int minSubmissionDelayMs = 800;
+constexpr int maxSubmissionDelayMs = 4000;
 constexpr std::size_t maxReadRecords = 2000;
 
 /** A page ends after the record with which it reaches this size. */
@@ -67,6 +72,7 @@
 
 StoreServer::StoreServer(unsigned seed)
     : random(seed)
+    , lateRandom(seed + 1)
 {
     this->server.Post("/api/log-append", this->withFaults(&StoreServer::append));
     this->server.Get("/api/log-read", this->withFaults(&StoreServer::read));
@@ -113,7 +119,34 @@
     this->appended.notify_all();
 }
 
+bool StoreServer::isLateSubmission(const Request &request)
+{
+    constexpr std::string_view submissionKey = "job/";
+    if (request.has_param("producer") || request.body.find(submissionKey) == std::string::npos) {
+        return false;
+    }
+    const std::scoped_lock lock(this->mutex);
+    std::uniform_int_distribution<int> percent(0, 99);
+    return percent(this->lateRandom) < this->faults.lateSubmissionsPercent;
+}
+
 void StoreServer::append(const Request &request, Response &answer)
+{
+    if (!this->isLateSubmission(request)) {
+        this->appendNow(request, answer);
+        return;
+    }
+    {
+        std::unique_lock lock(this->mutex);
+        std::uniform_int_distribution<int> delay(minSubmissionDelayMs, maxSubmissionDelayMs);
+        const std::chrono::milliseconds wait(delay(this->lateRandom));
+        this->appended.wait_for(lock, wait, [this] { return this->closing.load(); });
+    }
+    this->appendNow(request, answer);
+    standins::LoopbackServer::dropConnection();
+}
+
+void StoreServer::appendNow(const Request &request, Response &answer)
 {
     const std::scoped_lock lock(this->mutex);
     Topic &topic = this->topics[request.get_param_value("topic")];
--- a/soak/StoreServer.h
+++ b/soak/StoreServer.h
@@ -20,6 +20,8 @@
     std::atomic<int> delayMs = 0;
     /** Percentage of calls that take effect but whose connection is closed without an answer. */
     std::atomic<int> lossPercent = 0;
+    /** Percentage of appends of callers' jobs that get no answer and take effect seconds later. */
+    std::atomic<int> lateSubmissionsPercent = 0;
 };
 
 /**
@@ -62,6 +64,10 @@
 
     httplib::Server::Handler withFaults(Handler handler);
     void append(const Request &request, Response &answer);
+    void appendNow(const Request &request, Response &answer);
+
+    /** Draws whether an append is to be carried out late; never for one that is no submission. */
+    bool isLateSubmission(const Request &request);
     void read(const Request &request, Response &answer);
     void newest(const Request &request, Response &answer);
     void join(const Request &request, Response &answer);
@@ -79,6 +85,7 @@
     std::string partitionOwner;
     std::uint64_t generation = 0;
     std::minstd_rand random;
+    std::minstd_rand lateRandom;
     std::atomic<bool> closing = false;
 };
 
--- a/soak/WorkerServer.cpp
+++ b/soak/WorkerServer.cpp
@@ -210,7 +210,8 @@
     if (run != this->running.end()) {
         this->endRun(task, "stopped");
     }
-    this->running[task] = { attempt, this->clock.nowMs() };
+    const bool lasts = command.value("spec", "") == lastingPayload;
+    this->running[task] = { attempt, this->clock.nowMs(), lasts };
     ++this->startCount;
     this->checker.note(this->name + " has a lease until "
                        + std::to_string(this->processStartedAt + this->leaseEnd) + " and starts "
@@ -291,7 +292,7 @@
         const bool lapsed = this->workerClock() >= this->leaseEnd;
         std::vector<std::string> endingTasks;
         for (const auto &[task, run] : this->running) {
-            const bool done = this->clock.nowMs() - run.startedAt >= taskDurationMs;
+            const bool done = !run.lasts && this->clock.nowMs() - run.startedAt >= taskDurationMs;
             if (lapsed || (done && !this->runsLong)) {
                 endingTasks.push_back(task);
             }
--- a/soak/WorkerServer.h
+++ b/soak/WorkerServer.h
@@ -25,6 +25,9 @@
 class WorkerServer
 {
 public:
+    /** The payload of jobs whose tasks run until they are stopped. */
+    static constexpr const char *lastingPayload = "soak, until stopped";
+
     /** @param seed for the choice of commands that are carried out late */
     WorkerServer(std::string name, InvariantChecker &checker, unsigned seed);
     ~WorkerServer();
@@ -74,6 +77,8 @@
     {
         std::uint64_t attempt = 0;
         std::int64_t startedAt = 0;
+        /** Whether it runs until it is stopped. */
+        bool lasts = false;
     };
 
     struct EndedRun
