Move the appends of callers' records into a class of their own

CallerRequestHandler did two jobs: it decided what a request asks for, and kept appends until they were answered, repeated or given up. The delay after which callers come back when the store is unavailable stands once, beside StoreHealth.

--- a/modules/bulrush_entry/front/CallerRequestHandler.cpp
+++ b/modules/bulrush_entry/front/CallerRequestHandler.cpp
@@ -10,18 +10,12 @@
 
 namespace {
 
-constexpr milliseconds appendTimeout { 700 };
-constexpr milliseconds retryDelay { 60 };
-
 /** Part of a caller's time limit that is reserved for the transfer of the answer. */
 constexpr milliseconds answerMargin { 250 };
 
 /** Assumed time limit of a caller that names none. */
 constexpr milliseconds defaultTimeLimit { 3000 };
 
-/** Delay after which callers are asked to retry while the store is unavailable. */
-constexpr milliseconds storeRetryAfter { 2000 };
-
 /** Delay after which callers are asked to retry while the jobs that have not ended take all memory
     for them. */
 constexpr milliseconds memoryRetryAfter { 5000 };
@@ -37,7 +31,6 @@
 constexpr std::string_view memoryReason = "the jobs that have not ended take all memory for them";
 constexpr std::string_view cancellationsReason =
         "too many jobs that are not on record are cancelled";
-constexpr std::string_view rejectedReason = "the store rejects the record of the job";
 constexpr std::string_view tooLargeReason = "the job does not fit into a record of the store";
 
 constexpr std::size_t jobIdDigits = 16;
@@ -74,6 +67,7 @@
     , health(storeHealth)
     , decisions(decisionLog)
     , admission(jobAdmission)
+    , appends(systemClock, keyedLog, storeHealth, decisionLog, this->admission)
 {
 }
 
@@ -163,25 +157,25 @@
     }
     job.id = id;
     this->applyPolicy(job, queue);
-    Pending pending;
-    pending.job = id;
-    pending.record = { records::jobKey(id), records::encode(job), 0 };
-    pending.success = CallerOutcome::Accepted;
-    pending.queue = queue.name;
-    pending.tasks = job.taskCount();
-    pending.coreMillis = job.estimatedCoreMillis();
-    pending.memory = StepJobTable::memoryOf(job);
-    pending.deadline = this->appendDeadline(request, queue);
-    pending.callback = callback;
+    CallerAppend append;
+    append.job = id;
+    append.record = { records::jobKey(id), records::encode(job), 0 };
+    append.success = CallerOutcome::Accepted;
+    append.queue = queue.name;
+    append.tasks = job.taskCount();
+    append.coreMillis = job.estimatedCoreMillis();
+    append.memory = StepJobTable::memoryOf(job);
+    append.deadline = this->appendDeadline(request, queue);
+    append.callback = callback;
     this->askForJobMemory(queue.name);
-    if (pending.record.size() > this->log.limits().record) {
+    if (append.record.size() > this->log.limits().record) {
         this->refuseSubmission(id, queue.name, malformedAnswer(tooLargeReason), callback);
-    } else if (!this->admission.admits(pending.memory)) {
+    } else if (!this->admission.admits(append.memory)) {
         this->refuseSubmission(id, queue.name,
                                this->refusal(std::string(memoryReason), memoryRetryAfter),
                                callback);
     } else {
-        this->append(std::move(pending));
+        this->appends.add(std::move(append));
     }
 }
 
@@ -222,94 +216,6 @@
     return answer;
 }
 
-void CallerRequestHandler::append(Pending pending)
-{
-    const auto shared = std::make_shared<Pending>(std::move(pending));
-    this->pendingAppends.push_back(shared);
-    this->send(shared);
-}
-
-void CallerRequestHandler::send(const std::shared_ptr<Pending> &pending)
-{
-    pending->inFlight = true;
-    this->log.append(LogStream::Jobs, { pending->record }, std::nullopt, appendTimeout,
-                     [this, pending](const AppendAnswer &result) {
-                         pending->inFlight = false;
-                         if (pending->callback) {
-                             this->appendAnswered(pending, result);
-                         }
-                     });
-}
-
-void CallerRequestHandler::appendAnswered(const std::shared_ptr<Pending> &pending,
-                                          const AppendAnswer &result)
-{
-    if (result.outcome == StoreOutcome::Done) {
-        const bool accepted = pending->success == CallerOutcome::Accepted;
-        DecisionLine line(accepted ? Event::JobAccepted : Event::JobCancelled);
-        line.with("job", pending->job.name()).with("offset", result.offset);
-        if (accepted) {
-            line.with("queue", pending->queue)
-                    .with("tasks", pending->tasks)
-                    .with("core_ms", pending->coreMillis);
-            this->admission.recorded(pending->memory);
-        } else {
-            line.with("before_record", pending->success == CallerOutcome::NoSuchJob);
-        }
-        this->decisions.write(line);
-        CallerAnswer answer;
-        answer.outcome = pending->success;
-        const Callback callback = std::exchange(pending->callback, nullptr);
-        this->pendingAppends.remove(pending);
-        callback(answer);
-        return;
-    }
-    if (result.outcome == StoreOutcome::Invalid && !pending->mayHaveTakenEffect) {
-        const Callback callback = std::exchange(pending->callback, nullptr);
-        this->pendingAppends.remove(pending);
-        this->refuseSubmission(pending->job, pending->queue, malformedAnswer(rejectedReason),
-                               callback);
-        return;
-    }
-    if (result.outcome != StoreOutcome::Refused) {
-        pending->mayHaveTakenEffect = true;
-    }
-    pending->retryAt = this->clock.now() + retryDelay;
-    if (this->health.checkLost()) {
-        this->abandon(pending, "the store does not answer", storeRetryAfter);
-    }
-}
-
-void CallerRequestHandler::abandon(const std::shared_ptr<Pending> &pending, std::string_view reason,
-                                   milliseconds retryAfter)
-{
-    CallerAnswer answer;
-    const bool refused = !pending->mayHaveTakenEffect && !pending->inFlight
-            && pending->success == CallerOutcome::Accepted;
-    answer.outcome = refused ? CallerOutcome::Refused : CallerOutcome::Unknown;
-    answer.reason = reason;
-    answer.retryAfter = retryAfter;
-    this->decisions.write(DecisionLine(refused ? Event::JobRefused : Event::JobOutcomeUnknown)
-                                  .with("job", pending->job.name())
-                                  .with("reason", reason));
-    const Callback callback = std::exchange(pending->callback, nullptr);
-    this->pendingAppends.remove(pending);
-    callback(answer);
-}
-
-void CallerRequestHandler::tick()
-{
-    const Instant now = this->clock.now();
-    const std::list<std::shared_ptr<Pending>> current = this->pendingAppends;
-    for (const std::shared_ptr<Pending> &pending : current) {
-        if (now >= pending->deadline) {
-            this->abandon(pending, "the store has not answered in time", storeRetryAfter);
-        } else if (!pending->inFlight && now >= pending->retryAt) {
-            this->send(pending);
-        }
-    }
-}
-
 void CallerRequestHandler::drain(DrainStep step)
 {
     this->refusesNew = this->refusesNew || step != DrainStep::Serve;
@@ -324,10 +230,7 @@
     for (const Question &question : questions) {
         this->answerQuestion(question, this->stopRefusal());
     }
-    const std::list<std::shared_ptr<Pending>> appends = this->pendingAppends;
-    for (const std::shared_ptr<Pending> &pending : appends) {
-        this->abandon(pending, stopReason, otherNodeRetryAfter);
-    }
+    this->appends.abandonAll(stopReason, otherNodeRetryAfter);
 }
 
 CallerRequestHandler::Question CallerRequestHandler::openQuestion(const Callback &callback)
@@ -390,7 +293,7 @@
         } else if (state.outcome != CallerOutcome::State) {
             callback(state);
         } else if (state.state == JobState::Queued || state.state == JobState::Running) {
-            this->append(cancellationOf(job, {}, deadline, callback));
+            this->appends.add(cancellationOf(job, {}, deadline, callback));
         } else {
             CallerAnswer answer;
             answer.outcome = CallerOutcome::Cancelled;
@@ -407,23 +310,22 @@
         callback(this->refusal(std::string(cancellationsReason), cancellationRetryAfter));
         return;
     }
-    Pending pending = cancellationOf(job, { now }, deadline, callback);
-    pending.success = CallerOutcome::NoSuchJob;
-    this->append(std::move(pending));
+    CallerAppend append = cancellationOf(job, { now }, deadline, callback);
+    append.success = CallerOutcome::NoSuchJob;
+    this->appends.add(std::move(append));
 }
 
-CallerRequestHandler::Pending CallerRequestHandler::cancellationOf(const JobId &job,
-                                                                   const Cancellation &cancellation,
-                                                                   Instant deadline,
-                                                                   const Callback &callback)
+CallerAppend CallerRequestHandler::cancellationOf(const JobId &job,
+                                                  const Cancellation &cancellation,
+                                                  Instant deadline, const Callback &callback)
 {
-    Pending pending;
-    pending.job = job;
-    pending.record = { records::cancellationKey(job), records::encode(cancellation), 0 };
-    pending.success = CallerOutcome::Cancelled;
-    pending.deadline = deadline;
-    pending.callback = callback;
-    return pending;
+    CallerAppend append;
+    append.job = job;
+    append.record = { records::cancellationKey(job), records::encode(cancellation), 0 };
+    append.success = CallerOutcome::Cancelled;
+    append.deadline = deadline;
+    append.callback = callback;
+    return append;
 }
 
 void CallerRequestHandler::answerWaitingCount(const std::string &queue, const Callback &callback)
--- a/modules/bulrush_entry/front/CallerRequestHandler.h
+++ b/modules/bulrush_entry/front/CallerRequestHandler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrush_entry/front/CallerAppends.h"
 #include "bulrush_entry/front/CallerTypes.h"
 #include "bulrush_entry/front/DrainSchedule.h"
 #include "bulrush_entry/front/JobAdmission.h"
@@ -22,9 +23,8 @@
 /**
     Serves callers: records jobs and cancellations in the log, and reports the states of jobs.
 
-    A job is refused only when no attempt to append it can have taken effect. A failed append is
-    repeated until it succeeds, its deadline passes, the store counts as lost or this node stops. In
-    the last three cases, a job that may be recorded and any cancellation are reported as Unknown.
+    A job is refused only when no attempt to append it can have taken effect.
+    @see CallerAppends
 */
 class CallerRequestHandler
 {
@@ -44,7 +44,7 @@
     void serve(const CallerRequest &request, const Callback &callback);
 
     /** Repeats appends that have not succeeded, until their deadlines have passed. */
-    void tick();
+    void tick() { this->appends.tick(); }
 
     /** Follows a step of this node's stop, which is not taken back: from RefuseNew on, refuses new
         requests at once; from AnswerOpen on, answers open ones with what is known of them. */
@@ -54,25 +54,6 @@
     /** The callback of a question to the owner or the records; empty once it is answered. */
     using Question = std::shared_ptr<Callback>;
 
-    /** An append whose caller waits for an answer. */
-    struct Pending
-    {
-        JobId job;
-        /** Of a submission: its queue and its size. */
-        std::string queue;
-        std::size_t tasks = 0;
-        std::int64_t coreMillis = 0;
-        std::size_t memory = 0;
-        KeyedRecord record;
-        CallerOutcome success = CallerOutcome::Accepted;
-        Instant deadline {};
-        Instant retryAt {};
-        bool inFlight = false;
-        /** Whether an earlier attempt may have taken effect. */
-        bool mayHaveTakenEffect = false;
-        Callback callback;
-    };
-
     void submit(const CallerRequest &request, const QueuePolicy &queue, const JobId &job,
                 const Callback &callback);
     /** Gives a job the settings of its queue. */
@@ -96,16 +77,11 @@
     void cancelBeforeRecord(const JobId &job, Instant deadline, const Callback &callback);
 
     /** Returns an append of the cancellation of a job that is on record. */
-    static Pending cancellationOf(const JobId &job, const Cancellation &cancellation,
-                                  Instant deadline, const Callback &callback);
+    static CallerAppend cancellationOf(const JobId &job, const Cancellation &cancellation,
+                                       Instant deadline, const Callback &callback);
     void answerWaitingCount(const std::string &queue, const Callback &callback);
     void answerStateFromRecords(const JobId &job, const Question &question);
     void answerWaitingCountFromRecords(const std::string &queue, const Question &question);
-    void append(Pending pending);
-    void send(const std::shared_ptr<Pending> &pending);
-    void appendAnswered(const std::shared_ptr<Pending> &pending, const AppendAnswer &result);
-    void abandon(const std::shared_ptr<Pending> &pending, std::string_view reason,
-                 milliseconds retryAfter);
     Question openQuestion(const Callback &callback);
     void answerQuestion(const Question &question, const CallerAnswer &answer);
     void answerOpenRequests();
@@ -121,8 +97,8 @@
     StoreHealth &health;
     DecisionLog &decisions;
     JobAdmission admission;
+    CallerAppends appends;
     std::optional<ServingConfig> config;
-    std::list<std::shared_ptr<Pending>> pendingAppends;
     std::list<Question> openQuestions;
     /** Whether this node stops so soon that new requests are refused. */
     bool refusesNew = false;
--- a/modules/bulrush_entry/front/StoreHealth.h
+++ b/modules/bulrush_entry/front/StoreHealth.h
@@ -10,6 +10,9 @@
 
 class DecisionLog;
 
+/** Delay after which callers are asked to retry while the store is unavailable. */
+constexpr milliseconds storeRetryAfter { 2000 };
+
 /** Tracks whether the store answers this node, from the outcomes of the calls that other components
     make. Makes no calls itself. */
 class StoreHealth
