--- a/modules/bulrush_entry/front/CallerRequestHandler.cpp
+++ b/modules/bulrush_entry/front/CallerRequestHandler.cpp
@@ -306,7 +306,7 @@
                                               const Callback &callback)
 {
     const UnixMillis now = this->clock.calendarMillis();
-    if (this->view.jobTable().earlyCancellations().full(now)) {
+    if (this->view.jobTable().earlyCancellations().isFull(now)) {
         callback(this->refusal(std::string(cancellationsReason), cancellationRetryAfter));
         return;
     }
--- a/modules/bulrush_steps/model/EarlyCancellations.cpp
+++ b/modules/bulrush_steps/model/EarlyCancellations.cpp
@@ -23,7 +23,7 @@
     return holds;
 }
 
-bool EarlyCancellations::full(UnixMillis now) const
+bool EarlyCancellations::isFull(UnixMillis now) const
 {
     if (this->cancellations.size() < maxCount) {
         return false;
--- a/modules/bulrush_steps/model/EarlyCancellations.h
+++ b/modules/bulrush_steps/model/EarlyCancellations.h
@@ -28,7 +28,7 @@
 
     /** Returns whether there are so many that a node records no further one. A cancellation that is
         on record is kept all the same. @param now the calendar time */
-    bool full(UnixMillis now) const;
+    bool isFull(UnixMillis now) const;
 
     /** Returns the number of cancellations that are kept, some of which may have expired. */
     std::size_t count() const { return this->cancellations.size(); }
--- a/modules/bulrush_steps/tests/early_cancellation_test.cpp
+++ b/modules/bulrush_steps/tests/early_cancellation_test.cpp
@@ -93,6 +93,6 @@
     for (std::size_t number = 0; number < EarlyCancellations::maxCount; ++number) {
         cancellations.add(JobId(std::to_string(number)), { cancelledAt }, cancelledAt);
     }
-    cr_expect(cancellations.full(cancelledAt + minute));
-    cr_expect_not(cancellations.full(cancelledAt + 20 * minute));
+    cr_expect(cancellations.isFull(cancelledAt + minute));
+    cr_expect_not(cancellations.isFull(cancelledAt + 20 * minute));
 }
