--- a/modules/bulrush_entry/front/CallerRequestHandler.cpp
+++ b/modules/bulrush_entry/front/CallerRequestHandler.cpp
@@ -24,7 +24,7 @@
     record are too many. */
 constexpr milliseconds cancellationRetryAfter { 5000 };
 
-/** The same when other nodes serve the request already. */
+/** Delay after which callers are asked to retry when other nodes serve the request already. */
 constexpr milliseconds otherNodeRetryAfter { 0 };
 
 constexpr std::string_view stopReason = "this node stops";
--- a/modules/bulrush_entry/front/CallerRequestHandler.h
+++ b/modules/bulrush_entry/front/CallerRequestHandler.h
@@ -76,7 +76,7 @@
         an append that got no answer may take effect later, and other nodes may repeat it. */
     void cancelBeforeRecord(const JobId &job, Instant deadline, const Callback &callback);
 
-    /** Returns an append of the cancellation of a job that is on record. */
+    /** Returns an append of a job's cancellation, which is answered as that of a job on record. */
     static CallerAppend cancellationOf(const JobId &job, const Cancellation &cancellation,
                                        Instant deadline, const Callback &callback);
     void answerWaitingCount(const std::string &queue, const Callback &callback);
--- a/modules/bulrush_steps/model/JobRecords.h
+++ b/modules/bulrush_steps/model/JobRecords.h
@@ -70,9 +70,9 @@
 /** A caller's cancellation of a job. */
 struct Cancellation
 {
-    /** Of a cancellation whose job was not on record: the calendar time. It holds for a job that is
-        accepted before or soon after; others hold without a limit. All nodes decide alike, in
-        whatever order they read the records. */
+    /** When the job was cancelled, in calendar time, if it was not on record then. Such a
+        cancellation holds for a job that is accepted before or soon after it, any other without a
+        limit. All nodes decide alike, in whatever order they read the records. */
     std::optional<UnixMillis> earlyAt;
 
     /** Returns whether a job is cancelled that was accepted at a calendar time. */
