Obey evacuation requests of data centres and limit starts on cold workers

No code read the requests that operators write to the configuration stream, so workers of an evacuated data centre went on receiving starts. A separate watcher was ruled out, since the follower of the configuration reads the stream on every node already. The requests now reach the dispatcher, which withholds starts, discards unsent ones and moves long-running runs out.

--- a/modules/bulrush_core/events/EventCatalogue.cpp
+++ b/modules/bulrush_core/events/EventCatalogue.cpp
@@ -80,6 +80,12 @@
     EventInfo { Event::RecordIgnored, Severity::Warning, "record ignored" },
     EventInfo { Event::StoreCallSlow, Severity::Warning, "store call slow" },
     EventInfo { Event::LinesDropped, Severity::Warning, "lines dropped" },
+    EventInfo { Event::EvacuationBegan, Severity::Info, "evacuation began" },
+    EventInfo { Event::EvacuationEnded, Severity::Info, "evacuation ended" },
+    EventInfo { Event::EvacuationIgnored, Severity::Warning, "evacuation request ignored" },
+    EventInfo { Event::EvacuationProgress, Severity::Info, "evacuation progress" },
+    EventInfo { Event::StartsWithheld, Severity::Warning, "starts withheld" },
+    EventInfo { Event::StartsResumed, Severity::Info, "starts resumed" },
 };
 
 } // namespace
--- a/modules/bulrush_core/events/EventCatalogue.h
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -82,6 +82,12 @@
     RecordIgnored = 1653,
     StoreCallSlow = 1654,
     LinesDropped = 1661,
+    EvacuationBegan = 1671,
+    EvacuationEnded = 1672,
+    EvacuationIgnored = 1673,
+    EvacuationProgress = 1674,
+    StartsWithheld = 1675,
+    StartsResumed = 1676,
 };
 
 /** The constant properties of an event: its number, severity and name. */
--- a/modules/bulrush_entry/node/EntryMetrics.cpp
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -151,6 +151,26 @@
                     .Register(registry);
     prometheus::Gauge &heldForOwnWorker = heldTasks.Add({ { "waits_for", "own_worker" } });
     prometheus::Gauge &heldForAllWorkers = heldTasks.Add({ { "waits_for", "all_workers" } });
+    prometheus::Gauge &evacuatedDataCentres =
+            prometheus::BuildGauge()
+                    .Name("bulrush_entry_evacuated_data_centres")
+                    .Help("Data centres whose evacuation is requested")
+                    .Register(registry)
+                    .Add({});
+    prometheus::Family<prometheus::Gauge> &evacuatedRuns =
+            prometheus::BuildGauge()
+                    .Name("bulrush_entry_evacuated_runs")
+                    .Help("Runs in evacuated data centres, and tasks on their way out")
+                    .Register(registry);
+    prometheus::Gauge &evacuatedLongRuns = evacuatedRuns.Add({ { "kind", "long_running" } });
+    prometheus::Gauge &evacuatedEndingRuns = evacuatedRuns.Add({ { "kind", "ending" } });
+    prometheus::Gauge &evacuatedMoving = evacuatedRuns.Add({ { "kind", "moving" } });
+    prometheus::Gauge &evacuatedMoved =
+            prometheus::BuildGauge()
+                    .Name("bulrush_entry_evacuation_moves")
+                    .Help("Tasks moved out of evacuated data centres since the process started")
+                    .Register(registry)
+                    .Add({});
     prometheus::Family<prometheus::Gauge> &waitingSteps =
             prometheus::BuildGauge()
                     .Name("bulrush_entry_waiting_steps")
@@ -263,6 +283,15 @@
     this->families->heldForAllWorkers.Set(static_cast<double>(held.forAllWorkers));
 }
 
+void EntryMetrics::setEvacuation(std::size_t dataCentres, const EvacuationLoad &load)
+{
+    this->families->evacuatedDataCentres.Set(static_cast<double>(dataCentres));
+    this->families->evacuatedLongRuns.Set(static_cast<double>(load.longRunning));
+    this->families->evacuatedEndingRuns.Set(static_cast<double>(load.runs - load.longRunning));
+    this->families->evacuatedMoving.Set(static_cast<double>(load.moving));
+    this->families->evacuatedMoved.Set(static_cast<double>(load.moved));
+}
+
 void EntryMetrics::setWaitingSteps(const WaitCensus &waits)
 {
     for (std::size_t index = 0; index < waitReasonCount; ++index) {
@@ -277,6 +306,7 @@
     this->families->owner.Set(owner ? 1.0 : 0.0);
     if (!owner) {
         this->setWaitingSteps({});
+        this->setEvacuation(0, {});
     }
 }
 
--- a/modules/bulrush_entry/node/EntryMetrics.h
+++ b/modules/bulrush_entry/node/EntryMetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrush_entry/front/CallerTypes.h"
+#include "bulrush_steps/dispatch/EvacuationLoad.h"
 #include "bulrush_steps/dispatch/ReservationCounts.h"
 #include "bulrush_steps/dispatch/WaitCensus.h"
 #include "bulrush_steps/ownership/TakeoverWait.h"
@@ -59,6 +60,9 @@
     /** Sets the numbers of steps that wait for a worker, by the reason. */
     void setWaitingSteps(const WaitCensus &waits);
 
+    /** Sets the number of evacuated data centres and what is left in them. */
+    void setEvacuation(std::size_t dataCentres, const EvacuationLoad &load);
+
     /** Sets whether this node is the owner. No steps wait for a node that is not. */
     void setOwner(bool owner);
 
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -97,6 +97,10 @@
     , operators(eventLoop, entrySettings.operators, operatorLimits, *this,
                 &EntryNode::operatorResponse)
 {
+    if (this->settings.dispatch.hasEvacuations()) {
+        this->config.followEvacuations(this->settings.dataCentres);
+        this->dispatcher.followEvacuations(this->config.evacuations());
+    }
     this->startedAt = this->clock.now();
     this->nextTickAt = this->startedAt;
     this->decisions.write(DecisionLine(Event::NodeStarted)
@@ -184,6 +188,7 @@
     const WorkerProcessCounts processesBefore =
             std::exchange(this->reportedProcesses, load.workerProcesses);
     this->metrics.recordWorkerProcesses(load.workerProcesses.since(processesBefore));
+    this->reportEvacuation(load.evacuation);
     this->reportWaits(load.plan.waits);
     this->metrics.setServedShares(servedShares(load.queues));
 }
@@ -271,6 +276,8 @@
     status.owner = this->dispatcher.active();
     status.fencingToken = this->ownership.fencingToken();
     status.configVersion = this->config.config() ? this->config.config()->version : 0;
+    status.evacuations = this->config.evacuations().all();
+    status.now = this->clock.now();
     status.storeLost = this->health.checkLost();
     status.storeSilence = this->clock.now() - this->health.lastAnswerAt();
     return status;
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -90,6 +90,7 @@
     }
     bool isSoleOwner() const override { return this->ownership.isSoleOwner(); }
     void recordsObsolete(const std::vector<KeyedRecord> &removals) override;
+    Instant storeAnsweredAt() const override { return this->health.lastAnswerAt(); }
     void tasksHeld(const HeldTasks &held) override { this->metrics.setHeldTasks(held); }
 
     // WorkerFollower::Listener
@@ -109,6 +110,8 @@
     void tick();
     void recordTickDelay();
     void reportOwnerLoad();
+    /** Logs what is left in evacuated data centres, if anything is, and sets the metrics. */
+    void reportEvacuation(const EvacuationLoad &load);
     /** Logs why steps that may start have no worker, if there are any, and sets the metrics. */
     void reportWaits(const WaitCensus &waits);
     bool isOwnerOrTakesOver() const
--- a/modules/bulrush_entry/node/EntryNodeOwnership.cpp
+++ b/modules/bulrush_entry/node/EntryNodeOwnership.cpp
@@ -217,4 +217,18 @@
     }
 }
 
+void EntryNode::reportEvacuation(const EvacuationLoad &load)
+{
+    this->metrics.setEvacuation(this->config.evacuations().all().size(), load);
+    if (load.runs == 0 && load.moving == 0) {
+        return;
+    }
+    this->decisions.write(DecisionLine(Event::EvacuationProgress)
+                                  .with("runs", load.runs)
+                                  .with("long_running", load.longRunning)
+                                  .with("moving", load.moving)
+                                  .with("moved", load.moved)
+                                  .with("waits_for_capacity", load.waitsForCapacity));
+}
+
 } // namespace bulrush
--- a/modules/bulrush_entry/operators/StatusJson.cpp
+++ b/modules/bulrush_entry/operators/StatusJson.cpp
@@ -83,12 +83,19 @@
                                            { "fencingToken", status.fencingToken },
                                            { "workers", dispatcher.runs().workers().size() } } });
     }
+    for (const auto &[dataCentre, request] : status.evacuations) {
+        const auto age = duration_cast<milliseconds>(status.now - request.readAt).count();
+        record["evacuations"].push_back({ { "dataCentre", dataCentre.name() },
+                                          { "offset", request.offset },
+                                          { "ageMs", age } });
+    }
     json workers = json::array();
     for (const auto &[id, worker] : dispatcher.runs().workers()) {
         workers.push_back({ { "worker", id.name() },
                             { "listed", worker.listed },
                             { "answers", worker.confirmed },
                             { "draining", worker.entry.draining },
+                            { "evacuated", worker.evacuated },
                             { "runs", worker.runs.size() },
                             { "freeCpuMilli", worker.free().cpuMilli },
                             { "failureShare", worker.failureShare } });
@@ -120,6 +127,7 @@
         for (const auto &[attempt, run] : state.runs) {
             if (attempt.task.job == id) {
                 runs.push_back(runJson(worker, run));
+                runs.back()["evacuated"] = state.evacuated;
             }
         }
     }
--- a/modules/bulrush_entry/operators/StatusJson.h
+++ b/modules/bulrush_entry/operators/StatusJson.h
@@ -2,6 +2,7 @@
 
 #include "bulrush_steps/dispatch/Dispatcher.h"
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -18,6 +19,9 @@
     bool owner = false;
     std::uint64_t fencingToken = 0;
     std::uint64_t configVersion = 0;
+    /** The evacuation requests in force, and the present time, from which their ages follow. */
+    std::map<DataCentreId, EvacuationRequest> evacuations;
+    Instant now {};
     bool storeLost = false;
     /** Time since the store last answered. */
     Duration storeSilence {};
--- a/modules/bulrush_entry/settings/EntrySettings.h
+++ b/modules/bulrush_entry/settings/EntrySettings.h
@@ -8,6 +8,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace bulrush {
 
@@ -16,6 +17,8 @@
 {
     NodeId node;
     DataCentreId dataCentre;
+    /** The data centres of the installation; empty when they are not listed. */
+    std::vector<DataCentreId> dataCentres;
     /** Endpoint that callers connect to. */
     Endpoint callers;
     /** Endpoint at which the platform checks whether this node accepts requests. */
--- a/modules/bulrush_steps/dispatch/DispatchSettings.h
+++ b/modules/bulrush_steps/dispatch/DispatchSettings.h
@@ -31,10 +31,20 @@
     /** Same as holdWait, for workers that run both serving and filling tasks. */
     milliseconds holdWaitBesideFills { 400 };
 
+    /** The time after the confirmation of an evacuation request within which starts must end; 0
+        when the installation has no evacuations. */
+    milliseconds evacuationBound { 0 };
+    /** By which factor starts on a cold worker may exceed the rate that it can take, and how many
+        more starts it is given. */
+    double coldStartFactor = 1.5;
+    double coldStartBurst = 5.0;
+
     /** How many calls a second the platform's list of VMs accepts from all nodes together; 0 when
         it is not known. */
     double vmListCallsPerSecond = 0.0;
 
+    bool hasEvacuations() const { return this->evacuationBound.count() > 0; }
+
     /** Returns the lease duration to request: two thirds of the maximum. */
     milliseconds lease() const { return this->maxLease * 2 / 3; }
 
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -32,6 +32,7 @@
     , takeoverWait(systemClock, decisionLog, *this)
     , planner(systemClock, this->jobTable, this->workerManager, this->durations,
               this->fillControl.pressures(), *this)
+    , evacuationGate(dispatchSettings.evacuationBound)
 {
 }
 
@@ -40,6 +41,7 @@
     this->term = ownershipTerm;
     this->jobTable = std::move(persistedJobs);
     this->isActive = true;
+    this->begunAt = this->clock.now();
     this->planner.clear();
     this->writer.begin(this->term.fencingToken);
     for (auto &[id, job] : this->jobTable.entries()) {
@@ -77,11 +79,13 @@
     this->rosterBasis.reset();
     this->assignedStarts.clear();
     this->changeBeforeRemoval.reset();
+    this->movingSince.clear();
 }
 
-void Dispatcher::configure(const ServingConfig &serving)
+void Dispatcher::configure(const ServingConfig &config)
 {
-    this->planner.configure(serving);
+    this->serving = config;
+    this->planner.configure(config);
 }
 
 bool Dispatcher::mayCommand() const
@@ -178,6 +182,7 @@
     if (!this->isActive) {
         return;
     }
+    this->followEvacuationRequests(now);
     this->sendAssignedStarts();
     this->workerManager.tick();
     this->findEndedWorkers();
@@ -195,6 +200,7 @@
         this->nextHealthCheck = now + healthCheckInterval;
         this->moveUnhealthyRuns(now);
     }
+    this->moveRunsOut(now);
     this->planner.tick(now);
 }
 
@@ -258,6 +264,7 @@
 
 void Dispatcher::runConfirmed(const Run &run)
 {
+    this->endMove(run.attempt.task);
     if (JobEntry *job = this->findJob(run.attempt.task)) {
         this->markStarted(*job);
         const StepTask &task = job->task(run.attempt.task);
@@ -310,7 +317,7 @@
     if (run != nullptr) {
         this->closeRun(task, end.checkpoint);
     }
-    if (end.kind == EndKind::Succeeded && run != nullptr && !step.fills) {
+    if (end.kind == EndKind::Succeeded && run != nullptr && !step.fills && !run->startedCold) {
         this->recordDuration(job, *run);
     }
     if (end.kind == EndKind::Failed) {
@@ -432,6 +439,7 @@
     load.openStarts = this->workerManager.startWindow(false).open()
             + this->workerManager.startWindow(true).open();
     load.unsentStarts = this->assignedStarts.count(false) + this->assignedStarts.count(true);
+    load.evacuation = this->evacuationLoad();
     for (const auto &[id, worker] : this->workerManager.workers()) {
         load.runs += worker.runs.size();
         load.leavingWorkers += worker.listed && worker.entry.draining ? 1 : 0;
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "bulrush_evacuation/gate/EvacuationGate.h"
+#include "bulrush_evacuation/moves/EvacuationMoves.h"
 #include "bulrush_steps/dispatch/AssignedStarts.h"
 #include "bulrush_steps/dispatch/DispatchSettings.h"
+#include "bulrush_steps/dispatch/EvacuationLoad.h"
 #include "bulrush_steps/dispatch/Planner.h"
 #include "bulrush_steps/dispatch/ProgressWriter.h"
 #include "bulrush_steps/model/ServingConfig.h"
@@ -40,6 +43,7 @@
     std::size_t leavingWorkers = 0;
     /** Starts that wait for the record of their assignment. */
     std::uint32_t unsentStarts = 0;
+    EvacuationLoad evacuation;
     /** How the queues were served when they were last judged. */
     std::vector<QueueReport> queues;
 };
@@ -71,6 +75,9 @@
         /** Returns whether currently no other node can be the owner. */
         virtual bool isSoleOwner() const = 0;
 
+        /** Returns when the store last answered any call of this node. */
+        virtual Instant storeAnsweredAt() const { return Instant(); }
+
         /** Called when records of former owners are no longer needed.
             @param removals the records that remove them from the jobs stream */
         virtual void recordsObsolete(const std::vector<KeyedRecord> & /*removals*/) { }
@@ -120,9 +127,13 @@
 
     void configure(const ServingConfig &config);
 
+    /** Has evacuation requests obeyed. Without them, or without the settings' bound, all data
+       centres take starts. @param requests must outlive the dispatcher */
+    void followEvacuations(const EvacuationRequests &requests);
+
     /** Adds or updates a worker. May be called before begin(), so that the list of workers is known
         as soon as the records are read. */
-    void workerListed(const WorkerEntry &entry) { this->workerManager.workerListed(entry); }
+    void workerListed(const WorkerEntry &entry);
 
     /** Notes that the list no longer holds a worker. May be called before begin(). */
     void workerUnlisted(const TargetId &worker, RemovalCause cause)
@@ -162,6 +173,8 @@
     void superseded(const Worker &worker) override;
     std::uint64_t storedChange() const override { return this->writer.storedChange(); }
     bool mayCommand() const override;
+    bool maySendStarts() const override;
+    std::uint32_t movingTasks(const StepRef &step) const override;
     bool mayRenewLeases() const override
     {
         return this->roster.isRecorded() || this->listener.isSoleOwner();
@@ -234,6 +247,39 @@
         was found of them is on record. */
     void removeRecordsOfFormerOwners();
 
+    /** Returns why no start may be sent to any data centre because of evacuations. */
+    EvacuationHold evacuationHold() const;
+
+    /** Applies the evacuation requests to the workers, and moves runs out of evacuated data
+     * centres.
+     */
+    void followEvacuationRequests(Instant now);
+
+    /** Logs when starts are withheld because the requests are not known, and when they resume. */
+    void reportEvacuationHold(Instant now);
+
+    /** Stops long-running runs in evacuated data centres as far as there is room for them
+     * elsewhere.
+     */
+    void moveRunsOut(Instant now);
+
+    /** A long-running run in an evacuated data centre. */
+    struct RunToMove
+    {
+        Worker *worker = nullptr;
+        AttemptRef attempt;
+    };
+
+    /** Describes the runs that may be moved. @param found set to the runs by their numbers */
+    std::vector<EvacuatedRun> evacuatedRuns(std::vector<RunToMove> &found);
+
+    /** Stops all runs of a gang of which a start was given up, so that it starts elsewhere. */
+    void stopGang(const JobEntry &job, const StepRef &gang);
+
+    /** Notes that the task of a run is no longer being moved. */
+    void endMove(const TaskRef &task) { this->movingSince.erase(task); }
+    EvacuationLoad evacuationLoad() const;
+
     /** Has the list of VMs read for workers that may have ended. */
     void findEndedWorkers();
     void updateRoster();
@@ -329,6 +375,20 @@
     /** The change that must be stored before the records of former owners are removed; none while
         they are needed. */
     std::optional<std::uint64_t> changeBeforeRemoval;
+    /** Null while no evacuations are followed. */
+    const EvacuationRequests *evacuations = nullptr;
+    EvacuationGate evacuationGate;
+    Instant begunAt {};
+    /** The version of the requests that the workers' states follow from. */
+    std::uint64_t appliedEvacuations = 0;
+    EvacuationHold reportedHold = EvacuationHold::None;
+    Instant heldSince {};
+    Instant nextMoves {};
+    /** The tasks that were stopped to be moved, and when. */
+    std::map<TaskRef, Instant> movingSince;
+    std::uint64_t movedTasks = 0;
+    bool moveWaitsForCapacity = false;
+    ServingConfig serving;
     /** From what the roster was last updated; none before the first time. */
     std::optional<RosterBasis> rosterBasis;
 };
--- a/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
@@ -91,6 +91,12 @@
             task.waitsSince.value_or(job.waitingSince(ref.occurrence, ref.step, this->clock));
     task.apartWaitSince.reset();
     const TargetId &id = worker.entry.worker;
+    if (worker.coldStarts.isCold(this->clock.now())) {
+        worker.coldStarts.started(this->clock.now());
+        run.startedCold = true;
+        // How much slower a cold worker is, is not known.
+        run.expected *= 2;
+    }
     this->workerManager.assign(worker, run);
     if (task.startedApart) {
         CrashSuspects::setApart(worker, run.attempt, this->clock.now());
@@ -142,7 +148,7 @@
                 && job->task(start.attempt.task).assignedTo == start.worker;
         if (!wanted || !worker->takesStarts()) {
             this->discardStart(*worker, start.attempt);
-        } else if (start.change > this->writer.storedChange() || !this->mayCommand()) {
+        } else if (start.change > this->writer.storedChange() || !this->maySendStarts()) {
             this->assignedStarts.add(start);
         } else {
             this->sendStart(*job, *worker, run->second);
@@ -162,6 +168,10 @@
                                   .with("worker", worker.entry.worker.name())
                                   .with("outcome", "not sent"));
     this->requeueTask(*run);
+    const JobEntry *job = this->findJob(attempt.task);
+    if (worker.evacuated && job != nullptr && job->step(attempt.task).gang) {
+        this->stopGang(*job, attempt.task.stepRef());
+    }
 }
 
 } // namespace bulrush
--- /dev/null
+++ b/modules/bulrush_steps/dispatch/DispatcherEvacuation.cpp
@@ -0,0 +1,207 @@
+// The part of Dispatcher that obeys evacuation requests.
+
+#include "bulrush_steps/dispatch/Dispatcher.h"
+
+#include "bulrush_core/events/DecisionLog.h"
+#include "bulrush_steps/policy/JobRank.h"
+
+#include <algorithm>
+
+namespace bulrush {
+
+namespace {
+
+/** Interval at which runs are looked for that are to be moved. */
+constexpr milliseconds moveInterval { 200 };
+
+} // namespace
+
+void Dispatcher::followEvacuations(const EvacuationRequests &requests)
+{
+    this->evacuations = this->settings.hasEvacuations() ? &requests : nullptr;
+}
+
+void Dispatcher::workerListed(const WorkerEntry &entry)
+{
+    this->workerManager.workerListed(entry);
+    Worker *worker = this->workerManager.find(entry.worker);
+    if (this->evacuations == nullptr || worker == nullptr) {
+        return;
+    }
+    worker->evacuated = this->evacuations->isEvacuated(entry.dataCentre);
+    const PoolPolicy *pool = this->serving.pool(entry.service);
+    milliseconds left = entry.coldLeft;
+    ColdStartRate rate;
+    if (pool != nullptr) {
+        left = pool->coldDuration.count() > 0 ? std::min(left, pool->coldDuration) : left;
+        rate = { pool->coldStartsPerSecond * this->settings.coldStartFactor,
+                 this->settings.coldStartBurst };
+    }
+    worker->coldStarts.setCold(this->clock.now() + left, rate);
+}
+
+EvacuationHold Dispatcher::evacuationHold() const
+{
+    if (this->evacuations == nullptr) {
+        return EvacuationHold::None;
+    }
+    const EvacuationView view { this->begunAt, this->listener.storeAnsweredAt() };
+    return this->evacuationGate.hold(*this->evacuations, view, this->clock.now());
+}
+
+bool Dispatcher::maySendStarts() const
+{
+    return this->mayCommand() && this->evacuationHold() == EvacuationHold::None;
+}
+
+void Dispatcher::followEvacuationRequests(Instant now)
+{
+    if (this->evacuations == nullptr) {
+        return;
+    }
+    this->reportEvacuationHold(now);
+    if (this->appliedEvacuations == this->evacuations->version()) {
+        return;
+    }
+    this->appliedEvacuations = this->evacuations->version();
+    for (auto &[id, worker] : this->workerManager.workers()) {
+        worker.evacuated = this->evacuations->isEvacuated(worker.entry.dataCentre);
+    }
+}
+
+void Dispatcher::reportEvacuationHold(Instant now)
+{
+    const EvacuationHold hold = this->evacuationHold();
+    if (hold == this->reportedHold) {
+        return;
+    }
+    if (hold == EvacuationHold::None) {
+        const Duration held = now - this->heldSince;
+        this->decisions.write(DecisionLine(Event::StartsResumed)
+                                      .with("held_ms", duration_cast<milliseconds>(held).count()));
+    } else {
+        this->heldSince = this->reportedHold == EvacuationHold::None ? now : this->heldSince;
+        const std::optional<Instant> &readAt = this->evacuations->lastReadToEnd();
+        constexpr std::int64_t neverRead = -1;
+        this->decisions.write(
+                DecisionLine(Event::StartsWithheld)
+                        .with("reason", text(hold))
+                        .with("read_age_ms",
+                              readAt ? duration_cast<milliseconds>(now - *readAt).count()
+                                     : neverRead));
+    }
+    this->reportedHold = hold;
+}
+
+std::uint32_t Dispatcher::movingTasks(const StepRef &step) const
+{
+    return static_cast<std::uint32_t>(
+            std::count_if(this->movingSince.begin(), this->movingSince.end(),
+                          [&step](const auto &each) { return each.first.stepRef() == step; }));
+}
+
+std::vector<EvacuatedRun> Dispatcher::evacuatedRuns(std::vector<RunToMove> &found)
+{
+    struct Step
+    {
+        std::size_t number = 0;
+        std::uint32_t away = 0;
+    };
+    std::map<StepRef, Step> steps;
+    std::vector<EvacuatedRun> runs;
+    for (auto &[id, worker] : this->workerManager.workers()) {
+        for (auto &[attempt, run] : worker.runs) {
+            const JobEntry *job = run.runsIndefinitely && run.fillCpuMilli == 0
+                    ? this->findJob(attempt.task)
+                    : nullptr;
+            if (job == nullptr || job->hasEnded()) {
+                continue;
+            }
+            const auto [step, added] =
+                    steps.try_emplace(attempt.task.stepRef(), Step { steps.size(), 0 });
+            if (added) {
+                const OccurrenceState &state = job->occurrences.at(attempt.task.occurrence);
+                step->second.away = state.steps.at(attempt.task.step).tasks.open();
+            }
+            step->second.away += run.phase != RunPhase::Running || run.stopRequested ? 1 : 0;
+            if (worker.evacuated && run.phase == RunPhase::Running && !run.stopRequested
+                && !run.mayHaveEnded) {
+                const StepSpec &spec = job->step(attempt.task);
+                runs.push_back({ found.size(), step->second.number, spec.gang,
+                                 spec.maxConcurrentDisruptions, 0, run.placedAt });
+                found.push_back({ &worker, attempt });
+            }
+        }
+    }
+    for (EvacuatedRun &run : runs) {
+        run.away = steps.at(found[run.run].attempt.task.stepRef()).away;
+    }
+    return runs;
+}
+
+void Dispatcher::moveRunsOut(Instant now)
+{
+    std::erase_if(this->movingSince, [this, now](const auto &each) {
+        const JobEntry *job = this->findJob(each.first);
+        return job == nullptr || job->hasEnded() || now - each.second > maxRestartWait;
+    });
+    if (this->evacuations == nullptr || this->evacuations->all().empty() || now < this->nextMoves) {
+        return;
+    }
+    this->nextMoves = now + moveInterval;
+    this->moveWaitsForCapacity = false;
+    const EvacuationState state { this->workerManager.workers().size(), this->movingSince.size(),
+                                  this->planner.endingTasksWait() };
+    if (!this->mayPreempt() || this->evacuationHold() != EvacuationHold::None) {
+        return;
+    }
+    std::vector<RunToMove> found;
+    const std::vector<EvacuatedRun> runs = this->evacuatedRuns(found);
+    std::size_t allowed = EvacuationMoves::allowed(state);
+    this->moveWaitsForCapacity = !runs.empty() && state.endingTasksWait;
+    for (const EvacuatedRun &each : EvacuationMoves::candidates(state, runs)) {
+        const RunToMove &move = found[each.run];
+        JobEntry &job = *this->findJob(move.attempt.task);
+        if (allowed == 0 || !this->planner.reserveForMove(job, move.attempt.task, now)) {
+            this->moveWaitsForCapacity = allowed > 0;
+            return;
+        }
+        --allowed;
+        ++this->movedTasks;
+        this->movingSince[move.attempt.task] = now;
+        this->stopRun(*move.worker, move.worker->runs.at(move.attempt),
+                      "its data centre is being evacuated");
+    }
+}
+
+void Dispatcher::stopGang(const JobEntry &job, const StepRef &gang)
+{
+    this->workerManager.forEachRun(job.spec.id, [this, &gang](Worker &worker, Run &run) {
+        if (run.attempt.task.stepRef() == gang) {
+            this->stopRun(worker, run,
+                          "a member of its gang was to start in an evacuated "
+                          "data centre");
+        }
+    });
+}
+
+EvacuationLoad Dispatcher::evacuationLoad() const
+{
+    EvacuationLoad load;
+    load.moving = this->movingSince.size();
+    load.moved = this->movedTasks;
+    load.waitsForCapacity = this->moveWaitsForCapacity;
+    for (const auto &[id, worker] : this->workerManager.workers()) {
+        if (!worker.evacuated) {
+            continue;
+        }
+        load.runs += worker.runs.size();
+        load.longRunning += static_cast<std::size_t>(
+                std::count_if(worker.runs.begin(), worker.runs.end(), [](const auto &each) {
+                    return each.second.runsIndefinitely && each.second.fillCpuMilli == 0;
+                }));
+    }
+    return load;
+}
+
+} // namespace bulrush
--- a/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
@@ -140,7 +140,9 @@
             const RunHealth health =
                     assessRun(worker, run, now, this->typicalDuration(*job, attempt.task));
             const bool gang = job->step(attempt.task).gang;
-            if (health == RunHealth::Healthy || gang || task.relocations >= maxMoves) {
+            const bool slowSinceCold = health == RunHealth::Slow && run.startedCold;
+            if (health == RunHealth::Healthy || slowSinceCold || gang
+                || task.relocations >= maxMoves) {
                 continue;
             }
             const bool stalled = health == RunHealth::Stalled;
--- a/modules/bulrush_steps/dispatch/PlanLane.h
+++ b/modules/bulrush_steps/dispatch/PlanLane.h
@@ -90,6 +90,9 @@
     std::vector<UnplacedStep> unplaced;
     /** The number of steps of the queue that found no worker or were ruled out. */
     std::size_t unplacedCount = 0;
+    /** Whether a step of a job that ends found no worker, with the present queue or the former. */
+    bool endingUnplaced = false;
+    bool endingUnplacedBefore = false;
     /** When starving steps without room may next have some reserved. */
     Instant nextReservations {};
     /** Whether that time has come with the present queue. */
@@ -112,6 +115,8 @@
         this->next = 0;
         this->unplaced.clear();
         this->unplacedCount = 0;
+        this->endingUnplaced = false;
+        this->endingUnplacedBefore = false;
         this->nextReservations = Instant();
         this->census = WaitCensus();
         this->openCensus.reset();
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -123,6 +123,7 @@
     lane.next = 0;
     lane.unplaced.clear();
     lane.unplacedCount = 0;
+    lane.endingUnplacedBefore = std::exchange(lane.endingUnplaced, false);
     lane.longestStarving.clear();
     for (auto at = lane.waiting.begin(); at != lane.waiting.end();) {
         JobEntry *job = this->jobs.find(*at);
@@ -418,7 +419,7 @@
 {
     // The process may have been paused since the round began.
     const std::uint32_t unsent = this->listener.unsentStarts(lane.fills);
-    return this->workers.startWindow(lane.fills).isOpen(unsent) && this->listener.mayCommand();
+    return this->workers.startWindow(lane.fills).isOpen(unsent) && this->listener.maySendStarts();
 }
 
 bool Planner::mayAssignMore(const PlanLane &lane, const StepSpec &step) const
@@ -471,6 +472,7 @@
     if (ruledOutBy != lane.unplaced.end() && !hasReservation) {
         this->reserveRoom(lane, candidate, now);
         ++lane.unplacedCount;
+        lane.endingUnplaced = lane.endingUnplaced || !step.runsIndefinitely;
         if (lane.openCensus) {
             lane.openCensus->add(ruledOutBy->reason, candidate.ref(), candidate.age);
         }
@@ -483,6 +485,7 @@
     }
     this->reserveRoom(lane, candidate, now);
     ++lane.unplacedCount;
+    lane.endingUnplaced = lane.endingUnplaced || !step.runsIndefinitely;
     const WaitReason reason = this->countUnplaced(lane, candidate, now);
     const bool constrained = step.maxPerWorker > 0 || !step.requiredLabel.empty() || step.gang;
     if (!constrained) {
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -55,8 +55,8 @@
     {
         virtual ~Listener() = default;
 
-        /** Returns whether commands may currently be sent. */
-        virtual bool mayCommand() const = 0;
+        /** Returns whether starts may currently be sent. */
+        virtual bool maySendStarts() const = 0;
 
         /** Returns whether tasks of a job may start, as far as mayStart(job, step, task) allows. */
         virtual bool mayStart(const JobEntry &job) const = 0;
@@ -83,6 +83,9 @@
             starts in their place need. */
         virtual bool mayPreempt() const = 0;
 
+        /** Returns how many tasks of a step are being moved to other workers. */
+        virtual std::uint32_t movingTasks(const StepRef &step) const = 0;
+
         /** Stops a run, so that its room is free for a task that has waited too long. */
         virtual void preempt(Worker &worker, const AttemptRef &attempt) = 0;
     };
@@ -103,6 +106,13 @@
 
     PlanLoad load() const;
 
+    /** Returns whether a task that ends found no worker when the steps were last planned. */
+    bool endingTasksWait() const;
+
+    /** Reserves free room that no other reservation needs for a task that has a run, so that it can
+        be moved. @returns false when there is none */
+    bool reserveForMove(JobEntry &job, const TaskRef &task, Instant now);
+
 private:
     void plan(PlanLane &lane, Instant now);
     void planRound(PlanLane &lane, Instant now);
--- a/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
+++ b/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
@@ -190,6 +190,37 @@
     }
 }
 
+bool Planner::endingTasksWait() const
+{
+    return std::any_of(this->lanes.begin(), this->lanes.end(), [](const PlanLane &lane) {
+        return !lane.fills && (lane.endingUnplaced || lane.endingUnplacedBefore);
+    });
+}
+
+bool Planner::reserveForMove(JobEntry &job, const TaskRef &task, Instant now)
+{
+    PlanCandidate candidate;
+    candidate.job = &job;
+    candidate.occurrence = task.occurrence;
+    candidate.step = task.step;
+    const TaskRequest request = this->makeTaskRequest(candidate);
+    const Placement placement(now, this->pressures);
+    Worker *best = nullptr;
+    double bestScore = 0.0;
+    for (auto &[id, worker] : this->workers.workers()) {
+        const std::optional<double> score =
+                worker.reservation ? std::nullopt : placement.scoreOf(worker, request);
+        if (score && (best == nullptr || *score > bestScore)) {
+            best = &worker;
+            bestScore = *score;
+        }
+    }
+    if (best != nullptr) {
+        this->reservations.reserveOn(*best, request.ref, request.step->reserved(), now);
+    }
+    return best != nullptr;
+}
+
 void Planner::sweepReservations(Instant now)
 {
     if (now < this->nextSweep) {
@@ -207,7 +238,7 @@
         if (!spec.runsIndefinitely && hasRuns(*job, ref.occurrence)) {
             return 0;
         }
-        return step.tasks.open();
+        return step.tasks.open() + this->listener.movingTasks(ref);
     });
 }
 
--- a/modules/bulrush_steps/model/ServingConfig.cpp
+++ b/modules/bulrush_steps/model/ServingConfig.cpp
@@ -24,4 +24,12 @@
     return found == this->queues.end() ? nullptr : &*found;
 }
 
+const PoolPolicy *ServingConfig::pool(const ServiceId &service) const
+{
+    const auto found =
+            std::find_if(this->pools.begin(), this->pools.end(),
+                         [&service](const PoolPolicy &each) { return each.service == service; });
+    return found == this->pools.end() ? nullptr : &*found;
+}
+
 } // namespace bulrush
--- a/modules/bulrush_steps/model/ServingConfig.h
+++ b/modules/bulrush_steps/model/ServingConfig.h
@@ -33,6 +33,10 @@
     bool enforcesCapacity = false;
     /** Whether the pool's VMs are switched off. */
     bool standby = false;
+    /** How long its workers stay slow after a start. */
+    milliseconds coldDuration { 0 };
+    /** How many starts a second a cold worker can take; 0 when there is no limit. */
+    double coldStartsPerSecond = 0.0;
 };
 
 /** The operators' complete configuration. */
@@ -48,6 +52,9 @@
 
     /** Returns the queue with the given name, or null. */
     const QueuePolicy *queue(std::string_view name) const;
+
+    /** Returns the pool of a service, or null. */
+    const PoolPolicy *pool(const ServiceId &service) const;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -49,6 +49,10 @@
     where the step prefers one rack. */
 constexpr double remoteRackPenalty = 1.5;
 
+/** Penalty for a worker that is slow after its start: a warm worker is preferred however full it
+    is. */
+constexpr double coldPenalty = 1.2;
+
 /** Penalty for each sibling on the same worker. */
 constexpr double siblingPenalty = 0.03;
 
@@ -114,7 +118,7 @@
 bool Placement::isUsable(const Worker &worker, const TaskRequest &request) const
 {
     return this->now >= worker.avoidUntil && worker.commandsInFlight < maxStartsInFlightPerWorker
-            && !CrashSuspects::isSetApart(worker)
+            && !CrashSuspects::isSetApart(worker) && worker.coldStarts.mayStart(this->now)
             && !(request.apart && CrashSuspects::hasYoungRun(worker, this->now));
 }
 
@@ -126,9 +130,12 @@
 
 WaitReason Placement::obstacleOn(const Worker &worker, const TaskRequest &request) const
 {
-    if (!worker.takesStarts() || !isEligible(worker, request)) {
+    if (!worker.isInService() || !isEligible(worker, request)) {
         return WaitReason::NoWorker;
     }
+    if (worker.evacuated) {
+        return WaitReason::Evacuated;
+    }
     if (!hasCapacity(worker, request)) {
         return WaitReason::NoRoom;
     }
@@ -157,10 +164,13 @@
             && unusedFillCpu(worker) >= minUnusedShare * static_cast<double>(step.size.cpuMilli);
 }
 
-double Placement::commonScore(const Worker &worker, const TaskRequest &request)
+double Placement::commonScore(const Worker &worker, const TaskRequest &request) const
 {
     const StepSpec &step = *request.step;
     double score = -failurePenalty * worker.failureShare;
+    if (worker.coldStarts.isCold(this->now)) {
+        score -= coldPenalty;
+    }
     if (!step.dataRack.empty() && step.dataRack != worker.rack) {
         score -= remoteRackPenalty;
     }
--- a/modules/bulrush_steps/policy/Placement.h
+++ b/modules/bulrush_steps/policy/Placement.h
@@ -99,7 +99,7 @@
     bool isUsable(const Worker &worker, const TaskRequest &request) const;
     WaitReason obstacleOn(const Worker &worker, const TaskRequest &request) const;
     bool hasFillCapacity(const Worker &worker, const StepSpec &step) const;
-    static double commonScore(const Worker &worker, const TaskRequest &request);
+    double commonScore(const Worker &worker, const TaskRequest &request) const;
 
     Instant now;
     const PressureModel &pressures;
--- a/modules/bulrush_steps/policy/WaitReason.h
+++ b/modules/bulrush_steps/policy/WaitReason.h
@@ -11,6 +11,8 @@
 enum class WaitReason : std::uint8_t {
     /** No worker that could run the task when empty takes starts. */
     NoWorker,
+    /** The data centres of all workers that could run it are being evacuated. */
+    Evacuated,
     /** Each of these workers lacks the room. */
     NoRoom,
     /** Those with the room receive no tasks at present, because of what happened to earlier ones.
@@ -25,7 +27,7 @@
     NotReached,
 };
 
-inline constexpr std::size_t waitReasonCount = 6;
+inline constexpr std::size_t waitReasonCount = 7;
 
 /** Returns the name of a reason as it is logged. */
 constexpr std::string_view text(WaitReason reason)
@@ -33,6 +35,8 @@
     switch (reason) {
     case WaitReason::NoWorker:
         return "no_worker";
+    case WaitReason::Evacuated:
+        return "evacuated";
     case WaitReason::NoRoom:
         return "no_room";
     case WaitReason::Paused:
--- a/modules/bulrush_steps/ports/RecordDecoder.h
+++ b/modules/bulrush_steps/ports/RecordDecoder.h
@@ -22,6 +22,13 @@
     /** @throws Error naming the field when the record is malformed */
     virtual ServingConfig servingConfig(std::string_view value) const = 0;
 
+    /** Returns whether a key of the configuration stream requests an evacuation. */
+    virtual bool isEvacuationRequest(std::string_view key) const = 0;
+
+    /** Returns the data centre that such a key names.
+        @throws Error when the name is malformed */
+    virtual DataCentreId evacuatedDataCentre(std::string_view key) const = 0;
+
     /** @throws Error naming the field when the record is malformed */
     virtual WorkerEntry workerEntry(std::string_view key, std::string_view value) const = 0;
 
--- a/modules/bulrush_steps/ports/WorkerEntry.h
+++ b/modules/bulrush_steps/ports/WorkerEntry.h
@@ -21,6 +21,8 @@
     ResourceVector capacity;
     std::vector<std::string> labels;
     UnixMillis processStartedAt = 0;
+    /** How much longer the worker stays slow after its start. */
+    milliseconds coldLeft { 0 };
 };
 
 /** Why an entry is no longer in the platform's worker list. */
--- a/modules/bulrush_steps/tests/follow_test.cpp
+++ b/modules/bulrush_steps/tests/follow_test.cpp
@@ -39,6 +39,20 @@
         return entry;
     }
 
+    bool isEvacuationRequest(std::string_view key) const override
+    {
+        return key.starts_with("evacuate/");
+    }
+
+    DataCentreId evacuatedDataCentre(std::string_view key) const override
+    {
+        const std::string_view name = key.substr(std::string_view("evacuate/").size());
+        if (name.empty()) {
+            throw Error("decode", std::string(key), "names no data centre");
+        }
+        return DataCentreId(name);
+    }
+
     StepJob submission(std::string_view /*body*/) const override { return {}; }
 };
 
--- a/modules/bulrush_steps/tests/worker_departure_test.cpp
+++ b/modules/bulrush_steps/tests/worker_departure_test.cpp
@@ -1,5 +1,6 @@
 #include "DispatcherFixture.h"
 
+#include "bulrush_core/errors/Error.h"
 #include "bulrush_steps/follow/RecordsView.h"
 #include "bulrush_steps/follow/WorkerFollower.h"
 
@@ -21,6 +22,20 @@
 public:
     bool isServingConfig(std::string_view /*key*/) const override { return false; }
     ServingConfig servingConfig(std::string_view /*value*/) const override { return {}; }
+    bool isEvacuationRequest(std::string_view key) const override
+    {
+        return key.starts_with("evacuate/");
+    }
+
+    DataCentreId evacuatedDataCentre(std::string_view key) const override
+    {
+        const std::string_view name = key.substr(std::string_view("evacuate/").size());
+        if (name.empty()) {
+            throw Error("decode", std::string(key), "names no data centre");
+        }
+        return DataCentreId(name);
+    }
+
     StepJob submission(std::string_view /*body*/) const override { return {}; }
 
     WorkerEntry workerEntry(std::string_view key, std::string_view value) const override
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrush_evacuation/cold/ColdStartLimit.h"
 #include "bulrush_steps/ports/WorkerCommands.h"
 #include "bulrush_steps/ports/WorkerEntry.h"
 #include "bulrush_steps/workers/LeaseClock.h"
@@ -49,6 +50,8 @@
     bool roomReserved = false;
     /** Whether it may be stopped to make room, as far as its step allows it. @see Preemption */
     bool preemptible = false;
+    /** Whether the worker was slow after its start when the run was sent to it. */
+    bool startedCold = false;
     /** Since when the task has had its room on the worker, as far as this owner knows. */
     Instant placedAt {};
     /** Whether a later run can resume from a checkpoint of this one. */
@@ -136,6 +139,10 @@
     bool processEnded = false;
     /** Whether it has ever answered under this owner's fencing token. */
     bool adopted = false;
+    /** Whether its data centre is being evacuated, so that nothing more is started on it. */
+    bool evacuated = false;
+    /** Until when it is slow after its start, and how many starts it takes until then. */
+    ColdStartLimit coldStarts;
     /** Whether the persisted roster lists it as a worker that may hold tasks. */
     bool onRoster = false;
     LeaseClock clock;
@@ -255,7 +262,10 @@
     }
 
     /** Returns whether a start request may be sent to it. */
-    bool takesStarts() const
+    bool takesStarts() const { return !this->evacuated && this->isInService(); }
+
+    /** Returns whether a start request may be sent to it unless its data centre is evacuated. */
+    bool isInService() const
     {
         return this->listed && !this->entry.draining && this->confirmed && this->onRoster;
     }
