--- a/modules/bulrush_steps/tests/DispatcherFixture.h
+++ b/modules/bulrush_steps/tests/DispatcherFixture.h
@@ -68,9 +68,9 @@
 class DispatcherFixture : public Dispatcher::Listener
 {
 public:
-    DispatcherFixture()
+    explicit DispatcherFixture(const DispatchSettings &dispatchSettings = settings())
         : workers(clock)
-        , dispatcher(clock, workers, &processes, log, settings(), decisions, *this)
+        , dispatcher(clock, workers, &processes, log, dispatchSettings, decisions, *this)
     {
     }
 
--- a/soak/InvariantChecker.cpp
+++ b/soak/InvariantChecker.cpp
@@ -102,9 +102,48 @@
     }
 }
 
+void InvariantChecker::setDataCentre(const std::string &worker, const std::string &dataCentre)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->dataCentres[worker] = dataCentre;
+}
+
+void InvariantChecker::recordEvacuationConfirmed(const std::string &dataCentre,
+                                                 std::int64_t boundMs)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->write("the evacuation of " + dataCentre + " is confirmed");
+    this->noStartsFrom[dataCentre] = this->clock.nowMs() + boundMs;
+}
+
+void InvariantChecker::recordEvacuationWithdrawn(const std::string &dataCentre)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->write("the evacuation of " + dataCentre + " is withdrawn");
+    this->noStartsFrom.erase(dataCentre);
+}
+
+void InvariantChecker::excuseStarts(std::int64_t forMs)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->excusedUntil = std::max(this->excusedUntil, this->clock.nowMs() + forMs);
+}
+
+void InvariantChecker::checkEvacuation(const std::string &task, const std::string &worker)
+{
+    const auto from = this->noStartsFrom.find(this->dataCentres[worker]);
+    const std::int64_t now = this->clock.nowMs();
+    if (from != this->noStartsFrom.end() && now > from->second && now > this->excusedUntil) {
+        this->recordViolation(task + " started on " + worker + " "
+                              + std::to_string(now - from->second)
+                              + " ms too late: its data centre is being evacuated");
+    }
+}
+
 void InvariantChecker::recordRunStarted(const std::string &task, const std::string &worker)
 {
     const std::scoped_lock lock(this->mutex);
+    this->checkEvacuation(task, worker);
     ++this->runsStarted;
     const TaskName name(task);
     const auto job = this->jobs.find(name.job);
--- a/soak/InvariantChecker.h
+++ b/soak/InvariantChecker.h
@@ -72,6 +72,20 @@
     /** Records that the owner has acknowledged the end of a run with the outcome "done". */
     void recordEndAcknowledged(const std::string &task);
 
+    /** Sets the data centre of a worker. */
+    void setDataCentre(const std::string &worker, const std::string &dataCentre);
+
+    /** Records that the store has confirmed the request to evacuate a data centre.
+        @param boundMs how much later starts must have ended */
+    void recordEvacuationConfirmed(const std::string &dataCentre, std::int64_t boundMs);
+
+    /** Records that the request is about to be withdrawn. */
+    void recordEvacuationWithdrawn(const std::string &dataCentre);
+
+    /** Excuses starts in evacuated data centres until some time from now, since a daemon may not
+        have learned of the requests. */
+    void excuseStarts(std::int64_t forMs);
+
     /** Records that all runs on a worker were lost. */
     void recordWorkerCrash(const std::string &worker);
 
@@ -92,6 +106,7 @@
         bool reportedCompleted = false;
     };
 
+    void checkEvacuation(const std::string &task, const std::string &worker);
     bool isStepComplete(const std::string &job, std::uint32_t step) const;
     void recordViolation(std::string description);
     void write(const std::string &text);
@@ -102,6 +117,10 @@
     std::map<TaskName, std::set<std::string>> running;
     std::set<TaskName> completedTasks;
     std::set<TaskName> acknowledgedTasks;
+    std::map<std::string, std::string> dataCentres;
+    /** From when on each evacuated data centre must see no starts. */
+    std::map<std::string, std::int64_t> noStartsFrom;
+    std::int64_t excusedUntil = 0;
     std::vector<std::string> recordedViolations;
     std::uint64_t runsStarted = 0;
     const standins::ProcessClock clock;
--- a/soak/NodeProcess.cpp
+++ b/soak/NodeProcess.cpp
@@ -29,13 +29,13 @@
 } // namespace
 
 NodeProcess::NodeProcess(std::string daemonPath, int number, int storePort,
-                         const std::string &folder)
+                         const std::string &folder, std::int64_t evacuationBoundMs)
     : daemon(std::move(daemonPath))
     , ip(loopbackAddress(number))
     , settingsPath(folder + "/node-" + std::to_string(number) + ".yaml")
     , logPath(folder + "/node-" + std::to_string(number) + ".log")
 {
-    this->writeSettings(storePort);
+    this->writeSettings(storePort, evacuationBoundMs);
 }
 
 NodeProcess::~NodeProcess()
@@ -43,7 +43,7 @@
     this->kill();
 }
 
-void NodeProcess::writeSettings(int storePort) const
+void NodeProcess::writeSettings(int storePort, std::int64_t evacuationBoundMs) const
 {
     std::ofstream file(this->settingsPath);
     file << "node: \"" << this->ip << "\"\nzone: \"z1\"\nip: \"" << this->ip << "\"\n"
@@ -51,8 +51,10 @@
          << "\", readiness: \"" << this->ip << ":8167\" }\n"
          << "internalPorts: [7720, 7735]\n"
          << "limits: { memoryMb: 260, cpuShare: 1.0, cores: 1 }\n"
-         << "bounds: { graceS: " << gracePeriod.count()
-         << ", holdMaxMs: 3000, stopTimeoutMs: 100 }\n"
+         << "bounds: { graceS: " << gracePeriod.count() << ", holdMaxMs: 3000, stopTimeoutMs: 100"
+         << (evacuationBoundMs > 0 ? ", evacuateMs: " + std::to_string(evacuationBoundMs)
+                                   : std::string())
+         << " }\nzones: [\"z1\", \"z2\", \"z3\"]\n"
          << "platform: { address: \"127.0.0.1:" << storePort << "\", ttlMinMs: 500 }\n";
 }
 
--- a/soak/NodeProcess.h
+++ b/soak/NodeProcess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <sys/types.h>
 #include <sys/wait.h>
@@ -11,8 +12,10 @@
 {
 public:
     /** @param number determines the address and the file names
-        @param folder for the settings file and the log file */
-    NodeProcess(std::string daemon, int number, int storePort, const std::string &folder);
+        @param folder for the settings file and the log file
+        @param evacuationBoundMs written to the settings; 0 for none */
+    NodeProcess(std::string daemon, int number, int storePort, const std::string &folder,
+                std::int64_t evacuationBoundMs = 0);
 
     /** Kills the process if it is running. */
     ~NodeProcess();
@@ -43,7 +46,7 @@
 private:
     static constexpr int callersPortNumber = 8161;
 
-    void writeSettings(int storePort) const;
+    void writeSettings(int storePort, std::int64_t evacuationBoundMs) const;
     bool hasEnded(int waitOptions);
 
     const std::string daemon;
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -40,6 +40,15 @@
 constexpr int storeDelayMs = 250;
 constexpr int storeLossPercent = 30;
 
+/** Interval between two changes of the evacuations, the time after the confirmation of a request
+    within which starts must end, and the time until a node is in touch with the store again. */
+constexpr int minEvacuationIntervalMs = 1000;
+constexpr int maxEvacuationIntervalMs = 5000;
+constexpr std::int64_t evacuationBoundMs = 2500;
+constexpr std::int64_t contactMs = 3000;
+
+const std::vector<std::string> dataCentres { "z1", "z2", "z3" };
+
 /** Interval between two changes of the configuration or the settings, which come beside the faults.
  */
 constexpr int minChangeIntervalMs = 300;
@@ -64,20 +73,24 @@
     , random(soakSettings.seed)
     , changeRandom(soakSettings.seed + 1)
     , seriesRandom(soakSettings.seed + 2)
+    , evacuationRandom(soakSettings.seed + 3)
     , checker(soakSettings.folder + "/workers.log")
     , store(soakSettings.seed)
 {
     const int storePort = this->store.start();
     this->store.put("keyed.op", "config", configuration(this->configVersion));
     for (int number = 1; number <= this->settings.workers; ++number) {
+        const auto &dataCentre = dataCentres.at(this->settings.evacuations ? number % 3 : 0);
         this->workers.push_back(std::make_unique<WorkerServer>(
                 "w" + std::to_string(number), this->checker,
-                this->settings.seed + static_cast<unsigned>(number)));
+                this->settings.seed + static_cast<unsigned>(number), dataCentre));
+        this->checker.setDataCentre(this->workers.back()->workerName(), dataCentre);
     }
     this->publishWorkers();
     for (int number = 1; number <= this->settings.nodes; ++number) {
-        this->nodes.push_back(std::make_unique<NodeProcess>(this->settings.daemon, number,
-                                                            storePort, this->settings.folder));
+        this->nodes.push_back(std::make_unique<NodeProcess>(
+                this->settings.daemon, number, storePort, this->settings.folder,
+                this->settings.evacuations ? evacuationBoundMs : 0));
         this->nodes.back()->start();
     }
 }
@@ -119,7 +132,11 @@
 {
     NodeProcess &node = this->randomNode();
     node.pause();
-    return [&node] { node.resume(); };
+    ++this->pausedNodes;
+    return [this, &node] {
+        --this->pausedNodes;
+        node.resume();
+    };
 }
 
 std::function<void()> SoakRun::restartNode()
@@ -237,6 +254,32 @@
     this->nodes.at(this->changeRandom() % this->nodes.size())->requestReload();
 }
 
+void SoakRun::withdrawEvacuation(const std::string &dataCentre)
+{
+    this->checker.recordEvacuationWithdrawn(dataCentre);
+    this->store.put("keyed.op", "evacuate/" + dataCentre, "");
+}
+
+void SoakRun::changeEvacuations(TimePoint now)
+{
+    if (this->pausedNodes > 0 || this->store.faults.down) {
+        this->checker.excuseStarts(contactMs);
+    }
+    if (now < this->nextEvacuation || this->store.faults.down) {
+        return;
+    }
+    std::uniform_int_distribution<int> interval(minEvacuationIntervalMs, maxEvacuationIntervalMs);
+    this->nextEvacuation = now + milliseconds(interval(this->evacuationRandom));
+    const std::string &dataCentre = dataCentres.at(this->evacuationRandom() % dataCentres.size());
+    if (this->evacuated.erase(dataCentre) > 0) {
+        this->withdrawEvacuation(dataCentre);
+    } else if (this->evacuated.size() + 1 < dataCentres.size()) {
+        this->evacuated.insert(dataCentre);
+        this->store.put("keyed.op", "evacuate/" + dataCentre, "{}");
+        this->checker.recordEvacuationConfirmed(dataCentre, evacuationBoundMs);
+    }
+}
+
 void SoakRun::recoverDueFaults(bool all)
 {
     const TimePoint now = std::chrono::steady_clock::now();
@@ -283,10 +326,16 @@
             nextSeries = std::chrono::steady_clock::now()
                     + milliseconds(seriesInterval(this->seriesRandom));
         }
+        if (this->settings.evacuations) {
+            this->changeEvacuations(std::chrono::steady_clock::now());
+        }
         this->recoverDueFaults(false);
         std::this_thread::sleep_for(pollInterval);
     }
     this->recoverDueFaults(true);
+    for (const std::string &dataCentre : this->evacuated) {
+        this->withdrawEvacuation(dataCentre);
+    }
     this->store.faults.lateSubmissionsPercent = 0;
     // Waits, since a job that is accepted last has to be finished too.
     callers.stopSubmitting();
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -31,6 +31,8 @@
     /** Whether callers also cancel jobs whose submission was not answered, and the store carries
         out some submissions late. */
     bool earlyCancellations = false;
+    /** Whether data centres are evacuated beside the faults. */
+    bool evacuations = false;
 };
 
 /** The results of a run. */
@@ -93,6 +95,10 @@
 
     /** Publishes a new version of the configuration and lets a node read its settings again. */
     void changeConfiguration();
+    /** Requests the evacuation of a data centre, or withdraws the request, and judges no starts
+        while a daemon may be out of touch. */
+    void changeEvacuations(TimePoint now);
+    void withdrawEvacuation(const std::string &dataCentre);
     void recoverDueFaults(bool all);
     void publishWorkers();
     NodeProcess &randomNode();
@@ -104,6 +110,11 @@
     std::mt19937 changeRandom;
     /** For the series of restarts and cuts, for the same reason. */
     std::mt19937 seriesRandom;
+    /** For the evacuations, for the same reason. */
+    std::mt19937 evacuationRandom;
+    TimePoint nextEvacuation {};
+    std::set<std::string> evacuated;
+    int pausedNodes = 0;
     int configVersion = 1;
     InvariantChecker checker;
     StoreServer store;
--- a/soak/WorkerServer.cpp
+++ b/soak/WorkerServer.cpp
@@ -22,8 +22,10 @@
 
 } // namespace
 
-WorkerServer::WorkerServer(std::string workerName, InvariantChecker &runChecker, unsigned seed)
+WorkerServer::WorkerServer(std::string workerName, InvariantChecker &runChecker, unsigned seed,
+                           std::string workerDataCentre)
     : name(std::move(workerName))
+    , dataCentre(std::move(workerDataCentre))
     , checker(runChecker)
     , processStartedAt(this->clock.nowMs())
     , random(seed)
@@ -53,12 +55,9 @@
     const std::scoped_lock lock(this->mutex);
     const json capacity = { { "cpu", 8000 }, { "memMb", 32000 } };
     return json {
-        { "service", "review" },
-        { "address", "127.0.0.1:" + std::to_string(this->port) },
-        { "zone", "z1" },
-        { "state", "ready" },
-        { "capacity", capacity },
-        { "labels", { "a", "r1-1" } },
+        { "service", "review" },           { "address", "127.0.0.1:" + std::to_string(this->port) },
+        { "zone", this->dataCentre },      { "state", "ready" },
+        { "capacity", capacity },          { "labels", { "a", "r1-1" } },
         { "born", this->processStartedAt }
     }.dump();
 }
--- a/soak/WorkerServer.h
+++ b/soak/WorkerServer.h
@@ -29,7 +29,8 @@
     static constexpr const char *lastingPayload = "soak, until stopped";
 
     /** @param seed for the choice of commands that are carried out late */
-    WorkerServer(std::string name, InvariantChecker &checker, unsigned seed);
+    WorkerServer(std::string name, InvariantChecker &checker, unsigned seed,
+                 std::string dataCentre = "z1");
     ~WorkerServer();
 
     WorkerServer(const WorkerServer &) = delete;
@@ -106,6 +107,7 @@
     std::int64_t workerClock() const { return this->clock.nowMs() - this->processStartedAt; }
 
     const std::string name;
+    const std::string dataCentre;
     InvariantChecker &checker;
     standins::ProcessClock clock;
     std::mutex mutex;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -15,7 +15,7 @@
 
 Usage:
   soak --daemon PATH [--seeds N] [--first-seed N] [--fault-s N] [--nodes N] [--workers N]
-       [--cuts-after-restarts] [--early-cancellations]
+       [--cuts-after-restarts] [--early-cancellations] [--evacuations]
 
 Options:
   --daemon PATH     path of the daemon's executable
@@ -26,6 +26,7 @@
   --workers N       number of workers [default: 8]
   --cuts-after-restarts  also cut workers off soon after restarts, and carry commands out late
   --early-cancellations  also cancel jobs whose submission was not answered, and store some of them late
+  --evacuations     also evacuate data centres
 )";
 
 int number(const std::map<std::string, docopt::value> &options, const char *name)
@@ -73,6 +74,7 @@
     settings.workers = number(options, "--workers");
     settings.cutsAfterRestarts = options.at("--cuts-after-restarts").asBool();
     settings.earlyCancellations = options.at("--early-cancellations").asBool();
+    settings.evacuations = options.at("--evacuations").asBool();
     const int first = number(options, "--first-seed");
     int failed = 0;
     for (int seed = first; seed < first + number(options, "--seeds"); ++seed) {
