--- a/modules/bulrush_entry/operators/StatusJson.cpp
+++ b/modules/bulrush_entry/operators/StatusJson.cpp
@@ -1,6 +1,7 @@
 #include "bulrush_entry/operators/StatusJson.h"
 
 #include "bulrush_steps/model/TaskText.h"
+#include "bulrush_steps/policy/Placement.h"
 
 #include <nlohmann/json.hpp>
 
@@ -42,6 +43,24 @@
              { "waitsForSteps", !job.dependenciesMet(occurrence, step) } };
 }
 
+/** Returns whether the data centres of all workers that could run a step are being evacuated. */
+bool onlyEvacuatedWorkersFit(const JobEntry &job, std::uint32_t step, const Dispatcher &dispatcher)
+{
+    TaskRequest request;
+    request.step = &job.spec.steps[step];
+    request.service = job.spec.service;
+    bool evacuated = false;
+    for (const auto &[id, worker] : dispatcher.runs().workers()) {
+        if (worker.isInService() && Placement::isEligible(worker, request)) {
+            if (!worker.evacuated) {
+                return false;
+            }
+            evacuated = true;
+        }
+    }
+    return evacuated;
+}
+
 /** Returns the occurrences that are under way, and the first that has not ended. */
 std::set<std::uint32_t> occurrencesToShow(const OccurrenceTable &occurrences)
 {
@@ -120,6 +139,11 @@
     for (const std::uint32_t occurrence : occurrencesToShow(job->occurrences)) {
         for (std::uint32_t step = 0; step < job->spec.steps.size(); ++step) {
             steps.push_back(stepJson(*job, occurrence, step));
+            const bool waits = job->occurrences.at(occurrence).steps[step].tasks.open() > 0
+                    && job->dependenciesMet(occurrence, step);
+            if (waits && onlyEvacuatedWorkersFit(*job, step, dispatcher)) {
+                steps.back()["waitReason"] = text(WaitReason::Evacuated);
+            }
         }
     }
     json runs = json::array();
