--- a/soak/NodeProcess.cpp
+++ b/soak/NodeProcess.cpp
@@ -54,7 +54,7 @@
          << "bounds: { graceS: " << gracePeriod.count() << ", holdMaxMs: 3000, stopTimeoutMs: 100"
          << (evacuationBoundMs > 0 ? ", evacuateMs: " + std::to_string(evacuationBoundMs)
                                    : std::string())
-         << " }\nzones: [\"z1\", \"z2\", \"z3\"]\n"
+         << " }\nzones: {z1: r, z2: r, z3: r}\n"
          << "platform: { address: \"127.0.0.1:" << storePort << "\", ttlMinMs: 500 }\n";
 }
 
