--- a/soak/NodeProcess.cpp
+++ b/soak/NodeProcess.cpp
@@ -29,11 +29,12 @@
 } // namespace
 
 NodeProcess::NodeProcess(std::string daemonPath, int number, int storePort,
-                         const std::string &folder)
+                         const std::string &folder, std::string machineLimits)
     : daemon(std::move(daemonPath))
     , ip(loopbackAddress(number))
     , settingsPath(folder + "/node-" + std::to_string(number) + ".yaml")
     , logPath(folder + "/node-" + std::to_string(number) + ".log")
+    , limits(std::move(machineLimits))
 {
     this->writeSettings(storePort);
 }
@@ -50,7 +51,7 @@
          << "listenAddrs: { frontend: \"" << this->ip << ":" << callersPortNumber
          << "\", readiness: \"" << this->ip << ":8167\" }\n"
          << "internalPorts: [7720, 7735]\n"
-         << "limits: { memoryMb: 260, cpuShare: 1.0, cores: 1 }\n"
+         << "limits: " << this->limits << "\n"
          << "bounds: { graceS: " << gracePeriod.count()
          << ", holdMaxMs: 3000, stopTimeoutMs: 100 }\n"
          << "platform: { address: \"127.0.0.1:" << storePort << "\", ttlMinMs: 500 }\n";
--- a/soak/NodeProcess.h
+++ b/soak/NodeProcess.h
@@ -11,8 +11,10 @@
 {
 public:
     /** @param number determines the address and the file names
-        @param folder for the settings file and the log file */
-    NodeProcess(std::string daemon, int number, int storePort, const std::string &folder);
+        @param folder for the settings file and the log file
+        @param machineLimits the `limits` of the settings file */
+    NodeProcess(std::string daemon, int number, int storePort, const std::string &folder,
+                std::string machineLimits = defaultLimits);
 
     /** Kills the process if it is running. */
     ~NodeProcess();
@@ -37,11 +39,15 @@
     int callersPort() const { return callersPortNumber; }
     bool isRunning() const { return this->process > 0; }
 
+    /** Returns the id of the process, 0 when it does not run. */
+    pid_t processId() const { return this->process; }
+
     /** Returns whether the process runs, and notes its end if it has ended by itself. */
     bool checkRunning() { return this->process > 0 && !this->hasEnded(WNOHANG); }
 
 private:
     static constexpr int callersPortNumber = 8161;
+    static constexpr const char *defaultLimits = "{ memoryMb: 260, cpuShare: 1.0, cores: 1 }";
 
     void writeSettings(int storePort) const;
     bool hasEnded(int waitOptions);
@@ -50,6 +56,7 @@
     const std::string ip;
     const std::string settingsPath;
     const std::string logPath;
+    const std::string limits;
     pid_t process = 0;
 };
 
