Bound the memory, connections and time of callers' requests

Cause: bodies of all connections were received at once, whatever their sum, with 1 MiB each, and up to 3000 connections were accepted. BodyBudget reserves the memory of a body (three times its length, until the request is answered) before its first byte, keeps a quarter for small bodies, and closes the slowest unfinished upload for a new one; ConnectionTable closes waiting connections beyond a time limit or for new ones. HttpServer answers 413, 411, 408 or 503 with Retry-After and discards a part of the rest so that the answer arrives. The budgets follow from limits.memoryMb and limits.maxFds, the size and times from the configuration's limits. Events E1691 to E1694 and metrics report what was refused. Ruled out: telling callers apart by address, since all come through one forwarder.

--- a/modules/bulrush_core/events/EventCatalogue.cpp
+++ b/modules/bulrush_core/events/EventCatalogue.cpp
@@ -79,6 +79,10 @@
     EventInfo { Event::StoreRecovered, Severity::Info, "store back" },
     EventInfo { Event::RecordIgnored, Severity::Warning, "record ignored" },
     EventInfo { Event::StoreCallSlow, Severity::Warning, "store call slow" },
+    EventInfo { Event::CallerBodiesRefused, Severity::Warning, "caller bodies refused" },
+    EventInfo { Event::CallerUploadsClosed, Severity::Warning, "caller uploads closed" },
+    EventInfo { Event::CallerConnectionsClosed, Severity::Warning, "caller connections closed" },
+    EventInfo { Event::CallerLimitsSet, Severity::Info, "caller limits set" },
     EventInfo { Event::LinesDropped, Severity::Warning, "lines dropped" },
 };
 
--- a/modules/bulrush_core/events/EventCatalogue.h
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -82,6 +82,10 @@
     RecordIgnored = 1653,
     StoreCallSlow = 1654,
     LinesDropped = 1661,
+    CallerBodiesRefused = 1691,
+    CallerUploadsClosed = 1692,
+    CallerConnectionsClosed = 1693,
+    CallerLimitsSet = 1694,
 };
 
 /** The constant properties of an event: its number, severity and name. */
--- a/modules/bulrush_entry/node/EntryMetrics.cpp
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -133,6 +133,22 @@
                     .Help("How late the event loop ran its periodic work")
                     .Register(registry)
                     .Add({}, secondsBuckets);
+    prometheus::Family<prometheus::Counter> &callerLimits =
+            prometheus::BuildCounter()
+                    .Name("bulrush_entry_caller_limits_total")
+                    .Help("Requests and connections of callers that met a limit by reason")
+                    .Register(registry);
+    prometheus::Gauge &callerBodyBytes =
+            prometheus::BuildGauge()
+                    .Name("bulrush_entry_caller_body_bytes")
+                    .Help("Memory that is reserved for callers' bodies")
+                    .Register(registry)
+                    .Add({});
+    prometheus::Gauge &callerConnections = prometheus::BuildGauge()
+                                                   .Name("bulrush_entry_caller_connections")
+                                                   .Help("Open connections from callers")
+                                                   .Register(registry)
+                                                   .Add({});
     std::map<std::string, OrderSeries, std::less<>> orderSeries;
     prometheus::Gauge &owner = prometheus::BuildGauge()
                                        .Name("bulrush_entry_owner")
@@ -298,6 +314,17 @@
     }
 }
 
+void EntryMetrics::recordCallerLimit(const char *reason, std::uint64_t more)
+{
+    this->families->callerLimits.Add({ { "reason", reason } }).Increment(static_cast<double>(more));
+}
+
+void EntryMetrics::setCallerLoad(std::size_t bodyBytes, std::size_t connections)
+{
+    this->families->callerBodyBytes.Set(static_cast<double>(bodyBytes));
+    this->families->callerConnections.Set(static_cast<double>(connections));
+}
+
 void EntryMetrics::setDroppedLines(std::uint64_t lines)
 {
     this->families->droppedLines.Set(static_cast<double>(lines));
--- a/modules/bulrush_entry/node/EntryMetrics.h
+++ b/modules/bulrush_entry/node/EntryMetrics.h
@@ -66,6 +66,12 @@
         given have no series from then on. */
     void setServedShares(const std::map<std::string, double> &shares);
 
+    /** Counts requests and connections of callers that met a limit. */
+    void recordCallerLimit(const char *reason, std::uint64_t more);
+
+    /** Sets the memory that is reserved for callers' bodies, and the number of connections. */
+    void setCallerLoad(std::size_t bodyBytes, std::size_t connections);
+
     void setDroppedLines(std::uint64_t lines);
 
     /** Returns all metrics in the Prometheus text format. */
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -28,9 +28,7 @@
 constexpr std::string_view explainPath = "/v1/explain/job/";
 
 constexpr HttpServer::Limits operatorLimits { 64U << 10U, 32, {} };
-
-/** Limit of open connections from callers; further connections are refused. */
-constexpr std::size_t maxCallerConnections = 3000;
+constexpr HttpServer::Limits readinessLimits { 4U << 10U, 64, {} };
 
 std::int64_t percentOf(std::int64_t part, std::int64_t whole)
 {
@@ -55,14 +53,6 @@
     return shares;
 }
 
-HttpServer::Limits callerLimits(const CallerProtocol &protocol)
-{
-    HttpServer::Limits limits;
-    limits.maxConnections = maxCallerConnections;
-    limits.headerNames = protocol.headerNames();
-    return limits;
-}
-
 } // namespace
 
 EntryNode::EntryNode(EventLoop &eventLoop, const Clock &systemClock,
@@ -91,8 +81,10 @@
     , owner(eventLoop, systemClock, this->store, this->dispatcher, this->name, *this)
     , requestHandler(systemClock, this->store, entryPorts.decoder, this->owner, this->view,
                      this->health, decisionLog, JobAdmission(systemClock, entrySettings.memoryMb))
-    , callers(eventLoop, entrySettings.callers, callerLimits(entryPorts.callers), *this)
-    , readiness(eventLoop, entrySettings.readiness, HttpServer::Limits(), *this,
+    , callers(eventLoop, entrySettings.callers,
+              callerLimits(entrySettings, entryPorts.callers.headerNames()), *this)
+    , limitReport(this->callers, this->metrics, decisionLog)
+    , readiness(eventLoop, entrySettings.readiness, readinessLimits, *this,
                 &EntryNode::readinessResponse)
     , operators(eventLoop, entrySettings.operators, operatorLimits, *this,
                 &EntryNode::operatorResponse)
@@ -129,6 +121,7 @@
         this->drainTick();
     }
     this->reportOwnerLoad();
+    this->limitReport.tick(this->clock.now());
     this->decisions.flush();
     const milliseconds interval = this->isOwnerOrTakesOver() ? tickInterval : idleTickInterval;
     this->nextTickAt = this->clock.now() + interval;
@@ -215,6 +208,7 @@
 {
     this->requestHandler.configure(*this->config.config());
     this->dispatcher.configure(*this->config.config());
+    this->limitReport.configure(*this->config.config());
 }
 
 bool EntryNode::ready()
@@ -228,6 +222,8 @@
         this->followDrain();
     }
     const CallerRequest decoded = this->ports.callers.decode(request);
+    // The decoded request has a copy; two copies of a body beside its JSON values are not needed.
+    request = {};
     ++this->arrivedRequests;
     this->lastRequestAt = this->clock.now();
     this->openRequests[id] = { decoded.kind, this->lastRequestAt };
@@ -306,6 +302,8 @@
 {
     const auto found = this->openRequests.find(id);
     if (found == this->openRequests.end()) {
+        // The caller has left; this releases the memory that its request had reserved.
+        this->callers.respond(id, {});
         return;
     }
     const Duration elapsed = this->clock.now() - found->second.arrivedAt;
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrush_core/events/DecisionLog.h"
+#include "bulrush_entry/front/CallerLimitReport.h"
 #include "bulrush_entry/front/CallerRequestHandler.h"
 #include "bulrush_entry/front/DrainSchedule.h"
 #include "bulrush_entry/front/StoreHealth.h"
@@ -165,6 +166,7 @@
     OwnerLink owner;
     CallerRequestHandler requestHandler;
     HttpServer callers;
+    CallerLimitReport limitReport;
     SeparateServer readiness;
     SeparateServer operators;
     std::map<HttpServer::RequestId, OpenRequest> openRequests;
--- a/modules/bulrush_entry/settings/EntrySettings.h
+++ b/modules/bulrush_entry/settings/EntrySettings.h
@@ -42,6 +42,8 @@
     /** Interval at which workers write their entries; 0 when it is not known. */
     milliseconds workerHeartbeat { 0 };
     std::size_t memoryMb = 0;
+    /** How many descriptors the process may have open; 0 when it is not known. */
+    std::size_t maxDescriptors = 0;
     /** What the link of this machine carries; 0 when it is not known. */
     std::size_t linkBytesPerSecond = 0;
     /** The processor time that is available to this machine, in cores. */
--- a/modules/bulrush_net/http/HttpServer.cpp
+++ b/modules/bulrush_net/http/HttpServer.cpp
@@ -1,12 +1,16 @@
 #include "bulrush_net/http/HttpServer.h"
 
 #include "bulrush_core/errors/Error.h"
+#include "bulrush_net/http/RequestHead.h"
 
 #include <libwebsockets.h>
 
 #include <algorithm>
 #include <array>
+#include <linux/tcp.h>
+#include <netinet/in.h>
 #include <string>
+#include <sys/socket.h>
 #include <utility>
 
 namespace bulrush {
@@ -17,113 +21,56 @@
 constexpr std::size_t bodyChunkBytes = 32768;
 constexpr unsigned keepAliveSeconds = 60;
 
-struct MethodToken
-{
-    lws_token_indexes token;
-    const char *method;
-};
+/** Interval at which the time limits are enforced. */
+constexpr milliseconds sweepInterval { 250 };
 
-constexpr std::array methodTokens {
-    MethodToken { WSI_TOKEN_GET_URI, "GET" },     MethodToken { WSI_TOKEN_POST_URI, "POST" },
-    MethodToken { WSI_TOKEN_PUT_URI, "PUT" },     MethodToken { WSI_TOKEN_DELETE_URI, "DELETE" },
-    MethodToken { WSI_TOKEN_PATCH_URI, "PATCH" }, MethodToken { WSI_TOKEN_HEAD_URI, "HEAD" },
-};
-
-/** Standard request headers that are delivered to the listener. */
-struct HeaderToken
-{
-    lws_token_indexes token;
-    const char *name;
-};
+/** How much of a refused body is read and discarded, so that its sender gets the answer: closing a
+    connection with unread bytes resets it. */
+constexpr std::size_t maxDiscardedBytes = 512U << 10U;
 
-constexpr std::array headerTokens {
-    HeaderToken { WSI_TOKEN_HTTP_CONTENT_TYPE, "content-type" },
-    HeaderToken { WSI_TOKEN_HTTP_AUTHORIZATION, "authorization" },
-    HeaderToken { WSI_TOKEN_HTTP_ACCEPT, "accept" },
-    HeaderToken { WSI_TOKEN_HOST, "host" },
-};
+/** The share of the connections that are accepted beyond the limit, to be answered 503. */
+constexpr std::size_t refusableShareDivisor = 8;
 
-/** Non-standard request headers that are delivered to the listener. */
-constexpr std::array<const char *, 6> customHeaders {
-    "idempotency-key",    "bulrush-deadline-ms", "bulrush-class",
-    "bulrush-idempotent", "bulrush-key",         "bulrush-first-try",
-};
+constexpr int statusTimeout = 408;
+constexpr int statusLengthRequired = 411;
+constexpr int statusTooLarge = 413;
+constexpr int statusUnavailable = 503;
 
-std::string copyHeader(lws *wsi, lws_token_indexes token)
-{
-    const int length = lws_hdr_total_length(wsi, token);
-    if (length <= 0) {
-        return {};
-    }
-    std::string text(static_cast<std::size_t>(length) + 1, '\0');
-    const int copied = lws_hdr_copy(wsi, text.data(), length + 1, token);
-    text.resize(copied < 0 ? 0 : static_cast<std::size_t>(copied));
-    return text;
-}
+/** After how many seconds a refused client may try again. */
+constexpr const char *retryAfterSeconds = "1";
 
-std::string copyCustomHeader(lws *wsi, const std::string &nameWithColon)
+std::string_view reasonOf(int status)
 {
-    const auto nameLength = static_cast<int>(nameWithColon.size());
-    const int length = lws_hdr_custom_length(wsi, nameWithColon.c_str(), nameLength);
-    if (length <= 0) {
-        return {};
+    switch (status) {
+    case statusTimeout:
+        return "the body arrives too slowly";
+    case statusLengthRequired:
+        return "a request needs Content-Length";
+    case statusTooLarge:
+        return "the request is too large";
+    default:
+        return "too many connections or bodies";
     }
-    std::string text(static_cast<std::size_t>(length) + 1, '\0');
-    const int copied =
-            lws_hdr_custom_copy(wsi, text.data(), length + 1, nameWithColon.c_str(), nameLength);
-    text.resize(copied < 0 ? 0 : static_cast<std::size_t>(length));
-    return text;
 }
 
-std::string copyQuery(lws *wsi)
+bool usuallyHasBody(std::string_view method)
 {
-    std::string query;
-    std::array<char, 1024> fragment {};
-    for (int index = 0;; ++index) {
-        const int length = lws_hdr_copy_fragment(wsi, fragment.data(), fragment.size(),
-                                                 WSI_TOKEN_HTTP_URI_ARGS, index);
-        if (length < 0) {
-            return query;
-        }
-        if (!query.empty()) {
-            query.push_back('&');
-        }
-        query.append(fragment.data(), static_cast<std::size_t>(length));
-    }
+    return method == "POST" || method == "PUT" || method == "PATCH";
 }
 
-std::string requestMethod(lws *wsi)
+ConnectionTable::ConnectionId idOf(lws *wsi)
 {
-    for (const MethodToken &entry : methodTokens) {
-        if (lws_hdr_total_length(wsi, entry.token) > 0) {
-            return entry.method;
-        }
-    }
-    return {};
+    return reinterpret_cast<ConnectionTable::ConnectionId>(wsi);
 }
 
-std::vector<HttpHeader> copyHeaders(lws *wsi, const std::vector<std::string> &extraNames)
+/** Returns how many bytes a connection has received since it was opened. */
+std::uint64_t receivedBytes(lws *wsi)
 {
-    std::vector<HttpHeader> headers;
-    for (const HeaderToken &entry : headerTokens) {
-        std::string value = copyHeader(wsi, entry.token);
-        if (!value.empty()) {
-            headers.push_back({ entry.name, std::move(value) });
-        }
-    }
-    for (const char *name : customHeaders) {
-        std::string value = copyCustomHeader(wsi, std::string(name) + ":");
-        if (!value.empty()) {
-            headers.push_back({ name, std::move(value) });
-        }
-    }
-    for (const std::string &name : extraNames) {
-        std::string value = copyCustomHeader(wsi, name + ":");
-        if (!value.empty()) {
-            headers.push_back({ name, std::move(value) });
-        }
-    }
-    return headers;
+    tcp_info info {};
+    socklen_t length = sizeof(info);
+    const bool known =
+            getsockopt(lws_get_socket_fd(wsi), IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
+    return known ? info.tcpi_bytes_received : 0;
 }
 
 const unsigned char *asBytes(const std::string &text)
@@ -138,8 +85,12 @@
     lws *wsi = nullptr;
     HttpRequest request;
     HttpResponse response;
-    std::size_t expectedBytes = 0;
     std::size_t sentBytes = 0;
+    std::size_t announcedBytes = 0;
+    bool bodyComplete = false;
+    /** Whether the connection closes after the response, because a body that was not announced may
+        follow the head. */
+    bool closes = false;
     bool delivered = false;
     bool responseReady = false;
     bool headWritten = false;
@@ -149,7 +100,9 @@
 struct HttpServer::Session
 {
     RequestId current;
-    bool counted;
+    /** Bytes of a refused body that were discarded. */
+    std::size_t discardedBytes;
+    bool discardsBody;
 };
 
 struct HttpServer::Protocols
@@ -173,8 +126,15 @@
             return 0;
         }
         HttpServer &server = *owner;
+        if (reason == LWS_CALLBACK_FILTER_NETWORK_CONNECTION) {
+            return server.acceptsConnection() ? 0 : -1;
+        }
         if (reason == LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED) {
-            ++server.acceptedCount;
+            server.connectionOpened(wsi);
+        }
+        if (reason == LWS_CALLBACK_WSI_DESTROY) {
+            server.connections.closed(idOf(wsi));
+            server.receivedBefore.erase(idOf(wsi));
         }
         if (user == nullptr) {
             return 0;
@@ -185,15 +145,14 @@
         case LWS_CALLBACK_HTTP:
             return server.beginRequest(wsi, session, bytes);
         case LWS_CALLBACK_HTTP_BODY:
-            return server.receiveBody(wsi, session, bytes);
+            return server.receiveBody(session, bytes);
         case LWS_CALLBACK_HTTP_BODY_COMPLETION:
-            server.deliver(session);
-            return 0;
+            return server.completeBody(session);
         case LWS_CALLBACK_HTTP_WRITEABLE:
             return server.writeResponse(wsi, session);
         case LWS_CALLBACK_CLOSED_HTTP:
         case LWS_CALLBACK_HTTP_DROP_PROTOCOL:
-            server.connectionClosed(session);
+            server.requestDisconnected(session);
             return 0;
         default:
             return 0;
@@ -208,6 +167,7 @@
     , limits(std::move(serverLimits))
     , listener(requestListener)
     , protocols(std::make_shared<Protocols>())
+    , budget(this->limits.bodyBudgetBytes)
 {
     this->loop.retain(this->protocols);
     this->protocols->owner = this;
@@ -225,86 +185,195 @@
     if (this->vhost == nullptr) {
         throw Error("listen", this->endpoint.text(), "the endpoint cannot be bound");
     }
+    this->sweepTimer = this->loop.scheduleEvery(sweepInterval, [this] { this->sweep(); });
 }
 
 HttpServer::~HttpServer()
 {
+    this->loop.cancel(this->sweepTimer);
     this->protocols->owner = nullptr;
 }
 
-int HttpServer::beginRequest(lws *wsi, Session &session, std::string_view path)
+void HttpServer::setLimits(std::size_t maxRequestBytes, const ConnectionTimes &times)
+{
+    this->limits.maxRequestBytes = maxRequestBytes;
+    this->limits.times = times;
+}
+
+bool HttpServer::acceptsConnection()
+{
+    const std::size_t max = this->limits.maxConnections;
+    if (this->connections.staying() >= max) {
+        const auto displaced = this->connections.displaceable(this->loop.now());
+        if (displaced) {
+            ++this->refused.displacedConnections;
+            this->closeConnection(*displaced);
+        }
+    }
+    const bool accepts = this->connections.size() < max + max / refusableShareDivisor;
+    this->refused.connections += accepts ? 0U : 1U;
+    return accepts;
+}
+
+void HttpServer::connectionOpened(lws *wsi)
+{
+    ++this->acceptedCount;
+    this->connections.opened(idOf(wsi), this->loop.now());
+}
+
+void HttpServer::closeConnection(ConnectionTable::ConnectionId id)
+{
+    this->connections.closing(id);
+    // Not at once, because this may be a callback of another connection.
+    lws_set_timeout(reinterpret_cast<lws *>(id), PENDING_TIMEOUT_USER_REASON_BASE,
+                    LWS_TO_KILL_ASYNC);
+}
+
+void HttpServer::sweep()
 {
-    if (!session.counted) {
-        session.counted = true;
-        ++this->connectionCount;
+    this->noteBegunHeaders();
+    const Instant now = this->loop.now();
+    for (const ConnectionTable::ConnectionId id :
+         this->connections.overdue(this->limits.times, now)) {
+        ++this->refused.overdueConnections;
+        this->closeConnection(id);
     }
-    session.current = this->nextRequest++;
-    auto exchange = std::make_unique<Exchange>();
-    exchange->wsi = wsi;
-    exchange->request.method = requestMethod(wsi);
-    exchange->request.path = path;
-    exchange->request.query = copyQuery(wsi);
-    exchange->request.headers = copyHeaders(wsi, this->limits.headerNames);
-    const std::string contentLength = copyHeader(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
-    if (!contentLength.empty()) {
-        exchange->expectedBytes = std::strtoull(contentLength.c_str(), nullptr, 10);
+    const std::vector<RequestId> slow = this->budget.overdue(now);
+    this->refused.slowUploads += slow.size();
+    this->rejectUploads(slow, statusTimeout);
+}
+
+void HttpServer::noteBegunHeaders()
+{
+    for (const ConnectionTable::ConnectionId id : this->connections.waiting()) {
+        const auto before = this->receivedBefore.find(id);
+        const std::uint64_t expected = before == this->receivedBefore.end() ? 0 : before->second;
+        if (receivedBytes(reinterpret_cast<lws *>(id)) > expected) {
+            this->connections.headerBegan(id, this->loop.now());
+        }
+    }
+}
+
+int HttpServer::beginRequest(lws *wsi, Session &session, std::string_view path)
+{
+    const RequestId id = this->nextRequest++;
+    session.current = id;
+    session.discardsBody = false;
+    session.discardedBytes = 0;
+    this->connections.requestBegan(idOf(wsi));
+    RequestHead head = readRequestHead(wsi, path, this->limits.headerNames);
+    const int refusal = this->refusalOf(head, id);
+    const std::size_t bodyBytes = head.announcedBytes.value_or(0);
+    Exchange &exchange = *this->exchanges.emplace(id, std::make_unique<Exchange>()).first->second;
+    exchange.wsi = wsi;
+    exchange.request = std::move(head.request);
+    exchange.announcedBytes = bodyBytes;
+    exchange.closes = !head.announcedBytes && usuallyHasBody(exchange.request.method);
+    exchange.bodyComplete = bodyBytes == 0 && !head.chunked && !exchange.closes;
+    if (refusal != 0) {
+        this->reject(id, exchange, refusal);
+    } else if (bodyBytes == 0) {
+        this->deliver(id, exchange);
+    } else {
+        exchange.request.body.reserve(bodyBytes);
     }
-    const bool tooLarge = exchange->expectedBytes > this->limits.maxRequestBytes;
-    const bool hasBody = exchange->expectedBytes > 0;
-    this->exchanges.emplace(session.current, std::move(exchange));
-    if (this->connectionCount > this->limits.maxConnections) {
-        return this->reject(wsi, session, 503, "too many connections");
+    return 0;
+}
+
+int HttpServer::refusalOf(const RequestHead &head, RequestId id)
+{
+    if (this->connections.staying() > this->limits.maxConnections) {
+        ++this->refused.connections;
+        return statusUnavailable;
     }
-    if (tooLarge) {
-        return this->reject(wsi, session, 413, "the request is too large");
+    const std::size_t bytes = head.announcedBytes.value_or(0);
+    if (bytes > this->limits.maxRequestBytes || !this->budget.canHold(bytes)) {
+        ++this->refused.tooLarge;
+        return statusTooLarge;
     }
-    if (lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0) {
-        return this->reject(wsi, session, 411, "a request needs Content-Length");
+    if (head.chunked) {
+        return statusLengthRequired;
     }
-    if (!hasBody) {
-        this->deliver(session);
+    if (bytes == 0) {
+        return 0;
     }
-    return 0;
+    const BodyBudget::Decision decision = this->budget.announce(id, bytes, this->loop.now());
+    this->refused.displacedUploads += decision.displaced.size();
+    this->rejectUploads(decision.displaced, statusUnavailable);
+    this->refused.noMemory += decision.admitted ? 0U : 1U;
+    return decision.admitted ? 0 : statusUnavailable;
 }
 
-int HttpServer::receiveBody(lws *wsi, Session &session, std::string_view bytes)
+int HttpServer::receiveBody(Session &session, std::string_view bytes)
 {
     const auto found = this->exchanges.find(session.current);
-    if (found == this->exchanges.end() || found->second->delivered) {
-        return 0;
+    if (session.discardsBody || found == this->exchanges.end() || found->second->delivered) {
+        session.discardedBytes += bytes.size();
+        return session.discardedBytes > maxDiscardedBytes ? -1 : 0;
     }
     std::string &body = found->second->request.body;
-    if (body.size() + bytes.size() > this->limits.maxRequestBytes) {
-        return this->reject(wsi, session, 413, "the request is too large");
+    if (body.size() + bytes.size() > found->second->announcedBytes) {
+        // More than was announced.
+        ++this->refused.tooLarge;
+        this->reject(session.current, *found->second, statusTooLarge);
+        return 0;
     }
     body.append(bytes);
+    this->budget.received(session.current, bytes.size());
     return 0;
 }
 
-void HttpServer::deliver(Session &session)
+int HttpServer::completeBody(Session &session)
 {
+    if (session.discardsBody) {
+        // The refusal has been sent.
+        return -1;
+    }
     const auto found = this->exchanges.find(session.current);
-    if (found == this->exchanges.end() || found->second->delivered) {
-        return;
+    if (found != this->exchanges.end()) {
+        found->second->bodyComplete = true;
+        if (!found->second->delivered) {
+            this->deliver(session.current, *found->second);
+        }
     }
-    found->second->delivered = true;
-    this->listener.requestArrived(session.current, std::move(found->second->request));
+    return 0;
+}
+
+void HttpServer::deliver(RequestId id, Exchange &exchange)
+{
+    exchange.delivered = true;
+    this->budget.completed(id);
+    this->listener.requestArrived(id, std::move(exchange.request));
 }
 
-int HttpServer::reject(lws *wsi, Session &session, int status, std::string_view reason)
+void HttpServer::reject(RequestId id, Exchange &exchange, int status)
 {
-    Exchange &exchange = *this->exchanges.at(session.current);
+    this->budget.release(id);
+    exchange.request = {};
     exchange.delivered = true;
     exchange.responseReady = true;
     exchange.response.status = status;
-    exchange.response.body = R"({"error":")" + std::string(reason) + "\"}";
+    exchange.response.body = R"({"error":")" + std::string(reasonOf(status)) + "\"}";
     exchange.response.headers.push_back({ "connection", "close" });
-    lws_callback_on_writable(wsi);
-    return 0;
+    if (status == statusUnavailable) {
+        exchange.response.headers.push_back({ "retry-after", retryAfterSeconds });
+    }
+    lws_callback_on_writable(exchange.wsi);
+}
+
+void HttpServer::rejectUploads(const std::vector<RequestId> &uploads, int status)
+{
+    for (const RequestId id : uploads) {
+        const auto found = this->exchanges.find(id);
+        if (found != this->exchanges.end() && !found->second->delivered) {
+            this->reject(id, *found->second, status);
+        }
+    }
 }
 
 void HttpServer::respond(RequestId id, HttpResponse response)
 {
+    this->budget.release(id);
     const auto found = this->exchanges.find(id);
     if (found == this->exchanges.end()) {
         return;
@@ -376,24 +445,39 @@
         lws_callback_on_writable(wsi);
         return 0;
     }
-    const bool close = headerValue(exchange.response.headers, "connection") == "close";
+    return this->endResponse(wsi, session);
+}
+
+int HttpServer::endResponse(lws *wsi, Session &session)
+{
+    const auto found = this->exchanges.find(session.current);
+    const Exchange &exchange = *found->second;
+    const bool close =
+            exchange.closes || headerValue(exchange.response.headers, "connection") == "close";
+    const bool bodyComplete = exchange.bodyComplete;
     this->exchanges.erase(found);
     session.current = 0;
+    if (close && !bodyComplete) {
+        session.discardsBody = true;
+        this->connections.refused(idOf(wsi), this->loop.now());
+        return 0;
+    }
+    this->connections.requestEnded(idOf(wsi), this->loop.now());
+    this->receivedBefore[idOf(wsi)] = receivedBytes(wsi);
     return close || lws_http_transaction_completed(wsi) != 0 ? -1 : 0;
 }
 
-void HttpServer::connectionClosed(Session &session)
+void HttpServer::requestDisconnected(Session &session)
 {
-    if (session.counted) {
-        session.counted = false;
-        --this->connectionCount;
-    }
     const auto found = this->exchanges.find(session.current);
     if (found == this->exchanges.end()) {
         return;
     }
     const bool unanswered = found->second->delivered && !found->second->responseReady;
     this->exchanges.erase(found);
+    if (!unanswered || !this->limits.requestsOutliveClients) {
+        this->budget.release(session.current);
+    }
     if (unanswered) {
         this->listener.clientDisconnected(session.current);
     }
--- a/modules/bulrush_net/loop/EventLoop.cpp
+++ b/modules/bulrush_net/loop/EventLoop.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr int maxHeaderBytes = 8192;
+constexpr int maxHeaderBytes = 16384;
 /** One per connection from a client, because an open connection may hold a header table even while
     it is idle. */
 constexpr int maxHeaderTables = 4096;
--- a/modules/bulrush_steps/model/ServingConfig.h
+++ b/modules/bulrush_steps/model/ServingConfig.h
@@ -41,7 +41,10 @@
     std::uint64_t version = 0;
     std::vector<QueuePolicy> queues;
     std::vector<PoolPolicy> pools;
+    /** Limits of callers' requests; 0 where the configuration has none. */
     std::size_t maxBodyBytes = 0;
+    milliseconds headerTimeout { 0 };
+    milliseconds idleTimeout { 0 };
 
     /** Returns the queue of a host with the longest prefix that matches a path, or null. */
     const QueuePolicy *queueFor(std::string_view host, std::string_view path) const;
