--- a/modules/bulrush_net/http/ConnectionTable.cpp
+++ b/modules/bulrush_net/http/ConnectionTable.cpp
@@ -66,7 +66,8 @@
                                 Instant now)
 {
     if (connection.closing) {
-        return false;
+        // libwebsockets waits for the peer's end of a connection; closing it again ends that.
+        return true;
     }
     if (connection.refusedAt) {
         return now - *connection.refusedAt >= lingerTime;
--- a/modules/bulrush_net/http/HttpServer.cpp
+++ b/modules/bulrush_net/http/HttpServer.cpp
@@ -203,12 +203,13 @@
 bool HttpServer::acceptsConnection()
 {
     const std::size_t max = this->limits.maxConnections;
-    if (this->connections.staying() >= max) {
+    while (this->connections.staying() >= max) {
         const auto displaced = this->connections.displaceable(this->loop.now());
-        if (displaced) {
-            ++this->refused.displacedConnections;
-            this->closeConnection(*displaced);
+        if (!displaced) {
+            break;
         }
+        ++this->refused.displacedConnections;
+        this->closeConnection(*displaced);
     }
     const bool accepts = this->connections.size() < max + max / refusableShareDivisor;
     this->refused.connections += accepts ? 0U : 1U;
@@ -235,8 +236,9 @@
     const Instant now = this->loop.now();
     for (const ConnectionTable::ConnectionId id :
          this->connections.overdue(this->limits.times, now)) {
-        ++this->refused.overdueConnections;
+        const std::size_t before = this->connections.staying();
         this->closeConnection(id);
+        this->refused.overdueConnections += before - this->connections.staying();
     }
     const std::vector<RequestId> slow = this->budget.overdue(now);
     this->refused.slowUploads += slow.size();
@@ -462,9 +464,14 @@
         this->connections.refused(idOf(wsi), this->loop.now());
         return 0;
     }
+    if (close) {
+        // Its peer may leave it half open.
+        this->connections.refused(idOf(wsi), this->loop.now());
+        return -1;
+    }
     this->connections.requestEnded(idOf(wsi), this->loop.now());
     this->receivedBefore[idOf(wsi)] = receivedBytes(wsi);
-    return close || lws_http_transaction_completed(wsi) != 0 ? -1 : 0;
+    return lws_http_transaction_completed(wsi) != 0 ? -1 : 0;
 }
 
 void HttpServer::requestDisconnected(Session &session)
