--- a/modules/bulrush_core/events/EventCatalogue.h
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -88,6 +88,10 @@
     EvacuationProgress = 1674,
     StartsWithheld = 1675,
     StartsResumed = 1676,
+    CallerBodiesRefused = 1691,
+    CallerUploadsClosed = 1692,
+    CallerConnectionsClosed = 1693,
+    CallerLimitsSet = 1694,
 };
 
 /** The constant properties of an event: its number, severity and name. */
