Group callers' appends while the store is slow, and hand them over to the owner

Callers' appends collapse while the store is slow. Each node now sends records by AppendQueue, and while the store is slow hands them over to the owner, which appends those of all nodes together and answers for each: recorded, not done, not in time or unknown. The owner acknowledges each record at once, so that a process of an earlier version is told from a slow one, and announces a slow store to linked nodes.

--- a/modules/bulrush_appends/flow/AppendQueue.cpp
+++ b/modules/bulrush_appends/flow/AppendQueue.cpp
@@ -181,6 +181,9 @@
     }
     const Duration expected = this->appendTimes.expected(now);
     Instant recordedAt = this->nextSend(now) + expected;
+    // While nothing is under way, one record is sent whatever is expected. Otherwise no append
+    // would show that the store has become quicker.
+    const bool probes = now >= this->retryAt && !this->directInFlight();
     std::size_t records = 0;
     std::size_t bytes = 0;
     for (const Entry *entry : this->waiting(false)) {
@@ -189,7 +192,8 @@
             records = 0;
             bytes = 0;
         }
-        const bool late = entry->tooLate || recordedAt > entry->append.deadline;
+        const bool probe = probes && records == 0;
+        const bool late = entry->tooLate || (!probe && recordedAt > entry->append.deadline);
         if (late && entry->append.refusable && !entry->mayHaveTakenEffect) {
             refused.push_back({ entry->append.id, Duration::zero() });
             continue;
--- a/modules/bulrush_appends/flow/AppendQueue.h
+++ b/modules/bulrush_appends/flow/AppendQueue.h
@@ -78,6 +78,9 @@
     /** Returns whether an append of a record is under way or may have taken effect. */
     bool mayHaveTakenEffect(std::uint64_t id) const;
 
+    /** Returns how long an append is expected to take. */
+    Duration expected(Instant now) const { return this->appendTimes.expected(now); }
+
     bool isSlow(Instant now) const { return this->appendTimes.isSlow(now); }
 
 private:
--- a/modules/bulrush_core/events/EventCatalogue.cpp
+++ b/modules/bulrush_core/events/EventCatalogue.cpp
@@ -80,6 +80,9 @@
     EventInfo { Event::RecordIgnored, Severity::Warning, "record ignored" },
     EventInfo { Event::StoreCallSlow, Severity::Warning, "store call slow" },
     EventInfo { Event::LinesDropped, Severity::Warning, "lines dropped" },
+    EventInfo { Event::StoreSlow, Severity::Warning, "store slow" },
+    EventInfo { Event::StoreQuick, Severity::Info, "store quick" },
+    EventInfo { Event::HandOverUnacknowledged, Severity::Warning, "hand-over not acknowledged" },
 };
 
 } // namespace
--- a/modules/bulrush_core/events/EventCatalogue.h
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -82,6 +82,9 @@
     RecordIgnored = 1653,
     StoreCallSlow = 1654,
     LinesDropped = 1661,
+    StoreSlow = 1681,
+    StoreQuick = 1682,
+    HandOverUnacknowledged = 1683,
 };
 
 /** The constant properties of an event: its number, severity and name. */
--- a/modules/bulrush_entry/front/CallerAppends.cpp
+++ b/modules/bulrush_entry/front/CallerAppends.cpp
@@ -2,16 +2,36 @@
 
 #include "bulrush_core/events/DecisionLog.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bulrush {
 
 namespace {
 
-constexpr milliseconds appendTimeout { 700 };
-constexpr milliseconds retryDelay { 60 };
-
 constexpr std::string_view rejectedReason = "the store rejects the record of the job";
+constexpr std::string_view lateReason = "the store is too slow to record the job in time";
+constexpr std::string_view lostReason = "the store does not answer";
+
+AppendResult appendResult(StoreOutcome outcome)
+{
+    switch (outcome) {
+    case StoreOutcome::Done:
+        return AppendResult::Recorded;
+    case StoreOutcome::Refused:
+        return AppendResult::NotDone;
+    case StoreOutcome::Invalid:
+        return AppendResult::Rejected;
+    default:
+        return AppendResult::Unknown;
+    }
+}
+
+/** Returns a seed that differs from node to node. */
+std::uint64_t jitterSeed(const Clock &clock)
+{
+    return static_cast<std::uint64_t>(clock.now().time_since_epoch().count());
+}
 
 } // namespace
 
@@ -22,58 +42,166 @@
     , health(storeHealth)
     , decisions(decisionLog)
     , admission(jobAdmission)
+    , queue(keyedLog.limits().append, jitterSeed(systemClock))
 {
 }
 
 void CallerAppends::add(CallerAppend append)
 {
-    const auto pending = std::make_shared<Pending>();
-    pending->append = std::move(append);
-    this->pendingAppends.push_back(pending);
-    this->send(pending);
+    const bool refusable = append.success == CallerOutcome::Accepted;
+    this->add({ std::move(append), {} }, refusable);
 }
 
-void CallerAppends::send(const PendingPointer &pending)
+void CallerAppends::addRelayed(HandedRecord record, RecordCarrier::Callback reply)
 {
-    pending->inFlight = true;
-    this->log.append(LogStream::Jobs, { pending->append.record }, std::nullopt, appendTimeout,
-                     [this, pending](const AppendAnswer &result) {
-                         pending->inFlight = false;
-                         if (!pending->isAnswered) {
-                             this->handleAnswer(pending, result);
-                         }
-                     });
+    CallerAppend append;
+    append.record = std::move(record.record);
+    append.success = record.refusable ? CallerOutcome::Accepted : CallerOutcome::Cancelled;
+    append.deadline = this->clock.now() + record.timeLeft;
+    ++this->appendCounts.relayed;
+    this->add({ std::move(append), std::move(reply) }, record.refusable);
 }
 
-void CallerAppends::handleAnswer(const PendingPointer &pending, const AppendAnswer &result)
+void CallerAppends::add(Pending pending, bool refusable)
 {
-    if (result.outcome == StoreOutcome::Done) {
-        this->recorded(pending, result.offset);
-        return;
+    QueuedAppend queued;
+    queued.id = this->nextId++;
+    queued.bytes = LogLimits::sizeInAppend(pending.append.record);
+    queued.cancellation = pending.append.success != CallerOutcome::Accepted;
+    queued.refusable = refusable;
+    queued.deadline = pending.append.deadline;
+    this->pendingAppends.emplace(queued.id, std::move(pending));
+    this->queue.add(queued);
+    this->pump();
+}
+
+void CallerAppends::pump()
+{
+    const Instant now = this->clock.now();
+    for (const RefusedAppend &refused : this->queue.takeRefused(now)) {
+        if (!this->pendingAppends.contains(refused.id)) {
+            continue;
+        }
+        ++this->appendCounts.refusedLate;
+        this->abandon(refused.id, lateReason, std::chrono::ceil<milliseconds>(refused.retryAfter));
     }
-    if (result.outcome == StoreOutcome::Invalid && !pending->mayHaveTakenEffect) {
-        this->decisions.write(DecisionLine(Event::JobRefused)
-                                      .with("job", pending->append.job.name())
-                                      .with("queue", pending->append.queue)
-                                      .with("reason", rejectedReason));
-        CallerAnswer malformed;
-        malformed.outcome = CallerOutcome::Malformed;
-        malformed.reason = rejectedReason;
-        this->answer(pending, malformed);
-        return;
+    const bool canHandOver = this->carrier != nullptr && !this->pendingAppends.empty()
+            && this->queue.isSlow(now) && this->carrier->takesRecords();
+    for (const OutgoingAppend &outgoing : this->queue.takeDue(now, canHandOver)) {
+        this->send(outgoing);
     }
-    if (result.outcome != StoreOutcome::Refused) {
-        pending->mayHaveTakenEffect = true;
+}
+
+void CallerAppends::send(const OutgoingAppend &outgoing)
+{
+    if (outgoing.handOver) {
+        this->handOver(outgoing);
+    } else {
+        this->sendToStore(outgoing);
     }
-    pending->retryAt = this->clock.now() + retryDelay;
-    if (this->health.checkLost()) {
-        this->abandon(pending, "the store does not answer", storeRetryAfter);
+}
+
+void CallerAppends::handOver(const OutgoingAppend &outgoing)
+{
+    const CallerAppend &append = this->pendingAppends.at(outgoing.ids.front()).append;
+    HandedRecord handed;
+    handed.record = append.record;
+    handed.refusable = append.success == CallerOutcome::Accepted;
+    handed.timeLeft = outgoing.timeout;
+    ++this->appendCounts.handedOver;
+    this->carrier->handOver(std::move(handed), [this, outgoing](const HandedResult &result) {
+        this->ended(outgoing, result);
+    });
+}
+
+void CallerAppends::sendToStore(const OutgoingAppend &outgoing)
+{
+    std::vector<KeyedRecord> records;
+    for (const Id id : outgoing.ids) {
+        records.push_back(this->pendingAppends.at(id).append.record);
+    }
+    ++this->appendCounts.appends;
+    this->appendCounts.records += records.size();
+    this->log.append(LogStream::Jobs, records, std::nullopt, outgoing.timeout,
+                     [this, outgoing](const AppendAnswer &answer) {
+                         HandedResult result;
+                         result.result = appendResult(answer.outcome);
+                         result.offset = answer.offset;
+                         this->ended(outgoing, result);
+                     });
+}
+
+void CallerAppends::ended(const OutgoingAppend &outgoing, const HandedResult &result)
+{
+    this->queue.answered(outgoing.number, result.result, this->clock.now());
+    const bool single = outgoing.ids.size() == 1;
+    const bool lost = result.result != AppendResult::Recorded && this->health.checkLost();
+    LogOffset offset = result.offset;
+    for (const Id id : outgoing.ids) {
+        const LogOffset recordOffset = offset++;
+        if (!this->pendingAppends.contains(id)) {
+            continue;
+        }
+        if (result.unacknowledged) {
+            this->reportUnacknowledged(id);
+        }
+        const bool mayHaveTakenEffect = this->queue.mayHaveTakenEffect(id);
+        if (result.result == AppendResult::Recorded) {
+            this->recorded(id, recordOffset);
+        } else if (result.result == AppendResult::Rejected && single && !mayHaveTakenEffect) {
+            this->reject(id);
+        } else if (lost) {
+            this->abandon(id, lostReason, storeRetryAfter);
+        } else if (result.result == AppendResult::NotInTime && !mayHaveTakenEffect
+                   && this->pendingAppends.at(id).append.success == CallerOutcome::Accepted) {
+            ++this->appendCounts.refusedLate;
+            this->abandon(id, lateReason, std::chrono::ceil<milliseconds>(result.retryAfter));
+        }
+    }
+    this->pump();
+}
+
+void CallerAppends::reportUnacknowledged(Id id)
+{
+    const CallerAppend &append = this->pendingAppends.at(id).append;
+    this->decisions.write(
+            DecisionLine(Event::HandOverUnacknowledged).with("job", append.job.name()));
+}
+
+CallerAppends::Pending CallerAppends::take(Id id)
+{
+    const auto found = this->pendingAppends.find(id);
+    Pending pending = std::move(found->second);
+    this->pendingAppends.erase(found);
+    this->queue.remove(id);
+    return pending;
+}
+
+void CallerAppends::reject(Id id)
+{
+    const Pending pending = this->take(id);
+    if (pending.reply) {
+        pending.reply({ AppendResult::Rejected, 0, {}, false });
+        return;
     }
+    this->decisions.write(DecisionLine(Event::JobRefused)
+                                  .with("job", pending.append.job.name())
+                                  .with("queue", pending.append.queue)
+                                  .with("reason", rejectedReason));
+    CallerAnswer malformed;
+    malformed.outcome = CallerOutcome::Malformed;
+    malformed.reason = rejectedReason;
+    pending.append.callback(malformed);
 }
 
-void CallerAppends::recorded(const PendingPointer &pending, LogOffset offset)
+void CallerAppends::recorded(Id id, LogOffset offset)
 {
-    const CallerAppend &append = pending->append;
+    const Pending pending = this->take(id);
+    if (pending.reply) {
+        pending.reply({ AppendResult::Recorded, offset, {}, false });
+        return;
+    }
+    const CallerAppend &append = pending.append;
     const bool accepted = append.success == CallerOutcome::Accepted;
     DecisionLine line(accepted ? Event::JobAccepted : Event::JobCancelled);
     line.with("job", append.job.name()).with("offset", offset);
@@ -88,54 +216,89 @@
     this->decisions.write(line);
     CallerAnswer success;
     success.outcome = append.success;
-    this->answer(pending, success);
+    append.callback(success);
 }
 
-void CallerAppends::abandon(const PendingPointer &pending, std::string_view reason,
-                            milliseconds retryAfter)
+void CallerAppends::abandon(Id id, std::string_view reason, milliseconds retryAfter)
 {
-    const bool refused = !pending->mayHaveTakenEffect && !pending->inFlight
-            && pending->append.success == CallerOutcome::Accepted;
+    const bool mayHaveTakenEffect = this->queue.mayHaveTakenEffect(id);
+    const Pending pending = this->take(id);
+    if (pending.reply) {
+        pending.reply({ mayHaveTakenEffect ? AppendResult::Unknown : AppendResult::NotInTime, 0,
+                        retryAfter, false });
+        return;
+    }
+    const bool refused = !mayHaveTakenEffect && pending.append.success == CallerOutcome::Accepted;
     CallerAnswer answer;
     answer.outcome = refused ? CallerOutcome::Refused : CallerOutcome::Unknown;
     answer.reason = reason;
     answer.retryAfter = retryAfter;
+    this->appendCounts.refusedAtEnd += refused && reason != lateReason ? 1 : 0;
     this->decisions.write(DecisionLine(refused ? Event::JobRefused : Event::JobOutcomeUnknown)
-                                  .with("job", pending->append.job.name())
+                                  .with("job", pending.append.job.name())
                                   .with("reason", reason));
-    this->answer(pending, answer);
+    pending.append.callback(answer);
 }
 
-void CallerAppends::answer(const PendingPointer &pending, const CallerAnswer &answer)
+void CallerAppends::tick()
 {
-    pending->isAnswered = true;
-    this->pendingAppends.remove(pending);
-    const auto callback = std::exchange(pending->append.callback, nullptr);
-    callback(answer);
+    const Instant now = this->clock.now();
+    std::vector<Id> overdue;
+    for (const auto &[id, pending] : this->pendingAppends) {
+        if (now >= pending.append.deadline) {
+            overdue.push_back(id);
+        }
+    }
+    for (const Id id : overdue) {
+        if (this->pendingAppends.contains(id)) {
+            this->abandon(id, "the store has not answered in time", storeRetryAfter);
+        }
+    }
+    if (this->health.checkLost()) {
+        this->abandonUnsent();
+    }
+    this->pump();
+    this->reportSpeed();
 }
 
-void CallerAppends::tick()
+void CallerAppends::abandonUnsent()
 {
-    const Instant now = this->clock.now();
-    const std::list<PendingPointer> current = this->pendingAppends;
-    for (const PendingPointer &pending : current) {
-        if (pending->isAnswered) {
-            continue;
+    std::vector<Id> unsent;
+    for (const auto &[id, pending] : this->pendingAppends) {
+        if (!this->queue.mayHaveTakenEffect(id)) {
+            unsent.push_back(id);
         }
-        if (now >= pending->append.deadline) {
-            this->abandon(pending, "the store has not answered in time", storeRetryAfter);
-        } else if (!pending->inFlight && now >= pending->retryAt) {
-            this->send(pending);
+    }
+    for (const Id id : unsent) {
+        if (this->pendingAppends.contains(id)) {
+            this->abandon(id, lostReason, storeRetryAfter);
         }
     }
 }
 
+void CallerAppends::reportSpeed()
+{
+    const bool slow = this->storeIsSlow();
+    if (slow == this->reportedSlow) {
+        return;
+    }
+    this->reportedSlow = slow;
+    const auto expected =
+            duration_cast<milliseconds>(this->queue.expected(this->clock.now())).count();
+    this->decisions.write(DecisionLine(slow ? Event::StoreSlow : Event::StoreQuick)
+                                  .with("expected_ms", expected)
+                                  .with("waiting", this->pendingAppends.size()));
+}
+
 void CallerAppends::abandonAll(std::string_view reason, milliseconds retryAfter)
 {
-    const std::list<PendingPointer> current = this->pendingAppends;
-    for (const PendingPointer &pending : current) {
-        if (!pending->isAnswered) {
-            this->abandon(pending, reason, retryAfter);
+    std::vector<Id> ids;
+    for (const auto &[id, pending] : this->pendingAppends) {
+        ids.push_back(id);
+    }
+    for (const Id id : ids) {
+        if (this->pendingAppends.contains(id)) {
+            this->abandon(id, reason, retryAfter);
         }
     }
 }
--- a/modules/bulrush_entry/front/CallerAppends.h
+++ b/modules/bulrush_entry/front/CallerAppends.h
@@ -1,15 +1,18 @@
 #pragma once
 
+#include "bulrush_appends/flow/AppendQueue.h"
+#include "bulrush_entry/front/AppendCounts.h"
 #include "bulrush_entry/front/CallerTypes.h"
 #include "bulrush_entry/front/JobAdmission.h"
+#include "bulrush_entry/front/RecordCarrier.h"
 #include "bulrush_entry/front/StoreHealth.h"
 #include "bulrush_steps/ports/KeyedLog.h"
 
 #include <functional>
-#include <list>
-#include <memory>
+#include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace bulrush {
 
@@ -37,7 +40,10 @@
 
     A failed append is repeated until it succeeds, its deadline passes, the store counts as lost or
     this node stops. In the last three cases, a job that may be recorded and any cancellation are
-    reported as Unknown, and a job that cannot be recorded any more as Refused.
+    reported as Unknown, and a job that cannot be recorded any more as Refused. While the store is
+    slow, a job that cannot be recorded in time is refused at once.
+
+    @see AppendQueue for which records go into which append
 */
 class CallerAppends
 {
@@ -45,40 +51,70 @@
     CallerAppends(const Clock &clock, KeyedLog &log, StoreHealth &health, DecisionLog &decisions,
                   JobAdmission &admission);
 
-    /** Appends a record. Its callback is called once, never before this function returns. */
+    /** Sets how records are handed over to the owner. Without it, none are. */
+    void handOverTo(RecordCarrier &recordCarrier) { this->carrier = &recordCarrier; }
+
+    /** Appends a record. Its callback is called once, possibly before this function returns. */
     void add(CallerAppend append);
 
+    /** Appends a record that another node handed over. Its callback is called once, possibly before
+        this function returns. */
+    void addRelayed(HandedRecord record, RecordCarrier::Callback reply);
+
     /** Repeats appends that have not succeeded, until their deadlines have passed. */
     void tick();
 
     /** Answers all callers with what is known of their records. */
     void abandonAll(std::string_view reason, milliseconds retryAfter);
 
+    /** Records a sign other than an append of this node that the store is slow. */
+    void noteSlowStore() { this->queue.noteSlow(); }
+
+    bool storeIsSlow() const { return this->queue.isSlow(this->clock.now()); }
+
+    const AppendCounts &counts() const { return this->appendCounts; }
+
 private:
+    using Id = std::uint64_t;
+
     struct Pending
     {
         CallerAppend append;
-        Instant retryAt {};
-        bool inFlight = false;
-        /** Whether an earlier attempt may have taken effect. */
-        bool mayHaveTakenEffect = false;
-        bool isAnswered = false;
+        /** Set for a record that another node handed over. */
+        RecordCarrier::Callback reply;
     };
 
-    using PendingPointer = std::shared_ptr<Pending>;
+    void add(Pending pending, bool refusable);
+
+    /** Refuses what cannot be recorded in time, and sends what is due. */
+    void pump();
+    void send(const OutgoingAppend &outgoing);
+    void sendToStore(const OutgoingAppend &outgoing);
+    void handOver(const OutgoingAppend &outgoing);
+    void ended(const OutgoingAppend &outgoing, const HandedResult &result);
+    void reportUnacknowledged(Id id);
+    void reportSpeed();
+
+    /** Answers those whose records were never sent. */
+    void abandonUnsent();
+    void recorded(Id id, LogOffset offset);
+    void reject(Id id);
+    void abandon(Id id, std::string_view reason, milliseconds retryAfter);
 
-    void send(const PendingPointer &pending);
-    void handleAnswer(const PendingPointer &pending, const AppendAnswer &result);
-    void recorded(const PendingPointer &pending, LogOffset offset);
-    void abandon(const PendingPointer &pending, std::string_view reason, milliseconds retryAfter);
-    void answer(const PendingPointer &pending, const CallerAnswer &answer);
+    /** Removes a record and returns it. */
+    Pending take(Id id);
 
     const Clock &clock;
     KeyedLog &log;
     StoreHealth &health;
     DecisionLog &decisions;
     JobAdmission &admission;
-    std::list<PendingPointer> pendingAppends;
+    RecordCarrier *carrier = nullptr;
+    AppendQueue queue;
+    std::map<Id, Pending> pendingAppends;
+    Id nextId = 1;
+    AppendCounts appendCounts;
+    bool reportedSlow = false;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_entry/front/CallerRequestHandler.h
+++ b/modules/bulrush_entry/front/CallerRequestHandler.h
@@ -46,6 +46,9 @@
     /** Repeats appends that have not succeeded, until their deadlines have passed. */
     void tick() { this->appends.tick(); }
 
+    /** Returns the appends of callers' records. */
+    CallerAppends &callerAppends() { return this->appends; }
+
     /** Follows a step of this node's stop, which is not taken back: from RefuseNew on, refuses new
         requests at once; from AnswerOpen on, answers open ones with what is known of them. */
     void drain(DrainStep step);
--- a/modules/bulrush_entry/node/EntryMetrics.cpp
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -163,6 +163,16 @@
                     .Register(registry);
     /** The series of servedShares by queue. */
     std::map<std::string, prometheus::Gauge *> servedShareSeries;
+    prometheus::Family<prometheus::Gauge> &callerRecords =
+            prometheus::BuildGauge()
+                    .Name("bulrush_entry_caller_records")
+                    .Help("Callers' records since the start, by what was done with them")
+                    .Register(registry);
+    prometheus::Gauge &callerAppends = prometheus::BuildGauge()
+                                               .Name("bulrush_entry_caller_appends")
+                                               .Help("Appends of callers' records since the start")
+                                               .Register(registry)
+                                               .Add({});
     prometheus::Gauge &droppedLines = prometheus::BuildGauge()
                                               .Name("bulrush_entry_log_lines_dropped")
                                               .Help("Log lines dropped since the start")
@@ -298,6 +308,19 @@
     }
 }
 
+void EntryMetrics::setAppends(const AppendCounts &counts)
+{
+    const auto set = [this](const char *what, std::uint64_t value) {
+        this->families->callerRecords.Add({ { "what", what } }).Set(static_cast<double>(value));
+    };
+    this->families->callerAppends.Set(static_cast<double>(counts.appends));
+    set("appended", counts.records);
+    set("handed_over", counts.handedOver);
+    set("relayed", counts.relayed);
+    set("refused_late", counts.refusedLate);
+    set("refused_at_end", counts.refusedAtEnd);
+}
+
 void EntryMetrics::setDroppedLines(std::uint64_t lines)
 {
     this->families->droppedLines.Set(static_cast<double>(lines));
--- a/modules/bulrush_entry/node/EntryMetrics.h
+++ b/modules/bulrush_entry/node/EntryMetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrush_entry/front/AppendCounts.h"
 #include "bulrush_entry/front/CallerTypes.h"
 #include "bulrush_steps/dispatch/ReservationCounts.h"
 #include "bulrush_steps/dispatch/WaitCensus.h"
@@ -66,6 +67,9 @@
         given have no series from then on. */
     void setServedShares(const std::map<std::string, double> &shares);
 
+    /** Sets what the appends of callers' records amount to since the start. */
+    void setAppends(const AppendCounts &counts);
+
     void setDroppedLines(std::uint64_t lines);
 
     /** Returns all metrics in the Prometheus text format. */
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -97,6 +97,7 @@
     , operators(eventLoop, entrySettings.operators, operatorLimits, *this,
                 &EntryNode::operatorResponse)
 {
+    this->connectAppends();
     this->startedAt = this->clock.now();
     this->nextTickAt = this->startedAt;
     this->decisions.write(DecisionLine(Event::NodeStarted)
@@ -113,6 +114,7 @@
     this->ownership.tick();
     this->takeover.tick();
     this->owner.tick();
+    this->followStoreSpeed();
     this->requestHandler.tick();
     this->health.checkLost();
     if (this->isOwnerOrTakesOver()) {
@@ -135,6 +137,25 @@
     this->loop.schedule(interval, [this] { this->tick(); });
 }
 
+void EntryNode::connectAppends()
+{
+    CallerAppends &appends = this->requestHandler.callerAppends();
+    appends.handOverTo(this->owner);
+    this->owner.appendWith([&appends](HandedRecord record, RecordCarrier::Callback reply) {
+        appends.addRelayed(std::move(record), std::move(reply));
+    });
+    this->owner.onSlowStore([&appends] { appends.noteSlowStore(); });
+}
+
+void EntryNode::followStoreSpeed()
+{
+    CallerAppends &appends = this->requestHandler.callerAppends();
+    if (this->store.takeSlowSign()) {
+        appends.noteSlowStore();
+        this->owner.announceSlowStore();
+    }
+}
+
 void EntryNode::recordTickDelay()
 {
     const Duration delay = std::max(Duration::zero(), this->clock.now() - this->nextTickAt);
@@ -281,6 +302,7 @@
     HttpResponse response;
     if (request.method == "GET" && request.path == metricsPath) {
         this->metrics.setDroppedLines(this->decisions.droppedLines());
+        this->metrics.setAppends(this->requestHandler.callerAppends().counts());
         response.contentType = "text/plain; version=0.0.4";
         response.body = this->metrics.text();
         return response;
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -108,6 +108,12 @@
 
     void tick();
     void recordTickDelay();
+
+    /** Lets callers' records be handed over to and taken from other nodes. */
+    void connectAppends();
+
+    /** Passes on signs that the store is slow. */
+    void followStoreSpeed();
     void reportOwnerLoad();
     /** Logs why steps that may start have no worker, if there are any, and sets the metrics. */
     void reportWaits(const WaitCensus &waits);
--- a/modules/bulrush_entry/node/ObservedStore.cpp
+++ b/modules/bulrush_entry/node/ObservedStore.cpp
@@ -1,5 +1,6 @@
 #include "bulrush_entry/node/ObservedStore.h"
 
+#include "bulrush_appends/flow/AppendTimes.h"
 #include "bulrush_core/events/DecisionLog.h"
 #include "bulrush_steps/model/TaskText.h"
 
@@ -12,6 +13,8 @@
 /** A call is slow when it takes this much longer than the store was asked to wait. */
 constexpr milliseconds slowCall { 500 };
 
+constexpr std::string_view appendCall = "append";
+
 } // namespace
 
 ObservedStore::Size::Size(const std::vector<KeyedRecord> &keyedRecords)
@@ -38,6 +41,7 @@
 {
     const Duration elapsed = this->clock.now() - call.sentAt;
     this->health.recordOutcome(call.name, outcome);
+    this->noteSpeed(call, outcome, size);
     this->metrics.recordStoreCall(call.name, outcome, elapsed);
     const bool failed = outcome == StoreOutcome::Unknown || outcome == StoreOutcome::Refused;
     if (!failed && elapsed <= call.wait + slowCall) {
@@ -52,15 +56,34 @@
                                   .with("bytes", size.bytes));
 }
 
+void ObservedStore::noteSpeed(const Call &call, StoreOutcome outcome, const Size &size)
+{
+    const bool isAppend = call.name == appendCall;
+    // A large answer may take long for its size alone.
+    const bool isShort = isAppend || size.records == 0;
+    const bool slow = this->clock.now() - call.sentAt > call.wait + AppendTimes::slowAnswer;
+    const bool refused = isAppend && outcome == StoreOutcome::Refused;
+    this->slowSign = this->slowSign || refused || (isShort && slow);
+}
+
+bool ObservedStore::takeSlowSign()
+{
+    const bool waits = !this->openAppends.empty()
+            && this->clock.now() - *this->openAppends.begin() > AppendTimes::slowAnswer;
+    return std::exchange(this->slowSign, false) || waits;
+}
+
 void ObservedStore::append(LogStream stream, const std::vector<KeyedRecord> &records,
                            const std::optional<WriterMark> &mark, Duration timeout,
                            std::function<void(AppendAnswer)> callback)
 {
-    const Call call { "append", stream, this->clock.now() };
+    const Call call { appendCall, stream, this->clock.now() };
     const Size size(records);
+    this->openAppends.insert(call.sentAt);
     this->log.append(
             stream, records, mark, timeout,
             [this, call, size, callback = std::move(callback)](const AppendAnswer &result) {
+                this->openAppends.erase(this->openAppends.find(call.sentAt));
                 this->recordCall(call, result.outcome, size);
                 callback(result);
             });
--- a/modules/bulrush_entry/node/ObservedStore.h
+++ b/modules/bulrush_entry/node/ObservedStore.h
@@ -4,6 +4,8 @@
 #include "bulrush_entry/node/EntryMetrics.h"
 
 #include <optional>
+#include <set>
+#include <string_view>
 #include <vector>
 
 namespace bulrush {
@@ -19,6 +21,10 @@
                   EntryMetrics &metrics, DecisionLog &decisions);
 
     LogLimits limits() const override { return this->log.limits(); }
+
+    /** Returns whether since the last call an append or another short call has taken long enough to
+        show that the store is slow, or an append has been without an answer for that long. */
+    bool takeSlowSign();
     void append(LogStream stream, const std::vector<KeyedRecord> &records,
                 const std::optional<WriterMark> &mark, Duration timeout,
                 std::function<void(AppendAnswer)> callback) override;
@@ -36,7 +42,7 @@
     /** A call that was sent. */
     struct Call
     {
-        const char *name = "";
+        std::string_view name;
         std::optional<LogStream> stream;
         Instant sentAt {};
         /** How long the store was asked to wait. */
@@ -53,6 +59,8 @@
         std::size_t bytes = 0;
     };
 
+    /** Notes a call that shows that the store is slow. */
+    void noteSpeed(const Call &call, StoreOutcome outcome, const Size &size);
     void recordCall(const Call &call, StoreOutcome outcome, const Size &size);
 
     const Clock &clock;
@@ -61,6 +69,9 @@
     StoreHealth &health;
     EntryMetrics &metrics;
     DecisionLog &decisions;
+    /** When the appends without an answer were sent. */
+    std::multiset<Instant> openAppends;
+    bool slowSign = false;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_entry/owner/OwnerLink.cpp
+++ b/modules/bulrush_entry/owner/OwnerLink.cpp
@@ -30,20 +30,22 @@
     , listener(linkListener)
     , transport(eventLoop, ownName.endpoint, FrameTransport::Limits(), *this)
     , inquiry(systemClock, this->transport, ownName, linkListener)
+    , relay(systemClock, this->transport)
+    , relayed(systemClock, this->transport)
 {
 }
 
-void OwnerLink::askState(const JobId &job, Callback callback)
+void OwnerLink::askState(const JobId &job, OwnerQuestions::Callback callback)
 {
     this->ask(Kind::State, job.name(), std::move(callback));
 }
 
-void OwnerLink::askWaitingCount(const std::string &queue, Callback callback)
+void OwnerLink::askWaitingCount(const std::string &queue, OwnerQuestions::Callback callback)
 {
     this->ask(Kind::Waiting, queue, std::move(callback));
 }
 
-void OwnerLink::ask(Kind kind, std::string text, Callback callback)
+void OwnerLink::ask(Kind kind, std::string text, OwnerQuestions::Callback callback)
 {
     if (this->dispatcher.active()) {
         const OwnerAnswer answer = this->answerLocally(kind, text);
@@ -127,9 +129,28 @@
     }
 }
 
+bool OwnerLink::takesRecords()
+{
+    if (this->dispatcher.active()) {
+        return false;
+    }
+    if (!this->linkOpen) {
+        this->sendPendingQuestions();
+    }
+    return this->relay.takesRecords();
+}
+
+void OwnerLink::announceSlowStore()
+{
+    if (this->dispatcher.active()) {
+        this->relayed.announceSlowStore();
+    }
+}
+
 void OwnerLink::resetHolder()
 {
     this->holder.reset();
+    this->relay.linkLost();
     if (this->link != 0) {
         this->transport.close(this->link);
     }
@@ -157,6 +178,7 @@
     for (const std::uint64_t number : overdue) {
         this->complete(number, OwnerAnswer());
     }
+    this->relay.tick();
     if (!this->questions.empty()) {
         this->sendPendingQuestions();
     }
@@ -168,7 +190,7 @@
     if (found == this->questions.end()) {
         return;
     }
-    const Callback callback = std::move(found->second.callback);
+    const OwnerQuestions::Callback callback = std::move(found->second.callback);
     this->questions.erase(found);
     callback(answer);
 }
@@ -179,8 +201,11 @@
         this->inquiry.linkOpened(opened);
         return;
     }
-    if (!accepted && opened == this->link) {
+    if (accepted) {
+        this->relayed.linkOpened(opened);
+    } else if (opened == this->link && this->holder) {
         this->linkOpen = true;
+        this->relay.linkOpened(opened, *this->holder);
         this->sendPendingQuestions();
     }
 }
@@ -191,6 +216,7 @@
         this->inquiry.linkClosed(closed);
         return;
     }
+    this->relayed.linkClosed(closed);
     if (closed == this->link) {
         this->link = 0;
         this->resetHolder();
@@ -204,6 +230,7 @@
     } catch (const Error &) {
         // The peer sent a malformed frame, so nothing else that it sends can be trusted.
         this->transport.close(from);
+        this->relayed.linkClosed(from);
         if (this->inquiry.owns(from)) {
             this->inquiry.linkClosed(from);
         } else if (from == this->link) {
@@ -215,11 +242,19 @@
 
 void OwnerLink::handleFrame(LinkId from, const wire::OwnerFrame &frame)
 {
-    // A message of a later version is of neither type.
+    // A message of a later version is of none of these types.
     if (const wire::OwnerQuestion *question = frame.message_as_OwnerQuestion()) {
         this->answerQuestion(from, *question);
         return;
     }
+    if (const wire::RelayedRecord *record = frame.message_as_RelayedRecord()) {
+        this->relayed.arrived(from, *record, this->dispatcher.active());
+        return;
+    }
+    if (const wire::RelayAnswer *answer = frame.message_as_RelayAnswer()) {
+        this->handleRelayAnswer(from, *answer);
+        return;
+    }
     const wire::OwnerAnswer *reply = frame.message_as_OwnerAnswer();
     if (reply != nullptr && this->inquiry.owns(from)) {
         this->inquiry.answered(from, *reply);
@@ -263,6 +298,24 @@
     return reply;
 }
 
+void OwnerLink::handleRelayAnswer(LinkId from, const wire::RelayAnswer &answer)
+{
+    if (from != this->link) {
+        return;
+    }
+    if (answer.outcome() == wire::RelayOutcome::StoreSlow) {
+        if (this->slowStore) {
+            this->slowStore();
+        }
+        return;
+    }
+    // A node that is no owner has not appended the record.
+    this->relay.answered(answer);
+    if (answer.outcome() == wire::RelayOutcome::NotOwner) {
+        this->resetHolder();
+    }
+}
+
 void OwnerLink::handleAnswer(const wire::OwnerAnswer &reply)
 {
     if (reply.reply() == wire::OwnerReply::NotOwner) {
--- a/modules/bulrush_entry/owner/OwnerLink.h
+++ b/modules/bulrush_entry/owner/OwnerLink.h
@@ -2,6 +2,8 @@
 
 #include "bulrush_entry/front/OwnerQuestions.h"
 #include "bulrush_entry/owner/FormerOwnerInquiry.h"
+#include "bulrush_entry/owner/RecordRelay.h"
+#include "bulrush_entry/owner/RelayedRecords.h"
 #include "bulrush_net/frames/FrameTransport.h"
 #include "bulrush_net/loop/EventLoop.h"
 #include "bulrush_steps/ports/MemberGroup.h"
@@ -18,7 +20,7 @@
 
 /** Sends questions to the owner, which may be this node, and to former owners, and answers the
     questions of other nodes. */
-class OwnerLink : public OwnerQuestions, private FrameTransport::Listener
+class OwnerLink : public OwnerQuestions, public RecordCarrier, private FrameTransport::Listener
 {
 public:
     /** Receives what other nodes ask and answer about former owners. */
@@ -43,8 +45,26 @@
         this->inquiry.update(owners, ownToken);
     }
 
-    void askState(const JobId &job, Callback callback) override;
-    void askWaitingCount(const std::string &queue, Callback callback) override;
+    void askState(const JobId &job, OwnerQuestions::Callback callback) override;
+    void askWaitingCount(const std::string &queue, OwnerQuestions::Callback callback) override;
+
+    bool takesRecords() override;
+    void handOver(HandedRecord record, RecordCarrier::Callback callback) override
+    {
+        this->relay.handOver(std::move(record), std::move(callback));
+    }
+
+    /** Sets what appends the records that other nodes hand over. */
+    void appendWith(RelayedRecords::Sink sink) { this->relayed.appendWith(std::move(sink)); }
+
+    /** Sets what is called when the owner announces that the store is slow. */
+    void onSlowStore(std::function<void()> slowStoreCallback)
+    {
+        this->slowStore = std::move(slowStoreCallback);
+    }
+
+    /** Announces to the linked nodes that the store is slow, if this node is the owner. */
+    void announceSlowStore();
 
     /** Answers questions whose deadline has passed with NoAnswer, and sends those that are not sent
         yet. */
@@ -61,14 +81,14 @@
         std::string text;
         Instant deadline {};
         bool sent = false;
-        Callback callback;
+        OwnerQuestions::Callback callback;
     };
 
     void linkOpened(LinkId link, bool accepted) override;
     void frameArrived(LinkId link, std::span<const std::uint8_t> frame) override;
     void linkClosed(LinkId link, std::string_view reason) override;
 
-    void ask(Kind kind, std::string text, Callback callback);
+    void ask(Kind kind, std::string text, OwnerQuestions::Callback callback);
     OwnerAnswer answerLocally(Kind kind, const std::string &text) const;
     void findHolder();
     void holderFound(const PartitionHolder &holder);
@@ -79,6 +99,7 @@
     void answerQuestion(LinkId from, const wire::OwnerQuestion &question);
     wire::OwnerAnswerT replyTo(const wire::OwnerQuestion &question);
     void handleAnswer(const wire::OwnerAnswer &reply);
+    void handleRelayAnswer(LinkId from, const wire::RelayAnswer &answer);
 
     EventLoop &loop;
     const Clock &clock;
@@ -87,6 +108,9 @@
     Listener &listener;
     FrameTransport transport;
     FormerOwnerInquiry inquiry;
+    RecordRelay relay;
+    RelayedRecords relayed;
+    std::function<void()> slowStore;
     std::optional<Endpoint> holder;
     bool searching = false;
     Instant nextSearchAt {};
