Test the hand-over of records, and let ProgressWriter wait by measured times

Appends of progress were abandoned after 0.8 s however slow the store was, so that their repetitions queued behind them. They now wait four times the measured time, at most 3 s, and back off after a refusal.

--- a/modules/bulrush_entry/tests/caller_request_handler_test.cpp
+++ b/modules/bulrush_entry/tests/caller_request_handler_test.cpp
@@ -12,6 +12,20 @@
 /** The memory of a node. */
 constexpr std::size_t memoryMb = 160;
 
+/** Takes records, which the test answers. */
+class FakeCarrier : public RecordCarrier
+{
+public:
+    bool takesRecords() override { return this->taking; }
+    void handOver(HandedRecord /*record*/, Callback callback) override
+    {
+        this->callbacks.push_back(std::move(callback));
+    }
+
+    bool taking = true;
+    std::vector<Callback> callbacks;
+};
+
 class HandlerFixture
 {
 public:
@@ -241,3 +255,65 @@
     cr_assert_eq(fixture.answer->waiting, 1U);
     cr_assert(answer->outcome == CallerOutcome::Malformed, "only a query may count waiting jobs");
 }
+
+/* While the store is slow, each record was an append of its own, and the partition's queue grew
+   until nothing was recorded. */
+Test(CallerRequestHandler, recordsThatArriveWhileTheStoreIsSlowShareAnAppend)
+{
+    HandlerFixture fixture;
+    fixture.handler.callerAppends().noteSlowStore();
+    std::size_t accepted = 0;
+    CallerRequest request;
+    request.kind = CallerRequestKind::Submit;
+    request.host = "h";
+    request.body = "{}";
+    request.timeLimit = milliseconds(3000);
+    for (const char *path : { "/q/0123456789abcde1", "/q/0123456789abcde2", "/q/0123456789abcde3",
+                              "/q/0123456789abcde4" }) {
+        request.path = path;
+        fixture.handler.serve(request, [&accepted](const CallerAnswer &answer) {
+            accepted += answer.outcome == CallerOutcome::Accepted ? 1 : 0;
+        });
+    }
+    fixture.run(milliseconds(100));
+    cr_assert_eq(accepted, 4U);
+    cr_assert_eq(fixture.handler.callerAppends().counts().appends, 2U);
+    cr_assert_eq(fixture.handler.callerAppends().counts().records, 4U);
+}
+
+/* A job that is handed over may run until the owner has said that it was not recorded, so its
+   caller must not be told that it was refused; and one that was not recorded must be. */
+Test(CallerRequestHandler, aHandedOverJobIsRefusedOnlyOnceTheOwnerHasNotRecordedIt)
+{
+    for (const AppendResult ended :
+         { AppendResult::Recorded, AppendResult::NotInTime, AppendResult::Unknown }) {
+        HandlerFixture fixture;
+        FakeCarrier carrier;
+        fixture.handler.callerAppends().handOverTo(carrier);
+        fixture.handler.callerAppends().noteSlowStore();
+        cr_assert_not(fixture.send(CallerRequestKind::Submit, jobPath).has_value());
+        cr_assert(fixture.log.streams[LogStream::Jobs].empty());
+        carrier.taking = false;
+        fixture.log.up = false;
+        carrier.callbacks.at(0)({ ended, 5, seconds(1), false });
+        fixture.run(seconds(3));
+        const CallerOutcome expected = ended == AppendResult::Recorded ? CallerOutcome::Accepted
+                : ended == AppendResult::NotInTime                     ? CallerOutcome::Refused
+                                                                       : CallerOutcome::Unknown;
+        cr_expect(fixture.answer->outcome == expected, "%d", static_cast<int>(ended));
+    }
+}
+
+/* The owner that a job was handed over to is gone: the node appends the job by itself. */
+Test(CallerRequestHandler, aHandedOverJobWithoutAnAnswerIsAppendedByTheNode)
+{
+    HandlerFixture fixture;
+    FakeCarrier carrier;
+    fixture.handler.callerAppends().handOverTo(carrier);
+    fixture.handler.callerAppends().noteSlowStore();
+    fixture.send(CallerRequestKind::Submit, jobPath);
+    carrier.taking = false;
+    carrier.callbacks.at(0)({ AppendResult::Unknown, 0, {}, true });
+    fixture.run(milliseconds(200));
+    cr_assert(fixture.answer->outcome == CallerOutcome::Accepted);
+}
--- a/modules/bulrush_steps/dispatch/ProgressWriter.cpp
+++ b/modules/bulrush_steps/dispatch/ProgressWriter.cpp
@@ -13,7 +13,11 @@
 /** Same as batchDelay, for changes that a caller waits for. */
 constexpr milliseconds urgentBatchDelay { 10 };
 
-constexpr milliseconds appendTimeout { 800 };
+constexpr milliseconds shortestTimeout { 800 };
+
+/** The store refuses appends while more than 2 s are queued, so an append that is not answered
+   after this time is lost. */
+constexpr milliseconds longestTimeout { 3000 };
 constexpr milliseconds retryDelay { 100 };
 
 /** Bounds the time that an append takes. */
@@ -26,6 +30,7 @@
     : clock(systemClock)
     , log(keyedLog)
     , listener(progressListener)
+    , backoff(static_cast<std::uint64_t>(systemClock.now().time_since_epoch().count()))
 {
 }
 
@@ -43,6 +48,7 @@
 void ProgressWriter::end()
 {
     *this->alive = false;
+    this->times.ignore(this->lastAppend);
     this->alive = std::make_shared<bool>(true);
     this->changed.clear();
     this->changedInOrder.clear();
@@ -156,15 +162,36 @@
 void ProgressWriter::send()
 {
     this->inFlight = true;
-    this->log.append(LogStream::Progress, this->sending, this->mark, appendTimeout,
+    const Instant now = this->clock.now();
+    const Duration timeout =
+            std::max<Duration>(shortestTimeout, this->times.timeout(now, longestTimeout));
+    this->times.sent(++this->lastAppend, now);
+    this->log.append(LogStream::Progress, this->sending, this->mark, timeout,
                      [this, isAlive = this->alive](const AppendAnswer &result) {
                          if (*isAlive) {
                              this->inFlight = false;
+                             this->measure(result.outcome);
                              this->handleAppendAnswer(result);
                          }
                      });
 }
 
+void ProgressWriter::measure(StoreOutcome outcome)
+{
+    const Instant now = this->clock.now();
+    const bool refused = outcome == StoreOutcome::Refused;
+    const bool unknown = outcome == StoreOutcome::Unknown;
+    const AppendResult result = refused ? AppendResult::NotDone
+            : unknown                   ? AppendResult::Unknown
+                                        : AppendResult::Recorded;
+    this->times.answered(this->lastAppend, result, now);
+    if (refused) {
+        this->retryAt = now + this->backoff.next();
+    } else if (outcome == StoreOutcome::Done) {
+        this->backoff.reset();
+    }
+}
+
 void ProgressWriter::handleAppendAnswer(const AppendAnswer &result)
 {
     if (result.outcome == StoreOutcome::Fenced) {
@@ -183,7 +210,7 @@
         this->mark.sequence = result.expectedSequence;
     }
     if (result.outcome != StoreOutcome::Done && !tookEffect) {
-        this->retryAt = this->clock.now() + retryDelay;
+        this->retryAt = std::max(this->retryAt, this->clock.now() + retryDelay);
         return;
     }
     this->oneByOne = false;
