Include algorithm in RecordRelay, which uses std::max

RecordRelay.cpp relied on an include of another header for std::max, which a change elsewhere could remove. Nothing else was changed; the library bulrush_entry was built with it.

--- a/modules/bulrush_entry/owner/RecordRelay.cpp
+++ b/modules/bulrush_entry/owner/RecordRelay.cpp
@@ -1,5 +1,6 @@
 #include "bulrush_entry/owner/RecordRelay.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
