--- a/modules/bulrush_core/events/EventCatalogue.cpp
+++ b/modules/bulrush_core/events/EventCatalogue.cpp
@@ -90,6 +90,9 @@
     EventInfo { Event::EvacuationProgress, Severity::Info, "evacuation progress" },
     EventInfo { Event::StartsWithheld, Severity::Warning, "starts withheld" },
     EventInfo { Event::StartsResumed, Severity::Info, "starts resumed" },
+    EventInfo { Event::StoreSlow, Severity::Warning, "store slow" },
+    EventInfo { Event::StoreQuick, Severity::Info, "store quick" },
+    EventInfo { Event::HandOverUnacknowledged, Severity::Warning, "hand-over not acknowledged" },
 };
 
 } // namespace
--- a/modules/bulrush_core/events/EventCatalogue.h
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -92,6 +92,9 @@
     CallerUploadsClosed = 1692,
     CallerConnectionsClosed = 1693,
     CallerLimitsSet = 1694,
+    StoreSlow = 1681,
+    StoreQuick = 1682,
+    HandOverUnacknowledged = 1683,
 };
 
 /** The constant properties of an event: its number, severity and name. */
--- a/modules/bulrush_entry/node/EntryMetrics.h
+++ b/modules/bulrush_entry/node/EntryMetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrush_entry/front/AppendCounts.h"
 #include "bulrush_entry/front/CallerTypes.h"
 #include "bulrush_steps/dispatch/EvacuationLoad.h"
 #include "bulrush_steps/dispatch/ReservationCounts.h"
@@ -76,6 +77,9 @@
     /** Sets the memory that is reserved for callers' bodies, and the number of connections. */
     void setCallerLoad(std::size_t bodyBytes, std::size_t connections);
 
+    /** Sets what the appends of callers' records amount to since the start. */
+    void setAppends(const AppendCounts &counts);
+
     void setDroppedLines(std::uint64_t lines);
 
     /** Returns all metrics in the Prometheus text format. */
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -93,6 +93,7 @@
         this->config.followEvacuations(this->settings.dataCentres);
         this->dispatcher.followEvacuations(this->config.evacuations());
     }
+    this->connectAppends();
     this->startedAt = this->clock.now();
     this->nextTickAt = this->startedAt;
     this->decisions.write(DecisionLine(Event::NodeStarted)
@@ -109,6 +110,7 @@
     this->ownership.tick();
     this->takeover.tick();
     this->owner.tick();
+    this->followStoreSpeed();
     this->requestHandler.tick();
     this->health.checkLost();
     if (this->isOwnerOrTakesOver()) {
@@ -132,6 +134,25 @@
     this->loop.schedule(interval, [this] { this->tick(); });
 }
 
+void EntryNode::connectAppends()
+{
+    CallerAppends &appends = this->requestHandler.callerAppends();
+    appends.handOverTo(this->owner);
+    this->owner.appendWith([&appends](HandedRecord record, RecordCarrier::Callback reply) {
+        appends.addRelayed(std::move(record), std::move(reply));
+    });
+    this->owner.onSlowStore([&appends] { appends.noteSlowStore(); });
+}
+
+void EntryNode::followStoreSpeed()
+{
+    CallerAppends &appends = this->requestHandler.callerAppends();
+    if (this->store.takeSlowSign()) {
+        appends.noteSlowStore();
+        this->owner.announceSlowStore();
+    }
+}
+
 void EntryNode::recordTickDelay()
 {
     const Duration delay = std::max(Duration::zero(), this->clock.now() - this->nextTickAt);
@@ -284,6 +305,7 @@
     HttpResponse response;
     if (request.method == "GET" && request.path == metricsPath) {
         this->metrics.setDroppedLines(this->decisions.droppedLines());
+        this->metrics.setAppends(this->requestHandler.callerAppends().counts());
         response.contentType = "text/plain; version=0.0.4";
         response.body = this->metrics.text();
         return response;
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -110,6 +110,12 @@
 
     void tick();
     void recordTickDelay();
+
+    /** Lets callers' records be handed over to and taken from other nodes. */
+    void connectAppends();
+
+    /** Passes on signs that the store is slow. */
+    void followStoreSpeed();
     void reportOwnerLoad();
     /** Logs what is left in evacuated data centres, if anything is, and sets the metrics. */
     void reportEvacuation(const EvacuationLoad &load);
