--- a/modules/bulrush_appends/flow/AppendQueue.cpp
+++ b/modules/bulrush_appends/flow/AppendQueue.cpp
@@ -53,14 +53,15 @@
 std::vector<OutgoingAppend> AppendQueue::takeDue(Instant now, bool canHandOver)
 {
     std::vector<OutgoingAppend> due;
-    if (now < this->retryAt) {
+    const bool slow = this->appendTimes.isSlow(now);
+    const bool handsOver = slow && canHandOver;
+    if (now < (handsOver ? this->handOverAt : this->retryAt)) {
         return due;
     }
     const std::vector<Entry *> candidates = this->waiting(true);
-    const bool slow = this->appendTimes.isSlow(now);
-    if (!slow || canHandOver) {
+    if (!slow || handsOver) {
         for (Entry *entry : candidates) {
-            due.push_back(this->send({ entry }, slow, now));
+            due.push_back(this->send({ entry }, handsOver, now));
         }
     } else if (!candidates.empty() && !this->directInFlight()) {
         due.push_back(this->sendGroup(candidates, now));
@@ -84,6 +85,10 @@
         if (previousAlone || this->startsAppend(*entry, carried.size(), bytes)) {
             break;
         }
+        // What has not been sent to a silent store can still be refused truthfully.
+        if (this->unanswered && !carried.empty() && !entry->mayHaveTakenEffect) {
+            continue;
+        }
         carried.push_back(entry);
         bytes += entry->append.bytes;
     }
@@ -144,12 +149,18 @@
 
 void AppendQueue::delayRetry(const Flight &flight, AppendResult result, Instant now)
 {
+    if (flight.handOver) {
+        this->handOverAt = result == AppendResult::Recorded ? now : now + retryDelay;
+        return;
+    }
+    this->unanswered = result == AppendResult::Unknown;
     if (result == AppendResult::Recorded) {
         this->backoff.reset();
-    } else if (result == AppendResult::NotDone && !flight.handOver) {
+        this->retryAt = now;
+    } else if (result == AppendResult::NotDone && flight.sentAt >= this->backedOffAt) {
+        this->backedOffAt = now;
         this->retryAt = now + this->backoff.next();
-    } else if (result == AppendResult::Unknown || result == AppendResult::NotDone
-               || flight.ids.size() == 1) {
+    } else if (result == AppendResult::Unknown || flight.ids.size() == 1) {
         this->retryAt = std::max(this->retryAt, now + retryDelay);
     }
 }
@@ -159,7 +170,9 @@
     entry.inFlight = false;
     entry.mayHaveTakenEffect = entry.mayHaveTakenEffect || result == AppendResult::Unknown;
     entry.alone = entry.alone || result == AppendResult::Rejected;
-    entry.tooLate = entry.tooLate || result == AppendResult::NotInTime;
+    entry.tooLate = entry.tooLate
+            || (result == AppendResult::NotInTime && entry.append.refusable
+                && !entry.mayHaveTakenEffect);
 }
 
 Instant AppendQueue::nextSend(Instant now) const
--- a/modules/bulrush_appends/flow/AppendQueue.h
+++ b/modules/bulrush_appends/flow/AppendQueue.h
@@ -73,7 +73,7 @@
     std::vector<RefusedAppend> takeRefused(Instant now);
 
     /** Records a sign other than an append of this node that the store is slow. */
-    void noteSlow() { this->appendTimes.noteSlow(); }
+    void noteSlow(Instant now) { this->appendTimes.noteSlow(now); }
 
     /** Returns whether an append of a record is under way or may have taken effect. */
     bool mayHaveTakenEffect(std::uint64_t id) const;
@@ -125,7 +125,13 @@
     std::map<std::uint64_t, Entry> entries;
     std::map<AppendTimes::Number, Flight> flights;
     AppendTimes::Number nextNumber = 1;
+    /** When the next append, and the next hand-over, may be sent. */
     Instant retryAt {};
+    Instant handOverAt {};
+    /** When the backoff last grew. Refusals of appends that were sent before do not count again. */
+    Instant backedOffAt {};
+    /** Whether the last append was not answered. */
+    bool unanswered = false;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_appends/flow/AppendTimes.cpp
+++ b/modules/bulrush_appends/flow/AppendTimes.cpp
@@ -12,6 +12,14 @@
 /** How many times the expected duration an append is waited for. */
 constexpr int timeoutFactor = 4;
 
+/** The timeout grows by this factor after an append without an answer. Answers that are lost must
+    not lengthen it much, since the store is not slow then. */
+constexpr double timeoutGrowth = 1.5;
+
+/** After this time without a sign that it is slow, the store counts as quick. A node that has no
+    records to append would count it as slow for ever otherwise. */
+constexpr seconds slowPeriod { 3 };
+
 } // namespace
 
 void AppendTimes::answered(Number append, AppendResult result, Instant now)
@@ -23,25 +31,25 @@
     const Duration elapsed = now - found->second;
     this->open.erase(found);
     if (result == AppendResult::Unknown) {
-        // The time until the append was abandoned is a lower bound of its duration.
-        this->estimate = std::max(this->estimate, elapsed);
+        const auto grown = std::chrono::duration<double>(elapsed) * timeoutGrowth / timeoutFactor;
+        this->estimate = std::max(this->estimate, duration_cast<Duration>(grown));
     } else if (result != AppendResult::NotDone) {
         this->estimate = (this->estimate + elapsed) / 2;
     }
     const bool failed = result == AppendResult::Unknown || result == AppendResult::NotDone;
     if (failed || elapsed > slowAnswer) {
-        this->noteSlow();
+        this->noteSlow(now);
         return;
     }
     ++this->quickAnswers;
     if (this->quickAnswers >= quickAnswersNeeded) {
-        this->slow = false;
+        this->slowUntil = now;
     }
 }
 
-void AppendTimes::noteSlow()
+void AppendTimes::noteSlow(Instant now)
 {
-    this->slow = true;
+    this->slowUntil = now + slowPeriod;
     this->quickAnswers = 0;
 }
 
@@ -56,7 +64,7 @@
 
 bool AppendTimes::isSlow(Instant now) const
 {
-    return this->slow || this->oldestAge(now) > slowAnswer;
+    return now < this->slowUntil || this->oldestAge(now) > slowAnswer;
 }
 
 Duration AppendTimes::expected(Instant now) const
--- a/modules/bulrush_appends/flow/AppendTimes.h
+++ b/modules/bulrush_appends/flow/AppendTimes.h
@@ -42,7 +42,7 @@
     void ignore(Number append) { this->open.erase(append); }
 
     /** Records a sign other than an append of this node that the store is slow. */
-    void noteSlow();
+    void noteSlow(Instant now);
 
     bool isSlow(Instant now) const;
 
@@ -58,7 +58,8 @@
 
     std::map<Number, Instant> open;
     Duration estimate {};
-    bool slow = false;
+    /** Until when the store counts as slow without a further sign. */
+    Instant slowUntil {};
     int quickAnswers = 0;
 };
 
--- a/modules/bulrush_appends/tests/AppendSimulation.cpp
+++ b/modules/bulrush_appends/tests/AppendSimulation.cpp
@@ -139,7 +139,7 @@
         return;
     }
     for (const Node &node : this->nodes) {
-        node.queue->noteSlow();
+        node.queue->noteSlow(now);
     }
     this->at(this->now + noticeInterval, [this] { this->announceSlowStore(); });
 }
--- a/modules/bulrush_entry/front/CallerAppends.cpp
+++ b/modules/bulrush_entry/front/CallerAppends.cpp
@@ -54,6 +54,10 @@
 
 void CallerAppends::addRelayed(HandedRecord record, RecordCarrier::Callback reply)
 {
+    if (this->health.checkLost()) {
+        reply({ AppendResult::NotDone, 0, {}, false });
+        return;
+    }
     CallerAppend append;
     append.record = std::move(record.record);
     append.success = record.refusable ? CallerOutcome::Accepted : CallerOutcome::Cancelled;
@@ -150,7 +154,7 @@
             this->recorded(id, recordOffset);
         } else if (result.result == AppendResult::Rejected && single && !mayHaveTakenEffect) {
             this->reject(id);
-        } else if (lost) {
+        } else if (lost || this->isReturned(id, result.result)) {
             this->abandon(id, lostReason, storeRetryAfter);
         } else if (result.result == AppendResult::NotInTime && !mayHaveTakenEffect
                    && this->pendingAppends.at(id).append.success == CallerOutcome::Accepted) {
@@ -161,6 +165,12 @@
     this->pump();
 }
 
+bool CallerAppends::isReturned(Id id, AppendResult result) const
+{
+    return result == AppendResult::NotDone && this->pendingAppends.at(id).reply
+            && !this->queue.mayHaveTakenEffect(id);
+}
+
 void CallerAppends::reportUnacknowledged(Id id)
 {
     const CallerAppend &append = this->pendingAppends.at(id).append;
@@ -224,8 +234,10 @@
     const bool mayHaveTakenEffect = this->queue.mayHaveTakenEffect(id);
     const Pending pending = this->take(id);
     if (pending.reply) {
-        pending.reply({ mayHaveTakenEffect ? AppendResult::Unknown : AppendResult::NotInTime, 0,
-                        retryAfter, false });
+        const AppendResult unsent =
+                reason == lateReason ? AppendResult::NotInTime : AppendResult::NotDone;
+        pending.reply(
+                { mayHaveTakenEffect ? AppendResult::Unknown : unsent, 0, retryAfter, false });
         return;
     }
     const bool refused = !mayHaveTakenEffect && pending.append.success == CallerOutcome::Accepted;
--- a/modules/bulrush_entry/front/CallerAppends.h
+++ b/modules/bulrush_entry/front/CallerAppends.h
@@ -68,7 +68,7 @@
     void abandonAll(std::string_view reason, milliseconds retryAfter);
 
     /** Records a sign other than an append of this node that the store is slow. */
-    void noteSlowStore() { this->queue.noteSlow(); }
+    void noteSlowStore() { this->queue.noteSlow(this->clock.now()); }
 
     bool storeIsSlow() const { return this->queue.isSlow(this->clock.now()); }
 
@@ -92,6 +92,9 @@
     void sendToStore(const OutgoingAppend &outgoing);
     void handOver(const OutgoingAppend &outgoing);
     void ended(const OutgoingAppend &outgoing, const HandedResult &result);
+    /** Returns whether a record goes back to the node that handed it over, since the store has
+        refused it here. That node may reach the store all the same. */
+    bool isReturned(Id id, AppendResult result) const;
     void reportUnacknowledged(Id id);
     void reportSpeed();
 
--- a/modules/bulrush_entry/node/EntryMetrics.cpp
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -220,6 +220,12 @@
     : families(std::make_unique<Families>())
 {
     this->setWaitingSteps({});
+    this->setAppends({});
+    for (const char *reason :
+         { "too_large", "no_memory", "upload_displaced", "upload_slow", "connection_refused",
+           "connection_displaced", "connection_overdue" }) {
+        this->recordCallerLimit(reason, 0);
+    }
 }
 
 EntryMetrics::~EntryMetrics() = default;
--- a/modules/bulrush_entry/node/ObservedStore.cpp
+++ b/modules/bulrush_entry/node/ObservedStore.cpp
@@ -1,6 +1,5 @@
 #include "bulrush_entry/node/ObservedStore.h"
 
-#include "bulrush_appends/flow/AppendTimes.h"
 #include "bulrush_core/events/DecisionLog.h"
 #include "bulrush_steps/model/TaskText.h"
 
@@ -15,6 +14,14 @@
 
 constexpr std::string_view appendCall = "append";
 
+/** Appends in a row that take longer show that the store is slow. A single one may have waited for
+    the event loop of this node. */
+constexpr milliseconds slowAppend { 100 };
+constexpr int slowAppendsNeeded = 2;
+
+/** A longer append may take long for its size alone. */
+constexpr std::size_t maxSampleBytes = 64U << 10U;
+
 } // namespace
 
 ObservedStore::Size::Size(const std::vector<KeyedRecord> &keyedRecords)
@@ -58,19 +65,20 @@
 
 void ObservedStore::noteSpeed(const Call &call, StoreOutcome outcome, const Size &size)
 {
-    const bool isAppend = call.name == appendCall;
-    // A large answer may take long for its size alone.
-    const bool isShort = isAppend || size.records == 0;
-    const bool slow = this->clock.now() - call.sentAt > call.wait + AppendTimes::slowAnswer;
-    const bool refused = isAppend && outcome == StoreOutcome::Refused;
-    this->slowSign = this->slowSign || refused || (isShort && slow);
+    if (call.name != appendCall || outcome != StoreOutcome::Done || size.bytes > maxSampleBytes) {
+        return;
+    }
+    const bool slow = this->clock.now() - call.sentAt > slowAppend;
+    this->slowAppends = slow ? this->slowAppends + 1 : 0;
 }
 
 bool ObservedStore::takeSlowSign()
 {
-    const bool waits = !this->openAppends.empty()
-            && this->clock.now() - *this->openAppends.begin() > AppendTimes::slowAnswer;
-    return std::exchange(this->slowSign, false) || waits;
+    if (this->slowAppends < slowAppendsNeeded) {
+        return false;
+    }
+    this->slowAppends = 0;
+    return true;
 }
 
 void ObservedStore::append(LogStream stream, const std::vector<KeyedRecord> &records,
@@ -79,11 +87,9 @@
 {
     const Call call { appendCall, stream, this->clock.now() };
     const Size size(records);
-    this->openAppends.insert(call.sentAt);
     this->log.append(
             stream, records, mark, timeout,
             [this, call, size, callback = std::move(callback)](const AppendAnswer &result) {
-                this->openAppends.erase(this->openAppends.find(call.sentAt));
                 this->recordCall(call, result.outcome, size);
                 callback(result);
             });
--- a/modules/bulrush_entry/node/ObservedStore.h
+++ b/modules/bulrush_entry/node/ObservedStore.h
@@ -4,7 +4,6 @@
 #include "bulrush_entry/node/EntryMetrics.h"
 
 #include <optional>
-#include <set>
 #include <string_view>
 #include <vector>
 
@@ -22,8 +21,8 @@
 
     LogLimits limits() const override { return this->log.limits(); }
 
-    /** Returns whether since the last call an append or another short call has taken long enough to
-        show that the store is slow, or an append has been without an answer for that long. */
+    /** Returns whether since the last call appends have taken long enough to show that the store is
+        slow. Refusals and lost answers are no such sign, since they may concern this node only. */
     bool takeSlowSign();
     void append(LogStream stream, const std::vector<KeyedRecord> &records,
                 const std::optional<WriterMark> &mark, Duration timeout,
@@ -69,9 +68,8 @@
     StoreHealth &health;
     EntryMetrics &metrics;
     DecisionLog &decisions;
-    /** When the appends without an answer were sent. */
-    std::multiset<Instant> openAppends;
-    bool slowSign = false;
+    /** Small appends in a row that were recorded slowly. */
+    int slowAppends = 0;
 };
 
 } // namespace bulrush
--- a/modules/bulrush_entry/owner/RecordRelay.cpp
+++ b/modules/bulrush_entry/owner/RecordRelay.cpp
@@ -14,6 +14,10 @@
 /** How long a process that acknowledged nothing is given no more records. */
 constexpr seconds barTime { 5 };
 
+/** How long an owner that could not record a record is given no more. It may lack the store that
+    other nodes reach. */
+constexpr seconds returnedBarTime { 1 };
+
 /** How much earlier than needed the owner is to answer, so that its answer arrives in time. */
 constexpr milliseconds answerMargin { 100 };
 
@@ -94,6 +98,10 @@
         found->second.acknowledged = true;
         return;
     }
+    if (answer.outcome() == wire::RelayOutcome::NotDone) {
+        this->barred = this->owner;
+        this->barredUntil = this->clock.now() + returnedBarTime;
+    }
     HandedResult result;
     result.result = resultOf(answer.outcome());
     result.offset = answer.offset();
--- a/modules/bulrush_entry/owner/RelayedRecords.cpp
+++ b/modules/bulrush_entry/owner/RelayedRecords.cpp
@@ -11,9 +11,6 @@
 /** Bounds the memory of records that other nodes have handed over. */
 constexpr std::size_t maxRelayedBytes = 8U << 20U;
 
-/** Delay after which callers retry when there is no room for their records. */
-constexpr milliseconds fullRetryAfter { 2000 };
-
 constexpr milliseconds announcementInterval { 500 };
 
 wire::RelayOutcome outcomeOf(AppendResult result)
@@ -75,9 +72,7 @@
     }
     const auto id = this->queue.add(origin, handed.record.size());
     if (!id) {
-        HandedResult full;
-        full.retryAfter = fullRetryAfter;
-        this->answer(origin, wire::RelayOutcome::NotInTime, full);
+        this->answer(origin, wire::RelayOutcome::NotDone);
         return;
     }
     this->answer(origin, wire::RelayOutcome::Taken);
--- a/modules/bulrush_evacuation/moves/EvacuationMoves.cpp
+++ b/modules/bulrush_evacuation/moves/EvacuationMoves.cpp
@@ -39,7 +39,8 @@
             continue;
         }
         std::uint32_t &awayOfStep = away.try_emplace(run.step, run.away).first->second;
-        if (run.maxAway > 0 && awayOfStep >= run.maxAway) {
+        // A task that waits already would take the room that is meant for the moved one.
+        if (awayOfStep >= std::max(1U, run.maxAway)) {
             continue;
         }
         ++awayOfStep;
--- a/modules/bulrush_evacuation/moves/EvacuationMoves.h
+++ b/modules/bulrush_evacuation/moves/EvacuationMoves.h
@@ -16,7 +16,8 @@
     /** The number by which the caller identifies the run's step. */
     std::size_t step = 0;
     bool memberOfGang = false;
-    /** How many tasks of the step may be without a run at a time; 0 for no limit. */
+    /** How many tasks of the step may be without a run at a time; 0 if the step sets no limit,
+        in which case one is moved at a time. */
     std::uint32_t maxAway = 0;
     /** How many tasks of the step have no run, or one that is being stopped. */
     std::uint32_t away = 0;
--- a/modules/bulrush_net/http/ConnectionTable.cpp
+++ b/modules/bulrush_net/http/ConnectionTable.cpp
@@ -2,9 +2,23 @@
 
 namespace bulrush {
 
-void ConnectionTable::opened(ConnectionId id, Instant now)
+void ConnectionTable::opened(ConnectionId id, bool beyondLimit, Instant now)
 {
-    this->connections[id].waitsSince = now;
+    Connection &connection = this->connections[id];
+    connection.waitsSince = now;
+    connection.beyondLimit = beyondLimit;
+}
+
+bool ConnectionTable::isBeyondLimit(ConnectionId id) const
+{
+    const auto found = this->connections.find(id);
+    return found != this->connections.end() && found->second.beyondLimit;
+}
+
+bool ConnectionTable::isClosing(ConnectionId id) const
+{
+    const auto found = this->connections.find(id);
+    return found != this->connections.end() && found->second.closing;
 }
 
 void ConnectionTable::closed(ConnectionId id)
@@ -96,7 +110,10 @@
     std::optional<ConnectionId> first;
     const Connection *chosen = nullptr;
     for (const auto &[id, connection] : this->connections) {
-        if (connection.hasRequest || connection.closing
+        // A client that has begun its next request would lose it, unless it never sends the rest.
+        const bool sends =
+                connection.headerSince && now - *connection.headerSince < displaceableWait;
+        if (connection.hasRequest || connection.closing || sends
             || now - connection.waitsSince < displaceableWait) {
             continue;
         }
--- a/modules/bulrush_net/http/ConnectionTable.h
+++ b/modules/bulrush_net/http/ConnectionTable.h
@@ -37,7 +37,10 @@
         while it still sends. */
     static constexpr milliseconds lingerTime { 1000 };
 
-    void opened(ConnectionId id, Instant now);
+    /** @param beyondLimit whether it is one too many, so that its request is refused */
+    void opened(ConnectionId id, bool beyondLimit, Instant now);
+    bool isBeyondLimit(ConnectionId id) const;
+    bool isClosing(ConnectionId id) const;
     void closed(ConnectionId id);
     void requestBegan(ConnectionId id);
 
@@ -78,6 +81,7 @@
         bool hasRequest = false;
         bool hadRequest = false;
         bool closing = false;
+        bool beyondLimit = false;
     };
 
     static bool isOverdue(const Connection &connection, const ConnectionTimes &times, Instant now);
--- a/modules/bulrush_net/http/HttpServer.cpp
+++ b/modules/bulrush_net/http/HttpServer.cpp
@@ -203,6 +203,9 @@
 bool HttpServer::acceptsConnection()
 {
     const std::size_t max = this->limits.maxConnections;
+    if (this->connections.staying() >= max) {
+        this->noteBegunHeaders();
+    }
     while (this->connections.staying() >= max) {
         const auto displaced = this->connections.displaceable(this->loop.now());
         if (!displaced) {
@@ -219,7 +222,8 @@
 void HttpServer::connectionOpened(lws *wsi)
 {
     ++this->acceptedCount;
-    this->connections.opened(idOf(wsi), this->loop.now());
+    const bool beyondLimit = this->connections.staying() >= this->limits.maxConnections;
+    this->connections.opened(idOf(wsi), beyondLimit, this->loop.now());
 }
 
 void HttpServer::closeConnection(ConnectionTable::ConnectionId id)
@@ -258,13 +262,18 @@
 
 int HttpServer::beginRequest(lws *wsi, Session &session, std::string_view path)
 {
+    if (this->connections.isClosing(idOf(wsi))) {
+        // Its answer could not be sent any more, so the request must not take effect.
+        return -1;
+    }
     const RequestId id = this->nextRequest++;
     session.current = id;
     session.discardsBody = false;
     session.discardedBytes = 0;
     this->connections.requestBegan(idOf(wsi));
     RequestHead head = readRequestHead(wsi, path, this->limits.headerNames);
-    const int refusal = this->refusalOf(head, id);
+    const bool beyondLimit = this->connections.isBeyondLimit(idOf(wsi));
+    const int refusal = this->refusalOf(head, id, beyondLimit);
     const std::size_t bodyBytes = head.announcedBytes.value_or(0);
     Exchange &exchange = *this->exchanges.emplace(id, std::make_unique<Exchange>()).first->second;
     exchange.wsi = wsi;
@@ -282,9 +291,9 @@
     return 0;
 }
 
-int HttpServer::refusalOf(const RequestHead &head, RequestId id)
+int HttpServer::refusalOf(const RequestHead &head, RequestId id, bool beyondLimit)
 {
-    if (this->connections.staying() > this->limits.maxConnections) {
+    if (beyondLimit) {
         ++this->refused.connections;
         return statusUnavailable;
     }
@@ -381,6 +390,9 @@
         return;
     }
     found->second->response = std::move(response);
+    if (found->second->closes) {
+        found->second->response.headers.push_back({ "connection", "close" });
+    }
     found->second->responseReady = true;
     lws_callback_on_writable(found->second->wsi);
 }
--- a/modules/bulrush_net/http/HttpServer.h
+++ b/modules/bulrush_net/http/HttpServer.h
@@ -112,8 +112,9 @@
     void connectionOpened(lws *wsi);
     int beginRequest(lws *wsi, Session &session, std::string_view path);
 
-    /** Returns the status with which a request is refused, 0 when it is received. */
-    int refusalOf(const RequestHead &head, RequestId id);
+    /** Returns the status with which a request is refused, 0 when it is received.
+        @param beyondLimit whether its connection is one too many */
+    int refusalOf(const RequestHead &head, RequestId id, bool beyondLimit);
     int receiveBody(Session &session, std::string_view bytes);
     int completeBody(Session &session);
     void deliver(RequestId id, Exchange &exchange);
--- a/modules/bulrush_net/tests/body_budget_test.cpp
+++ b/modules/bulrush_net/tests/body_budget_test.cpp
@@ -90,9 +90,9 @@
 {
     const ConnectionTimes times { milliseconds(3000), milliseconds(20'000) };
     ConnectionTable table;
-    table.opened(1, at(0));
-    table.opened(2, at(0));
-    table.opened(3, at(0));
+    table.opened(1, false, at(0));
+    table.opened(2, false, at(0));
+    table.opened(3, false, at(0));
     table.headerBegan(1, at(100));
     table.requestBegan(3);
     cr_assert(table.overdue(times, at(3000)).empty());
@@ -106,11 +106,11 @@
 Test(ConnectionTable, connectionsWithoutAnyRequestAreDisplacedFirst)
 {
     ConnectionTable table;
-    table.opened(1, at(0));
+    table.opened(1, false, at(0));
     table.requestBegan(1);
     table.requestEnded(1, at(10));
-    table.opened(2, at(20));
-    table.opened(3, at(30));
+    table.opened(2, false, at(20));
+    table.opened(3, false, at(30));
     table.requestBegan(3);
     cr_assert_not(table.displaceable(at(200)));
     cr_assert_eq(*table.displaceable(at(300)), 2U);
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -127,8 +127,8 @@
 
     void configure(const ServingConfig &config);
 
-    /** Has evacuation requests obeyed. Without them, or without the settings' bound, all data
-       centres take starts. @param requests must outlive the dispatcher */
+    /** Applies evacuation requests from now on, if the settings have a bound for them.
+        @param requests must outlive the dispatcher */
     void followEvacuations(const EvacuationRequests &requests);
 
     /** Adds or updates a worker. May be called before begin(), so that the list of workers is known
@@ -250,17 +250,13 @@
     /** Returns why no start may be sent to any data centre because of evacuations. */
     EvacuationHold evacuationHold() const;
 
-    /** Applies the evacuation requests to the workers, and moves runs out of evacuated data
-     * centres.
-     */
+    /** Applies the evacuation requests to the workers. */
     void followEvacuationRequests(Instant now);
 
     /** Logs when starts are withheld because the requests are not known, and when they resume. */
     void reportEvacuationHold(Instant now);
 
-    /** Stops long-running runs in evacuated data centres as far as there is room for them
-     * elsewhere.
-     */
+    /** Stops long-running runs in evacuated data centres as far as they have room elsewhere. */
     void moveRunsOut(Instant now);
 
     /** A long-running run in an evacuated data centre. */
@@ -379,6 +375,9 @@
     const EvacuationRequests *evacuations = nullptr;
     EvacuationGate evacuationGate;
     Instant begunAt {};
+    /** When tick() was last called, and when it was first called after a pause of this process. */
+    Instant tickedAt {};
+    Instant resumedAt {};
     /** The version of the requests that the workers' states follow from. */
     std::uint64_t appliedEvacuations = 0;
     EvacuationHold reportedHold = EvacuationHold::None;
--- a/modules/bulrush_steps/dispatch/DispatcherEvacuation.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherEvacuation.cpp
@@ -6,6 +6,7 @@
 #include "bulrush_steps/policy/JobRank.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bulrush {
 
@@ -14,6 +15,12 @@
 /** Interval at which runs are looked for that are to be moved. */
 constexpr milliseconds moveInterval { 200 };
 
+/** A longer time between two ticks means that this process was paused. */
+constexpr milliseconds maxTickGap { 500 };
+
+/** How many runs without room elsewhere are passed over at a time. */
+constexpr int maxUnmovable = 4;
+
 } // namespace
 
 void Dispatcher::followEvacuations(const EvacuationRequests &requests)
@@ -45,7 +52,9 @@
     if (this->evacuations == nullptr) {
         return EvacuationHold::None;
     }
-    const EvacuationView view { this->begunAt, this->listener.storeAnsweredAt() };
+    // While the process was paused, the store's silence means nothing.
+    const EvacuationView view { this->begunAt,
+                                std::max(this->listener.storeAnsweredAt(), this->resumedAt) };
     return this->evacuationGate.hold(*this->evacuations, view, this->clock.now());
 }
 
@@ -59,6 +68,9 @@
     if (this->evacuations == nullptr) {
         return;
     }
+    if (now - std::exchange(this->tickedAt, now) > maxTickGap) {
+        this->resumedAt = now;
+    }
     this->reportEvacuationHold(now);
     if (this->appliedEvacuations == this->evacuations->version()) {
         return;
@@ -123,7 +135,9 @@
                 const OccurrenceState &state = job->occurrences.at(attempt.task.occurrence);
                 step->second.away = state.steps.at(attempt.task.step).tasks.open();
             }
-            step->second.away += run.phase != RunPhase::Running || run.stopRequested ? 1 : 0;
+            const bool atWork = run.phase == RunPhase::Running && !run.stopRequested
+                    && !run.mayHaveEnded && worker.confirmed;
+            step->second.away += atWork ? 0 : 1;
             if (worker.evacuated && run.phase == RunPhase::Running && !run.stopRequested
                 && !run.mayHaveEnded) {
                 const StepSpec &spec = job->step(attempt.task);
@@ -159,13 +173,18 @@
     const std::vector<EvacuatedRun> runs = this->evacuatedRuns(found);
     std::size_t allowed = EvacuationMoves::allowed(state);
     this->moveWaitsForCapacity = !runs.empty() && state.endingTasksWait;
+    int unmovable = 0;
     for (const EvacuatedRun &each : EvacuationMoves::candidates(state, runs)) {
         const RunToMove &move = found[each.run];
         JobEntry &job = *this->findJob(move.attempt.task);
-        if (allowed == 0 || !this->planner.reserveForMove(job, move.attempt.task, now)) {
-            this->moveWaitsForCapacity = allowed > 0;
+        if (allowed == 0 || unmovable == maxUnmovable) {
             return;
         }
+        if (!this->planner.reserveForMove(job, move.attempt.task, now)) {
+            this->moveWaitsForCapacity = true;
+            ++unmovable;
+            continue;
+        }
         --allowed;
         ++this->movedTasks;
         this->movingSince[move.attempt.task] = now;
--- a/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
@@ -45,7 +45,7 @@
         this->fillControl.liftPaceLimits(worker, now + riskHorizon, maxRiskOfUrgentFill);
         for (const FillChange &change : this->fillControl.decide(worker, now, this->settings)) {
             Run &run = worker.runs.at(change.attempt);
-            if (change.move) {
+            if (change.move && !worker.evacuated) {
                 this->stopRun(worker, run, "slows down a serving task");
                 continue;
             }
@@ -140,9 +140,10 @@
             const RunHealth health =
                     assessRun(worker, run, now, this->typicalDuration(*job, attempt.task));
             const bool gang = job->step(attempt.task).gang;
-            const bool slowSinceCold = health == RunHealth::Slow && run.startedCold;
-            if (health == RunHealth::Healthy || slowSinceCold || gang
-                || task.relocations >= maxMoves) {
+            // The room of a slow run in an evacuated data centre is not used again.
+            const bool leftAlone =
+                    health == RunHealth::Slow && (run.startedCold || worker.evacuated);
+            if (health == RunHealth::Healthy || leftAlone || gang || task.relocations >= maxMoves) {
                 continue;
             }
             const bool stalled = health == RunHealth::Stalled;
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -467,12 +467,12 @@
             std::find_if(lane.unplaced.begin(), lane.unplaced.end(), [&](const UnplacedStep &each) {
                 return each.rulesOut(step, service, candidate.riskAllowed, candidate.starving);
             });
-    const bool hasReservation =
-            candidate.starving && this->reservations.countOf(candidate.ref()) > 0;
+    const bool hasReservation = this->reservations.countOf(candidate.ref()) > 0
+            && (candidate.starving || this->listener.movingTasks(candidate.ref()) > 0);
     if (ruledOutBy != lane.unplaced.end() && !hasReservation) {
         this->reserveRoom(lane, candidate, now);
         ++lane.unplacedCount;
-        lane.endingUnplaced = lane.endingUnplaced || !step.runsIndefinitely;
+        this->noteEndingUnplaced(lane, candidate);
         if (lane.openCensus) {
             lane.openCensus->add(ruledOutBy->reason, candidate.ref(), candidate.age);
         }
@@ -485,7 +485,7 @@
     }
     this->reserveRoom(lane, candidate, now);
     ++lane.unplacedCount;
-    lane.endingUnplaced = lane.endingUnplaced || !step.runsIndefinitely;
+    this->noteEndingUnplaced(lane, candidate);
     const WaitReason reason = this->countUnplaced(lane, candidate, now);
     const bool constrained = step.maxPerWorker > 0 || !step.requiredLabel.empty() || step.gang;
     if (!constrained) {
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -159,7 +159,13 @@
     void addStarving(PlanLane &lane, PlanCandidate candidate, const JobRank &rank, Instant now);
 
     /** Returns whether a task of a starving job that ends could start. */
-    bool mayTakeTurn(const PlanCandidate &candidate, const ServiceId &service, Instant now) const;
+    bool mayTakeTurn(const PlanCandidate &candidate, Instant now) const;
+
+    /** Returns whether a worker that takes starts could run a task of a step when empty. */
+    bool fitsAnyWorker(const PlanCandidate &candidate) const;
+
+    /** Notes that a step found no worker, if its tasks end and fit one. */
+    void noteEndingUnplaced(PlanLane &lane, const PlanCandidate &candidate) const;
 
     /** Returns whether a job has had the turn of a service for a time without a start. */
     bool hadTurnInVain(const PlanCandidate &candidate, const ServiceId &service, Instant now) const;
--- a/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
+++ b/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
@@ -58,7 +58,7 @@
     // Jobs that are too late are many under overload. They take turns with one run at a time, so
     // that the others keep the order that serves most of them.
     const ServiceId service = this->serviceOf(*candidate.job);
-    if (this->hasFirstRun(service) || !this->mayTakeTurn(candidate, service, now)) {
+    if (this->hasFirstRun(service) || !this->mayTakeTurn(candidate, now)) {
         return;
     }
     candidate.rank = rank;
@@ -73,15 +73,16 @@
     }
 }
 
-bool Planner::mayTakeTurn(const PlanCandidate &candidate, const ServiceId &service,
-                          Instant now) const
+bool Planner::mayTakeTurn(const PlanCandidate &candidate, Instant now) const
+{
+    return !this->tasksToStart(candidate, now).empty() && this->fitsAnyWorker(candidate);
+}
+
+bool Planner::fitsAnyWorker(const PlanCandidate &candidate) const
 {
-    if (this->tasksToStart(candidate, now).empty()) {
-        return false;
-    }
     TaskRequest request;
     request.step = &candidate.spec();
-    request.service = service;
+    request.service = this->serviceOf(*candidate.job);
     const std::map<TargetId, Worker> &workerTable = this->workers.workers();
     return std::any_of(workerTable.begin(), workerTable.end(), [&request](const auto &each) {
         return each.second.takesStarts() && Placement::isEligible(each.second, request);
@@ -190,6 +191,13 @@
     }
 }
 
+void Planner::noteEndingUnplaced(PlanLane &lane, const PlanCandidate &candidate) const
+{
+    // A job that fits no worker waits for ever.
+    lane.endingUnplaced = lane.endingUnplaced
+            || (!candidate.spec().runsIndefinitely && this->fitsAnyWorker(candidate));
+}
+
 bool Planner::endingTasksWait() const
 {
     return std::any_of(this->lanes.begin(), this->lanes.end(), [](const PlanLane &lane) {
--- a/modules/bulrush_steps/dispatch/ProgressWriter.cpp
+++ b/modules/bulrush_steps/dispatch/ProgressWriter.cpp
@@ -16,7 +16,7 @@
 constexpr milliseconds shortestTimeout { 800 };
 
 /** The store refuses appends while more than 2 s are queued, so an append that is not answered
-   after this time is lost. */
+   after this time may be sent again. */
 constexpr milliseconds longestTimeout { 3000 };
 constexpr milliseconds retryDelay { 100 };
 
@@ -30,7 +30,6 @@
     : clock(systemClock)
     , log(keyedLog)
     , listener(progressListener)
-    , backoff(static_cast<std::uint64_t>(systemClock.now().time_since_epoch().count()))
 {
 }
 
@@ -178,18 +177,12 @@
 
 void ProgressWriter::measure(StoreOutcome outcome)
 {
-    const Instant now = this->clock.now();
     const bool refused = outcome == StoreOutcome::Refused;
     const bool unknown = outcome == StoreOutcome::Unknown;
     const AppendResult result = refused ? AppendResult::NotDone
             : unknown                   ? AppendResult::Unknown
                                         : AppendResult::Recorded;
-    this->times.answered(this->lastAppend, result, now);
-    if (refused) {
-        this->retryAt = now + this->backoff.next();
-    } else if (outcome == StoreOutcome::Done) {
-        this->backoff.reset();
-    }
+    this->times.answered(this->lastAppend, result, this->clock.now());
 }
 
 void ProgressWriter::handleAppendAnswer(const AppendAnswer &result)
@@ -210,7 +203,7 @@
         this->mark.sequence = result.expectedSequence;
     }
     if (result.outcome != StoreOutcome::Done && !tookEffect) {
-        this->retryAt = std::max(this->retryAt, this->clock.now() + retryDelay);
+        this->retryAt = this->clock.now() + retryDelay;
         return;
     }
     this->oneByOne = false;
--- a/modules/bulrush_steps/dispatch/ProgressWriter.h
+++ b/modules/bulrush_steps/dispatch/ProgressWriter.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "bulrush_appends/flow/AppendTimes.h"
-#include "bulrush_appends/flow/RetryBackoff.h"
 #include "bulrush_core/time/Clock.h"
 #include "bulrush_steps/model/StepJobTable.h"
 #include "bulrush_steps/ports/KeyedLog.h"
@@ -122,7 +121,7 @@
     void send();
     void handleAppendAnswer(const AppendAnswer &result);
 
-    /** Records how long the append has taken, and when it may be sent again. */
+    /** Records how long the append has taken. */
     void measure(StoreOutcome outcome);
 
     /** Finds the record for which the store rejected an append, so that it holds up no other. */
@@ -163,7 +162,6 @@
     bool inFlight = false;
     AppendTimes times;
     AppendTimes::Number lastAppend = 0;
-    RetryBackoff backoff;
     Instant retryAt {};
     /** Shared with the callbacks of appends; set to false by end(), so that late answers are
         ignored. */
