Use the field's terms in the new parts, and shorten the backoff after refused appends

Cause: two readers who had not written the parts stopped at names (hold, away, barred, staying, count) and comments; and after an outage in which the store refused calls, nodes waited up to a second before they tried again, while callers waited. Change: names and comments only, but for the backoff, whose longest delay is 250 ms, since a refused append takes no time of the store.

--- a/modules/bulrush_appends/flow/RetryBackoff.h
+++ b/modules/bulrush_appends/flow/RetryBackoff.h
@@ -32,7 +32,8 @@
 
 private:
     static constexpr milliseconds shortest { 100 };
-    static constexpr milliseconds longest { 1000 };
+    /** A refused append takes no time of the store, and callers wait for the store's return. */
+    static constexpr milliseconds longest { 250 };
 
     /** The generator SplitMix64. */
     std::uint64_t random()
--- a/modules/bulrush_entry/front/CallerLimitReport.cpp
+++ b/modules/bulrush_entry/front/CallerLimitReport.cpp
@@ -45,7 +45,8 @@
     this->reportConnections(this->reported, before);
 }
 
-std::int64_t CallerLimitReport::count(const char *reason, std::uint64_t now, std::uint64_t before)
+std::int64_t CallerLimitReport::recordDelta(const char *reason, std::uint64_t now,
+                                            std::uint64_t before)
 {
     if (now > before) {
         this->metrics.recordCallerLimit(reason, now - before);
@@ -56,8 +57,8 @@
 void CallerLimitReport::reportBodies(const HttpServer::Refusals &now,
                                      const HttpServer::Refusals &before)
 {
-    const auto tooLarge = this->count("too_large", now.tooLarge, before.tooLarge);
-    const auto noMemory = this->count("no_memory", now.noMemory, before.noMemory);
+    const auto tooLarge = this->recordDelta("too_large", now.tooLarge, before.tooLarge);
+    const auto noMemory = this->recordDelta("no_memory", now.noMemory, before.noMemory);
     if (tooLarge + noMemory > 0) {
         this->decisions.write(
                 DecisionLine(Event::CallerBodiesRefused)
@@ -72,8 +73,8 @@
                                       const HttpServer::Refusals &before)
 {
     const auto displaced =
-            this->count("upload_displaced", now.displacedUploads, before.displacedUploads);
-    const auto slow = this->count("upload_slow", now.slowUploads, before.slowUploads);
+            this->recordDelta("upload_displaced", now.displacedUploads, before.displacedUploads);
+    const auto slow = this->recordDelta("upload_slow", now.slowUploads, before.slowUploads);
     if (displaced + slow > 0) {
         this->decisions.write(DecisionLine(Event::CallerUploadsClosed)
                                       .with("displaced", displaced)
@@ -84,11 +85,12 @@
 void CallerLimitReport::reportConnections(const HttpServer::Refusals &now,
                                           const HttpServer::Refusals &before)
 {
-    const auto refused = this->count("connection_refused", now.connections, before.connections);
-    const auto displaced = this->count("connection_displaced", now.displacedConnections,
-                                       before.displacedConnections);
-    const auto overdue =
-            this->count("connection_overdue", now.overdueConnections, before.overdueConnections);
+    const auto refused =
+            this->recordDelta("connection_refused", now.connections, before.connections);
+    const auto displaced = this->recordDelta("connection_displaced", now.displacedConnections,
+                                             before.displacedConnections);
+    const auto overdue = this->recordDelta("connection_overdue", now.overdueConnections,
+                                           before.overdueConnections);
     if (refused + displaced + overdue > 0) {
         this->decisions.write(
                 DecisionLine(Event::CallerConnectionsClosed)
--- a/modules/bulrush_entry/front/CallerLimitReport.h
+++ b/modules/bulrush_entry/front/CallerLimitReport.h
@@ -25,7 +25,7 @@
     void reportConnections(const HttpServer::Refusals &now, const HttpServer::Refusals &before);
 
     /** Adds to a counter. @returns how many more there are than before */
-    std::int64_t count(const char *reason, std::uint64_t now, std::uint64_t before);
+    std::int64_t recordDelta(const char *reason, std::uint64_t now, std::uint64_t before);
 
     HttpServer &server;
     EntryMetrics &metrics;
--- a/modules/bulrush_entry/front/CallerLimits.cpp
+++ b/modules/bulrush_entry/front/CallerLimits.cpp
@@ -9,8 +9,8 @@
 
 constexpr std::size_t bytesPerMb = 1U << 20U;
 
-/** The share of the machine's memory for callers' bodies. Up to a half is for jobs that have not
-    ended. */
+/** The share of the machine's memory for callers' bodies. A quarter is for jobs that have not
+    ended, which an owner holds twice. */
 constexpr std::size_t bodyMemoryDivisor = 6;
 
 /** The memory for bodies where the settings hold no limit of the machine's. */
--- a/modules/bulrush_entry/owner/RecordRelay.cpp
+++ b/modules/bulrush_entry/owner/RecordRelay.cpp
@@ -12,11 +12,11 @@
 constexpr milliseconds acknowledgementTimeout { 500 };
 
 /** How long a process that acknowledged nothing is given no more records. */
-constexpr seconds barTime { 5 };
+constexpr seconds silenceSuspension { 5 };
 
 /** How long an owner that could not record a record is given no more. It may lack the store that
     other nodes reach. */
-constexpr seconds returnedBarTime { 1 };
+constexpr seconds returnSuspension { 1 };
 
 /** How much earlier than needed the owner is to answer, so that its answer arrives in time. */
 constexpr milliseconds answerMargin { 100 };
@@ -65,8 +65,9 @@
 
 bool RecordRelay::takesRecords() const
 {
-    const bool isBarred = this->barred == this->owner && this->clock.now() < this->barredUntil;
-    return this->link != 0 && !isBarred;
+    const bool isSuspended =
+            this->suspended == this->owner && this->clock.now() < this->suspendedUntil;
+    return this->link != 0 && !isSuspended;
 }
 
 void RecordRelay::handOver(HandedRecord record, RecordCarrier::Callback callback)
@@ -99,8 +100,8 @@
         return;
     }
     if (answer.outcome() == wire::RelayOutcome::NotDone) {
-        this->barred = this->owner;
-        this->barredUntil = this->clock.now() + returnedBarTime;
+        this->suspended = this->owner;
+        this->suspendedUntil = this->clock.now() + returnSuspension;
     }
     HandedResult result;
     result.result = resultOf(answer.outcome());
@@ -121,8 +122,8 @@
             ended.emplace_back(number, result);
         }
         if (result.unacknowledged) {
-            this->barred = this->owner;
-            this->barredUntil = now + barTime;
+            this->suspended = this->owner;
+            this->suspendedUntil = now + silenceSuspension;
         }
     }
     for (const auto &[number, result] : ended) {
--- a/modules/bulrush_entry/owner/RecordRelay.h
+++ b/modules/bulrush_entry/owner/RecordRelay.h
@@ -59,8 +59,8 @@
     LinkId link = 0;
     std::optional<Endpoint> owner;
     /** The process that did not acknowledge a record, and until when it is given none. */
-    std::optional<Endpoint> barred;
-    Instant barredUntil {};
+    std::optional<Endpoint> suspended;
+    Instant suspendedUntil {};
     std::uint64_t nextNumber = 1;
     std::map<std::uint64_t, Open> open;
 };
--- a/modules/bulrush_entry/tests/record_relay_test.cpp
+++ b/modules/bulrush_entry/tests/record_relay_test.cpp
@@ -141,7 +141,7 @@
     cr_assert(fixture.result->result == AppendResult::Unknown);
 }
 
-/* An owner of an earlier version ignores records without a word. */
+/* An owner of an earlier version does not answer records. */
 Test(RecordRelay, nothingIsHandedOverForAWhileToAProcessThatAcknowledgesNothing)
 {
     RelayFixture fixture;
--- a/modules/bulrush_evacuation/gate/EvacuationGate.cpp
+++ b/modules/bulrush_evacuation/gate/EvacuationGate.cpp
@@ -9,38 +9,38 @@
 
 } // namespace
 
-std::string_view text(EvacuationHold hold)
+std::string_view text(StartBlock block)
 {
-    switch (hold) {
-    case EvacuationHold::None:
+    switch (block) {
+    case StartBlock::None:
         return "none";
-    case EvacuationHold::NotRead:
+    case StartBlock::NotRead:
         return "not_read";
-    case EvacuationHold::Stale:
+    case StartBlock::Stale:
         return "stale";
     }
     return "unknown";
 }
 
-EvacuationHold EvacuationGate::hold(const EvacuationRequests &requests, const EvacuationView &view,
-                                    Instant now) const
+StartBlock EvacuationGate::block(const EvacuationRequests &requests, const EvacuationView &view,
+                                 Instant now) const
 {
     const std::optional<Instant> &readAt = requests.lastReadToEnd();
     if (!readAt || *readAt + this->maxAge / 2 < view.ownerSince) {
-        return EvacuationHold::NotRead;
+        return StartBlock::NotRead;
     }
     const bool storeAnswers = now - view.storeAnsweredAt <= maxStoreSilence;
     if (storeAnswers && now - *readAt > this->maxAge) {
-        return EvacuationHold::Stale;
+        return StartBlock::Stale;
     }
-    return EvacuationHold::None;
+    return StartBlock::None;
 }
 
 bool EvacuationGate::mayStartIn(const DataCentreId &dataCentre, const EvacuationRequests &requests,
                                 const EvacuationView &view, Instant now) const
 {
     return !requests.isEvacuated(dataCentre)
-            && this->hold(requests, view, now) == EvacuationHold::None;
+            && this->block(requests, view, now) == StartBlock::None;
 }
 
 } // namespace bulrush
--- a/modules/bulrush_evacuation/gate/EvacuationGate.h
+++ b/modules/bulrush_evacuation/gate/EvacuationGate.h
@@ -16,7 +16,7 @@
 };
 
 /** Why no start may be sent to any data centre. */
-enum class EvacuationHold : std::uint8_t {
+enum class StartBlock : std::uint8_t {
     /** Starts may be sent. */
     None,
     /** The requests have not been read to the end since, or shortly before, the ownership began. */
@@ -26,7 +26,7 @@
 };
 
 /** Returns the name of a reason as it is logged. */
-std::string_view text(EvacuationHold hold);
+std::string_view text(StartBlock block);
 
 /** Decides whether starts may be sent, given what is known of the evacuation requests. */
 class EvacuationGate
@@ -39,8 +39,8 @@
     }
 
     /** Returns why no start may be sent to any data centre now. */
-    EvacuationHold hold(const EvacuationRequests &requests, const EvacuationView &view,
-                        Instant now) const;
+    StartBlock block(const EvacuationRequests &requests, const EvacuationView &view,
+                     Instant now) const;
 
     /** Returns whether a start may be sent to a data centre now. */
     bool mayStartIn(const DataCentreId &dataCentre, const EvacuationRequests &requests,
--- a/modules/bulrush_evacuation/moves/EvacuationMoves.cpp
+++ b/modules/bulrush_evacuation/moves/EvacuationMoves.cpp
@@ -8,13 +8,13 @@
 namespace {
 
 /** At most one of this many workers' worth of tasks is on the move at a time. */
-constexpr std::size_t workersAMove = 16;
+constexpr std::size_t workersPerMove = 16;
 
 } // namespace
 
 std::size_t EvacuationMoves::maxMoving(std::size_t workers)
 {
-    return std::max<std::size_t>(1, workers / workersAMove);
+    return std::max<std::size_t>(1, workers / workersPerMove);
 }
 
 std::size_t EvacuationMoves::allowed(const EvacuationState &state)
@@ -32,18 +32,19 @@
     std::stable_sort(runs.begin(), runs.end(), [](const EvacuatedRun &a, const EvacuatedRun &b) {
         return a.placedAt < b.placedAt;
     });
-    std::map<std::size_t, std::uint32_t> away;
+    std::map<std::size_t, std::uint32_t> unavailable;
     std::vector<EvacuatedRun> chosen;
     for (const EvacuatedRun &run : runs) {
         if (run.memberOfGang) {
             continue;
         }
-        std::uint32_t &awayOfStep = away.try_emplace(run.step, run.away).first->second;
+        std::uint32_t &unavailableOfStep =
+                unavailable.try_emplace(run.step, run.unavailable).first->second;
         // A task that waits already would take the room that is meant for the moved one.
-        if (awayOfStep >= std::max(1U, run.maxAway)) {
+        if (unavailableOfStep >= std::max(1U, run.maxUnavailable)) {
             continue;
         }
-        ++awayOfStep;
+        ++unavailableOfStep;
         chosen.push_back(run);
     }
     return chosen;
--- a/modules/bulrush_evacuation/moves/EvacuationMoves.h
+++ b/modules/bulrush_evacuation/moves/EvacuationMoves.h
@@ -18,9 +18,9 @@
     bool memberOfGang = false;
     /** How many tasks of the step may be without a run at a time; 0 if the step sets no limit,
         in which case one is moved at a time. */
-    std::uint32_t maxAway = 0;
+    std::uint32_t maxUnavailable = 0;
     /** How many tasks of the step have no run, or one that is being stopped. */
-    std::uint32_t away = 0;
+    std::uint32_t unavailable = 0;
     /** Since when the task has had its room. */
     Instant placedAt {};
 };
--- a/modules/bulrush_evacuation/tests/evacuation_test.cpp
+++ b/modules/bulrush_evacuation/tests/evacuation_test.cpp
@@ -53,11 +53,10 @@
 {
     const EvacuationGate gate(bound);
     const EvacuationView view { start, start };
-    cr_assert(gate.hold({}, view, start) == EvacuationHold::NotRead);
-    cr_assert(gate.hold(readAt(start - milliseconds(2501)), view, start)
-              == EvacuationHold::NotRead);
-    cr_assert(gate.hold(readAt(start - milliseconds(2500)), view, start) == EvacuationHold::None);
-    cr_assert(gate.hold(readAt(start), view, start) == EvacuationHold::None);
+    cr_assert(gate.block({}, view, start) == StartBlock::NotRead);
+    cr_assert(gate.block(readAt(start - milliseconds(2501)), view, start) == StartBlock::NotRead);
+    cr_assert(gate.block(readAt(start - milliseconds(2500)), view, start) == StartBlock::None);
+    cr_assert(gate.block(readAt(start), view, start) == StartBlock::None);
 }
 
 /* Where only the reads of the requests fail, an owner would never learn of a request. */
@@ -66,9 +65,9 @@
     const EvacuationGate gate(bound);
     const EvacuationRequests requests = readAt(start);
     const Instant late = start + bound + milliseconds(1);
-    cr_assert(gate.hold(requests, { start, late }, start + bound) == EvacuationHold::None);
-    cr_assert(gate.hold(requests, { start, late }, late) == EvacuationHold::Stale);
-    cr_assert(gate.hold(requests, { start, start }, late) == EvacuationHold::None);
+    cr_assert(gate.block(requests, { start, late }, start + bound) == StartBlock::None);
+    cr_assert(gate.block(requests, { start, late }, late) == StartBlock::Stale);
+    cr_assert(gate.block(requests, { start, start }, late) == StartBlock::None);
 }
 
 Test(EvacuationGate, onlyTheEvacuatedDataCentreTakesNoStarts)
--- a/modules/bulrush_net/http/ConnectionTable.h
+++ b/modules/bulrush_net/http/ConnectionTable.h
@@ -70,7 +70,7 @@
     std::size_t size() const { return this->connections.size(); }
 
     /** Returns the number of connections that are not being closed. */
-    std::size_t staying() const { return this->connections.size() - this->closingCount; }
+    std::size_t activeCount() const { return this->connections.size() - this->closingCount; }
 
 private:
     struct Connection
--- a/modules/bulrush_net/http/HttpServer.cpp
+++ b/modules/bulrush_net/http/HttpServer.cpp
@@ -203,10 +203,10 @@
 bool HttpServer::acceptsConnection()
 {
     const std::size_t max = this->limits.maxConnections;
-    if (this->connections.staying() >= max) {
+    if (this->connections.activeCount() >= max) {
         this->noteBegunHeaders();
     }
-    while (this->connections.staying() >= max) {
+    while (this->connections.activeCount() >= max) {
         const auto displaced = this->connections.displaceable(this->loop.now());
         if (!displaced) {
             break;
@@ -222,7 +222,7 @@
 void HttpServer::connectionOpened(lws *wsi)
 {
     ++this->acceptedCount;
-    const bool beyondLimit = this->connections.staying() >= this->limits.maxConnections;
+    const bool beyondLimit = this->connections.activeCount() >= this->limits.maxConnections;
     this->connections.opened(idOf(wsi), beyondLimit, this->loop.now());
 }
 
@@ -240,9 +240,9 @@
     const Instant now = this->loop.now();
     for (const ConnectionTable::ConnectionId id :
          this->connections.overdue(this->limits.times, now)) {
-        const std::size_t before = this->connections.staying();
+        const std::size_t before = this->connections.activeCount();
         this->closeConnection(id);
-        this->refused.overdueConnections += before - this->connections.staying();
+        this->refused.overdueConnections += before - this->connections.activeCount();
     }
     const std::vector<RequestId> slow = this->budget.overdue(now);
     this->refused.slowUploads += slow.size();
--- a/modules/bulrush_net/tests/body_budget_test.cpp
+++ b/modules/bulrush_net/tests/body_budget_test.cpp
@@ -115,6 +115,6 @@
     cr_assert_not(table.displaceable(at(200)));
     cr_assert_eq(*table.displaceable(at(300)), 2U);
     table.closing(2);
-    cr_assert_eq(table.staying(), 2U);
+    cr_assert_eq(table.activeCount(), 2U);
     cr_assert_eq(*table.displaceable(at(300)), 1U);
 }
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -248,13 +248,13 @@
     void removeRecordsOfFormerOwners();
 
     /** Returns why no start may be sent to any data centre because of evacuations. */
-    EvacuationHold evacuationHold() const;
+    StartBlock startBlock() const;
 
     /** Applies the evacuation requests to the workers. */
     void followEvacuationRequests(Instant now);
 
     /** Logs when starts are withheld because the requests are not known, and when they resume. */
-    void reportEvacuationHold(Instant now);
+    void reportStartBlock(Instant now);
 
     /** Stops long-running runs in evacuated data centres as far as they have room elsewhere. */
     void moveRunsOut(Instant now);
@@ -380,8 +380,8 @@
     Instant resumedAt {};
     /** The version of the requests that the workers' states follow from. */
     std::uint64_t appliedEvacuations = 0;
-    EvacuationHold reportedHold = EvacuationHold::None;
-    Instant heldSince {};
+    StartBlock reportedBlock = StartBlock::None;
+    Instant blockedSince {};
     Instant nextMoves {};
     /** The tasks that were stopped to be moved, and when. */
     std::map<TaskRef, Instant> movingSince;
--- a/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
@@ -14,6 +14,10 @@
 
 namespace {
 
+/** How many times longer a run on a cold worker is expected to take. Workers do not tell by how
+   much they are slowed; with too short a time their runs would be judged as slow and restarted. */
+constexpr int coldDurationFactor = 2;
+
 /** Returns the calendar time of an instant, by the difference of the clock's two times now. */
 UnixMillis calendarOf(Instant instant, const Clock &clock)
 {
@@ -94,8 +98,7 @@
     if (worker.coldStarts.isCold(this->clock.now())) {
         worker.coldStarts.started(this->clock.now());
         run.startedCold = true;
-        // How much slower a cold worker is, is not known.
-        run.expected *= 2;
+        run.expected *= coldDurationFactor;
     }
     this->workerManager.assign(worker, run);
     if (task.startedApart) {
--- a/modules/bulrush_steps/dispatch/DispatcherEvacuation.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherEvacuation.cpp
@@ -47,20 +47,20 @@
     worker->coldStarts.setCold(this->clock.now() + left, rate);
 }
 
-EvacuationHold Dispatcher::evacuationHold() const
+StartBlock Dispatcher::startBlock() const
 {
     if (this->evacuations == nullptr) {
-        return EvacuationHold::None;
+        return StartBlock::None;
     }
     // While the process was paused, the store's silence means nothing.
     const EvacuationView view { this->begunAt,
                                 std::max(this->listener.storeAnsweredAt(), this->resumedAt) };
-    return this->evacuationGate.hold(*this->evacuations, view, this->clock.now());
+    return this->evacuationGate.block(*this->evacuations, view, this->clock.now());
 }
 
 bool Dispatcher::maySendStarts() const
 {
-    return this->mayCommand() && this->evacuationHold() == EvacuationHold::None;
+    return this->mayCommand() && this->startBlock() == StartBlock::None;
 }
 
 void Dispatcher::followEvacuationRequests(Instant now)
@@ -71,7 +71,7 @@
     if (now - std::exchange(this->tickedAt, now) > maxTickGap) {
         this->resumedAt = now;
     }
-    this->reportEvacuationHold(now);
+    this->reportStartBlock(now);
     if (this->appliedEvacuations == this->evacuations->version()) {
         return;
     }
@@ -81,28 +81,28 @@
     }
 }
 
-void Dispatcher::reportEvacuationHold(Instant now)
+void Dispatcher::reportStartBlock(Instant now)
 {
-    const EvacuationHold hold = this->evacuationHold();
-    if (hold == this->reportedHold) {
+    const StartBlock block = this->startBlock();
+    if (block == this->reportedBlock) {
         return;
     }
-    if (hold == EvacuationHold::None) {
-        const Duration held = now - this->heldSince;
+    if (block == StartBlock::None) {
+        const Duration held = now - this->blockedSince;
         this->decisions.write(DecisionLine(Event::StartsResumed)
                                       .with("held_ms", duration_cast<milliseconds>(held).count()));
     } else {
-        this->heldSince = this->reportedHold == EvacuationHold::None ? now : this->heldSince;
+        this->blockedSince = this->reportedBlock == StartBlock::None ? now : this->blockedSince;
         const std::optional<Instant> &readAt = this->evacuations->lastReadToEnd();
         constexpr std::int64_t neverRead = -1;
         this->decisions.write(
                 DecisionLine(Event::StartsWithheld)
-                        .with("reason", text(hold))
+                        .with("reason", text(block))
                         .with("read_age_ms",
                               readAt ? duration_cast<milliseconds>(now - *readAt).count()
                                      : neverRead));
     }
-    this->reportedHold = hold;
+    this->reportedBlock = block;
 }
 
 std::uint32_t Dispatcher::movingTasks(const StepRef &step) const
@@ -117,7 +117,7 @@
     struct Step
     {
         std::size_t number = 0;
-        std::uint32_t away = 0;
+        std::uint32_t unavailable = 0;
     };
     std::map<StepRef, Step> steps;
     std::vector<EvacuatedRun> runs;
@@ -133,11 +133,11 @@
                     steps.try_emplace(attempt.task.stepRef(), Step { steps.size(), 0 });
             if (added) {
                 const OccurrenceState &state = job->occurrences.at(attempt.task.occurrence);
-                step->second.away = state.steps.at(attempt.task.step).tasks.open();
+                step->second.unavailable = state.steps.at(attempt.task.step).tasks.open();
             }
             const bool atWork = run.phase == RunPhase::Running && !run.stopRequested
                     && !run.mayHaveEnded && worker.confirmed;
-            step->second.away += atWork ? 0 : 1;
+            step->second.unavailable += atWork ? 0 : 1;
             if (worker.evacuated && run.phase == RunPhase::Running && !run.stopRequested
                 && !run.mayHaveEnded) {
                 const StepSpec &spec = job->step(attempt.task);
@@ -148,7 +148,7 @@
         }
     }
     for (EvacuatedRun &run : runs) {
-        run.away = steps.at(found[run.run].attempt.task.stepRef()).away;
+        run.unavailable = steps.at(found[run.run].attempt.task.stepRef()).unavailable;
     }
     return runs;
 }
@@ -166,7 +166,7 @@
     this->moveWaitsForCapacity = false;
     const EvacuationState state { this->workerManager.workers().size(), this->movingSince.size(),
                                   this->planner.endingTasksWait() };
-    if (!this->mayPreempt() || this->evacuationHold() != EvacuationHold::None) {
+    if (!this->mayPreempt() || this->startBlock() != StartBlock::None) {
         return;
     }
     std::vector<RunToMove> found;
