--- a/modules/bulrush_appends/flow/RelayQueue.cpp
+++ b/modules/bulrush_appends/flow/RelayQueue.cpp
@@ -9,19 +9,19 @@
     }
     this->totalBytes += bytes;
     const std::uint64_t id = this->nextId++;
-    this->batches[id] = { origin, bytes };
+    this->records[id] = { origin, bytes };
     return id;
 }
 
 std::optional<RelayQueue::Origin> RelayQueue::complete(std::uint64_t id)
 {
-    const auto found = this->batches.find(id);
-    if (found == this->batches.end()) {
+    const auto found = this->records.find(id);
+    if (found == this->records.end()) {
         return std::nullopt;
     }
     const std::optional<Origin> origin = found->second.origin;
     this->totalBytes -= found->second.bytes;
-    this->batches.erase(found);
+    this->records.erase(found);
     if (origin) {
         this->origins.erase(*origin);
     }
@@ -30,10 +30,10 @@
 
 void RelayQueue::linkClosed(std::uint64_t link)
 {
-    for (auto &[id, batch] : this->batches) {
-        if (batch.origin && batch.origin->link == link) {
-            this->origins.erase(*batch.origin);
-            batch.origin.reset();
+    for (auto &[id, record] : this->records) {
+        if (record.origin && record.origin->link == link) {
+            this->origins.erase(*record.origin);
+            record.origin.reset();
         }
     }
 }
--- a/modules/bulrush_appends/tests/append_load_test.cpp
+++ b/modules/bulrush_appends/tests/append_load_test.cpp
@@ -88,7 +88,7 @@
     cr_expect_gt(figures.recorded, total(figures) / 2);
 }
 
-/* An owner of an earlier version ignores batches. */
+/* An owner of an earlier version does not answer records. */
 Test(AppendLoad, anOwnerThatDoesNotAnswerIsNoWorseThanNone)
 {
     AppendLoad load = loadOf(AppendMode::HandedOver, 35);
--- a/soak/CallerCrowd.cpp
+++ b/soak/CallerCrowd.cpp
@@ -56,7 +56,8 @@
     server.sin_port = htons(static_cast<std::uint16_t>(this->port));
     inet_pton(AF_INET, this->address.c_str(), &server.sin_addr);
     // An error shows when the socket is written to.
-    ::connect(client.socket, reinterpret_cast<const sockaddr *>(&server), sizeof(server));
+    [[maybe_unused]] const int result =
+            ::connect(client.socket, reinterpret_cast<const sockaddr *>(&server), sizeof(server));
 }
 
 void CallerCrowd::close(Client &client)
