--- a/review/standins-3/Deployment.cpp
+++ b/review/standins-3/Deployment.cpp
@@ -7,6 +7,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -180,11 +181,17 @@
 {
     const std::string logPath = this->settings.folder + "/node-" + node.ip + ".log";
     const std::string boot = "BULRUSHRILL_BOOT=" + node.settingsPath;
+    const pid_t parent = getpid();
     const pid_t child = fork();
     if (child < 0) {
         throw std::runtime_error("fork failed");
     }
     if (child == 0) {
+        // The node ends with this process, however that one ends.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (getppid() != parent) {
+            _exit(127);
+        }
         const int log = open(logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
