--- a/modules/bulrush_steps/tests/DispatcherFixture.h
+++ b/modules/bulrush_steps/tests/DispatcherFixture.h
@@ -36,6 +36,7 @@
     entry.endpoint = { "127.0.0.1", 1 };
     entry.capacity = { 64000, 256000, 0 };
     entry.labels = { "a", "r1-1" };
+    entry.processStartedAt = 1;
     return entry;
 }
 
@@ -96,7 +97,13 @@
         this->dispatcher.begin(term, std::move(table));
     }
 
-    void listWorker(const char *name) { this->dispatcher.workerListed(makeWorkerEntry(name)); }
+    /** Lists a worker as its present process describes itself. */
+    void listWorker(const char *name)
+    {
+        WorkerEntry entry = makeWorkerEntry(name);
+        entry.processStartedAt = this->worker(name).processStartedAt;
+        this->dispatcher.workerListed(entry);
+    }
 
     void accept(const StepJob &job)
     {
@@ -117,6 +124,26 @@
             this->workers.deliver();
             this->processes.deliver();
             this->log.deliver();
+            if (this->restartedWorkersListThemselves) {
+                this->listRestartedWorkers();
+            }
+        }
+    }
+
+    /** Lists the workers anew of which the owner has heard of a later process than their entries
+        are of. */
+    void listRestartedWorkers()
+    {
+        std::vector<WorkerEntry> entries;
+        for (const auto &[id, known] : this->dispatcher.runs().workers()) {
+            const bool restarted = known.processStartedAt > known.entry.processStartedAt;
+            if (restarted && known.listed) {
+                entries.push_back(known.entry);
+                entries.back().processStartedAt = known.processStartedAt;
+            }
+        }
+        for (const WorkerEntry &entry : entries) {
+            this->dispatcher.workerListed(entry);
         }
     }
 
@@ -146,6 +173,8 @@
     bool owner = true;
     bool soleOwner = true;
     bool ownershipLost = false;
+    /** Whether the entry of a worker's new process is read as soon as that process has answered. */
+    bool restartedWorkersListThemselves = true;
     std::vector<KeyedRecord> obsoleteRecords;
     HeldTasks held;
     /** How long tasks of long-running steps waited, each time that a run was confirmed. */
--- a/modules/bulrush_steps/tests/restarted_worker_test.cpp
+++ b/modules/bulrush_steps/tests/restarted_worker_test.cpp
@@ -187,3 +187,30 @@
     fixture.runFor(milliseconds(50));
     cr_assert_not(fixture.ownershipLost);
 }
+
+/* The entry of the former process decided on labels and room until the list was read again. */
+Test(RestartedWorker, nothingStartsByTheEntryOfAFormerProcessThatWasOfAnotherKind)
+{
+    DispatcherFixture fixture;
+    fixture.restartedWorkersListThemselves = false;
+    fixture.begin({});
+    fixture.listWorker("w1");
+    fixture.runFor(seconds(1));
+    fixture.workers.restart(TargetId("w1"));
+    fixture.runFor(seconds(2));
+    StepJob job = makeJob("a", 1);
+    job.steps[0].requiredLabel = "a";
+    fixture.accept(job);
+    fixture.runFor(seconds(1));
+    cr_assert_eq(fixture.startsOn("w1"), 0U);
+    WorkerEntry entry = makeWorkerEntry("w1");
+    entry.processStartedAt = fixture.worker("w1").processStartedAt;
+    entry.labels = { "b", "r1-1" };
+    fixture.dispatcher.workerListed(entry);
+    fixture.runFor(seconds(1));
+    cr_assert_eq(fixture.startsOn("w1"), 0U);
+    entry.labels = { "a", "r1-1" };
+    fixture.dispatcher.workerListed(entry);
+    fixture.runFor(seconds(1));
+    cr_assert_eq(fixture.startsOn("w1"), 1U);
+}
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -267,9 +267,14 @@
     /** Returns whether a start request may be sent to it unless its data centre is evacuated. */
     bool isInService() const
     {
-        return this->listed && !this->entry.draining && this->confirmed && this->onRoster;
+        return this->listed && !this->entry.draining && this->confirmed && this->onRoster
+                && this->isDescribed();
     }
 
+    /** Returns whether its entry is of the process that answers, which may be of another kind and
+        size than a former one. */
+    bool isDescribed() const { return this->entry.processStartedAt == this->processStartedAt; }
+
     /** Returns whether its process has ended as announced: it reported that it was shutting down,
         withdrew its entry, and does not answer. */
     bool hasLeft() const
