Put on record that a long-running task has no run

Cause: when a run ends, is lost, refused or not sent, the owner puts on record since when the task waits, but the record goes on naming the worker. If that worker leaves before its withdrawal is read and the owner changes, the successor's roster names it, it answers nobody, and where the list of VMs cannot be read the task is held for the full wait.

Change: where the owner itself may start the task at once, its record names no worker. progressOf() keeps rows that have only the wait.

Why it is sound: the owner drops the name under the same condition under which it may assign the task to another worker, which replaces the name too: no open run (none Assigned, Starting or Unconfirmed), and the task is not held for a worker that has not answered. A start needs the assignment stored first, in later order, and a newer owner's epoch refuses both; an append under way or refused leaves the older name, so the successor holds. The acknowledgement of ends waits for no record, as before: an end that is forgotten by its worker before the record is stored makes a successor wait, never start. A successor takes the row for free only where all owners that it waits for record assignments.

Earlier versions read the worker's column as a string: it is empty, which is no worker that they wait for, and reads as none here. Rows of earlier versions read as before.

Ruled out: dropping the name whenever a wait is recorded. An end of an earlier run, listed by another worker while the one on record has not answered, would free the task (theEndOfAnEarlierRunLeavesATaskAssigned).

--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -289,7 +289,8 @@
     void completeGang(JobEntry &job, const AttemptRef &attempt);
     void closeRun(StepTask &task, std::string checkpoint);
 
-    /** Has it put on record since when a long-running task without a run waits. */
+    /** Has it put on record since when a long-running task without a run waits, and that no worker
+        has a run of it. */
     void recordWait(JobEntry &job, const TaskRef &ref);
 
     /** Ends the wait of a task, as a worker has confirmed a run of it. */
--- a/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
@@ -32,11 +32,21 @@
         return;
     }
     const StepTask &task = job.task(ref);
-    if (task.openRuns > 0 || !task.waitsSince || task.recordedWaitsSince) {
+    if (task.openRuns > 0 || !task.waitsSince) {
         return;
     }
-    const UnixMillis since = calendarOf(*task.waitsSince, this->clock);
-    job.changeTask(ref).recordedWaitsSince = since;
+    // While this owner may not start the task, a run of it may be alive on the worker on record.
+    const bool hasNoRun = this->mayStart(job, job.step(ref), task);
+    if (task.recordedWaitsSince && !(hasNoRun && task.assignedTo)) {
+        return;
+    }
+    StepTask &changed = job.changeTask(ref);
+    if (hasNoRun) {
+        changed.assignedTo.reset();
+    }
+    if (!changed.recordedWaitsSince) {
+        changed.recordedWaitsSince = calendarOf(*changed.waitsSince, this->clock);
+    }
     this->markTaskChanged(job, ref);
 }
 
--- a/modules/bulrush_steps/model/JobRecords.cpp
+++ b/modules/bulrush_steps/model/JobRecords.cpp
@@ -157,14 +157,16 @@
 json encodeTask(const TaskProgress &task)
 {
     json row = { task.occurrence, task.step, task.index, task.succeeded, task.failedAttempts };
-    if (task.assignedTo || !task.crashedAttempts.empty() || !task.youngCrashes.empty()) {
+    const bool isLongRunning = task.assignedTo || task.waitsSince;
+    if (isLongRunning || !task.crashedAttempts.empty() || !task.youngCrashes.empty()) {
         row.push_back(task.crashedAttempts);
         row.push_back(task.youngCrashes);
     }
-    if (task.assignedTo) {
-        row.push_back(task.assignedTo->name());
+    if (isLongRunning) {
+        // Earlier versions require a name here, and wait for no worker whose name is empty.
+        row.push_back(task.assignedTo ? task.assignedTo->name() : std::string());
     }
-    if (task.assignedTo && task.waitsSince) {
+    if (task.waitsSince) {
         row.push_back(*task.waitsSince);
     }
     return row;
@@ -193,7 +195,8 @@
         task.youngCrashes = row.at(crashColumns + 1).get<std::vector<std::uint64_t>>();
     }
     if (row.size() > assignmentColumn) {
-        task.assignedTo = TargetId(row.at(assignmentColumn).get<std::string>());
+        const TargetId worker(row.at(assignmentColumn).get<std::string>());
+        task.assignedTo = worker.isEmpty() ? std::nullopt : std::optional(worker);
     }
     if (row.size() > waitColumn) {
         task.waitsSince = decodeWait(row.at(waitColumn));
--- a/modules/bulrush_steps/model/JobRecords.h
+++ b/modules/bulrush_steps/model/JobRecords.h
@@ -26,7 +26,7 @@
     std::vector<std::uint64_t> youngCrashes;
     /** As in StepTask. */
     std::optional<TargetId> assignedTo;
-    /** Of an assigned task: since when it waits, in calendar time. @see
+    /** Of a long-running task: since when it waits, in calendar time. @see
         StepTask::recordedWaitsSince */
     std::optional<UnixMillis> waitsSince = std::nullopt;
 };
--- a/modules/bulrush_steps/model/StepJobTable.cpp
+++ b/modules/bulrush_steps/model/StepJobTable.cpp
@@ -405,7 +405,7 @@
                                 task.youngCrashes,
                                 task.assignedTo,
                                 task.recordedWaitsSince };
-        if (showsRun(recorded) || recorded.assignedTo) {
+        if (showsRun(recorded) || recorded.assignedTo || recorded.waitsSince) {
             progress.tasks.push_back(std::move(recorded));
         }
     }
--- a/modules/bulrush_steps/model/TaskStates.h
+++ b/modules/bulrush_steps/model/TaskStates.h
@@ -42,8 +42,9 @@
     /** Of a long-running task: waitsSince as calendar time, which its record gives to the next
         owner; none while the record gives none. */
     std::optional<UnixMillis> recordedWaitsSince;
-    /** The worker on which a run of a long-running task may be alive, as on record or about to be.
-        Any earlier run is no longer alive when the task is assigned to another worker. */
+    /** The worker on which a run of a long-running task may be alive, as on record or about to be;
+        none while none may be. Any earlier run is no longer alive when the task is assigned to
+        another worker or to none. */
     std::optional<TargetId> assignedTo;
     /** The number of the change that puts the assignment on record. */
     std::uint64_t assignmentChange = 0;
