Take workers that have ended off the roster while others are awaited

A new owner that learned from the list of VMs that a worker of its predecessors had ended left it on its roster until a worker joined or left, or the whole wait was over. A successor then waited for that worker again, and held its tasks if the list of VMs could not be read by then.

Cause: the roster was computed anew only with a change of membership or the end of the wait; a worker that was never listed changes neither.

Evidence: Roster/aWorkerOfAFormerOwnerThatHasEndedIsNotNamedWhileOthersAreAwaited failed before: the stored roster still named w1 after the event "worker ended".

Change: the number of awaited workers is what the roster depends on; it is 0 from the end of the wait on, so it replaces the flag. Each first answer changes the membership anyway, so rosters are not written more often but for workers that ended.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -207,7 +207,7 @@
 void Dispatcher::updateRoster()
 {
     const RosterBasis basis { this->workerManager.membershipVersion(),
-                              this->takeoverWait.isOver() };
+                              this->takeoverWait.workersToHearFrom().size() };
     if (this->rosterBasis == basis) {
         return;
     }
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -215,7 +215,8 @@
     struct RosterBasis
     {
         std::uint64_t membershipVersion = 0;
-        bool takeoverWaitIsOver = false;
+        /** The number of workers of former owners that are still waited for. */
+        std::size_t awaitedWorkers = 0;
 
         bool operator==(const RosterBasis &) const = default;
     };
--- a/modules/bulrush_steps/tests/roster_test.cpp
+++ b/modules/bulrush_steps/tests/roster_test.cpp
@@ -130,3 +130,22 @@
     fixture.runFor(seconds(1));
     cr_assert_gt(fixture.startsOn("w2"), 0U);
 }
+
+/* A successor would wait for a worker that this owner knows to have ended. */
+Test(Roster, aWorkerOfAFormerOwnerThatHasEndedIsNotNamedWhileOthersAreAwaited)
+{
+    DispatcherFixture fixture;
+    fixture.worker("w3").silent = true;
+    fixture.begin(makeJobTable(makeJob("a", 1), { TargetId("w1"), TargetId("w2"), TargetId("w3") },
+                               fixture.clock));
+    fixture.listWorker("w2");
+    fixture.listWorker("w3");
+    fixture.runFor(milliseconds(300));
+    cr_assert(names(storedRoster(fixture), "w1"));
+    fixture.processes.list = WorkerProcesses { { TargetId("w2"), TargetId("w3") }, 1 };
+    fixture.runFor(seconds(2));
+    cr_assert_eq(fixture.decisions.lines[Event::WorkerEnded].size(), 1U);
+    cr_assert_not(names(storedRoster(fixture), "w1"));
+    cr_assert(names(storedRoster(fixture), "w2"));
+    cr_assert(names(storedRoster(fixture), "w3"));
+}
