Keep the number of starts in flight on a worker from falling below zero

A worker could get no starts any more until its entry was withdrawn or the owner changed.

Cause: cancelAssigned() took one from commandsInFlight without a look. The answer to a start can arrive after the worker has listed the end of that run and its entry was withdrawn and written anew; the new entry begins at 0. The late answer is counted on it, against an assigned start that is then given up as well: 0 less 1.

Evidence: AssignmentRecord/aLateAnswerToAStartDoesNotBarItsWorker failed before, with 1 start on w1 instead of 2 in a second with the whole room free. All within 0.7 s, the time-out of a start.

Ruled out: other ways to it. An assigned start keeps its run, a worker with a run is not dropped, and no other code removes a run that was not sent while it may still be in assignedStarts: dropExpiredRuns() needs a worker that takes no starts, and those are given up earlier in the same tick.

Change: both places count through one function that stops at 0. The count of a worker that is listed anew may be too low by what was in flight before, as it was.

--- a/modules/bulrush_steps/tests/FakeWorkers.h
+++ b/modules/bulrush_steps/tests/FakeWorkers.h
@@ -22,6 +22,9 @@
     bool silent = false;
     /** Whether starts are carried out but end as Unknown, as if their answers were lost. */
     bool losesStartAnswers = false;
+    /** Whether starts are carried out but stay without an answer until
+        FakeWorkers::answerKeptStarts(). */
+    bool keepsStartAnswers = false;
     /** Whether starts have no effect and end as NoRoom. */
     bool refusesStarts = false;
     std::uint64_t fencingToken = 0;
@@ -80,6 +83,10 @@
         if (fake.losesStartAnswers) {
             answer = {};
         }
+        if (fake.keepsStartAnswers) {
+            this->keptStartAnswers.emplace_back([callback, answer] { callback(answer); });
+            return;
+        }
         this->enqueue([callback, answer] { callback(answer); });
     }
 
@@ -157,6 +164,14 @@
         this->workers[worker].startedAt = this->clock.now();
     }
 
+    /** Answers the starts that were kept without an answer, at the next deliver(). */
+    void answerKeptStarts()
+    {
+        for (const auto &answer : std::exchange(this->keptStartAnswers, {})) {
+            this->enqueue(answer);
+        }
+    }
+
     /** Answers the holds that were kept with Unknown, at the next deliver(). */
     void failKeptHolds()
     {
@@ -280,6 +295,7 @@
     const Clock &clock;
     std::deque<std::function<void()>> pending;
     std::vector<std::function<void(HoldAnswer)>> keptHolds;
+    std::vector<std::function<void()>> keptStartAnswers;
     std::vector<std::function<void()>> delayed;
 };
 
--- a/modules/bulrush_steps/tests/assignment_record_test.cpp
+++ b/modules/bulrush_steps/tests/assignment_record_test.cpp
@@ -180,6 +180,44 @@
     cr_assert_eq(fixture.startsOn("w1"), 1U);
 }
 
+/* The answer to a start overtakes the end of its run and the entry of its worker, which is
+   withdrawn and written anew: the number of starts in flight there fell below zero, and it got no
+   more. */
+Test(AssignmentRecord, aLateAnswerToAStartDoesNotBarItsWorker)
+{
+    DispatcherFixture fixture;
+    fixture.begin({});
+    fixture.listWorker("w1");
+    fixture.runFor(milliseconds(300));
+    fixture.worker("w1").keepsStartAnswers = true;
+    fixture.accept(makeJob("ends", 1));
+    fixture.runFor(milliseconds(50));
+    cr_assert_eq(fixture.startsOn("w1"), 1U);
+    fixture.workers.endRun(TargetId("w1"), fixture.workers.starts.front().attempt,
+                           EndKind::Succeeded);
+    fixture.runFor(milliseconds(50));
+    fixture.dispatcher.workerUnlisted(TargetId("w1"), RemovalCause::Unknown);
+    fixture.runFor(milliseconds(100));
+    cr_assert(fixture.dispatcher.runs().workers().empty());
+    fixture.listWorker("w1");
+    fixture.runFor(milliseconds(200));
+    fixture.log.up = false;
+    fixture.accept(makeLastingJob("a"));
+    fixture.runFor(milliseconds(50));
+    fixture.worker("w1").keepsStartAnswers = false;
+    fixture.workers.answerKeptStarts();
+    fixture.runFor(tickInterval);
+    WorkerEntry draining = makeWorkerEntry("w1");
+    draining.draining = true;
+    fixture.dispatcher.workerListed(draining);
+    fixture.runFor(milliseconds(50));
+    cr_assert_eq(fixture.decisions.lines[Event::StartRefused].size(), 1U);
+    fixture.listWorker("w1");
+    fixture.log.up = true;
+    fixture.runFor(seconds(1));
+    cr_assert_eq(fixture.startsOn("w1"), 2U, "%zu starts", fixture.startsOn("w1"));
+}
+
 /* All tasks of a gang start together: one that waits for a silent worker holds the others. */
 Test(AssignmentRecord, aLastingGangWaitsWhileOneOfItsTasksMayRunOnASilentWorker)
 {
--- a/modules/bulrush_steps/workers/WorkerManagerOrders.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerOrders.cpp
@@ -18,6 +18,15 @@
 /** How long a worker receives no new tasks after it refused a start or did not answer it. */
 constexpr milliseconds refusalPause { 400 };
 
+/** Counts a start as no longer in flight. One that was sent before the worker's entry was withdrawn
+    and written anew is not among those counted. */
+void countStartDone(Worker &worker)
+{
+    if (worker.commandsInFlight > 0) {
+        --worker.commandsInFlight;
+    }
+}
+
 } // namespace
 
 void WorkerManager::assign(Worker &worker, Run run)
@@ -31,7 +40,7 @@
 
 std::optional<Run> WorkerManager::cancelAssigned(Worker &worker, const AttemptRef &attempt)
 {
-    --worker.commandsInFlight;
+    countStartDone(worker);
     const auto found = worker.runs.find(attempt);
     if (found == worker.runs.end()) {
         return std::nullopt;
@@ -76,9 +85,7 @@
     if (worker == nullptr) {
         return;
     }
-    if (worker->commandsInFlight > 0) {
-        --worker->commandsInFlight;
-    }
+    countStartDone(*worker);
     if (answer.outcome == CommandOutcome::Fenced && this->isSuperseded(*worker, command)) {
         this->listener.superseded(*worker);
         return;
