Log for which workers held tasks wait, and how old the list of VMs is

It has own_workers, own_worker_states and vm_list_age_ms now. Dispatcher/tasksThatWaitForTheirOwnWorkerAreCountedApart asks for them; its former checks stay.

--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -189,6 +189,7 @@
     HeldTasks heldTasks() const override;
     void tasksHeld(const HeldTasks &held) override { this->listener.tasksHeld(held); }
     std::string statesOf(const std::set<TargetId> &workers) const override;
+    std::optional<milliseconds> vmListAge() const override { return this->endedWorkers.listAge(); }
 
     // ProgressWriter::Listener
     ProgressRecord progressRecord(const ProgressPart &part) override;
--- a/modules/bulrush_steps/dispatch/DispatcherTakeover.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherTakeover.cpp
@@ -53,10 +53,15 @@
                 continue;
             }
             const StepSpec &spec = job.spec.steps[step];
-            std::size_t &count = this->takeoverWait.usesAssignments(spec) ? held.forOwnWorker
-                                                                          : held.forAllWorkers;
+            const bool forOwnWorker = this->takeoverWait.usesAssignments(spec);
             steps[step].tasks.forEachOpen([&](std::uint32_t /*index*/, const StepTask &task) {
-                count += this->mayStart(job, spec, task) ? 0 : 1;
+                if (this->mayStart(job, spec, task)) {
+                    return;
+                }
+                ++(forOwnWorker ? held.forOwnWorker : held.forAllWorkers);
+                if (forOwnWorker && task.assignedTo) {
+                    held.ownWorkers.insert(*task.assignedTo);
+                }
             });
         }
     }
--- a/modules/bulrush_steps/ownership/TakeoverWait.cpp
+++ b/modules/bulrush_steps/ownership/TakeoverWait.cpp
@@ -14,6 +14,20 @@
 /** Maximum number of workers that a log line names. */
 constexpr std::uint32_t maxNamedWorkers = 8;
 
+/** Returns the names of the first workers. */
+std::string namesOf(const std::set<TargetId> &workers)
+{
+    std::string names;
+    std::uint32_t named = 0;
+    for (const TargetId &id : workers) {
+        if (named++ == maxNamedWorkers) {
+            break;
+        }
+        names += names.empty() ? id.name() : " " + id.name();
+    }
+    return names;
+}
+
 } // namespace
 
 TakeoverWait::TakeoverWait(const Clock &systemClock, DecisionLog &decisionLog,
@@ -103,16 +117,20 @@
     const Duration left = std::max(Duration::zero(), this->owners.settledAt() - now);
     const HeldTasks held = this->observer.heldTasks();
     this->observer.tasksHeld(held);
+    const milliseconds vmListAge = this->observer.vmListAge().value_or(milliseconds(-1));
     this->decisions.write(
             DecisionLine(Event::FormerOwnersAwaited)
                     .with("waited_ms", waited)
                     .with("left_ms", duration_cast<milliseconds>(left).count())
                     .with("owners", this->remainingWaits().size())
-                    .with("unsettled_workers", this->namesOfUnheardWorkers())
+                    .with("unsettled_workers", namesOf(this->unheardWorkers))
                     .with("worker_states", this->observer.statesOf(this->unheardWorkers))
                     .with("owner_states", this->owners.describe(now))
                     .with("held_tasks", held.all())
-                    .with("held_for_own_worker", held.forOwnWorker));
+                    .with("held_for_own_worker", held.forOwnWorker)
+                    .with("own_workers", namesOf(held.ownWorkers))
+                    .with("own_worker_states", this->observer.statesOf(held.ownWorkers))
+                    .with("vm_list_age_ms", vmListAge.count()));
 }
 
 std::vector<UnsettledOwner> TakeoverWait::remainingWaits() const
@@ -133,17 +151,4 @@
                           : this->owners.ownersToAsk(this->clock.now());
 }
 
-std::string TakeoverWait::namesOfUnheardWorkers() const
-{
-    std::string names;
-    std::uint32_t named = 0;
-    for (const TargetId &id : this->unheardWorkers) {
-        if (named++ == maxNamedWorkers) {
-            break;
-        }
-        names += names.empty() ? id.name() : " " + id.name();
-    }
-    return names;
-}
-
 } // namespace bulrush
--- a/modules/bulrush_steps/ownership/TakeoverWait.h
+++ b/modules/bulrush_steps/ownership/TakeoverWait.h
@@ -5,6 +5,7 @@
 #include "bulrush_steps/ownership/OwnershipTerm.h"
 
 #include <cstddef>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,6 +21,8 @@
     std::size_t forOwnWorker = 0;
     /** Tasks that wait for all workers of the roster. */
     std::size_t forAllWorkers = 0;
+    /** The workers of the tasks that wait only for their own. */
+    std::set<TargetId> ownWorkers;
 
     std::size_t all() const { return this->forOwnWorker + this->forAllWorkers; }
 };
@@ -50,6 +53,9 @@
 
         /** Returns how many of these workers are in which state. */
         virtual std::string statesOf(const std::set<TargetId> &workers) const = 0;
+
+        /** Returns how old the newest list of VMs is that was read; none if none was. */
+        virtual std::optional<milliseconds> vmListAge() const = 0;
     };
 
     TakeoverWait(const Clock &clock, DecisionLog &decisions, Observer &observer);
@@ -100,7 +106,6 @@
 
 private:
     void report(Instant now);
-    std::string namesOfUnheardWorkers() const;
 
     const Clock &clock;
     DecisionLog &decisions;
--- a/modules/bulrush_steps/tests/owner_change_test.cpp
+++ b/modules/bulrush_steps/tests/owner_change_test.cpp
@@ -210,6 +210,11 @@
     fixture.runFor(milliseconds(1100));
     cr_assert_eq(fixture.held.forOwnWorker, 1U);
     cr_assert_eq(fixture.held.forAllWorkers, 2U);
+    const std::string &line = fixture.decisions.lines[Event::FormerOwnersAwaited].back();
+    cr_assert_neq(line.find(R"("own_worker_states":"unlisted:1 silent:0 unasked:0")"),
+                  std::string::npos, "%s", line.c_str());
+    cr_assert_neq(line.find(R"("own_workers":"w2")"), std::string::npos, "%s", line.c_str());
+    cr_assert_neq(line.find(R"("vm_list_age_ms":-1)"), std::string::npos, "%s", line.c_str());
     fixture.worker("w2").silent = false;
     fixture.listWorker("w2");
     fixture.runFor(seconds(1));
--- a/modules/bulrush_steps/workers/EndedWorkerFinder.cpp
+++ b/modules/bulrush_steps/workers/EndedWorkerFinder.cpp
@@ -42,6 +42,15 @@
     this->alive = std::make_shared<bool>(true);
     this->silentWorkers.clear();
     this->reading = false;
+    this->listReadAt.reset();
+}
+
+std::optional<milliseconds> EndedWorkerFinder::listAge() const
+{
+    if (!this->listReadAt) {
+        return std::nullopt;
+    }
+    return duration_cast<milliseconds>(this->clock.now() - *this->listReadAt);
 }
 
 void EndedWorkerFinder::tick(const std::set<TargetId> &silent)
@@ -96,6 +105,7 @@
                          }
                          this->reading = false;
                          if (processes) {
+                             this->listReadAt = now;
                              this->handleList(now, *processes);
                          }
                      });
--- a/modules/bulrush_steps/workers/EndedWorkerFinder.h
+++ b/modules/bulrush_steps/workers/EndedWorkerFinder.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace bulrush {
@@ -42,6 +43,9 @@
         @param silent the workers that do not answer and may run tasks */
     void tick(const std::set<TargetId> &silent);
 
+    /** Returns how old the newest list is that was read since clear(); none if none was. */
+    std::optional<milliseconds> listAge() const;
+
     /** Forgets all workers. An answer that arrives later is ignored. */
     void clear();
 
@@ -67,6 +71,8 @@
     Listener &listener;
     std::map<TargetId, SilentWorker> silentWorkers;
     bool reading = false;
+    /** When the newest list that was read was asked for. */
+    std::optional<Instant> listReadAt;
     Instant nextReadAt {};
     /** When another reading keeps within the share of the accepted calls. */
     Instant nextAllowedAt {};
