Log the longest wait of each kind of steps, and what keeps it off each worker

Of all steps it told one longest wait, so a filling step hid a long-running one, and one reason, that of the worker closest to accepting the step: not what keeps it off workers that hold no serving task.

E1647 is written for each lane now. Of its longest wait it tells the step, its runs, whether the job has any run and whether it is starving, and how many workers each obstacle holds it off, and how many of these serve nothing. The fields of before keep their names; the metric still sums both lanes. The limits for filling tasks are told apart there, and decide as before.

The two tests need the new counts, so they did not compile before: no earlier run of theirs failed.

--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -203,33 +203,12 @@
             std::exchange(this->reportedProcesses, load.workerProcesses);
     this->metrics.recordWorkerProcesses(load.workerProcesses.since(processesBefore));
     this->reportEvacuation(load.evacuation);
-    this->reportWaits(load.plan.waits);
+    this->metrics.setWaitingSteps(load.plan.waits);
+    this->reportWaits("reserving", load.plan.reservingWaits);
+    this->reportWaits("filling", load.plan.fillingWaits);
     this->metrics.setServedShares(servedShares(load.queues));
 }
 
-void EntryNode::reportWaits(const WaitCensus &waits)
-{
-    this->metrics.setWaitingSteps(waits);
-    if (!waits.longest()) {
-        return;
-    }
-    DecisionLine line(Event::TasksWait);
-    for (std::size_t index = 0; index < waitReasonCount; ++index) {
-        const auto reason = static_cast<WaitReason>(index);
-        line.with(text(reason), waits.count(reason));
-    }
-    const LongestWait &longest = *waits.longest();
-    constexpr std::int64_t notExpected = -1;
-    this->decisions.write(line.with("longest_job", longest.job.name())
-                                  .with("longest_ms", toMillis(longest.age))
-                                  .with("longest_reason", text(longest.reason))
-                                  .with("longest_cpu", longest.size.cpuMilli)
-                                  .with("longest_memory", longest.size.memoryMb)
-                                  .with("expected_room_ms",
-                                        longest.roomExpectedIn ? toMillis(*longest.roomExpectedIn)
-                                                               : notExpected));
-}
-
 void EntryNode::configChanged()
 {
     this->requestHandler.configure(*this->config.config());
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -120,7 +120,8 @@
     /** Logs what is left in evacuated data centres, if anything is, and sets the metrics. */
     void reportEvacuation(const EvacuationLoad &load);
     /** Logs why steps that may start have no worker, if there are any, and sets the metrics. */
-    void reportWaits(const WaitCensus &waits);
+    /** @param lane the kind of steps, as it is logged */
+    void reportWaits(std::string_view lane, const WaitCensus &waits);
     bool isOwnerOrTakesOver() const
     {
         return this->dispatcher.active() || this->takeover.running();
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -74,6 +74,8 @@
     load.reservations = this->reservations.outcomes();
     load.waitingJobs = this->lanes.front().waiting.size();
     load.waitingFills = this->lanes.back().waiting.size();
+    load.reservingWaits = this->lanes.front().census;
+    load.fillingWaits = this->lanes.back().census;
     for (const PlanLane &lane : this->lanes) {
         load.unplacedSteps += lane.unplacedCount;
         load.waits.add(lane.census);
@@ -175,7 +177,7 @@
     }
     described.waited = spec.runsIndefinitely ? waiting.longestWait : now - candidate.waitsSince;
     candidate.rank = rankOf(described);
-    candidate.riskAllowed = isUrgent(described) ? maxRiskOfUrgentFill : maxRiskOfDeferrableFill;
+    candidate.riskAllowed = riskAllowedFor(described);
     candidate.age = described.runsIndefinitely ? described.waited : described.age;
     described.runsIndefinitely = spec.runsIndefinitely;
     candidate.starving = isStarving(described);
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -24,6 +24,9 @@
     std::size_t unplacedSteps = 0;
     /** The steps that waited for a worker in the last second, by the reason. */
     WaitCensus waits;
+    /** The same of the steps that reserve processors, and of those that fill. */
+    WaitCensus reservingWaits;
+    WaitCensus fillingWaits;
     /** Workers with room that is kept for starving tasks. */
     std::size_t reservedWorkers = 0;
     /** The reservations of such room since the start of the process. */
@@ -122,8 +125,8 @@
        queue is ranked anew. */
     void turnCensus(PlanLane &lane, Instant now);
 
-    /** Adds to a census what its longest wait is for. */
-    void describeLongestWait(WaitCensus &census, Instant now) const;
+    /** Adds to the census of a lane what its longest wait is for. */
+    void describeLongestWait(PlanLane &lane, Instant now) const;
 
     /** Counts a step that no worker was found for, if a census is under way.
         @returns the reason; that of the census is computed only then */
--- a/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
+++ b/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
@@ -259,7 +259,7 @@
         }
         lane.census = *lane.openCensus;
         lane.openCensus.reset();
-        this->describeLongestWait(lane.census, now);
+        this->describeLongestWait(lane, now);
     }
     if (now >= lane.nextCensus) {
         lane.nextCensus = now + censusInterval;
@@ -267,9 +267,9 @@
     }
 }
 
-void Planner::describeLongestWait(WaitCensus &census, Instant now) const
+void Planner::describeLongestWait(PlanLane &lane, Instant now) const
 {
-    const std::optional<LongestWait> &longest = census.longest();
+    std::optional<LongestWait> longest = lane.census.longest();
     JobEntry *job = longest ? this->jobs.find(longest->job) : nullptr;
     if (job == nullptr || job->hasEnded()) {
         return;
@@ -278,10 +278,21 @@
     candidate.job = job;
     candidate.occurrence = longest->occurrence;
     candidate.step = longest->step;
-    const std::optional<Instant> at =
-            this->reservations.roomExpectedAt(this->makeTaskRequest(candidate), now);
-    census.describeLongest(candidate.spec().reserved(),
-                           at ? std::optional(std::max(*at, now) - now) : std::nullopt);
+    WaitingJob waitingJob = this->describeWaiting(lane, *job, candidate.occurrence);
+    candidate.riskAllowed = riskAllowedFor(waitingJob);
+    waitingJob.runsIndefinitely = candidate.spec().runsIndefinitely;
+    waitingJob.waited = longest->age;
+    const TaskRequest request = this->makeTaskRequest(candidate);
+    const std::optional<Instant> at = this->reservations.roomExpectedAt(request, now);
+    const TaskStates &tasks = job->occurrences.at(candidate.occurrence).steps[candidate.step].tasks;
+    longest->size = candidate.spec().reserved();
+    longest->roomExpectedIn = at ? std::optional(std::max(*at, now) - now) : std::nullopt;
+    longest->starving = isStarving(waitingJob);
+    longest->stepRuns = static_cast<std::uint32_t>(tasks.size() - tasks.open() - tasks.succeeded());
+    longest->jobRuns = waitingJob.hasRuns;
+    longest->obstacles =
+            Placement(now, this->pressures).obstacles(this->workers.workers(), request);
+    lane.census.describeLongest(*longest);
 }
 
 WaitReason Planner::countUnplaced(PlanLane &lane, const PlanCandidate &candidate, Instant now)
--- a/modules/bulrush_steps/dispatch/WaitCensus.h
+++ b/modules/bulrush_steps/dispatch/WaitCensus.h
@@ -3,6 +3,7 @@
 #include "bulrush_core/time/Clock.h"
 #include "bulrush_steps/model/StepJob.h"
 #include "bulrush_steps/policy/WaitReason.h"
+#include "bulrush_steps/policy/WorkerObstacle.h"
 
 #include <array>
 #include <cstdint>
@@ -25,6 +26,14 @@
     /** In what time a worker is expected to have room for one, when the census ended; none if none
         is. */
     std::optional<Duration> roomExpectedIn;
+    /** Of the moment when the census ended: whether the wait had to come to an end (see
+       isStarving), the number of its tasks that had a run, and whether any task of the job had one.
+     */
+    bool starving = false;
+    std::uint32_t stepRuns = 0;
+    bool jobRuns = false;
+    /** What kept one of its tasks off each worker then, within the limits for filling tasks. */
+    WorkerObstacles obstacles;
 };
 
 /** Counts the steps that wait for a worker, by the reason. */
@@ -36,8 +45,13 @@
     {
         ++this->counts[static_cast<std::size_t>(reason)];
         if (!this->longestWait || age > this->longestWait->age) {
-            this->longestWait =
-                    LongestWait { step.job, step.occurrence, step.step, age, reason, {}, {} };
+            LongestWait wait;
+            wait.job = step.job;
+            wait.occurrence = step.occurrence;
+            wait.step = step.step;
+            wait.age = age;
+            wait.reason = reason;
+            this->longestWait = wait;
         }
     }
 
@@ -62,15 +76,8 @@
     /** Returns the job that has waited longest; none while no step waits. */
     const std::optional<LongestWait> &longest() const { return this->longestWait; }
 
-    /** Adds what the job that has waited longest waits for.
-        @param size,roomExpectedIn see LongestWait */
-    void describeLongest(const ResourceVector &size, std::optional<Duration> roomExpectedIn)
-    {
-        if (this->longestWait) {
-            this->longestWait->size = size;
-            this->longestWait->roomExpectedIn = roomExpectedIn;
-        }
-    }
+    /** Sets what is known of the job that has waited longest. */
+    void describeLongest(const LongestWait &longest) { this->longestWait = longest; }
 
 private:
     std::array<std::uint32_t, waitReasonCount> counts {};
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -56,6 +56,29 @@
 /** Penalty for each sibling on the same worker. */
 constexpr double siblingPenalty = 0.03;
 
+/** Returns why a step waits that an obstacle keeps off the worker closest to accepting it. */
+WaitReason reasonOf(WorkerObstacle obstacle)
+{
+    switch (obstacle) {
+    case WorkerObstacle::NoWorker:
+        return WaitReason::NoWorker;
+    case WorkerObstacle::Evacuated:
+        return WaitReason::Evacuated;
+    case WorkerObstacle::NoRoom:
+        return WaitReason::NoRoom;
+    case WorkerObstacle::Paused:
+        return WaitReason::Paused;
+    case WorkerObstacle::FillBlocked:
+    case WorkerObstacle::FillMemory:
+    case WorkerObstacle::FillCpu:
+        return WaitReason::FillLimits;
+    case WorkerObstacle::Risk:
+    case WorkerObstacle::None:
+        break;
+    }
+    return WaitReason::Risk;
+}
+
 } // namespace
 
 double Placement::shareOf(const Worker &worker, const StepSpec &step)
@@ -128,40 +151,66 @@
             && this->isUsable(worker, request);
 }
 
-WaitReason Placement::obstacleOn(const Worker &worker, const TaskRequest &request) const
+WorkerObstacle Placement::obstacleOn(const Worker &worker, const TaskRequest &request) const
 {
     if (!worker.isInService() || !isEligible(worker, request)) {
-        return WaitReason::NoWorker;
+        return WorkerObstacle::NoWorker;
     }
     if (worker.evacuated) {
-        return WaitReason::Evacuated;
+        return WorkerObstacle::Evacuated;
     }
     if (!hasCapacity(worker, request)) {
-        return WaitReason::NoRoom;
+        return WorkerObstacle::NoRoom;
     }
     if (!this->isUsable(worker, request)) {
-        return WaitReason::Paused;
+        return WorkerObstacle::Paused;
     }
-    const bool withinLimits = !request.step->fills || this->hasFillCapacity(worker, *request.step);
-    return withinLimits ? WaitReason::Risk : WaitReason::FillLimits;
+    const WorkerObstacle limit =
+            request.step->fills ? this->fillLimit(worker, *request.step) : WorkerObstacle::None;
+    return limit == WorkerObstacle::None ? WorkerObstacle::Risk : limit;
 }
 
 WaitReason Placement::obstacle(const std::map<TargetId, Worker> &workers,
                                const TaskRequest &request) const
 {
-    WaitReason closest = WaitReason::NoWorker;
+    WorkerObstacle closest = WorkerObstacle::NoWorker;
     for (const auto &[id, worker] : workers) {
         closest = std::max(closest, this->obstacleOn(worker, request));
     }
-    return closest;
+    return reasonOf(closest);
 }
 
-bool Placement::hasFillCapacity(const Worker &worker, const StepSpec &step) const
+WorkerObstacles Placement::obstacles(std::map<TargetId, Worker> &workers, TaskRequest request) const
+{
+    request.starving = false;
+    WorkerObstacles counts;
+    for (auto &[id, worker] : workers) {
+        const bool accepts = this->scoreOf(worker, request).has_value();
+        const bool serves =
+                std::any_of(worker.runs.begin(), worker.runs.end(),
+                            [](const auto &each) { return each.second.tailTarget.count() > 0; });
+        counts.add(accepts ? WorkerObstacle::None : this->obstacleOn(worker, request), serves);
+    }
+    return counts;
+}
+
+WorkerObstacle Placement::fillLimit(const Worker &worker, const StepSpec &step) const
 {
+    if (this->now < worker.fillsBlockedUntil) {
+        return WorkerObstacle::FillBlocked;
+    }
     const auto memory = static_cast<double>(worker.entry.capacity.memoryMb);
     const auto remainingMemory = static_cast<double>(worker.free().memoryMb - step.size.memoryMb);
-    return this->now >= worker.fillsBlockedUntil && remainingMemory >= reservedMemoryShare * memory
-            && unusedFillCpu(worker) >= minUnusedShare * static_cast<double>(step.size.cpuMilli);
+    if (remainingMemory < reservedMemoryShare * memory) {
+        return WorkerObstacle::FillMemory;
+    }
+    const double demand = minUnusedShare * static_cast<double>(step.size.cpuMilli);
+    return unusedFillCpu(worker) < demand ? WorkerObstacle::FillCpu : WorkerObstacle::None;
+}
+
+bool Placement::hasFillCapacity(const Worker &worker, const StepSpec &step) const
+{
+    return this->fillLimit(worker, step) == WorkerObstacle::None;
 }
 
 double Placement::commonScore(const Worker &worker, const TaskRequest &request) const
--- a/modules/bulrush_steps/policy/Placement.h
+++ b/modules/bulrush_steps/policy/Placement.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "bulrush_steps/policy/JobRank.h"
 #include "bulrush_steps/policy/PressureModel.h"
 #include "bulrush_steps/policy/WaitReason.h"
+#include "bulrush_steps/policy/WorkerObstacle.h"
 #include "bulrush_steps/workers/Worker.h"
 
 #include <map>
@@ -16,6 +18,12 @@
 inline constexpr double maxRiskOfDeferrableFill = 0.25;
 inline constexpr double maxRiskOfUrgentFill = 0.5;
 
+/** Returns the limit that applies to the filling tasks of a job. */
+inline double riskAllowedFor(const WaitingJob &job)
+{
+    return isUrgent(job) ? maxRiskOfUrgentFill : maxRiskOfDeferrableFill;
+}
+
 /** How far ahead the load of serving tasks is predicted, since a filling task keeps running on the
     worker. */
 inline constexpr milliseconds riskHorizon { 1000 };
@@ -81,6 +89,10 @@
     WaitReason obstacle(const std::map<TargetId, Worker> &workers,
                         const TaskRequest &request) const;
 
+    /** Counts the workers by what keeps the task off them; those of a starving
+        task as if it were not. */
+    WorkerObstacles obstacles(std::map<TargetId, Worker> &workers, TaskRequest request) const;
+
     /** Returns whether the worker could run the task if it were otherwise empty. */
     static bool isEligible(const Worker &worker, const TaskRequest &request);
 
@@ -97,8 +109,13 @@
     /** Returns whether starts of the task may be sent to the worker as far as earlier starts and
         crashes allow. */
     bool isUsable(const Worker &worker, const TaskRequest &request) const;
-    WaitReason obstacleOn(const Worker &worker, const TaskRequest &request) const;
+    /** Returns what keeps a task off a worker; Risk if nothing else does. */
+    WorkerObstacle obstacleOn(const Worker &worker, const TaskRequest &request) const;
     bool hasFillCapacity(const Worker &worker, const StepSpec &step) const;
+
+    /** Returns which limit keeps a filling task off a worker that has the room; None if none does.
+     */
+    WorkerObstacle fillLimit(const Worker &worker, const StepSpec &step) const;
     double commonScore(const Worker &worker, const TaskRequest &request) const;
 
     Instant now;
--- a/modules/bulrush_steps/tests/wait_reports_test.cpp
+++ b/modules/bulrush_steps/tests/wait_reports_test.cpp
@@ -97,6 +97,56 @@
     cr_expect(waits.longest()->reason == WaitReason::Risk);
 }
 
+/* The longest wait of all was told, so that of a filling step hid those of long-running tasks. */
+Test(WaitCensus, tellsTheLongestWaitOfEachKindOfSteps)
+{
+    DispatcherFixture fixture;
+    beginWithSensitiveServingTasks(fixture, 2);
+    fixture.accept(makeFillingJob("batch", 2, fixture.clock));
+    fixture.runFor(milliseconds(500));
+    StepJob watch = makeLongRunningJob("watch", 1, 60000);
+    watch.acceptedAt = fixture.clock.calendarMillis();
+    fixture.accept(watch);
+    fixture.runFor(seconds(3));
+    const PlanLoad load = fixture.dispatcher.load().plan;
+    cr_assert(load.reservingWaits.longest() && load.fillingWaits.longest());
+    cr_expect(load.reservingWaits.longest()->job == JobId("watch"));
+    cr_expect(load.fillingWaits.longest()->job == JobId("batch"));
+    cr_expect(load.reservingWaits.longest()->starving);
+    cr_expect_eq(load.reservingWaits.longest()->obstacles.of(WorkerObstacle::NoRoom).workers, 2U);
+}
+
+/* The best obstacle of all workers was told: not what kept a step off those that serve nothing. */
+Test(WaitCensus, tellsWhatKeepsTheLongestWaitOffEachWorker)
+{
+    DispatcherFixture fixture;
+    beginWithSensitiveServingTasks(fixture, 2);
+    fixture.listWorker("full");
+    fixture.runFor(milliseconds(100));
+    StepJob other = makeFillingJob("other", 1, fixture.clock);
+    other.steps[0].size.memoryMb = 220000;
+    other.steps[0].estimate = seconds(60);
+    fixture.accept(other);
+    fixture.runFor(milliseconds(200));
+    cr_assert_eq(fixture.startsOn("full"), 1U);
+    StepJob filling = makeFillingJob("batch", 2, fixture.clock);
+    filling.steps[0].size.memoryMb = 6000;
+    filling.slackFactor = 1000.0;
+    fixture.accept(filling);
+    fixture.runFor(milliseconds(2500));
+    const std::optional<LongestWait> longest =
+            fixture.dispatcher.load().plan.fillingWaits.longest();
+    cr_assert(longest);
+    cr_expect(longest->job == JobId("batch"));
+    cr_expect(longest->reason == WaitReason::Risk);
+    cr_expect_not(longest->jobRuns);
+    cr_expect_not(longest->starving);
+    cr_expect_eq(longest->obstacles.of(WorkerObstacle::Risk).workers, 2U);
+    cr_expect_eq(longest->obstacles.of(WorkerObstacle::Risk).withoutServing, 0U);
+    cr_expect_eq(longest->obstacles.of(WorkerObstacle::FillMemory).workers, 1U);
+    cr_expect_eq(longest->obstacles.of(WorkerObstacle::FillMemory).withoutServing, 1U);
+}
+
 /* Whether a run that holds the room would end, and what the task needed, was not logged. */
 Test(WaitCensus, tellsWhenRoomIsExpectedForTheLongestWait)
 {
