--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -189,6 +189,7 @@
     HeldTasks heldTasks() const override;
     void tasksHeld(const HeldTasks &held) override { this->listener.tasksHeld(held); }
     std::string statesOf(const std::set<TargetId> &workers) const override;
+    std::optional<milliseconds> vmListAge() const override { return this->endedWorkers.listAge(); }
 
     // ProgressWriter::Listener
     ProgressRecord progressRecord(const ProgressPart &part) override;
@@ -215,7 +216,8 @@
     struct RosterBasis
     {
         std::uint64_t membershipVersion = 0;
-        bool takeoverWaitIsOver = false;
+        /** The number of workers of former owners that are still waited for. */
+        std::size_t awaitedWorkers = 0;
 
         bool operator==(const RosterBasis &) const = default;
     };
@@ -289,7 +291,8 @@
     void completeGang(JobEntry &job, const AttemptRef &attempt);
     void closeRun(StepTask &task, std::string checkpoint);
 
-    /** Has it put on record since when a long-running task without a run waits. */
+    /** Has it put on record since when a long-running task without a run waits, and that no worker
+        has a run of it. */
     void recordWait(JobEntry &job, const TaskRef &ref);
 
     /** Ends the wait of a task, as a worker has confirmed a run of it. */
