Let starving filling steps that were passed over come first in the next order

The filling order is ranked anew each 100 ms and planned from its start, and late jobs rank last. Their right to a run beyond the limits did not help, since it is used only when their turn comes.

A starving filling step (its job has no run and is too late) that was passed over for a second ranks first now, the longest wait first. Half as many do so as steps were planned of the last order, so the others keep half of the owner's time, and with one step an order at least each gets its turn. One that was planned is passed over no more, with or without a start.

The test failed first with the new ranking left out: the late job had no start in 5 s.

--- a/modules/bulrush_steps/dispatch/PlanLane.h
+++ b/modules/bulrush_steps/dispatch/PlanLane.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrush_steps/dispatch/PassedOverSteps.h"
 #include "bulrush_steps/dispatch/WaitCensus.h"
 #include "bulrush_steps/model/StepJobTable.h"
 #include "bulrush_steps/policy/JobRank.h"
@@ -85,6 +86,8 @@
     std::map<ServiceId, PlanCandidate> longestStarving;
     /** Position of the next step of the queue to plan. */
     std::size_t next = 0;
+    /** Of a lane that fills, whose starving steps keep their place in the order. */
+    PassedOverSteps passedOver;
     /** Steps of the queue for which no worker was found. They rule out steps that need as much or
         more. */
     std::vector<UnplacedStep> unplaced;
@@ -113,6 +116,7 @@
         this->queue.clear();
         this->longestStarving.clear();
         this->next = 0;
+        this->passedOver.clear();
         this->unplaced.clear();
         this->unplacedCount = 0;
         this->endingUnplaced = false;
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -121,6 +121,9 @@
 {
     this->turnCensus(lane, now);
     turnReservations(lane, now);
+    if (lane.fills) {
+        lane.passedOver.note(lane.queue, lane.next, now);
+    }
     lane.queue.clear();
     lane.next = 0;
     lane.unplaced.clear();
@@ -134,6 +137,9 @@
         at = open ? std::next(at) : lane.waiting.erase(at);
     }
     this->giveTurns(lane, now);
+    if (lane.fills) {
+        lane.passedOver.rankFirst(lane.queue, now);
+    }
     std::stable_sort(
             lane.queue.begin(), lane.queue.end(),
             [](const PlanCandidate &a, const PlanCandidate &b) { return a.rank < b.rank; });
--- a/modules/bulrush_steps/tests/planning_test.cpp
+++ b/modules/bulrush_steps/tests/planning_test.cpp
@@ -2,6 +2,9 @@
 
 #include <criterion/criterion.h>
 
+#include <functional>
+#include <string>
+
 using namespace bulrush;
 using namespace bulrush::test;
 
@@ -115,6 +118,37 @@
     return served / jobs;
 }
 
+/** An owner on a processor so slow that each look at its ownership, of which planning takes one for
+    each step, takes time. */
+class SlowOwner : public DispatcherFixture
+{
+public:
+    bool isOwner() const override
+    {
+        if (this->busy) {
+            this->busy();
+        }
+        return DispatcherFixture::isOwner();
+    }
+
+    std::function<void()> busy;
+};
+
+/** Keeps many filling jobs waiting that are in time. */
+void supplyTimelyFills(DispatcherFixture &fixture)
+{
+    constexpr std::size_t minWaitingFills = 60;
+    const std::size_t waiting = fixture.dispatcher.load().plan.waitingFills;
+    for (std::size_t number = waiting; number < minWaitingFills; ++number) {
+        const std::string name =
+                "timely" + std::to_string(fixture.dispatcher.jobs().entries().size());
+        StepJob job = makeJob(name.c_str(), 1);
+        job.slackFactor = 1000.0;
+        job.steps[0].fills = true;
+        submit(fixture, job);
+    }
+}
+
 } // namespace
 
 /* Finished steps counted as work to come, so the last steps queued behind all batch work. */
@@ -293,3 +327,38 @@
     }
     cr_assert_eq(window.open(), most);
 }
+
+/* Of an owner that lacks time, the order of the filling steps began anew before it came to the late
+   ones, which rank last, so these never got a run. */
+Test(Planning, aLateFillingJobGetsARunThoughTheOwnerNeverReachesTheEndOfTheOrder)
+{
+    SlowOwner fixture;
+    fixture.begin({});
+    StepJob late = makeJob("late", 1);
+    late.steps[0].fills = true;
+    submit(fixture, late);
+    fixture.runFor(DurationEstimator().objective(late) * lateLimitFactor + seconds(1));
+    supplyTimelyFills(fixture);
+    fixture.busy = [&fixture] { fixture.clock.advance(milliseconds(3)); };
+    for (int number = 0; number < 20; ++number) {
+        fixture.listWorker(("w" + std::to_string(number)).c_str());
+    }
+    TaskEnder ender(fixture);
+    std::uint32_t notReached = 0;
+    const Instant end = fixture.clock.now() + seconds(5);
+    while (fixture.clock.now() < end) {
+        supplyTimelyFills(fixture);
+        ender.runFor(tickInterval);
+        const PlanLoad load = fixture.dispatcher.load().plan;
+        notReached = std::max(notReached, load.fillingWaits.count(WaitReason::NotReached));
+    }
+    const auto startsOf = [&fixture](std::string_view kind) {
+        return std::count_if(fixture.workers.starts.begin(), fixture.workers.starts.end(),
+                             [kind](const FakeWorkers::SentStart &each) {
+                                 return each.attempt.task.job.name().starts_with(kind);
+                             });
+    };
+    cr_assert_gt(notReached, 0U);
+    cr_expect_gt(startsOf("timely"), 10);
+    cr_expect_eq(startsOf("late"), 1);
+}
