Let small members of the group give way to larger ones

Small nodes found members missing and joined. A node that polls joins only a group of fewer than three, so the large ones, back from their pause, found it full, and nothing took the place from the small ones. joinDelay orders joins only when all notice a gap at the same time.

Change: a member's name carries its processor time; names without it count as neither smaller nor larger. A node joins a full group too while fewer than three members are not clearly smaller (half its time or less). After a change of the group each member reads the list of members once: the smallest beyond three leave; a small owner hands over as a stopping node does, not within 3 s of a change or 5 s of its gain, nor while it waits for former owners, the store is slow or an evacuation is requested. E1648 and bulrush_entry_places_left_total tell it. Fencing and terms are as they were: it leaves by the same path as a member that falls behind, and an unanswered leave keeps it from being sole owner for 15 s.

--- a/modules/bulrush_entry/front/CallerRequestHandler.h
+++ b/modules/bulrush_entry/front/CallerRequestHandler.h
@@ -49,6 +49,9 @@
     /** Returns the appends of callers' records. */
     CallerAppends &callerAppends() { return this->appends; }
 
+    /** Returns whether the store takes long for appends. */
+    bool storeIsSlow() const { return this->appends.storeIsSlow(); }
+
     /** Follows a step of this node's stop, which is not taken back: from RefuseNew on, refuses new
         requests at once; from AnswerOpen on, answers open ones with what is known of them. */
     void drain(DrainStep step);
--- a/modules/bulrush_entry/node/EntryMetrics.cpp
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -160,6 +160,14 @@
                     .Name("bulrush_entry_takeover_seconds")
                     .Help("Time from becoming the owner to being ready, or to losing the ownership")
                     .Register(registry);
+    prometheus::Family<prometheus::Counter> &placesLeft =
+            prometheus::BuildCounter()
+                    .Name("bulrush_entry_places_left_total")
+                    .Help("Places in the group that this node left to a node with more processor "
+                          "time")
+                    .Register(registry);
+    prometheus::Counter &ownersLeft = placesLeft.Add({ { "place", "owner" } });
+    prometheus::Counter &membersLeft = placesLeft.Add({ { "place", "member" } });
     prometheus::Family<prometheus::Gauge> &heldTasks =
             prometheus::BuildGauge()
                     .Name("bulrush_entry_held_tasks")
@@ -309,6 +317,11 @@
             .Observe(toSeconds(elapsed));
 }
 
+void EntryMetrics::recordPlaceLeft(bool wasOwner)
+{
+    (wasOwner ? this->families->ownersLeft : this->families->membersLeft).Increment();
+}
+
 void EntryMetrics::setHeldTasks(const HeldTasks &held)
 {
     this->families->heldForOwnWorker.Set(static_cast<double>(held.forOwnWorker));
--- a/modules/bulrush_entry/node/EntryMetrics.h
+++ b/modules/bulrush_entry/node/EntryMetrics.h
@@ -55,6 +55,10 @@
         @param outcome "ready" or "abandoned" */
     void recordTakeover(const char *outcome, Duration elapsed);
 
+    /** Counts that this node left its place in the group to a larger one.
+        @param wasOwner whether it handed the ownership over with it */
+    void recordPlaceLeft(bool wasOwner);
+
     /** Sets the numbers of tasks that may not start because of former owners. */
     void setHeldTasks(const HeldTasks &held);
 
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -62,7 +62,7 @@
     , clock(systemClock)
     , settings(entrySettings)
     , name { entrySettings.peers, static_cast<std::uint64_t>(systemClock.calendarMillis()),
-             entrySettings.node.name() }
+             entrySettings.node.name(), entrySettings.milliCores() }
     , ports(entryPorts)
     , decisions(decisionLog)
     , health(systemClock, decisionLog)
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -76,6 +76,9 @@
     void ownershipGained(std::uint64_t fencingToken) override;
     void ownershipLost(std::string_view reason) override;
     bool recordsAreCurrent() const override;
+    std::uint32_t milliCoresOf(std::string_view member) const override;
+    bool mayHandOver() const override;
+    void placeLeft(bool wasOwner) override { this->metrics.recordPlaceLeft(wasOwner); }
 
     // Dispatcher::Listener
     void superseded(std::string_view by) override;
--- a/modules/bulrush_entry/node/EntryNodeOwnership.cpp
+++ b/modules/bulrush_entry/node/EntryNodeOwnership.cpp
@@ -61,6 +61,18 @@
     return this->recordsReadAt && this->clock.now() - *this->recordsReadAt <= maxRecordsAge;
 }
 
+std::uint32_t EntryNode::milliCoresOf(std::string_view member) const
+{
+    const std::optional<MemberName> parsed = MemberName::parse(member);
+    return parsed ? parsed->milliCores : 0;
+}
+
+bool EntryNode::mayHandOver() const
+{
+    return this->dispatcher.isSettled() && this->config.evacuations().all().empty()
+            && !this->requestHandler.storeIsSlow();
+}
+
 void EntryNode::ownershipGained(std::uint64_t fencingToken)
 {
     this->metrics.setOwner(true);
--- a/modules/bulrush_entry/owner/MemberName.cpp
+++ b/modules/bulrush_entry/owner/MemberName.cpp
@@ -8,13 +8,26 @@
 
 constexpr char incarnationMark = '#';
 constexpr char nodeMark = '@';
+constexpr char sizeMark = '*';
+
+/** Returns the number that is the whole text; nullopt if it is none. */
+template<class Number>
+std::optional<Number> numberIn(std::string_view text)
+{
+    Number number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool isNumber = error == std::errc() && end == text.data() + text.size();
+    return isNumber ? std::optional<Number>(number) : std::nullopt;
+}
 
 } // namespace
 
 std::string MemberName::text() const
 {
+    const std::string size =
+            this->milliCores == 0 ? std::string() : sizeMark + std::to_string(this->milliCores);
     return this->endpoint.text() + incarnationMark + std::to_string(this->incarnation) + nodeMark
-            + this->node;
+            + this->node + size;
 }
 
 std::optional<MemberName> MemberName::parse(std::string_view text)
@@ -28,15 +41,21 @@
     name.endpoint = *endpoint;
     const std::string_view rest = text.substr(incarnationAt + 1);
     const std::size_t nodeAt = rest.find(nodeMark);
-    const std::string_view number = rest.substr(0, nodeAt);
-    const auto [end, error] =
-            std::from_chars(number.data(), number.data() + number.size(), name.incarnation);
-    if (error != std::errc() || end != number.data() + number.size()) {
+    const auto incarnation = numberIn<std::uint64_t>(rest.substr(0, nodeAt));
+    if (!incarnation) {
         return std::nullopt;
     }
-    if (nodeAt != std::string_view::npos) {
-        name.node = rest.substr(nodeAt + 1);
+    name.incarnation = *incarnation;
+    if (nodeAt == std::string_view::npos) {
+        return name;
     }
+    const std::string_view node = rest.substr(nodeAt + 1);
+    const std::size_t sizeAt = node.rfind(sizeMark);
+    const auto size = sizeAt == std::string_view::npos
+            ? std::nullopt
+            : numberIn<std::uint32_t>(node.substr(sizeAt + 1));
+    name.node = size ? node.substr(0, sizeAt) : node;
+    name.milliCores = size.value_or(0);
     return name;
 }
 
--- a/modules/bulrush_entry/owner/MemberName.h
+++ b/modules/bulrush_entry/owner/MemberName.h
@@ -19,6 +19,9 @@
     std::uint64_t incarnation = 0;
     /** Empty in the names of earlier versions. */
     std::string node;
+    /** The processor time of the process's machine in thousandths of a core; 0 in the names of
+        earlier versions. */
+    std::uint32_t milliCores = 0;
 
     /** Returns the name as text. */
     std::string text() const;
--- a/modules/bulrush_entry/settings/EntrySettings.cpp
+++ b/modules/bulrush_entry/settings/EntrySettings.cpp
@@ -2,6 +2,8 @@
 
 #include "bulrush_core/errors/Error.h"
 
+#include <cmath>
+
 namespace bulrush {
 
 namespace {
@@ -10,11 +12,18 @@
     can join first. The delay is inversely proportional to the processor time of the machine. */
 constexpr milliseconds joinDelayOfOneCore { 250 };
 
+constexpr double milliCoresPerCore = 1000.0;
+
 /** Minimum length of a lease. A renewal takes time to transfer and waits behind other orders. */
 constexpr milliseconds minLease { 500 };
 
 } // namespace
 
+std::uint32_t EntrySettings::milliCores() const
+{
+    return static_cast<std::uint32_t>(std::lround(this->processors * milliCoresPerCore));
+}
+
 OwnershipTimings EntrySettings::ownershipTimes() const
 {
     OwnershipTimings times;
--- a/modules/bulrush_entry/settings/EntrySettings.h
+++ b/modules/bulrush_entry/settings/EntrySettings.h
@@ -6,6 +6,7 @@
 #include "bulrush_steps/ownership/OwnershipManager.h"
 #include "bulrush_steps/ports/KeyedLog.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -51,6 +52,10 @@
     std::size_t linkBytesPerSecond = 0;
     /** The processor time that is available to this machine, in cores. */
     double processors = 1.0;
+
+    /** Returns the same in thousandths of a core, as it stands in the node's name in the group. */
+    std::uint32_t milliCores() const;
+
     DispatchSettings dispatch;
 
     /** Returns the durations of ownership that follow from these settings. */
--- a/modules/bulrush_entry/tests/former_owner_inquiry_test.cpp
+++ b/modules/bulrush_entry/tests/former_owner_inquiry_test.cpp
@@ -145,3 +145,23 @@
         cr_assert_not(MemberName::parse(wrong).has_value(), "%s", wrong);
     }
 }
+
+/* A new version puts the processor time into the name; a node of an earlier one has none, and must
+   still be known by its node and address. */
+Test(MemberName, aNameWithAndWithoutTheProcessorTimeIsUnderstood)
+{
+    const MemberName sized { { "10.0.0.1", 7000 }, 30, "n1", 120 };
+    cr_assert_eq(sized.text(), "10.0.0.1:7000#30@n1*120");
+    const MemberName read = MemberName::parse(sized.text()).value();
+    cr_assert_eq(read.node, "n1");
+    cr_assert_eq(read.milliCores, 120U);
+    const MemberName earlier = MemberName::parse("10.0.0.1:7000#3@n1").value();
+    cr_assert_eq(earlier.milliCores, 0U);
+    cr_assert(read.provesEndOf(earlier));
+    cr_assert(earlier.provesEndOf(read));
+    for (const char *odd : { "n1*", "n1*x", "n1*-1", "n1*12x", "n1*99999999999" }) {
+        const std::string text = std::string("10.0.0.1:7000#3@") + odd;
+        cr_assert_eq(MemberName::parse(text)->milliCores, 0U, "%s", odd);
+        cr_assert_eq(MemberName::parse(text)->text(), text);
+    }
+}
--- a/modules/bulrush_entry/tests/former_ownership_test.cpp
+++ b/modules/bulrush_entry/tests/former_ownership_test.cpp
@@ -29,7 +29,7 @@
     }
     void findHolder(Duration /*timeout*/, std::function<void(PartitionHolder)> callback) override
     {
-        callback({ StoreOutcome::Done, "", 0 });
+        callback({ StoreOutcome::Done, "", 0, {} });
     }
 };
 
@@ -48,6 +48,9 @@
     void ownershipGained(std::uint64_t /*token*/) override { }
     void ownershipLost(std::string_view /*reason*/) override { }
     bool recordsAreCurrent() const override { return true; }
+    std::uint32_t milliCoresOf(std::string_view /*member*/) const override { return 0; }
+    bool mayHandOver() const override { return false; }
+    void placeLeft(bool /*wasOwner*/) override { }
 
     bool asked(const std::string &member, std::uint64_t askerToken)
     {
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -112,6 +112,9 @@
 
     bool active() const { return this->isActive; }
 
+    /** Returns whether it dispatches and waits for no former owner any more. */
+    bool isSettled() const { return this->isActive && this->takeoverWait.isOver(); }
+
     /** Returns the resignation to persist when this ownership ends; nullopt while inactive. */
     std::optional<Resignation> resignation() const;
 
--- a/modules/bulrush_steps/ownership/OwnershipManager.cpp
+++ b/modules/bulrush_steps/ownership/OwnershipManager.cpp
@@ -23,9 +23,6 @@
 /** How long the store may take to carry out a call that it has not answered. */
 constexpr milliseconds maxCallDelay { 15'000 };
 
-/** Number of members that the group is kept at: the owner and its standbys. */
-constexpr std::uint32_t targetMemberCount = 3;
-
 /** Upper bound of the random delay that spreads the joins of nodes that find members missing. */
 constexpr milliseconds joinJitter { 500 };
 
@@ -43,6 +40,9 @@
 /** How long such a member then leaves the group to other nodes. */
 constexpr milliseconds rejoinPause { 5000 };
 
+/** How long a node waits before it joins a group that is full of smaller members. */
+constexpr milliseconds replacementDelay { 1000 };
+
 } // namespace
 
 milliseconds OwnershipTimings::previousOwnerSettleTime() const
@@ -100,6 +100,10 @@
         this->sendLeave();
     }
     this->stepDownIfBehind();
+    if (this->reviewIsDue()) {
+        this->reviewGroup();
+        return;
+    }
     if (this->leaving || this->inFlight || now < this->nextJoinAt) {
         return;
     }
@@ -128,14 +132,15 @@
     this->group.findHolder(joinTimeout, [this](const PartitionHolder &holder) {
         this->inFlight = false;
         if (holder.outcome == StoreOutcome::Done) {
-            this->handleMemberCount(holder.members);
+            this->handleMembers(holder);
         }
     });
 }
 
-void OwnershipManager::handleMemberCount(std::uint32_t members)
+void OwnershipManager::handleMembers(const PartitionHolder &holder)
 {
-    if (members >= targetMemberCount) {
+    const std::uint32_t smaller = this->sizesOf(holder.names).smallerMembers();
+    if (holder.members >= targetMemberCount + smaller) {
         this->membersMissing = false;
         this->candidate = false;
         return;
@@ -151,7 +156,9 @@
     // delay before it joins.
     this->membersMissing = true;
     std::uniform_int_distribution<std::int64_t> jitter(0, joinJitter.count());
-    this->nextJoinAt = now + this->times.joinDelay + milliseconds(jitter(this->random));
+    const bool isFull = holder.members >= targetMemberCount;
+    this->nextJoinAt = now + this->times.joinDelay + milliseconds(jitter(this->random))
+            + (isFull ? replacementDelay : milliseconds(0));
 }
 
 void OwnershipManager::handleJoinAnswer(Instant sentAt, const Membership &membership)
@@ -170,6 +177,7 @@
     const bool changed = membership.generation != this->generation;
     this->generation = membership.generation;
     if (changed) {
+        this->scheduleReview();
         // Rejoins at once to confirm the new generation, so that the store can assign the partition
         // to its new holder.
         this->nextJoinAt = this->clock.now();
@@ -196,6 +204,8 @@
         return;
     }
     this->owner = true;
+    this->gainedAt = this->clock.now();
+    this->scheduleReview();
     this->handedOver = false;
     this->token = membership.generation;
     this->decisions.write(DecisionLine(Event::OwnershipGained).with("fencing_token", this->token));
@@ -312,11 +322,17 @@
     if (now - *this->behindSince < maxTimeBehind) {
         return;
     }
+    this->decisions.write(DecisionLine(Event::MembershipGivenUp));
+    this->leaveForOthers();
+}
+
+void OwnershipManager::leaveForOthers()
+{
     this->member = false;
     this->membersMissing = false;
     this->behindSince.reset();
-    this->nextJoinAt = now + rejoinPause;
-    this->decisions.write(DecisionLine(Event::MembershipGivenUp));
+    this->nextReviewAt.reset();
+    this->nextJoinAt = this->clock.now() + rejoinPause;
     this->leaveForNow([] {});
 }
 
--- a/modules/bulrush_steps/ownership/OwnershipManager.h
+++ b/modules/bulrush_steps/ownership/OwnershipManager.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrush_core/time/Clock.h"
+#include "bulrush_steps/ownership/GroupSizes.h"
 #include "bulrush_steps/ports/MemberGroup.h"
 
 #include <functional>
@@ -48,6 +49,10 @@
     they have read the records, so that each member is able to take over soon. A member that cannot
     keep up with the records leaves.
 
+    A node also joins a group that is full of members with clearly less processor time. These look
+    at the group after it has changed. Those that are not needed leave, and an owner then hands over
+    to the larger members, as a stopping one does, unless this is a bad moment for a takeover.
+
     An owner that loses its partition to another node, or that is about to stop, continues to send
     commands until it finds evidence of its successor or its ownership expires. The successor may
     need some time to read the log, and waits until commands of the previous owner can no longer
@@ -78,6 +83,18 @@
         /** Returns whether the records were read so lately that a takeover needs only the few that
             follow. */
         virtual bool recordsAreCurrent() const = 0;
+
+        /** Returns the processor time of a member's machine in thousandths of a core; 0 when it is
+            not known. @param member its name in the group */
+        virtual std::uint32_t milliCoresOf(std::string_view member) const = 0;
+
+        /** Returns whether a change of owner does little harm now: this node's takeover and its
+            wait for former owners are over, and the store is quick. */
+        virtual bool mayHandOver() const = 0;
+
+        /** Called when this node leaves its place in the group to a larger one.
+            @param wasOwner whether it gives the ownership up with it */
+        virtual void placeLeft(bool wasOwner) = 0;
     };
 
     OwnershipManager(const Clock &clock, MemberGroup &group, std::string memberName,
@@ -118,9 +135,20 @@
     void leave();
 
 private:
+    /** Number of members that the group is kept at: the owner and its standbys. */
+    static constexpr std::uint32_t targetMemberCount = 3;
+
     void join();
     void pollGroup();
-    void handleMemberCount(std::uint32_t members);
+    void handleMembers(const PartitionHolder &holder);
+    GroupSizes sizesOf(const std::vector<std::string> &members) const;
+    /** Sets when this member next looks whether a larger one is in the group. */
+    void scheduleReview();
+    bool reviewIsDue();
+    void reviewGroup();
+    void handleReview(const PartitionHolder &holder);
+    void leavePlace(const MemberSize &larger, std::uint32_t members);
+    void leaveForOthers();
     void handleJoinAnswer(Instant sentAt, const Membership &membership);
     /** Returns whether the last confirmation excludes that another node is the owner at a time. */
     bool isConfirmedAt(Instant time) const;
@@ -149,6 +177,10 @@
     /** Whether members were missing at the last poll. */
     bool membersMissing = false;
     Instant nextJoinAt {};
+    /** When this member next looks whether a larger one is in the group, if it is to. */
+    std::optional<Instant> nextReviewAt;
+    /** When the present ownership was gained. */
+    Instant gainedAt {};
     std::minstd_rand random;
     std::uint64_t generation = 0;
     bool owner = false;
--- a/modules/bulrush_steps/ports/MemberGroup.h
+++ b/modules/bulrush_steps/ports/MemberGroup.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace bulrush {
 
@@ -27,6 +28,8 @@
     std::string member;
     /** Number of members that hold any partition of the group. */
     std::uint32_t members = 0;
+    /** Their names. */
+    std::vector<std::string> names;
 };
 
 /** Interface to the platform's member group, which assigns the scheduler's partition to one of its
--- a/modules/bulrush_steps/tests/OwnershipFixture.h
+++ b/modules/bulrush_steps/tests/OwnershipFixture.h
@@ -3,6 +3,8 @@
 #include "DispatcherFixture.h"
 
 #include <functional>
+#include <map>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -47,7 +49,8 @@
 
     void findHolder(Duration /*timeout*/, std::function<void(PartitionHolder)> callback) override
     {
-        callback({ StoreOutcome::Done, "other", this->members });
+        ++this->searches;
+        callback({ StoreOutcome::Done, this->holder, this->members, this->names });
     }
 
     bool up = true;
@@ -66,6 +69,9 @@
     bool holdsPartition = true;
     std::uint64_t generation = 5;
     std::uint32_t members = 0;
+    std::string holder = "other";
+    std::vector<std::string> names;
+    int searches = 0;
     int joins = 0;
     int leaves = 0;
 };
@@ -96,6 +102,13 @@
     }
     void ownershipLost(std::string_view /*reason*/) override { ++this->losses; }
     bool recordsAreCurrent() const override { return this->current; }
+    std::uint32_t milliCoresOf(std::string_view member) const override
+    {
+        const auto found = this->sizes.find(member);
+        return found == this->sizes.end() ? 0 : found->second;
+    }
+    bool mayHandOver() const override { return this->calm; }
+    void placeLeft(bool wasOwner) override { ++(wasOwner ? this->ownersLeft : this->membersLeft); }
 
     void runFor(milliseconds span)
     {
@@ -112,6 +125,12 @@
     std::function<void(std::uint64_t)> whenGained;
     int losses = 0;
     bool current = true;
+    /** The processor time of members, by name; that of others is not known. */
+    std::map<std::string, std::uint32_t, std::less<>> sizes;
+    /** Whether a change of owner would do little harm. */
+    bool calm = true;
+    int ownersLeft = 0;
+    int membersLeft = 0;
     OwnershipManager manager;
 };
 
