Log how soon a new owner renews leases, and count runs that lapse

Nothing told how soon after its takeover an owner had renewed the lease of each worker, nor whether runs that workers list as lapsed lay near a takeover: E1612 is one line a run, without either time.

E1635 has lapsed_runs of its second; bulrush_entry_lapsed_runs_total tells those soon after a takeover from later ones.

Tests: Dispatcher/anOwnerTellsOnceHowSoonItRenewedTheLeasesOfItsWorkers and EntryMetrics/countsLapsedRunsSoonAfterATakeoverApart; they are for new lines, so they do not compile on the code before.

--- a/modules/bulrush_core/events/EventCatalogue.cpp
+++ b/modules/bulrush_core/events/EventCatalogue.cpp
@@ -75,6 +75,7 @@
     EventInfo { Event::AppendRejected, Severity::Error, "append rejected" },
     EventInfo { Event::MembershipGivenUp, Severity::Warning, "membership given up" },
     EventInfo { Event::TasksWait, Severity::Info, "tasks wait" },
+    EventInfo { Event::FirstRenewals, Severity::Info, "first renewals" },
     EventInfo { Event::StoreLost, Severity::Warning, "store lost" },
     EventInfo { Event::StoreRecovered, Severity::Info, "store back" },
     EventInfo { Event::RecordIgnored, Severity::Warning, "record ignored" },
--- a/modules/bulrush_core/events/EventCatalogue.h
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -77,6 +77,7 @@
     AppendRejected = 1645,
     MembershipGivenUp = 1646,
     TasksWait = 1647,
+    FirstRenewals = 1650,
     StoreLost = 1651,
     StoreRecovered = 1652,
     RecordIgnored = 1653,
--- a/modules/bulrush_entry/node/EntryMetrics.cpp
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -122,6 +122,13 @@
             workerProcesses.Add({ { "event", "took_others_command" } });
     prometheus::Counter &refusedTokens =
             workerProcesses.Add({ { "event", "refused_older_token" } });
+    prometheus::Family<prometheus::Counter> &lapsedRuns =
+            prometheus::BuildCounter()
+                    .Name("bulrush_entry_lapsed_runs_total")
+                    .Help("Runs that workers listed as lapsed, by the time since the takeover")
+                    .Register(registry);
+    prometheus::Counter &lapsedSoon = lapsedRuns.Add({ { "listed", "soon_after_takeover" } });
+    prometheus::Counter &lapsedLater = lapsedRuns.Add({ { "listed", "later" } });
     prometheus::Family<prometheus::Histogram> &jobSeconds =
             prometheus::BuildHistogram()
                     .Name("bulrush_entry_job_seconds")
@@ -291,6 +298,12 @@
     this->families->refusedTokens.Increment(static_cast<double>(more.refusedOlderToken));
 }
 
+void EntryMetrics::recordLapsedRuns(const LapsedRunCounts &more)
+{
+    this->families->lapsedSoon.Increment(static_cast<double>(more.soonAfterTakeover));
+    this->families->lapsedLater.Increment(static_cast<double>(more.later));
+}
+
 void EntryMetrics::recordJobEnd(JobState state, Duration elapsed)
 {
     this->families->jobSeconds
--- a/modules/bulrush_entry/node/EntryMetrics.h
+++ b/modules/bulrush_entry/node/EntryMetrics.h
@@ -8,6 +8,7 @@
 #include "bulrush_steps/ownership/TakeoverWait.h"
 #include "bulrush_steps/ports/KeyedLog.h"
 #include "bulrush_steps/ports/WorkerCommands.h"
+#include "bulrush_steps/workers/LapsedRunCounts.h"
 #include "bulrush_steps/workers/WorkerProcessCounts.h"
 
 #include <map>
@@ -44,6 +45,9 @@
     /** Records what was found of the processes of workers. @param more since the last call */
     void recordWorkerProcesses(const WorkerProcessCounts &more);
 
+    /** Records runs that workers listed as lapsed. @param more since the last call */
+    void recordLapsedRuns(const LapsedRunCounts &more);
+
     /** Records a job's end after it was stored in the log.
         @param elapsed time since the job was accepted */
     void recordJobEnd(JobState state, Duration elapsed);
--- a/modules/bulrush_entry/node/EntryNode.cpp
+++ b/modules/bulrush_entry/node/EntryNode.cpp
@@ -170,6 +170,8 @@
     const DispatchLoad load = this->dispatcher.load();
     const PlanLoad before = std::exchange(this->reportedPlan, load.plan);
     const ReservationCounts reservations = load.plan.reservations.since(before.reservations);
+    const LapsedRunCounts lapsedRuns =
+            load.lapsedRuns.since(std::exchange(this->reportedLapsedRuns, load.lapsedRuns));
     const auto lateMillis = toMillis(this->longestTickDelay);
     this->longestTickDelay = Duration::zero();
     this->decisions.write(
@@ -187,6 +189,7 @@
                     .with("unsent_starts", load.unsentStarts)
                     .with("leaving_workers", load.leavingWorkers)
                     .with("runs", load.runs)
+                    .with("lapsed_runs", lapsedRuns.all())
                     .with("free_cpu", percentOf(load.free.cpuMilli, load.capacity.cpuMilli))
                     .with("long_cpu", percentOf(load.longRunningCpuMilli, load.capacity.cpuMilli))
                     .with("ending_cpu", percentOf(load.endingCpuMilli, load.capacity.cpuMilli))
@@ -199,6 +202,7 @@
                     .with("planning_filling_ms",
                           toMillis(load.plan.fillingTime - before.fillingTime)));
     this->metrics.recordReservations(reservations);
+    this->metrics.recordLapsedRuns(lapsedRuns);
     const WorkerProcessCounts processesBefore =
             std::exchange(this->reportedProcesses, load.workerProcesses);
     this->metrics.recordWorkerProcesses(load.workerProcesses.since(processesBefore));
--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -190,6 +190,7 @@
     /** The planner's load as last logged. */
     PlanLoad reportedPlan;
     WorkerProcessCounts reportedProcesses;
+    LapsedRunCounts reportedLapsedRuns;
     Instant lastRequestAt {};
     std::uint64_t arrivedRequests = 0;
     /** Set when this node was told to stop. */
--- a/modules/bulrush_entry/node/EntryNodeOwnership.cpp
+++ b/modules/bulrush_entry/node/EntryNodeOwnership.cpp
@@ -78,6 +78,7 @@
     const OwnershipTimings times = this->settings.ownershipTimes();
     OwnershipTerm term;
     term.fencingToken = this->ownership.fencingToken();
+    term.gainedAt = this->gainedAt;
     term.previousOwnerSettledAt = this->gainedAt + times.previousOwnerSettleTime();
     term.unreadyOwnerSettledAt = this->gainedAt + times.unreadyOwnerSettleTime();
     term.resignedOwnerSettleTime = times.resignedOwnerSettleTime();
--- a/modules/bulrush_entry/tests/entry_metrics_test.cpp
+++ b/modules/bulrush_entry/tests/entry_metrics_test.cpp
@@ -62,3 +62,17 @@
         cr_expect(text.find(total + line) != std::string::npos, "no %s in %s", line, text.c_str());
     }
 }
+
+/* Runs that lapse for want of a renewal around a takeover showed in single log lines only. */
+Test(EntryMetrics, countsLapsedRunsSoonAfterATakeoverApart)
+{
+    EntryMetrics metrics;
+    const std::string total = "bulrush_entry_lapsed_runs_total{listed=";
+    cr_expect(metrics.text().find(total + "\"later\"} 0\n") != std::string::npos);
+    metrics.recordLapsedRuns({ 2, 3 });
+    metrics.recordLapsedRuns({ 2, 3 });
+    const std::string text = metrics.text();
+    for (const char *line : { "\"soon_after_takeover\"} 4\n", "\"later\"} 6\n" }) {
+        cr_expect(text.find(total + line) != std::string::npos, "no %s in %s", line, text.c_str());
+    }
+}
--- a/modules/bulrush_steps/bulrush_steps.h
+++ b/modules/bulrush_steps/bulrush_steps.h
@@ -52,6 +52,8 @@
 #include "bulrush_steps/ports/WorkerProcessList.h"
 #include "bulrush_steps/workers/CommandTokens.h"
 #include "bulrush_steps/workers/EndedWorkerFinder.h"
+#include "bulrush_steps/workers/FirstRenewals.h"
+#include "bulrush_steps/workers/LapsedRunCounts.h"
 #include "bulrush_steps/workers/LeaseClock.h"
 #include "bulrush_steps/workers/StartWindow.h"
 #include "bulrush_steps/workers/Worker.h"
--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -55,7 +55,7 @@
             this->markEndChanged(job);
         }
     }
-    this->workerManager.begin(this->term.fencingToken);
+    this->workerManager.begin(this->term.fencingToken, this->term.gainedAt);
     this->takeoverWait.begin(this->jobTable, this->term);
     if (this->jobTable.newestOwnerToken() > this->term.fencingToken) {
         this->listener.superseded("the jobs stream has a newer owner's record");
@@ -436,6 +436,7 @@
     load.plan = this->planner.load();
     load.queues = this->queueReports;
     load.workerProcesses = this->workerManager.processCounts();
+    load.lapsedRuns = this->workerManager.lapsedRunCounts();
     load.openStarts = this->workerManager.startWindow(false).open()
             + this->workerManager.startWindow(true).open();
     load.unsentStarts = this->assignedStarts.count(false) + this->assignedStarts.count(true);
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -28,6 +28,7 @@
 {
     PlanLoad plan;
     WorkerProcessCounts workerProcesses;
+    LapsedRunCounts lapsedRuns;
     /** Start requests without an answer. */
     std::uint32_t openStarts = 0;
     /** Runs that may be alive. */
--- a/modules/bulrush_steps/ownership/OwnershipTerm.h
+++ b/modules/bulrush_steps/ownership/OwnershipTerm.h
@@ -16,6 +16,8 @@
     Instant unreadyOwnerSettledAt {};
     /** How long after an owner's resignation its commands may still take effect. */
     milliseconds resignedOwnerSettleTime { 6000 };
+    /** When this node became the owner. */
+    Instant gainedAt {};
 };
 
 } // namespace bulrush
--- a/modules/bulrush_steps/tests/DispatcherFixture.h
+++ b/modules/bulrush_steps/tests/DispatcherFixture.h
@@ -92,6 +92,7 @@
     {
         OwnershipTerm term;
         term.fencingToken = token;
+        term.gainedAt = this->clock.now();
         term.previousOwnerSettledAt = this->clock.now() + formerOrdersLifetime;
         this->dispatcher.begin(term, std::move(table));
     }
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -149,6 +149,10 @@
     UnixMillis processStartedAt = 0;
     /** When the last command was sent that grants or renews a lease. */
     Instant leaseSentAt {};
+    /** Whether the last hold was to renew the lease. */
+    bool holdRenews = false;
+    /** When the first hold was sent that this owner knows to have renewed the lease. */
+    std::optional<Instant> firstRenewalAt;
 
     bool holdInFlight = false;
     std::uint64_t holdNumber = 0;
--- a/modules/bulrush_steps/workers/WorkerManager.cpp
+++ b/modules/bulrush_steps/workers/WorkerManager.cpp
@@ -35,6 +35,7 @@
     , settings(dispatchSettings)
     , decisions(decisionLog)
     , listener(runListener)
+    , firstRenewals(systemClock, decisionLog)
     , reservingStarts(maxReservingStarts)
     , fillStarts(maxFillStarts)
     , alive(std::make_shared<bool>(true))
@@ -46,8 +47,10 @@
     *this->alive = false;
 }
 
-void WorkerManager::begin(std::uint64_t token)
+void WorkerManager::begin(std::uint64_t token, Instant gainedAt)
 {
+    this->lapsedBefore = this->lapsedRuns;
+    this->firstRenewals.begin(token, gainedAt);
     this->commandTokens.begin(token);
     for (auto &[id, worker] : this->workerTable) {
         this->takeNewToken(worker);
@@ -129,6 +132,8 @@
     if (this->clock.now() >= this->nextCheckOfAll) {
         this->nextCheckOfAll = this->clock.now() + checkOfAllInterval;
         this->checkAll();
+        this->firstRenewals.update(this->workerTable,
+                                   this->lapsedRuns.since(this->lapsedBefore).all());
         return;
     }
     for (const TargetId &id : std::exchange(this->workersToCheck, {})) {
@@ -228,6 +233,7 @@
         worker.leaseSentAt = this->clock.now();
     }
     worker.holdInFlight = true;
+    worker.holdRenews = command.leaseEnd.has_value();
     const std::uint64_t number = ++this->lastHoldNumber;
     worker.holdNumber = number;
     const Instant sentAt = this->clock.now();
--- a/modules/bulrush_steps/workers/WorkerManager.h
+++ b/modules/bulrush_steps/workers/WorkerManager.h
@@ -3,6 +3,8 @@
 #include "bulrush_steps/dispatch/DispatchSettings.h"
 #include "bulrush_steps/policy/CrashSuspects.h"
 #include "bulrush_steps/workers/CommandTokens.h"
+#include "bulrush_steps/workers/FirstRenewals.h"
+#include "bulrush_steps/workers/LapsedRunCounts.h"
 #include "bulrush_steps/workers/StartWindow.h"
 #include "bulrush_steps/workers/Worker.h"
 #include "bulrush_steps/workers/WorkerProcessCounts.h"
@@ -84,8 +86,9 @@
     WorkerManager(const WorkerManager &) = delete;
     WorkerManager &operator=(const WorkerManager &) = delete;
 
-    /** Starts with a fencing token that is higher than that of any previous owner. */
-    void begin(std::uint64_t fencingToken);
+    /** Starts with a fencing token that is higher than that of any previous owner.
+        @param gainedAt when this node became the owner */
+    void begin(std::uint64_t fencingToken, Instant gainedAt);
 
     /** Removes all workers. Answers that arrive later are ignored. */
     void end();
@@ -135,6 +138,7 @@
     void pace(Worker &worker, Run &run, std::uint32_t percent);
 
     const WorkerProcessCounts &processCounts() const { return this->processEvents; }
+    const LapsedRunCounts &lapsedRunCounts() const { return this->lapsedRuns; }
 
     /** Returns the window of the start requests of filling tasks, or of all others. */
     const StartWindow &startWindow(bool fills) const
@@ -181,6 +185,7 @@
             that it takes no more of them */
     void boundForeignLeases(Worker &worker, bool answersNewToken);
     void processEndedRuns(Worker &worker, const HoldAnswer &answer);
+    void countLapsedRun();
     void processRuns(Worker &worker, const HoldAnswer &answer, Instant sentAt);
     void processListedRun(Worker &worker, const ListedRun &listed);
 
@@ -249,6 +254,10 @@
     /** The workers that have reported since takeReported() was last called. */
     std::set<TargetId> reported;
     WorkerProcessCounts processEvents;
+    LapsedRunCounts lapsedRuns;
+    /** The same when this ownership began. */
+    LapsedRunCounts lapsedBefore;
+    FirstRenewals firstRenewals;
     StartWindow reservingStarts;
     StartWindow fillStarts;
     /** Shared with the callbacks of requests; set to false by end() and on destruction, so that
--- a/modules/bulrush_steps/workers/WorkerManagerReports.cpp
+++ b/modules/bulrush_steps/workers/WorkerManagerReports.cpp
@@ -65,6 +65,9 @@
     worker->clock.recordReading(answer.clock, now);
     this->boundForeignLeases(*worker, answersNewToken);
     worker->reportedAt = now;
+    if (worker->holdRenews && !worker->firstRenewalAt) {
+        worker->firstRenewalAt = sentAt;
+    }
     worker->acknowledgedEnds = std::max(worker->acknowledgedEnds, acknowledged);
     this->processEndedRuns(*worker, answer);
     this->processRuns(*worker, answer, sentAt);
@@ -172,6 +175,9 @@
             continue;
         }
         worker.processedEnds = end.number;
+        if (end.kind == EndKind::LeaseLapsed) {
+            this->countLapsedRun();
+        }
         const auto found = worker.runs.find(end.attempt);
         const Run *run = found == worker.runs.end() ? nullptr : &found->second;
         if (end.kind == EndKind::Succeeded || end.kind == EndKind::Failed) {
@@ -186,6 +192,13 @@
     }
 }
 
+void WorkerManager::countLapsedRun()
+{
+    const Duration owned = this->clock.now() - this->firstRenewals.gainedAt();
+    ++(owned <= this->settings.maxLease ? this->lapsedRuns.soonAfterTakeover
+                                        : this->lapsedRuns.later);
+}
+
 void WorkerManager::processRuns(Worker &worker, const HoldAnswer &answer, Instant sentAt)
 {
     for (const ListedRun &listed : answer.running) {
