--- a/modules/bulrush_core/events/EventCatalogue.h
+++ b/modules/bulrush_core/events/EventCatalogue.h
@@ -78,6 +78,7 @@
     MembershipGivenUp = 1646,
     TasksWait = 1647,
     PlaceLeft = 1648,
+    FirstRenewals = 1650,
     StoreLost = 1651,
     StoreRecovered = 1652,
     RecordIgnored = 1653,
