Let overdue long-running tasks pass reservations that lack their room

Cause: room is reserved for the tasks that have waited longest. Where these are the largest, they lack room on the reserved worker still, and all that does not fit beside them was kept out of what is free there, though nothing was being stopped and the reservation would lapse.

Change: a long-running task that has itself waited too long (maxDeferral) takes free room on a reserved worker while the task that it is reserved for does not fit there yet and no run is being stopped there. Exempt are gangs, which gather their room one by one, and one worker in 64 (at least one) for tasks that have waited for 12 s, so that smaller ones do not pass a large one for good. A step that found no worker rules out others of its size only if it could pass reservations as they can.

Evidence: with the passing switched off in the new code, two of the three new tests failed (starvation_test.cpp: "small" had no start within 6 s; hasRoomFor() false for an overdue task). The third guards the exemption of large tasks and passes on both. 362 tests of the module pass.

--- a/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
+++ b/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
@@ -143,7 +143,8 @@
     const std::uint32_t ofGang = spec.gang ? waiting.all : 1U;
     const std::uint32_t wanted = spec.runsIndefinitely && !spec.gang ? waiting.longWaiting : ofGang;
     if (reserved < wanted) {
-        this->reservations.reserve(this->makeTaskRequest(candidate), wanted - reserved, now);
+        this->reservations.reserve(this->makeTaskRequest(candidate), wanted - reserved,
+                                   candidate.age, now);
     }
     this->makeRoom(lane, candidate, now);
 }
--- a/modules/bulrush_steps/dispatch/StartReservations.cpp
+++ b/modules/bulrush_steps/dispatch/StartReservations.cpp
@@ -1,5 +1,6 @@
 #include "bulrush_steps/dispatch/StartReservations.h"
 
+#include "bulrush_steps/policy/JobRank.h"
 #include "bulrush_steps/policy/Preemption.h"
 #include "bulrush_steps/policy/RoomForecast.h"
 
@@ -18,6 +19,10 @@
 /** At most one of this many workers of a service has a reservation. */
 constexpr std::size_t workersAReservation = 4;
 
+/** A task that has waited this long has exclusive reservations, on one of this many workers. */
+constexpr milliseconds exclusiveWait = 2 * maxRestartWait;
+constexpr std::size_t workersAnExclusiveReservation = 64;
+
 /** Returns when a task is expected to find room on a worker; none if it may not start there or no
     end of a run makes room. */
 std::optional<Instant> startExpectedAt(const Worker &worker, const TaskRequest &request,
@@ -76,7 +81,23 @@
     return most > taken ? most - taken : 0;
 }
 
-void StartReservations::reserve(const TaskRequest &request, std::uint32_t tasks, Instant now)
+std::size_t StartReservations::availableExclusive(const ServiceId &service) const
+{
+    std::size_t all = 0;
+    std::size_t taken = 0;
+    for (const auto &[id, worker] : this->workers.workers()) {
+        if (worker.entry.service == service && worker.takesStarts()) {
+            ++all;
+            taken += worker.reservation && worker.reservation->exclusive ? 1 : 0;
+        }
+    }
+    const std::size_t most =
+            (all + workersAnExclusiveReservation - 1) / workersAnExclusiveReservation;
+    return most > taken ? most - taken : 0;
+}
+
+void StartReservations::reserve(const TaskRequest &request, std::uint32_t tasks, Duration waited,
+                                Instant now)
 {
     // The members of a gang need their room at the same time.
     const std::size_t most = request.step->gang
@@ -100,15 +121,22 @@
                       candidates.end(),
                       [](const auto &a, const auto &b) { return a.first < b.first; });
     candidates.resize(count);
+    // The members of a gang gather their room one by one.
+    std::size_t exclusive = request.step->gang ? count : 0;
+    if (exclusive == 0 && waited >= exclusiveWait) {
+        exclusive = this->availableExclusive(request.service);
+    }
     for (const auto &[at, worker] : candidates) {
         this->reserveOn(*worker, request.ref, size, now);
+        worker->reservation->exclusive = exclusive > 0;
+        exclusive -= exclusive > 0 ? 1 : 0;
     }
 }
 
 void StartReservations::reserveOn(Worker &worker, const StepRef &step, const ResourceVector &size,
                                   Instant now)
 {
-    worker.reservation = StartReservation { step, size, now + maxReservation };
+    worker.reservation = StartReservation { step, size, now + maxReservation, false };
     const auto [entry, added] = this->reserved.try_emplace(worker.entry.worker, step);
     if (!added) {
         ++this->totals.dropped;
--- a/modules/bulrush_steps/dispatch/StartReservations.h
+++ b/modules/bulrush_steps/dispatch/StartReservations.h
@@ -16,7 +16,8 @@
 
     Without it, smaller tasks take each part that comes free, and a large task never starts on a
    full service (backfilling with reservations). A reservation excludes only those tasks from a
-   worker that would not fit beside the one that it is made for.
+   worker that would not fit beside the one that it is made for. While the room is not complete
+   and no run is being stopped for it, overdue long-running tasks pass it, unless it is exclusive.
 
     @see Worker::reservation, Placement
 */
@@ -40,8 +41,10 @@
 
     /** Makes up to a number of reservations for tasks of a step, on the workers on which room is
         expected first. A quarter of the workers of a service may have one, and more for a gang.
-       Workers that have no room before long-running tasks end are left out. */
-    void reserve(const TaskRequest &request, std::uint32_t tasks, Instant now);
+       Workers that have no room before long-running tasks end are left out.
+        @param waited how long the step has waited: overdue tasks do not pass one that has waited
+        much longer than they may, on a few workers */
+    void reserve(const TaskRequest &request, std::uint32_t tasks, Duration waited, Instant now);
 
     /** Reserves room for a task of a step on a worker that has none reserved for another step. */
     void reserveOn(Worker &worker, const StepRef &step, const ResourceVector &size, Instant now);
@@ -74,6 +77,9 @@
     /** Returns how many more workers of a service may have a reservation. */
     std::size_t available(const ServiceId &service) const;
 
+    /** Returns how many more workers of a service may have an exclusive reservation. */
+    std::size_t availableExclusive(const ServiceId &service) const;
+
     /** Counts a reservation of a step less. */
     void uncount(const StepRef &step);
 
--- a/modules/bulrush_steps/policy/Placement.cpp
+++ b/modules/bulrush_steps/policy/Placement.cpp
@@ -101,7 +101,7 @@
 
 bool Placement::hasCapacity(const Worker &worker, const TaskRequest &request)
 {
-    return worker.hasRoomFor(request.ref, request.step->reserved())
+    return worker.hasRoomFor(request.ref, request.step->reserved(), request.isOverdue())
             && hasSiblingCapacity(worker, request);
 }
 
--- a/modules/bulrush_steps/policy/Placement.h
+++ b/modules/bulrush_steps/policy/Placement.h
@@ -35,12 +35,16 @@
     /** For a filling task: the maximum expected number of serving tasks on its worker that exceed
         their tail latency target. */
     double riskAllowed = 0.0;
-    /** Whether a filling task is to start on the worker that suits it best, even if that is beyond
-        the limits that protect serving tasks. @see isStarving */
+    /** Whether the task's wait must come to an end. A filling task is then to start on the worker
+        that suits it best, even if that is beyond the limits that protect serving tasks.
+        @see isStarving */
     bool starving = false;
     /** For a step that prefers one rack: the rack of its running tasks; empty while none
         runs. */
     std::string rack;
+
+    /** Returns whether it is for a long-running task that has waited too long. */
+    bool isOverdue() const { return this->starving && this->step->runsIndefinitely; }
 };
 
 /**
--- a/modules/bulrush_steps/policy/StepPlacement.cpp
+++ b/modules/bulrush_steps/policy/StepPlacement.cpp
@@ -11,9 +11,14 @@
         || !this->step->size.fitsInto(other.size)) {
         return false;
     }
+    if (!other.fills) {
+        // Only overdue long-running tasks may pass reservations.
+        return (this->starving && this->step->runsIndefinitely) || !otherIsStarving
+                || !other.runsIndefinitely;
+    }
     // Images interfere to different degrees: another image may find a worker.
-    if (!other.fills || this->step->image != other.image) {
-        return !other.fills;
+    if (this->step->image != other.image) {
+        return false;
     }
     return this->starving || (!otherIsStarving && otherRiskAllowed <= this->riskAllowed);
 }
--- a/modules/bulrush_steps/tests/starvation_test.cpp
+++ b/modules/bulrush_steps/tests/starvation_test.cpp
@@ -13,6 +13,58 @@
     return DurationEstimator().objective(job) * lateLimitFactor;
 }
 
+/** A worker with little room left, where a task that ends makes more in some time. */
+class NarrowWorker
+{
+public:
+    NarrowWorker()
+    {
+        this->fixture.begin({});
+        this->fixture.listWorker("w1");
+        this->fixture.worker("w1").highestPercent = 100;
+        this->fixture.runFor(milliseconds(100));
+        this->submit(kept(makeLongRunningJob("holder", 1, 40000)));
+        this->fixture.runFor(seconds(2));
+        StepJob ending = makeJob("ending", 1);
+        ending.steps[0].size.cpuMilli = 14000;
+        ending.steps[0].estimate = seconds(40);
+        this->submit(ending);
+        this->fixture.runFor(seconds(2));
+        cr_assert_eq(this->fixture.workers.starts.size(), 2U);
+        this->ending = this->fixture.workers.starts.back();
+    }
+
+    /** Returns a job of which no run is stopped to make room. */
+    static StepJob kept(StepJob job)
+    {
+        job.steps[0].maxConcurrentDisruptions = 1;
+        return job;
+    }
+
+    void submit(StepJob job)
+    {
+        job.acceptedAt = this->fixture.clock.calendarMillis();
+        this->fixture.accept(job);
+    }
+
+    void endTheEndingTask()
+    {
+        this->fixture.workers.endRun(TargetId("w1"), this->ending.attempt, EndKind::Succeeded);
+    }
+
+    bool hasStarted(const char *job) const
+    {
+        const std::vector<FakeWorkers::SentStart> &starts = this->fixture.workers.starts;
+        return std::any_of(starts.begin(), starts.end(),
+                           [job](const auto &each) { return each.attempt.task.job == JobId(job); });
+    }
+
+    DispatcherFixture fixture;
+
+private:
+    FakeWorkers::SentStart ending;
+};
+
 } // namespace
 
 /* The limit on the slowing of serving tasks kept filling jobs off all workers for good. */
@@ -174,3 +226,47 @@
     cr_assert(!fixture.workers.starts.empty());
     cr_assert(fixture.workers.starts.front().attempt.task.job == JobId("watch"));
 }
+
+/* Room that a large task could not use yet kept out the long-running tasks that fitted. */
+Test(Starvation, aLongRunningTaskThatFitsIsNotKeptOutByALargerOneThatLacksRoom)
+{
+    NarrowWorker service;
+    service.submit(makeLongRunningJob("large", 1, 20000));
+    service.fixture.runFor(seconds(2));
+    service.submit(NarrowWorker::kept(makeLongRunningJob("small", 1, 8000)));
+    service.fixture.runFor(maxWaitOfALongRunningTask);
+    cr_assert(service.hasStarted("small"));
+}
+
+/* Smaller long-running tasks that come one after another would pass a large one for good. */
+Test(Starvation, aLargeTaskThatHasWaitedMuchLongerIsNotPassedBySmallerOnes)
+{
+    NarrowWorker service;
+    service.submit(makeLongRunningJob("large", 1, 20000));
+    service.fixture.runFor(seconds(16));
+    service.submit(NarrowWorker::kept(makeLongRunningJob("small", 1, 8000)));
+    service.fixture.runFor(maxWaitOfALongRunningTask);
+    cr_assert_not(service.hasStarted("small"));
+    service.endTheEndingTask();
+    service.fixture.runFor(seconds(1));
+    cr_assert(service.hasStarted("large"));
+}
+
+/* A run was stopped for a large task, and a smaller one took what the stop had freed so far. */
+Test(Starvation, theRoomOfARunThatIsBeingStoppedIsNotPassedOn)
+{
+    Worker worker;
+    worker.entry.capacity = { 64000, 256000, 0 };
+    Run run;
+    run.attempt.task.job = JobId("holder");
+    run.size = { 50000, 1000, 0 };
+    worker.addRun(run);
+    const StepRef large { JobId("large"), 0, 0 };
+    const StepRef small { JobId("small"), 0, 0 };
+    worker.reservation = StartReservation { large, { 40000, 1000, 0 }, Instant(), false };
+    const ResourceVector size { 8000, 1000, 0 };
+    cr_assert_not(worker.hasRoomFor(small, size));
+    cr_assert(worker.hasRoomFor(small, size, true));
+    worker.requestStop(worker.runs.begin()->second);
+    cr_assert_not(worker.hasRoomFor(small, size, true));
+}
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -112,6 +112,8 @@
     ResourceVector size;
     /** When the reservation is given up if the task was not started. */
     Instant lapsesAt {};
+    /** Whether it keeps out overdue tasks also before it has its room. */
+    bool exclusive = false;
 };
 
 /** A worker and its state as known to the owner. */
@@ -294,14 +296,25 @@
     }
 
     /** Returns whether a task of a step has the room that it reserves, beside the task that room is
-        kept for if that is of another step. */
-    bool hasRoomFor(const StepRef &step, const ResourceVector &size) const
+        kept for if that is of another step.
+        @param overdue whether the task has waited so long that it may go before one that lacks room
+        here still */
+    bool hasRoomFor(const StepRef &step, const ResourceVector &size, bool overdue = false) const
     {
-        if (!this->reservation || this->reservation->step == step) {
+        if (!this->reservation || this->reservation->step == step
+            || (overdue && this->mayPassReservation())) {
             return size.fitsInto(this->free());
         }
         return size.fitsBeside(this->reservation->size, this->free());
     }
+
+    /** Returns whether the task that room is kept for lacks room, and no run is being stopped that
+        may give it some. */
+    bool mayPassReservation() const
+    {
+        return !this->reservation->exclusive && this->stopRequests == 0
+                && !this->reservation->size.fitsInto(this->free());
+    }
 };
 
 } // namespace bulrush
