Stop no run for others where turns do not come round in time

What callers saw: after the loss of many workers the long-running tasks exceed the room.

Cause: stops were limited by the number under way at a time, not by whether the turns come round within the rest of maxRestartWait. With hundreds of tasks waiting, each stop replaces one task that waits too long by another.

Change: no run is stopped while more long-running tasks have waited for preemptionWait than stops allowed at a time x 8 turns. Tasks that no worker can run, members of gangs and tasks that end are not counted.

Evidence: noRunIsStoppedWhereTurnsDoNotComeRoundInTime failed with the limit out of reach (20 runs stopped in 30 s). tasksThatCannotRunDoNotKeepTurns... guards the count and passes on both. 364 tests of the module pass, with starvation_test.cpp and task_wait_test.cpp otherwise unchanged.

--- a/modules/bulrush_steps/dispatch/PlanLane.h
+++ b/modules/bulrush_steps/dispatch/PlanLane.h
@@ -97,6 +97,9 @@
     Instant nextReservations {};
     /** Whether that time has come with the present queue. */
     bool reservesRoom = false;
+    /** The long-running tasks that have waited so long that runs may be stopped for them, as
+        counted at that time. */
+    std::size_t overdueTasks = 0;
     /** How often runs to stop may still be searched for with the present queue. */
     std::uint32_t searchesLeft = 0;
     /** The newest census of the steps that wait, and the one under way, if any. */
--- a/modules/bulrush_steps/dispatch/Planner.cpp
+++ b/modules/bulrush_steps/dispatch/Planner.cpp
@@ -136,6 +136,7 @@
             lane.queue.begin(), lane.queue.end(),
             [](const PlanCandidate &a, const PlanCandidate &b) { return a.rank < b.rank; });
     lane.nextRanking = now + lane.limits.rankInterval;
+    this->countOverdue(lane, now);
 }
 
 bool Planner::addCandidates(PlanLane &lane, JobEntry &job, Instant now)
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -149,8 +149,11 @@
         waited too long. @see Preemption */
     void makeRoom(PlanLane &lane, const PlanCandidate &candidate, Instant now);
 
+    /** Counts the tasks for which runs may be stopped, when room may be reserved for them. */
+    void countOverdue(PlanLane &lane, Instant now) const;
+
     /** Returns for how many more tasks runs may be stopped now. */
-    std::size_t preemptionsAllowed() const;
+    std::size_t preemptionsAllowed(const PlanLane &lane) const;
 
     /** Gives up reservations that are not needed any more. */
     void sweepReservations(Instant now);
--- a/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
+++ b/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
@@ -36,6 +36,9 @@
     maxRestartWait to stop them and to start the task. */
 constexpr milliseconds preemptionWait = maxRestartWait / 2;
 
+/** How many tasks can get the room of a stopped run, one after another, within the rest of it. */
+constexpr std::size_t turnsInTime = 8;
+
 } // namespace
 
 void Planner::addStarving(PlanLane &lane, PlanCandidate candidate, const JobRank &rank, Instant now)
@@ -149,7 +152,20 @@
     this->makeRoom(lane, candidate, now);
 }
 
-std::size_t Planner::preemptionsAllowed() const
+void Planner::countOverdue(PlanLane &lane, Instant now) const
+{
+    if (!lane.reservesRoom) {
+        return;
+    }
+    lane.overdueTasks = 0;
+    for (const PlanCandidate &each : lane.queue) {
+        const bool counts = each.starving && each.age >= preemptionWait
+                && Preemption::isAllowedFor(each.spec()) && this->fitsAnyWorker(each);
+        lane.overdueTasks += counts ? this->waitingTasks(each, preemptionWait, now).longWaiting : 0;
+    }
+}
+
+std::size_t Planner::preemptionsAllowed(const PlanLane &lane) const
 {
     const std::map<TargetId, Worker> &workerTable = this->workers.workers();
     const auto stopping = static_cast<std::size_t>(
@@ -157,6 +173,10 @@
                 return each.second.stopRequests > 0 && each.second.reservation;
             }));
     const std::size_t most = std::max(minPreemptions, workerTable.size() / workersAPreemption);
+    // Where turns do not come round in time, each stop makes one more task wait too long.
+    if (lane.overdueTasks > most * turnsInTime) {
+        return 0;
+    }
     const std::size_t taken = stopping + this->listener.unsentStarts(false);
     return most > taken ? most - taken : 0;
 }
@@ -175,7 +195,7 @@
     std::uint32_t secured = this->reservations.securedCountOf(candidate.ref(), now);
     const TaskRequest request = this->makeTaskRequest(candidate);
     const Preemption preemption(now);
-    std::size_t allowed = this->preemptionsAllowed();
+    std::size_t allowed = this->preemptionsAllowed(lane);
     for (; secured < overdue && lane.searchesLeft > 0 && allowed > 0; ++secured, --allowed) {
         --lane.searchesLeft;
         const std::optional<PreemptionChoice> choice =
--- a/modules/bulrush_steps/tests/preemption_test.cpp
+++ b/modules/bulrush_steps/tests/preemption_test.cpp
@@ -279,3 +279,26 @@
     cr_assert_eq(service.runsOf("late"), 1U);
     cr_assert_eq(service.stops(), 0U);
 }
+
+/* Stops for many tasks that do not fit made more tasks wait too long than they served. */
+Test(Preemption, noRunIsStoppedWhereTurnsDoNotComeRoundInTime)
+{
+    HeldService service(1, makeWatch("watch", 40));
+    cr_assert_eq(service.runsOf("watch"), 4U);
+    const std::size_t before = service.stops();
+    service.fixture.runFor(seconds(30));
+    cr_assert_eq(service.stops(), before, "%zu runs were stopped", service.stops() - before);
+}
+
+/* Tasks that no worker can run were counted among those that wait for a turn. */
+Test(Preemption, tasksThatCannotRunDoNotKeepTurnsFromOthers)
+{
+    HeldService service(1, makeWatch("holder", 4));
+    StepJob impossible = makeWatch("impossible", 40);
+    impossible.steps[0].requiredLabel = "none";
+    service.submit(impossible);
+    service.fixture.runFor(maxRestartWait);
+    service.submit(makeWatch("late", 1));
+    service.fixture.runFor(maxRestartWait);
+    cr_assert_eq(service.runsOf("late"), 1U);
+}
