--- a/modules/bulrush_steps/tests/lease_renewal_test.cpp
+++ b/modules/bulrush_steps/tests/lease_renewal_test.cpp
@@ -26,3 +26,21 @@
     }
     cr_expect_eq(fixture.dispatcher.load().lapsedRuns.soonAfterTakeover, 1U);
 }
+
+/* A worker that joined late and was given a task looked like one whose runs had long gone without a
+   renewal. */
+Test(Dispatcher, theLongestTimeWithoutARenewalCountsRunsOfFormerOwnersOnly)
+{
+    DispatcherFixture fixture;
+    fixture.worker("w2").silent = true;
+    fixture.begin({});
+    fixture.listWorker("w1");
+    fixture.listWorker("w2");
+    fixture.accept(makeJob("a", 1));
+    fixture.runFor(seconds(1));
+    const std::vector<std::string> &lines = fixture.decisions.lines[Event::FirstRenewals];
+    cr_assert_eq(lines.size(), 1U);
+    cr_expect_eq(fixture.startsOn("w1"), 1U);
+    cr_expect(lines[0].find("\"longest_with_runs_ms\":0") != std::string::npos, "%s",
+              lines[0].c_str());
+}
--- a/modules/bulrush_steps/workers/FirstRenewals.cpp
+++ b/modules/bulrush_steps/workers/FirstRenewals.cpp
@@ -11,6 +11,12 @@
 /** How long after the owner began the line is written although workers lack a renewal. */
 constexpr milliseconds maxWait { 5000 };
 
+bool hasRunsOfFormerOwners(const Worker &worker)
+{
+    return std::any_of(worker.runs.begin(), worker.runs.end(),
+                       [](const auto &entry) { return entry.second.found; });
+}
+
 } // namespace
 
 FirstRenewals::FirstRenewals(const Clock &systemClock, DecisionLog &decisionLog)
@@ -43,7 +49,8 @@
             const Duration passed = *worker.firstRenewalAt - this->ownerSince;
             ++renewed;
             last = std::max(last, passed);
-            lastWithRuns = std::max(lastWithRuns, worker.runs.empty() ? Duration() : passed);
+            lastWithRuns =
+                    hasRunsOfFormerOwners(worker) ? std::max(lastWithRuns, passed) : lastWithRuns;
         }
     }
     const auto count = static_cast<std::int64_t>(workers.size());
