--- a/modules/bulrush_entry/node/EntryMetrics.cpp
+++ b/modules/bulrush_entry/node/EntryMetrics.cpp
@@ -122,6 +122,13 @@
             workerProcesses.Add({ { "event", "took_others_command" } });
     prometheus::Counter &refusedTokens =
             workerProcesses.Add({ { "event", "refused_older_token" } });
+    prometheus::Family<prometheus::Counter> &lapsedRuns =
+            prometheus::BuildCounter()
+                    .Name("bulrush_entry_lapsed_runs_total")
+                    .Help("Runs that workers listed as lapsed, by the time since the takeover")
+                    .Register(registry);
+    prometheus::Counter &lapsedSoon = lapsedRuns.Add({ { "listed", "soon_after_takeover" } });
+    prometheus::Counter &lapsedLater = lapsedRuns.Add({ { "listed", "later" } });
     prometheus::Family<prometheus::Histogram> &jobSeconds =
             prometheus::BuildHistogram()
                     .Name("bulrush_entry_job_seconds")
@@ -160,6 +167,14 @@
                     .Name("bulrush_entry_takeover_seconds")
                     .Help("Time from becoming the owner to being ready, or to losing the ownership")
                     .Register(registry);
+    prometheus::Family<prometheus::Counter> &placesLeft =
+            prometheus::BuildCounter()
+                    .Name("bulrush_entry_places_left_total")
+                    .Help("Places in the group that this node left to a node with more processor "
+                          "time")
+                    .Register(registry);
+    prometheus::Counter &ownersLeft = placesLeft.Add({ { "place", "owner" } });
+    prometheus::Counter &membersLeft = placesLeft.Add({ { "place", "member" } });
     prometheus::Family<prometheus::Gauge> &heldTasks =
             prometheus::BuildGauge()
                     .Name("bulrush_entry_held_tasks")
@@ -291,6 +306,12 @@
     this->families->refusedTokens.Increment(static_cast<double>(more.refusedOlderToken));
 }
 
+void EntryMetrics::recordLapsedRuns(const LapsedRunCounts &more)
+{
+    this->families->lapsedSoon.Increment(static_cast<double>(more.soonAfterTakeover));
+    this->families->lapsedLater.Increment(static_cast<double>(more.later));
+}
+
 void EntryMetrics::recordJobEnd(JobState state, Duration elapsed)
 {
     this->families->jobSeconds
@@ -309,6 +330,11 @@
             .Observe(toSeconds(elapsed));
 }
 
+void EntryMetrics::recordPlaceLeft(bool wasOwner)
+{
+    (wasOwner ? this->families->ownersLeft : this->families->membersLeft).Increment();
+}
+
 void EntryMetrics::setHeldTasks(const HeldTasks &held)
 {
     this->families->heldForOwnWorker.Set(static_cast<double>(held.forOwnWorker));
--- a/modules/bulrush_entry/node/EntryMetrics.h
+++ b/modules/bulrush_entry/node/EntryMetrics.h
@@ -8,6 +8,7 @@
 #include "bulrush_steps/ownership/TakeoverWait.h"
 #include "bulrush_steps/ports/KeyedLog.h"
 #include "bulrush_steps/ports/WorkerCommands.h"
+#include "bulrush_steps/workers/LapsedRunCounts.h"
 #include "bulrush_steps/workers/WorkerProcessCounts.h"
 
 #include <map>
@@ -44,6 +45,9 @@
     /** Records what was found of the processes of workers. @param more since the last call */
     void recordWorkerProcesses(const WorkerProcessCounts &more);
 
+    /** Records runs that workers listed as lapsed. @param more since the last call */
+    void recordLapsedRuns(const LapsedRunCounts &more);
+
     /** Records a job's end after it was stored in the log.
         @param elapsed time since the job was accepted */
     void recordJobEnd(JobState state, Duration elapsed);
@@ -55,6 +59,10 @@
         @param outcome "ready" or "abandoned" */
     void recordTakeover(const char *outcome, Duration elapsed);
 
+    /** Counts that this node left its place in the group to a larger one.
+        @param wasOwner whether it handed the ownership over with it */
+    void recordPlaceLeft(bool wasOwner);
+
     /** Sets the numbers of tasks that may not start because of former owners. */
     void setHeldTasks(const HeldTasks &held);
 
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -28,6 +28,7 @@
 {
     PlanLoad plan;
     WorkerProcessCounts workerProcesses;
+    LapsedRunCounts lapsedRuns;
     /** Start requests without an answer. */
     std::uint32_t openStarts = 0;
     /** Runs that may be alive. */
@@ -112,6 +113,9 @@
 
     bool active() const { return this->isActive; }
 
+    /** Returns whether it dispatches and waits for no former owner any more. */
+    bool isSettled() const { return this->isActive && this->takeoverWait.isOver(); }
+
     /** Returns the resignation to persist when this ownership ends; nullopt while inactive. */
     std::optional<Resignation> resignation() const;
 
