Let an earlier run that is found give way to a later one of its task

The owner learned of both runs within 0.3 s, kept both, and both ended done.

Cause: Dispatcher::adoptRun kept each run that a worker lists, though the task had another. Now the run of the lower attempt is stopped, whichever was found second, unless the step allows copies or the later start is not sent yet; that one is given up, as before.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -236,7 +236,8 @@
         run = this->describeRun(*job, listed.attempt);
         this->unstarted.erase(job->spec.id);
         run.startSentAt = this->clock.now();
-        run.stopRequested = job->hasEnded() || task.succeeded;
+        run.stopRequested = job->hasEnded() || task.succeeded
+                || this->settleWithOtherRuns(*job, listed.attempt);
         ++task.openRuns;
         this->endWait(*job, listed.attempt.task);
         task.lastAttempt = std::max(task.lastAttempt, listed.attempt.attempt);
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -278,6 +278,10 @@
     /** Stops all runs of a gang of which a start was given up, so that it starts elsewhere. */
     void stopGang(const JobEntry &job, const StepRef &gang);
 
+    /** Has the earlier runs of a task stopped beside a run of it that was found, unless it may have
+        several. @returns whether there is a later run, which the found one gives way to */
+    bool settleWithOtherRuns(const JobEntry &job, const AttemptRef &found);
+
     /** Notes that the task of a run is no longer being moved. */
     void endMove(const TaskRef &task) { this->movingSince.erase(task); }
     EvacuationLoad evacuationLoad() const;
--- a/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherRuns.cpp
@@ -71,6 +71,26 @@
     }
 }
 
+bool Dispatcher::settleWithOtherRuns(const JobEntry &job, const AttemptRef &found)
+{
+    if (job.step(found.task).allowsSpeculation) {
+        return false;
+    }
+    bool hasLaterRun = false;
+    this->workerManager.forEachRun(job.spec.id, [&](Worker &worker, Run &run) {
+        if (run.attempt.task != found.task) {
+            return;
+        }
+        if (run.attempt.attempt > found.attempt) {
+            // A start that is not sent yet is given up instead.
+            hasLaterRun = hasLaterRun || (!run.stopRequested && run.phase != RunPhase::Assigned);
+        } else if (run.attempt.attempt < found.attempt) {
+            this->stopRun(worker, run, "a later run of its task was found");
+        }
+    });
+    return hasLaterRun;
+}
+
 void Dispatcher::runCrashed(const Worker &worker, const Run &run, CrashSign sign,
                             std::string_view evidence)
 {
