Put on record ends that a new owner hears in a worker's first answer

A worker lists the end of a task in its first answer to a new owner. At that moment the owner still waits for that worker, so nothing was put on record; when the wait for it was over an instant later, nothing looked again. If the worker then left and the owner changed before the task started elsewhere, the next owner held the task for the worker once more.

The owner notes at its beginning which tasks each worker is on record for. As soon as all is known that a worker may run of former owners, those of its tasks that have no run get a record that says so, under the same condition as before: the owner could start them elsewhere at once.

RecordedEnd/anEndThatANewOwnerHearsFirstIsOnRecordForTheNext failed with the new look switched off: 0 starts instead of 1 in 0.3 s.

--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -50,6 +50,7 @@
             // Its tasks have yielded to others under the former owner.
             job.waitsSince = std::max(job.acceptedAt, this->clock.now() - maxDeferral);
             job.readRecordedWaits(this->clock);
+            this->noteAssignments(job);
             this->addWaiting(job);
         } else if (!job.endStored && !job.cancelled) {
             this->markEndChanged(job);
@@ -78,6 +79,7 @@
     this->roster.clear();
     this->rosterBasis.reset();
     this->assignedStarts.clear();
+    this->formerAssignments.clear();
     this->changeBeforeRemoval.reset();
     this->movingSince.clear();
 }
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -303,6 +303,13 @@
         has a run of it. */
     void recordWait(JobEntry &job, const TaskRef &ref);
 
+    /** Notes the workers that the records of a job's long-running tasks name. */
+    void noteAssignments(const JobEntry &job);
+
+    /** Has it put on record that a task has no run, if the worker that its record names has none.
+        @param worker one of which all is known that it may run of former owners */
+    void recordNoRun(const TaskRef &ref, const TargetId &worker);
+
     /** Ends the wait of a task, as a worker has confirmed a run of it. */
     void endWait(JobEntry &job, const TaskRef &ref);
 
@@ -379,6 +386,9 @@
     WorkerRoster roster;
     /** The starts that wait for the record of their assignment. */
     AssignedStarts assignedStarts;
+    /** The long-running tasks that were assigned to each worker when this owner began, until it is
+        known what the worker may run of them. */
+    std::map<TargetId, std::vector<TaskRef>> formerAssignments;
     /** The change that must be stored before the records of former owners are removed; none while
         they are needed. */
     std::optional<std::uint64_t> changeBeforeRemoval;
--- a/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherAssignments.cpp
@@ -50,6 +50,33 @@
     this->markTaskChanged(job, ref);
 }
 
+void Dispatcher::noteAssignments(const JobEntry &job)
+{
+    for (const auto &[number, occurrence] : job.occurrences.kept()) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            for (const auto &[index, task] : occurrence.steps[step].tasks.kept()) {
+                if (task.assignedTo) {
+                    this->formerAssignments[*task.assignedTo].push_back(
+                            { job.spec.id, number, step, index });
+                }
+            }
+        }
+    }
+}
+
+void Dispatcher::recordNoRun(const TaskRef &ref, const TargetId &worker)
+{
+    JobEntry *job = this->findJob(ref);
+    if (job == nullptr || job->hasEnded() || job->task(ref).assignedTo != worker
+        || job->task(ref).openRuns > 0) {
+        return;
+    }
+    StepTask &task = job->changeTask(ref);
+    task.waitsSince =
+            task.waitsSince.value_or(job->waitingSince(ref.occurrence, ref.step, this->clock));
+    this->recordWait(*job, ref);
+}
+
 void Dispatcher::endWait(JobEntry &job, const TaskRef &ref)
 {
     if (!job.task(ref).waitsSince) {
--- a/modules/bulrush_steps/dispatch/DispatcherTakeover.cpp
+++ b/modules/bulrush_steps/dispatch/DispatcherTakeover.cpp
@@ -86,6 +86,12 @@
 void Dispatcher::workerKnown(const TargetId &worker)
 {
     this->takeoverWait.workerKnown(worker);
+    const auto assigned = this->formerAssignments.extract(worker);
+    if (assigned) {
+        for (const TaskRef &ref : assigned.mapped()) {
+            this->recordNoRun(ref, worker);
+        }
+    }
 }
 
 std::vector<OwnerRecord> Dispatcher::formerOwnersToAsk() const
--- a/modules/bulrush_steps/tests/recorded_end_test.cpp
+++ b/modules/bulrush_steps/tests/recorded_end_test.cpp
@@ -132,6 +132,24 @@
     cr_assert_eq(fixture.startsOn("w2"), 1U);
 }
 
+/* The end reaches the worker's list only after the owner that had the run has gone: the next owner
+   hears of it in the worker's first answer, while it still waits for that worker. */
+Test(RecordedEnd, anEndThatANewOwnerHearsFirstIsOnRecordForTheNext)
+{
+    OwnersOnRecord fixture;
+    fixture.startOnFirstWorker();
+    fixture.drain("w1");
+    fixture.changeOwner();
+    fixture.endRunsOn("w1");
+    fixture.drain("w1");
+    fixture.runFor(milliseconds(300));
+    fixture.worker("w1").silent = true;
+    fixture.changeOwner();
+    fixture.listWorker("w2");
+    fixture.runFor(milliseconds(300));
+    cr_assert_eq(fixture.startsOn("w2"), 1U);
+}
+
 /* The start is discarded as the worker drains before its record is confirmed as stored. */
 Test(RecordedEnd, aTaskWhoseStartWasDiscardedDoesNotWaitForItsWorker)
 {
