Keep the room that a stop has freed until the task has all of it

A smaller overdue task then took what the stop had freed, and the stop was in vain. A reservation for which runs were stopped is not passed now.

Starvation/roomThatAStopHasFreedIsNotPassedOnBeforeTheRestOfItIsThere failed with the new flag ignored.

--- a/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
+++ b/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
@@ -205,6 +205,7 @@
             return;
         }
         this->reservations.reserveOn(*choice->worker, request.ref, request.step->reserved(), now);
+        choice->worker->reservation->keepsFreedRoom = true;
         for (const AttemptRef &victim : choice->victims) {
             ++this->counters.preemptions;
             this->listener.preempt(*choice->worker, victim);
--- a/modules/bulrush_steps/dispatch/StartReservations.cpp
+++ b/modules/bulrush_steps/dispatch/StartReservations.cpp
@@ -136,7 +136,7 @@
 void StartReservations::reserveOn(Worker &worker, const StepRef &step, const ResourceVector &size,
                                   Instant now)
 {
-    worker.reservation = StartReservation { step, size, now + maxReservation, false };
+    worker.reservation = StartReservation { step, size, now + maxReservation, false, false };
     const auto [entry, added] = this->reserved.try_emplace(worker.entry.worker, step);
     if (!added) {
         ++this->totals.dropped;
--- a/modules/bulrush_steps/tests/starvation_test.cpp
+++ b/modules/bulrush_steps/tests/starvation_test.cpp
@@ -263,10 +263,25 @@
     worker.addRun(run);
     const StepRef large { JobId("large"), 0, 0 };
     const StepRef small { JobId("small"), 0, 0 };
-    worker.reservation = StartReservation { large, { 40000, 1000, 0 }, Instant(), false };
+    worker.reservation = StartReservation { large, { 40000, 1000, 0 }, Instant(), false, false };
     const ResourceVector size { 8000, 1000, 0 };
     cr_assert_not(worker.hasRoomFor(small, size));
     cr_assert(worker.hasRoomFor(small, size, true));
     worker.requestStop(worker.runs.begin()->second);
     cr_assert_not(worker.hasRoomFor(small, size, true));
 }
+
+/* The stopped run had ended, but another run that gives the large task room had not yet. */
+Test(Starvation, roomThatAStopHasFreedIsNotPassedOnBeforeTheRestOfItIsThere)
+{
+    Worker worker;
+    worker.entry.capacity = { 64000, 256000, 0 };
+    Run run;
+    run.attempt.task.job = JobId("ending");
+    run.size = { 50000, 1000, 0 };
+    worker.addRun(run);
+    const StepRef large { JobId("large"), 0, 0 };
+    const StepRef small { JobId("small"), 0, 0 };
+    worker.reservation = StartReservation { large, { 40000, 1000, 0 }, Instant(), false, true };
+    cr_assert_not(worker.hasRoomFor(small, { 8000, 1000, 0 }, true));
+}
--- a/modules/bulrush_steps/workers/Worker.h
+++ b/modules/bulrush_steps/workers/Worker.h
@@ -112,8 +112,11 @@
     ResourceVector size;
     /** When the reservation is given up if the task was not started. */
     Instant lapsesAt {};
-    /** Whether it keeps out overdue tasks also before it has its room. */
+    /** Whether it keeps out overdue tasks also before it has its room: it is for a gang, or for a
+        task that has waited much longer than it may. */
     bool exclusive = false;
+    /** Whether runs were stopped to make its room, which no overdue task takes meanwhile. */
+    bool keepsFreedRoom = false;
 };
 
 /** A worker and its state as known to the owner. */
@@ -321,8 +324,8 @@
         may give it some. */
     bool mayPassReservation() const
     {
-        return !this->reservation->exclusive && this->stopRequests == 0
-                && !this->reservation->size.fitsInto(this->free());
+        return !this->reservation->exclusive && !this->reservation->keepsFreedRoom
+                && this->stopRequests == 0 && !this->reservation->size.fitsInto(this->free());
     }
 };
 
