Count the tasks that wait for turns for each service

Preemption/theTurnsOfAServiceDoNotDependOnTheWaitsOfAnother failed with all services summed up. The count of turns is called stopsInTime, since a turn is another time in Preemption.

--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -28,6 +28,7 @@
 {
     PlanLoad plan;
     WorkerProcessCounts workerProcesses;
+    /** Since the start of the process. */
     LapsedRunCounts lapsedRuns;
     /** Start requests without an answer. */
     std::uint32_t openStarts = 0;
--- a/modules/bulrush_steps/dispatch/PlanLane.h
+++ b/modules/bulrush_steps/dispatch/PlanLane.h
@@ -86,7 +86,8 @@
     std::map<ServiceId, PlanCandidate> longestStarving;
     /** Position of the next step of the queue to plan. */
     std::size_t next = 0;
-    /** Of a lane that fills, whose starving steps keep their place in the order. */
+    /** Of a lane that fills: its starving steps keep their place in the order until they have been
+        passed over for long. */
     PassedOverSteps passedOver;
     /** Steps of the queue for which no worker was found. They rule out steps that need as much or
         more. */
@@ -100,9 +101,9 @@
     Instant nextReservations {};
     /** Whether that time has come with the present queue. */
     bool reservesRoom = false;
-    /** The long-running tasks that have waited so long that runs may be stopped for them, as
-        counted at that time. */
-    std::size_t overdueTasks = 0;
+    /** The long-running tasks of each service that have waited so long that runs may be stopped for
+        them, as counted at that time. */
+    std::map<ServiceId, std::size_t> overdueTasks;
     /** How often runs to stop may still be searched for with the present queue. */
     std::uint32_t searchesLeft = 0;
     /** The newest census of the steps that wait, and the one under way, if any. */
@@ -120,6 +121,7 @@
         this->longestStarving.clear();
         this->next = 0;
         this->passedOver.clear();
+        this->overdueTasks.clear();
         this->unplaced.clear();
         this->unplacedCount = 0;
         this->endingUnplaced = false;
--- a/modules/bulrush_steps/dispatch/Planner.h
+++ b/modules/bulrush_steps/dispatch/Planner.h
@@ -155,8 +155,11 @@
     /** Counts the tasks for which runs may be stopped, when room may be reserved for them. */
     void countOverdue(PlanLane &lane, Instant now) const;
 
-    /** Returns for how many more tasks runs may be stopped now. */
-    std::size_t preemptionsAllowed(const PlanLane &lane) const;
+    /** Returns for how many more tasks of a service runs may be stopped now. */
+    std::size_t preemptionsAllowed(const PlanLane &lane, const ServiceId &service) const;
+
+    /** Returns whether all tasks of a service that wait for a turn can have it in time. */
+    bool turnsComeInTime(const PlanLane &lane, const ServiceId &service) const;
 
     /** Gives up reservations that are not needed any more. */
     void sweepReservations(Instant now);
--- a/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
+++ b/modules/bulrush_steps/dispatch/PlannerStarvation.cpp
@@ -36,8 +36,15 @@
     maxRestartWait to stop them and to start the task. */
 constexpr milliseconds preemptionWait = maxRestartWait / 2;
 
-/** How many tasks can get the room of a stopped run, one after another, within the rest of it. */
-constexpr std::size_t turnsInTime = 8;
+/** How many tasks can get the room of stopped runs, one after another, within the rest of
+    maxRestartWait. */
+constexpr std::size_t stopsInTime = 8;
+
+/** Returns on how many of a number of workers runs may be stopped at a time. */
+std::size_t maxPreemptions(std::size_t workers)
+{
+    return std::max(minPreemptions, workers / workersAPreemption);
+}
 
 } // namespace
 
@@ -53,8 +60,9 @@
     others.starving = false;
     lane.queue.push_back(others);
     if (lane.fills) {
-        // It needs no better rank: it may start beyond the limits that others keep to, and leaves
-        // the workers within them to those that are in time.
+        // It needs no better rank while its turn comes: it may start beyond the limits that others
+        // keep to, and leaves the workers within them to those that are in time.
+        // @see PassedOverSteps
         lane.queue.push_back(candidate);
         return;
     }
@@ -157,26 +165,43 @@
     if (!lane.reservesRoom) {
         return;
     }
-    lane.overdueTasks = 0;
+    lane.overdueTasks.clear();
     for (const PlanCandidate &each : lane.queue) {
         const bool counts = each.starving && each.age >= preemptionWait
                 && Preemption::isAllowedFor(each.spec()) && this->fitsAnyWorker(each);
-        lane.overdueTasks += counts ? this->waitingTasks(each, preemptionWait, now).longWaiting : 0;
+        if (counts) {
+            lane.overdueTasks[this->serviceOf(*each.job)] +=
+                    this->waitingTasks(each, preemptionWait, now).longWaiting;
+        }
     }
 }
 
-std::size_t Planner::preemptionsAllowed(const PlanLane &lane) const
+bool Planner::turnsComeInTime(const PlanLane &lane, const ServiceId &service) const
 {
+    const auto overdue = lane.overdueTasks.find(service);
+    if (overdue == lane.overdueTasks.end()) {
+        return true;
+    }
     const std::map<TargetId, Worker> &workerTable = this->workers.workers();
-    const auto stopping = static_cast<std::size_t>(
-            std::count_if(workerTable.begin(), workerTable.end(), [](const auto &each) {
-                return each.second.stopRequests > 0 && each.second.reservation;
+    const auto workersOfService = static_cast<std::size_t>(
+            std::count_if(workerTable.begin(), workerTable.end(), [&service](const auto &each) {
+                return each.second.entry.service == service;
             }));
-    const std::size_t most = std::max(minPreemptions, workerTable.size() / workersAPreemption);
+    return overdue->second <= maxPreemptions(workersOfService) * stopsInTime;
+}
+
+std::size_t Planner::preemptionsAllowed(const PlanLane &lane, const ServiceId &service) const
+{
     // Where turns do not come round in time, each stop makes one more task wait too long.
-    if (lane.overdueTasks > most * turnsInTime) {
+    if (!this->turnsComeInTime(lane, service)) {
         return 0;
     }
+    const std::map<TargetId, Worker> &workerTable = this->workers.workers();
+    const auto stopping = static_cast<std::size_t>(
+            std::count_if(workerTable.begin(), workerTable.end(), [](const auto &each) {
+                return each.second.stopRequests > 0 && each.second.reservation;
+            }));
+    const std::size_t most = maxPreemptions(workerTable.size());
     const std::size_t taken = stopping + this->listener.unsentStarts(false);
     return most > taken ? most - taken : 0;
 }
@@ -195,7 +220,7 @@
     std::uint32_t secured = this->reservations.securedCountOf(candidate.ref(), now);
     const TaskRequest request = this->makeTaskRequest(candidate);
     const Preemption preemption(now);
-    std::size_t allowed = this->preemptionsAllowed(lane);
+    std::size_t allowed = this->preemptionsAllowed(lane, request.service);
     for (; secured < overdue && lane.searchesLeft > 0 && allowed > 0; ++secured, --allowed) {
         --lane.searchesLeft;
         const std::optional<PreemptionChoice> choice =
--- a/modules/bulrush_steps/tests/preemption_test.cpp
+++ b/modules/bulrush_steps/tests/preemption_test.cpp
@@ -302,3 +302,25 @@
     service.fixture.runFor(maxRestartWait);
     cr_assert_eq(service.runsOf("late"), 1U);
 }
+
+/* The waits of one service kept the long-running tasks of another from their turns. */
+Test(Preemption, theTurnsOfAServiceDoNotDependOnTheWaitsOfAnother)
+{
+    HeldService service(1, makeWatch("watch", 40));
+    const ServiceId other("other");
+    WorkerEntry entry = makeWorkerEntry("o1");
+    entry.service = other;
+    service.fixture.worker("o1").highestPercent = 100;
+    service.fixture.dispatcher.workerListed(entry);
+    service.fixture.runFor(milliseconds(100));
+    StepJob holder = makeWatch("holder", 4);
+    holder.service = other;
+    service.submit(holder);
+    service.fixture.runFor(seconds(15));
+    cr_assert_eq(service.runsOf("holder"), 4U);
+    StepJob late = makeWatch("late", 1);
+    late.service = other;
+    service.submit(late);
+    service.fixture.runFor(maxRestartWait);
+    cr_assert_eq(service.runsOf("late"), 1U);
+}
