--- a/modules/bulrush_entry/node/EntryNode.h
+++ b/modules/bulrush_entry/node/EntryNode.h
@@ -122,8 +122,8 @@
     void reportOwnerLoad();
     /** Logs what is left in evacuated data centres, if anything is, and sets the metrics. */
     void reportEvacuation(const EvacuationLoad &load);
-    /** Logs why steps that may start have no worker, if there are any, and sets the metrics. */
-    /** @param lane the kind of steps, as it is logged */
+    /** Logs why steps of one kind that may start have no worker, if there are any.
+        @param lane the kind of steps, as it is logged */
     void reportWaits(std::string_view lane, const WaitCensus &waits);
     bool isOwnerOrTakesOver() const
     {
