--- a/modules/bulrush_steps/dispatch/Dispatcher.cpp
+++ b/modules/bulrush_steps/dispatch/Dispatcher.cpp
@@ -50,6 +50,7 @@
             // Its tasks have yielded to others under the former owner.
             job.waitsSince = std::max(job.acceptedAt, this->clock.now() - maxDeferral);
             job.readRecordedWaits(this->clock);
+            this->noteAssignments(job);
             this->addWaiting(job);
         } else if (!job.endStored && !job.cancelled) {
             this->markEndChanged(job);
@@ -78,6 +79,7 @@
     this->roster.clear();
     this->rosterBasis.reset();
     this->assignedStarts.clear();
+    this->formerAssignments.clear();
     this->changeBeforeRemoval.reset();
     this->movingSince.clear();
 }
@@ -236,7 +238,8 @@
         run = this->describeRun(*job, listed.attempt);
         this->unstarted.erase(job->spec.id);
         run.startSentAt = this->clock.now();
-        run.stopRequested = job->hasEnded() || task.succeeded;
+        run.stopRequested = job->hasEnded() || task.succeeded
+                || this->settleWithOtherRuns(*job, listed.attempt);
         ++task.openRuns;
         this->endWait(*job, listed.attempt.task);
         task.lastAttempt = std::max(task.lastAttempt, listed.attempt.attempt);
--- a/modules/bulrush_steps/dispatch/Dispatcher.h
+++ b/modules/bulrush_steps/dispatch/Dispatcher.h
@@ -28,6 +28,7 @@
 {
     PlanLoad plan;
     WorkerProcessCounts workerProcesses;
+    /** Since the start of the process. */
     LapsedRunCounts lapsedRuns;
     /** Start requests without an answer. */
     std::uint32_t openStarts = 0;
@@ -278,6 +279,10 @@
     /** Stops all runs of a gang of which a start was given up, so that it starts elsewhere. */
     void stopGang(const JobEntry &job, const StepRef &gang);
 
+    /** Has the earlier runs of a task stopped beside a run of it that was found, unless it may have
+        several. @returns whether there is a later run, which the found one gives way to */
+    bool settleWithOtherRuns(const JobEntry &job, const AttemptRef &found);
+
     /** Notes that the task of a run is no longer being moved. */
     void endMove(const TaskRef &task) { this->movingSince.erase(task); }
     EvacuationLoad evacuationLoad() const;
@@ -299,6 +304,13 @@
         has a run of it. */
     void recordWait(JobEntry &job, const TaskRef &ref);
 
+    /** Notes the workers that the records of a job's long-running tasks name. */
+    void noteAssignments(const JobEntry &job);
+
+    /** Has it put on record that a task has no run, if the worker that its record names has none.
+        @param worker one of which all is known that it may run of former owners */
+    void recordNoRun(const TaskRef &ref, const TargetId &worker);
+
     /** Ends the wait of a task, as a worker has confirmed a run of it. */
     void endWait(JobEntry &job, const TaskRef &ref);
 
@@ -375,6 +387,9 @@
     WorkerRoster roster;
     /** The starts that wait for the record of their assignment. */
     AssignedStarts assignedStarts;
+    /** The long-running tasks that were assigned to each worker when this owner began, until it is
+        known what the worker may run of them. */
+    std::map<TargetId, std::vector<TaskRef>> formerAssignments;
     /** The change that must be stored before the records of former owners are removed; none while
         they are needed. */
     std::optional<std::uint64_t> changeBeforeRemoval;
